Set up the build, identifiers, errors, events and the wire protocol

Cause: the repository was empty. Change: Maven modules with formatter and linter that fail the build, value types for identifiers, error codes, events, the framed MessagePack protocol with a mutual handshake, the records of all messages, and the interfaces of the decision cores.

--- /dev/null
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/OperatorConfiguration.java
@@ -0,0 +1,61 @@
+package io.rosemarybeam.common.configuration;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.rosemarybeam.common.id.ConfigurationNumber;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.ServiceName;
+
+/**
+ * The operator's description of the deployment, as checked by {@link ConfigurationParser}.
+ *
+ * <p>Invariant: dependencies name services of this configuration and have no cycle. Immutable and safe for use by several
+ * threads.
+ *
+ * @param number the number that the text carries
+ * @param controlHosts the hosts that hold the replicated state
+ * @param drainingEntryHosts entry hosts that stop taking new work
+ * @param drainingEndpoints endpoints that get no new work
+ * @param endpointRoles role that an endpoint is ordered to take, by endpoint
+ * @param services the services by name
+ */
+public record OperatorConfiguration(
+        ConfigurationNumber number,
+        List<ControlHost> controlHosts,
+        Set<HostName> drainingEntryHosts,
+        Set<EndpointId> drainingEndpoints,
+        Map<EndpointId, String> endpointRoles,
+        Map<ServiceName, ServiceConfiguration> services) {
+    /** Copies the collections. */
+    public OperatorConfiguration {
+        controlHosts = List.copyOf(controlHosts);
+        drainingEntryHosts = Set.copyOf(drainingEntryHosts);
+        drainingEndpoints = Set.copyOf(drainingEndpoints);
+        endpointRoles = Map.copyOf(endpointRoles);
+        services = Map.copyOf(services);
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name its name
+     * @return the service, or empty if the configuration has none of that name
+     */
+    public Optional<ServiceConfiguration> service(ServiceName name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * A host that holds the replicated state.
+     *
+     * @param name its name
+     * @param address IP number and port of the protocol between processes
+     * @param failureDomain where it runs
+     */
+    public record ControlHost(HostName name, String address, FailureDomain failureDomain) {}
+}
--- /dev/null
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/ServiceConfiguration.java
@@ -0,0 +1,290 @@
+package io.rosemarybeam.common.configuration;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.TrainerName;
+
+/**
+ * One service of the operator configuration. Immutable and safe for use by several threads.
+ *
+ * @param name its name
+ * @param serviceClass model service or plain service
+ * @param dependsOn services that it calls
+ * @param scoringService plain service that scores its samples
+ * @param limits how much it may take
+ * @param deadlines time limits of its requests
+ * @param retries how attempts are repeated
+ * @param customerReservePercent share of each endpoint's capacity that training never uses
+ * @param training rules for samples; empty for plain services
+ * @param rollout rules for weight swaps; empty for plain services
+ * @param idempotentCalls calls of a plain service that may be repeated
+ */
+public record ServiceConfiguration(
+        ServiceName name,
+        ServiceClass serviceClass,
+        List<ServiceName> dependsOn,
+        Optional<ServiceName> scoringService,
+        Limits limits,
+        Deadlines deadlines,
+        Retries retries,
+        int customerReservePercent,
+        Optional<Training> training,
+        Optional<Rollout> rollout,
+        List<IdempotentCall> idempotentCalls) {
+    /** Copies the lists. */
+    public ServiceConfiguration {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(serviceClass, "serviceClass");
+        dependsOn = List.copyOf(dependsOn);
+        idempotentCalls = List.copyOf(idempotentCalls);
+    }
+
+    /** What kind of endpoints a service has. */
+    public enum ServiceClass {
+        /** Model engines that complete prompts. */
+        MODEL,
+        /** Plain HTTP services. */
+        PLAIN
+    }
+
+    /**
+     * How much a service may take.
+     *
+     * @param maximumConcurrent requests that run at once over all entries
+     * @param maximumQueued requests that wait in one entry
+     * @param maximumBodyBytes largest request body, in bytes
+     * @param concurrentPerEndpoint requests that run at once on one endpoint
+     */
+    public record Limits(int maximumConcurrent, int maximumQueued, int maximumBodyBytes, int concurrentPerEndpoint) {}
+
+    /**
+     * Time limits of requests, in milliseconds.
+     *
+     * @param totalMilliseconds from arrival to the end of the answer
+     * @param progressMilliseconds without any byte from the endpoint
+     * @param connectMilliseconds to open a connection
+     */
+    public record Deadlines(long totalMilliseconds, long progressMilliseconds, long connectMilliseconds) {}
+
+    /**
+     * How attempts are repeated.
+     *
+     * @param maximumAttempts attempts of one request
+     * @param budgetPercent repeated attempts per hundred requests
+     */
+    public record Retries(int maximumAttempts, int budgetPercent) {}
+
+    /**
+     * Rules for samples.
+     *
+     * @param stalenessBoundVersions by how many versions a sample may lag behind its trainer
+     * @param trainerIdleWeight weight of trainer idle time, 0 to 1
+     * @param stalenessWeight weight of staleness, 0 to 1
+     * @param trainerShares relative share of the engines, by trainer
+     */
+    public record Training(
+            int stalenessBoundVersions,
+            double trainerIdleWeight,
+            double stalenessWeight,
+            Map<TrainerName, Integer> trainerShares) {
+        /** Copies the shares. */
+        public Training {
+            trainerShares = Map.copyOf(trainerShares);
+        }
+    }
+
+    /**
+     * Rules for weight swaps.
+     *
+     * @param capacityFloorPercent share of the endpoints that stays in service during a rollout
+     * @param storeFetchesPerSecond orders per second that the weight store can bear
+     */
+    public record Rollout(int capacityFloorPercent, int storeFetchesPerSecond) {}
+
+    /**
+     * A call of a plain service that may be repeated.
+     *
+     * @param method HTTP method
+     * @param path path within the service; a last segment of two asterisks stands for anything below
+     */
+    public record IdempotentCall(String method, String path) {
+        private static final String ANYTHING_BELOW = "/**";
+
+        /**
+         * Returns whether a call is covered.
+         *
+         * @param calledMethod HTTP method of the call
+         * @param calledPath path of the call without query
+         * @return true if method and path match
+         */
+        public boolean matches(String calledMethod, String calledPath) {
+            if (!method.equals(calledMethod)) {
+                return false;
+            }
+            if (path.endsWith(ANYTHING_BELOW)) {
+                String prefix = path.substring(0, path.length() - ANYTHING_BELOW.length());
+                return calledPath.equals(prefix) || calledPath.startsWith(prefix + "/");
+            }
+            return path.equals(calledPath);
+        }
+    }
+
+    /**
+     * Returns a builder that starts from moderate limits.
+     *
+     * @param name name of the service
+     * @param serviceClass its class
+     * @return the builder
+     */
+    public static Builder builder(ServiceName name, ServiceClass serviceClass) {
+        return new Builder(name, serviceClass);
+    }
+
+    /** Builds a service configuration. Not safe for use by several threads. */
+    public static final class Builder {
+        private static final Limits DEFAULT_LIMITS = new Limits(64, 256, 1_048_576, 8);
+        private static final Deadlines DEFAULT_DEADLINES = new Deadlines(30_000, 2_000, 500);
+        private static final Retries DEFAULT_RETRIES = new Retries(3, 10);
+        private static final int DEFAULT_CUSTOMER_RESERVE_PERCENT = 25;
+
+        private final ServiceName name;
+        private final ServiceClass serviceClass;
+        private List<ServiceName> dependsOn = List.of();
+        private Optional<ServiceName> scoringService = Optional.empty();
+        private Limits limits = DEFAULT_LIMITS;
+        private Deadlines deadlines = DEFAULT_DEADLINES;
+        private Retries retries = DEFAULT_RETRIES;
+        private int customerReservePercent = DEFAULT_CUSTOMER_RESERVE_PERCENT;
+        private Optional<Training> training = Optional.empty();
+        private Optional<Rollout> rollout = Optional.empty();
+        private List<IdempotentCall> idempotentCalls = List.of();
+
+        private Builder(ServiceName name, ServiceClass serviceClass) {
+            this.name = name;
+            this.serviceClass = serviceClass;
+        }
+
+        /**
+         * Sets the services that this one calls.
+         *
+         * @param services the services
+         * @return this builder
+         */
+        public Builder dependsOn(List<ServiceName> services) {
+            dependsOn = services;
+            return this;
+        }
+
+        /**
+         * Sets the service that scores the samples.
+         *
+         * @param service the service, or empty
+         * @return this builder
+         */
+        public Builder scoringService(Optional<ServiceName> service) {
+            scoringService = service;
+            return this;
+        }
+
+        /**
+         * Sets the limits.
+         *
+         * @param value the limits
+         * @return this builder
+         */
+        public Builder limits(Limits value) {
+            limits = value;
+            return this;
+        }
+
+        /**
+         * Sets the deadlines.
+         *
+         * @param value the deadlines
+         * @return this builder
+         */
+        public Builder deadlines(Deadlines value) {
+            deadlines = value;
+            return this;
+        }
+
+        /**
+         * Sets the retries.
+         *
+         * @param value the retries
+         * @return this builder
+         */
+        public Builder retries(Retries value) {
+            retries = value;
+            return this;
+        }
+
+        /**
+         * Sets the share of capacity that training never uses.
+         *
+         * @param percent 0 to 100
+         * @return this builder
+         */
+        public Builder customerReservePercent(int percent) {
+            customerReservePercent = percent;
+            return this;
+        }
+
+        /**
+         * Sets the rules for samples.
+         *
+         * @param value the rules, or empty
+         * @return this builder
+         */
+        public Builder training(Optional<Training> value) {
+            training = value;
+            return this;
+        }
+
+        /**
+         * Sets the rules for weight swaps.
+         *
+         * @param value the rules, or empty
+         * @return this builder
+         */
+        public Builder rollout(Optional<Rollout> value) {
+            rollout = value;
+            return this;
+        }
+
+        /**
+         * Sets the calls that may be repeated.
+         *
+         * @param calls the calls
+         * @return this builder
+         */
+        public Builder idempotentCalls(List<IdempotentCall> calls) {
+            idempotentCalls = calls;
+            return this;
+        }
+
+        /**
+         * Builds the configuration.
+         *
+         * @return the configuration
+         */
+        public ServiceConfiguration build() {
+            return new ServiceConfiguration(
+                    name,
+                    serviceClass,
+                    dependsOn,
+                    scoringService,
+                    limits,
+                    deadlines,
+                    retries,
+                    customerReservePercent,
+                    training,
+                    rollout,
+                    idempotentCalls);
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -0,0 +1,68 @@
+package io.rosemarybeam.common.event;
+
+/** Numbers every log event; docs/EVENTS.md lists them. Immutable and safe for use by several threads. */
+public enum Event {
+    /** A process finished its start. */
+    PROCESS_STARTED(100, Severity.INFORMATION, "A process finished its start."),
+    /** A process began its graceful stop. */
+    PROCESS_STOPPING(101, Severity.INFORMATION, "A process began its graceful stop."),
+    /** A process finished its graceful stop. */
+    PROCESS_STOPPED(102, Severity.INFORMATION, "A process finished its graceful stop."),
+    /** A process stops because of a failure. */
+    PROCESS_FAILED(103, Severity.ERROR, "A process stops because of a failure."),
+    /** A connection failed its handshake. */
+    HANDSHAKE_REFUSED(200, Severity.WARNING, "A connection failed its handshake."),
+    /** A connection was closed because it was silent. */
+    CONNECTION_SILENT(201, Severity.WARNING, "A connection was closed because it was silent."),
+    /** A frame could not be decoded. */
+    FRAME_REFUSED(202, Severity.WARNING, "A frame could not be decoded."),
+    /** A message handler failed. */
+    HANDLER_FAILED(203, Severity.ERROR, "A message handler failed.");
+
+    /** How serious an event is. */
+    public enum Severity {
+        /** Normal operation. */
+        INFORMATION,
+        /** Something to look at. */
+        WARNING,
+        /** Something failed. */
+        ERROR
+    }
+
+    private final int number;
+    private final Severity severity;
+    private final String description;
+
+    Event(int number, Severity severity, String description) {
+        this.number = number;
+        this.severity = severity;
+        this.description = description;
+    }
+
+    /**
+     * Returns the number of this event.
+     *
+     * @return a number that never changes its meaning
+     */
+    public int number() {
+        return number;
+    }
+
+    /**
+     * Returns how serious this event is.
+     *
+     * @return the severity
+     */
+    public Severity severity() {
+        return severity;
+    }
+
+    /**
+     * Returns the catalogue text of this event.
+     *
+     * @return one sentence
+     */
+    public String description() {
+        return description;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/MessageHandler.java
@@ -0,0 +1,32 @@
+package io.rosemarybeam.common.wire;
+
+/**
+ * Receives the messages of trusted connections.
+ *
+ * <p>Called on the event loop of the connection; implementations must not block.
+ */
+@FunctionalInterface
+public interface MessageHandler {
+    /**
+     * Receives a message that is not a reply.
+     *
+     * @param connection where it came from
+     * @param correlation what to pass to {@link WireConnection#reply}; zero if no reply is expected
+     * @param message the message
+     */
+    void onMessage(WireConnection connection, long correlation, Message message);
+
+    /**
+     * Learns that a connection is trusted from now on.
+     *
+     * @param connection the connection
+     */
+    default void onOpen(WireConnection connection) {}
+
+    /**
+     * Learns that a connection has closed.
+     *
+     * @param connection the connection
+     */
+    default void onClose(WireConnection connection) {}
+}
--- /dev/null
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
@@ -0,0 +1,77 @@
+package io.rosemarybeam.common.wire;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.WireException;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.ControlReply.EntryLease;
+import io.rosemarybeam.common.wire.ControlReply.EntryState;
+import io.rosemarybeam.common.wire.EntryRequest.EndpointRenewal;
+import io.rosemarybeam.common.wire.EntryRequest.RenewEntryLease;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+/** Guards against messages that change on their way and against payloads that crash the decoder. */
+class MessageCodecTest {
+    private static final EntryHostRecord ENTRY = new EntryHostRecord(
+            HostName.of("entry-1"), 5, "127.0.0.1:8080", "127.0.0.1:9080", FailureDomain.of("amman-a"), false);
+
+    private static EndpointRecord endpoint() {
+        return new EndpointRecord(
+                EndpointId.of("engine-1"),
+                3,
+                ServiceName.of("brailler-lm"),
+                "http://127.0.0.1:9001",
+                FailureDomain.of("amman-b"),
+                8,
+                true,
+                true,
+                true,
+                false,
+                Optional.of(WeightVersion.of(4)),
+                false);
+    }
+
+    @Test
+    void shouldReturnEqualRecordWhenLeaseRenewalIsEncodedAndDecoded() {
+        var renewal = new EndpointRenewal(EndpointId.of("engine-1"), 3, Optional.empty());
+        var request = new RenewEntryLease(ENTRY, 4, 2, 17, List.of(renewal), Map.of("brailler-lm", 12));
+
+        byte[] payload = MessageCodec.encode(request);
+
+        assertEquals(request, MessageCodec.decode(payload, RenewEntryLease.class));
+    }
+
+    @Test
+    void shouldReturnEqualRecordWhenLeaseIsEncodedAndDecoded() {
+        var membership = new MembershipDelta(0, 9, List.of(endpoint()), List.of(), List.of(ENTRY), List.of());
+        var state = new EntryState(
+                2,
+                Optional.of(new ControlReply.ConfigurationText(4, "{}")),
+                Optional.of(membership),
+                Map.of("brailler-lm", 16),
+                List.of(),
+                Map.of("brailler-lm", WeightVersion.of(4)));
+        var lease = new EntryLease(3_000, state);
+
+        assertEquals(lease, MessageCodec.decode(MessageCodec.encode(lease), EntryLease.class));
+    }
+
+    @Test
+    void shouldThrowTypedErrorWhenPayloadIsGarbage() {
+        byte[] garbage = {(byte) 0xc1, 1, 2, 3};
+
+        WireException failure = assertThrows(WireException.class, () -> MessageCodec.decode(garbage, EntryLease.class));
+
+        assertEquals(ErrorCode.FRAME_INVALID, failure.code());
+    }
+}
--- /dev/null
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/WireTransportTest.java
@@ -0,0 +1,122 @@
+package io.rosemarybeam.common.wire;
+
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.Channel;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.WireException;
+import io.rosemarybeam.common.wire.HandshakeMessage.Role;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against strangers that get through the handshake and against connections that hang for ever. */
+class WireTransportTest {
+    private static final Duration DEADLINE = Duration.ofSeconds(5);
+    private static final WireSettings SETTINGS =
+            new WireSettings(Duration.ofMillis(50), Duration.ofMillis(300), Duration.ofMillis(500));
+
+    private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
+    private final WireTransport transport = WireTransport.of(eventLoops, SETTINGS);
+    private Channel server;
+
+    @BeforeEach
+    void listen() {
+        MessageHandler handler = (connection, correlation, message) -> {
+            if (message instanceof OperatorRequest.DumpRequest) {
+                connection.reply(correlation, new CommonReply.DumpReply(connection.remoteName()));
+            }
+        };
+        server = transport.listen("127.0.0.1:0", "control-1", new Secrets("cluster", Optional.of("token")), handler);
+    }
+
+    @AfterEach
+    void stop() {
+        server.close();
+        eventLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    private String address() {
+        return "127.0.0.1:" + ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    private CompletableFuture<WireConnection> connect(String secret) {
+        Credentials credentials = new Credentials(Role.ENTRY, "entry-1", 7, secret);
+        return transport.connect(address(), credentials, (connection, correlation, message) -> {});
+    }
+
+    @Test
+    void shouldAnswerRequestWhenSecretsMatch() throws Exception {
+        WireConnection connection = connect("cluster").get(5, TimeUnit.SECONDS);
+
+        Message reply =
+                connection.request(new OperatorRequest.DumpRequest(), DEADLINE).get(5, TimeUnit.SECONDS);
+
+        assertEquals(new CommonReply.DumpReply("entry-1"), reply);
+        assertEquals("control-1", connection.remoteName());
+    }
+
+    @Test
+    void shouldRefuseConnectionWhenSecretIsWrong() {
+        ExecutionException failure =
+                assertThrows(ExecutionException.class, () -> connect("guess").get(5, TimeUnit.SECONDS));
+
+        assertEquals(ErrorCode.HANDSHAKE_REFUSED, ((WireException) failure.getCause()).code());
+    }
+
+    @Test
+    void shouldCloseWithoutAnswerWhenStrangerSendsRequestBeforeHandshake() throws Exception {
+        try (Socket stranger = new Socket("127.0.0.1", ((InetSocketAddress) server.localAddress()).getPort())) {
+            byte[] dumpRequest = {0, 0, 0, 12, 1, 0, 94, 0, 0, 0, 0, 0, 0, 0, 1, (byte) 0x90};
+            stranger.getOutputStream().write(dumpRequest);
+            InputStream answer = stranger.getInputStream();
+
+            assertEquals(-1, answer.read());
+        }
+    }
+
+    @Test
+    void shouldFailRequestWhenNoReplyArrivesBeforeDeadline() throws Exception {
+        WireConnection connection = connect("cluster").get(5, TimeUnit.SECONDS);
+
+        CompletableFuture<Message> reply = connection.request(new OperatorRequest.ReadStatus(), Duration.ofMillis(100));
+
+        ExecutionException failure = assertThrows(ExecutionException.class, () -> reply.get(5, TimeUnit.SECONDS));
+        assertEquals(ErrorCode.DEADLINE_EXCEEDED, ((WireException) failure.getCause()).code());
+        assertTrue(connection.isOpen());
+    }
+
+    @Test
+    void shouldStayOpenWhenOnlyHeartbeatsAreSent() throws Exception {
+        WireConnection connection = connect("cluster").get(5, TimeUnit.SECONDS);
+
+        Thread.sleep(3 * SETTINGS.silenceDeadline().toMillis());
+
+        assertTrue(connection.isOpen());
+    }
+
+    @Test
+    void shouldFailWhenServerAcceptsAndStaysSilent() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0)) {
+            Credentials credentials = new Credentials(Role.ENTRY, "entry-1", 7, "cluster");
+            CompletableFuture<WireConnection> opened = transport.connect(
+                    "127.0.0.1:" + silent.getLocalPort(), credentials, (connection, correlation, message) -> {});
+
+            ExecutionException failure = assertThrows(ExecutionException.class, () -> opened.get(5, TimeUnit.SECONDS));
+            assertEquals(ErrorCode.HANDSHAKE_REFUSED, ((WireException) failure.getCause()).code());
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepCommand.java
@@ -0,0 +1,135 @@
+package io.rosemarybeam.decision.step;
+
+import java.util.List;
+import java.util.Set;
+
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.TrainerName;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.PeerRequest.SampleBody;
+import io.rosemarybeam.common.wire.StepRecords.SampleCommit;
+import io.rosemarybeam.decision.step.StepInput.StepKey;
+
+/** What the step core wants done. Immutable and safe for use by several threads. */
+public sealed interface StepCommand {
+    /**
+     * Submits one attempt of a sample to the request core.
+     *
+     * @param request id of the attempt
+     * @param trainer the trainer
+     * @param service the model service
+     * @param prompt the prompt
+     * @param maximumTokens longest answer
+     * @param expectedTokens predicted length
+     * @param minimumVersion oldest weight version that may serve it
+     * @param avoid endpoints that run other attempts of the sample
+     * @param deadlineMilliseconds when it must be complete
+     */
+    record SubmitSample(
+            RequestId request,
+            TrainerName trainer,
+            ServiceName service,
+            String prompt,
+            int maximumTokens,
+            int expectedTokens,
+            WeightVersion minimumVersion,
+            Set<EndpointId> avoid,
+            long deadlineMilliseconds)
+            implements StepCommand {
+        /** Copies the endpoints. */
+        public SubmitSample {
+            avoid = Set.copyOf(avoid);
+        }
+    }
+
+    /**
+     * Cancels a submitted attempt.
+     *
+     * @param request as submitted
+     */
+    record CancelSample(RequestId request) implements StepCommand {}
+
+    /**
+     * Has a sample scored; the scoring service sees the same key for every repetition.
+     *
+     * @param step the step
+     * @param index the sample
+     * @param digest digest of the text
+     * @param scoringService the plain service that scores
+     * @param prompt the prompt
+     * @param text the text
+     */
+    record ScoreSample(StepKey step, int index, String digest, ServiceName scoringService, String prompt, String text)
+            implements StepCommand {}
+
+    /**
+     * Stores copies of bodies on a peer.
+     *
+     * @param step the step
+     * @param peer the peer
+     * @param bodies the bodies
+     */
+    record StoreBodies(StepKey step, HostName peer, List<SampleBody> bodies) implements StepCommand {}
+
+    /**
+     * Fetches copies of bodies from a peer.
+     *
+     * @param step the step
+     * @param peer the peer
+     * @param indexes the samples
+     */
+    record FetchBodies(StepKey step, HostName peer, List<Integer> indexes) implements StepCommand {}
+
+    /**
+     * Has a peer drop copies of delivered samples.
+     *
+     * @param step the step
+     * @param peer the peer
+     * @param indexes the samples
+     */
+    record DropBodies(StepKey step, HostName peer, List<Integer> indexes) implements StepCommand {}
+
+    /**
+     * Commits winners.
+     *
+     * @param step the step
+     * @param ownerEpoch epoch of this owner
+     * @param samples the winners
+     * @param replacing whether they replace winners that are lost or too old
+     */
+    record CommitSamples(StepKey step, long ownerEpoch, List<SampleCommit> samples, boolean replacing)
+            implements StepCommand {}
+
+    /**
+     * Records the samples of a cursor before they are handed over.
+     *
+     * @param step the step
+     * @param ownerEpoch epoch of this owner
+     * @param cursor the cursor
+     * @param sampleIndexes the samples in order
+     */
+    record RecordHandOver(StepKey step, long ownerEpoch, long cursor, List<Integer> sampleIndexes)
+            implements StepCommand {}
+
+    /**
+     * Answers a read.
+     *
+     * @param read as asked
+     * @param cursor the cursor
+     * @param bodies the samples; empty if none is ready yet
+     * @param remaining samples of the step that no cursor stands for yet
+     */
+    record AnswerRead(long read, long cursor, List<SampleBody> bodies, int remaining) implements StepCommand {}
+
+    /**
+     * Refuses a read.
+     *
+     * @param read as asked
+     * @param code the reason
+     */
+    record RefuseRead(long read, ErrorCode code) implements StepCommand {}
+}
