--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -17,7 +17,19 @@
     /** A frame could not be decoded. */
     FRAME_REFUSED(202, Severity.WARNING, "A frame could not be decoded."),
     /** A message handler failed. */
-    HANDLER_FAILED(203, Severity.ERROR, "A message handler failed.");
+    HANDLER_FAILED(203, Severity.ERROR, "A message handler failed."),
+    /** A control host became leader. */
+    LEADER_ELECTED(300, Severity.INFORMATION, "A control host became leader."),
+    /** An entry lost its configuration lease and takes no new work. */
+    LEASE_LAPSED(400, Severity.WARNING, "An entry lost its configuration lease and takes no new work."),
+    /** A request was quarantined because it crashed several endpoints. */
+    REQUEST_QUARANTINED(500, Severity.WARNING, "A request was quarantined because it crashed several endpoints."),
+    /** A step was opened or taken over by this entry. */
+    STEP_OWNED(550, Severity.INFORMATION, "A step was opened or taken over by this entry."),
+    /** A state dump was served. */
+    DUMP_SERVED(600, Severity.INFORMATION, "A state dump was served."),
+    /** A stand-in of the test bed started. */
+    STAND_IN_STARTED(900, Severity.INFORMATION, "A stand-in of the test bed started.");
 
     /** How serious an event is. */
     public enum Severity {
