Add a thin request core over tables

The entry needs a working core to be wired against while the policies are written. Admits, queues, chooses the least loaded endpoint, claims, retries idempotent requests, refuses with the run state, and stops dispatching when the lease lapses. StartAttempt carries the time after which the wiring must not write the request, because the core cannot see a pause between its decision and the write.

--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
@@ -0,0 +1,132 @@
+package io.rosemarybeam.decision.request;
+
+import io.rosemarybeam.common.id.AttemptId;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+
+/**
+ * Opens and closes attempts and keeps the truth of what may have run.
+ *
+ * <p>Invariant: an event of an attempt that is not open changes nothing. Confined to the thread of the core.
+ */
+final class AttemptSystem {
+    private static final int CUSTOMER_ENGINE_PRIORITY = 0;
+    private static final int TRAINING_ENGINE_PRIORITY = 10;
+
+    private final Tables tables;
+    private final CompletionSystem completion;
+    private final RetrySystem retry;
+    private final String idPrefix;
+    private long nextId;
+
+    AttemptSystem(Tables tables, CompletionSystem completion, RetrySystem retry) {
+        this.tables = tables;
+        this.completion = completion;
+        this.retry = retry;
+        this.idPrefix = tables.settings.entryName() + "-" + Long.toHexString(tables.random.nextLong()) + "-";
+    }
+
+    /** Sends a request to an endpoint that has room. */
+    void start(RequestRow row, EndpointRow endpoint, ResumePlan plan) {
+        AttemptId id = AttemptId.of(idPrefix + nextId++);
+        AttemptRow attempt = new AttemptRow(id, row, endpoint, tables.now, plan.offset());
+        row.attempt = attempt;
+        row.attempts++;
+        row.state = RequestRow.State.RUNNING;
+        row.tokens = plan.offset();
+        row.version = endpoint.record.weightVersion().orElse(null);
+        tables.attempts.put(id, attempt);
+        endpoint.open.add(attempt);
+        row.service.open++;
+        if (row.isTraining()) {
+            row.service.trainingAttempts.add(attempt);
+        }
+        tables.refresh(endpoint);
+        tables.emit(new RequestCommand.StartAttempt(
+                row.arrival.request(),
+                id,
+                endpoint.id,
+                endpoint.record.address(),
+                row.isTraining() ? TRAINING_ENGINE_PRIORITY : CUSTOMER_ENGINE_PRIORITY,
+                plan.offset(),
+                plan.spliced(),
+                row.configuration.deadlines().connectMilliseconds(),
+                row.configuration.deadlines().progressMilliseconds(),
+                row.deadline(),
+                Math.min(tables.leaseValidUntil, row.claimDeadline)));
+    }
+
+    void sent(RequestInput.AttemptSent input) {
+        AttemptRow attempt = tables.attempts.get(input.attempt());
+        if (attempt != null) {
+            attempt.sent = true;
+        }
+    }
+
+    void progressed(RequestInput.AttemptProgressed input) {
+        AttemptRow attempt = tables.attempts.get(input.attempt());
+        if (attempt == null) {
+            return;
+        }
+        RequestRow row = attempt.request;
+        attempt.sent = true;
+        attempt.tokens = Math.max(attempt.tokens, input.tokens());
+        row.tokens = attempt.tokens;
+        row.hasRun = true;
+        row.mayHaveRun = true;
+        row.reachedCaller |= input.reachedCaller();
+        input.version().ifPresent(version -> row.version = version);
+    }
+
+    void completed(RequestInput.AttemptCompleted input) {
+        AttemptRow attempt = tables.attempts.get(input.attempt());
+        if (attempt == null) {
+            return;
+        }
+        attempt.request.hasRun = true;
+        attempt.request.mayHaveRun = true;
+        close(attempt);
+        completion.finish(attempt.request, attempt);
+    }
+
+    void failed(RequestInput.AttemptFailed input) {
+        AttemptRow attempt = tables.attempts.get(input.attempt());
+        if (attempt == null) {
+            return;
+        }
+        if (mayHaveRun(attempt, input.failure())) {
+            attempt.request.mayHaveRun = true;
+        }
+        close(attempt);
+        retry.afterFailure(attempt, input.failure());
+    }
+
+    /** Stops the open attempt of a request, if there is one. */
+    void cancelOpenAttempt(RequestRow row) {
+        if (row.attempt != null) {
+            AttemptRow attempt = row.attempt;
+            row.mayHaveRun = true;
+            close(attempt);
+            tables.emit(new RequestCommand.CancelAttempt(attempt.id));
+        }
+    }
+
+    private void close(AttemptRow attempt) {
+        RequestRow row = attempt.request;
+        tables.attempts.remove(attempt.id);
+        attempt.endpoint.open.remove(attempt);
+        row.service.trainingAttempts.remove(attempt);
+        row.service.open--;
+        row.attempt = null;
+        tables.refresh(attempt.endpoint);
+        tables.wantDispatch(row.service);
+    }
+
+    /** A failed connection proves that nothing ran only while nothing was sent. */
+    static boolean mayHaveRun(AttemptRow attempt, AttemptFailure failure) {
+        return switch (failure) {
+            case CONNECT_FAILED -> attempt.sent;
+            case REFUSED_NOT_RUN -> false;
+            case BROKEN, SILENT, ERROR_ANSWER, MISMATCHED -> true;
+        };
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ClaimSystem.java
@@ -0,0 +1,90 @@
+package io.rosemarybeam.decision.request;
+
+import io.rosemarybeam.common.error.ErrorCode;
+
+/**
+ * Claims the right to dispatch non-idempotent requests that carry a key.
+ *
+ * <p>Invariant: a claim in progress holds a place in the share of its service; no dispatch after the dispatch deadline of
+ * the claim. Confined to the thread of the core.
+ */
+final class ClaimSystem {
+    private static final long DISPATCH_WINDOW_MILLISECONDS = 2_000;
+    private static final long RETRY_AFTER_MILLISECONDS = 1_000;
+
+    private final Tables tables;
+    private final CompletionSystem completion;
+
+    ClaimSystem(Tables tables, CompletionSystem completion) {
+        this.tables = tables;
+        this.completion = completion;
+    }
+
+    /** Asks for the claim of a request that was just taken from the queue. */
+    void request(RequestRow row) {
+        row.state = RequestRow.State.CLAIMING;
+        row.service.open++;
+        long remaining = row.deadline() - tables.now;
+        tables.emit(new RequestCommand.RequestClaim(
+                row.arrival.request(),
+                row.service.name,
+                row.arrival.key().orElseThrow(),
+                row.arrival.fingerprint(),
+                Math.min(DISPATCH_WINDOW_MILLISECONDS, remaining),
+                remaining));
+    }
+
+    void answered(RequestInput.ClaimAnswered answer) {
+        RequestRow row = tables.requests.get(answer.request());
+        if (row == null || row.state != RequestRow.State.CLAIMING) {
+            return;
+        }
+        switch (answer.state()) {
+            case GRANTED -> grant(row, answer.dispatchDeadlineMilliseconds());
+            case IN_PROGRESS -> refuseAsRun(row, ErrorCode.REQUEST_IN_PROGRESS);
+            case COMPLETED -> replay(row, answer);
+            case UNKNOWN -> refuseAsRun(row, ErrorCode.OUTCOME_UNKNOWN);
+            case KEY_REUSED -> completion.refuse(row, ErrorCode.KEY_REUSED, 0);
+            default -> throw new IllegalStateException("claim state " + answer.state());
+        }
+    }
+
+    void failed(RequestInput.ClaimFailed input) {
+        RequestRow row = tables.requests.get(input.request());
+        if (row != null && row.state == RequestRow.State.CLAIMING) {
+            completion.refuse(row, ErrorCode.CLAIM_UNAVAILABLE, RETRY_AFTER_MILLISECONDS);
+        }
+    }
+
+    private void grant(RequestRow row, long dispatchDeadline) {
+        row.service.open--;
+        row.state = RequestRow.State.QUEUED;
+        row.claimGranted = true;
+        row.claimDeadline = dispatchDeadline;
+        row.service.queue.add(row);
+        tables.wantDispatch(row.service);
+        tables.timers.at(dispatchDeadline, () -> expire(row));
+        if (!tables.holdsLease()) {
+            completion.refuse(row, ErrorCode.LEASE_LAPSED, RETRY_AFTER_MILLISECONDS);
+        }
+    }
+
+    private void expire(RequestRow row) {
+        if (row.state == RequestRow.State.QUEUED || row.state == RequestRow.State.WAITING_FOR_RETRY) {
+            completion.refuse(row, ErrorCode.CLAIM_UNAVAILABLE, RETRY_AFTER_MILLISECONDS);
+        }
+    }
+
+    private void replay(RequestRow row, RequestInput.ClaimAnswered answer) {
+        if (answer.outcome().isEmpty()) {
+            refuseAsRun(row, ErrorCode.OUTCOME_UNKNOWN);
+            return;
+        }
+        completion.replay(row, answer.outcome().get());
+    }
+
+    private void refuseAsRun(RequestRow row, ErrorCode code) {
+        row.mayHaveRun = true;
+        completion.refuse(row, code, code == ErrorCode.REQUEST_IN_PROGRESS ? RETRY_AFTER_MILLISECONDS : 0);
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CompletionSystem.java
@@ -0,0 +1,95 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.Optional;
+
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.wire.RequestOutcome;
+import io.rosemarybeam.decision.request.RequestCommand.RunState;
+
+/**
+ * Ends requests.
+ *
+ * <p>Invariant: every request gets at most one final command, and {@code NOT_RUN} only if no attempt may have run.
+ * Confined to the thread of the core.
+ */
+final class CompletionSystem {
+    private final Tables tables;
+
+    CompletionSystem(Tables tables) {
+        this.tables = tables;
+    }
+
+    /** Ends a request with the whole answer of its attempt. */
+    void finish(RequestRow row, AttemptRow attempt) {
+        if (close(row)) {
+            if (row.claimGranted) {
+                tables.emit(new RequestCommand.RecordOutcome(
+                        row.arrival.request(),
+                        row.service.name,
+                        row.arrival.key().orElseThrow(),
+                        Optional.of(attempt.id)));
+            }
+            tables.emit(new RequestCommand.FinishRequest(row.arrival.request(), attempt.id));
+        }
+    }
+
+    /** Ends a request without its answer; its attempt must be closed already. */
+    void refuse(RequestRow row, ErrorCode code, long retryAfterMilliseconds) {
+        if (!close(row)) {
+            return;
+        }
+        if (row.claimGranted && !row.mayHaveRun) {
+            giveClaimBack(row);
+        }
+        tables.emit(new RequestCommand.RefuseRequest(
+                row.arrival.request(), code, runState(row), Math.max(0, retryAfterMilliseconds)));
+    }
+
+    /** Answers a resent request with its recorded outcome. */
+    void replay(RequestRow row, RequestOutcome outcome) {
+        if (close(row)) {
+            tables.emit(new RequestCommand.ReplayOutcome(row.arrival.request(), outcome));
+        }
+    }
+
+    /** Refuses a request that never entered the tables. */
+    void refuseArrival(RequestInput.RequestArrived arrival, ErrorCode code, long retryAfterMilliseconds) {
+        tables.emit(new RequestCommand.RefuseRequest(
+                arrival.request(), code, RunState.NOT_RUN, Math.max(0, retryAfterMilliseconds)));
+    }
+
+    /** Ends a request without telling anyone, because the caller went away. */
+    void forget(RequestRow row) {
+        if (close(row) && row.claimGranted && !row.mayHaveRun) {
+            giveClaimBack(row);
+        }
+    }
+
+    private boolean close(RequestRow row) {
+        if (row.state == RequestRow.State.DONE) {
+            return false;
+        }
+        if (row.state == RequestRow.State.QUEUED) {
+            row.service.queue.remove(row);
+        }
+        if (row.state == RequestRow.State.CLAIMING) {
+            row.service.open--;
+            tables.wantDispatch(row.service);
+        }
+        row.state = RequestRow.State.DONE;
+        tables.requests.remove(row.arrival.request());
+        return true;
+    }
+
+    private void giveClaimBack(RequestRow row) {
+        tables.emit(new RequestCommand.RecordOutcome(
+                row.arrival.request(), row.service.name, row.arrival.key().orElseThrow(), Optional.empty()));
+    }
+
+    private static RunState runState(RequestRow row) {
+        if (row.hasRun) {
+            return RunState.RUN;
+        }
+        return row.mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ConfigurationSystem.java
@@ -0,0 +1,63 @@
+package io.rosemarybeam.decision.request;
+
+import io.rosemarybeam.common.configuration.OperatorConfiguration;
+import io.rosemarybeam.common.error.ErrorCode;
+
+/**
+ * Puts configurations, shares and the lease into effect.
+ *
+ * <p>Invariant: the configuration number never falls; without a lease nothing is dispatched. Confined to the thread of
+ * the core.
+ */
+final class ConfigurationSystem {
+    private static final long RETRY_ELSEWHERE_MILLISECONDS = 1_000;
+
+    private final Tables tables;
+    private final CompletionSystem completion;
+
+    ConfigurationSystem(Tables tables, CompletionSystem completion) {
+        this.tables = tables;
+        this.completion = completion;
+    }
+
+    void activate(OperatorConfiguration configuration) {
+        if (tables.configuration != null
+                && configuration.number().value()
+                        < tables.configuration.number().value()) {
+            return;
+        }
+        tables.configuration = configuration;
+        configuration.services().forEach((name, service) -> tables.service(name).configuration = service);
+        for (EndpointRow endpoint : tables.endpoints.values()) {
+            endpoint.drainingByConfiguration = configuration.drainingEndpoints().contains(endpoint.id);
+            tables.refresh(endpoint);
+        }
+    }
+
+    void assignShares(RequestInput.SharesAssigned input) {
+        input.concurrentByService().forEach((name, share) -> {
+            ServiceRow service = tables.service(name);
+            service.share = share;
+            tables.wantDispatch(service);
+        });
+    }
+
+    void renewLease(RequestInput.LeaseRenewed input) {
+        if (input.validUntilMilliseconds() > tables.leaseValidUntil) {
+            tables.leaseValidUntil = input.validUntilMilliseconds();
+            tables.timers.at(tables.leaseValidUntil, this::refuseQueuedAfterLapse);
+            tables.services.values().forEach(tables::wantDispatch);
+        }
+    }
+
+    private void refuseQueuedAfterLapse() {
+        if (tables.holdsLease()) {
+            return;
+        }
+        for (RequestRow row : tables.requests.values().toArray(new RequestRow[0])) {
+            if (row.state == RequestRow.State.QUEUED || row.state == RequestRow.State.WAITING_FOR_RETRY) {
+                completion.refuse(row, ErrorCode.LEASE_LAPSED, RETRY_ELSEWHERE_MILLISECONDS);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointRow.java
@@ -0,0 +1,48 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.wire.EndpointRecord;
+
+/** An endpoint and what this entry knows of it. Confined to the thread of the core. */
+final class EndpointRow {
+    static final int NOT_LISTED = -1;
+
+    final EndpointId id;
+    final ServiceRow service;
+    final Set<AttemptRow> open = new LinkedHashSet<>();
+
+    EndpointRecord record;
+    boolean member = true;
+    boolean inService = true;
+    boolean drainingByConfiguration;
+    int listIndex = NOT_LISTED;
+    int availableIndex = NOT_LISTED;
+
+    EndpointRow(EndpointRecord record, ServiceRow service) {
+        this.id = record.id();
+        this.record = record;
+        this.service = service;
+    }
+
+    /** Returns whether the endpoint may get new work at all, regardless of its load. */
+    boolean mayServe() {
+        return member
+                && inService
+                && !record.leaving()
+                && !drainingByConfiguration
+                && (!service.isModel() || record.weightVersion().isPresent());
+    }
+
+    /** Returns how many attempts of this entry the endpoint may run at once. */
+    int slots() {
+        return Math.max(1, Math.min(record.capacity(), service.concurrentPerEndpoint()));
+    }
+
+    /** Returns whether the endpoint has room for another attempt. */
+    boolean isAvailable() {
+        return mayServe() && open.size() < slots();
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/MembershipSystem.java
@@ -0,0 +1,72 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.wire.EndpointRecord;
+import io.rosemarybeam.common.wire.MembershipDelta;
+
+/**
+ * Keeps the table of endpoints.
+ *
+ * <p>Invariant: a leaving or removed endpoint gets no new work; its open attempts go on until their connections end.
+ * Confined to the thread of the core.
+ */
+final class MembershipSystem {
+    private final Tables tables;
+
+    MembershipSystem(Tables tables) {
+        this.tables = tables;
+    }
+
+    void changed(MembershipDelta delta) {
+        if (delta.isFull()) {
+            Set<EndpointId> kept = new HashSet<>();
+            delta.endpoints().forEach(endpoint -> kept.add(endpoint.id()));
+            List<EndpointId> gone = new ArrayList<>(tables.endpoints.keySet());
+            gone.removeIf(kept::contains);
+            gone.forEach(this::remove);
+        }
+        delta.removedEndpoints().forEach(this::remove);
+        delta.endpoints().forEach(this::put);
+    }
+
+    void availability(RequestInput.EndpointAvailability input) {
+        EndpointRow endpoint = tables.endpoints.get(input.endpoint());
+        if (endpoint != null) {
+            endpoint.inService = input.inService();
+            tables.refresh(endpoint);
+        }
+    }
+
+    private void put(EndpointRecord endpointRecord) {
+        EndpointRow endpoint = tables.endpoints.get(endpointRecord.id());
+        if (endpoint != null && endpointRecord.incarnation() < endpoint.record.incarnation()) {
+            return;
+        }
+        if (endpoint == null
+                || !endpoint.service.name.equals(endpointRecord.service())
+                || endpoint.record.incarnation() != endpointRecord.incarnation()) {
+            remove(endpointRecord.id());
+            endpoint = new EndpointRow(endpointRecord, tables.service(endpointRecord.service()));
+            endpoint.drainingByConfiguration = tables.configuration != null
+                    && tables.configuration.drainingEndpoints().contains(endpoint.id);
+            tables.endpoints.put(endpoint.id, endpoint);
+            endpoint.service.endpoints.add(endpoint);
+        }
+        endpoint.record = endpointRecord;
+        tables.refresh(endpoint);
+    }
+
+    private void remove(EndpointId id) {
+        EndpointRow endpoint = tables.endpoints.remove(id);
+        if (endpoint != null) {
+            endpoint.member = false;
+            endpoint.service.endpoints.remove(endpoint);
+            tables.refresh(endpoint);
+        }
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestCommand.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestCommand.java
@@ -37,6 +37,8 @@
      * @param connectMilliseconds time limit to connect
      * @param progressMilliseconds time limit without any byte
      * @param deadlineMilliseconds when the answer must be complete
+     * @param dispatchDeadlineMilliseconds after this time the request must not be written to the connection, because the
+     *     lease or the claim has lapsed
      */
     record StartAttempt(
             RequestId request,
@@ -48,7 +50,8 @@
             boolean spliced,
             long connectMilliseconds,
             long progressMilliseconds,
-            long deadlineMilliseconds)
+            long deadlineMilliseconds,
+            long dispatchDeadlineMilliseconds)
             implements RequestCommand {}
 
     /**
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestCore.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestCore.java
@@ -9,6 +9,16 @@
  * <p>Invariant: deterministic; time, randomness and I/O come from outside. Confined to one thread.
  */
 public interface RequestCore {
+    /**
+     * Creates a core without endpoints, configuration or lease.
+     *
+     * @param settings name, failure domain, seed and policies of this entry
+     * @return the core
+     */
+    static RequestCore of(RequestCoreSettings settings) {
+        return new TableRequestCore(settings);
+    }
+
     /**
      * Takes an input and runs all systems.
      *
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestRow.java
@@ -0,0 +1,74 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import io.rosemarybeam.common.configuration.ServiceConfiguration;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.decision.request.RequestInput.Precedence;
+import io.rosemarybeam.decision.request.RequestInput.RequestArrived;
+
+/**
+ * A request from its arrival to its final command.
+ *
+ * <p>Invariant: keeps the service configuration that was in force at its arrival. Confined to the thread of the core.
+ */
+final class RequestRow {
+    /** Where a request stands. */
+    enum State {
+        QUEUED,
+        CLAIMING,
+        RUNNING,
+        WAITING_FOR_RETRY,
+        DONE
+    }
+
+    final RequestArrived arrival;
+    final ServiceRow service;
+    final ServiceConfiguration configuration;
+    final long sequence;
+    final long arrivedAt;
+    final Set<EndpointId> failedEndpoints = new HashSet<>(2);
+
+    State state = State.QUEUED;
+    AttemptRow attempt;
+    int attempts;
+    boolean callerGone;
+
+    // ---- Claim ----
+    boolean claimGranted;
+    long claimDeadline = Long.MAX_VALUE;
+
+    // ---- What is known of earlier attempts ----
+    boolean mayHaveRun;
+    boolean hasRun;
+    boolean reachedCaller;
+    int tokens;
+    WeightVersion version;
+
+    RequestRow(
+            RequestArrived arrival, ServiceRow service, ServiceConfiguration configuration, long sequence, long now) {
+        this.arrival = arrival;
+        this.service = service;
+        this.configuration = configuration;
+        this.sequence = sequence;
+        this.arrivedAt = now;
+    }
+
+    boolean isTraining() {
+        return arrival.precedence() == Precedence.TRAINING;
+    }
+
+    boolean needsClaim() {
+        return !arrival.idempotent() && arrival.key().isPresent() && !claimGranted;
+    }
+
+    long deadline() {
+        return arrival.deadlineMilliseconds();
+    }
+
+    int expectedTokens() {
+        return Math.max(1, arrival.expectedTokens());
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
@@ -0,0 +1,77 @@
+package io.rosemarybeam.decision.request;
+
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+
+/**
+ * Decides after a failed attempt whether the request runs again.
+ *
+ * <p>Invariant: a request that is not idempotent runs again only if its attempt provably did not run. Confined to the
+ * thread of the core.
+ */
+final class RetrySystem {
+    private static final long BACKOFF_BASE_MILLISECONDS = 20;
+    private static final long BACKOFF_LIMIT_MILLISECONDS = 1_000;
+    private static final long RETRY_AFTER_MILLISECONDS = 1_000;
+
+    private final Tables tables;
+    private final CompletionSystem completion;
+
+    RetrySystem(Tables tables, CompletionSystem completion) {
+        this.tables = tables;
+        this.completion = completion;
+    }
+
+    void afterFailure(AttemptRow attempt, AttemptFailure failure) {
+        RequestRow row = attempt.request;
+        row.failedEndpoints.add(attempt.endpoint.id);
+        if (!row.arrival.idempotent() && !mayRepeat(row, attempt)) {
+            completion.refuse(
+                    row,
+                    row.mayHaveRun ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.ENDPOINT_FAILED,
+                    RETRY_AFTER_MILLISECONDS);
+            return;
+        }
+        if (row.callerGone) {
+            completion.forget(row);
+            return;
+        }
+        if (row.reachedCaller && !row.service.isModel()) {
+            completion.refuse(row, ErrorCode.ENDPOINT_FAILED, RETRY_AFTER_MILLISECONDS);
+            return;
+        }
+        if (!tables.holdsLease()) {
+            completion.refuse(row, ErrorCode.LEASE_LAPSED, RETRY_AFTER_MILLISECONDS);
+            return;
+        }
+        if (row.attempts >= row.configuration.retries().maximumAttempts()) {
+            completion.refuse(row, ErrorCode.ATTEMPTS_EXHAUSTED, RETRY_AFTER_MILLISECONDS);
+            return;
+        }
+        long wait = backoff(row.attempts);
+        if (tables.now + wait >= row.deadline()) {
+            completion.refuse(row, ErrorCode.DEADLINE_UNREACHABLE, 0);
+            return;
+        }
+        row.state = RequestRow.State.WAITING_FOR_RETRY;
+        tables.timers.at(tables.now + wait, () -> queueAgain(row));
+    }
+
+    /** Without a key nobody could tell a second run from the first, so only an unsent attempt is repeated. */
+    private static boolean mayRepeat(RequestRow row, AttemptRow attempt) {
+        return !row.mayHaveRun && (row.claimGranted || !attempt.sent);
+    }
+
+    private void queueAgain(RequestRow row) {
+        if (row.state == RequestRow.State.WAITING_FOR_RETRY) {
+            row.state = RequestRow.State.QUEUED;
+            row.service.queue.add(row);
+            tables.wantDispatch(row.service);
+        }
+    }
+
+    private long backoff(int attempts) {
+        long limit = Math.min(BACKOFF_LIMIT_MILLISECONDS, BACKOFF_BASE_MILLISECONDS << Math.min(attempts - 1, 16));
+        return limit / 2 + tables.random.nextLong(limit / 2 + 1);
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
@@ -0,0 +1,84 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/** The request core over tables. Confined to one thread. */
+final class TableRequestCore implements RequestCore {
+    private final Tables tables;
+    private final AdmissionSystem admission;
+    private final AttemptSystem attempts;
+    private final ClaimSystem claims;
+    private final MembershipSystem membership;
+    private final ConfigurationSystem configurations;
+    private final DispatchSystem dispatch;
+
+    TableRequestCore(RequestCoreSettings settings) {
+        tables = new Tables(Objects.requireNonNull(settings, "settings"));
+        CompletionSystem completion = new CompletionSystem(tables);
+        attempts = new AttemptSystem(tables, completion, new RetrySystem(tables, completion));
+        admission = new AdmissionSystem(tables, completion, attempts);
+        claims = new ClaimSystem(tables, completion);
+        membership = new MembershipSystem(tables);
+        configurations = new ConfigurationSystem(tables, completion);
+        dispatch = new DispatchSystem(tables, new EndpointChoice(tables), attempts, claims);
+    }
+
+    @Override
+    public List<RequestCommand> handle(long nowMilliseconds, RequestInput input) {
+        tables.now = Math.max(tables.now, nowMilliseconds);
+        apply(Objects.requireNonNull(input, "input"));
+        tables.timers.runDue(tables.now);
+        dispatch.run();
+        return tables.takeCommands();
+    }
+
+    private void apply(RequestInput input) {
+        switch (input) {
+            case RequestInput.Tick _ -> {
+                // The timers below are all there is to do.
+            }
+            case RequestInput.RequestArrived arrived -> admission.arrive(arrived);
+            case RequestInput.RequestCancelled cancelled -> admission.cancel(cancelled);
+            case RequestInput.ClaimAnswered answered -> claims.answered(answered);
+            case RequestInput.ClaimFailed failed -> claims.failed(failed);
+            case RequestInput.AttemptSent sent -> attempts.sent(sent);
+            case RequestInput.AttemptProgressed progressed -> attempts.progressed(progressed);
+            case RequestInput.AttemptCompleted completed -> attempts.completed(completed);
+            case RequestInput.AttemptFailed failed -> attempts.failed(failed);
+            case RequestInput.MembershipChanged changed -> membership.changed(changed.delta());
+            case RequestInput.LoadReported _ -> {
+                // Load reports are not used yet.
+            }
+            case RequestInput.CacheReported _ -> {
+                // Cache reports are not used yet.
+            }
+            case RequestInput.EndpointAvailability availability -> membership.availability(availability);
+            case RequestInput.ConfigurationActivated activated -> configurations.activate(activated.configuration());
+            case RequestInput.LeaseRenewed renewed -> configurations.renewLease(renewed);
+            case RequestInput.SharesAssigned assigned -> configurations.assignShares(assigned);
+            case RequestInput.QuarantineChanged _ -> {
+                // Quarantine is not used yet.
+            }
+            case RequestInput.DrainStarted _ -> tables.draining = true;
+        }
+    }
+
+    @Override
+    public Map<String, Object> dump() {
+        Map<String, Object> dump = new LinkedHashMap<>();
+        dump.put("now", tables.now);
+        dump.put("requests", tables.requests.size());
+        dump.put("attempts", tables.attempts.size());
+        return dump;
+    }
+
+    @Override
+    public Map<String, Integer> demandByService() {
+        Map<String, Integer> demand = new LinkedHashMap<>();
+        tables.services.forEach((name, service) -> demand.put(name.value(), service.open + service.queue.size()));
+        return demand;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
@@ -0,0 +1,80 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.rosemarybeam.common.configuration.OperatorConfiguration;
+import io.rosemarybeam.common.id.AttemptId;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.id.ServiceName;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** The tables that all systems work on, and the commands of the current input. Confined to the thread of the core. */
+final class Tables {
+    final RequestCoreSettings settings;
+    final UniformRandomProvider random;
+    final Timers timers = new Timers();
+    final Map<ServiceName, ServiceRow> services = new LinkedHashMap<>();
+    final Map<EndpointId, EndpointRow> endpoints = new HashMap<>();
+    final Map<RequestId, RequestRow> requests = new HashMap<>();
+    final Map<AttemptId, AttemptRow> attempts = new HashMap<>();
+    final List<ServiceRow> dispatchWanted = new ArrayList<>();
+
+    OperatorConfiguration configuration;
+    long leaseValidUntil = Long.MIN_VALUE;
+    boolean draining;
+    long now;
+    long nextRequestSequence;
+
+    private List<RequestCommand> commands = new ArrayList<>();
+
+    Tables(RequestCoreSettings settings) {
+        this.settings = settings;
+        this.random = RandomSource.XO_SHI_RO_256_PP.create(settings.seed());
+    }
+
+    boolean uses(RequestPolicy policy) {
+        return settings.uses(policy);
+    }
+
+    boolean holdsLease() {
+        return now < leaseValidUntil;
+    }
+
+    ServiceRow service(ServiceName name) {
+        return services.computeIfAbsent(name, ServiceRow::new);
+    }
+
+    void emit(RequestCommand command) {
+        commands.add(command);
+    }
+
+    List<RequestCommand> takeCommands() {
+        List<RequestCommand> taken = commands;
+        commands = new ArrayList<>();
+        return taken;
+    }
+
+    /** Has the queue of a service looked at before the current input ends. */
+    void wantDispatch(ServiceRow service) {
+        if (!service.dispatchWanted) {
+            service.dispatchWanted = true;
+            dispatchWanted.add(service);
+        }
+    }
+
+    /** Puts the endpoint into or out of the list of endpoints with room. */
+    void refresh(EndpointRow endpoint) {
+        if (endpoint.isAvailable()) {
+            endpoint.service.available.add(endpoint);
+            wantDispatch(endpoint.service);
+        } else {
+            endpoint.service.available.remove(endpoint);
+        }
+    }
+}
