--- /dev/null
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/CoreFixture.java
@@ -0,0 +1,133 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.rosemarybeam.common.configuration.OperatorConfiguration;
+import io.rosemarybeam.common.configuration.ServiceConfiguration;
+import io.rosemarybeam.common.configuration.ServiceConfiguration.Limits;
+import io.rosemarybeam.common.configuration.ServiceConfiguration.ServiceClass;
+import io.rosemarybeam.common.id.AttemptId;
+import io.rosemarybeam.common.id.ConfigurationNumber;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.EndpointRecord;
+import io.rosemarybeam.common.wire.MembershipDelta;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+
+/** A core at virtual time with a lease and ample shares, and shorthands for its inputs. */
+final class CoreFixture {
+    static final ServiceName MODEL = ServiceName.of("brailler-lm");
+    static final ServiceName PLAIN = ServiceName.of("workshop-app");
+    static final FailureDomain HOME = FailureDomain.of("amman-a");
+    static final long SEED = 20_261_204;
+    static final int SHARE = 64;
+
+    final RequestCore core;
+    long now;
+
+    CoreFixture(RequestPolicy... switchedOff) {
+        core = RequestCore.of(settings(SEED, switchedOff));
+        give(new RequestInput.ConfigurationActivated(configuration(1, limits(8, 256))));
+        give(new RequestInput.LeaseRenewed(Long.MAX_VALUE));
+        give(new RequestInput.SharesAssigned(Map.of(MODEL, SHARE, PLAIN, SHARE)));
+    }
+
+    static RequestCoreSettings settings(long seed, RequestPolicy... switchedOff) {
+        return RequestCoreSettings.builder(HostName.of("entry-1"), HOME)
+                .seed(seed)
+                .without(switchedOff)
+                .build();
+    }
+
+    static Limits limits(int concurrentPerEndpoint, int maximumQueued) {
+        return new Limits(SHARE, maximumQueued, 1_048_576, concurrentPerEndpoint);
+    }
+
+    static OperatorConfiguration configuration(long number, Limits limits) {
+        return configuration(
+                number,
+                ServiceConfiguration.builder(MODEL, ServiceClass.MODEL).limits(limits),
+                ServiceConfiguration.builder(PLAIN, ServiceClass.PLAIN).limits(limits));
+    }
+
+    static OperatorConfiguration configuration(
+            long number, ServiceConfiguration.Builder model, ServiceConfiguration.Builder plain) {
+        return new OperatorConfiguration(
+                ConfigurationNumber.of(number),
+                List.of(),
+                Set.of(),
+                Set.of(),
+                Map.of(),
+                Map.of(MODEL, model.build(), PLAIN, plain.build()));
+    }
+
+    static EndpointRecord endpoint(String id, ServiceName service, int capacity) {
+        return endpoint(id, service, capacity, 1, HOME, 7);
+    }
+
+    static EndpointRecord endpoint(
+            String id, ServiceName service, int capacity, long incarnation, FailureDomain domain, long version) {
+        return new EndpointRecord(
+                EndpointId.of(id),
+                incarnation,
+                service,
+                "http://127.0.0.1/" + id,
+                domain,
+                capacity,
+                true,
+                service.equals(MODEL),
+                true,
+                false,
+                service.equals(MODEL) ? Optional.of(WeightVersion.of(version)) : Optional.empty(),
+                false);
+    }
+
+    List<RequestCommand> give(RequestInput input) {
+        return core.handle(now, input);
+    }
+
+    List<RequestCommand> advance(long milliseconds) {
+        List<RequestCommand> commands = new ArrayList<>();
+        for (long end = now + milliseconds; now < end; ) {
+            now = Math.min(end, now + 10);
+            commands.addAll(give(new RequestInput.Tick()));
+        }
+        return commands;
+    }
+
+    List<RequestCommand> arrive(RequestBuilder request) {
+        return give(request.build());
+    }
+
+    List<RequestCommand> members(EndpointRecord... endpoints) {
+        return give(membership(endpoints));
+    }
+
+    static RequestInput membership(EndpointRecord... endpoints) {
+        return new RequestInput.MembershipChanged(
+                new MembershipDelta(1, 2, List.of(endpoints), List.of(), List.of(), List.of()));
+    }
+
+    List<RequestCommand> fail(AttemptId attempt, AttemptFailure failure) {
+        return give(new RequestInput.AttemptFailed(attempt, failure));
+    }
+
+    static <T extends RequestCommand> List<T> all(Class<T> type, List<RequestCommand> commands) {
+        return commands.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    static <T extends RequestCommand> T only(Class<T> type, List<RequestCommand> commands) {
+        List<T> found = all(type, commands);
+        if (found.size() != 1) {
+            throw new AssertionError("expected one " + type.getSimpleName() + " in " + commands);
+        }
+        return found.getFirst();
+    }
+}
