Estimate endpoint load from own work and lagged reports

Own open attempts are exact; the reported rest is corrected by what was sent and ended since the measurement and halves every two seconds. At most 16 endpoints are compared, drawn at random from those with room. Broken streams resume on the same weight version and are marked when spliced.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
@@ -33,7 +33,9 @@
         row.attempts++;
         row.state = RequestRow.State.RUNNING;
         row.tokens = plan.offset();
-        row.version = endpoint.record.weightVersion().orElse(null);
+        if (plan.offset() == 0) {
+            row.version = endpoint.record.weightVersion().orElse(null);
+        }
         tables.attempts.put(id, attempt);
         endpoint.open.add(attempt);
         row.service.open++;
@@ -114,6 +116,7 @@
         RequestRow row = attempt.request;
         tables.attempts.remove(attempt.id);
         attempt.endpoint.open.remove(attempt);
+        attempt.endpoint.load.ended(attempt, tables.now);
         row.service.trainingAttempts.remove(attempt);
         row.service.open--;
         row.attempt = null;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
@@ -62,7 +62,8 @@
             return false;
         }
         row.service.queue.remove(row);
-        attempts.start(row, endpoint, choice.resumePlan(row, endpoint));
+        choice.chosen(endpoint);
+        attempts.start(row, endpoint, ResumePlan.of(row, endpoint));
         return true;
     }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
@@ -2,9 +2,29 @@
 
 import java.util.List;
 
-/** Chooses the endpoint of an attempt. Confined to the thread of the core. */
+/**
+ * Chooses the endpoint of an attempt by estimated load, failure domain, cached prefix and earlier failures.
+ *
+ * <p>Invariant: looks at a bounded number of endpoints. Confined to the thread of the core.
+ */
 final class EndpointChoice {
+    /** Up to this many endpoints are all compared; of more, as many are drawn at random. */
+    private static final int COMPARED_ENDPOINTS = 16;
+
+    /** Endpoints that are looked at before a request with rare requirements is left in the queue. */
+    private static final int SEARCHED_ENDPOINTS = 128;
+
+    /** Cost of another failure domain, as a part of an endpoint's capacity. */
+    private static final double FAILURE_DOMAIN_COST = 0.15;
+
+    /** Cost of an endpoint on which the request failed before; larger than any load. */
+    private static final double FAILED_BEFORE_COST = 4;
+
+    /** Estimated load, in multiples of the slots, from which an endpoint gets nothing more. */
+    private static final double SATURATED_LOAD = 2;
+
     private final Tables tables;
+    private int turn;
 
     EndpointChoice(Tables tables) {
         this.tables = tables;
@@ -12,11 +32,22 @@
 
     /** Returns the best endpoint with room, or null if none suits the request. */
     EndpointRow choose(RequestRow row) {
-        List<EndpointRow> candidates = row.service.available.rows();
         EndpointRow best = null;
         double bestScore = Double.MAX_VALUE;
-        for (EndpointRow endpoint : candidates) {
+        List<EndpointRow> available = row.service.available.rows();
+        int size = available.size();
+        if (size == 0) {
+            return null;
+        }
+        boolean sampled = size > COMPARED_ENDPOINTS;
+        int position = sampled ? tables.random.nextInt(size) : 0;
+        int compared = 0;
+        int searched = Math.min(size, SEARCHED_ENDPOINTS);
+        for (int index = 0; index < searched && compared < COMPARED_ENDPOINTS; index++) {
+            EndpointRow endpoint = available.get(position);
+            position = nextPosition(position, size, sampled && index < COMPARED_ENDPOINTS);
             if (suits(row, endpoint)) {
+                compared++;
                 double score = score(row, endpoint);
                 if (score < bestScore) {
                     best = endpoint;
@@ -27,42 +58,46 @@
         return best;
     }
 
-    /** Returns how a request goes on at an endpoint. */
-    ResumePlan resumePlan(RequestRow row, EndpointRow endpoint) {
-        if (row.tokens == 0 || !endpoint.record.resumes() || !row.service.isModel()) {
-            return ResumePlan.FRESH;
+    private int nextPosition(int position, int size, boolean drawn) {
+        if (drawn) {
+            return tables.random.nextInt(size);
         }
-        boolean sameVersion = endpoint.record
-                .weightVersion()
-                .filter(version -> version.equals(row.version))
-                .isPresent();
-        if (!sameVersion && !row.reachedCaller) {
-            return ResumePlan.FRESH;
-        }
-        return new ResumePlan(row.tokens, !sameVersion);
+        return position + 1 == size ? 0 : position + 1;
     }
 
     private boolean suits(RequestRow row, EndpointRow endpoint) {
-        if (row.arrival.avoid().contains(endpoint.id)) {
+        if (row.arrival.avoid().contains(endpoint.id) || !ResumePlan.isPossible(row, endpoint)) {
             return false;
         }
-        if (row.reachedCaller && row.tokens > 0 && !endpoint.record.resumes()) {
+        if (row.arrival.minimumVersion().isPresent()
+                && (endpoint.record.weightVersion().isEmpty()
+                        || endpoint.record.weightVersion().get().value()
+                                < row.arrival.minimumVersion().get().value())) {
             return false;
         }
-        return row.arrival.minimumVersion().isEmpty()
-                || endpoint.record.weightVersion().isPresent()
-                        && endpoint.record.weightVersion().get().value()
-                                >= row.arrival.minimumVersion().get().value();
+        return load(endpoint) < SATURATED_LOAD;
     }
 
     private double score(RequestRow row, EndpointRow endpoint) {
-        double score = (double) (endpoint.open.size() + 1) / endpoint.slots();
-        if (row.failedEndpoints.contains(endpoint.id)) {
-            score += 2;
+        double score = row.failedEndpoints.contains(endpoint.id) ? FAILED_BEFORE_COST : 0;
+        if (!tables.uses(RequestPolicy.LEAST_LOAD)) {
+            return score + (endpoint.lastTurn - (double) turn) / Integer.MAX_VALUE;
         }
-        if (!endpoint.record.failureDomain().equals(tables.settings.failureDomain())) {
-            score += 0.15;
+        score += load(endpoint) + 1.0 / endpoint.slots();
+        if (tables.uses(RequestPolicy.FAILURE_DOMAIN_COST)
+                && !endpoint.record.failureDomain().equals(tables.settings.failureDomain())) {
+            score += FAILURE_DOMAIN_COST;
         }
         return score;
     }
+
+    /** Notes that an endpoint got an attempt, for the plain baseline in which endpoints take turns. */
+    void chosen(EndpointRow endpoint) {
+        endpoint.lastTurn = ++turn;
+    }
+
+    private double load(EndpointRow endpoint) {
+        double foreign = tables.uses(RequestPolicy.LOAD_REPORTS) ? endpoint.load.foreign(tables.now) : 0;
+        return (endpoint.open.size() + foreign) / endpoint.slots();
+    }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointRow.java
@@ -14,10 +14,13 @@
     final ServiceRow service;
     final Set<AttemptRow> open = new LinkedHashSet<>();
 
+    final LoadView load = new LoadView();
+
     EndpointRecord record;
     boolean member = true;
     boolean inService = true;
     boolean drainingByConfiguration;
+    int lastTurn;
     int listIndex = NOT_LISTED;
     int availableIndex = NOT_LISTED;
 
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/LoadView.java
@@ -0,0 +1,56 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.ArrayDeque;
+
+/**
+ * What is known of the load of one endpoint: a lagged report, corrected by what this entry has sent and ended since.
+ *
+ * <p>Invariant: reports are taken in the order of their sequence. Confined to the thread of the core.
+ */
+final class LoadView {
+    /** Age at which half of the reported foreign load is believed; reports come every second. */
+    private static final double HALF_LIFE_MILLISECONDS = 2_000;
+
+    private static final long REMEMBERED_MILLISECONDS = 3_000;
+    private static final int REMEMBERED_ENDS = 256;
+
+    private record Ended(long startedAt, long endedAt) {}
+
+    private final ArrayDeque<Ended> ended = new ArrayDeque<>();
+    private long sequence = Long.MIN_VALUE;
+    private long measuredAt;
+    private int foreign;
+
+    /** Remembers an ended attempt, because a lagged report may still count it. */
+    void ended(AttemptRow attempt, long now) {
+        while (!ended.isEmpty()
+                && (ended.size() >= REMEMBERED_ENDS || ended.peekFirst().endedAt() < now - REMEMBERED_MILLISECONDS)) {
+            ended.removeFirst();
+        }
+        ended.addLast(new Ended(attempt.startedAt, now));
+    }
+
+    void report(EndpointRow endpoint, RequestInput.LoadReported report) {
+        if (report.sequence() <= sequence) {
+            return;
+        }
+        sequence = report.sequence();
+        measuredAt = report.measuredAtMilliseconds();
+        int own = 0;
+        for (AttemptRow attempt : endpoint.open) {
+            own += attempt.startedAt <= measuredAt ? 1 : 0;
+        }
+        for (Ended attempt : ended) {
+            own += attempt.startedAt() <= measuredAt && attempt.endedAt() > measuredAt ? 1 : 0;
+        }
+        foreign = Math.max(0, report.running() + report.waiting() - own);
+    }
+
+    /** Returns the estimated work of other entries on the endpoint, in requests. */
+    double foreign(long now) {
+        if (foreign == 0) {
+            return 0;
+        }
+        return foreign * Math.exp(-Math.max(0, now - measuredAt) * Math.log(2) / HALF_LIFE_MILLISECONDS);
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/MembershipSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/MembershipSystem.java
@@ -42,6 +42,14 @@
         }
     }
 
+    void loadReported(RequestInput.LoadReported report) {
+        EndpointRow endpoint = tables.endpoints.get(report.endpoint());
+        if (endpoint != null && endpoint.record.incarnation() == report.incarnation()) {
+            endpoint.load.report(endpoint, report);
+            tables.wantDispatch(endpoint.service);
+        }
+    }
+
     private void put(EndpointRecord endpointRecord) {
         EndpointRow endpoint = tables.endpoints.get(endpointRecord.id());
         if (endpoint != null && endpointRecord.incarnation() < endpoint.record.incarnation()) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
@@ -49,9 +49,7 @@
             case RequestInput.AttemptCompleted completed -> attempts.completed(completed);
             case RequestInput.AttemptFailed failed -> attempts.failed(failed);
             case RequestInput.MembershipChanged changed -> membership.changed(changed.delta());
-            case RequestInput.LoadReported _ -> {
-                // Load reports are not used yet.
-            }
+            case RequestInput.LoadReported reported -> membership.loadReported(reported);
             case RequestInput.CacheReported _ -> {
                 // Cache reports are not used yet.
             }
--- /dev/null
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/LoadSimulation.java
@@ -0,0 +1,285 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.function.Consumer;
+
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.id.AttemptId;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.wire.EndpointRecord;
+import io.rosemarybeam.decision.request.RequestCommand.StartAttempt;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+import io.rosemarybeam.decision.request.RequestInput.Precedence;
+import io.rosemarybeam.decision.request.RequestInput.RequestArrived;
+
+/** Drives one core on virtual time against endpoints that run as many requests at once as they have capacity for. */
+final class LoadSimulation {
+    static final int TOKENS = 10;
+    private static final int NETWORK_MILLISECONDS = 2;
+    private static final int REPORT_LAG_MILLISECONDS = 200;
+
+    /** What became of a request; the end is -1 while it runs. */
+    static final class Outcome {
+        final RequestArrived request;
+        final long arrivedAt;
+        long endedAt = -1;
+        ErrorCode refusal;
+
+        Outcome(RequestArrived request, long arrivedAt) {
+            this.request = request;
+            this.arrivedAt = arrivedAt;
+        }
+    }
+
+    /** An endpoint; waiting work is ordered by engine priority. */
+    final class Engine {
+        final EndpointRecord endpoint;
+        final Map<Long, Boolean> cache = new LinkedHashMap<>(16, 0.75f, true);
+        final Map<AttemptId, StartAttempt> running = new LinkedHashMap<>();
+        final PriorityQueue<StartAttempt> waiting =
+                new PriorityQueue<>(Comparator.comparingInt(StartAttempt::enginePriority));
+        double slowness = 1;
+        boolean dead;
+        boolean silent;
+        int served;
+        int peak;
+        long reports;
+
+        Engine(EndpointRecord endpoint) {
+            this.endpoint = endpoint;
+        }
+
+        void accept(StartAttempt start) {
+            if (dead) {
+                give(new RequestInput.AttemptFailed(start.attempt(), AttemptFailure.CONNECT_FAILED));
+                return;
+            }
+            give(new RequestInput.AttemptSent(start.attempt()));
+            waiting.add(start);
+            fill();
+            peak = Math.max(peak, running.size() + waiting.size());
+        }
+
+        void fill() {
+            while (running.size() < endpoint.capacity() && !waiting.isEmpty()) {
+                StartAttempt start = waiting.poll();
+                running.put(start.attempt(), start);
+                RequestArrived request = outcomes.get(start.request()).request;
+                if (poisoned.test(request)) {
+                    crash();
+                    return;
+                }
+                if (silent) {
+                    at(start.progressMilliseconds(), () -> drop(start, AttemptFailure.SILENT));
+                    continue;
+                }
+                long service = Math.max(1, Math.round(serviceTime(start, request)));
+                at(
+                        service / 2,
+                        () -> ifRunning(
+                                start,
+                                () -> give(new RequestInput.AttemptProgressed(
+                                        start.attempt(), TOKENS / 2, endpoint.weightVersion(), true))));
+                at(service, () -> ifRunning(start, () -> complete(start, request)));
+            }
+        }
+
+        double serviceTime(StartAttempt start, RequestArrived request) {
+            boolean hit = !request.prefixHashes().isEmpty()
+                    && cache.containsKey(request.prefixHashes().getLast());
+            request.prefixHashes().forEach(prefix -> cache.put(prefix, true));
+            while (cache.size() > cacheCapacity) {
+                Long oldest = cache.keySet().iterator().next();
+                cache.remove(oldest);
+            }
+            hits += hit ? 1 : 0;
+            double work = meanService * (0.5 - 0.5 * Math.log(1 - random.nextDouble()));
+            return work * slowness * (hit ? 0.5 : 1) * (TOKENS - Math.min(TOKENS - 1, start.resumeOffset())) / TOKENS;
+        }
+
+        private void complete(StartAttempt start, RequestArrived request) {
+            running.remove(start.attempt());
+            served++;
+            give(new RequestInput.AttemptCompleted(start.attempt(), TOKENS));
+            if (!request.prefixHashes().isEmpty()) {
+                at(
+                        100,
+                        () -> give(new RequestInput.CacheReported(
+                                endpoint.id(), 1, cacheSequence++, request.prefixHashes(), List.of())));
+            }
+            fill();
+        }
+
+        private void ifRunning(StartAttempt start, Runnable action) {
+            if (running.containsKey(start.attempt())) {
+                action.run();
+            }
+        }
+
+        void drop(StartAttempt start, AttemptFailure failure) {
+            if (running.remove(start.attempt()) != null) {
+                give(new RequestInput.AttemptFailed(start.attempt(), failure));
+                fill();
+            }
+        }
+
+        void crash() {
+            crashes++;
+            dead = true;
+            List<StartAttempt> lost = new ArrayList<>(running.values());
+            lost.addAll(waiting);
+            running.clear();
+            waiting.clear();
+            lost.forEach(start -> give(new RequestInput.AttemptFailed(start.attempt(), AttemptFailure.BROKEN)));
+            at(recoveryMilliseconds, () -> dead = false);
+        }
+
+        void report() {
+            int ran = running.size();
+            int waited = waiting.size();
+            long measuredAt = now;
+            if (!dead) {
+                at(
+                        REPORT_LAG_MILLISECONDS,
+                        () -> give(
+                                new RequestInput.LoadReported(endpoint.id(), 1, ++reports, ran, waited, measuredAt)));
+            }
+            at(1_000, this::report);
+        }
+    }
+
+    private record Event(long time, long sequence, Runnable action) {}
+
+    final Random random = new Random(CoreFixture.SEED);
+    final List<Engine> engines = new ArrayList<>();
+    final Map<RequestId, Outcome> outcomes = new LinkedHashMap<>();
+    final RequestCore core;
+    java.util.function.Predicate<RequestArrived> poisoned = request -> false;
+    double meanService = 200;
+    int cacheCapacity = 64;
+    long recoveryMilliseconds = 5_000;
+    int starts;
+    int hits;
+    int crashes;
+    long now;
+    private long cacheSequence;
+    private long sequence;
+    private final Map<String, Engine> byId = new HashMap<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::time).thenComparingLong(Event::sequence));
+
+    LoadSimulation(int endpoints, int capacity, RequestPolicy... switchedOff) {
+        CoreFixture fixture = new CoreFixture(switchedOff);
+        core = fixture.core;
+        give(new RequestInput.SharesAssigned(Map.of(CoreFixture.MODEL, endpoints * capacity)));
+        for (int index = 0; index < endpoints; index++) {
+            Engine engine = new Engine(CoreFixture.endpoint("e" + index, CoreFixture.MODEL, capacity));
+            engines.add(engine);
+            byId.put("e" + index, engine);
+            give(CoreFixture.membership(engine.endpoint));
+            at(index * 1_000L / endpoints, engine::report);
+        }
+        at(10, this::tick);
+    }
+
+    void at(long delay, Runnable action) {
+        events.add(new Event(now + delay, sequence++, action));
+    }
+
+    /** Lets requests arrive at random times between two points of time. */
+    void arrivals(double perSecond, long from, long to, Consumer<RequestBuilder> shape) {
+        double time = from;
+        for (int index = 0; ; index++) {
+            time += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+            if (time >= to) {
+                return;
+            }
+            long arrival = Math.round(time);
+            RequestBuilder request = new RequestBuilder(
+                            "r" + from + "-" + outcomes.size() + "-" + index + "-" + perSecond)
+                    .tokens(TOKENS)
+                    .deadline(arrival + 2_000);
+            shape.accept(request);
+            at(arrival - now, () -> arrive(request.build()));
+        }
+    }
+
+    void arrive(RequestArrived request) {
+        outcomes.put(request.request(), new Outcome(request, now));
+        give(request);
+    }
+
+    void runUntil(long end) {
+        while (!events.isEmpty() && events.peek().time() <= end) {
+            Event event = events.poll();
+            now = event.time();
+            event.action().run();
+        }
+        now = end;
+    }
+
+    void give(RequestInput input) {
+        for (RequestCommand command : core.handle(now, input)) {
+            switch (command) {
+                case StartAttempt start -> {
+                    starts++;
+                    at(
+                            NETWORK_MILLISECONDS,
+                            () -> byId.get(start.endpoint().value()).accept(start));
+                }
+                case RequestCommand.CancelAttempt cancel ->
+                    engines.forEach(engine -> {
+                        if (engine.running.remove(cancel.attempt()) != null
+                                || engine.waiting.removeIf(
+                                        start -> start.attempt().equals(cancel.attempt()))) {
+                            engine.fill();
+                        }
+                    });
+                case RequestCommand.FinishRequest finish -> outcomes.get(finish.request()).endedAt = now;
+                case RequestCommand.RefuseRequest refuse -> {
+                    outcomes.get(refuse.request()).endedAt = now;
+                    outcomes.get(refuse.request()).refusal = refuse.code();
+                }
+                default -> {
+                    // Crash reports stay in this entry.
+                }
+            }
+        }
+    }
+
+    private void tick() {
+        give(new RequestInput.Tick());
+        at(10, this::tick);
+    }
+
+    /** Counts whole answers to arrivals of a period, by precedence. */
+    long answered(Precedence precedence, long from, long to) {
+        return latencies(precedence, from, to).length;
+    }
+
+    /** Returns the latencies of whole answers to arrivals of a period, in milliseconds, sorted. */
+    long[] latencies(Precedence precedence, long from, long to) {
+        return outcomes.values().stream()
+                .filter(outcome -> outcome.request.precedence() == precedence && outcome.endedAt >= 0)
+                .filter(outcome -> outcome.refusal == null && outcome.arrivedAt >= from && outcome.arrivedAt < to)
+                .mapToLong(outcome -> outcome.endedAt - outcome.arrivedAt)
+                .sorted()
+                .toArray();
+    }
+
+    static long percentile(long[] sorted, int percent) {
+        return sorted.length == 0 ? -1 : sorted[Math.min(sorted.length - 1, sorted.length * percent / 100)];
+    }
+
+    static Optional<Long> refusedAfter(Outcome outcome) {
+        return outcome.refusal == null ? Optional.empty() : Optional.of(outcome.endedAt - outcome.arrivedAt);
+    }
+}
