Shed hopeless requests, preempt training and share between trainers

Queued requests whose deadline cannot be met are refused early with the time in which the queue drains, training first. Customers keep a reserve, and a waiting customer takes the place of the training attempt that began last. Trainers are served by work received over weight.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
@@ -11,8 +11,10 @@
     private final Tables tables;
     private final CompletionSystem completion;
     private final AttemptSystem attempts;
+    private final SheddingSystem shedding;
 
-    AdmissionSystem(Tables tables, CompletionSystem completion, AttemptSystem attempts) {
+    AdmissionSystem(Tables tables, CompletionSystem completion, AttemptSystem attempts, SheddingSystem shedding) {
+        this.shedding = shedding;
         this.tables = tables;
         this.completion = completion;
         this.attempts = attempts;
@@ -42,17 +44,22 @@
             return;
         }
         ServiceRow service = tables.service(arrival.service());
-        if (service.endpoints.size() == 0) {
+        if (service.servingSlots == 0) {
             completion.refuseArrival(arrival, ErrorCode.NO_ENDPOINT, RETRY_ELSEWHERE_MILLISECONDS);
             return;
         }
-        if (service.queue.size() >= configuration.limits().maximumQueued()) {
-            completion.refuseArrival(arrival, ErrorCode.OVERLOADED, RETRY_ELSEWHERE_MILLISECONDS);
+        RequestRow row = new RequestRow(arrival, service, configuration, tables.nextRequestSequence++, tables.now);
+        if (shedding.isHopeless(row)) {
+            completion.refuseArrival(arrival, ErrorCode.DEADLINE_UNREACHABLE, shedding.retryAfter(service));
+            return;
+        }
+        boolean full = service.queue.size() >= configuration.limits().maximumQueued();
+        if (full && (row.isTraining() || !shedding.makeRoom(service))) {
+            completion.refuseArrival(arrival, ErrorCode.OVERLOADED, shedding.retryAfter(service));
             return;
         }
-        RequestRow row = new RequestRow(arrival, service, configuration, tables.nextRequestSequence++, tables.now);
         tables.requests.put(arrival.request(), row);
-        service.queue.add(row);
+        attempts.fairShare().queue(row);
         tables.timers.at(row.deadline(), () -> expire(row));
         tables.wantDispatch(service);
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
@@ -12,19 +12,31 @@
     private static final int CUSTOMER_ENGINE_PRIORITY = 0;
     private static final int TRAINING_ENGINE_PRIORITY = 10;
 
+    private enum End {
+        COMPLETED,
+        FAILED,
+        CANCELLED
+    }
+
     private final Tables tables;
     private final CompletionSystem completion;
     private final RetrySystem retry;
+    private final FairShareSystem fairShare;
     private final String idPrefix;
     private long nextId;
 
-    AttemptSystem(Tables tables, CompletionSystem completion, RetrySystem retry) {
+    AttemptSystem(Tables tables, CompletionSystem completion, RetrySystem retry, FairShareSystem fairShare) {
         this.tables = tables;
+        this.fairShare = fairShare;
         this.completion = completion;
         this.retry = retry;
         this.idPrefix = tables.settings.entryName() + "-" + Long.toHexString(tables.random.nextLong()) + "-";
     }
 
+    FairShareSystem fairShare() {
+        return fairShare;
+    }
+
     /** Sends a request to an endpoint that has room. */
     void start(RequestRow row, EndpointRow endpoint, ResumePlan plan) {
         AttemptId id = AttemptId.of(idPrefix + nextId++);
@@ -41,6 +53,7 @@
         row.service.open++;
         if (row.isTraining()) {
             row.service.trainingAttempts.add(attempt);
+            fairShare.started(attempt);
         }
         tables.refresh(endpoint);
         tables.emit(new RequestCommand.StartAttempt(
@@ -86,7 +99,7 @@
         }
         attempt.request.hasRun = true;
         attempt.request.mayHaveRun = true;
-        close(attempt);
+        close(attempt, End.COMPLETED);
         completion.finish(attempt.request, attempt);
     }
 
@@ -98,7 +111,7 @@
         if (mayHaveRun(attempt, input.failure())) {
             attempt.request.mayHaveRun = true;
         }
-        close(attempt);
+        close(attempt, End.FAILED);
         retry.afterFailure(attempt, input.failure());
     }
 
@@ -107,13 +120,32 @@
         if (row.attempt != null) {
             AttemptRow attempt = row.attempt;
             row.mayHaveRun = true;
-            close(attempt);
+            close(attempt, End.CANCELLED);
             tables.emit(new RequestCommand.CancelAttempt(attempt.id));
         }
     }
 
-    private void close(AttemptRow attempt) {
+    /** Stops a training attempt in favour of a customer; it counts for no limit on attempts. */
+    void preempt(AttemptRow attempt) {
         RequestRow row = attempt.request;
+        cancelOpenAttempt(row);
+        row.attempts--;
+        row.state = RequestRow.State.QUEUED;
+        fairShare.queue(row);
+    }
+
+    private void close(AttemptRow attempt, End end) {
+        RequestRow row = attempt.request;
+        if (end != End.CANCELLED) {
+            row.service.holdTime.add(tables.now - attempt.startedAt);
+        }
+        if (end == End.COMPLETED) {
+            double tokens = Math.max(1, row.expectedTokens() - attempt.resumeOffset);
+            row.service.timePerToken.add((tables.now - attempt.startedAt) / tokens);
+        }
+        if (row.isTraining()) {
+            fairShare.ended(attempt, end == End.COMPLETED);
+        }
         tables.attempts.remove(attempt.id);
         attempt.endpoint.open.remove(attempt);
         attempt.endpoint.load.ended(attempt, tables.now);
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Average.java
@@ -0,0 +1,39 @@
+package io.rosemarybeam.decision.request;
+
+/** An exponentially weighted average that starts at its first value. Confined to the thread of the core. */
+final class Average {
+    private final double weight;
+    private double value;
+    private double deviation;
+    private long count;
+
+    /**
+     * Creates an empty average.
+     *
+     * @param weight weight of a new value, between 0 and 1
+     */
+    Average(double weight) {
+        this.weight = weight;
+    }
+
+    void add(double sample) {
+        // The first values weigh equally, so that a single early one does not dominate.
+        double effective = Math.max(weight, 1.0 / (count + 1));
+        deviation += effective * (Math.abs(sample - value) - deviation);
+        value += effective * (sample - value);
+        count++;
+    }
+
+    long count() {
+        return count;
+    }
+
+    /** Returns the value plus a number of mean deviations. */
+    double above(double deviations) {
+        return value + deviations * deviation;
+    }
+
+    double value() {
+        return value;
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ClaimSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ClaimSystem.java
@@ -14,8 +14,10 @@
 
     private final Tables tables;
     private final CompletionSystem completion;
+    private final FairShareSystem fairShare;
 
-    ClaimSystem(Tables tables, CompletionSystem completion) {
+    ClaimSystem(Tables tables, CompletionSystem completion, FairShareSystem fairShare) {
+        this.fairShare = fairShare;
         this.tables = tables;
         this.completion = completion;
     }
@@ -61,7 +63,7 @@
         row.state = RequestRow.State.QUEUED;
         row.claimGranted = true;
         row.claimDeadline = dispatchDeadline;
-        row.service.queue.add(row);
+        fairShare.queue(row);
         tables.wantDispatch(row.service);
         tables.timers.at(dispatchDeadline, () -> expire(row));
         if (!tables.holdsLease()) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ConfigurationSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ConfigurationSystem.java
@@ -28,6 +28,9 @@
         }
         tables.configuration = configuration;
         configuration.services().forEach((name, service) -> tables.service(name).configuration = service);
+        tables.services.values().stream()
+                .filter(service -> !configuration.services().containsKey(service.name))
+                .forEach(service -> service.queue.trainers.values().removeIf(queue -> !queue.isActive()));
         for (EndpointRow endpoint : tables.endpoints.values()) {
             endpoint.drainingByConfiguration = configuration.drainingEndpoints().contains(endpoint.id);
             tables.refresh(endpoint);
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
@@ -1,6 +1,5 @@
 package io.rosemarybeam.decision.request;
 
-import java.util.Iterator;
 import java.util.SortedSet;
 
 /**
@@ -17,39 +16,76 @@
     private final EndpointChoice choice;
     private final AttemptSystem attempts;
     private final ClaimSystem claims;
+    private final PreemptionSystem preemption;
+    private final SheddingSystem shedding;
+    private final FairShareSystem fairShare;
 
-    DispatchSystem(Tables tables, EndpointChoice choice, AttemptSystem attempts, ClaimSystem claims) {
+    DispatchSystem(Tables tables, AttemptSystem attempts, ClaimSystem claims, SheddingSystem shedding) {
         this.tables = tables;
-        this.choice = choice;
+        this.choice = new EndpointChoice(tables);
         this.attempts = attempts;
         this.claims = claims;
+        this.preemption = new PreemptionSystem(tables, attempts);
+        this.shedding = shedding;
+        this.fairShare = attempts.fairShare();
     }
 
     void run() {
         for (int index = 0; index < tables.dispatchWanted.size(); index++) {
             ServiceRow service = tables.dispatchWanted.get(index);
             service.dispatchWanted = false;
-            if (tables.holdsLease()) {
-                dispatch(service, service.queue.customers());
-                dispatch(service, service.queue.training());
+            if (tables.holdsLease() && service.queue.size() > 0) {
+                dispatchCustomers(service);
+                dispatchTraining(service);
             }
         }
         tables.dispatchWanted.clear();
     }
 
-    private void dispatch(ServiceRow service, SortedSet<RequestRow> waiting) {
+    private void dispatchCustomers(ServiceRow service) {
+        while (!service.queue.customers.isEmpty()) {
+            if (!service.hasRoom() && !preemption.freePlace(service)) {
+                return;
+            }
+            if (!placeFirst(service.queue.customers)) {
+                return;
+            }
+        }
+    }
+
+    private void dispatchTraining(ServiceRow service) {
+        if (!service.queue.customers.isEmpty() && !service.hasRoom()) {
+            return;
+        }
         boolean placed = true;
-        while (placed) {
+        while (placed && service.hasRoomForTraining(tables) && service.queue.trainingSize() > 0) {
             placed = false;
-            Iterator<RequestRow> candidates = waiting.iterator();
-            for (int index = 0; index < LOOK_AHEAD && candidates.hasNext() && !placed; index++) {
-                placed = service.open < service.share && place(candidates.next());
+            for (TrainerQueue queue : fairShare.order(service)) {
+                placed = placeFirst(queue.rows);
+                if (placed) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /** Places or refuses one of the first requests; returns false if none can be placed. */
+    private boolean placeFirst(SortedSet<RequestRow> waiting) {
+        int searched = 0;
+        for (RequestRow row : waiting) {
+            // Each of these changes the queue, so the iteration ends.
+            if (shedding.refuseIfTooLate(row) || place(row)) {
+                return true;
+            }
+            if (++searched == LOOK_AHEAD) {
+                return false;
             }
         }
+        return false;
     }
 
     private boolean place(RequestRow row) {
-        if (tables.now >= row.claimDeadline || row.service.available.size() == 0) {
+        if (tables.now >= row.claimDeadline) {
             return false;
         }
         if (row.needsClaim()) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
@@ -34,7 +34,8 @@
     EndpointRow choose(RequestRow row) {
         EndpointRow best = null;
         double bestScore = Double.MAX_VALUE;
-        List<EndpointRow> available = row.service.available.rows();
+        EndpointList list = row.isTraining() ? row.service.availableForTraining : row.service.available;
+        List<EndpointRow> available = list.rows();
         int size = available.size();
         if (size == 0) {
             return null;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointList.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointList.java
@@ -28,6 +28,10 @@
         return new EndpointList(row -> row.availableIndex, (row, index) -> row.availableIndex = index);
     }
 
+    static EndpointList ofAvailableForTraining() {
+        return new EndpointList(row -> row.trainingIndex, (row, index) -> row.trainingIndex = index);
+    }
+
     int size() {
         return rows.size();
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointRow.java
@@ -23,6 +23,8 @@
     int lastTurn;
     int listIndex = NOT_LISTED;
     int availableIndex = NOT_LISTED;
+    int trainingIndex = NOT_LISTED;
+    int countedSlots;
 
     EndpointRow(EndpointRecord record, ServiceRow service) {
         this.id = record.id();
@@ -43,9 +45,4 @@
     int slots() {
         return Math.max(1, Math.min(record.capacity(), service.concurrentPerEndpoint()));
     }
-
-    /** Returns whether the endpoint has room for another attempt. */
-    boolean isAvailable() {
-        return mayServe() && open.size() < slots();
-    }
 }
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/FairShareSystem.java
@@ -0,0 +1,76 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+import io.rosemarybeam.common.id.TrainerName;
+
+/**
+ * Shares the engines between trainers by weight.
+ *
+ * <p>Invariant: a trainer that was idle gets no credit for that time. Confined to the thread of the core.
+ */
+final class FairShareSystem {
+    private static final Comparator<TrainerQueue> LEAST_SERVED = Comparator.comparingDouble(queue -> queue.served);
+    private static final Comparator<TrainerQueue> FIRST_DEADLINE =
+            Comparator.comparing(queue -> queue.rows.first(), RequestQueue.EARLIEST_DEADLINE);
+
+    private final Tables tables;
+
+    FairShareSystem(Tables tables) {
+        this.tables = tables;
+    }
+
+    /** Returns the trainers with waiting requests in the order in which they are served. */
+    List<TrainerQueue> order(ServiceRow service) {
+        return service.queue.trainers.values().stream()
+                .filter(queue -> !queue.rows.isEmpty())
+                .sorted(tables.uses(RequestPolicy.FAIR_SHARING) ? LEAST_SERVED : FIRST_DEADLINE)
+                .toList();
+    }
+
+    /** Queues a request; a trainer that becomes active starts level with the least served active one. */
+    void queue(RequestRow row) {
+        if (row.isTraining()) {
+            TrainerQueue queue = row.service.queue.trainer(row);
+            if (!queue.isActive()) {
+                row.service.queue.trainers.values().stream()
+                        .filter(TrainerQueue::isActive)
+                        .min(LEAST_SERVED)
+                        .ifPresent(least -> queue.served = Math.max(queue.served, least.served));
+            }
+        }
+        row.service.queue.add(row);
+    }
+
+    void started(AttemptRow attempt) {
+        TrainerQueue queue = attempt.request.service.queue.trainer(attempt.request);
+        queue.open++;
+        queue.served += remaining(attempt, attempt.resumeOffset) / weight(attempt.request);
+    }
+
+    /** Takes back the charge for the part that was not run. */
+    void ended(AttemptRow attempt, boolean completed) {
+        TrainerQueue queue = attempt.request.service.queue.trainer(attempt.request);
+        queue.open--;
+        if (!completed) {
+            queue.served -= remaining(attempt, attempt.tokens) / weight(attempt.request);
+        }
+    }
+
+    private static double remaining(AttemptRow attempt, int offset) {
+        return Math.max(1, attempt.request.expectedTokens() - offset);
+    }
+
+    private static double weight(RequestRow row) {
+        Map<TrainerName, Integer> shares = row.configuration
+                .training()
+                .map(training -> training.trainerShares())
+                .orElse(Map.of());
+        return row.arrival
+                .trainer()
+                .map(trainer -> shares.getOrDefault(trainer, 1))
+                .orElse(1);
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestQueue.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestQueue.java
@@ -1,35 +1,69 @@
 package io.rosemarybeam.decision.request;
 
-import java.util.Collections;
 import java.util.Comparator;
-import java.util.SortedSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.TreeSet;
 
-/** The requests of a service that wait for an endpoint, earliest deadline first. Confined to the thread of the core. */
+/**
+ * The requests of a service that wait for an endpoint, earliest deadline first, training apart by trainer. Confined to
+ * the thread of the core.
+ */
 final class RequestQueue {
     static final Comparator<RequestRow> EARLIEST_DEADLINE =
             Comparator.comparingLong(RequestRow::deadline).thenComparingLong(row -> row.sequence);
 
-    private final TreeSet<RequestRow> customers = new TreeSet<>(EARLIEST_DEADLINE);
-    private final TreeSet<RequestRow> training = new TreeSet<>(EARLIEST_DEADLINE);
+    final TreeSet<RequestRow> customers = new TreeSet<>(EARLIEST_DEADLINE);
+    final Map<String, TrainerQueue> trainers = new LinkedHashMap<>();
+    private int trainingSize;
 
     int size() {
-        return customers.size() + training.size();
+        return customers.size() + trainingSize;
+    }
+
+    int trainingSize() {
+        return trainingSize;
+    }
+
+    TrainerQueue trainer(RequestRow row) {
+        return trainers.computeIfAbsent(row.trainerName(), name -> new TrainerQueue());
     }
 
     void add(RequestRow row) {
-        (row.isTraining() ? training : customers).add(row);
+        if (!row.isTraining()) {
+            customers.add(row);
+        } else if (trainer(row).rows.add(row)) {
+            trainingSize++;
+        }
     }
 
     void remove(RequestRow row) {
-        (row.isTraining() ? training : customers).remove(row);
+        if (!row.isTraining()) {
+            customers.remove(row);
+        } else if (trainer(row).rows.remove(row)) {
+            trainingSize--;
+        }
     }
 
-    SortedSet<RequestRow> customers() {
-        return Collections.unmodifiableSortedSet(customers);
+    /** Estimates how many customers are served before a deadline, as if deadlines were evenly spread. */
+    int customersBefore(long deadline) {
+        if (customers.isEmpty() || deadline < customers.first().deadline()) {
+            return 0;
+        }
+        long first = customers.first().deadline();
+        long last = customers.last().deadline();
+        if (deadline >= last) {
+            return customers.size();
+        }
+        return (int) (customers.size() * (deadline - first) / (last - first));
     }
 
-    SortedSet<RequestRow> training() {
-        return Collections.unmodifiableSortedSet(training);
+    /** Returns the training request that is given up first: the latest deadline of the longest queue, or null. */
+    RequestRow lastTraining() {
+        return trainers.values().stream()
+                .filter(queue -> !queue.rows.isEmpty())
+                .max(Comparator.comparingInt(queue -> queue.rows.size()))
+                .map(queue -> queue.rows.last())
+                .orElse(null);
     }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestRow.java
@@ -60,6 +60,10 @@
         return arrival.precedence() == Precedence.TRAINING;
     }
 
+    String trainerName() {
+        return arrival.trainer().map(trainer -> trainer.value()).orElse("");
+    }
+
     boolean needsClaim() {
         return !arrival.idempotent() && arrival.key().isPresent() && !claimGranted;
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
@@ -16,8 +16,10 @@
 
     private final Tables tables;
     private final CompletionSystem completion;
+    private final FairShareSystem fairShare;
 
-    RetrySystem(Tables tables, CompletionSystem completion) {
+    RetrySystem(Tables tables, CompletionSystem completion, FairShareSystem fairShare) {
+        this.fairShare = fairShare;
         this.tables = tables;
         this.completion = completion;
     }
@@ -65,7 +67,7 @@
     private void queueAgain(RequestRow row) {
         if (row.state == RequestRow.State.WAITING_FOR_RETRY) {
             row.state = RequestRow.State.QUEUED;
-            row.service.queue.add(row);
+            fairShare.queue(row);
             tables.wantDispatch(row.service);
         }
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
@@ -16,18 +16,48 @@
     final ServiceName name;
     final EndpointList endpoints = EndpointList.ofAll();
     final EndpointList available = EndpointList.ofAvailable();
+    final EndpointList availableForTraining = EndpointList.ofAvailableForTraining();
     final RequestQueue queue = new RequestQueue();
     final SequencedSet<AttemptRow> trainingAttempts = new LinkedHashSet<>();
 
+    /** Time that an attempt holds its place, in milliseconds. */
+    final Average holdTime = new Average(0.05);
+
+    /** Run time per expected token of completed attempts, in milliseconds. */
+    final Average timePerToken = new Average(0.05);
+
     ServiceConfiguration configuration;
     int share;
     int open;
+    int servingSlots;
+    long lastServingAt;
     boolean dispatchWanted;
 
     ServiceRow(ServiceName name) {
         this.name = name;
     }
 
+    /** Returns whether a customer can be dispatched. */
+    boolean hasRoom() {
+        return open < share && available.size() > 0;
+    }
+
+    /** Returns whether a training request can be dispatched without using the reserve for customers. */
+    boolean hasRoomForTraining(Tables tables) {
+        return open < share - reserve(share, tables) && availableForTraining.size() > 0;
+    }
+
+    /** Returns how many of a number of places are kept free of training. */
+    int reserve(int places, Tables tables) {
+        if (configuration == null || !tables.uses(RequestPolicy.CUSTOMER_RESERVE)) {
+            return 0;
+        }
+        int percent = configuration.customerReservePercent();
+        int reserved = (places * percent + 99) / 100;
+        // One place is left for training on small endpoints, unless the operator reserves everything.
+        return percent < 100 ? Math.min(reserved, Math.max(0, places - 1)) : places;
+    }
+
     boolean isModel() {
         return configuration != null && configuration.serviceClass() == ServiceClass.MODEL;
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
@@ -13,17 +13,21 @@
     private final ClaimSystem claims;
     private final MembershipSystem membership;
     private final ConfigurationSystem configurations;
+    private final SheddingSystem shedding;
     private final DispatchSystem dispatch;
 
     TableRequestCore(RequestCoreSettings settings) {
         tables = new Tables(Objects.requireNonNull(settings, "settings"));
         CompletionSystem completion = new CompletionSystem(tables);
-        attempts = new AttemptSystem(tables, completion, new RetrySystem(tables, completion));
-        admission = new AdmissionSystem(tables, completion, attempts);
-        claims = new ClaimSystem(tables, completion);
+        FairShareSystem fairShare = new FairShareSystem(tables);
+        RetrySystem retry = new RetrySystem(tables, completion, fairShare);
+        attempts = new AttemptSystem(tables, completion, retry, fairShare);
+        shedding = new SheddingSystem(tables, completion);
+        admission = new AdmissionSystem(tables, completion, attempts, shedding);
+        claims = new ClaimSystem(tables, completion, fairShare);
         membership = new MembershipSystem(tables);
         configurations = new ConfigurationSystem(tables, completion);
-        dispatch = new DispatchSystem(tables, new EndpointChoice(tables), attempts, claims);
+        dispatch = new DispatchSystem(tables, attempts, claims, shedding);
     }
 
     @Override
@@ -31,6 +35,7 @@
         tables.now = Math.max(tables.now, nowMilliseconds);
         apply(Objects.requireNonNull(input, "input"));
         tables.timers.runDue(tables.now);
+        shedding.run();
         dispatch.run();
         return tables.takeCommands();
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
@@ -70,11 +70,20 @@
 
     /** Puts the endpoint into or out of the list of endpoints with room. */
     void refresh(EndpointRow endpoint) {
-        if (endpoint.isAvailable()) {
-            endpoint.service.available.add(endpoint);
-            wantDispatch(endpoint.service);
+        ServiceRow service = endpoint.service;
+        int slots = endpoint.mayServe() ? endpoint.slots() : 0;
+        service.servingSlots += slots - endpoint.countedSlots;
+        endpoint.countedSlots = slots;
+        if (endpoint.open.size() < slots) {
+            service.available.add(endpoint);
+            wantDispatch(service);
         } else {
-            endpoint.service.available.remove(endpoint);
+            service.available.remove(endpoint);
+        }
+        if (endpoint.open.size() < slots - service.reserve(slots, this)) {
+            service.availableForTraining.add(endpoint);
+        } else {
+            service.availableForTraining.remove(endpoint);
         }
     }
 }
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TrainerQueue.java
@@ -0,0 +1,19 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.TreeSet;
+
+/**
+ * The waiting training requests of one trainer and the work that it was given.
+ *
+ * <p>Invariant: {@code served} is work in tokens divided by the weight of the trainer, comparable between trainers.
+ * Confined to the thread of the core.
+ */
+final class TrainerQueue {
+    final TreeSet<RequestRow> rows = new TreeSet<>(RequestQueue.EARLIEST_DEADLINE);
+    double served;
+    int open;
+
+    boolean isActive() {
+        return open > 0 || !rows.isEmpty();
+    }
+}
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/LoadSimulation.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/LoadSimulation.java
@@ -87,7 +87,10 @@
                         () -> ifRunning(
                                 start,
                                 () -> give(new RequestInput.AttemptProgressed(
-                                        start.attempt(), TOKENS / 2, endpoint.weightVersion(), true))));
+                                        start.attempt(),
+                                        request.expectedTokens() / 2,
+                                        endpoint.weightVersion(),
+                                        true))));
                 at(service, () -> ifRunning(start, () -> complete(start, request)));
             }
         }
@@ -102,13 +105,14 @@
             }
             hits += hit ? 1 : 0;
             double work = meanService * (0.5 - 0.5 * Math.log(1 - random.nextDouble()));
-            return work * slowness * (hit ? 0.5 : 1) * (TOKENS - Math.min(TOKENS - 1, start.resumeOffset())) / TOKENS;
+            int remaining = Math.max(1, request.expectedTokens() - start.resumeOffset());
+            return work * slowness * (hit ? 0.5 : 1) * remaining / TOKENS;
         }
 
         private void complete(StartAttempt start, RequestArrived request) {
             running.remove(start.attempt());
             served++;
-            give(new RequestInput.AttemptCompleted(start.attempt(), TOKENS));
+            give(new RequestInput.AttemptCompleted(start.attempt(), request.expectedTokens()));
             if (!request.prefixHashes().isEmpty()) {
                 at(
                         100,
@@ -179,6 +183,9 @@
     LoadSimulation(int endpoints, int capacity, RequestPolicy... switchedOff) {
         CoreFixture fixture = new CoreFixture(switchedOff);
         core = fixture.core;
+        // A deep queue shows what shedding does; with a shallow one the bound alone keeps waits short.
+        give(new RequestInput.ConfigurationActivated(
+                CoreFixture.configuration(2, CoreFixture.limits(capacity, 10_000))));
         give(new RequestInput.SharesAssigned(Map.of(CoreFixture.MODEL, endpoints * capacity)));
         for (int index = 0; index < endpoints; index++) {
             Engine engine = new Engine(CoreFixture.endpoint("e" + index, CoreFixture.MODEL, capacity));
