Eject bad endpoints, bound retries and quarantine crashing requests

Endpoints are compared by failure rate and time per token with the median of their service; at most half are ejected, and they return with one attempt that doubles on success. Repeated attempts draw on a budget that arrivals refill. A request whose endpoint crashed is a suspect and never shares an endpoint with another; after two crashes it is refused.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
@@ -10,14 +10,23 @@
 
     private final Tables tables;
     private final CompletionSystem completion;
+    private final RetrySystem retry;
     private final AttemptSystem attempts;
     private final SheddingSystem shedding;
+    private final CrashSystem crashes;
 
-    AdmissionSystem(Tables tables, CompletionSystem completion, AttemptSystem attempts, SheddingSystem shedding) {
+    AdmissionSystem(
+            Tables tables,
+            CompletionSystem completion,
+            AttemptSystem attempts,
+            SheddingSystem shedding,
+            CrashSystem crashes) {
+        this.crashes = crashes;
         this.shedding = shedding;
         this.tables = tables;
         this.completion = completion;
         this.attempts = attempts;
+        this.retry = attempts.retry();
     }
 
     void arrive(RequestArrived arrival) {
@@ -43,7 +52,12 @@
             completion.refuseArrival(arrival, ErrorCode.DEADLINE_UNREACHABLE, 0);
             return;
         }
+        if (crashes.isQuarantined(arrival.service(), arrival.fingerprint())) {
+            completion.refuseArrival(arrival, ErrorCode.REQUEST_QUARANTINED, 0);
+            return;
+        }
         ServiceRow service = tables.service(arrival.service());
+        retry.grantBudget(service, configuration);
         if (service.servingSlots == 0) {
             completion.refuseArrival(arrival, ErrorCode.NO_ENDPOINT, RETRY_ELSEWHERE_MILLISECONDS);
             return;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
@@ -22,10 +22,20 @@
     private final CompletionSystem completion;
     private final RetrySystem retry;
     private final FairShareSystem fairShare;
+    private final CrashSystem crashes;
+    private final EjectionSystem ejection;
     private final String idPrefix;
     private long nextId;
 
-    AttemptSystem(Tables tables, CompletionSystem completion, RetrySystem retry, FairShareSystem fairShare) {
+    AttemptSystem(
+            Tables tables,
+            CompletionSystem completion,
+            RetrySystem retry,
+            FairShareSystem fairShare,
+            CrashSystem crashes,
+            EjectionSystem ejection) {
+        this.crashes = crashes;
+        this.ejection = ejection;
         this.tables = tables;
         this.fairShare = fairShare;
         this.completion = completion;
@@ -33,6 +43,10 @@
         this.idPrefix = tables.settings.entryName() + "-" + Long.toHexString(tables.random.nextLong()) + "-";
     }
 
+    RetrySystem retry() {
+        return retry;
+    }
+
     FairShareSystem fairShare() {
         return fairShare;
     }
@@ -83,6 +97,7 @@
             return;
         }
         RequestRow row = attempt.request;
+        crashes.alive(attempt);
         attempt.sent = true;
         attempt.tokens = Math.max(attempt.tokens, input.tokens());
         row.tokens = attempt.tokens;
@@ -100,6 +115,8 @@
         attempt.request.hasRun = true;
         attempt.request.mayHaveRun = true;
         close(attempt, End.COMPLETED);
+        crashes.completed(attempt);
+        ejection.completed(attempt);
         completion.finish(attempt.request, attempt);
     }
 
@@ -108,10 +125,12 @@
         if (attempt == null) {
             return;
         }
+        crashes.failed(attempt, input.failure());
         if (mayHaveRun(attempt, input.failure())) {
             attempt.request.mayHaveRun = true;
         }
         close(attempt, End.FAILED);
+        ejection.failed(attempt, input.failure());
         retry.afterFailure(attempt, input.failure());
     }
 
@@ -121,6 +140,7 @@
             AttemptRow attempt = row.attempt;
             row.mayHaveRun = true;
             close(attempt, End.CANCELLED);
+            crashes.cancelled(attempt);
             tables.emit(new RequestCommand.CancelAttempt(attempt.id));
         }
     }
@@ -141,6 +161,7 @@
         }
         if (end == End.COMPLETED) {
             double tokens = Math.max(1, row.expectedTokens() - attempt.resumeOffset);
+            row.service.expectedTokens.add(tokens);
             row.service.timePerToken.add((tables.now - attempt.startedAt) / tokens);
         }
         if (row.isTraining()) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ConfigurationSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ConfigurationSystem.java
@@ -14,8 +14,10 @@
 
     private final Tables tables;
     private final CompletionSystem completion;
+    private final EjectionSystem ejection;
 
-    ConfigurationSystem(Tables tables, CompletionSystem completion) {
+    ConfigurationSystem(Tables tables, CompletionSystem completion, EjectionSystem ejection) {
+        this.ejection = ejection;
         this.tables = tables;
         this.completion = completion;
     }
@@ -35,6 +37,7 @@
             endpoint.drainingByConfiguration = configuration.drainingEndpoints().contains(endpoint.id);
             tables.refresh(endpoint);
         }
+        tables.services.values().forEach(ejection::keepFloor);
     }
 
     void assignShares(RequestInput.SharesAssigned input) {
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
@@ -0,0 +1,181 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.id.Fingerprint;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+
+/**
+ * Recognises crashed endpoints, counts the requests that crash them and keeps suspects apart.
+ *
+ * <p>An endpoint has crashed if all its open attempts break within a short time. Invariant: a request that was answered
+ * in full is no suspect. Confined to the thread of the core.
+ */
+final class CrashSystem {
+    private static final long BATCH_WINDOW_MILLISECONDS = 100;
+    private static final int QUARANTINE_CRASHES = 2;
+    private static final long REMEMBERED_MILLISECONDS = 3_600_000;
+    private static final int REMEMBERED_FINGERPRINTS = 10_000;
+
+    private record Key(ServiceName service, Fingerprint fingerprint) {}
+
+    /** Crashes of the endpoints that ran a request; counts over restarts of the caller. */
+    private static final class Suspicion {
+        private int crashes;
+        private boolean quarantined;
+        private long lastSeen;
+    }
+
+    private final Tables tables;
+    private final CompletionSystem completion;
+    private final Map<Key, Suspicion> suspicions = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Key, Suspicion> eldest) {
+            return size() > REMEMBERED_FINGERPRINTS
+                    || eldest.getValue().lastSeen < tables.now - REMEMBERED_MILLISECONDS;
+        }
+    };
+
+    CrashSystem(Tables tables, CompletionSystem completion) {
+        this.tables = tables;
+        this.completion = completion;
+    }
+
+    boolean isQuarantined(ServiceName service, Fingerprint fingerprint) {
+        Suspicion suspicion = find(new Key(service, fingerprint));
+        return suspicion != null && suspicion.quarantined;
+    }
+
+    /** Returns whether a request may only run where no other suspect runs. */
+    boolean isSuspect(RequestRow row) {
+        return !suspicions.isEmpty() && find(key(row)) != null;
+    }
+
+    /** Returns whether an endpoint runs a suspect. */
+    boolean runsSuspect(EndpointRow endpoint) {
+        for (AttemptRow attempt : endpoint.open) {
+            if (isSuspect(attempt.request)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    // ---- Crashes ----
+
+    /** Notes the end of an attempt that is still listed as open. */
+    void failed(AttemptRow attempt, AttemptFailure failure) {
+        EndpointRow endpoint = attempt.endpoint;
+        if (failure != AttemptFailure.BROKEN) {
+            alive(attempt);
+            return;
+        }
+        long opened = endpoint.batchOpenedAt;
+        if (endpoint.batch.isEmpty() || tables.now - opened > BATCH_WINDOW_MILLISECONDS) {
+            endpoint.batch.clear();
+            endpoint.batch.addAll(endpoint.open);
+            endpoint.batchPending.clear();
+            endpoint.batchPending.addAll(endpoint.open);
+            endpoint.batchOpenedAt = tables.now;
+        }
+        endpoint.batchPending.remove(attempt);
+        if (endpoint.batchPending.isEmpty()) {
+            List<RequestRow> batch = new ArrayList<>();
+            endpoint.batch.forEach(member -> batch.add(member.request));
+            endpoint.batch.clear();
+            crashed(endpoint, batch);
+        }
+    }
+
+    /** Notes that an attempt was cancelled, which says nothing about its endpoint. */
+    void cancelled(AttemptRow attempt) {
+        attempt.endpoint.batchPending.remove(attempt);
+    }
+
+    /** Notes that an endpoint still answers, so that a broken attempt was no crash. */
+    void alive(AttemptRow attempt) {
+        if (!attempt.endpoint.batch.isEmpty()) {
+            attempt.endpoint.batch.clear();
+            attempt.endpoint.batchPending.clear();
+        }
+    }
+
+    /** Clears a request that was answered in full. */
+    void completed(AttemptRow attempt) {
+        alive(attempt);
+        if (!suspicions.isEmpty()) {
+            suspicions.remove(key(attempt.request));
+        }
+    }
+
+    private void crashed(EndpointRow endpoint, List<RequestRow> batch) {
+        List<Fingerprint> fingerprints =
+                batch.stream().map(row -> row.arrival.fingerprint()).distinct().toList();
+        tables.emit(new RequestCommand.ReportCrash(
+                endpoint.service.name, endpoint.id, endpoint.record.incarnation(), fingerprints));
+        for (Fingerprint fingerprint : fingerprints) {
+            Suspicion suspicion = suspect(endpoint.service.name, fingerprint);
+            suspicion.crashes++;
+            if (suspicion.crashes >= QUARANTINE_CRASHES) {
+                quarantine(suspicion, endpoint.service.name, fingerprint);
+            }
+        }
+    }
+
+    // ---- State from the control process ----
+
+    void changed(RequestInput.QuarantineChanged input) {
+        input.quarantined()
+                .forEach((service, fingerprints) -> fingerprints.forEach(
+                        fingerprint -> quarantine(suspect(service, fingerprint), service, fingerprint)));
+        Set<ServiceName> services = tables.services.keySet();
+        for (Fingerprint fingerprint : input.suspects()) {
+            services.forEach(service -> suspect(service, fingerprint));
+        }
+    }
+
+    private void quarantine(Suspicion suspicion, ServiceName service, Fingerprint fingerprint) {
+        if (suspicion.quarantined) {
+            return;
+        }
+        suspicion.quarantined = true;
+        // Quarantine is rare, so a search through all requests is cheaper than an index.
+        tables.requests.values().stream()
+                .filter(row -> row.service.name.equals(service)
+                        && row.arrival.fingerprint().equals(fingerprint))
+                .toList()
+                .forEach(this::refuse);
+    }
+
+    /** Requests with an open attempt are refused when it ends, so that a broken batch is seen whole. */
+    private void refuse(RequestRow row) {
+        if (row.attempt == null && row.state != RequestRow.State.CLAIMING) {
+            completion.refuse(row, ErrorCode.REQUEST_QUARANTINED, 0);
+        }
+    }
+
+    private Suspicion suspect(ServiceName service, Fingerprint fingerprint) {
+        Suspicion suspicion = suspicions.computeIfAbsent(new Key(service, fingerprint), key -> new Suspicion());
+        suspicion.lastSeen = tables.now;
+        return suspicion;
+    }
+
+    private Suspicion find(Key key) {
+        Suspicion suspicion = suspicions.get(key);
+        if (suspicion != null && suspicion.lastSeen < tables.now - REMEMBERED_MILLISECONDS) {
+            suspicions.remove(key);
+            return null;
+        }
+        return suspicion;
+    }
+
+    private static Key key(RequestRow row) {
+        return new Key(row.service.name, row.arrival.fingerprint());
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
@@ -20,9 +20,10 @@
     private final SheddingSystem shedding;
     private final FairShareSystem fairShare;
 
-    DispatchSystem(Tables tables, AttemptSystem attempts, ClaimSystem claims, SheddingSystem shedding) {
+    DispatchSystem(
+            Tables tables, EndpointChoice choice, AttemptSystem attempts, ClaimSystem claims, SheddingSystem shedding) {
         this.tables = tables;
-        this.choice = new EndpointChoice(tables);
+        this.choice = choice;
         this.attempts = attempts;
         this.claims = claims;
         this.preemption = new PreemptionSystem(tables, attempts);
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EjectionSystem.java
@@ -0,0 +1,191 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+
+import io.rosemarybeam.decision.request.EndpointHealth.State;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+
+/**
+ * Takes slow and failing endpoints out of the choice and readmits them gradually.
+ *
+ * <p>Invariant: at most half of the endpoints of a service that may serve are ejected. Confined to the thread of the
+ * core.
+ */
+final class EjectionSystem {
+    private static final long EVALUATION_INTERVAL_MILLISECONDS = 500;
+    private static final int CONSECUTIVE_FAILURES = 3;
+    private static final double FAILURE_RATE = 0.5;
+    private static final int LEAST_OUTCOMES = 5;
+    private static final int LEAST_COMPARED_ENDPOINTS = 3;
+
+    /** Multiple of the median pace from which an endpoint is slow. */
+    private static final double SLOW_FACTOR = 3;
+
+    /** Multiple of the expected run time from which an open attempt is overdue. */
+    private static final double OVERDUE_FACTOR = 5;
+
+    private static final int LEAST_OVERDUE = 2;
+
+    /** Differences below this are noise of short requests, in milliseconds per attempt. */
+    private static final double LEAST_DIFFERENCE_MILLISECONDS = 20;
+
+    private static final long BASE_EJECTION_MILLISECONDS = 5_000;
+    private static final long LONGEST_EJECTION_MILLISECONDS = 60_000;
+    private static final long FORGIVEN_AFTER_MILLISECONDS = 120_000;
+
+    private final Tables tables;
+    private long nextEvaluation;
+
+    EjectionSystem(Tables tables) {
+        this.tables = tables;
+    }
+
+    void completed(AttemptRow attempt) {
+        EndpointRow endpoint = attempt.endpoint;
+        EndpointHealth health = endpoint.health;
+        double pace = pace(attempt);
+        health.failureRate.add(0);
+        health.pace.add(pace);
+        health.consecutiveFailures = 0;
+        if (health.state == State.RECOVERING) {
+            if (isSlow(endpoint.service, pace, attempt.request.expectedTokens())) {
+                eject(endpoint);
+            } else {
+                health.succeedInRecovery(endpoint.fullSlots());
+            }
+            tables.refresh(endpoint);
+        }
+    }
+
+    /** An endpoint that refuses before running is busy rather than broken, so only its failure rate counts. */
+    void failed(AttemptRow attempt, AttemptFailure failure) {
+        EndpointHealth health = attempt.endpoint.health;
+        health.failureRate.add(1);
+        if (failure == AttemptFailure.REFUSED_NOT_RUN) {
+            return;
+        }
+        health.consecutiveFailures++;
+        if (health.consecutiveFailures >= CONSECUTIVE_FAILURES || health.state == State.RECOVERING) {
+            eject(attempt.endpoint);
+        }
+    }
+
+    /** Readmits endpoints whose time is over, and at intervals compares the endpoints of each service. */
+    void run() {
+        if (tables.now < nextEvaluation || !tables.uses(RequestPolicy.EJECTION)) {
+            return;
+        }
+        nextEvaluation = tables.now + EVALUATION_INTERVAL_MILLISECONDS;
+        tables.services.values().forEach(this::evaluate);
+    }
+
+    /** Readmits endpoints early when the service has become smaller. */
+    void keepFloor(ServiceRow service) {
+        while (2 * service.ejected.size() > service.servingEndpoints) {
+            service.ejected.stream()
+                    .min(Comparator.comparingLong(endpoint -> endpoint.health.ejectedUntil))
+                    .ifPresent(this::readmit);
+        }
+    }
+
+    private void evaluate(ServiceRow service) {
+        for (EndpointRow endpoint : List.copyOf(service.ejected)) {
+            if (endpoint.health.ejectedUntil <= tables.now) {
+                readmit(endpoint);
+            }
+        }
+        service.medianPace = medianPace(service);
+        List<EndpointRow> bad = new ArrayList<>();
+        for (EndpointRow endpoint : service.endpoints.rows()) {
+            if (endpoint.mayServe() && isBad(endpoint)) {
+                bad.add(endpoint);
+            }
+        }
+        bad.sort(Comparator.comparingDouble((EndpointRow endpoint) ->
+                        endpoint.health.failureRate.value() * 1_000 + endpoint.health.pace.value())
+                .reversed());
+        bad.forEach(this::eject);
+    }
+
+    private boolean isBad(EndpointRow endpoint) {
+        EndpointHealth health = endpoint.health;
+        if (health.failureRate.count() >= LEAST_OUTCOMES && health.failureRate.value() > FAILURE_RATE) {
+            return true;
+        }
+        double expectedTokens = endpoint.service.expectedTokens.value();
+        if (health.pace.count() >= LEAST_OUTCOMES && isSlow(endpoint.service, health.pace.value(), expectedTokens)) {
+            return true;
+        }
+        return isOverdue(endpoint);
+    }
+
+    private static boolean isSlow(ServiceRow service, double pace, double tokens) {
+        return service.medianPace > 0
+                && pace > SLOW_FACTOR * service.medianPace
+                && (pace - service.medianPace) * tokens > LEAST_DIFFERENCE_MILLISECONDS;
+    }
+
+    /** An endpoint that completes nothing has no pace, but its open attempts take too long. */
+    private boolean isOverdue(EndpointRow endpoint) {
+        double median = endpoint.service.medianPace;
+        if (median == 0 || endpoint.open.size() < LEAST_OVERDUE) {
+            return false;
+        }
+        int overdue = 0;
+        for (AttemptRow attempt : endpoint.open) {
+            double expected = OVERDUE_FACTOR * median * tokens(attempt) + LEAST_DIFFERENCE_MILLISECONDS;
+            overdue += tables.now - attempt.startedAt > expected ? 1 : 0;
+        }
+        return overdue >= LEAST_OVERDUE && 2 * overdue >= endpoint.open.size();
+    }
+
+    private static double medianPace(ServiceRow service) {
+        double[] paces = service.endpoints.rows().stream()
+                .filter(endpoint -> endpoint.health.pace.count() >= LEAST_OUTCOMES)
+                .mapToDouble(endpoint -> endpoint.health.pace.value())
+                .toArray();
+        if (paces.length < LEAST_COMPARED_ENDPOINTS) {
+            return 0;
+        }
+        Arrays.sort(paces);
+        return paces[(paces.length - 1) / 2];
+    }
+
+    private void eject(EndpointRow endpoint) {
+        ServiceRow service = endpoint.service;
+        if (!tables.uses(RequestPolicy.EJECTION)
+                || !endpoint.mayServe()
+                || 2 * (service.ejected.size() + 1) > service.servingEndpoints) {
+            return;
+        }
+        EndpointHealth health = endpoint.health;
+        if (tables.now - health.ejectedAt > FORGIVEN_AFTER_MILLISECONDS) {
+            health.ejections = 0;
+        }
+        long length =
+                Math.min(LONGEST_EJECTION_MILLISECONDS, BASE_EJECTION_MILLISECONDS << Math.min(health.ejections, 10));
+        health.state = State.EJECTED;
+        health.ejections++;
+        health.ejectedAt = tables.now;
+        health.ejectedUntil = tables.now + length + tables.random.nextLong(length / 10);
+        service.ejected.add(endpoint);
+        tables.refresh(endpoint);
+    }
+
+    private void readmit(EndpointRow endpoint) {
+        endpoint.service.ejected.remove(endpoint);
+        endpoint.health.startRecovery();
+        tables.refresh(endpoint);
+    }
+
+    private double pace(AttemptRow attempt) {
+        return (tables.now - attempt.startedAt) / tokens(attempt);
+    }
+
+    private static double tokens(AttemptRow attempt) {
+        return Math.max(1, attempt.request.expectedTokens() - attempt.resumeOffset);
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
@@ -24,10 +24,12 @@
     private static final double SATURATED_LOAD = 2;
 
     private final Tables tables;
+    private final CrashSystem crashes;
     private int turn;
 
-    EndpointChoice(Tables tables) {
+    EndpointChoice(Tables tables, CrashSystem crashes) {
         this.tables = tables;
+        this.crashes = crashes;
     }
 
     /** Returns the best endpoint with room, or null if none suits the request. */
@@ -42,12 +44,13 @@
         }
         boolean sampled = size > COMPARED_ENDPOINTS;
         int position = sampled ? tables.random.nextInt(size) : 0;
+        boolean suspect = crashes.isSuspect(row);
         int compared = 0;
         int searched = Math.min(size, SEARCHED_ENDPOINTS);
         for (int index = 0; index < searched && compared < COMPARED_ENDPOINTS; index++) {
             EndpointRow endpoint = available.get(position);
             position = nextPosition(position, size, sampled && index < COMPARED_ENDPOINTS);
-            if (suits(row, endpoint)) {
+            if (suits(row, endpoint) && !(suspect && crashes.runsSuspect(endpoint))) {
                 compared++;
                 double score = score(row, endpoint);
                 if (score < bestScore) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointRow.java
@@ -1,6 +1,9 @@
 package io.rosemarybeam.decision.request;
 
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 import io.rosemarybeam.common.id.EndpointId;
@@ -15,6 +18,12 @@
     final Set<AttemptRow> open = new LinkedHashSet<>();
 
     final LoadView load = new LoadView();
+    final EndpointHealth health = new EndpointHealth();
+
+    // ---- Attempts that were open when one of them broke ----
+    final List<AttemptRow> batch = new ArrayList<>();
+    final Set<AttemptRow> batchPending = new HashSet<>();
+    long batchOpenedAt;
 
     EndpointRecord record;
     boolean member = true;
@@ -25,6 +34,7 @@
     int availableIndex = NOT_LISTED;
     int trainingIndex = NOT_LISTED;
     int countedSlots;
+    boolean countedEligible;
 
     EndpointRow(EndpointRecord record, ServiceRow service) {
         this.id = record.id();
@@ -34,6 +44,11 @@
 
     /** Returns whether the endpoint may get new work at all, regardless of its load. */
     boolean mayServe() {
+        return isEligible() && health.state != EndpointHealth.State.EJECTED;
+    }
+
+    /** Returns whether the endpoint may get new work, regardless of its load and of ejection. */
+    boolean isEligible() {
         return member
                 && inService
                 && !record.leaving()
@@ -43,6 +58,11 @@
 
     /** Returns how many attempts of this entry the endpoint may run at once. */
     int slots() {
+        return Math.min(fullSlots(), health.recoveringSlots);
+    }
+
+    /** Returns how many attempts of this entry the endpoint may run at once after its recovery. */
+    int fullSlots() {
         return Math.max(1, Math.min(record.capacity(), service.concurrentPerEndpoint()));
     }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/MembershipSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/MembershipSystem.java
@@ -17,9 +17,11 @@
  */
 final class MembershipSystem {
     private final Tables tables;
+    private final EjectionSystem ejection;
 
-    MembershipSystem(Tables tables) {
+    MembershipSystem(Tables tables, EjectionSystem ejection) {
         this.tables = tables;
+        this.ejection = ejection;
     }
 
     void changed(MembershipDelta delta) {
@@ -32,6 +34,7 @@
         }
         delta.removedEndpoints().forEach(this::remove);
         delta.endpoints().forEach(this::put);
+        tables.services.values().forEach(ejection::keepFloor);
     }
 
     void availability(RequestInput.EndpointAvailability input) {
@@ -39,6 +42,7 @@
         if (endpoint != null) {
             endpoint.inService = input.inService();
             tables.refresh(endpoint);
+            ejection.keepFloor(endpoint.service);
         }
     }
 
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.decision.request;
 
+import io.rosemarybeam.common.configuration.ServiceConfiguration;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
 
@@ -12,13 +13,16 @@
 final class RetrySystem {
     private static final long BACKOFF_BASE_MILLISECONDS = 20;
     private static final long BACKOFF_LIMIT_MILLISECONDS = 1_000;
+    private static final int LEAST_BUDGET_LIMIT = 10;
     private static final long RETRY_AFTER_MILLISECONDS = 1_000;
 
     private final Tables tables;
     private final CompletionSystem completion;
     private final FairShareSystem fairShare;
+    private final CrashSystem crashes;
 
-    RetrySystem(Tables tables, CompletionSystem completion, FairShareSystem fairShare) {
+    RetrySystem(Tables tables, CompletionSystem completion, FairShareSystem fairShare, CrashSystem crashes) {
+        this.crashes = crashes;
         this.fairShare = fairShare;
         this.tables = tables;
         this.completion = completion;
@@ -46,6 +50,10 @@
             completion.refuse(row, ErrorCode.LEASE_LAPSED, RETRY_AFTER_MILLISECONDS);
             return;
         }
+        if (crashes.isQuarantined(row.service.name, row.arrival.fingerprint())) {
+            completion.refuse(row, ErrorCode.REQUEST_QUARANTINED, 0);
+            return;
+        }
         if (row.attempts >= row.configuration.retries().maximumAttempts()) {
             completion.refuse(row, ErrorCode.ATTEMPTS_EXHAUSTED, RETRY_AFTER_MILLISECONDS);
             return;
@@ -55,10 +63,41 @@
             completion.refuse(row, ErrorCode.DEADLINE_UNREACHABLE, 0);
             return;
         }
+        if (!spendBudget(row.service)) {
+            completion.refuse(row, ErrorCode.ATTEMPTS_EXHAUSTED, RETRY_AFTER_MILLISECONDS);
+            return;
+        }
         row.state = RequestRow.State.WAITING_FOR_RETRY;
         tables.timers.at(tables.now + wait, () -> queueAgain(row));
     }
 
+    /** Each arriving request pays for a part of a repeated attempt. */
+    void grantBudget(ServiceRow service, ServiceConfiguration configuration) {
+        double part = configuration.retries().budgetPercent() / 100.0;
+        service.retryTokens = Math.min(budgetLimit(service), budget(service) + part);
+    }
+
+    private boolean spendBudget(ServiceRow service) {
+        if (!tables.uses(RequestPolicy.RETRY_BUDGET)) {
+            return true;
+        }
+        double left = budget(service);
+        if (left < 1) {
+            return false;
+        }
+        service.retryTokens = left - 1;
+        return true;
+    }
+
+    private static double budget(ServiceRow service) {
+        return Double.isNaN(service.retryTokens) ? budgetLimit(service) : service.retryTokens;
+    }
+
+    /** The crash of every endpoint at once may be answered with one repeated attempt each. */
+    private static double budgetLimit(ServiceRow service) {
+        return Math.max(LEAST_BUDGET_LIMIT, service.share);
+    }
+
     /** Without a key nobody could tell a second run from the first, so only an unsent attempt is repeated. */
     private static boolean mayRepeat(RequestRow row, AttemptRow attempt) {
         return !row.mayHaveRun && (row.claimGranted || !attempt.sent);
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.SequencedSet;
+import java.util.Set;
 
 import io.rosemarybeam.common.configuration.ServiceConfiguration;
 import io.rosemarybeam.common.configuration.ServiceConfiguration.ServiceClass;
@@ -26,10 +27,16 @@
     /** Run time per expected token of completed attempts, in milliseconds. */
     final Average timePerToken = new Average(0.05);
 
+    final Average expectedTokens = new Average(0.05);
+    final Set<EndpointRow> ejected = new LinkedHashSet<>();
+
     ServiceConfiguration configuration;
     int share;
     int open;
     int servingSlots;
+    int servingEndpoints;
+    double medianPace;
+    double retryTokens = Double.NaN;
     long lastServingAt;
     boolean dispatchWanted;
 
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
@@ -14,20 +14,24 @@
     private final MembershipSystem membership;
     private final ConfigurationSystem configurations;
     private final SheddingSystem shedding;
+    private final CrashSystem crashes;
+    private final EjectionSystem ejection;
     private final DispatchSystem dispatch;
 
     TableRequestCore(RequestCoreSettings settings) {
         tables = new Tables(Objects.requireNonNull(settings, "settings"));
         CompletionSystem completion = new CompletionSystem(tables);
         FairShareSystem fairShare = new FairShareSystem(tables);
-        RetrySystem retry = new RetrySystem(tables, completion, fairShare);
-        attempts = new AttemptSystem(tables, completion, retry, fairShare);
+        crashes = new CrashSystem(tables, completion);
+        ejection = new EjectionSystem(tables);
+        RetrySystem retry = new RetrySystem(tables, completion, fairShare, crashes);
+        attempts = new AttemptSystem(tables, completion, retry, fairShare, crashes, ejection);
         shedding = new SheddingSystem(tables, completion);
-        admission = new AdmissionSystem(tables, completion, attempts, shedding);
+        admission = new AdmissionSystem(tables, completion, attempts, shedding, crashes);
         claims = new ClaimSystem(tables, completion, fairShare);
-        membership = new MembershipSystem(tables);
-        configurations = new ConfigurationSystem(tables, completion);
-        dispatch = new DispatchSystem(tables, attempts, claims, shedding);
+        membership = new MembershipSystem(tables, ejection);
+        configurations = new ConfigurationSystem(tables, completion, ejection);
+        dispatch = new DispatchSystem(tables, new EndpointChoice(tables, crashes), attempts, claims, shedding);
     }
 
     @Override
@@ -35,6 +39,7 @@
         tables.now = Math.max(tables.now, nowMilliseconds);
         apply(Objects.requireNonNull(input, "input"));
         tables.timers.runDue(tables.now);
+        ejection.run();
         shedding.run();
         dispatch.run();
         return tables.takeCommands();
@@ -62,9 +67,7 @@
             case RequestInput.ConfigurationActivated activated -> configurations.activate(activated.configuration());
             case RequestInput.LeaseRenewed renewed -> configurations.renewLease(renewed);
             case RequestInput.SharesAssigned assigned -> configurations.assignShares(assigned);
-            case RequestInput.QuarantineChanged _ -> {
-                // Quarantine is not used yet.
-            }
+            case RequestInput.QuarantineChanged changed -> crashes.changed(changed);
             case RequestInput.DrainStarted _ -> tables.draining = true;
         }
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
@@ -71,6 +71,15 @@
     /** Puts the endpoint into or out of the list of endpoints with room. */
     void refresh(EndpointRow endpoint) {
         ServiceRow service = endpoint.service;
+        boolean eligible = endpoint.isEligible();
+        if (eligible != endpoint.countedEligible) {
+            service.servingEndpoints += eligible ? 1 : -1;
+            endpoint.countedEligible = eligible;
+        }
+        if (!eligible && service.ejected.remove(endpoint)) {
+            // What made it ineligible, such as a restart or a swap, may also have cured it.
+            endpoint.health.startRecovery();
+        }
         int slots = endpoint.mayServe() ? endpoint.slots() : 0;
         service.servingSlots += slots - endpoint.countedSlots;
         endpoint.countedSlots = slots;
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreLoadTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreLoadTest.java
@@ -1,8 +1,12 @@
 package io.rosemarybeam.decision.request;
 
+import java.util.function.Consumer;
+
+import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.decision.request.RequestInput.Precedence;
 import org.junit.jupiter.api.Test;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against policies that do worse under load than the plain baseline in the same run; all seeds are fixed. */
@@ -43,6 +47,84 @@
         assertTrue(p99(mixed) < p99(plain), "no better than without preemption and reserve");
     }
 
+    @Test
+    void shouldKeepLatencyWhenOneEndpointIsSlow() {
+        long[] healthy = withBadEndpoint(engine -> {});
+        long[] slow = withBadEndpoint(engine -> engine.slowness = 10);
+        long[] plainSlow = withBadEndpoint(engine -> engine.slowness = 10, RequestPolicy.EJECTION);
+        long[] silent = withBadEndpoint(engine -> engine.silent = true);
+        long[] plainSilent = withBadEndpoint(engine -> engine.silent = true, RequestPolicy.EJECTION);
+        report(
+                "answers, p99 ms: healthy %d, %d; slow %d, %d; slow without ejection %d, %d; silent %d, %d; without %d, %d",
+                healthy.length,
+                p99(healthy),
+                slow.length,
+                p99(slow),
+                plainSlow.length,
+                p99(plainSlow),
+                silent.length,
+                p99(silent),
+                plainSilent.length,
+                p99(plainSilent));
+        assertTrue(p99(slow) < p99(plainSlow), "ejection does not help against a slow endpoint");
+        assertTrue(silent.length > plainSilent.length, "ejection does not help against a silent endpoint");
+        assertTrue(silent.length >= 0.99 * healthy.length, "answers lost to a silent endpoint");
+    }
+
+    private static long[] withBadEndpoint(Consumer<LoadSimulation.Engine> fault, RequestPolicy... switchedOff) {
+        LoadSimulation simulation = new LoadSimulation(6, 8, switchedOff);
+        simulation.at(5_000, () -> fault.accept(simulation.engines.get(2)));
+        simulation.arrivals(120, 0, END, request -> {});
+        simulation.runUntil(END + 5_000);
+        return simulation.latencies(Precedence.CUSTOMER, WARM_UP, END);
+    }
+
+    @Test
+    void shouldNotStormWhenHalfOfTheEndpointsDie() {
+        LoadSimulation guarded = halfDead();
+        LoadSimulation plain = halfDead(RequestPolicy.EJECTION, RequestPolicy.RETRY_BUDGET);
+        int requests = guarded.outcomes.size();
+        report(
+                "half dead for 20 s: %d requests, starts/answers %d/%d, without ejection and budget %d/%d",
+                requests,
+                guarded.starts,
+                guarded.answered(Precedence.CUSTOMER, 0, END),
+                plain.starts,
+                plain.answered(Precedence.CUSTOMER, 0, END));
+        assertTrue(guarded.starts <= 1.1 * requests + 48, "more repeated attempts than the budget");
+        assertTrue(guarded.answered(Precedence.CUSTOMER, 0, END) >= plain.answered(Precedence.CUSTOMER, 0, END));
+    }
+
+    private static LoadSimulation halfDead(RequestPolicy... switchedOff) {
+        LoadSimulation simulation = new LoadSimulation(6, 8, switchedOff);
+        simulation.recoveryMilliseconds = 20_000;
+        simulation.at(10_000, () -> simulation.engines.subList(0, 3).forEach(LoadSimulation.Engine::crash));
+        simulation.arrivals(100, 0, END, request -> {});
+        simulation.runUntil(END + 5_000);
+        return simulation;
+    }
+
+    @Test
+    void shouldQuarantineOnlyTheRequestThatCrashesEndpoints() {
+        LoadSimulation simulation = new LoadSimulation(6, 8);
+        simulation.poisoned = request -> request.fingerprint().value().equals("poison");
+        simulation.recoveryMilliseconds = 3_000;
+        simulation.arrivals(120, 0, END, request -> {});
+        simulation.arrivals(1, 5_000, END, request -> request.fingerprint("poison"));
+        simulation.runUntil(END + 5_000);
+        long innocentRefused = simulation.outcomes.values().stream()
+                .filter(outcome -> !simulation.poisoned.test(outcome.request) && outcome.refusal != null)
+                .count();
+        long poisonRefused = simulation.outcomes.values().stream()
+                .filter(outcome -> outcome.refusal == ErrorCode.REQUEST_QUARANTINED)
+                .count();
+        report(
+                "poison: %d crashes, %d quarantined, %d innocent of %d refused",
+                simulation.crashes, poisonRefused, innocentRefused, simulation.outcomes.size());
+        assertEquals(2, simulation.crashes);
+        assertEquals(0, innocentRefused);
+    }
+
     private static long[] customerLatencies(double trainingPerSecond, RequestPolicy... switchedOff) {
         LoadSimulation simulation = new LoadSimulation(6, 8, switchedOff);
         simulation.arrivals(120, 0, END, request -> {});
