--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/CallerLoad.java
@@ -0,0 +1,193 @@
+package io.rosemarybeam.testbed;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.rosemarybeam.testbed.LoadReport.Outcome;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.Response;
+
+/**
+ * Sends customers' requests as a well-behaved caller does: it resends only what it may resend, waits as long as it is told,
+ * and checks that each answer is whole and its own. Safe for use by several threads.
+ */
+public final class CallerLoad {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int MAXIMUM_TOKENS = 48;
+    private static final int MAXIMUM_TRIES = 12;
+    private static final long DEFAULT_WAIT_MILLISECONDS = 250;
+    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(40);
+    private static final String DONE = "data: [DONE]";
+
+    private final AsyncHttpClient client;
+    private final EntryDirectory directory;
+    private final LoadReport report;
+    private final String modelService;
+    private final String plainService;
+    private final AtomicLong numbers = new AtomicLong();
+
+    /**
+     * Creates a load.
+     *
+     * @param client sends the requests
+     * @param directory knows the entries
+     * @param report counts the outcomes
+     * @param modelService the model service to ask
+     * @param plainService the plain service to ask
+     */
+    public CallerLoad(
+            AsyncHttpClient client,
+            EntryDirectory directory,
+            LoadReport report,
+            String modelService,
+            String plainService) {
+        this.client = client;
+        this.directory = directory;
+        this.report = report;
+        this.modelService = modelService;
+        this.plainService = plainService;
+    }
+
+    /** Sends one streamed or whole completion and checks the answer. */
+    public void complete() {
+        long number = numbers.incrementAndGet();
+        boolean streamed = number % 2 == 0;
+        String prompt = "sign " + ProcessHandle.current().pid() + "-" + number;
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put("model", modelService);
+        body.put("prompt", prompt);
+        body.put("max_tokens", MAXIMUM_TOKENS);
+        body.put("stream", streamed);
+        Response response = send("POST", "/v1/completions", body.toString(), null);
+        if (response == null) {
+            return;
+        }
+        String expected = GeneratedText.whole(prompt, MAXIMUM_TOKENS);
+        check(streamed ? streamedText(response) : wholeText(response), expected);
+    }
+
+    /** Sends one booking with an idempotency key; a resend uses the same key. */
+    public void book() {
+        String order = "order-" + ProcessHandle.current().pid() + "-" + numbers.incrementAndGet();
+        String body = "{\"order\":\"" + order + "\"}";
+        Response response = send("POST", "/services/" + plainService + "/bookings", body, order);
+        if (response != null) {
+            check(response.getResponseBody().contains("\"" + order + "\"") ? order : "other", order);
+        }
+    }
+
+    private void check(String text, String expected) {
+        if (text == null) {
+            report.count(Outcome.CUT_STREAM);
+        } else if (text.equals(expected)) {
+            report.count(Outcome.ANSWERED);
+        } else {
+            report.count(Outcome.WRONG_ANSWER);
+        }
+    }
+
+    private Response send(String method, String path, String body, String key) {
+        long start = ModelEngine.nowMilliseconds();
+        for (int attempt = 0; attempt < MAXIMUM_TRIES; attempt++) {
+            String entry = directory.next();
+            try {
+                Response response = client.executeRequest(request(method, "http://" + entry + path, body, key))
+                        .toCompletableFuture()
+                        .join();
+                if (response.getStatusCode() < 300) {
+                    report.latency("latency of customer requests", ModelEngine.nowMilliseconds() - start);
+                    return response;
+                }
+                String code = code(response);
+                report.count("refusals " + code);
+                if (code.endsWith("OUTCOME_UNKNOWN") || !mayResend(response, key)) {
+                    report.count("requests that may have run, not resent");
+                    return null;
+                }
+                pause(waitMilliseconds(response));
+            } catch (RuntimeException unreachable) {
+                directory.drop(entry);
+                report.count("connections to entries that failed");
+                pause(DEFAULT_WAIT_MILLISECONDS);
+            }
+        }
+        report.count(Outcome.LOST);
+        return null;
+    }
+
+    private static org.asynchttpclient.Request request(String method, String url, String body, String key) {
+        RequestBuilder builder = new RequestBuilder(method)
+                .setUrl(url)
+                .setHeader("Content-Type", "application/json")
+                .setRequestTimeout(REQUEST_TIMEOUT)
+                .setBody(body.getBytes(StandardCharsets.UTF_8));
+        if (key != null) {
+            builder.setHeader("Idempotency-Key", key);
+        }
+        return builder.build();
+    }
+
+    /** A refusal that says not run may always be resent, and so may a request with a key or a completion. */
+    private static boolean mayResend(Response response, String key) {
+        boolean overload = response.getStatusCode() == 503 || response.getStatusCode() == 429;
+        return overload || "not-run".equals(problem(response).path("run").asText()) || key != null;
+    }
+
+    private static String code(Response response) {
+        return response.getStatusCode() + " " + problem(response).path("code").asText();
+    }
+
+    private static JsonNode problem(Response response) {
+        try {
+            JsonNode node = MAPPER.readTree(response.getResponseBody());
+            return node == null ? MAPPER.createObjectNode() : node;
+        } catch (IOException malformed) {
+            return MAPPER.createObjectNode();
+        }
+    }
+
+    private static long waitMilliseconds(Response response) {
+        String seconds = response.getHeader("Retry-After");
+        return seconds == null ? DEFAULT_WAIT_MILLISECONDS : Math.max(1, Long.parseLong(seconds)) * 1_000;
+    }
+
+    private static void pause(long milliseconds) {
+        try {
+            Thread.sleep(milliseconds + ThreadLocalRandom.current().nextLong(1 + milliseconds / 4));
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static String wholeText(Response response) {
+        return problem(response).path("choices").path(0).path("text").asText();
+    }
+
+    private static String streamedText(Response response) {
+        StringBuilder text = new StringBuilder();
+        boolean done = false;
+        for (String line : response.getResponseBody().split("\n")) {
+            if (line.startsWith(DONE)) {
+                done = true;
+            } else if (line.startsWith("data: ")) {
+                text.append(chunkText(line.substring("data: ".length())));
+            }
+        }
+        return done ? text.toString() : null;
+    }
+
+    private static String chunkText(String json) {
+        try {
+            return MAPPER.readTree(json).path("choices").path(0).path("text").asText();
+        } catch (IOException malformed) {
+            return "";
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/EntryDirectory.java
@@ -0,0 +1,92 @@
+package io.rosemarybeam.testbed;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.asynchttpclient.AsyncHttpClient;
+
+/**
+ * Knows which entry addresses to use, as a caller does: it asks one entry, keeps the answer for its time to live, and drops
+ * addresses that fail. Safe for use by several threads.
+ */
+public final class EntryDirectory {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final AsyncHttpClient client;
+    private final List<String> seeds;
+    private final String failureDomain;
+    private List<String> addresses = List.of();
+    private long validUntilMilliseconds;
+
+    /**
+     * Creates a directory.
+     *
+     * @param client sends the requests
+     * @param seeds entry addresses to ask first
+     * @param failureDomain where the caller is
+     */
+    public EntryDirectory(AsyncHttpClient client, List<String> seeds, String failureDomain) {
+        this.client = client;
+        this.seeds = List.copyOf(seeds);
+        this.failureDomain = failureDomain;
+    }
+
+    /**
+     * Returns an address to use now.
+     *
+     * @return IP number and port
+     */
+    public synchronized String next() {
+        if (addresses.isEmpty() || ModelEngine.nowMilliseconds() >= validUntilMilliseconds) {
+            refresh();
+        }
+        List<String> usable = addresses.isEmpty() ? seeds : addresses;
+        return usable.get(ThreadLocalRandom.current().nextInt(usable.size()));
+    }
+
+    /**
+     * Drops an address that refused a connection.
+     *
+     * @param address the address
+     */
+    public synchronized void drop(String address) {
+        List<String> remaining = new ArrayList<>(addresses);
+        remaining.remove(address);
+        addresses = List.copyOf(remaining);
+    }
+
+    private void refresh() {
+        List<String> candidates = new ArrayList<>(addresses);
+        candidates.addAll(seeds);
+        for (String candidate : candidates) {
+            if (ask(candidate)) {
+                return;
+            }
+        }
+    }
+
+    private boolean ask(String candidate) {
+        try {
+            var response = client.prepareGet("http://" + candidate + "/v1/addresses?failureDomain=" + failureDomain)
+                    .execute()
+                    .toCompletableFuture()
+                    .join();
+            if (response.getStatusCode() != 200) {
+                return false;
+            }
+            JsonNode answer = MAPPER.readTree(response.getResponseBody());
+            List<String> found = new ArrayList<>();
+            answer.path("addresses").forEach(address -> found.add(address.asText()));
+            addresses = List.copyOf(found);
+            validUntilMilliseconds = ModelEngine.nowMilliseconds()
+                    + answer.path("timeToLiveMilliseconds").asLong();
+            return !found.isEmpty();
+        } catch (IOException | RuntimeException unreachable) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/ModelEngine.java
@@ -0,0 +1,347 @@
+package io.rosemarybeam.testbed;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoopGroup;
+
+/**
+ * A stand-in for a model engine that batches continuously: requests share a batch, more of them make each token slower,
+ * and those beyond its capacity wait in order of priority.
+ *
+ * <p>Invariant: stamps each chunk with the weight version that it holds at that moment. All state is guarded by the monitor
+ * of this object; faults may be set by any thread.
+ */
+public final class ModelEngine implements AutoCloseable {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int TOKENS_PER_CHUNK = 4;
+
+    /** A fault that a test or the demo sets. */
+    public enum Fault {
+        /** Works as it should. */
+        NONE,
+        /** Keeps connections open and sends nothing. */
+        SILENT,
+        /** Needs ten times as long for each token. */
+        SLOW,
+        /** Ends streams without the end mark. */
+        NO_END_MARK,
+        /** Stamps chunks with the id of another attempt. */
+        WRONG_ATTEMPT,
+        /** Fails weight swaps partway. */
+        PARTIAL_SWAP
+    }
+
+    /** A request in the batch or in the queue. Guarded by the monitor of the engine. */
+    private static final class Generation {
+        private final HttpExchange exchange;
+        private final String attempt;
+        private final String prompt;
+        private final int length;
+        private final int priority;
+        private final long arrival;
+        private int position;
+
+        Generation(HttpExchange exchange, JsonNode body, long arrival) {
+            this.exchange = exchange;
+            this.attempt = exchange.header("X-Attempt-Id");
+            this.prompt = body.path("prompt").asText();
+            this.length = GeneratedText.length(prompt, body.path("max_tokens").asInt(16));
+            this.priority = Optional.ofNullable(exchange.header("X-Priority"))
+                    .map(Integer::parseInt)
+                    .orElse(0);
+            this.position = Optional.ofNullable(exchange.header("X-Resume-Offset"))
+                    .map(Integer::parseInt)
+                    .orElse(0);
+            this.arrival = arrival;
+        }
+    }
+
+    private final EngineSettings settings;
+    private final HttpStandIn server;
+    private final String poisonedPrompt;
+    private final Map<String, Generation> running = new HashMap<>();
+    private final PriorityQueue<Generation> waiting =
+            new PriorityQueue<>(Comparator.comparingInt((Generation generation) -> generation.priority)
+                    .thenComparingLong(generation -> generation.arrival));
+    private final ConcurrentLinkedQueue<String> prefixes = new ConcurrentLinkedQueue<>();
+    private final AtomicLong arrivals = new AtomicLong();
+    private final LongAdder generatedTokens = new LongAdder();
+    private volatile Fault fault = Fault.NONE;
+    private volatile boolean crashed;
+    private Optional<Long> weightVersion = Optional.of(1L);
+    private long largestFencingNumber;
+
+    /**
+     * Starts an engine.
+     *
+     * @param eventLoops where it runs
+     * @param port port on loopback, or zero for any
+     * @param settings how it behaves
+     * @param poisonedPrompt prompt that crashes it; empty for none
+     */
+    public ModelEngine(EventLoopGroup eventLoops, int port, EngineSettings settings, String poisonedPrompt) {
+        this.settings = settings;
+        this.poisonedPrompt = poisonedPrompt;
+        this.server = new HttpStandIn(eventLoops, port, this::handle);
+    }
+
+    /**
+     * Returns how it behaves.
+     *
+     * @return the settings
+     */
+    public EngineSettings settings() {
+        return settings;
+    }
+
+    /**
+     * Returns its address.
+     *
+     * @return base URL
+     */
+    public String baseUrl() {
+        return server.baseUrl();
+    }
+
+    /**
+     * Sets a fault.
+     *
+     * @param value the fault, {@link Fault#NONE} to repair
+     */
+    public void setFault(Fault value) {
+        fault = value;
+    }
+
+    /**
+     * Returns whether it crashed.
+     *
+     * @return true after a crash
+     */
+    public boolean isCrashed() {
+        return crashed;
+    }
+
+    /**
+     * Returns the whole weight version that it holds.
+     *
+     * @return the version; empty during and after a partial swap
+     */
+    public synchronized Optional<Long> weightVersion() {
+        return weightVersion;
+    }
+
+    /**
+     * Returns how many tokens it has generated, wanted or not.
+     *
+     * @return the count
+     */
+    public long generatedTokens() {
+        return generatedTokens.sum();
+    }
+
+    synchronized int runningCount() {
+        return running.size();
+    }
+
+    synchronized int waitingCount() {
+        return waiting.size();
+    }
+
+    /** Crashes at once: all connections close. */
+    public void crash() {
+        crashed = true;
+        server.close();
+    }
+
+    @Override
+    public void close() {
+        crash();
+    }
+
+    // ---- HTTP ----
+
+    private void handle(HttpExchange exchange) {
+        if (fault == Fault.SILENT) {
+            return;
+        }
+        try {
+            if (exchange.uri().startsWith("/v1/completions")) {
+                complete(exchange);
+            } else if (exchange.uri().startsWith("/v1/attempts/")) {
+                cancel(exchange);
+            } else if (exchange.uri().startsWith("/v1/orders")) {
+                order(exchange);
+            } else {
+                exchange.answerJson(404, "{}");
+            }
+        } catch (IOException failure) {
+            exchange.answerJson(400, "{\"error\":\"malformed body\"}", "X-Run", "not-run");
+        }
+    }
+
+    private void complete(HttpExchange exchange) throws IOException {
+        Generation generation = new Generation(exchange, MAPPER.readTree(exchange.body()), arrivals.incrementAndGet());
+        if (!poisonedPrompt.isEmpty() && generation.prompt.contains(poisonedPrompt)) {
+            crash();
+            return;
+        }
+        synchronized (this) {
+            if (weightVersion.isEmpty()) {
+                exchange.answerJson(503, "{\"error\":\"loading weights\"}", "X-Run", "not-run");
+                return;
+            }
+            if (running.size() >= settings.capacity()) {
+                waiting.add(generation);
+                return;
+            }
+        }
+        start(generation);
+    }
+
+    private void start(Generation generation) {
+        synchronized (this) {
+            running.put(String.valueOf(generation.attempt), generation);
+        }
+        generation.exchange.startStream(generation.attempt);
+        scheduleChunk(generation);
+    }
+
+    private void scheduleChunk(Generation generation) {
+        int batch = runningCount();
+        long perToken = settings.tokenMilliseconds() * (long) (settings.capacity() + batch) / settings.capacity();
+        long delay = perToken * TOKENS_PER_CHUNK * (fault == Fault.SLOW ? 10 : 1);
+        generation.exchange.later(Math.max(1, delay), () -> writeChunk(generation));
+    }
+
+    private void writeChunk(Generation generation) {
+        if (!isRunning(generation)) {
+            return;
+        }
+        if (!generation.exchange.isOpen()) {
+            finish(generation);
+            return;
+        }
+        if (fault == Fault.SILENT) {
+            generation.exchange.later(100, () -> writeChunk(generation));
+            return;
+        }
+        int count = Math.min(TOKENS_PER_CHUNK, generation.length - generation.position);
+        if (count > 0) {
+            generation.exchange.event(chunk(generation, count));
+            generation.position += count;
+            generatedTokens.add(count);
+        }
+        if (generation.position < generation.length) {
+            scheduleChunk(generation);
+            return;
+        }
+        if (fault != Fault.NO_END_MARK) {
+            generation.exchange.event("[DONE]");
+        }
+        generation.exchange.endStream();
+        finish(generation);
+    }
+
+    private String chunk(Generation generation, int count) {
+        StringBuilder text = new StringBuilder();
+        for (int offset = 0; offset < count; offset++) {
+            text.append(GeneratedText.token(generation.prompt, generation.position + offset));
+        }
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("id", fault == Fault.WRONG_ATTEMPT ? "other" : generation.attempt);
+        node.put("index", generation.position);
+        node.put("token_count", count);
+        node.put("text", text.toString());
+        weightVersion().ifPresent(version -> node.put("weight_version", version));
+        return node.toString();
+    }
+
+    private synchronized boolean isRunning(Generation generation) {
+        return running.get(String.valueOf(generation.attempt)) == generation;
+    }
+
+    private void finish(Generation generation) {
+        Generation next;
+        synchronized (this) {
+            running.remove(String.valueOf(generation.attempt), generation);
+            prefixes.add(generation.prompt);
+            next = running.size() < settings.capacity() ? waiting.poll() : null;
+        }
+        if (next != null) {
+            start(next);
+        }
+    }
+
+    private void cancel(HttpExchange exchange) {
+        String attempt = exchange.uri().substring("/v1/attempts/".length());
+        List<Generation> cancelled = new ArrayList<>();
+        synchronized (this) {
+            waiting.removeIf(generation -> attempt.equals(generation.attempt));
+            Generation generation = running.get(attempt);
+            if (generation != null) {
+                cancelled.add(generation);
+            }
+        }
+        for (Generation generation : cancelled) {
+            finish(generation);
+            generation.exchange.abort();
+        }
+        exchange.answerJson(200, "{}");
+    }
+
+    private void order(HttpExchange exchange) throws IOException {
+        JsonNode order = MAPPER.readTree(exchange.body());
+        long fencingNumber = order.path("fencingNumber").asLong();
+        synchronized (this) {
+            if (settings.checksFencing() && fencingNumber < largestFencingNumber) {
+                exchange.answerJson(409, "{\"error\":\"old fencing number\"}");
+                return;
+            }
+            largestFencingNumber = Math.max(largestFencingNumber, fencingNumber);
+            if ("load-weights".equals(order.path("kind").asText())) {
+                swap(exchange, order.path("version").asLong());
+            }
+        }
+        exchange.answerJson(202, "{}");
+    }
+
+    private void swap(HttpExchange exchange, long version) {
+        if (weightVersion.equals(Optional.of(version))) {
+            return;
+        }
+        weightVersion = Optional.empty();
+        if (fault != Fault.PARTIAL_SWAP) {
+            exchange.later(settings.swapMilliseconds(), () -> {
+                synchronized (this) {
+                    weightVersion = Optional.of(version);
+                }
+            });
+        }
+    }
+
+    List<String> takePrefixes() {
+        List<String> taken = new ArrayList<>();
+        for (String prefix = prefixes.poll(); prefix != null; prefix = prefixes.poll()) {
+            taken.add(prefix);
+        }
+        return taken;
+    }
+
+    static long nowMilliseconds() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/PlainEndpoint.java
@@ -0,0 +1,137 @@
+package io.rosemarybeam.testbed;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * A stand-in for a plain service: {@code POST /bookings} runs an order and must not be repeated, {@code POST /score} scores
+ * a sample, everything else echoes.
+ *
+ * <p>Invariant: counts every run of every order in a record that all endpoints of the service share, so that a test can
+ * tell whether an order ran twice. Safe for use by several threads.
+ */
+public final class PlainEndpoint implements AutoCloseable {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int SCORE_STEPS = 1_000;
+
+    private final EngineSettings settings;
+    private final Map<String, AtomicInteger> runsByOrder;
+    private final HttpStandIn server;
+    private final AtomicInteger running = new AtomicInteger();
+    private volatile boolean silent;
+
+    /**
+     * Starts an endpoint.
+     *
+     * @param eventLoops where it runs
+     * @param port port on loopback, or zero for any
+     * @param settings how it behaves; the time per token is its service time
+     * @param runsByOrder runs of each order, shared by all endpoints of the service
+     */
+    public PlainEndpoint(
+            EventLoopGroup eventLoops, int port, EngineSettings settings, Map<String, AtomicInteger> runsByOrder) {
+        this.settings = settings;
+        this.runsByOrder = runsByOrder;
+        this.server = new HttpStandIn(eventLoops, port, this::handle);
+    }
+
+    /**
+     * Returns an empty record of runs.
+     *
+     * @return a map that is safe for use by several threads
+     */
+    public static Map<String, AtomicInteger> newRecord() {
+        return new ConcurrentHashMap<>();
+    }
+
+    /**
+     * Returns how it behaves.
+     *
+     * @return the settings
+     */
+    public EngineSettings settings() {
+        return settings;
+    }
+
+    /**
+     * Returns its address.
+     *
+     * @return base URL
+     */
+    public String baseUrl() {
+        return server.baseUrl();
+    }
+
+    /**
+     * Makes it accept requests and never answer.
+     *
+     * @param value whether it is silent
+     */
+    public void setSilent(boolean value) {
+        silent = value;
+    }
+
+    int runningCount() {
+        return running.get();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private void handle(HttpExchange exchange) {
+        if (silent) {
+            return;
+        }
+        if (exchange.uri().startsWith("/runs")) {
+            exchange.answerJson(200, runsAsJson());
+            return;
+        }
+        running.incrementAndGet();
+        exchange.later(settings.tokenMilliseconds(), () -> {
+            running.decrementAndGet();
+            run(exchange);
+        });
+    }
+
+    private String runsAsJson() {
+        Map<String, Integer> runs = new ConcurrentHashMap<>();
+        runsByOrder.forEach((order, count) -> runs.put(order, count.get()));
+        return MAPPER.valueToTree(runs).toString();
+    }
+
+    private void run(HttpExchange exchange) {
+        try {
+            JsonNode body = exchange.body().length == 0 ? MAPPER.createObjectNode() : MAPPER.readTree(exchange.body());
+            String attempt = exchange.header("X-Attempt-Id") == null ? "" : exchange.header("X-Attempt-Id");
+            if (exchange.uri().endsWith("/bookings") && "POST".equals(exchange.method())) {
+                String order = body.path("order").asText();
+                int runs = runsByOrder
+                        .computeIfAbsent(order, ignored -> new AtomicInteger())
+                        .incrementAndGet();
+                exchange.answerJson(201, "{\"order\":\"" + order + "\",\"run\":" + runs + "}", "X-Attempt-Id", attempt);
+            } else if (exchange.uri().endsWith("/score")) {
+                exchange.answerJson(200, "{\"score\":" + score(body) + "}", "X-Attempt-Id", attempt);
+            } else {
+                exchange.answer(
+                        200, "text/plain", exchange.uri().getBytes(StandardCharsets.UTF_8), "X-Attempt-Id", attempt);
+            }
+        } catch (IOException failure) {
+            exchange.answerJson(400, "{\"error\":\"malformed body\"}");
+        }
+    }
+
+    private static double score(JsonNode body) {
+        byte[] text = body.path("text").asText().getBytes(StandardCharsets.UTF_8);
+        return (MurmurHash3.hash32x86(text) & Integer.MAX_VALUE) % SCORE_STEPS / (double) SCORE_STEPS;
+    }
+}
