--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SilentProxy.java
@@ -0,0 +1,148 @@
+package io.rosemarybeam.testbed;
+
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.GlobalEventExecutor;
+
+/**
+ * Forwards connections on loopback and can stop forwarding without closing them, as a device does that has lost track of a
+ * connection. New connections work unless the proxy is cut.
+ *
+ * <p>Invariant: a connection that was silenced stays silent. Safe for use by several threads.
+ */
+public final class SilentProxy implements AutoCloseable {
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final SocketAddress target;
+    private final Channel listener;
+    private volatile boolean cut;
+    private volatile long silencedBefore;
+    private volatile long connectionCount;
+
+    /**
+     * Starts a proxy.
+     *
+     * @param eventLoops where it runs
+     * @param targetPort port on loopback that it forwards to
+     */
+    public SilentProxy(EventLoopGroup eventLoops, int targetPort) {
+        this.target = new InetSocketAddress("127.0.0.1", targetPort);
+        this.listener = new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        accept(channel);
+                    }
+                })
+                .bind("127.0.0.1", 0)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /**
+     * Returns where it listens.
+     *
+     * @return IP number and port
+     */
+    public String address() {
+        return "127.0.0.1:" + ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** Stops forwarding on every open connection without closing it. New connections are forwarded. */
+    public void silenceOpenConnections() {
+        silencedBefore = connectionCount;
+    }
+
+    /**
+     * Stops or resumes forwarding on all connections, open and new, without closing them.
+     *
+     * @param value whether nothing passes
+     */
+    public void setCut(boolean value) {
+        cut = value;
+    }
+
+    @Override
+    public void close() {
+        listener.close();
+        connections.close();
+    }
+
+    private synchronized long nextNumber() {
+        connectionCount++;
+        return connectionCount;
+    }
+
+    private boolean passes(long number) {
+        return !cut && number > silencedBefore;
+    }
+
+    private void accept(SocketChannel inbound) {
+        long number = nextNumber();
+        connections.add(inbound);
+        var connecting = new Bootstrap()
+                .group(inbound.eventLoop())
+                .channel(NioSocketChannel.class)
+                .handler(new Forwarder(inbound, number))
+                .connect(target);
+        Channel outbound = connecting.channel();
+        connections.add(outbound);
+        inbound.pipeline().addLast(new Forwarder(outbound, number));
+        connecting.addListener(connected -> {
+            if (connected.isSuccess()) {
+                inbound.config().setAutoRead(true);
+            } else {
+                inbound.close();
+            }
+        });
+    }
+
+    /** Passes on what one side sends. Confined to the event loop that both sides share. */
+    private final class Forwarder extends ChannelInboundHandlerAdapter {
+        private final Channel other;
+        private final long number;
+
+        Forwarder(Channel other, long number) {
+            this.other = other;
+            this.number = number;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (passes(number)) {
+                other.writeAndFlush(message);
+            } else {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (passes(number)) {
+                other.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
+            context.close();
+        }
+    }
+}
