Read and check the operator's text with line and path

Cause: the control process, the entry process and the command line need one parser that refuses a contradictory text before it is accepted.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/ConfigurationParser.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/ConfigurationParser.java
@@ -12,6 +12,15 @@
      */
     Result parse(String text);
 
+    /**
+     * Returns the parser of the operator's text.
+     *
+     * @return the parser
+     */
+    static ConfigurationParser standard() {
+        return new JsonConfigurationParser();
+    }
+
     /** What became of a text. */
     sealed interface Result {
         /**
--- /dev/null
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/JsonConfigurationParser.java
@@ -0,0 +1,160 @@
+package io.rosemarybeam.common.configuration;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.rosemarybeam.common.configuration.OperatorConfiguration.ControlHost;
+import io.rosemarybeam.common.configuration.ServiceReader.ReadService;
+import io.rosemarybeam.common.id.ConfigurationNumber;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.settings.Findings;
+import io.rosemarybeam.common.settings.JsonText;
+import io.rosemarybeam.common.settings.JsonValue;
+import io.rosemarybeam.common.settings.JsonValue.ObjectValue;
+import io.rosemarybeam.common.settings.JsonValue.Position;
+import io.rosemarybeam.common.settings.NetworkAddress;
+import io.rosemarybeam.common.settings.PlainName;
+import io.rosemarybeam.common.settings.SettingsReader;
+
+/** Reads the operator's text as JSON with comments. Stateless and safe for use by several threads. */
+final class JsonConfigurationParser implements ConfigurationParser {
+    /** Largest number that every JSON reader represents exactly. */
+    private static final long MAXIMUM_NUMBER = (1L << 53) - 1;
+
+    private static final int MAXIMUM_CONTROL_HOSTS = 7;
+    private static final int MAXIMUM_SERVICES = 1_000;
+    private static final int MAXIMUM_ROLE_CHARACTERS = 200;
+
+    @Override
+    public Result parse(String text) {
+        Findings findings = new Findings();
+        Optional<OperatorConfiguration> configuration =
+                JsonText.read(text, findings).map(root -> read(root, findings));
+        if (configuration.isPresent() && findings.isEmpty()) {
+            return new Result.Valid(configuration.get());
+        }
+        return new Result.Invalid(findings.inOrder().stream()
+                .map(finding -> new Problem(
+                        finding.position().line(), finding.position().path(), finding.message()))
+                .toList());
+    }
+
+    private static OperatorConfiguration read(ObjectValue root, Findings findings) {
+        SettingsReader reader = SettingsReader.of(root, findings);
+        long number = reader.wholeNumber("number", 1, MAXIMUM_NUMBER);
+        List<ControlHost> controlHosts = controlHosts(reader);
+        Set<HostName> drainingEntries = reader.object("entryHosts")
+                .map(JsonConfigurationParser::drainingEntries)
+                .orElse(Set.of());
+        Set<EndpointId> drainingEndpoints = reader.object("endpoints")
+                .map(endpoints -> endpoints.distinct("draining", EndpointId::of).keySet())
+                .orElse(Set.of());
+        Map<EndpointId, String> roles =
+                reader.object("endpoints").map(JsonConfigurationParser::roles).orElse(Map.of());
+        Map<ServiceName, ReadService> services =
+                reader.requiredObject("services").map(found -> services(found)).orElse(Map.of());
+        if (services.size() > MAXIMUM_SERVICES) {
+            reader.report("services", "must have at most " + MAXIMUM_SERVICES + " services, has " + services.size());
+        }
+        reader.refuseUnknownKeys();
+        ServiceGraph.check(services, findings);
+        return new OperatorConfiguration(
+                ConfigurationNumber.of(number),
+                controlHosts,
+                drainingEntries,
+                drainingEndpoints,
+                roles,
+                services.entrySet().stream()
+                        .collect(Collectors.toMap(
+                                Map.Entry::getKey, entry -> entry.getValue().configuration())));
+    }
+
+    private static HostName hostName(String text) {
+        return HostName.of(PlainName.check(text));
+    }
+
+    // Control hosts
+
+    private static List<ControlHost> controlHosts(SettingsReader reader) {
+        List<ControlHost> hosts = new ArrayList<>();
+        List<Map.Entry<HostName, Position>> names = new ArrayList<>();
+        List<Map.Entry<String, Position>> addresses = new ArrayList<>();
+        List<JsonValue> elements = reader.requiredElements("controlHosts");
+        for (JsonValue element : elements) {
+            reader.objectOf(element)
+                    .flatMap(JsonConfigurationParser::controlHost)
+                    .ifPresent(host -> {
+                        hosts.add(host);
+                        names.add(Map.entry(host.name(), element.position()));
+                        addresses.add(Map.entry(host.address(), element.position()));
+                    });
+        }
+        reader.refuseRepeated(names, "name");
+        reader.refuseRepeated(addresses, "address");
+        int count = elements.size();
+        if (reader.has("controlHosts") && (count > MAXIMUM_CONTROL_HOSTS || count % 2 == 0)) {
+            reader.report(
+                    "controlHosts",
+                    "must be an odd number of hosts from 1 to " + MAXIMUM_CONTROL_HOSTS + ", are " + count);
+        }
+        return hosts;
+    }
+
+    private static Optional<ControlHost> controlHost(SettingsReader reader) {
+        Optional<HostName> name = reader.converted("name", JsonConfigurationParser::hostName);
+        Optional<String> address = reader.converted("address", NetworkAddress::check);
+        Optional<FailureDomain> domain =
+                reader.converted("failureDomain", text -> FailureDomain.of(PlainName.check(text)));
+        reader.refuseUnknownKeys();
+        if (name.isEmpty() || address.isEmpty() || domain.isEmpty()) {
+            return Optional.empty();
+        }
+        return Optional.of(new ControlHost(name.get(), address.get(), domain.get()));
+    }
+
+    // Entry hosts, endpoints and services
+
+    private static Set<HostName> drainingEntries(SettingsReader reader) {
+        Set<HostName> draining =
+                reader.distinct("draining", JsonConfigurationParser::hostName).keySet();
+        reader.refuseUnknownKeys();
+        return draining;
+    }
+
+    private static Map<EndpointId, String> roles(SettingsReader reader) {
+        Map<EndpointId, String> roles = new LinkedHashMap<>();
+        reader.has("draining");
+        reader.object("roles")
+                .ifPresent(roleReader -> roleReader
+                        .members(EndpointId::of)
+                        .forEach((endpoint, value) -> roleReader
+                                .converted(value, JsonConfigurationParser::role)
+                                .ifPresent(role -> roles.put(endpoint, role))));
+        reader.refuseUnknownKeys();
+        return roles;
+    }
+
+    private static String role(String text) {
+        if (text.isBlank() || text.length() > MAXIMUM_ROLE_CHARACTERS) {
+            throw new IllegalArgumentException(
+                    "must be a role of 1 to " + MAXIMUM_ROLE_CHARACTERS + " characters, is \"" + text + "\"");
+        }
+        return text;
+    }
+
+    private static Map<ServiceName, ReadService> services(SettingsReader reader) {
+        Map<ServiceName, ReadService> services = new LinkedHashMap<>();
+        reader.members(ServiceReader::serviceName)
+                .forEach((name, value) -> reader.objectOf(value)
+                        .ifPresent(service -> services.put(name, ServiceReader.read(service, name))));
+        return services;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/ServiceGraph.java
@@ -0,0 +1,106 @@
+package io.rosemarybeam.common.configuration;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.rosemarybeam.common.configuration.ServiceConfiguration.ServiceClass;
+import io.rosemarybeam.common.configuration.ServiceReader.ReadService;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.settings.Findings;
+import io.rosemarybeam.common.settings.JsonValue.Position;
+
+/** Checks the rules between services. Confined to one call of the parser. */
+final class ServiceGraph {
+    private final Map<ServiceName, ReadService> services;
+    private final Findings findings;
+    private final Set<ServiceName> finished = new HashSet<>();
+
+    private ServiceGraph(Map<ServiceName, ReadService> services, Findings findings) {
+        this.services = services;
+        this.findings = findings;
+    }
+
+    /**
+     * Reports missing dependencies, cycles and wrong scoring services.
+     *
+     * @param services the services by name, in order of the text
+     * @param findings receives the broken rules
+     */
+    static void check(Map<ServiceName, ReadService> services, Findings findings) {
+        ServiceGraph graph = new ServiceGraph(services, findings);
+        services.values().forEach(graph::checkNames);
+        services.keySet().forEach(graph::searchCycles);
+    }
+
+    private void checkNames(ReadService service) {
+        service.dependencies().forEach((dependency, position) -> {
+            if (!services.containsKey(dependency)) {
+                findings.add(position, "service \"" + dependency + "\" does not exist");
+            }
+        });
+        service.configuration().scoringService().ifPresent(scoring -> checkScoring(service, scoring));
+    }
+
+    private void checkScoring(ReadService service, ServiceName scoring) {
+        ReadService found = services.get(scoring);
+        if (found == null) {
+            findings.add(service.scoringPosition(), "service \"" + scoring + "\" does not exist");
+        } else if (found.configuration().serviceClass() != ServiceClass.PLAIN) {
+            findings.add(service.scoringPosition(), "scoring service \"" + scoring + "\" is no plain service");
+        }
+    }
+
+    /** A service on the current path and the dependencies that are still to be followed. */
+    private record Visit(ServiceName name, Iterator<Map.Entry<ServiceName, Position>> rest) {}
+
+    /** Depth-first search with an explicit stack; a chain of services may be deeper than the thread's stack. */
+    private void searchCycles(ServiceName start) {
+        if (finished.contains(start)) {
+            return;
+        }
+        Deque<Visit> path = new ArrayDeque<>();
+        Set<ServiceName> onPath = new HashSet<>();
+        enter(start, path, onPath);
+        while (!path.isEmpty()) {
+            Visit visit = path.getLast();
+            if (!visit.rest().hasNext()) {
+                path.removeLast();
+                onPath.remove(visit.name());
+                finished.add(visit.name());
+                continue;
+            }
+            Map.Entry<ServiceName, Position> dependency = visit.rest().next();
+            if (onPath.contains(dependency.getKey())) {
+                findings.add(dependency.getValue(), "dependency cycle " + cycle(path, dependency.getKey()));
+            } else if (services.containsKey(dependency.getKey()) && !finished.contains(dependency.getKey())) {
+                enter(dependency.getKey(), path, onPath);
+            }
+        }
+    }
+
+    private void enter(ServiceName name, Deque<Visit> path, Set<ServiceName> onPath) {
+        path.addLast(
+                new Visit(name, services.get(name).dependencies().entrySet().iterator()));
+        onPath.add(name);
+    }
+
+    private static String cycle(Deque<Visit> path, ServiceName closing) {
+        List<ServiceName> names = new ArrayList<>();
+        boolean inside = false;
+        for (Visit visit : path) {
+            inside = inside || visit.name().equals(closing);
+            if (inside) {
+                names.add(visit.name());
+            }
+        }
+        names.add(closing);
+        return names.stream().map(ServiceName::value).collect(Collectors.joining(" -> "));
+    }
+}
--- /dev/null
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/SettingsReader.java
@@ -0,0 +1,385 @@
+package io.rosemarybeam.common.settings;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Function;
+
+import io.rosemarybeam.common.error.InvalidIdentifierException;
+import io.rosemarybeam.common.settings.JsonValue.ArrayValue;
+import io.rosemarybeam.common.settings.JsonValue.NumberValue;
+import io.rosemarybeam.common.settings.JsonValue.ObjectValue;
+import io.rosemarybeam.common.settings.JsonValue.Position;
+import io.rosemarybeam.common.settings.JsonValue.TextValue;
+
+/**
+ * Reads the members of one JSON object by type and range.
+ *
+ * <p>Invariant: a wrong member becomes a finding with line and path and never an exception; the reader then returns a
+ * stand-in value, so that all findings are reported at once. A caller that has read all keys calls
+ * {@link #refuseUnknownKeys()}. Not safe for use by several threads.
+ */
+public final class SettingsReader {
+    private final ObjectValue object;
+    private final Findings findings;
+    private final TreeSet<String> known = new TreeSet<>();
+
+    private SettingsReader(ObjectValue object, Findings findings) {
+        this.object = object;
+        this.findings = findings;
+    }
+
+    /**
+     * Returns a reader of an object.
+     *
+     * @param object the object
+     * @param findings receives what is wrong
+     * @return the reader
+     */
+    public static SettingsReader of(ObjectValue object, Findings findings) {
+        return new SettingsReader(object, findings);
+    }
+
+    /**
+     * Returns whether the object has a member.
+     *
+     * @param key its key
+     * @return true if it is present, whatever its type
+     */
+    public boolean has(String key) {
+        known.add(key);
+        return object.members().containsKey(key);
+    }
+
+    /**
+     * Returns the place of a member.
+     *
+     * @param key its key
+     * @return its place, or that of the object if the member is missing
+     */
+    public Position positionOf(String key) {
+        JsonValue value = object.members().get(key);
+        return value == null ? object.position() : value.position();
+    }
+
+    /**
+     * Adds a broken rule.
+     *
+     * @param key the member that breaks it
+     * @param message the rule, and what was found
+     */
+    public void report(String key, String message) {
+        findings.add(positionOf(key), message);
+    }
+
+    /** Reports every member that was never asked for. */
+    public void refuseUnknownKeys() {
+        for (Map.Entry<String, JsonValue> member : object.members().entrySet()) {
+            if (!known.contains(member.getKey())) {
+                findings.add(member.getValue().position(), "unknown key; known keys are " + String.join(", ", known));
+            }
+        }
+    }
+
+    private Optional<JsonValue> find(String key) {
+        known.add(key);
+        return Optional.ofNullable(object.members().get(key));
+    }
+
+    private Optional<JsonValue> require(String key) {
+        Optional<JsonValue> value = find(key);
+        if (value.isEmpty()) {
+            findings.add(object.position(), "key \"" + key + "\" is missing");
+        }
+        return value;
+    }
+
+    private <T extends JsonValue> Optional<T> typed(JsonValue value, Class<T> type, String typeName) {
+        if (type.isInstance(value)) {
+            return Optional.of(type.cast(value));
+        }
+        findings.add(value.position(), "must be " + typeName + ", is " + value.typeName());
+        return Optional.empty();
+    }
+
+    // Texts
+
+    /**
+     * Reads a required text.
+     *
+     * @param key its key
+     * @return the text, or empty if it is missing or of another type
+     */
+    public Optional<String> text(String key) {
+        return require(key).flatMap(this::textOf);
+    }
+
+    /**
+     * Reads an optional text.
+     *
+     * @param key its key
+     * @return the text, or empty if it is absent or of another type
+     */
+    public Optional<String> optionalText(String key) {
+        return find(key).flatMap(this::textOf);
+    }
+
+    private Optional<String> textOf(JsonValue value) {
+        return typed(value, TextValue.class, "a text").map(TextValue::value);
+    }
+
+    /**
+     * Reads a required text and converts it.
+     *
+     * @param key its key
+     * @param conversion throws {@link InvalidIdentifierException} or {@link IllegalArgumentException} to refuse it
+     * @param <T> the type of the result
+     * @return the result, or empty if the text is missing or refused
+     */
+    public <T> Optional<T> converted(String key, Function<String, T> conversion) {
+        return require(key).flatMap(value -> converted(value, conversion));
+    }
+
+    /**
+     * Converts a text.
+     *
+     * @param value the text
+     * @param conversion throws {@link InvalidIdentifierException} or {@link IllegalArgumentException} to refuse it
+     * @param <T> the type of the result
+     * @return the result, or empty if the value is no text or refused
+     */
+    public <T> Optional<T> converted(JsonValue value, Function<String, T> conversion) {
+        return textOf(value).flatMap(text -> {
+            try {
+                return Optional.of(conversion.apply(text));
+            } catch (InvalidIdentifierException | IllegalArgumentException refusal) {
+                findings.add(value.position(), refusal.getMessage());
+                return Optional.empty();
+            }
+        });
+    }
+
+    /**
+     * Reads an optional array of unlike texts and converts them.
+     *
+     * @param key its key
+     * @param conversion refuses a text as in {@link #converted(String, Function)}
+     * @param <T> the type of the elements
+     * @return the elements with their places, empty if the array is absent; refused elements are left out
+     */
+    public <T> Map<T, Position> distinct(String key, Function<String, T> conversion) {
+        Map<T, Position> elements = new LinkedHashMap<>();
+        for (JsonValue element : elements(key)) {
+            converted(element, conversion).ifPresent(converted -> {
+                Position earlier = elements.putIfAbsent(converted, element.position());
+                if (earlier != null) {
+                    findings.add(
+                            element.position(), "\"" + converted + "\" is listed already on line " + earlier.line());
+                }
+            });
+        }
+        return elements;
+    }
+
+    // Numbers
+
+    /**
+     * Reads a required whole number.
+     *
+     * @param key its key
+     * @param minimum smallest accepted number
+     * @param maximum largest accepted number
+     * @return the number, or the minimum if it is missing or refused
+     */
+    public long wholeNumber(String key, long minimum, long maximum) {
+        return require(key)
+                .map(value -> wholeNumber(value, minimum, maximum, minimum))
+                .orElse(minimum);
+    }
+
+    /**
+     * Reads an optional whole number.
+     *
+     * @param key its key
+     * @param minimum smallest accepted number
+     * @param maximum largest accepted number
+     * @param fallback the number if it is absent or refused
+     * @return the number
+     */
+    public long wholeNumber(String key, long minimum, long maximum, long fallback) {
+        return find(key)
+                .map(value -> wholeNumber(value, minimum, maximum, fallback))
+                .orElse(fallback);
+    }
+
+    /**
+     * Reads an optional whole number that fits an int.
+     *
+     * @param key its key
+     * @param minimum smallest accepted number
+     * @param maximum largest accepted number
+     * @param fallback the number if it is absent or refused
+     * @return the number
+     */
+    public int integer(String key, int minimum, int maximum, int fallback) {
+        return Math.toIntExact(wholeNumber(key, minimum, maximum, (long) fallback));
+    }
+
+    /**
+     * Checks a whole number.
+     *
+     * @param value the number
+     * @param minimum smallest accepted number
+     * @param maximum largest accepted number
+     * @param fallback the number if the value is refused
+     * @return the number
+     */
+    public long wholeNumber(JsonValue value, long minimum, long maximum, long fallback) {
+        Optional<NumberValue> number = typed(value, NumberValue.class, "a whole number");
+        if (number.isEmpty()) {
+            return fallback;
+        }
+        if (!number.get().whole()) {
+            findings.add(
+                    value.position(),
+                    "must be a whole number, is " + number.get().literal());
+            return fallback;
+        }
+        try {
+            long parsed = Long.parseLong(number.get().literal());
+            if (parsed >= minimum && parsed <= maximum) {
+                return parsed;
+            }
+        } catch (NumberFormatException beyondLong) {
+            // Reported below like any other number out of range.
+        }
+        findings.add(
+                value.position(),
+                "must be from " + minimum + " to " + maximum + ", is "
+                        + number.get().literal());
+        return fallback;
+    }
+
+    /**
+     * Reads a required number.
+     *
+     * @param key its key
+     * @param minimum smallest accepted number
+     * @param maximum largest accepted number
+     * @return the number, or the maximum if it is missing or refused
+     */
+    public double number(String key, double minimum, double maximum) {
+        Optional<NumberValue> number = require(key).flatMap(value -> typed(value, NumberValue.class, "a number"));
+        if (number.isEmpty()) {
+            return maximum;
+        }
+        double parsed = Double.parseDouble(number.get().literal());
+        if (parsed >= minimum && parsed <= maximum) {
+            return parsed;
+        }
+        report(
+                key,
+                "must be from " + minimum + " to " + maximum + ", is "
+                        + number.get().literal());
+        return maximum;
+    }
+
+    // Objects and arrays
+
+    /**
+     * Reads an optional array.
+     *
+     * @param key its key
+     * @return the elements, empty if the array is absent or of another type
+     */
+    public List<JsonValue> elements(String key) {
+        return find(key)
+                .flatMap(value -> typed(value, ArrayValue.class, "an array"))
+                .map(ArrayValue::elements)
+                .orElse(List.of());
+    }
+
+    /**
+     * Reads a required array.
+     *
+     * @param key its key
+     * @return the elements, empty if the array is missing or of another type
+     */
+    public List<JsonValue> requiredElements(String key) {
+        require(key);
+        return elements(key);
+    }
+
+    /**
+     * Reads an optional object.
+     *
+     * @param key its key
+     * @return a reader of it, or empty if it is absent or of another type
+     */
+    public Optional<SettingsReader> object(String key) {
+        return find(key).flatMap(this::objectOf);
+    }
+
+    /**
+     * Reads a required object.
+     *
+     * @param key its key
+     * @return a reader of it, or empty if it is missing or of another type
+     */
+    public Optional<SettingsReader> requiredObject(String key) {
+        return require(key).flatMap(this::objectOf);
+    }
+
+    /**
+     * Checks that a value is an object.
+     *
+     * @param value the value
+     * @return a reader of it, or empty if it is of another type
+     */
+    public Optional<SettingsReader> objectOf(JsonValue value) {
+        return typed(value, ObjectValue.class, "an object").map(found -> new SettingsReader(found, findings));
+    }
+
+    /**
+     * Reads all members as a map; every key counts as known.
+     *
+     * @param keyConversion refuses a key as in {@link #converted(String, Function)}
+     * @param <K> the type of the keys
+     * @return the members with accepted keys, in order of the text
+     */
+    public <K> Map<K, JsonValue> members(Function<String, K> keyConversion) {
+        Map<K, JsonValue> converted = new LinkedHashMap<>();
+        object.members().forEach((key, value) -> {
+            known.add(key);
+            try {
+                converted.put(keyConversion.apply(key), value);
+            } catch (InvalidIdentifierException | IllegalArgumentException refusal) {
+                findings.add(value.position(), refusal.getMessage());
+            }
+        });
+        return converted;
+    }
+
+    /**
+     * Reports every repeated value.
+     *
+     * @param values values with their places, in order of the text
+     * @param kind what they are, for the message
+     * @param <T> the type of the values
+     */
+    public <T> void refuseRepeated(List<Map.Entry<T, Position>> values, String kind) {
+        Map<T, Position> seen = new HashMap<>();
+        for (Map.Entry<T, Position> value : new ArrayList<>(values)) {
+            Position earlier = seen.putIfAbsent(value.getKey(), value.getValue());
+            if (earlier != null) {
+                findings.add(
+                        value.getValue(),
+                        kind + " \"" + value.getKey() + "\" is used already on line " + earlier.line());
+            }
+        }
+    }
+}
