--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/Cost.java
@@ -0,0 +1,84 @@
+package io.rosemarybeam.testbed.capacity;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryMXBean;
+import java.lang.management.ThreadMXBean;
+import java.lang.ref.Reference;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+
+import com.sun.management.OperatingSystemMXBean;
+
+/** Measures processor time and retained memory of this process. Stateless; measurements must not overlap. */
+public final class Cost {
+    private static final OperatingSystemMXBean SYSTEM =
+            (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+    private static final MemoryMXBean MEMORY = ManagementFactory.getMemoryMXBean();
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+    private static final int COLLECTIONS = 3;
+    private static final int COPIES = 16;
+    private static final long WARM_UP_NANOSECONDS = 700_000_000;
+    private static final long MEASURED_NANOSECONDS = 500_000_000;
+    private static final double NANOSECONDS_PER_MICROSECOND = 1_000.0;
+
+    private Cost() {}
+
+    /**
+     * Returns the processor time of this process so far.
+     *
+     * @return nanoseconds over all threads
+     */
+    public static long processorNanoseconds() {
+        return SYSTEM.getProcessCpuTime();
+    }
+
+    /**
+     * Measures the processor time that the calling thread needs for an action, after a warm-up.
+     *
+     * @param action the action
+     * @return microseconds per run
+     */
+    public static double microsecondsPerRun(Runnable action) {
+        runFor(WARM_UP_NANOSECONDS, action);
+        long start = THREADS.getCurrentThreadCpuTime();
+        long runs = runFor(MEASURED_NANOSECONDS, action);
+        return (THREADS.getCurrentThreadCpuTime() - start) / NANOSECONDS_PER_MICROSECOND / runs;
+    }
+
+    private static long runFor(long nanoseconds, Runnable action) {
+        long end = System.nanoTime() + nanoseconds;
+        long runs = 0;
+        while (System.nanoTime() < end) {
+            action.run();
+            runs++;
+        }
+        return runs;
+    }
+
+    /**
+     * Measures the heap that a value keeps reachable, as the mean over several equal values.
+     *
+     * @param create creates the value
+     * @param <T> type of the value
+     * @return bytes per value
+     */
+    public static <T> double retainedBytes(Supplier<T> create) {
+        List<T> values = new ArrayList<>();
+        values.add(create.get());
+        long before = usedAfterCollection();
+        for (int copy = 0; copy < COPIES; copy++) {
+            values.add(create.get());
+        }
+        long after = usedAfterCollection();
+        Reference.reachabilityFence(values);
+        return (after - before) / (double) COPIES;
+    }
+
+    private static long usedAfterCollection() {
+        for (int run = 0; run < COLLECTIONS; run++) {
+            System.gc();
+        }
+        return MEMORY.getHeapMemoryUsage().getUsed();
+    }
+}
