--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/JsonConfigurationParser.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/JsonConfigurationParser.java
@@ -1,6 +1,5 @@
 package io.rosemarybeam.common.configuration;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,15 +11,11 @@
 import io.rosemarybeam.common.configuration.ServiceReader.ReadService;
 import io.rosemarybeam.common.id.ConfigurationNumber;
 import io.rosemarybeam.common.id.EndpointId;
-import io.rosemarybeam.common.id.FailureDomain;
 import io.rosemarybeam.common.id.HostName;
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.settings.Findings;
 import io.rosemarybeam.common.settings.JsonText;
-import io.rosemarybeam.common.settings.JsonValue;
 import io.rosemarybeam.common.settings.JsonValue.ObjectValue;
-import io.rosemarybeam.common.settings.JsonValue.Position;
-import io.rosemarybeam.common.settings.NetworkAddress;
 import io.rosemarybeam.common.settings.PlainName;
 import io.rosemarybeam.common.settings.SettingsReader;
 
@@ -29,7 +24,6 @@
     /** Largest number that every JSON reader represents exactly. */
     private static final long MAXIMUM_NUMBER = (1L << 53) - 1;
 
-    private static final int MAXIMUM_CONTROL_HOSTS = 7;
     private static final int MAXIMUM_SERVICES = 1_000;
     private static final int MAXIMUM_ROLE_CHARACTERS = 200;
 
@@ -50,7 +44,7 @@
     private static OperatorConfiguration read(ObjectValue root, Findings findings) {
         SettingsReader reader = SettingsReader.of(root, findings);
         long number = reader.wholeNumber("number", 1, MAXIMUM_NUMBER);
-        List<ControlHost> controlHosts = controlHosts(reader);
+        List<ControlHost> controlHosts = ControlHostList.read(reader, "controlHosts");
         Set<HostName> drainingEntries = reader.object("entryHosts")
                 .map(JsonConfigurationParser::drainingEntries)
                 .orElse(Set.of());
@@ -81,45 +75,6 @@
         return HostName.of(PlainName.check(text));
     }
 
-    // Control hosts
-
-    private static List<ControlHost> controlHosts(SettingsReader reader) {
-        List<ControlHost> hosts = new ArrayList<>();
-        List<Map.Entry<HostName, Position>> names = new ArrayList<>();
-        List<Map.Entry<String, Position>> addresses = new ArrayList<>();
-        List<JsonValue> elements = reader.requiredElements("controlHosts");
-        for (JsonValue element : elements) {
-            reader.objectOf(element)
-                    .flatMap(JsonConfigurationParser::controlHost)
-                    .ifPresent(host -> {
-                        hosts.add(host);
-                        names.add(Map.entry(host.name(), element.position()));
-                        addresses.add(Map.entry(host.address(), element.position()));
-                    });
-        }
-        reader.refuseRepeated(names, "name");
-        reader.refuseRepeated(addresses, "address");
-        int count = elements.size();
-        if (reader.has("controlHosts") && (count > MAXIMUM_CONTROL_HOSTS || count % 2 == 0)) {
-            reader.report(
-                    "controlHosts",
-                    "must be an odd number of hosts from 1 to " + MAXIMUM_CONTROL_HOSTS + ", are " + count);
-        }
-        return hosts;
-    }
-
-    private static Optional<ControlHost> controlHost(SettingsReader reader) {
-        Optional<HostName> name = reader.converted("name", JsonConfigurationParser::hostName);
-        Optional<String> address = reader.converted("address", NetworkAddress::check);
-        Optional<FailureDomain> domain =
-                reader.converted("failureDomain", text -> FailureDomain.of(PlainName.check(text)));
-        reader.refuseUnknownKeys();
-        if (name.isEmpty() || address.isEmpty() || domain.isEmpty()) {
-            return Optional.empty();
-        }
-        return Optional.of(new ControlHost(name.get(), address.get(), domain.get()));
-    }
-
     // Entry hosts, endpoints and services
 
     private static Set<HostName> drainingEntries(SettingsReader reader) {
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/JsonText.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/JsonText.java
@@ -23,7 +23,10 @@
  * <p>Invariant: no input throws; whatever is wrong becomes a finding. Stateless and safe for use by several threads.
  */
 public final class JsonText {
-    /** Longest accepted text, in characters; it fits into one frame of the wire protocol as UTF-8. */
+    /** Longest accepted file, in bytes; four bytes for each character. */
+    public static final long MAXIMUM_BYTES = 8_000_000;
+
+    /** Longest accepted text, in characters; as UTF-8 it fits into one frame of the wire protocol. */
     public static final int MAXIMUM_CHARACTERS = 2_000_000;
 
     private static final int MAXIMUM_DEPTH = 32;
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/NetworkAddress.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/NetworkAddress.java
@@ -21,9 +21,25 @@
             throw new IllegalArgumentException(
                     "must be an IP number with a port from 1 to " + MAXIMUM_PORT + ", is \"" + address + "\"");
         }
+        if (isUnspecified(address.substring(0, colon))) {
+            throw new IllegalArgumentException(
+                    "must be the IP number of one interface, because other processes are told it, is \"" + address
+                            + "\"");
+        }
         return address;
     }
 
+    private static boolean isUnspecified(String host) {
+        byte[] number =
+                NetUtil.createByteArrayFromIpAddressString(host.replace("[", "").replace("]", ""));
+        for (byte part : number) {
+            if (part != 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static boolean isIpNumber(String host) {
         if (host.startsWith("[") && host.endsWith("]")) {
             return NetUtil.isValidIpV6Address(host.substring(1, host.length() - 1));
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/SettingsReader.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/SettingsReader.java
@@ -172,8 +172,20 @@
      * @return the elements with their places, empty if the array is absent; refused elements are left out
      */
     public <T> Map<T, Position> distinct(String key, Function<String, T> conversion) {
+        return distinct(elements(key), conversion);
+    }
+
+    /**
+     * Converts unlike texts.
+     *
+     * @param values the texts
+     * @param conversion refuses a text as in {@link #converted(String, Function)}
+     * @param <T> the type of the elements
+     * @return the elements with their places; refused elements are left out
+     */
+    public <T> Map<T, Position> distinct(List<JsonValue> values, Function<String, T> conversion) {
         Map<T, Position> elements = new LinkedHashMap<>();
-        for (JsonValue element : elements(key)) {
+        for (JsonValue element : values) {
             converted(element, conversion).ifPresent(converted -> {
                 Position earlier = elements.putIfAbsent(converted, element.position());
                 if (earlier != null) {
@@ -297,21 +309,21 @@
      * @return the elements, empty if the array is absent or of another type
      */
     public List<JsonValue> elements(String key) {
-        return find(key)
-                .flatMap(value -> typed(value, ArrayValue.class, "an array"))
-                .map(ArrayValue::elements)
-                .orElse(List.of());
+        return find(key).flatMap(this::elementsOf).orElse(List.of());
     }
 
     /**
      * Reads a required array.
      *
      * @param key its key
-     * @return the elements, empty if the array is missing or of another type
+     * @return the elements, or empty if the array is missing or of another type
      */
-    public List<JsonValue> requiredElements(String key) {
-        require(key);
-        return elements(key);
+    public Optional<List<JsonValue>> requiredElements(String key) {
+        return require(key).flatMap(this::elementsOf);
+    }
+
+    private Optional<List<JsonValue>> elementsOf(JsonValue value) {
+        return typed(value, ArrayValue.class, "an array").map(ArrayValue::elements);
     }
 
     /**
