--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -28,6 +28,10 @@
     STEP_OWNED(550, Severity.INFORMATION, "A step was opened or taken over by this entry."),
     /** A state dump was served. */
     DUMP_SERVED(600, Severity.INFORMATION, "A state dump was served."),
+    /** A state dump could not be made. */
+    DUMP_FAILED(601, Severity.ERROR, "A state dump could not be made."),
+    /** A request to the admin address failed. */
+    ADMIN_REQUEST_FAILED(602, Severity.WARNING, "A request to the admin address failed."),
     /** A stand-in of the test bed started. */
     STAND_IN_STARTED(900, Severity.INFORMATION, "A stand-in of the test bed started.");
 
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/EventLog.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/EventLog.java
@@ -1,8 +1,13 @@
 package io.rosemarybeam.common.event;
 
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.apache.logging.log4j.message.StringMapMessage;
+import org.apache.logging.log4j.message.MapMessage;
 
 /** Writes numbered events as structured log records. Implementations are safe for use by several threads. */
 public interface EventLog {
@@ -33,6 +38,25 @@
         return new Log4jEventLog(LogManager.getLogger(source));
     }
 
+    /**
+     * Returns the log record of an event.
+     *
+     * @param event the event
+     * @param fields alternating names and values
+     * @return the record
+     */
+    static EventMessage message(Event event, List<?> fields) {
+        Map<String, String> named = new LinkedHashMap<>();
+        for (int index = 0; index + 1 < fields.size(); index += 2) {
+            named.put(String.valueOf(fields.get(index)), String.valueOf(fields.get(index + 1)));
+        }
+        EventMessage message = new EventMessage();
+        message.with("event", event.number());
+        message.with("name", event.name());
+        message.with("fields", named);
+        return message;
+    }
+
     /** Writes events through Log4j 2. Immutable and safe for use by several threads. */
     final class Log4jEventLog implements EventLog {
         private final Logger logger;
@@ -52,12 +76,7 @@
         }
 
         private void write(Event event, Throwable failure, Object[] fields) {
-            StringMapMessage message = new StringMapMessage();
-            message.put("event", Integer.toString(event.number()));
-            message.put("name", event.name());
-            for (int index = 0; index + 1 < fields.length; index += 2) {
-                message.put(String.valueOf(fields[index]), String.valueOf(fields[index + 1]));
-            }
+            EventMessage message = message(event, Arrays.asList(fields));
             switch (event.severity()) {
                 case INFORMATION -> logger.info(message, failure);
                 case WARNING -> logger.warn(message, failure);
@@ -66,4 +85,9 @@
             }
         }
     }
+
+    /** An event as a log record: its number, its name and a map of its fields. Confined to the thread that writes it. */
+    final class EventMessage extends MapMessage<EventMessage, Object> {
+        private static final long serialVersionUID = 1L;
+    }
 }
