--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/Cost.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/Cost.java
@@ -16,7 +16,7 @@
             (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
     private static final MemoryMXBean MEMORY = ManagementFactory.getMemoryMXBean();
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
-    private static final int COLLECTIONS = 3;
+    private static final int COLLECTIONS = 5;
     private static final int COPIES = 16;
     private static final long WARM_UP_NANOSECONDS = 700_000_000;
     private static final long MEASURED_NANOSECONDS = 500_000_000;
@@ -65,7 +65,9 @@
      */
     public static <T> double retainedBytes(Supplier<T> create) {
         List<T> values = new ArrayList<>();
-        values.add(create.get());
+        for (int copy = 0; copy < COPIES; copy++) {
+            create.get();
+        }
         long before = usedAfterCollection();
         for (int copy = 0; copy < COPIES; copy++) {
             values.add(create.get());
