--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EntryRequest.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EntryRequest.java
@@ -40,6 +40,8 @@
      * @param membershipVersion version of the membership that it knows, or zero
      * @param endpointRenewals endpoints that renewed since the last request
      * @param demandByService requests in progress and queued, by service, for the lending of limits
+     * @param heldShares limit shares that the entry acts on, by service. An entry has at most one renewal outstanding and
+     *     ignores the answer to one that it gave up, so this names every share that it may use.
      */
     record RenewEntryLease(
             EntryHostRecord entry,
@@ -47,8 +49,36 @@
             long leaderTerm,
             long membershipVersion,
             List<EndpointRenewal> endpointRenewals,
-            Map<String, Integer> demandByService)
-            implements EntryRequest {}
+            Map<String, Integer> demandByService,
+            Map<String, Integer> heldShares)
+            implements EntryRequest {
+        /** Copies the collections; a missing collection is empty. */
+        public RenewEntryLease {
+            endpointRenewals = endpointRenewals == null ? List.of() : List.copyOf(endpointRenewals);
+            demandByService = demandByService == null ? Map.of() : Map.copyOf(demandByService);
+            heldShares = heldShares == null ? Map.of() : Map.copyOf(heldShares);
+        }
+
+        /**
+         * Creates a renewal of an entry that holds no limit shares.
+         *
+         * @param entry the entry host
+         * @param appliedRevision number of the configuration that it acts on, or zero
+         * @param leaderTerm largest leader term that it has seen
+         * @param membershipVersion version of the membership that it knows, or zero
+         * @param endpointRenewals endpoints that renewed since the last request
+         * @param demandByService requests in progress and queued, by service
+         */
+        public RenewEntryLease(
+                EntryHostRecord entry,
+                long appliedRevision,
+                long leaderTerm,
+                long membershipVersion,
+                List<EndpointRenewal> endpointRenewals,
+                Map<String, Integer> demandByService) {
+            this(entry, appliedRevision, leaderTerm, membershipVersion, endpointRenewals, demandByService, Map.of());
+        }
+    }
 
     /**
      * Announces an endpoint; answered by {@link CommonReply.Accepted}.
@@ -75,6 +105,8 @@
      * @param entryIncarnation its incarnation
      * @param dispatchWindowMilliseconds how long after sending this request the entry may dispatch
      * @param runWindowMilliseconds how long the request may run after dispatch
+     * @param attempt identifies the caller's request, so that sending the claim again after a lost answer is told from
+     *     another request with the same key; empty if the entry does not send claims again
      */
     record ClaimRequest(
             ServiceName service,
@@ -83,8 +115,44 @@
             HostName entry,
             long entryIncarnation,
             long dispatchWindowMilliseconds,
-            long runWindowMilliseconds)
-            implements EntryRequest {}
+            long runWindowMilliseconds,
+            String attempt)
+            implements EntryRequest {
+        /** Replaces a missing attempt by an empty one. */
+        public ClaimRequest {
+            attempt = attempt == null ? "" : attempt;
+        }
+
+        /**
+         * Creates a claim that is not sent again.
+         *
+         * @param service the service
+         * @param key the idempotency key of the caller
+         * @param fingerprint digest of the request
+         * @param entry the entry host that wants to dispatch
+         * @param entryIncarnation its incarnation
+         * @param dispatchWindowMilliseconds how long after sending this request the entry may dispatch
+         * @param runWindowMilliseconds how long the request may run after dispatch
+         */
+        public ClaimRequest(
+                ServiceName service,
+                IdempotencyKey key,
+                Fingerprint fingerprint,
+                HostName entry,
+                long entryIncarnation,
+                long dispatchWindowMilliseconds,
+                long runWindowMilliseconds) {
+            this(
+                    service,
+                    key,
+                    fingerprint,
+                    entry,
+                    entryIncarnation,
+                    dispatchWindowMilliseconds,
+                    runWindowMilliseconds,
+                    "");
+        }
+    }
 
     /**
      * Records the outcome of a claimed request; answered by {@link CommonReply.Accepted}.
--- /dev/null
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/LogMessageCodec.java
@@ -0,0 +1,64 @@
+package io.rosemarybeam.consensus;
+
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.WireException;
+import io.rosemarybeam.common.wire.MessageCodec;
+import io.rosemarybeam.consensus.LogMessage.Envelope;
+
+/** Encodes messages of the log. Stateless and safe for use by several threads. */
+public final class LogMessageCodec {
+    private LogMessageCodec() {}
+
+    /**
+     * Encodes a message with sender and receiver.
+     *
+     * @param envelope the message
+     * @return the bytes
+     */
+    public static byte[] encode(Envelope envelope) {
+        int kind = kind(envelope.message());
+        byte[] body = MessageCodec.encode((Record) envelope.message());
+        return MessageCodec.encode(new Encoded(envelope.from(), envelope.to(), kind, body));
+    }
+
+    /**
+     * Decodes a message.
+     *
+     * @param bytes the bytes
+     * @return the message
+     * @throws WireException with {@link ErrorCode#FRAME_INVALID} if the bytes are no message
+     */
+    public static Envelope decode(byte[] bytes) {
+        Encoded encoded = MessageCodec.decode(bytes, Encoded.class);
+        LogMessage message = MessageCodec.decode(encoded.body, messageClass(encoded.kind));
+        return new Envelope(encoded.from, encoded.to, message);
+    }
+
+    private static int kind(LogMessage message) {
+        return switch (message) {
+            case LogMessage.RequestVote ignored -> 1;
+            case LogMessage.Vote ignored -> 2;
+            case LogMessage.Append ignored -> 3;
+            case LogMessage.Appended ignored -> 4;
+            case LogMessage.SnapshotPart ignored -> 5;
+            case LogMessage.SnapshotProgress ignored -> 6;
+            case LogMessage.TimeoutNow ignored -> 7;
+        };
+    }
+
+    private static Class<? extends LogMessage> messageClass(int kind) {
+        return switch (kind) {
+            case 1 -> LogMessage.RequestVote.class;
+            case 2 -> LogMessage.Vote.class;
+            case 3 -> LogMessage.Append.class;
+            case 4 -> LogMessage.Appended.class;
+            case 5 -> LogMessage.SnapshotPart.class;
+            case 6 -> LogMessage.SnapshotProgress.class;
+            case 7 -> LogMessage.TimeoutNow.class;
+            default -> throw new WireException(ErrorCode.FRAME_INVALID, "log message kind " + kind);
+        };
+    }
+
+    /** Form of a message on the wire. Immutable. */
+    record Encoded(MemberId from, MemberId to, int kind, byte[] body) {}
+}
--- /dev/null
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -0,0 +1,796 @@
+package io.rosemarybeam.consensus;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.consensus.LogMessage.Envelope;
+
+/**
+ * The deterministic core of the replicated log: no I/O, no clock, no threads.
+ *
+ * <p>Invariants: at most one leader per term; two members that hold an entry of the same index and term hold the same
+ * entries up to it; a committed entry is held by every later leader. A message that depends on durable state is withheld
+ * until {@link #persisted} reports that state. Confined to one thread.
+ */
+public final class ReplicatedLog {
+    /** What a member does in its term. */
+    public enum Role {
+        /** Follows a leader, or waits for one. */
+        FOLLOWER,
+        /** Tests whether it could win an election. */
+        PRE_CANDIDATE,
+        /** Asks for votes. */
+        CANDIDATE,
+        /** Replicates entries to the others. */
+        LEADER
+    }
+
+    private final LogOptions options;
+    private final MemberId self;
+    private final SplittableRandom random;
+    private final EntryBuffer buffer = new EntryBuffer();
+    private final MembershipHistory memberships = new MembershipHistory();
+    private final List<Envelope> messages = new ArrayList<>();
+    private final List<Withheld> withheld = new ArrayList<>();
+    private final Set<MemberId> votes = new HashSet<>();
+
+    private HardState hardState;
+    private boolean hardStateChanged;
+    private boolean persisting;
+    private boolean votePersisting;
+    private Optional<LogSnapshot> snapshot;
+    private Optional<LogSnapshot> snapshotToInstall = Optional.empty();
+    private Optional<IncomingSnapshot> incoming = Optional.empty();
+    private Role role = Role.FOLLOWER;
+    private Optional<MemberId> leader = Optional.empty();
+    private Optional<Leadership> leadership = Optional.empty();
+    private long commit;
+    private long handedOut;
+    private int electionElapsed;
+    private int electionTimeout;
+    private int heartbeatElapsed;
+
+    /**
+     * Creates the log of a member.
+     *
+     * @param options timing and sizes
+     * @param self this member
+     * @param restored what its storage holds
+     */
+    public ReplicatedLog(LogOptions options, MemberId self, DurableState restored) {
+        this.options = Objects.requireNonNull(options, "options");
+        this.self = Objects.requireNonNull(self, "self");
+        this.random = new SplittableRandom(options.seed());
+        this.hardState = restored.hardState();
+        this.snapshot = restored.snapshot();
+        restore(restored);
+        resetElection();
+    }
+
+    private void restore(DurableState restored) {
+        long snapshotIndex = snapshot.map(LogSnapshot::index).orElse(0L);
+        long snapshotTerm = snapshot.map(LogSnapshot::term).orElse(0L);
+        List<LogEntry> entries = restored.entries();
+        if (entries.isEmpty()) {
+            buffer.restore(snapshotIndex, snapshotTerm, entries);
+        } else if (entries.getFirst().index() == snapshotIndex + 1) {
+            buffer.restore(snapshotIndex, snapshotTerm, entries);
+        } else {
+            LogEntry first = entries.getFirst();
+            buffer.restore(first.index(), first.term(), entries.subList(1, entries.size()));
+        }
+        snapshot.ifPresent(value -> memberships.reset(value.index(), value.membership()));
+        entries.forEach(memberships::appended);
+        commit = snapshotIndex;
+        handedOut = snapshotIndex;
+    }
+
+    // Queries
+
+    /**
+     * Returns what this member does.
+     *
+     * @return the role
+     */
+    public Role role() {
+        return role;
+    }
+
+    /**
+     * Returns the largest term that this member has seen.
+     *
+     * @return the term
+     */
+    public long term() {
+        return hardState.term();
+    }
+
+    /**
+     * Returns the leader of the term, if known.
+     *
+     * @return the leader
+     */
+    public Optional<MemberId> leader() {
+        return leader;
+    }
+
+    /**
+     * Returns this member.
+     *
+     * @return its identity
+     */
+    public MemberId self() {
+        return self;
+    }
+
+    /**
+     * Returns the membership, including a change that is not committed.
+     *
+     * @return the membership
+     */
+    public Membership membership() {
+        return memberships.current();
+    }
+
+    /**
+     * Returns the membership after an entry that is kept.
+     *
+     * @param index the entry
+     * @return the membership
+     */
+    public Membership membershipAt(long index) {
+        return memberships.at(index);
+    }
+
+    /**
+     * Returns the last committed entry.
+     *
+     * @return its index
+     */
+    public long commitIndex() {
+        return commit;
+    }
+
+    /**
+     * Returns the last entry.
+     *
+     * @return its index
+     */
+    public long lastIndex() {
+        return buffer.lastIndex();
+    }
+
+    /**
+     * Returns the term of an entry.
+     *
+     * @param index the entry
+     * @return the term, or empty if the entry is not kept
+     */
+    public Optional<Long> termAt(long index) {
+        long term = buffer.term(index);
+        return term == EntryBuffer.UNKNOWN_TERM ? Optional.empty() : Optional.of(term);
+    }
+
+    /**
+     * Returns how many entries are kept in memory.
+     *
+     * @return the number
+     */
+    public int keptEntries() {
+        return buffer.all().size();
+    }
+
+    /**
+     * Returns whether a change of the membership is not committed.
+     *
+     * @return true while a change is pending
+     */
+    public boolean isChangePending() {
+        return memberships.lastIndex() > commit;
+    }
+
+    /**
+     * Returns how far the leader knows a member to be.
+     *
+     * @param member the member
+     * @return the last entry known to match; empty if this member does not lead or the other is no member
+     */
+    public Optional<Long> matchOf(MemberId member) {
+        return leadership.flatMap(state -> state.find(member)).map(progress -> progress.match);
+    }
+
+    /**
+     * Returns whether a member answered within the last election timeout, as seen by the leader.
+     *
+     * @param member the member
+     * @return true if it answered; false if this member does not lead
+     */
+    public boolean isActive(MemberId member) {
+        boolean answered = leadership
+                .flatMap(state -> state.find(member))
+                .map(progress -> progress.active)
+                .orElse(false);
+        return answered || (role == Role.LEADER && member.equals(self));
+    }
+
+    /**
+     * Returns whether the leader has committed an entry of its own term, so that it knows what is committed.
+     *
+     * @return true if reads and membership changes are possible
+     */
+    public boolean hasCommittedInTerm() {
+        return role == Role.LEADER && buffer.term(commit) == hardState.term();
+    }
+
+    // Inputs
+
+    /** Advances the time by one tick. */
+    public void tick() {
+        electionElapsed++;
+        if (role == Role.LEADER) {
+            tickLeader();
+        } else if (electionElapsed >= electionTimeout) {
+            resetElection();
+            if (membership().isVoter(self) && snapshotToInstall.isEmpty()) {
+                campaign(true, false);
+            }
+        }
+    }
+
+    private void tickLeader() {
+        Leadership state = leadership.orElseThrow();
+        heartbeatElapsed++;
+        if (heartbeatElapsed >= options.heartbeatTicks()) {
+            heartbeatElapsed = 0;
+            state.heartbeat();
+        }
+        if (electionElapsed >= options.electionTicks()) {
+            electionElapsed = 0;
+            if (!state.checkQuorum()) {
+                becomeFollower(hardState.term(), Optional.empty());
+            }
+        }
+    }
+
+    /**
+     * Receives a message from another member. Messages for another incarnation of this host are dropped.
+     *
+     * @param envelope the message
+     */
+    public void receive(Envelope envelope) {
+        if (!envelope.to().equals(self)) {
+            return;
+        }
+        MemberId from = envelope.from();
+        LogMessage message = envelope.message();
+        if (message.term() > hardState.term() && !adoptTerm(from, message)) {
+            return;
+        }
+        if (message.term() < hardState.term()) {
+            refuseOldTerm(from, message);
+            return;
+        }
+        switch (message) {
+            case LogMessage.RequestVote request -> handleRequestVote(from, request);
+            case LogMessage.Vote vote -> handleVote(from, vote);
+            case LogMessage.Append append -> handleAppend(from, append);
+            case LogMessage.Appended appended -> leadership.ifPresent(state -> state.appended(from, appended));
+            case LogMessage.SnapshotPart part -> handleSnapshotPart(from, part);
+            case LogMessage.SnapshotProgress progress ->
+                leadership.ifPresent(state -> state.snapshotProgress(from, progress));
+            case LogMessage.TimeoutNow ignored -> handleTimeoutNow(from);
+        }
+    }
+
+    /** Returns false if the message is to be dropped because a leader is alive. */
+    private boolean adoptTerm(MemberId from, LogMessage message) {
+        switch (message) {
+            case LogMessage.RequestVote request -> {
+                boolean leaderIsAlive = leader.isPresent() && electionElapsed < options.electionTicks();
+                if (leaderIsAlive && !request.transfer()) {
+                    return false;
+                }
+                if (!request.preVote()) {
+                    becomeFollower(request.term(), Optional.empty());
+                }
+            }
+            case LogMessage.Vote vote -> {
+                if (!vote.preVote() || !vote.granted()) {
+                    becomeFollower(vote.term(), Optional.empty());
+                }
+            }
+            case LogMessage.Append append -> becomeFollower(append.term(), Optional.of(from));
+            case LogMessage.SnapshotPart part -> becomeFollower(part.term(), Optional.of(from));
+            case LogMessage.Appended ignored -> becomeFollower(message.term(), Optional.empty());
+            case LogMessage.SnapshotProgress ignored -> becomeFollower(message.term(), Optional.empty());
+            case LogMessage.TimeoutNow ignored -> becomeFollower(message.term(), Optional.empty());
+        }
+        return true;
+    }
+
+    private void refuseOldTerm(MemberId from, LogMessage message) {
+        switch (message) {
+            case LogMessage.RequestVote request ->
+                withhold(from, 0, new LogMessage.Vote(hardState.term(), request.preVote(), false));
+            // A leader of an old term steps down when it learns the term, so that a host with a larger term can rejoin.
+            case LogMessage.Append append ->
+                withhold(from, 0, new LogMessage.Appended(hardState.term(), false, append.previousIndex(), 0, 0));
+            case LogMessage.SnapshotPart part ->
+                withhold(from, 0, new LogMessage.Appended(hardState.term(), false, part.index(), 0, 0));
+            case LogMessage.Vote ignored -> {}
+            case LogMessage.Appended ignored -> {}
+            case LogMessage.SnapshotProgress ignored -> {}
+            case LogMessage.TimeoutNow ignored -> {}
+        }
+    }
+
+    /**
+     * Appends a command.
+     *
+     * @param command the command
+     * @return index of its entry; it is committed only if it is later handed out with the same term
+     * @throws ControlException with {@link ErrorCode#NOT_LEADER} or {@link ErrorCode#PROPOSAL_TOO_LARGE}
+     */
+    public long propose(byte[] command) {
+        Leadership state = leading();
+        if (command.length > options.maximumProposalBytes()) {
+            throw new ControlException(ErrorCode.PROPOSAL_TOO_LARGE, command.length + " bytes");
+        }
+        if (state.isTransferring()) {
+            throw new ControlException(ErrorCode.NOT_LEADER, self + " hands leadership over");
+        }
+        return appendOwn(LogEntry.Kind.COMMAND, command);
+    }
+
+    /**
+     * Appends a change of the membership.
+     *
+     * @param change the change
+     * @return index of its entry
+     * @throws ControlException with {@link ErrorCode#NOT_LEADER}, or with {@link ErrorCode#MEMBERSHIP_CHANGE_PENDING} if
+     *     another change is not committed, the learner is not caught up, or this leader has not committed in its term
+     */
+    public long proposeChange(MembershipChange change) {
+        Leadership state = leading();
+        if (isChangePending() || !hasCommittedInTerm()) {
+            throw new ControlException(ErrorCode.MEMBERSHIP_CHANGE_PENDING, "a change is not committed");
+        }
+        if (change instanceof MembershipChange.Promote promote && !isCaughtUp(promote.id())) {
+            throw new ControlException(ErrorCode.MEMBERSHIP_CHANGE_PENDING, promote.id() + " is not caught up");
+        }
+        Membership changed = membership().after(change);
+        if (changed.voters().isEmpty()) {
+            throw new ControlException(ErrorCode.INTERNAL, "the last voter cannot be removed");
+        }
+        long index = appendOwn(LogEntry.Kind.MEMBERSHIP, MembershipHistory.encode(changed));
+        state.membershipChanged();
+        return index;
+    }
+
+    /**
+     * Returns whether a member holds every committed entry, as seen by the leader.
+     *
+     * @param member the member
+     * @return true if it is caught up
+     */
+    public boolean isCaughtUp(MemberId member) {
+        return matchOf(member).map(match -> match >= commit).orElse(false);
+    }
+
+    /**
+     * Asks a majority to confirm that this member still leads; the answer comes as {@link Ready.ConfirmedRead}.
+     *
+     * @param context number of the read, unique within the process
+     * @throws ControlException with {@link ErrorCode#NOT_LEADER}
+     */
+    public void readIndex(long context) {
+        leading().readIndex(context);
+    }
+
+    /**
+     * Asks like {@link #readIndex}, but together with the next heartbeat, which costs no message of its own.
+     *
+     * @param context number of the read, unique within the process
+     * @throws ControlException with {@link ErrorCode#NOT_LEADER}
+     */
+    public void readIndexWithHeartbeat(long context) {
+        leading().readIndexWithHeartbeat(context);
+    }
+
+    /**
+     * Starts to hand leadership to another voter.
+     *
+     * @param target the voter
+     * @throws ControlException with {@link ErrorCode#NOT_LEADER}
+     */
+    public void transferLeadership(MemberId target) {
+        Leadership state = leading();
+        if (membership().isVoter(target) && !target.equals(self)) {
+            state.transferTo(target);
+        }
+    }
+
+    private Leadership leading() {
+        return leadership.orElseThrow(() -> new ControlException(ErrorCode.NOT_LEADER, self + " does not lead"));
+    }
+
+    /**
+     * Learns that the driver persisted the last {@link Ready} that needed it.
+     *
+     * @param index last entry that was persisted, or the index of the snapshot, or zero
+     * @param term term of that entry
+     */
+    public void persisted(long index, long term) {
+        if (!persisting) {
+            throw new IllegalStateException("nothing was being persisted");
+        }
+        persisting = false;
+        buffer.finishPersisting();
+        if (votePersisting) {
+            votePersisting = false;
+            if (role == Role.CANDIDATE && hardState.votedFor().equals(Optional.of(self)) && !hardStateChanged) {
+                countVote(self);
+            }
+        }
+        leadership.ifPresent(Leadership::advanceCommit);
+    }
+
+    /**
+     * Returns whether {@link #ready} has something to do.
+     *
+     * @return true if there is
+     */
+    public boolean hasReady() {
+        boolean canPersist = !persisting && (hardStateChanged || snapshotToInstall.isPresent() || buffer.hasUnstable());
+        return canPersist
+                || !messages.isEmpty()
+                || withheld.stream().anyMatch(this::isReleasable)
+                || handedOut < Math.min(commit, buffer.stable())
+                || leadership.map(Leadership::hasWork).orElse(false);
+    }
+
+    /**
+     * Takes what there is to do.
+     *
+     * @return the work; never handed out twice
+     */
+    public Ready ready() {
+        leadership.ifPresent(Leadership::sendPending);
+        Optional<HardState> hardStateToPersist = Optional.empty();
+        Optional<LogSnapshot> snapshotToPersist = Optional.empty();
+        List<LogEntry> entries = List.of();
+        if (!persisting) {
+            releaseWithheld();
+            if (hardStateChanged) {
+                hardStateToPersist = Optional.of(hardState);
+                hardStateChanged = false;
+                votePersisting = hardState.votedFor().equals(Optional.of(self));
+            }
+            snapshotToPersist = snapshotToInstall;
+            snapshotToInstall = Optional.empty();
+            entries = buffer.startPersisting(options.maximumEntriesPerSync());
+            persisting = hardStateToPersist.isPresent() || snapshotToPersist.isPresent() || !entries.isEmpty();
+        }
+        List<Envelope> outgoing = List.copyOf(messages);
+        messages.clear();
+        List<Ready.ConfirmedRead> reads =
+                leadership.map(Leadership::takeConfirmedReads).orElse(List.of());
+        return new Ready(hardStateToPersist, snapshotToPersist, entries, outgoing, takeCommitted(), reads);
+    }
+
+    private List<LogEntry> takeCommitted() {
+        long last = Math.min(commit, buffer.stable());
+        if (handedOut >= last) {
+            return List.of();
+        }
+        List<LogEntry> committed = buffer.between(handedOut + 1, last, options.maximumProposalBytes());
+        handedOut = committed.getLast().index();
+        return committed;
+    }
+
+    /**
+     * Returns the first entry that stays when a snapshot is taken, for members that are a little behind.
+     *
+     * @param index last entry of the snapshot
+     * @param maximumEntries how many entries before it stay at most
+     * @param maximumBytes how many bytes of entries stay at most
+     * @return the first entry that stays
+     */
+    public long firstKept(long index, int maximumEntries, int maximumBytes) {
+        long first = index + 1;
+        long bytes = 0;
+        while (first > buffer.baseIndex() + 1 && index + 1 - first < maximumEntries) {
+            bytes += buffer.get(first - 1).data().length;
+            if (bytes > maximumBytes) {
+                break;
+            }
+            first--;
+        }
+        return first;
+    }
+
+    /**
+     * Takes a snapshot that the driver made and persisted, and forgets old entries.
+     *
+     * @param made the snapshot; its index has been handed out
+     * @param firstKept first entry that stays
+     */
+    public void compact(LogSnapshot made, long firstKept) {
+        if (made.index() > handedOut || snapshot.map(LogSnapshot::index).orElse(0L) >= made.index()) {
+            return;
+        }
+        snapshot = Optional.of(made);
+        buffer.compact(Math.min(firstKept - 1, made.index()));
+        memberships.forgetBefore(buffer.baseIndex());
+    }
+
+    // Elections
+
+    private void resetElection() {
+        electionElapsed = 0;
+        electionTimeout = options.electionTicks() + random.nextInt(options.electionTicks() + 1);
+    }
+
+    private void setHardState(long term, Optional<MemberId> votedFor) {
+        HardState changed = new HardState(term, votedFor);
+        if (!changed.equals(hardState)) {
+            hardState = changed;
+            hardStateChanged = true;
+        }
+    }
+
+    private void becomeFollower(long term, Optional<MemberId> newLeader) {
+        if (term > hardState.term()) {
+            setHardState(term, Optional.empty());
+            withheld.clear();
+            incoming = Optional.empty();
+        }
+        if (role != Role.FOLLOWER || newLeader.isPresent()) {
+            resetElection();
+        }
+        role = Role.FOLLOWER;
+        leader = newLeader;
+        leadership = Optional.empty();
+    }
+
+    private void campaign(boolean preVote, boolean transfer) {
+        leader = Optional.empty();
+        votes.clear();
+        long term = hardState.term() + 1;
+        if (preVote) {
+            role = Role.PRE_CANDIDATE;
+        } else {
+            role = Role.CANDIDATE;
+            setHardState(term, Optional.of(self));
+            withheld.clear();
+            resetElection();
+        }
+        LogMessage request = new LogMessage.RequestVote(term, preVote, transfer, buffer.lastIndex(), buffer.lastTerm());
+        for (Member member : membership().voters()) {
+            if (!member.id().equals(self)) {
+                withhold(member.id(), 0, request);
+            }
+        }
+        if (preVote) {
+            countVote(self);
+        }
+    }
+
+    private void countVote(MemberId voter) {
+        votes.add(voter);
+        long count = votes.stream().filter(membership()::isVoter).count();
+        if (count < membership().quorum()) {
+            return;
+        }
+        if (role == Role.PRE_CANDIDATE) {
+            campaign(false, false);
+        } else if (role == Role.CANDIDATE) {
+            becomeLeader();
+        }
+    }
+
+    private void becomeLeader() {
+        role = Role.LEADER;
+        leader = Optional.of(self);
+        electionElapsed = 0;
+        heartbeatElapsed = 0;
+        leadership = Optional.of(new Leadership(this, options));
+        appendOwn(LogEntry.Kind.TERM_START, new byte[0]);
+    }
+
+    private void handleRequestVote(MemberId from, LogMessage.RequestVote request) {
+        boolean upToDate = request.lastTerm() > buffer.lastTerm()
+                || (request.lastTerm() == buffer.lastTerm() && request.lastIndex() >= buffer.lastIndex());
+        if (request.preVote()) {
+            boolean granted = upToDate && request.term() > hardState.term();
+            long term = granted ? request.term() : hardState.term();
+            withhold(from, 0, new LogMessage.Vote(term, true, granted));
+            return;
+        }
+        boolean free = hardState.votedFor().isEmpty() && leader.isEmpty();
+        boolean granted = upToDate && (free || hardState.votedFor().equals(Optional.of(from)));
+        if (granted) {
+            setHardState(hardState.term(), Optional.of(from));
+            resetElection();
+        }
+        withhold(from, 0, new LogMessage.Vote(hardState.term(), false, granted));
+    }
+
+    private void handleVote(MemberId from, LogMessage.Vote vote) {
+        boolean real = role == Role.CANDIDATE && !vote.preVote() && vote.term() == hardState.term();
+        boolean test = role == Role.PRE_CANDIDATE && vote.preVote() && vote.term() == hardState.term() + 1;
+        if (vote.granted() && (real || test)) {
+            countVote(from);
+        }
+    }
+
+    private void handleTimeoutNow(MemberId from) {
+        if (role == Role.FOLLOWER
+                && leader.equals(Optional.of(from))
+                && membership().isVoter(self)) {
+            campaign(false, true);
+        }
+    }
+
+    // Following
+
+    private void handleAppend(MemberId from, LogMessage.Append append) {
+        follow(from);
+        if (append.previousIndex() < commit) {
+            withhold(from, commit, new LogMessage.Appended(hardState.term(), true, commit, 0, append.readRound()));
+            return;
+        }
+        if (buffer.term(append.previousIndex()) != append.previousTerm()) {
+            withhold(from, 0, refusal(append));
+            return;
+        }
+        for (LogEntry entry : append.entries()) {
+            store(entry);
+        }
+        long last = append.previousIndex() + append.entries().size();
+        commit = Math.max(commit, Math.min(append.commit(), last));
+        withhold(from, last, new LogMessage.Appended(hardState.term(), true, last, 0, append.readRound()));
+    }
+
+    private void store(LogEntry entry) {
+        if (entry.index() <= buffer.lastIndex()) {
+            if (buffer.term(entry.index()) == entry.term()) {
+                return;
+            }
+            if (entry.index() <= commit) {
+                throw new IllegalStateException("committed entry " + entry.index() + " conflicts with the leader");
+            }
+            buffer.truncateFrom(entry.index());
+            memberships.truncateFrom(entry.index());
+        }
+        buffer.append(entry);
+        memberships.appended(entry);
+    }
+
+    private LogMessage refusal(LogMessage.Append append) {
+        long hint = Math.min(append.previousIndex() - 1, buffer.lastIndex());
+        while (hint > commit && buffer.term(hint) > append.previousTerm()) {
+            hint--;
+        }
+        return new LogMessage.Appended(hardState.term(), false, append.previousIndex(), hint, append.readRound());
+    }
+
+    private void follow(MemberId from) {
+        if (role != Role.FOLLOWER || !leader.equals(Optional.of(from))) {
+            becomeFollower(hardState.term(), Optional.of(from));
+        }
+        resetElection();
+    }
+
+    private void handleSnapshotPart(MemberId from, LogMessage.SnapshotPart part) {
+        follow(from);
+        if (part.index() <= commit) {
+            withhold(from, commit, new LogMessage.Appended(hardState.term(), true, commit, 0, 0));
+            return;
+        }
+        if (buffer.term(part.index()) == part.snapshotTerm()) {
+            commit = part.index();
+            withhold(from, commit, new LogMessage.Appended(hardState.term(), true, commit, 0, 0));
+            return;
+        }
+        IncomingSnapshot receiving = incoming.filter(value -> value.index == part.index())
+                .orElseGet(() -> new IncomingSnapshot(part.index()));
+        incoming = Optional.of(receiving);
+        if (part.offset() == receiving.bytes.size()) {
+            receiving.bytes.writeBytes(part.data());
+        }
+        int size = receiving.bytes.size();
+        send(from, new LogMessage.SnapshotProgress(hardState.term(), part.index(), size));
+        if (size >= part.total()) {
+            install(new LogSnapshot(
+                    part.index(), part.snapshotTerm(), part.membership(), receiving.bytes.toByteArray()));
+            withhold(from, part.index(), new LogMessage.Appended(hardState.term(), true, part.index(), 0, 0));
+        }
+    }
+
+    private void install(LogSnapshot received) {
+        incoming = Optional.empty();
+        snapshot = Optional.of(received);
+        snapshotToInstall = snapshot;
+        buffer.reset(received.index(), received.term());
+        memberships.reset(received.index(), received.membership());
+        commit = received.index();
+        handedOut = received.index();
+    }
+
+    // What the leadership uses
+
+    EntryBuffer buffer() {
+        return buffer;
+    }
+
+    Optional<LogSnapshot> snapshot() {
+        return snapshot;
+    }
+
+    void advanceCommitTo(long index) {
+        commit = index;
+        if (!membership().isVoter(self) && !isChangePending()) {
+            becomeFollower(hardState.term(), Optional.empty());
+        }
+    }
+
+    // Sending
+
+    void send(MemberId to, LogMessage message) {
+        messages.add(new Envelope(self, to, message));
+    }
+
+    /** Sends a message once the hard state and all entries up to an index are durable. */
+    private void withhold(MemberId to, long requiredIndex, LogMessage message) {
+        withheld.add(new Withheld(requiredIndex, new Envelope(self, to, message)));
+    }
+
+    private boolean isReleasable(Withheld candidate) {
+        return !persisting
+                && !hardStateChanged
+                && snapshotToInstall.isEmpty()
+                && candidate.requiredIndex <= buffer.stable();
+    }
+
+    private void releaseWithheld() {
+        List<Withheld> kept = new ArrayList<>();
+        for (Withheld candidate : withheld) {
+            if (isReleasable(candidate)) {
+                messages.add(candidate.envelope);
+            } else {
+                kept.add(candidate);
+            }
+        }
+        withheld.clear();
+        withheld.addAll(kept);
+    }
+
+    private long appendOwn(LogEntry.Kind kind, byte[] data) {
+        LogEntry entry = new LogEntry(buffer.lastIndex() + 1, hardState.term(), kind, data);
+        buffer.append(entry);
+        memberships.appended(entry);
+        return entry.index();
+    }
+
+    /** A message that waits until state is durable. Immutable. */
+    private record Withheld(long requiredIndex, Envelope envelope) {}
+
+    /** The parts of a snapshot received so far. Confined to the thread of the log. */
+    private static final class IncomingSnapshot {
+        private final long index;
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+        IncomingSnapshot(long index) {
+            this.index = index;
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
@@ -0,0 +1,314 @@
+package io.rosemarybeam.consensus.storage;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.StorageException;
+import io.rosemarybeam.common.wire.MessageCodec;
+import io.rosemarybeam.consensus.DurableState;
+import io.rosemarybeam.consensus.HardState;
+import io.rosemarybeam.consensus.LogEntry;
+import io.rosemarybeam.consensus.LogSnapshot;
+import io.rosemarybeam.consensus.MemberId;
+import io.rosemarybeam.consensus.storage.FileSystem.AppendFile;
+
+/**
+ * Stores the log of a member in the files of one folder.
+ *
+ * <p>A record holds the entries of one sync. A record whose first entry has the index of an older entry replaces that
+ * entry and all later ones, so nothing durable is ever overwritten in place.
+ *
+ * <p>Invariant: when {@link #persist} returns, everything passed to it is durable. After a failure the storage refuses
+ * all further use, because a failed sync leaves unknown what is durable. Confined to one thread at a time.
+ */
+public final class LogStorage implements AutoCloseable {
+    private static final String IDENTITY_FILE = "identity";
+    private static final String HARD_STATE_FILE = "hard-state";
+    private static final String SNAPSHOT_FILE = "snapshot";
+    private static final String TEMPORARY_SUFFIX = ".tmp";
+    private static final String SEGMENT_PREFIX = "log-";
+    private static final long SEGMENT_BYTES = 4 * 1024 * 1024;
+
+    private final FileSystem files;
+    /** Largest index that was ever written to a segment, by number of the segment. */
+    private final TreeMap<Long, Long> segments = new TreeMap<>();
+
+    private Optional<AppendFile> current = Optional.empty();
+    private Optional<StorageException> failure = Optional.empty();
+    private long syncs;
+
+    private LogStorage(FileSystem files) {
+        this.files = files;
+    }
+
+    /**
+     * Opens the storage.
+     *
+     * @param files its files; closed with the storage
+     * @return the storage
+     */
+    public static LogStorage open(FileSystem files) {
+        return new LogStorage(files);
+    }
+
+    /**
+     * Returns the identity of the data folder, and creates it if the folder is new.
+     *
+     * @param name name of this host
+     * @param newIncarnation incarnation to use for a new folder
+     * @return the identity
+     * @throws StorageException with {@link ErrorCode#DATA_FOLDER_INVALID} if the folder belongs to another host
+     */
+    public MemberId identity(String name, long newIncarnation) {
+        return guarded("read the identity", () -> {
+            if (!files.list().contains(IDENTITY_FILE)) {
+                MemberId created = new MemberId(name, newIncarnation);
+                replace(IDENTITY_FILE, MessageCodec.encode(created));
+                return created;
+            }
+            MemberId stored = MessageCodec.decode(single(IDENTITY_FILE), MemberId.class);
+            if (!stored.name().equals(name)) {
+                throw new StorageException(
+                        ErrorCode.DATA_FOLDER_INVALID, "the folder belongs to " + stored.name() + ", not " + name);
+            }
+            return stored;
+        });
+    }
+
+    /**
+     * Reads what the folder holds, and removes an incomplete record at the end.
+     *
+     * @return the state
+     * @throws StorageException with {@link ErrorCode#CORRUPT_RECORD} if a file is damaged
+     */
+    public DurableState load() {
+        return guarded("load the log", () -> {
+            List<String> names = files.list();
+            for (String name : names) {
+                if (name.endsWith(TEMPORARY_SUFFIX)) {
+                    files.delete(name);
+                }
+            }
+            HardState hardState = names.contains(HARD_STATE_FILE)
+                    ? MessageCodec.decode(single(HARD_STATE_FILE), HardState.class)
+                    : HardState.initial();
+            Optional<LogSnapshot> snapshot = names.contains(SNAPSHOT_FILE)
+                    ? Optional.of(MessageCodec.decode(single(SNAPSHOT_FILE), LogSnapshot.class))
+                    : Optional.empty();
+            TreeMap<Long, LogEntry> entries = loadSegments(names);
+            List<LogEntry> kept = keep(snapshot, entries);
+            if (kept.isEmpty()) {
+                // A crash between the rename of an installed snapshot and the deletion of the old log leaves both.
+                deleteSegments(Long.MAX_VALUE);
+            }
+            return new DurableState(hardState, snapshot, kept);
+        });
+    }
+
+    private byte[] single(String name) throws IOException {
+        List<byte[]> bodies = RecordFile.decode(name, files.read(name), false).bodies();
+        if (bodies.size() != 1) {
+            throw new StorageException(ErrorCode.CORRUPT_RECORD, name + " holds " + bodies.size() + " records");
+        }
+        return bodies.getFirst();
+    }
+
+    private TreeMap<Long, LogEntry> loadSegments(List<String> names) throws IOException {
+        TreeMap<Long, LogEntry> entries = new TreeMap<>();
+        List<String> segmentNames =
+                names.stream().filter(name -> name.startsWith(SEGMENT_PREFIX)).toList();
+        for (String name : segmentNames) {
+            boolean last = name.equals(segmentNames.getLast());
+            byte[] content = files.read(name);
+            RecordFile.Records records = RecordFile.decode(name, content, last);
+            if (records.validBytes() < content.length) {
+                files.truncate(name, records.validBytes());
+            }
+            long number = Long.parseLong(name.substring(SEGMENT_PREFIX.length()));
+            segments.put(number, 0L);
+            for (byte[] body : records.bodies()) {
+                for (LogEntry entry : MessageCodec.decode(body, Batch.class).entries()) {
+                    add(name, entries, entry);
+                    segments.merge(number, entry.index(), Math::max);
+                }
+            }
+        }
+        return entries;
+    }
+
+    private static void add(String name, TreeMap<Long, LogEntry> entries, LogEntry entry) {
+        entries.tailMap(entry.index(), true).clear();
+        if (!entries.isEmpty() && entries.lastKey() != entry.index() - 1) {
+            throw new StorageException(
+                    ErrorCode.CORRUPT_RECORD, name + ": entry " + entry.index() + " after " + entries.lastKey());
+        }
+        entries.put(entry.index(), entry);
+    }
+
+    /** Drops entries that do not belong to the history of the snapshot, and the gap before it. */
+    private static List<LogEntry> keep(Optional<LogSnapshot> snapshot, TreeMap<Long, LogEntry> entries) {
+        if (snapshot.isEmpty()) {
+            return List.copyOf(entries.values());
+        }
+        long index = snapshot.get().index();
+        LogEntry same = entries.get(index);
+        boolean continues = same != null && same.term() == snapshot.get().term();
+        if (continues) {
+            return List.copyOf(entries.values());
+        }
+        boolean follows = !entries.isEmpty() && entries.firstKey() == index + 1;
+        return follows ? List.copyOf(entries.values()) : List.of();
+    }
+
+    /**
+     * Makes a step of the log durable.
+     *
+     * @param hardState term and vote, if changed
+     * @param installed snapshot from the leader that replaces the whole log
+     * @param entries entries to append; they replace any with the same or a larger index
+     * @throws StorageException with {@link ErrorCode#SYNC_FAILED} if anything cannot be made durable
+     */
+    public void persist(Optional<HardState> hardState, Optional<LogSnapshot> installed, List<LogEntry> entries) {
+        guarded("persist", () -> {
+            if (installed.isPresent()) {
+                replace(SNAPSHOT_FILE, MessageCodec.encode(installed.get()));
+                deleteSegments(Long.MAX_VALUE);
+            }
+            if (hardState.isPresent()) {
+                replace(HARD_STATE_FILE, MessageCodec.encode(hardState.get()));
+            }
+            if (!entries.isEmpty()) {
+                append(entries);
+            }
+            return null;
+        });
+    }
+
+    private void append(List<LogEntry> entries) throws IOException {
+        long lastIndex = entries.getLast().index();
+        if (current.isEmpty() || current.get().size() >= SEGMENT_BYTES) {
+            startSegment();
+        }
+        AppendFile file = current.orElseThrow();
+        file.write(RecordFile.encode(MessageCodec.encode(new Batch(entries))));
+        file.sync();
+        syncs++;
+        segments.merge(segments.lastKey(), lastIndex, Math::max);
+    }
+
+    private void startSegment() throws IOException {
+        closeCurrent();
+        long number = segments.isEmpty() ? 1 : segments.lastKey() + 1;
+        current = Optional.of(files.append(segmentName(number)));
+        files.syncFolder();
+        syncs++;
+        segments.put(number, 0L);
+    }
+
+    /**
+     * Stores a snapshot of this member and deletes segments that hold only old entries.
+     *
+     * @param snapshot the snapshot
+     * @param firstKept first entry that must stay
+     * @throws StorageException with {@link ErrorCode#SYNC_FAILED} if the snapshot cannot be made durable
+     */
+    public void compact(LogSnapshot snapshot, long firstKept) {
+        guarded("store a snapshot", () -> {
+            replace(SNAPSHOT_FILE, MessageCodec.encode(snapshot));
+            deleteSegments(firstKept);
+            return null;
+        });
+    }
+
+    /** Deletes the oldest segments while all their entries lie before an index. */
+    private void deleteSegments(long firstKept) throws IOException {
+        boolean deleted = false;
+        while (!segments.isEmpty()) {
+            Map.Entry<Long, Long> oldest = segments.firstEntry();
+            boolean isCurrent = segments.size() == 1;
+            if (oldest.getValue() >= firstKept || (isCurrent && firstKept != Long.MAX_VALUE)) {
+                break;
+            }
+            if (isCurrent) {
+                closeCurrent();
+            }
+            files.delete(segmentName(oldest.getKey()));
+            segments.remove(oldest.getKey());
+            deleted = true;
+        }
+        if (deleted) {
+            files.syncFolder();
+            syncs++;
+        }
+    }
+
+    private static String segmentName(long number) {
+        return SEGMENT_PREFIX + String.format("%016d", number);
+    }
+
+    private void replace(String name, byte[] body) throws IOException {
+        String temporary = name + TEMPORARY_SUFFIX;
+        if (files.list().contains(temporary)) {
+            files.delete(temporary);
+        }
+        try (AppendFile file = files.append(temporary)) {
+            file.write(RecordFile.encode(body));
+            file.sync();
+        }
+        files.rename(temporary, name);
+        files.syncFolder();
+        syncs += 2;
+    }
+
+    /**
+     * Returns how many syncs were made since the storage was opened.
+     *
+     * @return the number
+     */
+    public long syncs() {
+        return syncs;
+    }
+
+    private void closeCurrent() throws IOException {
+        if (current.isPresent()) {
+            current.get().close();
+            current = Optional.empty();
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            closeCurrent();
+            files.close();
+        } catch (IOException failed) {
+            throw new UncheckedIOException(failed);
+        }
+    }
+
+    private <T> T guarded(String what, Step<T> step) {
+        if (failure.isPresent()) {
+            throw failure.get();
+        }
+        try {
+            return step.run();
+        } catch (IOException failed) {
+            StorageException typed = new StorageException(ErrorCode.SYNC_FAILED, "cannot " + what, failed);
+            failure = Optional.of(typed);
+            throw typed;
+        }
+    }
+
+    /** The entries of one sync. Immutable. */
+    record Batch(List<LogEntry> entries) {}
+
+    /** A step that may fail. */
+    private interface Step<T> {
+        T run() throws IOException;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ConfigurationTable.java
@@ -0,0 +1,152 @@
+package io.rosemarybeam.control.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.rosemarybeam.common.wire.ControlReply.ApplyOutcome;
+import io.rosemarybeam.common.wire.ControlReply.ApplyReply;
+import io.rosemarybeam.common.wire.ControlReply.ConfigurationText;
+import io.rosemarybeam.common.wire.ControlReply.HistoryLine;
+import org.apache.commons.codec.digest.DigestUtils;
+
+/**
+ * The accepted configurations.
+ *
+ * <p>Invariants: the newest text is always kept; a number is accepted with one text only; numbers are accepted in
+ * ascending order. Confined to the thread of the state machine.
+ */
+public final class ConfigurationTable {
+    /** How many texts are kept. */
+    public static final int MAXIMUM_TEXTS = 1_000;
+
+    /** How many digests are kept. */
+    public static final int MAXIMUM_DIGESTS = 100_000;
+
+    /** Texts kept, in characters; the oldest are dropped first so that the process keeps its memory target. */
+    public static final int MAXIMUM_TEXT_CHARACTERS = 4_194_304;
+
+    private final TreeMap<Long, String> texts = new TreeMap<>();
+    private final TreeMap<Long, HistoryLine> lines = new TreeMap<>();
+    private long textCharacters;
+
+    ApplyReply accept(Command.AcceptConfiguration command) {
+        long number = command.number();
+        String digest = digest(command.text());
+        Optional<ApplyReply> known = outcomeOf(number, digest);
+        if (known.isPresent()) {
+            return known.get();
+        }
+        texts.put(number, command.text());
+        textCharacters += command.text().length();
+        lines.put(number, new HistoryLine(number, digest, command.wallClockMilliseconds(), command.operator()));
+        dropOldest();
+        return reply(ApplyOutcome.ACCEPTED, number, Optional.empty());
+    }
+
+    /**
+     * Finds the outcome of a configuration that needs no new entry of the log.
+     *
+     * @param number the number
+     * @param digest digest of the text
+     * @return the outcome, or empty if the number is higher than every accepted one
+     */
+    public Optional<ApplyReply> outcomeOf(long number, String digest) {
+        HistoryLine line = lines.get(number);
+        if (line != null && line.digest().equals(digest)) {
+            return Optional.of(reply(ApplyOutcome.RESENT, number, Optional.empty()));
+        }
+        if (line != null) {
+            return Optional.of(reply(ApplyOutcome.CONFLICT, number, Optional.ofNullable(texts.get(number))));
+        }
+        if (!lines.isEmpty() && number < lines.lastKey()) {
+            return Optional.of(reply(ApplyOutcome.NUMBER_TOO_LOW, number, Optional.empty()));
+        }
+        return Optional.empty();
+    }
+
+    private static ApplyReply reply(ApplyOutcome outcome, long number, Optional<String> winner) {
+        return new ApplyReply(outcome, number, List.of(), winner, false, List.of());
+    }
+
+    private void dropOldest() {
+        while (texts.size() > 1 && (texts.size() > MAXIMUM_TEXTS || textCharacters > MAXIMUM_TEXT_CHARACTERS)) {
+            textCharacters -= texts.pollFirstEntry().getValue().length();
+        }
+        while (lines.size() > MAXIMUM_DIGESTS) {
+            lines.pollFirstEntry();
+        }
+    }
+
+    /**
+     * Returns the digest of a text.
+     *
+     * @param text the text
+     * @return its SHA-256 in hexadecimal digits
+     */
+    public static String digest(String text) {
+        return DigestUtils.sha256Hex(text);
+    }
+
+    /**
+     * Returns the newest configuration.
+     *
+     * @return the configuration, or empty if none was accepted
+     */
+    public Optional<ConfigurationText> newest() {
+        return Optional.ofNullable(texts.lastEntry())
+                .map(entry -> new ConfigurationText(entry.getKey(), entry.getValue()));
+    }
+
+    /**
+     * Returns the number of the newest configuration.
+     *
+     * @return the number, or zero if none was accepted
+     */
+    public long newestNumber() {
+        return texts.isEmpty() ? 0 : texts.lastKey();
+    }
+
+    /**
+     * Returns the history, newest first.
+     *
+     * @param maximum how many lines at most
+     * @return the lines
+     */
+    public List<HistoryLine> history(int maximum) {
+        return lines.descendingMap().values().stream()
+                .limit(Math.max(maximum, 0))
+                .toList();
+    }
+
+    /**
+     * Returns how many texts and digests are kept.
+     *
+     * @return text for dumps
+     */
+    public Map<String, Integer> sizes() {
+        return Map.of("texts", texts.size(), "digests", lines.size());
+    }
+
+    Image image() {
+        List<ConfigurationText> kept = new ArrayList<>();
+        texts.forEach((number, text) -> kept.add(new ConfigurationText(number, text)));
+        return new Image(kept, List.copyOf(lines.values()));
+    }
+
+    void restore(Image image) {
+        texts.clear();
+        lines.clear();
+        textCharacters = 0;
+        for (ConfigurationText text : image.texts) {
+            texts.put(text.number(), text.text());
+            textCharacters += text.text().length();
+        }
+        image.lines.forEach(line -> lines.put(line.number(), line));
+    }
+
+    /** The content of the table in a snapshot. Immutable. */
+    record Image(List<ConfigurationText> texts, List<HistoryLine> lines) {}
+}
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ControlState.java
@@ -0,0 +1,349 @@
+package io.rosemarybeam.control.state;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.RosemarybeamException;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.wire.CommonReply.Accepted;
+import io.rosemarybeam.common.wire.CommonReply.Refused;
+import io.rosemarybeam.common.wire.ControlReply;
+import io.rosemarybeam.common.wire.EndpointRecord;
+import io.rosemarybeam.common.wire.EntryHostRecord;
+import io.rosemarybeam.common.wire.MembershipDelta;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.MessageCodec;
+
+/**
+ * The replicated state machine.
+ *
+ * <p>Invariants: the same commands in the same order give the same state and replies on every replica; the time never
+ * goes back; a refused command changes nothing but the time. Confined to one thread.
+ */
+public final class ControlState {
+    /** Length of the lease of an issuer, in milliseconds. */
+    public static final long ISSUER_LEASE_MILLISECONDS = 5_000;
+
+    /** Steps and quarantine are searched for expired lines this often, because the search visits every line. */
+    private static final long SWEEP_MILLISECONDS = 1_000;
+
+    private static final long RETRY_MILLISECONDS = 1_000;
+
+    private final ConfigurationTable configurations = new ConfigurationTable();
+    private final EntryTable entries = new EntryTable();
+    private final EndpointTable endpoints = new EndpointTable();
+    private final IssuerTable issuers = new IssuerTable();
+    private final ClaimTable claims = new ClaimTable();
+    private final WeightTable weights = new WeightTable();
+    private final StepTable steps = new StepTable(weights);
+    private final QuarantineTable quarantine = new QuarantineTable();
+    private long time;
+    private long lastSweep;
+    private long membershipVersion;
+    private long quarantineVersion;
+
+    /**
+     * Applies a command.
+     *
+     * @param bytes the encoded command
+     * @return the reply to whoever asked for it
+     */
+    public Message apply(byte[] bytes) {
+        CommandCodec.Timed timed = CommandCodec.decode(bytes);
+        time = Math.max(time, timed.leaderTime());
+        expire();
+        try {
+            return apply(timed.command());
+        } catch (ControlException refusal) {
+            long retry = refusal.code() == ErrorCode.TABLE_FULL ? RETRY_MILLISECONDS : 0;
+            return new Refused(refusal.code(), refusal.getMessage(), retry);
+        }
+    }
+
+    private Message apply(Command command) {
+        return switch (command) {
+            case Command.AcceptConfiguration accept -> configurations.accept(accept);
+            case Command.RegisterEntry register -> changed(entries.register(register.entry(), membershipVersion + 1));
+            case Command.RemoveEntry remove ->
+                changed(entries.remove(remove.name(), remove.incarnation(), membershipVersion + 1));
+            case Command.AnnounceEndpoint announce -> announce(announce.endpoint());
+            case Command.ChangeWeightVersion change ->
+                changed(endpoints.changeWeightVersion(
+                        change.id(), change.incarnation(), change.weightVersion(), membershipVersion + 1));
+            case Command.LeaveEndpoint leave ->
+                changed(endpoints.leave(leave.id(), leave.incarnation(), membershipVersion + 1));
+            case Command.RemoveEndpoint remove ->
+                changed(endpoints.remove(remove.id(), remove.incarnation(), membershipVersion + 1));
+            case Command.Claim claim -> claims.claim(claim.request(), time);
+            case Command.Outcome outcome -> recordOutcome(outcome);
+            case Command.Crash crash -> reportCrash(crash);
+            case Command.OpenStep open -> new ControlReply.StepState(steps.open(open.request(), time));
+            case Command.TakeStep take -> new ControlReply.StepState(steps.take(take, time));
+            case Command.CommitSamples commit -> accepted(() -> steps.commit(commit.request(), time));
+            case Command.RecordHandOver record -> accepted(() -> steps.recordHandOver(record.request(), time));
+            case Command.AcknowledgeHandOver acknowledge ->
+                accepted(() -> steps.acknowledge(acknowledge.request(), time));
+            case Command.PublishWeights publish -> accepted(() -> weights.publish(publish.request()));
+            case Command.GrantIssuer grant -> grantIssuer(grant);
+            case Command.Expire ignored -> new Accepted(0);
+        };
+    }
+
+    private Message changed(boolean changed) {
+        if (changed) {
+            membershipVersion++;
+        }
+        return new Accepted(membershipVersion);
+    }
+
+    private static Message accepted(Runnable change) {
+        change.run();
+        return new Accepted(0);
+    }
+
+    private Message announce(EndpointRecord endpoint) {
+        changed(endpoints.announce(endpoint, membershipVersion + 1));
+        if (endpoints.find(endpoint.id(), endpoint.incarnation()).isEmpty()) {
+            return new Refused(ErrorCode.REQUEST_INVALID, endpoint.id() + " is announced with a newer incarnation", 0);
+        }
+        return new Accepted(issuers.fencingNumber(endpoint.service()).value());
+    }
+
+    private Message recordOutcome(Command.Outcome outcome) {
+        if (claims.record(outcome.request(), time)) {
+            return new Accepted(0);
+        }
+        return new Refused(ErrorCode.OUTCOME_UNKNOWN, "no claim of this entry under the key", 0);
+    }
+
+    private Message reportCrash(Command.Crash crash) {
+        ControlReply.QuarantineState state = quarantine.report(crash.request(), time, quarantineVersion + 1);
+        if (!quarantine.quarantinedSince(quarantineVersion).isEmpty()) {
+            quarantineVersion++;
+        }
+        return state;
+    }
+
+    private Message grantIssuer(Command.GrantIssuer grant) {
+        IssuerTable.Issuer issuer = issuers.grant(grant);
+        boolean granted =
+                issuer.isHeldBy(grant.request().entry(), grant.request().entryIncarnation());
+        return granted
+                ? new ControlReply.IssuerLease(issuer.fencingNumber(), ISSUER_LEASE_MILLISECONDS)
+                : new ControlReply.IssuerHeld(issuer.entry());
+    }
+
+    private void expire() {
+        claims.expire(time);
+        if (time - lastSweep >= SWEEP_MILLISECONDS) {
+            lastSweep = time;
+            steps.expire(time);
+            quarantine.expire(time);
+        }
+    }
+
+    /**
+     * Returns whether something expires, so that the leader proposes {@link Command.Expire}.
+     *
+     * @param now time of the leader, in milliseconds
+     * @return true if a command at that time would remove or settle something
+     */
+    public boolean isExpiryDue(long now) {
+        boolean sweepDue = now - lastSweep >= SWEEP_MILLISECONDS;
+        return claims.nextExpiry() <= now
+                || (sweepDue && (steps.nextExpiry() <= now || quarantine.nextExpiry() <= now));
+    }
+
+    /**
+     * Returns what changed in the membership.
+     *
+     * @param since version that the asker knows, or zero
+     * @return the change, or a full copy if the change is not known any more
+     */
+    public MembershipDelta membershipSince(long since) {
+        boolean covered = since > 0
+                && since <= membershipVersion
+                && entries.versions().covers(since)
+                && endpoints.versions().covers(since);
+        long from = covered ? since : 0;
+        List<EndpointRecord> changedEndpoints = new ArrayList<>();
+        for (EndpointRecord endpoint : endpoints.all()) {
+            if (!covered || endpoints.versions().isChangedSince(endpoint.id(), from)) {
+                changedEndpoints.add(endpoint);
+            }
+        }
+        List<EntryHostRecord> changedEntries = new ArrayList<>();
+        for (EntryHostRecord entry : entries.all()) {
+            if (!covered || entries.versions().isChangedSince(entry.name(), from)) {
+                changedEntries.add(entry);
+            }
+        }
+        List<EndpointId> removedEndpoints = covered ? endpoints.versions().removedSince(from) : List.of();
+        List<HostName> removedEntries = covered ? entries.versions().removedSince(from) : List.of();
+        return new MembershipDelta(
+                from, membershipVersion, changedEndpoints, removedEndpoints, changedEntries, removedEntries);
+    }
+
+    /**
+     * Encodes the whole state.
+     *
+     * @return the bytes
+     */
+    public byte[] snapshot() {
+        return MessageCodec.encode(new Image(
+                time,
+                lastSweep,
+                membershipVersion,
+                quarantineVersion,
+                configurations.image(),
+                entries.image(),
+                endpoints.image(),
+                issuers.image(),
+                claims.image(),
+                weights.image(),
+                steps.image(),
+                quarantine.image()));
+    }
+
+    /**
+     * Replaces the whole state.
+     *
+     * @param bytes an encoded state; empty for the initial state
+     * @throws RosemarybeamException if the bytes are no state
+     */
+    public void restore(byte[] bytes) {
+        if (bytes.length == 0) {
+            return;
+        }
+        Image image = MessageCodec.decode(bytes, Image.class);
+        time = image.time;
+        lastSweep = image.lastSweep;
+        membershipVersion = image.membershipVersion;
+        quarantineVersion = image.quarantineVersion;
+        configurations.restore(image.configurations);
+        entries.restore(image.entries, membershipVersion);
+        endpoints.restore(image.endpoints, membershipVersion);
+        issuers.restore(image.issuers);
+        claims.restore(image.claims);
+        weights.restore(image.weights);
+        steps.restore(image.steps);
+        quarantine.restore(image.quarantine);
+    }
+
+    /**
+     * Returns the applied time.
+     *
+     * @return the largest leader time of all applied commands, in milliseconds
+     */
+    public long time() {
+        return time;
+    }
+
+    /**
+     * Returns the version of the membership.
+     *
+     * @return grows with every change
+     */
+    public long membershipVersion() {
+        return membershipVersion;
+    }
+
+    /**
+     * Returns the version of the quarantine.
+     *
+     * @return grows when a fingerprint is added
+     */
+    public long quarantineVersion() {
+        return quarantineVersion;
+    }
+
+    /**
+     * Returns the accepted configurations.
+     *
+     * @return the table, to be read only
+     */
+    public ConfigurationTable configurations() {
+        return configurations;
+    }
+
+    /**
+     * Returns the registered entry hosts.
+     *
+     * @return the table, to be read only
+     */
+    public EntryTable entries() {
+        return entries;
+    }
+
+    /**
+     * Returns the announced endpoints.
+     *
+     * @return the table, to be read only
+     */
+    public EndpointTable endpoints() {
+        return endpoints;
+    }
+
+    /**
+     * Returns the issuers.
+     *
+     * @return the table, to be read only
+     */
+    public IssuerTable issuers() {
+        return issuers;
+    }
+
+    /**
+     * Returns the claims.
+     *
+     * @return the table, to be read only
+     */
+    public ClaimTable claims() {
+        return claims;
+    }
+
+    /**
+     * Returns the published weight versions.
+     *
+     * @return the table, to be read only
+     */
+    public WeightTable weights() {
+        return weights;
+    }
+
+    /**
+     * Returns the training steps.
+     *
+     * @return the table, to be read only
+     */
+    public StepTable steps() {
+        return steps;
+    }
+
+    /**
+     * Returns the crashes and quarantined requests.
+     *
+     * @return the table, to be read only
+     */
+    public QuarantineTable quarantine() {
+        return quarantine;
+    }
+
+    /** The content of a snapshot. Immutable. */
+    record Image(
+            long time,
+            long lastSweep,
+            long membershipVersion,
+            long quarantineVersion,
+            ConfigurationTable.Image configurations,
+            EntryTable.Image entries,
+            EndpointTable.Image endpoints,
+            IssuerTable.Image issuers,
+            ClaimTable.Image claims,
+            WeightTable.Image weights,
+            StepTable.Image steps,
+            QuarantineTable.Image quarantine) {}
+}
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/EndpointTable.java
@@ -0,0 +1,111 @@
+package io.rosemarybeam.control.state;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.EndpointRecord;
+
+/**
+ * The announced endpoints.
+ *
+ * <p>Invariants: an older incarnation never replaces a newer one; an incarnation that announced that it leaves stays
+ * marked as leaving. Confined to the thread of the state machine.
+ */
+public final class EndpointTable {
+    /** How many endpoints may be announced. */
+    public static final int MAXIMUM_ENDPOINTS = 4_000;
+
+    private final TreeMap<EndpointId, EndpointRecord> endpoints = new TreeMap<>();
+    private final MembershipVersions<EndpointId> versions = new MembershipVersions<>();
+
+    /** Returns whether the table changed. */
+    boolean announce(EndpointRecord announced, long version) {
+        EndpointRecord known = endpoints.get(announced.id());
+        if (known != null && known.incarnation() > announced.incarnation()) {
+            return false;
+        }
+        boolean staysLeaving = known != null && known.incarnation() == announced.incarnation() && known.leaving();
+        EndpointRecord record = staysLeaving ? announced.asLeaving() : announced;
+        if (record.equals(known)) {
+            return false;
+        }
+        if (known == null && endpoints.size() >= MAXIMUM_ENDPOINTS) {
+            throw new ControlException(ErrorCode.TABLE_FULL, MAXIMUM_ENDPOINTS + " endpoints are announced");
+        }
+        put(record, version);
+        return true;
+    }
+
+    /** Returns whether the table changed. */
+    boolean leave(EndpointId id, long incarnation, long version) {
+        Optional<EndpointRecord> known = find(id, incarnation).filter(endpoint -> !endpoint.leaving());
+        known.ifPresent(endpoint -> put(endpoint.asLeaving(), version));
+        return known.isPresent();
+    }
+
+    /** Returns whether the table changed. */
+    boolean changeWeightVersion(EndpointId id, long incarnation, Optional<WeightVersion> held, long version) {
+        Optional<EndpointRecord> known = find(id, incarnation)
+                .filter(endpoint -> !endpoint.weightVersion().equals(held));
+        known.ifPresent(endpoint -> put(endpoint.withWeightVersion(held), version));
+        return known.isPresent();
+    }
+
+    /** Returns whether the table changed. */
+    boolean remove(EndpointId id, long incarnation, long version) {
+        Optional<EndpointRecord> known = find(id, incarnation);
+        known.ifPresent(endpoint -> {
+            endpoints.remove(id);
+            versions.removed(id, version);
+        });
+        return known.isPresent();
+    }
+
+    private void put(EndpointRecord endpoint, long version) {
+        endpoints.put(endpoint.id(), endpoint);
+        versions.changed(endpoint.id(), version);
+    }
+
+    /**
+     * Finds an endpoint.
+     *
+     * @param id the endpoint
+     * @param incarnation its incarnation
+     * @return its record, or empty if that incarnation is not announced
+     */
+    public Optional<EndpointRecord> find(EndpointId id, long incarnation) {
+        return Optional.ofNullable(endpoints.get(id)).filter(endpoint -> endpoint.incarnation() == incarnation);
+    }
+
+    /**
+     * Returns all announced endpoints.
+     *
+     * @return the records in order of their ids
+     */
+    public Collection<EndpointRecord> all() {
+        return endpoints.values();
+    }
+
+    MembershipVersions<EndpointId> versions() {
+        return versions;
+    }
+
+    Image image() {
+        return new Image(List.copyOf(endpoints.values()));
+    }
+
+    void restore(Image image, long version) {
+        endpoints.clear();
+        image.endpoints.forEach(endpoint -> endpoints.put(endpoint.id(), endpoint));
+        versions.restore(endpoints.keySet(), version);
+    }
+
+    /** The content of the table in a snapshot. Immutable. */
+    record Image(List<EndpointRecord> endpoints) {}
+}
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ExpiryQueue.java
@@ -0,0 +1,39 @@
+package io.rosemarybeam.control.state;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Keys in order of their expiry. A key that was moved to a later time stays in its old place, so the table checks its own
+ * deadline when the key is taken.
+ *
+ * <p>Not safe for use by several threads.
+ *
+ * @param <K> the key
+ */
+final class ExpiryQueue<K> {
+    private final TreeMap<Long, Set<K>> keysByTime = new TreeMap<>();
+
+    void add(long time, K key) {
+        keysByTime.computeIfAbsent(time, ignored -> new LinkedHashSet<>(1)).add(key);
+    }
+
+    List<K> take(long now) {
+        List<K> taken = new ArrayList<>();
+        while (!keysByTime.isEmpty() && keysByTime.firstKey() <= now) {
+            taken.addAll(keysByTime.pollFirstEntry().getValue());
+        }
+        return taken;
+    }
+
+    long next() {
+        return keysByTime.isEmpty() ? Long.MAX_VALUE : keysByTime.firstKey();
+    }
+
+    void clear() {
+        keysByTime.clear();
+    }
+}
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/IssuerTable.java
@@ -0,0 +1,103 @@
+package io.rosemarybeam.control.state;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.rosemarybeam.common.id.FencingNumber;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.ServiceName;
+
+/**
+ * The entry that may send orders, by service.
+ *
+ * <p>Invariant: every grant to another holder carries a larger fencing number than all before. Whether the holder's lease
+ * is live is known only to the leader. Confined to the thread of the state machine.
+ */
+public final class IssuerTable {
+    private final TreeMap<ServiceName, Issuer> issuers = new TreeMap<>();
+    private long lastFencingNumber;
+
+    /** Grants only if the issuer that the leader found lapsed is still the issuer. */
+    Issuer grant(Command.GrantIssuer command) {
+        ServiceName service = command.request().service();
+        HostName entry = command.request().entry();
+        long incarnation = command.request().entryIncarnation();
+        Issuer known = issuers.get(service);
+        FencingNumber current = fencingNumber(service);
+        if (known != null && known.isHeldBy(entry, incarnation)) {
+            return known;
+        }
+        if (!current.equals(command.expected())) {
+            return known;
+        }
+        lastFencingNumber++;
+        Issuer granted = new Issuer(service, entry, incarnation, FencingNumber.of(lastFencingNumber));
+        issuers.put(service, granted);
+        return granted;
+    }
+
+    /**
+     * Returns the fencing number of a service.
+     *
+     * @param service the service
+     * @return the number of its newest issuer, or zero
+     */
+    public FencingNumber fencingNumber(ServiceName service) {
+        return find(service).map(Issuer::fencingNumber).orElse(FencingNumber.of(0));
+    }
+
+    /**
+     * Finds the newest issuer of a service.
+     *
+     * @param service the service
+     * @return the issuer, or empty if there never was one
+     */
+    public Optional<Issuer> find(ServiceName service) {
+        return Optional.ofNullable(issuers.get(service));
+    }
+
+    /**
+     * Returns all issuers.
+     *
+     * @return the issuers in order of their services
+     */
+    public Collection<Issuer> all() {
+        return issuers.values();
+    }
+
+    Image image() {
+        return new Image(List.copyOf(issuers.values()), lastFencingNumber);
+    }
+
+    void restore(Image image) {
+        issuers.clear();
+        image.issuers.forEach(issuer -> issuers.put(issuer.service(), issuer));
+        lastFencingNumber = image.lastFencingNumber;
+    }
+
+    /**
+     * The entry that may send orders to a service. Immutable.
+     *
+     * @param service the service
+     * @param entry the entry host
+     * @param incarnation its incarnation
+     * @param fencingNumber larger than that of every former issuer
+     */
+    public record Issuer(ServiceName service, HostName entry, long incarnation, FencingNumber fencingNumber) {
+        /**
+         * Returns whether an entry is this issuer.
+         *
+         * @param asking the entry host
+         * @param askingIncarnation its incarnation
+         * @return true if both agree
+         */
+        public boolean isHeldBy(HostName asking, long askingIncarnation) {
+            return entry.equals(asking) && incarnation == askingIncarnation;
+        }
+    }
+
+    /** The content of the table in a snapshot. Immutable. */
+    record Image(List<Issuer> issuers, long lastFencingNumber) {}
+}
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/QuarantineTable.java
@@ -0,0 +1,170 @@
+package io.rosemarybeam.control.state;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.Fingerprint;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.wire.ControlReply.QuarantineState;
+import io.rosemarybeam.common.wire.EntryRequest.ReportCrash;
+
+/**
+ * The crashed endpoints with the requests that they were running, and the requests that must not run again.
+ *
+ * <p>A fingerprint is quarantined when it was in the batches of two crashed endpoints and was either alone in one of them
+ * or the only one common to both. All other fingerprints of a batch are suspects. Reports of several entries about the
+ * same incarnation of an endpoint are one crash. Confined to the thread of the state machine.
+ */
+public final class QuarantineTable {
+    /** How many fingerprints are kept in crashes and quarantine together. */
+    public static final int MAXIMUM_FINGERPRINTS = 10_000;
+
+    /** How long after it was last seen a crash or fingerprint is kept, in milliseconds. */
+    public static final long KEPT_MILLISECONDS = 60L * 60 * 1_000;
+
+    private final Map<CrashKey, Crash> crashes = new LinkedHashMap<>();
+    private final Map<FingerprintKey, Quarantined> quarantined = new LinkedHashMap<>();
+    private int fingerprints;
+
+    QuarantineState report(ReportCrash report, long now, long version) {
+        CrashKey key = new CrashKey(report.service(), report.endpoint(), report.incarnation());
+        Crash before = crashes.getOrDefault(key, new Crash(List.of(), now));
+        Set<Fingerprint> batch = new LinkedHashSet<>(before.batch);
+        batch.addAll(report.batch());
+        int added = batch.size() - before.batch.size();
+        if (fingerprints + added > MAXIMUM_FINGERPRINTS) {
+            throw new ControlException(ErrorCode.TABLE_FULL, MAXIMUM_FINGERPRINTS + " fingerprints are kept");
+        }
+        fingerprints += added;
+        crashes.put(key, new Crash(List.copyOf(batch), now));
+        for (Fingerprint fingerprint : batch) {
+            FingerprintKey named = new FingerprintKey(report.service(), fingerprint);
+            Quarantined known = quarantined.get(named);
+            if (known != null) {
+                quarantined.put(named, new Quarantined(known.version, now));
+            }
+        }
+        crashes.forEach((otherKey, other) -> {
+            if (!otherKey.equals(key) && otherKey.service.equals(key.service)) {
+                compare(key.service, batch, new LinkedHashSet<>(other.batch), now, version);
+            }
+        });
+        return stateOf(report.service(), report.batch());
+    }
+
+    private void compare(ServiceName service, Set<Fingerprint> first, Set<Fingerprint> second, long now, long version) {
+        Set<Fingerprint> common = new LinkedHashSet<>(first);
+        common.retainAll(second);
+        if (common.size() != 1) {
+            // A fingerprint that was alone in one batch is also the only common one.
+            return;
+        }
+        FingerprintKey key = new FingerprintKey(service, common.iterator().next());
+        if (!quarantined.containsKey(key)) {
+            quarantined.put(key, new Quarantined(version, now));
+            fingerprints++;
+        }
+    }
+
+    private QuarantineState stateOf(ServiceName service, List<Fingerprint> batch) {
+        List<Fingerprint> refused = new ArrayList<>();
+        List<Fingerprint> suspects = new ArrayList<>();
+        for (Fingerprint fingerprint : batch) {
+            boolean isQuarantined = quarantined.containsKey(new FingerprintKey(service, fingerprint));
+            (isQuarantined ? refused : suspects).add(fingerprint);
+        }
+        return new QuarantineState(refused, suspects);
+    }
+
+    void expire(long now) {
+        long oldest = now - KEPT_MILLISECONDS;
+        crashes.values().removeIf(crash -> {
+            boolean old = crash.lastSeen <= oldest;
+            fingerprints -= old ? crash.batch.size() : 0;
+            return old;
+        });
+        quarantined.values().removeIf(line -> {
+            boolean old = line.lastSeen <= oldest;
+            fingerprints -= old ? 1 : 0;
+            return old;
+        });
+    }
+
+    /**
+     * Returns when the oldest line expires.
+     *
+     * @return the time, in milliseconds, or {@link Long#MAX_VALUE}
+     */
+    public long nextExpiry() {
+        long next = Long.MAX_VALUE;
+        for (Crash crash : crashes.values()) {
+            next = Math.min(next, crash.lastSeen + KEPT_MILLISECONDS);
+        }
+        for (Quarantined line : quarantined.values()) {
+            next = Math.min(next, line.lastSeen + KEPT_MILLISECONDS);
+        }
+        return next;
+    }
+
+    /**
+     * Returns the fingerprints that were quarantined after a version.
+     *
+     * @param version version of the quarantine that the asker knows; zero for all
+     * @return the fingerprints as {@code service/fingerprint}
+     */
+    public List<String> quarantinedSince(long version) {
+        return quarantined.entrySet().stream()
+                .filter(entry -> entry.getValue().version > version)
+                .map(entry -> entry.getKey().service + "/" + entry.getKey().fingerprint)
+                .toList();
+    }
+
+    Image image() {
+        List<CrashLine> crashLines = crashes.entrySet().stream()
+                .map(entry -> new CrashLine(entry.getKey(), entry.getValue()))
+                .toList();
+        List<QuarantineLine> quarantineLines = quarantined.entrySet().stream()
+                .map(entry -> new QuarantineLine(entry.getKey(), entry.getValue()))
+                .toList();
+        return new Image(crashLines, quarantineLines);
+    }
+
+    void restore(Image image) {
+        crashes.clear();
+        quarantined.clear();
+        fingerprints = image.quarantined.size();
+        for (CrashLine line : image.crashes) {
+            crashes.put(line.key, line.crash);
+            fingerprints += line.crash.batch.size();
+        }
+        image.quarantined.forEach(line -> quarantined.put(line.key, line.line));
+    }
+
+    /** Names a crash. Immutable. */
+    record CrashKey(ServiceName service, EndpointId endpoint, long incarnation) {}
+
+    /** What a crashed endpoint was running. Immutable. */
+    record Crash(List<Fingerprint> batch, long lastSeen) {}
+
+    /** Names a request of a service. Immutable. */
+    record FingerprintKey(ServiceName service, Fingerprint fingerprint) {}
+
+    /** A quarantined request. Immutable. */
+    record Quarantined(long version, long lastSeen) {}
+
+    /** A crash in a snapshot. Immutable. */
+    record CrashLine(CrashKey key, Crash crash) {}
+
+    /** A quarantined request in a snapshot. Immutable. */
+    record QuarantineLine(FingerprintKey key, Quarantined line) {}
+
+    /** The content of the table in a snapshot. Immutable. */
+    record Image(List<CrashLine> crashes, List<QuarantineLine> quarantined) {}
+}
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/StepTable.java
@@ -0,0 +1,191 @@
+package io.rosemarybeam.control.state;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.StepId;
+import io.rosemarybeam.common.id.TrainerName;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.EntryRequest;
+import io.rosemarybeam.common.wire.MessageCodec;
+import io.rosemarybeam.common.wire.StepRecords.StepSnapshot;
+import io.rosemarybeam.common.wire.StepRecords.StepSpecification;
+import org.apache.commons.codec.digest.DigestUtils;
+
+/**
+ * The training steps.
+ *
+ * <p>A step is open until every sample is acknowledged; after that it is kept for an hour so that a repeated request
+ * finds it. Confined to the thread of the state machine.
+ */
+public final class StepTable {
+    /** How many steps may be open. */
+    public static final int MAXIMUM_OPEN_STEPS = 64;
+
+    /** How many samples a step may have. */
+    public static final int MAXIMUM_SAMPLES = 4_096;
+
+    /** How many steps with all samples acknowledged are kept. */
+    public static final int MAXIMUM_FINISHED_STEPS = 1_024;
+
+    /** How long a finished step is kept, in milliseconds. */
+    public static final long FINISHED_MILLISECONDS = 60L * 60 * 1_000;
+
+    /** How long an open step without any activity is kept, in milliseconds. */
+    public static final long ABANDONED_MILLISECONDS = 24L * 60 * 60 * 1_000;
+
+    private final Map<Key, Step> steps = new LinkedHashMap<>();
+    private final WeightTable weights;
+
+    StepTable(WeightTable weights) {
+        this.weights = weights;
+    }
+
+    StepSnapshot open(EntryRequest.OpenStep request, long now) {
+        StepSpecification specification = request.specification();
+        Key key = new Key(specification.trainer(), specification.step());
+        String digest = DigestUtils.sha256Hex(MessageCodec.encode(specification));
+        Step known = steps.get(key);
+        if (known == null) {
+            checkRoom(specification);
+            known = new Step(request, digest, now);
+            steps.put(key, known);
+        } else if (!known.digest().equals(digest)) {
+            throw new ControlException(
+                    ErrorCode.STEP_CONFLICT, key.step + " of " + key.trainer + " has another specification");
+        }
+        return snapshot(known);
+    }
+
+    private void checkRoom(StepSpecification specification) {
+        int samples = specification.sampleCount();
+        if (samples < 1 || samples > MAXIMUM_SAMPLES) {
+            throw new ControlException(
+                    ErrorCode.REQUEST_INVALID, samples + " samples; a step has 1 to " + MAXIMUM_SAMPLES);
+        }
+        long finished = steps.values().stream().filter(Step::isFinished).count();
+        if (steps.size() - finished >= MAXIMUM_OPEN_STEPS) {
+            throw new ControlException(ErrorCode.TABLE_FULL, MAXIMUM_OPEN_STEPS + " steps are open");
+        }
+        if (finished >= MAXIMUM_FINISHED_STEPS) {
+            throw new ControlException(ErrorCode.TABLE_FULL, MAXIMUM_FINISHED_STEPS + " finished steps are kept");
+        }
+    }
+
+    /** Changes the owner only if the owner that the leader found gone is still the owner. */
+    StepSnapshot take(Command.TakeStep command, long now) {
+        EntryRequest.TakeStep request = command.request();
+        Step step = step(request.trainer(), request.step());
+        if (step.ownerEpoch() == command.expectedEpoch()) {
+            step.take(request.entry(), now);
+        }
+        return snapshot(step);
+    }
+
+    void commit(EntryRequest.CommitSamples request, long now) {
+        step(request.trainer(), request.step()).commit(request, now);
+    }
+
+    void recordHandOver(EntryRequest.RecordHandOver request, long now) {
+        step(request.trainer(), request.step()).recordHandOver(request, now);
+    }
+
+    void acknowledge(EntryRequest.AcknowledgeHandOver request, long now) {
+        step(request.trainer(), request.step()).acknowledge(request.cursor(), now);
+    }
+
+    private Step step(TrainerName trainer, StepId id) {
+        Step step = steps.get(new Key(trainer, id));
+        if (step == null) {
+            throw new ControlException(ErrorCode.STEP_UNKNOWN, id + " of " + trainer);
+        }
+        return step;
+    }
+
+    private StepSnapshot snapshot(Step step) {
+        StepSpecification specification = step.specification();
+        Optional<WeightVersion> published = weights.of(specification.trainer(), specification.service());
+        return step.snapshot(published);
+    }
+
+    /**
+     * Finds a step.
+     *
+     * @param trainer the trainer
+     * @param step the step
+     * @return its state, or empty if it is not known
+     */
+    public Optional<StepSnapshot> find(TrainerName trainer, StepId step) {
+        return Optional.ofNullable(steps.get(new Key(trainer, step))).map(this::snapshot);
+    }
+
+    void expire(long now) {
+        steps.values().removeIf(step -> expiry(step) <= now);
+    }
+
+    private static long expiry(Step step) {
+        return step.lastActivity() + (step.isFinished() ? FINISHED_MILLISECONDS : ABANDONED_MILLISECONDS);
+    }
+
+    /**
+     * Returns when the next step expires.
+     *
+     * @return the time, in milliseconds, or {@link Long#MAX_VALUE}
+     */
+    public long nextExpiry() {
+        return steps.values().stream().mapToLong(StepTable::expiry).min().orElse(Long.MAX_VALUE);
+    }
+
+    /**
+     * Returns a line for every step.
+     *
+     * @return text for dumps
+     */
+    public List<Summary> summaries() {
+        return steps.entrySet().stream()
+                .map(entry -> new Summary(
+                        entry.getKey().trainer,
+                        entry.getKey().step,
+                        entry.getValue().owner(),
+                        entry.getValue().ownerEpoch(),
+                        entry.getValue().sampleCount(),
+                        entry.getValue().isFinished()))
+                .toList();
+    }
+
+    Image image() {
+        return new Image(steps.values().stream().map(Step::image).toList());
+    }
+
+    void restore(Image image) {
+        steps.clear();
+        for (Step.Image line : image.steps) {
+            StepSpecification specification = line.snapshot().specification();
+            steps.put(new Key(specification.trainer(), specification.step()), new Step(line));
+        }
+    }
+
+    /** Names a step. Immutable. */
+    record Key(TrainerName trainer, StepId step) {}
+
+    /**
+     * What a dump shows of a step. Immutable.
+     *
+     * @param trainer the trainer
+     * @param step the step
+     * @param owner the entry host that works on it
+     * @param ownerEpoch epoch of the owner
+     * @param samples how many samples it has
+     * @param finished whether all samples are acknowledged
+     */
+    public record Summary(
+            TrainerName trainer, StepId step, HostName owner, long ownerEpoch, int samples, boolean finished) {}
+
+    /** The content of the table in a snapshot. Immutable. */
+    record Image(List<Step.Image> steps) {}
+}
