Work on training steps and weight rollouts in the decision cores

The entry needs cores that it can wire.

Interface changes: CommitSamples/CommitAnswered and StoreBodies/BodiesStored carry an id, because a late answer to an earlier commit of the same sample would otherwise confirm its replacement.

--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/IssuerSystem.java
@@ -0,0 +1,72 @@
+package io.rosemarybeam.decision.rollout;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.decision.rollout.RolloutInput.IssuerGranted;
+import io.rosemarybeam.decision.rollout.RolloutTables.ServiceEntity;
+
+/**
+ * Acquires and renews the right to send orders while a service needs orders.
+ *
+ * <p>Invariant: the right is never used after the time until which it was granted. Confined to the thread of the core.
+ */
+final class IssuerSystem {
+    /** Delay per rank among the entries, so that usually one entry asks instead of all. */
+    private static final long RANK_DELAY_MILLISECONDS = 1_000;
+
+    private final RolloutTables tables;
+
+    IssuerSystem(RolloutTables tables) {
+        this.tables = tables;
+    }
+
+    void granted(IssuerGranted granted) {
+        ServiceEntity service = tables.service(granted.service());
+        service.asking = false;
+        if (service.fencingNumber != null && granted.fencingNumber().compareTo(service.fencingNumber) < 0) {
+            return;
+        }
+        if (!granted.fencingNumber().equals(service.fencingNumber)) {
+            service.validUntilMilliseconds = Long.MIN_VALUE;
+        }
+        service.fencingNumber = granted.fencingNumber();
+        service.validUntilMilliseconds = Math.max(service.validUntilMilliseconds, granted.validUntilMilliseconds());
+    }
+
+    void denied(ServiceName name) {
+        tables.service(name).asking = false;
+    }
+
+    void run(long now, ServiceName name, boolean needed, List<RolloutCommand> commands) {
+        ServiceEntity service = tables.service(name);
+        if (!needed || tables.draining) {
+            service.neededSinceMilliseconds = -1;
+            return;
+        }
+        if (service.neededSinceMilliseconds < 0) {
+            service.neededSinceMilliseconds = now;
+        }
+        boolean turn =
+                service.isIssuer(now) || now >= service.neededSinceMilliseconds + rank(name) * RANK_DELAY_MILLISECONDS;
+        boolean due = service.askedAtMilliseconds == Long.MIN_VALUE
+                || now >= service.askedAtMilliseconds + tables.settings.renewMilliseconds();
+        if (turn && due) {
+            service.asking = true;
+            service.askedAtMilliseconds = now;
+            commands.add(new RolloutCommand.AcquireIssuer(name));
+        }
+    }
+
+    private long rank(ServiceName name) {
+        Comparator<HostName> order = Comparator.comparingInt(
+                        (HostName host) -> Objects.hash(name.value(), host.value()))
+                .thenComparing(Comparator.naturalOrder());
+        return tables.entryHosts.stream()
+                .filter(host -> order.compare(host, tables.settings.entry()) < 0)
+                .count();
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/RoleSystem.java
@@ -0,0 +1,90 @@
+package io.rosemarybeam.decision.rollout;
+
+import java.util.List;
+
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.decision.rollout.RolloutCommand.OrderKind;
+import io.rosemarybeam.decision.rollout.RolloutInput.OrderAnswered;
+import io.rosemarybeam.decision.rollout.RolloutTables.EndpointEntity;
+import io.rosemarybeam.decision.rollout.RolloutTables.RoleEntity;
+import io.rosemarybeam.decision.rollout.RolloutTables.ServiceEntity;
+
+/**
+ * Orders the roles of the operator text.
+ *
+ * <p>Invariant: an endpoint that took a role gets no further order for it until it restarts or the text names another
+ * role. Confined to the thread of the core.
+ */
+final class RoleSystem {
+    private static final long FIRST_BACKOFF_MILLISECONDS = 1_000;
+    private static final long MAXIMUM_BACKOFF_MILLISECONDS = 30_000;
+
+    private final RolloutTables tables;
+
+    RoleSystem(RolloutTables tables) {
+        this.tables = tables;
+    }
+
+    boolean isNeeded(List<EndpointEntity> endpoints) {
+        return endpoints.stream().anyMatch(endpoint -> lags(endpoint));
+    }
+
+    void answered(long now, EndpointEntity endpoint, OrderAnswered answered) {
+        RoleEntity role = endpoint.role;
+        if (role.order != answered.order() || role.order == 0) {
+            return;
+        }
+        role.order = 0;
+        if (answered.succeeded()) {
+            role.taken = role.ordered;
+            role.failures = 0;
+        } else {
+            fail(now, role);
+        }
+    }
+
+    void run(long now, ServiceName name, List<EndpointEntity> endpoints, List<RolloutCommand> commands) {
+        ServiceEntity service = tables.service(name);
+        for (EndpointEntity endpoint : endpoints) {
+            RoleEntity role = endpoint.role;
+            if (role.order != 0 && now >= role.deadlineMilliseconds) {
+                role.order = 0;
+                fail(now, role);
+            }
+            long lapse = service.validUntilMilliseconds - 1;
+            long notAfter =
+                    endpoint.record.checksFencing() ? lapse : lapse - tables.settings.orderTimeoutMilliseconds();
+            boolean underway = role.order != 0 && role.ordered.equals(wanted(endpoint));
+            if (lags(endpoint) && !underway && now >= role.notBeforeMilliseconds && now <= notAfter) {
+                role.order = tables.nextOrder();
+                role.ordered = wanted(endpoint);
+                role.deadlineMilliseconds = now + 2 * tables.settings.orderTimeoutMilliseconds();
+                commands.add(new RolloutCommand.SendOrder(
+                        role.order,
+                        endpoint.record.id(),
+                        endpoint.record.address(),
+                        OrderKind.SET_ROLE,
+                        role.ordered,
+                        service.fencingNumber,
+                        notAfter));
+            }
+        }
+    }
+
+    private boolean lags(EndpointEntity endpoint) {
+        String wanted = wanted(endpoint);
+        return !wanted.isEmpty() && !wanted.equals(endpoint.role.taken);
+    }
+
+    private String wanted(EndpointEntity endpoint) {
+        return tables.configuration
+                .map(current -> current.endpointRoles().getOrDefault(endpoint.record.id(), ""))
+                .orElse("");
+    }
+
+    private static void fail(long now, RoleEntity role) {
+        long backoff = FIRST_BACKOFF_MILLISECONDS << Math.min(role.failures, 10);
+        role.failures++;
+        role.notBeforeMilliseconds = now + Math.min(backoff, MAXIMUM_BACKOFF_MILLISECONDS);
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/RolloutCommand.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/RolloutCommand.java
@@ -13,6 +13,14 @@
      */
     record AcquireIssuer(ServiceName service) implements RolloutCommand {}
 
+    /**
+     * Tells the request core whether an endpoint may get work while its weights are swapped.
+     *
+     * @param endpoint the endpoint
+     * @param inService whether it may get work
+     */
+    record SetAvailability(EndpointId endpoint, boolean inService) implements RolloutCommand {}
+
     /** What an endpoint is ordered to do. */
     enum OrderKind {
         /** Load a weight version. */
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/RolloutCore.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/RolloutCore.java
@@ -9,6 +9,16 @@
  * <p>Invariant: deterministic; time, randomness and I/O come from outside. Confined to one thread.
  */
 public interface RolloutCore {
+    /**
+     * Returns a core that knows no endpoint yet.
+     *
+     * @param settings how it paces its orders
+     * @return the core
+     */
+    static RolloutCore of(RolloutCoreSettings settings) {
+        return new DefaultRolloutCore(settings);
+    }
+
     /**
      * Takes an input and runs all systems.
      *
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/RolloutTables.java
@@ -0,0 +1,169 @@
+package io.rosemarybeam.decision.rollout;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import io.rosemarybeam.common.configuration.OperatorConfiguration;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FencingNumber;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.wire.EndpointRecord;
+import io.rosemarybeam.common.wire.MembershipDelta;
+
+/** The tables that the systems of the rollout core share. Confined to the thread of the core. */
+final class RolloutTables {
+    /** A row of the endpoint table. */
+    static final class EndpointEntity {
+        EndpointRecord record;
+        SwapEntity swap;
+        int swapFailures;
+        long notBeforeMilliseconds;
+        boolean outOfService;
+        long inServiceNotBeforeMilliseconds;
+        RoleEntity role = new RoleEntity();
+
+        EndpointEntity(EndpointRecord record) {
+            this.record = record;
+        }
+
+        boolean isWhole() {
+            return record.weightVersion().isPresent();
+        }
+
+        long version() {
+            return record.weightVersion().map(version -> version.value()).orElse(-1L);
+        }
+    }
+
+    /** An order to load weights whose effect is not reported yet. */
+    static final class SwapEntity {
+        final long order;
+        final long version;
+        final long deadlineMilliseconds;
+
+        SwapEntity(long order, long version, long deadlineMilliseconds) {
+            this.order = order;
+            this.version = version;
+            this.deadlineMilliseconds = deadlineMilliseconds;
+        }
+    }
+
+    /** The role of an endpoint as far as it is ordered. */
+    static final class RoleEntity {
+        String taken = "";
+        String ordered = "";
+        long order;
+        long deadlineMilliseconds;
+        long notBeforeMilliseconds;
+        int failures;
+    }
+
+    /** A row of the service table. */
+    static final class ServiceEntity {
+        long publishedVersion = -1;
+        FencingNumber fencingNumber;
+        long validUntilMilliseconds = Long.MIN_VALUE;
+        long askedAtMilliseconds = Long.MIN_VALUE;
+        boolean asking;
+        long neededSinceMilliseconds = -1;
+        long nextFetchAtMilliseconds = Long.MIN_VALUE;
+
+        boolean isIssuer(long now) {
+            return fencingNumber != null && now < validUntilMilliseconds;
+        }
+    }
+
+    final RolloutCoreSettings settings;
+    final TreeMap<EndpointId, EndpointEntity> endpoints = new TreeMap<>();
+    final TreeMap<ServiceName, ServiceEntity> services = new TreeMap<>();
+    final TreeSet<HostName> entryHosts = new TreeSet<>();
+    Optional<OperatorConfiguration> configuration = Optional.empty();
+    boolean draining;
+    private long lastOrder;
+
+    RolloutTables(RolloutCoreSettings settings) {
+        this.settings = settings;
+    }
+
+    long nextOrder() {
+        lastOrder++;
+        return lastOrder;
+    }
+
+    ServiceEntity service(ServiceName name) {
+        return services.computeIfAbsent(name, unused -> new ServiceEntity());
+    }
+
+    /** Returns the endpoints of each service that neither leave nor drain, in order of their ids. */
+    Map<ServiceName, List<EndpointEntity>> eligible() {
+        Map<ServiceName, List<EndpointEntity>> eligible = new TreeMap<>();
+        for (EndpointEntity endpoint : endpoints.values()) {
+            boolean draining = configuration
+                    .map(current -> current.drainingEndpoints().contains(endpoint.record.id()))
+                    .orElse(false);
+            if (!draining && !endpoint.record.leaving()) {
+                eligible.computeIfAbsent(endpoint.record.service(), unused -> new ArrayList<>())
+                        .add(endpoint);
+            }
+        }
+        return eligible;
+    }
+
+    void apply(MembershipDelta delta) {
+        if (delta.isFull()) {
+            entryHosts.clear();
+            TreeSet<EndpointId> present = new TreeSet<>();
+            delta.endpoints().forEach(record -> present.add(record.id()));
+            endpoints.keySet().retainAll(present);
+        }
+        for (EndpointRecord record : delta.endpoints()) {
+            EndpointEntity known = endpoints.get(record.id());
+            if (known != null && record.incarnation() < known.record.incarnation()) {
+                continue;
+            }
+            if (known == null || record.incarnation() > known.record.incarnation()) {
+                EndpointEntity restarted = new EndpointEntity(record);
+                restarted.outOfService = known != null && known.outOfService;
+                endpoints.put(record.id(), restarted);
+            } else {
+                known.record = record;
+            }
+        }
+        delta.removedEndpoints().forEach(endpoints::remove);
+        delta.entryHosts().forEach(host -> entryHosts.add(host.name()));
+        delta.removedEntryHosts().forEach(entryHosts::remove);
+    }
+
+    Map<String, Object> dump() {
+        Map<String, Object> dumpedServices = new TreeMap<>();
+        services.forEach((name, service) -> {
+            Map<String, Object> row = new LinkedHashMap<>();
+            row.put("publishedVersion", service.publishedVersion);
+            row.put("fencingNumber", service.fencingNumber == null ? -1 : service.fencingNumber.value());
+            row.put("validUntilMilliseconds", service.validUntilMilliseconds);
+            dumpedServices.put(name.toString(), row);
+        });
+        Map<String, Object> dumpedEndpoints = new TreeMap<>();
+        endpoints.forEach((id, endpoint) -> {
+            Map<String, Object> row = new HashMap<>();
+            row.put("reportedVersion", endpoint.version());
+            row.put("orderedVersion", endpoint.swap == null ? -1 : endpoint.swap.version);
+            row.put("failures", endpoint.swapFailures);
+            row.put("outOfService", endpoint.outOfService);
+            row.put("role", endpoint.role.taken);
+            dumpedEndpoints.put(id.toString(), new TreeMap<>(row));
+        });
+        Map<String, Object> dump = new LinkedHashMap<>();
+        dump.put("services", dumpedServices);
+        dump.put("endpoints", dumpedEndpoints);
+        dump.put("draining", draining);
+        return dump;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/CommitSystem.java
@@ -0,0 +1,91 @@
+package io.rosemarybeam.decision.step;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.wire.StepRecords.SampleCommit;
+import io.rosemarybeam.decision.step.SampleEntity.Status;
+import io.rosemarybeam.decision.step.StepEntity.CommitBatch;
+import io.rosemarybeam.decision.step.StepInput.CommitAnswered;
+
+/**
+ * Commits copied winners in batches.
+ *
+ * <p>Invariant: a step has at most one unconfirmed commit, which is repeated unchanged, because an earlier sending of it
+ * may have taken effect. Confined to the thread of the core.
+ */
+final class CommitSystem {
+    private static final int MAXIMUM_BATCH = 256;
+    private static final long TIMEOUT_MILLISECONDS = 2_000;
+    private static final long BACKOFF_MILLISECONDS = 200;
+
+    private final StepTables tables;
+
+    CommitSystem(StepTables tables) {
+        this.tables = tables;
+    }
+
+    void answered(long now, CommitAnswered answered) {
+        StepEntity step = tables.steps.get(answered.step());
+        if (step == null || step.commitBatch == null || step.commitBatch.id != answered.commit()) {
+            return;
+        }
+        if (!answered.committed()) {
+            step.commitBatch.dueAtMilliseconds = now + BACKOFF_MILLISECONDS;
+            return;
+        }
+        for (SampleCommit commit : step.commitBatch.samples) {
+            SampleEntity sample = step.samples.get(commit.index());
+            sample.committed = commit;
+            step.move(sample, Status.COMMITTED);
+        }
+        step.commitBatch = null;
+        step.checkedOldestPermitted = -1;
+    }
+
+    void run(long now, List<StepCommand> commands) {
+        for (StepEntity step : tables.steps.values()) {
+            if (step.commitBatch != null) {
+                repeat(now, step, commands);
+            }
+            if (step.commitBatch == null && step.count(Status.COPIED) > 0) {
+                start(now, step, commands);
+            }
+        }
+    }
+
+    private void repeat(long now, StepEntity step, List<StepCommand> commands) {
+        if (step.commitBatch.samples.isEmpty()) {
+            step.commitBatch = null;
+        } else if (now >= step.commitBatch.dueAtMilliseconds) {
+            send(now, step, commands);
+        }
+    }
+
+    private void start(long now, StepEntity step, List<StepCommand> commands) {
+        List<SampleEntity> copied = step.with(Status.COPIED);
+        boolean replacing = copied.getFirst().committed != null;
+        List<SampleCommit> samples = copied.stream()
+                .filter(sample -> (sample.committed != null) == replacing)
+                .limit(MAXIMUM_BATCH)
+                .map(this::commit)
+                .toList();
+        step.commitBatch = new CommitBatch(tables.nextCommandId(), replacing, samples);
+        send(now, step, commands);
+    }
+
+    private void send(long now, StepEntity step, List<StepCommand> commands) {
+        CommitBatch batch = step.commitBatch;
+        batch.dueAtMilliseconds = now + TIMEOUT_MILLISECONDS;
+        commands.add(new StepCommand.CommitSamples(
+                batch.id, step.key, step.ownerEpoch, List.copyOf(batch.samples), batch.replacing));
+    }
+
+    private SampleCommit commit(SampleEntity sample) {
+        List<HostName> holders = new ArrayList<>();
+        holders.add(tables.settings.entry());
+        holders.addAll(sample.copies);
+        return new SampleCommit(sample.index, sample.body.digest(), sample.body.spans(), holders);
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/GenerationSystem.java
@@ -0,0 +1,160 @@
+package io.rosemarybeam.decision.step;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.wire.PeerRequest.SampleBody;
+import io.rosemarybeam.common.wire.StepRecords.VersionSpan;
+import io.rosemarybeam.decision.step.SampleEntity.AttemptEntity;
+import io.rosemarybeam.decision.step.SampleEntity.Status;
+import io.rosemarybeam.decision.step.StepEntity.GroupEntity;
+import io.rosemarybeam.decision.step.StepInput.SampleFailed;
+import io.rosemarybeam.decision.step.StepInput.SampleGenerated;
+import io.rosemarybeam.decision.step.StepInput.SampleProgressed;
+import io.rosemarybeam.decision.step.StepTables.Running;
+
+/**
+ * Takes the results of attempts, chooses the winner of each sample and drops what has become too old.
+ *
+ * <p>Invariant: a sample has at most one winner at a time, and its spans are stamped, in order and fresh. Confined to the
+ * thread of the core.
+ */
+final class GenerationSystem {
+    private static final long FIRST_BACKOFF_MILLISECONDS = 200;
+    private static final long MAXIMUM_BACKOFF_MILLISECONDS = 30_000;
+
+    /** How long after its deadline an attempt without any result counts as failed. */
+    private static final long OVERDUE_MILLISECONDS = 5_000;
+
+    private final StepTables tables;
+
+    GenerationSystem(StepTables tables) {
+        this.tables = tables;
+    }
+
+    void progressed(long now, SampleProgressed progressed) {
+        Running running = tables.running.get(progressed.request());
+        if (running == null) {
+            return;
+        }
+        AttemptEntity attempt = running.attempt();
+        if (!progressed.endpoint().equals(attempt.endpoint)) {
+            attempt.endpoint = progressed.endpoint();
+            attempt.firstProgressAtMilliseconds = now;
+            attempt.firstTokens = progressed.tokens();
+        }
+        attempt.tokens = Math.max(attempt.tokens, progressed.tokens());
+        attempt.progressedAtMilliseconds = now;
+    }
+
+    void generated(long now, SampleGenerated generated, List<StepCommand> commands) {
+        Running running = tables.running.remove(generated.request());
+        if (running == null) {
+            return;
+        }
+        StepEntity step = running.step();
+        SampleEntity sample = running.sample();
+        sample.attempts.remove(running.attempt());
+        if (!isConsistent(step, generated.spans())) {
+            postpone(now, step, sample, 0);
+            return;
+        }
+        if (tables.isStale(step, generated.spans())) {
+            requeue(step, sample);
+            return;
+        }
+        tables.cancelAttempts(sample, commands);
+        sample.body = new SampleBody(sample.index, generated.digest(), generated.text(), generated.spans(), Double.NaN);
+        sample.failures = 0;
+        sample.clearCommand();
+        GroupEntity group = step.groups.get(sample.group);
+        group.samples++;
+        group.tokens += SampleEntity.tokens(generated.spans());
+        step.move(sample, Status.GENERATED);
+    }
+
+    void failed(long now, SampleFailed failed) {
+        Running running = tables.running.remove(failed.request());
+        if (running == null) {
+            return;
+        }
+        running.sample().attempts.remove(running.attempt());
+        postpone(now, running.step(), running.sample(), failed.retryAfterMilliseconds());
+    }
+
+    void run(long now, List<StepCommand> commands) {
+        List<RequestId> overdue = new ArrayList<>();
+        tables.running.forEach((request, running) -> {
+            if (now > running.attempt().deadlineMilliseconds + OVERDUE_MILLISECONDS) {
+                overdue.add(request);
+            }
+        });
+        overdue.sort(null);
+        for (RequestId request : overdue) {
+            Running running = tables.running.remove(request);
+            running.sample().attempts.remove(running.attempt());
+            commands.add(new StepCommand.CancelSample(request));
+            postpone(now, running.step(), running.sample(), 0);
+        }
+        for (StepEntity step : tables.steps.values()) {
+            tables.oldestPermitted(step).ifPresent(oldest -> dropStale(step, oldest, commands));
+        }
+    }
+
+    private void dropStale(StepEntity step, long oldest, List<StepCommand> commands) {
+        if (step.checkedOldestPermitted == oldest) {
+            return;
+        }
+        step.checkedOldestPermitted = oldest;
+        for (SampleEntity sample : step.with(Status.RUNNING)) {
+            // An endpoint starts on a version that was in service at the time, so such an attempt cannot be fresh.
+            if (sample.attempts.stream().allMatch(attempt -> attempt.newestAtStart.value() < oldest)) {
+                tables.regenerate(step, sample, commands);
+            }
+        }
+        for (Status status : List.of(Status.GENERATED, Status.SCORED, Status.COPIED, Status.COMMITTED)) {
+            for (SampleEntity sample : step.with(status)) {
+                if (!sample.delivered
+                        && !step.isCommitting(sample)
+                        && SampleEntity.oldestVersion(sample.body.spans()) < oldest) {
+                    tables.regenerate(step, sample, commands);
+                }
+            }
+        }
+        for (SampleEntity sample : step.with(Status.FETCHING)) {
+            if (!sample.delivered && SampleEntity.oldestVersion(sample.committed.spans()) < oldest) {
+                tables.regenerate(step, sample, commands);
+            }
+        }
+    }
+
+    private boolean isConsistent(StepEntity step, List<VersionSpan> spans) {
+        if (spans.isEmpty()) {
+            return false;
+        }
+        long newest = Math.max(tables.newestVersion(step).value(), tables.trainerVersion(step));
+        long previous = 0;
+        for (VersionSpan span : spans) {
+            if (span.tokens() <= 0 || span.version().value() < previous) {
+                return false;
+            }
+            previous = span.version().value();
+        }
+        return previous <= newest;
+    }
+
+    private void postpone(long now, StepEntity step, SampleEntity sample, long retryAfterMilliseconds) {
+        long backoff = FIRST_BACKOFF_MILLISECONDS << Math.min(sample.failures, 10);
+        sample.failures++;
+        sample.notBeforeMilliseconds =
+                now + Math.max(retryAfterMilliseconds, Math.min(backoff, MAXIMUM_BACKOFF_MILLISECONDS));
+        requeue(step, sample);
+    }
+
+    private void requeue(StepEntity step, SampleEntity sample) {
+        if (sample.attempts.isEmpty() && sample.status == Status.RUNNING) {
+            step.move(sample, Status.PENDING);
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/SampleEntity.java
@@ -0,0 +1,131 @@
+package io.rosemarybeam.decision.step;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.PeerRequest.SampleBody;
+import io.rosemarybeam.common.wire.StepRecords.SampleCommit;
+import io.rosemarybeam.common.wire.StepRecords.VersionSpan;
+
+/**
+ * A row of the sample table.
+ *
+ * <p>Invariant: a body is present in every status from {@link Status#GENERATED} to {@link Status#COMMITTED}, and the body
+ * does not change while a commit of it may be under way. Confined to the thread of the core.
+ */
+final class SampleEntity {
+    /** How far a sample has come. */
+    enum Status {
+        /** Waits to be submitted. */
+        PENDING,
+        /** At least one attempt runs. */
+        RUNNING,
+        /** Waits for its score. */
+        GENERATED,
+        /** Waits to be copied to a peer. */
+        SCORED,
+        /** Waits to be committed. */
+        COPIED,
+        /** Is committed and its body is here. */
+        COMMITTED,
+        /** Is committed and its body is wanted from a holder. */
+        FETCHING,
+        /** Was acknowledged by the trainer. */
+        ACKNOWLEDGED
+    }
+
+    /** A run of a sample. */
+    static final class AttemptEntity {
+        final RequestId request;
+        final long startedAtMilliseconds;
+        final long deadlineMilliseconds;
+        final WeightVersion newestAtStart;
+        final boolean duplicate;
+        EndpointId endpoint;
+        int tokens;
+        long firstProgressAtMilliseconds;
+        int firstTokens;
+        long progressedAtMilliseconds;
+
+        AttemptEntity(
+                RequestId request,
+                long startedAtMilliseconds,
+                long deadlineMilliseconds,
+                WeightVersion newestAtStart,
+                boolean duplicate) {
+            this.request = request;
+            this.startedAtMilliseconds = startedAtMilliseconds;
+            this.deadlineMilliseconds = deadlineMilliseconds;
+            this.newestAtStart = newestAtStart;
+            this.duplicate = duplicate;
+        }
+    }
+
+    final int index;
+    final int group;
+    final String prompt;
+    final int maximumTokens;
+    final List<AttemptEntity> attempts = new ArrayList<>();
+    final Set<HostName> copies = new LinkedHashSet<>();
+    final Set<HostName> unanswered = new LinkedHashSet<>();
+    Status status = Status.PENDING;
+    SampleBody body;
+    SampleCommit committed;
+    long cursor;
+
+    /** Whether the trainer may hold the body; from then on only its loss replaces it. */
+    boolean delivered;
+
+    long notBeforeMilliseconds;
+    int failures;
+    long commandId;
+    long commandSentAtMilliseconds;
+    HostName commandPeer;
+    int fetchRounds;
+
+    SampleEntity(int index, int group, String prompt, int maximumTokens) {
+        this.index = index;
+        this.group = group;
+        this.prompt = prompt;
+        this.maximumTokens = maximumTokens;
+    }
+
+    static boolean isBodyOf(SampleBody body, SampleCommit commit) {
+        return body != null
+                && body.digest().equals(commit.digest())
+                && body.spans().equals(commit.spans());
+    }
+
+    static long oldestVersion(List<VersionSpan> spans) {
+        return spans.stream()
+                .mapToLong(span -> span.version().value())
+                .min()
+                .orElseThrow(
+                        () -> new IllegalArgumentException("a sample without version spans has no oldest version"));
+    }
+
+    static int tokens(List<VersionSpan> spans) {
+        return spans.stream().mapToInt(VersionSpan::tokens).sum();
+    }
+
+    void clearCommand() {
+        commandId = 0;
+        commandSentAtMilliseconds = 0;
+        commandPeer = null;
+    }
+
+    void clearBody() {
+        body = null;
+        delivered = false;
+        copies.clear();
+        unanswered.clear();
+        fetchRounds = 0;
+        clearCommand();
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepCommand.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepCommand.java
@@ -69,11 +69,12 @@
     /**
      * Stores copies of bodies on a peer.
      *
+     * @param store names this command in its answer
      * @param step the step
      * @param peer the peer
      * @param bodies the bodies
      */
-    record StoreBodies(StepKey step, HostName peer, List<SampleBody> bodies) implements StepCommand {}
+    record StoreBodies(long store, StepKey step, HostName peer, List<SampleBody> bodies) implements StepCommand {}
 
     /**
      * Fetches copies of bodies from a peer.
@@ -96,12 +97,13 @@
     /**
      * Commits winners.
      *
+     * @param commit names this command in its answer
      * @param step the step
      * @param ownerEpoch epoch of this owner
      * @param samples the winners
      * @param replacing whether they replace winners that are lost or too old
      */
-    record CommitSamples(StepKey step, long ownerEpoch, List<SampleCommit> samples, boolean replacing)
+    record CommitSamples(long commit, StepKey step, long ownerEpoch, List<SampleCommit> samples, boolean replacing)
             implements StepCommand {}
 
     /**
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepCore.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepCore.java
@@ -9,6 +9,16 @@
  * <p>Invariant: deterministic; time, randomness and I/O come from outside. Confined to one thread.
  */
 public interface StepCore {
+    /**
+     * Returns a core that owns no step yet.
+     *
+     * @param settings whose steps it works on and how
+     * @return the core
+     */
+    static StepCore of(StepCoreSettings settings) {
+        return new DefaultStepCore(settings);
+    }
+
     /**
      * Takes an input and runs all systems.
      *
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepInput.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepInput.java
@@ -146,12 +146,14 @@
     /**
      * A peer stored copies, or failed to.
      *
+     * @param store as commanded
      * @param step the step
      * @param peer the peer
      * @param indexes the samples
      * @param stored whether it holds them
      */
-    record BodiesStored(StepKey step, HostName peer, List<Integer> indexes, boolean stored) implements StepInput {}
+    record BodiesStored(long store, StepKey step, HostName peer, List<Integer> indexes, boolean stored)
+            implements StepInput {}
 
     /**
      * A peer returned the copies that it holds; an empty list also if it could not be reached.
@@ -167,11 +169,12 @@
     /**
      * The control process answered a commit.
      *
+     * @param commit as commanded
      * @param step the step
      * @param indexes the samples
      * @param committed whether they are committed; if not, the commit may be sent again
      */
-    record CommitAnswered(StepKey step, List<Integer> indexes, boolean committed) implements StepInput {}
+    record CommitAnswered(long commit, StepKey step, List<Integer> indexes, boolean committed) implements StepInput {}
 
     /**
      * The control process answered a hand-over.
