--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/CapacityBenchmark.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/CapacityBenchmark.java
@@ -15,5 +15,7 @@
     public static void main(String[] arguments) {
         System.out.println("== messages and operator text ==");
         new MessageCosts().measure().forEach(System.out::println);
+        System.out.println("== decisions of an entry ==");
+        new DecisionCosts().measure().forEach(System.out::println);
     }
 }
