--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -20,6 +20,10 @@
     HANDLER_FAILED(203, Severity.ERROR, "A message handler failed."),
     /** A control host became leader. */
     LEADER_ELECTED(300, Severity.INFORMATION, "A control host became leader."),
+    /** A control host stopped leading. */
+    LEADERSHIP_LOST(301, Severity.INFORMATION, "A control host stopped leading."),
+    /** The leader changes the control hosts. */
+    CONTROL_HOSTS_CHANGING(302, Severity.INFORMATION, "The leader changes the control hosts."),
     /** An entry lost its configuration lease and takes no new work. */
     LEASE_LAPSED(400, Severity.WARNING, "An entry lost its configuration lease and takes no new work."),
     /** A request was quarantined because it crashed several endpoints. */
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
@@ -0,0 +1,447 @@
+package io.rosemarybeam.control;
+
+import java.security.SecureRandom;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.configuration.ConfigurationParser;
+import io.rosemarybeam.common.configuration.OperatorConfiguration.ControlHost;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.RosemarybeamException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.wire.CommonReply;
+import io.rosemarybeam.common.wire.ControlTraffic.LogTraffic;
+import io.rosemarybeam.common.wire.Credentials;
+import io.rosemarybeam.common.wire.EntryRequest;
+import io.rosemarybeam.common.wire.HandshakeMessage.Role;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.MessageHandler;
+import io.rosemarybeam.common.wire.OperatorRequest;
+import io.rosemarybeam.common.wire.Secrets;
+import io.rosemarybeam.common.wire.WireConnection;
+import io.rosemarybeam.common.wire.WireSettings;
+import io.rosemarybeam.common.wire.WireTransport;
+import io.rosemarybeam.consensus.DurableState;
+import io.rosemarybeam.consensus.HardState;
+import io.rosemarybeam.consensus.LogMessage.Envelope;
+import io.rosemarybeam.consensus.LogMessageCodec;
+import io.rosemarybeam.consensus.LogOptions;
+import io.rosemarybeam.consensus.LogSnapshot;
+import io.rosemarybeam.consensus.Member;
+import io.rosemarybeam.consensus.MemberId;
+import io.rosemarybeam.consensus.Membership;
+import io.rosemarybeam.consensus.ReplicatedLog;
+import io.rosemarybeam.consensus.storage.FileSystem;
+import io.rosemarybeam.consensus.storage.LogStorage;
+import io.rosemarybeam.control.state.ControlState;
+
+/**
+ * A control process.
+ *
+ * <p>Invariant: log, state and sessions are confined to one event loop, which is the control executor; only storage runs
+ * on a thread of its own. {@link #start}, {@link #stop} and {@link #dump} may be called from any other thread.
+ */
+public final class ControlProcess {
+    /** Length of a tick of the log, in milliseconds. */
+    static final long TICK_MILLISECONDS = 50;
+
+    private static final EventLog LOG = EventLog.of(ControlProcess.class);
+    private static final long RECONCILE_TICKS = 4;
+    private static final long RETRY_MILLISECONDS = 300;
+    private static final long STOP_MILLISECONDS = 3_000;
+    private static final byte[] EMPTY_HOST = {};
+    private static final byte[] INITIAL_STATE = {};
+
+    private final ControlSettings settings;
+    private final MonotonicClock clock;
+    private final Consumer<Throwable> onFailure;
+    private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
+    private final EventLoop control = eventLoops.next();
+    private final ExecutorService storageExecutor =
+            Executors.newSingleThreadExecutor(task -> new Thread(task, "storage"));
+    private final ControlState state = new ControlState();
+    private final MembershipReconciler reconciler = new MembershipReconciler();
+    private final Map<String, Long> emptyHosts = new HashMap<>();
+    private final CurrentConfiguration configuration;
+    private final LogStorage storage;
+    private final MemberId self;
+    private final LogDriver driver;
+    private final StatusReport report;
+    private final PeerLinks links;
+    private final WireTransport transport;
+    private Channel listener;
+    private Optional<Leader> leader = Optional.empty();
+    private boolean empty;
+    private boolean failed;
+    private long ticks;
+
+    /**
+     * Opens the data folder of a control process.
+     *
+     * @param settings its settings
+     * @param parser reads the operator's text
+     * @param files the data folder
+     * @param clock time of this machine
+     * @param onFailure called once if the process must stop because of a failure
+     */
+    ControlProcess(
+            ControlSettings settings,
+            ConfigurationParser parser,
+            FileSystem files,
+            MonotonicClock clock,
+            Consumer<Throwable> onFailure) {
+        this.settings = settings;
+        this.clock = clock;
+        this.onFailure = onFailure;
+        this.configuration = new CurrentConfiguration(parser, settings.controlHosts());
+        this.storage = LogStorage.open(files);
+        this.self = storage.identity(settings.name().value(), new SecureRandom().nextLong());
+        DurableState durable = storage.load();
+        this.empty = durable.isEmpty();
+        ReplicatedLog log = new ReplicatedLog(options(), self, durable);
+        this.driver =
+                new LogDriver(control, storageExecutor, storage, log, durable.snapshot(), state, new DriverListener());
+        this.report = new StatusReport(driver, state);
+        this.transport = WireTransport.of(eventLoops, WireSettings.standard());
+        Credentials credentials =
+                new Credentials(Role.CONTROL, self.name(), self.incarnation(), settings.clusterSecret());
+        this.links = new PeerLinks(transport, credentials, new Receiver(), control);
+    }
+
+    /**
+     * Creates a control process on the data folder of its settings.
+     *
+     * @param settings its settings
+     * @param parser reads the operator's text
+     * @param onFailure called once if the process must stop because of a failure
+     * @return the process, to be started
+     * @throws RosemarybeamException if the data folder cannot be used
+     */
+    public static ControlProcess of(
+            ControlSettings settings, ConfigurationParser parser, Consumer<Throwable> onFailure) {
+        FileSystem files = FileSystem.of(settings.dataFolder());
+        return new ControlProcess(settings, parser, files, MonotonicClock.system(), onFailure);
+    }
+
+    private LogOptions options() {
+        return LogOptions.standard(new SecureRandom().nextLong());
+    }
+
+    /**
+     * Listens for other processes and starts to take part in the log.
+     *
+     * @throws RosemarybeamException if the address cannot be bound
+     */
+    public void start() {
+        Secrets secrets = new Secrets(settings.clusterSecret(), Optional.of(settings.operatorToken()));
+        listener = transport.listen(settings.address(), self.name(), secrets, new Receiver());
+        control.scheduleAtFixedRate(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+        LOG.log(Event.PROCESS_STARTED, "name", self.name(), "address", settings.address());
+    }
+
+    /**
+     * Hands leadership over if this host leads, and closes everything. Returns when the storage is closed.
+     */
+    public void stop() {
+        LOG.log(Event.PROCESS_STOPPING, "name", self.name());
+        CompletableFuture<Void> handedOver = new CompletableFuture<>();
+        control.execute(() -> handOver(handedOver, clock.milliseconds() + STOP_MILLISECONDS / 2));
+        handedOver
+                .orTimeout(STOP_MILLISECONDS, TimeUnit.MILLISECONDS)
+                .exceptionally(late -> null)
+                .join();
+        control.submit(() -> {
+                    driver.stop();
+                    leader.ifPresent(Leader::stop);
+                    leader = Optional.empty();
+                    links.closeAll();
+                    if (listener != null) {
+                        listener.close();
+                    }
+                })
+                .syncUninterruptibly();
+        eventLoops
+                .shutdownGracefully(0, STOP_MILLISECONDS, TimeUnit.MILLISECONDS)
+                .syncUninterruptibly();
+        storageExecutor.shutdown();
+        try {
+            storageExecutor.awaitTermination(STOP_MILLISECONDS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        storage.close();
+        LOG.log(Event.PROCESS_STOPPED, "name", self.name());
+    }
+
+    private void handOver(CompletableFuture<Void> done, long deadline) {
+        ReplicatedLog log = driver.log();
+        Optional<MemberId> successor = log.membership().voters().stream()
+                .map(Member::id)
+                .filter(id -> !id.equals(self) && log.isActive(id))
+                .findFirst();
+        boolean leads = log.role() == ReplicatedLog.Role.LEADER;
+        if (!leads || successor.isEmpty() || clock.milliseconds() >= deadline) {
+            done.complete(null);
+            return;
+        }
+        driver.transferLeadership(successor.get());
+        control.schedule(() -> handOver(done, deadline), TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns the state of this process.
+     *
+     * @return a JSON document
+     */
+    public CompletableFuture<String> dump() {
+        return CompletableFuture.supplyAsync(() -> report.dump(leader), control);
+    }
+
+    // Time
+
+    private void tick() {
+        try {
+            ticks++;
+            driver.tick();
+            leader.ifPresent(Leader::tick);
+            if (ticks % RECONCILE_TICKS == 0) {
+                links.maintain(addresses(), clock.milliseconds());
+                reconcile();
+            }
+            if (empty && ticks % RECONCILE_TICKS == 0) {
+                tryFirstLog();
+            }
+        } catch (RuntimeException failure) {
+            fail(failure);
+        }
+    }
+
+    private Map<String, String> addresses() {
+        Map<String, String> addresses = new LinkedHashMap<>();
+        for (Member member : driver.log().membership().members()) {
+            addresses.put(member.id().name(), member.address());
+        }
+        for (ControlHost host : configuration.controlHosts()) {
+            addresses.put(host.name().value(), host.address());
+        }
+        return addresses;
+    }
+
+    private void reconcile() {
+        if (leader.isEmpty()) {
+            return;
+        }
+        Optional<MembershipReconciler.Step> step = reconciler.next(driver.log(), configuration.controlHosts());
+        step.ifPresent(next -> {
+            switch (next) {
+                case MembershipReconciler.Step.Change change -> {
+                    LOG.log(Event.CONTROL_HOSTS_CHANGING, "change", change.change());
+                    driver.proposeChange(change.change());
+                }
+                case MembershipReconciler.Step.Transfer transfer -> driver.transferLeadership(transfer.target());
+            }
+        });
+    }
+
+    // The first log
+
+    /** An empty host never decides alone that no log exists: every other listed host must have said the same. */
+    private void tryFirstLog() {
+        if (!driver.log().membership().members().isEmpty() || driver.log().lastIndex() > 0) {
+            empty = false;
+            return;
+        }
+        for (String name : links.names()) {
+            links.send(name, new LogTraffic(self.name(), self.incarnation(), EMPTY_HOST));
+        }
+        List<String> names = settings.controlHosts().stream()
+                .map(host -> host.name().value())
+                .sorted()
+                .toList();
+        boolean isFirst = names.getFirst().equals(self.name());
+        long recent = clock.milliseconds() - 2 * RECONCILE_TICKS * TICK_MILLISECONDS;
+        boolean othersAreEmpty = names.stream()
+                .filter(name -> !name.equals(self.name()))
+                .allMatch(name -> emptyHosts.getOrDefault(name, Long.MIN_VALUE) >= recent);
+        if (isFirst && othersAreEmpty) {
+            startFirstLog();
+        }
+    }
+
+    private void startFirstLog() {
+        empty = false;
+        Membership alone = new Membership(List.of(new Member(self, settings.address())), List.of());
+        LogSnapshot snapshot = new LogSnapshot(1, 1, alone, INITIAL_STATE);
+        HardState hardState = new HardState(1, Optional.empty());
+        storageExecutor.execute(() -> {
+            try {
+                storage.persist(Optional.of(hardState), Optional.of(snapshot), List.of());
+                control.execute(() -> {
+                    DurableState first = new DurableState(hardState, Optional.of(snapshot), List.of());
+                    driver.replaceEmptyLog(new ReplicatedLog(options(), self, first), snapshot);
+                });
+            } catch (RuntimeException failure) {
+                control.execute(() -> fail(failure));
+            }
+        });
+    }
+
+    // Failure
+
+    private void fail(Throwable failure) {
+        if (!failed) {
+            failed = true;
+            driver.stop();
+            LOG.log(Event.PROCESS_FAILED, failure, "name", self.name());
+            onFailure.accept(failure);
+        }
+    }
+
+    /** Acts on what the log does. Confined to the control executor. */
+    private final class DriverListener implements LogDriver.Listener {
+        @Override
+        public void send(Envelope envelope) {
+            byte[] payload = LogMessageCodec.encode(envelope);
+            links.send(envelope.to().name(), new LogTraffic(self.name(), self.incarnation(), payload));
+        }
+
+        @Override
+        public void applied() {
+            boolean newConfiguration = configuration.refresh(state.configurations());
+            leader.ifPresent(leading -> leading.applied(newConfiguration));
+        }
+
+        @Override
+        public void leading() {
+            long base = Math.max(state.time(), 0);
+            leader = Optional.of(new Leader(driver, state, configuration, new LeaderClock(clock, base)));
+            LOG.log(
+                    Event.LEADER_ELECTED,
+                    "name",
+                    self.name(),
+                    "term",
+                    driver.log().term());
+        }
+
+        @Override
+        public void notLeading() {
+            leader.ifPresent(Leader::stop);
+            leader = Optional.empty();
+            LOG.log(
+                    Event.LEADERSHIP_LOST,
+                    "name",
+                    self.name(),
+                    "term",
+                    driver.log().term());
+        }
+
+        @Override
+        public void failed(Throwable failure) {
+            fail(failure);
+        }
+    }
+
+    /** Receives the messages of other processes. Confined to the control executor. */
+    private final class Receiver implements MessageHandler {
+        @Override
+        public void onOpen(WireConnection connection) {
+            if (connection.remoteRole() == Role.CONTROL && connection.remoteIncarnation() != 0) {
+                reconciler.connected(connection.remoteName(), connection.remoteIncarnation());
+            }
+        }
+
+        @Override
+        public void onClose(WireConnection connection) {
+            if (connection.remoteRole() == Role.CONTROL && connection.remoteIncarnation() != 0) {
+                reconciler.disconnected(connection.remoteName(), connection.remoteIncarnation());
+            }
+            leader.ifPresent(leading -> leading.closed(connection));
+        }
+
+        @Override
+        public void onMessage(WireConnection connection, long correlation, Message message) {
+            switch (message) {
+                case LogTraffic traffic when connection.remoteRole() == Role.CONTROL -> onTraffic(traffic);
+                case EntryRequest request
+                when connection.remoteRole() == Role.ENTRY ->
+                    serve(connection, correlation, leading -> leading.handle(connection, request));
+                case OperatorRequest.DumpRequest ignored
+                when connection.remoteRole() != Role.CONTROL ->
+                    connection.reply(correlation, new CommonReply.DumpReply(report.dump(leader)));
+                case OperatorRequest request
+                when connection.remoteRole() == Role.OPERATOR ->
+                    serve(connection, correlation, leading -> leading.handle(request, report));
+                default ->
+                    connection.reply(
+                            correlation,
+                            new CommonReply.Refused(
+                                    ErrorCode.REQUEST_INVALID, "not accepted from " + connection.remoteRole(), 0));
+            }
+        }
+
+        private void onTraffic(LogTraffic traffic) {
+            if (traffic.payload().length == 0) {
+                emptyHosts.put(traffic.fromName(), clock.milliseconds());
+                return;
+            }
+            driver.receive(LogMessageCodec.decode(traffic.payload()));
+        }
+
+        private void serve(WireConnection connection, long correlation, Service service) {
+            if (leader.isEmpty()) {
+                connection.reply(correlation, notLeader());
+                return;
+            }
+            CompletableFuture<Message> reply = isServing() ? service.handle(leader.get()) : Leader.notServing();
+            reply.whenComplete(
+                    (message, failure) -> connection.reply(correlation, failure == null ? message : refusal(failure)));
+        }
+
+        private CommonReply refusal(Throwable failure) {
+            Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+            RosemarybeamException typed = failure instanceof RosemarybeamException direct
+                    ? direct
+                    : cause instanceof RosemarybeamException wrapped ? wrapped : null;
+            if (typed == null) {
+                LOG.log(Event.HANDLER_FAILED, failure, "name", self.name());
+                return new CommonReply.Refused(ErrorCode.INTERNAL, "the request could not be handled", 0);
+            }
+            if (typed.code() == ErrorCode.NOT_LEADER) {
+                return notLeader();
+            }
+            return new CommonReply.Refused(typed.code(), typed.getMessage(), RETRY_MILLISECONDS);
+        }
+    }
+
+    private CommonReply.NotLeader notLeader() {
+        Optional<MemberId> known = driver.log().leader().filter(id -> !id.equals(self));
+        Optional<String> address =
+                known.flatMap(driver.log().membership()::find).map(Member::address);
+        return new CommonReply.NotLeader(known.map(MemberId::name), address);
+    }
+
+    /** Before a majority of the listed hosts has joined, an acknowledged change could be lost with a single disk. */
+    private boolean isServing() {
+        int wanted = configuration.controlHosts().size();
+        boolean formed = driver.log().membership().voters().size() >= wanted / 2 + 1;
+        return formed || state.configurations().newestNumber() > 0;
+    }
+
+    /** Handles a request on the leader. */
+    private interface Service {
+        CompletableFuture<Message> handle(Leader leader);
+    }
+}
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
@@ -0,0 +1,80 @@
+package io.rosemarybeam.control;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.wire.ControlReply.ConfigurationText;
+import io.rosemarybeam.common.wire.ControlReply.EntryState;
+import io.rosemarybeam.common.wire.ControlReply.PushState;
+import io.rosemarybeam.common.wire.MembershipDelta;
+import io.rosemarybeam.common.wire.WireConnection;
+import io.rosemarybeam.control.state.ControlState;
+
+/**
+ * Tells connected entries at once what changed.
+ *
+ * <p>Invariant: a push builds on what was sent on the same connection before. An entry that misses one reports its real
+ * version with its next renewal. Confined to the control executor.
+ */
+final class EntryPushes {
+    private final ControlState state;
+    private final long term;
+    private final Map<WireConnection, Sent> sentByConnection = new LinkedHashMap<>();
+
+    EntryPushes(ControlState state, long term) {
+        this.state = state;
+        this.term = term;
+    }
+
+    /** Returns what an entry needs, given what it reports, and pushes to it from now on. */
+    EntryState answer(WireConnection connection, long revision, long membershipVersion, Map<String, Integer> shares) {
+        Sent sent = sentByConnection.computeIfAbsent(connection, ignored -> new Sent());
+        sent.revision = revision;
+        sent.membershipVersion = membershipVersion;
+        return changes(sent, shares);
+    }
+
+    void closed(WireConnection connection) {
+        sentByConnection.remove(connection);
+    }
+
+    /** Sends every change that a connection has not seen. */
+    void flush() {
+        sentByConnection.forEach((connection, sent) -> {
+            if (connection.isOpen() && isBehind(sent)) {
+                connection.send(new PushState(changes(sent, Map.of())));
+            }
+        });
+    }
+
+    private boolean isBehind(Sent sent) {
+        return sent.revision < state.configurations().newestNumber()
+                || sent.membershipVersion < state.membershipVersion()
+                || sent.quarantineVersion < state.quarantineVersion()
+                || !sent.weights.equals(state.weights().newestByService());
+    }
+
+    private EntryState changes(Sent sent, Map<String, Integer> shares) {
+        Optional<ConfigurationText> configuration =
+                state.configurations().newest().filter(newest -> newest.number() > sent.revision);
+        boolean newMembership = sent.membershipVersion != state.membershipVersion();
+        Optional<MembershipDelta> membership =
+                newMembership ? Optional.of(state.membershipSince(sent.membershipVersion)) : Optional.empty();
+        var quarantined = state.quarantine().quarantinedSince(sent.quarantineVersion);
+        var weights = state.weights().newestByService();
+        sent.revision = Math.max(sent.revision, state.configurations().newestNumber());
+        sent.membershipVersion = state.membershipVersion();
+        sent.quarantineVersion = state.quarantineVersion();
+        sent.weights = weights;
+        return new EntryState(term, configuration, membership, shares, quarantined, weights);
+    }
+
+    /** What was sent on a connection. Confined to the control executor. */
+    private static final class Sent {
+        private long revision;
+        private long membershipVersion;
+        private long quarantineVersion;
+        private Map<String, ?> weights = Map.of();
+    }
+}
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/Leader.java
@@ -0,0 +1,346 @@
+package io.rosemarybeam.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+
+import io.rosemarybeam.common.configuration.ConfigurationParser;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.wire.CommonReply.Refused;
+import io.rosemarybeam.common.wire.ControlReply;
+import io.rosemarybeam.common.wire.ControlReply.ApplyOutcome;
+import io.rosemarybeam.common.wire.ControlReply.ApplyReply;
+import io.rosemarybeam.common.wire.EndpointRecord;
+import io.rosemarybeam.common.wire.EntryHostRecord;
+import io.rosemarybeam.common.wire.EntryRequest;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.OperatorRequest;
+import io.rosemarybeam.common.wire.StepRecords.StepSnapshot;
+import io.rosemarybeam.common.wire.WireConnection;
+import io.rosemarybeam.control.state.Command;
+import io.rosemarybeam.control.state.CommandCodec;
+import io.rosemarybeam.control.state.ConfigurationTable;
+import io.rosemarybeam.control.state.ControlState;
+import io.rosemarybeam.control.state.IssuerTable.Issuer;
+
+/**
+ * Serves entries and operators while this host leads, and holds what only the leader knows.
+ *
+ * <p>Invariants: a new leader assumes that every registered holder renewed its lease at the moment of the election. A
+ * lease is granted only after a majority confirmed that this host still led when the request was received. Confined to
+ * the control executor.
+ */
+final class Leader {
+    /** Length of the lease of an entry host, in milliseconds. */
+    static final long ENTRY_LEASE_MILLISECONDS = 3_000;
+
+    /** Length of the lease of an endpoint, in milliseconds. */
+    static final long ENDPOINT_LEASE_MILLISECONDS = 5_000;
+
+    /** Allowance between the holder's and the leader's view of a lease, in milliseconds. */
+    static final long MARGIN_MILLISECONDS = 500;
+
+    /** How long a lapsed entry host stays registered, in milliseconds. */
+    static final long REMOVAL_MILLISECONDS = 60_000;
+
+    /** Largest accepted configuration, in characters. */
+    static final int MAXIMUM_TEXT_CHARACTERS = 262_144;
+
+    private static final long RETRY_MILLISECONDS = 500;
+
+    private final LogDriver driver;
+    private final ControlState state;
+    private final CurrentConfiguration configuration;
+    private final LeaderClock clock;
+    private final EntryPushes pushes;
+    private final InForceTracker inForce = new InForceTracker();
+    private final LimitLender<EntryId> lender = new LimitLender<>();
+    private final LeaseTable<EntryId> entryLeases = new LeaseTable<>(ENTRY_LEASE_MILLISECONDS, MARGIN_MILLISECONDS);
+    private final LeaseTable<EndpointKey> endpointLeases =
+            new LeaseTable<>(ENDPOINT_LEASE_MILLISECONDS, MARGIN_MILLISECONDS);
+    private final LeaseTable<ServiceName> issuerLeases =
+            new LeaseTable<>(ControlState.ISSUER_LEASE_MILLISECONDS, MARGIN_MILLISECONDS);
+    private final TreeSet<EntryId> lapsedEntries = new TreeSet<>();
+    private boolean expiryProposed;
+
+    Leader(LogDriver driver, ControlState state, CurrentConfiguration configuration, LeaderClock clock) {
+        this.driver = driver;
+        this.state = state;
+        this.configuration = configuration;
+        this.clock = clock;
+        this.pushes = new EntryPushes(state, driver.log().term());
+        long now = clock.now();
+        lender.setLimits(configuration.limits());
+        for (EntryHostRecord entry : state.entries().all()) {
+            EntryId id = new EntryId(entry.name(), entry.incarnation());
+            entryLeases.renew(id, now);
+            inForce.expect(id);
+            lender.expect(id);
+        }
+        state.endpoints().all().forEach(endpoint -> endpointLeases.renew(EndpointKey.of(endpoint), now));
+        state.issuers().all().forEach(issuer -> issuerLeases.renew(issuer.service(), now));
+    }
+
+    // Requests
+
+    CompletableFuture<Message> handle(WireConnection connection, EntryRequest request) {
+        return switch (request) {
+            case EntryRequest.RenewEntryLease renewal -> renew(connection, renewal);
+            case EntryRequest.AnnounceEndpoint announce -> announce(announce.endpoint());
+            case EntryRequest.LeaveEndpoint leave ->
+                propose(new Command.LeaveEndpoint(leave.id(), leave.incarnation()));
+            case EntryRequest.ClaimRequest claim -> propose(new Command.Claim(claim));
+            case EntryRequest.RecordOutcome outcome -> propose(new Command.Outcome(outcome));
+            case EntryRequest.ReportCrash crash -> propose(new Command.Crash(crash));
+            case EntryRequest.OpenStep open -> propose(new Command.OpenStep(open));
+            case EntryRequest.TakeStep take -> takeStep(take);
+            case EntryRequest.CommitSamples commit -> propose(new Command.CommitSamples(commit));
+            case EntryRequest.RecordHandOver record -> propose(new Command.RecordHandOver(record));
+            case EntryRequest.AcknowledgeHandOver acknowledge -> propose(new Command.AcknowledgeHandOver(acknowledge));
+            case EntryRequest.PublishWeights publish -> propose(new Command.PublishWeights(publish));
+            case EntryRequest.AcquireIssuer acquire -> acquireIssuer(acquire);
+        };
+    }
+
+    CompletableFuture<Message> handle(OperatorRequest request, StatusReport report) {
+        return switch (request) {
+            case OperatorRequest.ApplyConfiguration apply -> apply(apply);
+            case OperatorRequest.ReadConfiguration ignored ->
+                read().thenApply(done -> new ControlReply.ConfigurationReply(
+                        state.configurations().newest()));
+            case OperatorRequest.ReadHistory history ->
+                read().thenApply(done ->
+                        new ControlReply.HistoryReply(state.configurations().history(history.maximumLines())));
+            case OperatorRequest.ReadStatus ignored ->
+                read().thenApply(done -> new ControlReply.StatusReply(report.status(this)));
+            case OperatorRequest.DumpRequest ignored ->
+                CompletableFuture.completedFuture(
+                        new io.rosemarybeam.common.wire.CommonReply.DumpReply(report.dump(Optional.of(this))));
+        };
+    }
+
+    private CompletableFuture<Void> read() {
+        return driver.confirm(false);
+    }
+
+    private CompletableFuture<Message> propose(Command command) {
+        return driver.propose(CommandCodec.encode(clock.leaderTime(), command));
+    }
+
+    // Entry hosts
+
+    private CompletableFuture<Message> renew(WireConnection connection, EntryRequest.RenewEntryLease renewal) {
+        EntryHostRecord record = renewal.entry();
+        boolean registered = state.entries().find(record.name()).equals(Optional.of(record));
+        CompletableFuture<?> confirmed = registered ? driver.confirm(true) : propose(new Command.RegisterEntry(record));
+        long received = clock.now();
+        EntryId id = new EntryId(record.name(), record.incarnation());
+        // Counted from now on, so that a lease that is being granted is not overlooked.
+        entryLeases.renew(id, received);
+        lapsedEntries.remove(id);
+        inForce.reported(id, renewal.appliedRevision());
+        renewEndpoints(renewal.endpointRenewals(), received);
+        return confirmed.thenApply(result -> {
+            if (result instanceof Refused refused) {
+                return refused;
+            }
+            Map<String, Integer> shares = lender.renew(id, renewal.heldShares(), renewal.demandByService());
+            return new ControlReply.EntryLease(
+                    ENTRY_LEASE_MILLISECONDS,
+                    pushes.answer(connection, renewal.appliedRevision(), renewal.membershipVersion(), shares));
+        });
+    }
+
+    private void renewEndpoints(List<EntryRequest.EndpointRenewal> renewals, long now) {
+        for (EntryRequest.EndpointRenewal renewal : renewals) {
+            Optional<EndpointRecord> known = state.endpoints().find(renewal.id(), renewal.incarnation());
+            if (known.isEmpty()) {
+                continue;
+            }
+            endpointLeases.renew(new EndpointKey(renewal.id(), renewal.incarnation()), now);
+            if (!known.get().weightVersion().equals(renewal.weightVersion())) {
+                propose(new Command.ChangeWeightVersion(renewal.id(), renewal.incarnation(), renewal.weightVersion()));
+            }
+        }
+    }
+
+    private CompletableFuture<Message> announce(EndpointRecord endpoint) {
+        endpointLeases.renew(EndpointKey.of(endpoint), clock.now());
+        return propose(new Command.AnnounceEndpoint(endpoint));
+    }
+
+    // Steps and issuers
+
+    private CompletableFuture<Message> takeStep(EntryRequest.TakeStep take) {
+        return read().thenCompose(done -> {
+            Optional<StepSnapshot> step = state.steps().find(take.trainer(), take.step());
+            if (step.isEmpty()) {
+                return refused(ErrorCode.STEP_UNKNOWN, take.step() + " of " + take.trainer(), 0);
+            }
+            HostName owner = step.get().owner().orElseThrow();
+            if (take.takeOver() && (owner.equals(take.entry()) || !holdsLease(owner))) {
+                return propose(new Command.TakeStep(take, step.get().ownerEpoch()));
+            }
+            return CompletableFuture.completedFuture(new ControlReply.StepState(step.get()));
+        });
+    }
+
+    private boolean holdsLease(HostName name) {
+        return state.entries()
+                .find(name)
+                .map(entry -> entryLeases.isLive(new EntryId(name, entry.incarnation()), clock.now()))
+                .orElse(false);
+    }
+
+    private CompletableFuture<Message> acquireIssuer(EntryRequest.AcquireIssuer acquire) {
+        ServiceName service = acquire.service();
+        Optional<Issuer> issuer = state.issuers().find(service);
+        long now = clock.now();
+        if (issuer.isPresent() && issuer.get().isHeldBy(acquire.entry(), acquire.entryIncarnation())) {
+            issuerLeases.renew(service, now);
+            return driver.confirm(false)
+                    .thenApply(done -> new ControlReply.IssuerLease(
+                            issuer.get().fencingNumber(), ControlState.ISSUER_LEASE_MILLISECONDS));
+        }
+        if (issuer.isPresent() && issuerLeases.isLive(service, now)) {
+            return CompletableFuture.completedFuture(
+                    new ControlReply.IssuerHeld(issuer.get().entry()));
+        }
+        return propose(new Command.GrantIssuer(acquire, state.issuers().fencingNumber(service)))
+                .thenApply(reply -> {
+                    if (reply instanceof ControlReply.IssuerLease) {
+                        // Not earlier than the receipt of the request, which the holder counts from.
+                        issuerLeases.renew(service, clock.now());
+                    }
+                    return reply;
+                });
+    }
+
+    // Configuration
+
+    private CompletableFuture<Message> apply(OperatorRequest.ApplyConfiguration apply) {
+        if (apply.text().length() > MAXIMUM_TEXT_CHARACTERS) {
+            return invalid(List.of(
+                    "the text has " + apply.text().length() + " characters, the limit is " + MAXIMUM_TEXT_CHARACTERS));
+        }
+        return switch (configuration.parser().parse(apply.text())) {
+            case ConfigurationParser.Result.Invalid found ->
+                invalid(found.problems().stream().map(Object::toString).toList());
+            case ConfigurationParser.Result.Valid valid ->
+                accept(apply, valid.configuration().number().value());
+        };
+    }
+
+    private static CompletableFuture<Message> invalid(List<String> problems) {
+        return CompletableFuture.completedFuture(
+                new ApplyReply(ApplyOutcome.INVALID, 0, problems, Optional.empty(), false, List.of()));
+    }
+
+    private CompletableFuture<Message> accept(OperatorRequest.ApplyConfiguration apply, long number) {
+        String digest = ConfigurationTable.digest(apply.text());
+        Optional<ApplyReply> known = state.configurations().outcomeOf(number, digest);
+        CompletableFuture<? extends Message> outcome = known.isPresent()
+                ? CompletableFuture.completedFuture(known.get())
+                : propose(new Command.AcceptConfiguration(
+                        number, apply.text(), apply.operator(), System.currentTimeMillis()));
+        return outcome.thenCompose(reply -> {
+            boolean accepted = reply instanceof ApplyReply decided
+                    && (decided.outcome() == ApplyOutcome.ACCEPTED || decided.outcome() == ApplyOutcome.RESENT);
+            if (!accepted) {
+                return CompletableFuture.completedFuture(reply);
+            }
+            CompletableFuture<Message> answer = new CompletableFuture<>();
+            long deadline = clock.now() + Math.max(apply.waitMilliseconds(), 0);
+            inForce.await(number, deadline, pending -> answer.complete(withForce((ApplyReply) reply, pending)));
+            inForce.check(clock.now());
+            return answer;
+        });
+    }
+
+    private static ApplyReply withForce(ApplyReply reply, List<HostName> pending) {
+        return new ApplyReply(
+                reply.outcome(), reply.number(), reply.problems(), reply.winner(), pending.isEmpty(), pending);
+    }
+
+    private static CompletableFuture<Message> refused(ErrorCode code, String detail, long retryAfter) {
+        return CompletableFuture.completedFuture(new Refused(code, detail, retryAfter));
+    }
+
+    static CompletableFuture<Message> notServing() {
+        return refused(ErrorCode.QUORUM_UNAVAILABLE, "too few control hosts have joined", RETRY_MILLISECONDS);
+    }
+
+    // Time and changes
+
+    /** Removes what lapsed and proposes what the time requires. */
+    void tick() {
+        long now = clock.now();
+        for (EntryId entry : entryLeases.lapsedBefore(now, 0)) {
+            if (lapsedEntries.add(entry)) {
+                inForce.lapsed(entry);
+                lender.lapsed(entry);
+            }
+        }
+        for (EntryId entry : entryLeases.lapsedBefore(now, REMOVAL_MILLISECONDS)) {
+            entryLeases.remove(entry);
+            lapsedEntries.remove(entry);
+            propose(new Command.RemoveEntry(entry.name(), entry.incarnation()));
+        }
+        for (EndpointKey endpoint : endpointLeases.lapsedBefore(now, 0)) {
+            endpointLeases.remove(endpoint);
+            propose(new Command.RemoveEndpoint(endpoint.id, endpoint.incarnation));
+        }
+        inForce.check(now);
+        if (!expiryProposed && state.isExpiryDue(clock.leaderTime())) {
+            expiryProposed = true;
+            propose(new Command.Expire()).whenComplete((reply, failure) -> expiryProposed = false);
+        }
+        pushes.flush();
+    }
+
+    /** Learns that commands were applied. */
+    void applied(boolean newConfiguration) {
+        if (newConfiguration) {
+            lender.setLimits(configuration.limits());
+            pushes.flush();
+        }
+    }
+
+    void closed(WireConnection connection) {
+        pushes.closed(connection);
+    }
+
+    void stop() {
+        inForce.stop();
+    }
+
+    // Status
+
+    boolean isLive(EntryHostRecord entry) {
+        return entryLeases.isLive(new EntryId(entry.name(), entry.incarnation()), clock.now());
+    }
+
+    long appliedRevision(EntryHostRecord entry) {
+        return inForce.appliedBy(new EntryId(entry.name(), entry.incarnation()));
+    }
+
+    List<HostName> pendingEntries() {
+        return inForce.pending(state.configurations().newestNumber());
+    }
+
+    Map<String, Integer> lentShares() {
+        return lender.lent();
+    }
+
+    /** An incarnation of an endpoint. Immutable. */
+    private record EndpointKey(EndpointId id, long incarnation) {
+        static EndpointKey of(EndpointRecord endpoint) {
+            return new EndpointKey(endpoint.id(), endpoint.incarnation());
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LeaseTable.java
@@ -0,0 +1,53 @@
+package io.rosemarybeam.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Leases that only the leader knows.
+ *
+ * <p>Invariant: a lease counts as live until its length and a margin have passed since the renewal was received. The
+ * holder counts from sending, so it stops earlier. Confined to the control executor.
+ *
+ * @param <K> holder of a lease
+ */
+final class LeaseTable<K> {
+    private final long length;
+    private final long margin;
+    private final Map<K, Long> renewals = new HashMap<>();
+
+    LeaseTable(long length, long margin) {
+        this.length = length;
+        this.margin = margin;
+    }
+
+    long length() {
+        return length;
+    }
+
+    void renew(K holder, long now) {
+        renewals.merge(holder, now, Math::max);
+    }
+
+    boolean isLive(K holder, long now) {
+        Long renewed = renewals.get(holder);
+        return renewed != null && now < renewed + length + margin;
+    }
+
+    /** Returns the holders whose lease lapsed a given time ago or earlier. */
+    List<K> lapsedBefore(long now, long ago) {
+        List<K> lapsed = new ArrayList<>();
+        renewals.forEach((holder, renewed) -> {
+            if (now >= renewed + length + margin + ago) {
+                lapsed.add(holder);
+            }
+        });
+        return lapsed;
+    }
+
+    void remove(K holder) {
+        renewals.remove(holder);
+    }
+}
--- /dev/null
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -0,0 +1,333 @@
+package io.rosemarybeam.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.RosemarybeamException;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.consensus.LogEntry;
+import io.rosemarybeam.consensus.LogMessage.Envelope;
+import io.rosemarybeam.consensus.LogSnapshot;
+import io.rosemarybeam.consensus.MembershipChange;
+import io.rosemarybeam.consensus.Ready;
+import io.rosemarybeam.consensus.ReplicatedLog;
+import io.rosemarybeam.consensus.storage.LogStorage;
+import io.rosemarybeam.control.state.ControlState;
+
+/**
+ * Connects the replicated log with its storage, the other control hosts and the state machine.
+ *
+ * <p>Invariants: storage is used by one task at a time on the storage executor; everything else runs on the control
+ * executor. A proposal completes once its entry is applied, or fails when this host stops leading.
+ */
+final class LogDriver {
+    /** Entries after which a snapshot is taken. */
+    private static final int SNAPSHOT_ENTRIES = 4_096;
+
+    /** Bytes of entries after which a snapshot is taken. */
+    private static final long SNAPSHOT_BYTES = 4L * 1024 * 1024;
+
+    /** Entries that stay in memory before a snapshot for hosts that are a little behind. */
+    private static final int KEPT_ENTRIES = 1_024;
+
+    /** Bytes of entries that stay in memory before a snapshot. */
+    private static final int KEPT_BYTES = 1_048_576;
+
+    private final Executor control;
+    private final Executor storageExecutor;
+    private final LogStorage storage;
+    private final ControlState state;
+    private final Listener listener;
+    private final TreeMap<Long, Proposal> proposals = new TreeMap<>();
+    private final Map<Long, CompletableFuture<Void>> reads = new HashMap<>();
+    private final TreeMap<Long, List<CompletableFuture<Void>>> confirmedReads = new TreeMap<>();
+    private ReplicatedLog log;
+    private long applied;
+    private long appliedTerm;
+    private long entriesSinceSnapshot;
+    private long bytesSinceSnapshot;
+    private long lastRead;
+    private long syncedEntries;
+    private boolean takingSnapshot;
+    private boolean scheduled;
+    private boolean stopped;
+
+    /** Learns what the log does. Called on the control executor. */
+    interface Listener {
+        /**
+         * Sends a message to another control host.
+         *
+         * @param envelope the message
+         */
+        void send(Envelope envelope);
+
+        /** Learns that commands were applied or a snapshot was installed. */
+        void applied();
+
+        /** Learns that this host leads and has applied every entry of former leaders. */
+        void leading();
+
+        /** Learns that this host does not lead any more. */
+        void notLeading();
+
+        /**
+         * Learns that storage failed; the process must stop.
+         *
+         * @param failure the failure
+         */
+        void failed(Throwable failure);
+    }
+
+    LogDriver(
+            Executor control,
+            Executor storageExecutor,
+            LogStorage storage,
+            ReplicatedLog log,
+            Optional<LogSnapshot> snapshot,
+            ControlState state,
+            Listener listener) {
+        this.control = control;
+        this.storageExecutor = storageExecutor;
+        this.storage = storage;
+        this.log = log;
+        this.state = state;
+        this.listener = listener;
+        snapshot.ifPresent(this::install);
+    }
+
+    ReplicatedLog log() {
+        return log;
+    }
+
+    long applied() {
+        return applied;
+    }
+
+    long syncedEntries() {
+        return syncedEntries;
+    }
+
+    /** Replaces the log of an empty host by the first log of a new deployment. */
+    void replaceEmptyLog(ReplicatedLog first, LogSnapshot snapshot) {
+        log = first;
+        install(snapshot);
+        schedule();
+    }
+
+    void stop() {
+        stopped = true;
+        failPending();
+    }
+
+    void tick() {
+        log.tick();
+        schedule();
+    }
+
+    void receive(Envelope envelope) {
+        log.receive(envelope);
+        schedule();
+    }
+
+    CompletableFuture<Message> propose(byte[] command) {
+        CompletableFuture<Message> reply = new CompletableFuture<>();
+        try {
+            long index = log.propose(command);
+            proposals.put(index, new Proposal(log.term(), reply));
+            schedule();
+        } catch (ControlException refusal) {
+            reply.completeExceptionally(refusal);
+        }
+        return reply;
+    }
+
+    void proposeChange(MembershipChange change) {
+        log.proposeChange(change);
+        schedule();
+    }
+
+    void transferLeadership(io.rosemarybeam.consensus.MemberId target) {
+        log.transferLeadership(target);
+        schedule();
+    }
+
+    /** Completes once a majority has confirmed that this host led after the call, and the state is at least as new. */
+    CompletableFuture<Void> confirm(boolean withHeartbeat) {
+        CompletableFuture<Void> confirmation = new CompletableFuture<>();
+        lastRead++;
+        try {
+            if (withHeartbeat) {
+                log.readIndexWithHeartbeat(lastRead);
+            } else {
+                log.readIndex(lastRead);
+            }
+            reads.put(lastRead, confirmation);
+            schedule();
+        } catch (ControlException refusal) {
+            confirmation.completeExceptionally(refusal);
+        }
+        return confirmation;
+    }
+
+    /** Inputs that arrive together are handled by one pass, so that one sync carries all their entries. */
+    private void schedule() {
+        if (!scheduled && !stopped) {
+            scheduled = true;
+            control.execute(this::process);
+        }
+    }
+
+    private void process() {
+        scheduled = false;
+        if (stopped) {
+            return;
+        }
+        try {
+            while (log.hasReady()) {
+                handle(log.ready());
+            }
+            observeRole();
+            takeSnapshotIfDue();
+        } catch (RuntimeException failure) {
+            listener.failed(failure);
+        }
+    }
+
+    private boolean leadingReported;
+
+    private void observeRole() {
+        boolean leading = log.role() == ReplicatedLog.Role.LEADER && appliedTerm == log.term();
+        if (log.role() != ReplicatedLog.Role.LEADER) {
+            failPending();
+        }
+        if (leading != leadingReported) {
+            leadingReported = leading;
+            if (leading) {
+                listener.leading();
+            } else {
+                listener.notLeading();
+            }
+        }
+    }
+
+    private void failPending() {
+        ControlException lost = new ControlException(ErrorCode.LEADERSHIP_LOST, log.self() + " stopped leading");
+        List<CompletableFuture<?>> failed = new ArrayList<>();
+        proposals.values().forEach(proposal -> failed.add(proposal.reply));
+        failed.addAll(reads.values());
+        confirmedReads.values().forEach(failed::addAll);
+        proposals.clear();
+        reads.clear();
+        confirmedReads.clear();
+        failed.forEach(future -> future.completeExceptionally(lost));
+    }
+
+    private void handle(Ready ready) {
+        if (ready.needsPersisting()) {
+            storageExecutor.execute(() -> persist(ready));
+        }
+        ready.messages().forEach(listener::send);
+        ready.reads().forEach(read -> {
+            CompletableFuture<Void> confirmation = reads.remove(read.context());
+            if (confirmation != null) {
+                confirmedReads
+                        .computeIfAbsent(read.index(), ignored -> new ArrayList<>())
+                        .add(confirmation);
+            }
+        });
+        if (!ready.committed().isEmpty()) {
+            ready.committed().forEach(this::apply);
+            listener.applied();
+        }
+        completeReads();
+    }
+
+    private void persist(Ready ready) {
+        try {
+            storage.persist(ready.hardState(), ready.snapshot(), ready.entries());
+            control.execute(() -> persisted(ready));
+        } catch (RuntimeException failure) {
+            control.execute(() -> listener.failed(failure));
+        }
+    }
+
+    private void persisted(Ready ready) {
+        if (stopped) {
+            return;
+        }
+        ready.snapshot().ifPresent(this::install);
+        syncedEntries += ready.entries().size();
+        long index = ready.entries().isEmpty() ? 0 : ready.entries().getLast().index();
+        long term = ready.entries().isEmpty() ? 0 : ready.entries().getLast().term();
+        log.persisted(index, term);
+        schedule();
+    }
+
+    private void install(LogSnapshot snapshot) {
+        state.restore(snapshot.state());
+        applied = snapshot.index();
+        appliedTerm = snapshot.term();
+        entriesSinceSnapshot = 0;
+        bytesSinceSnapshot = 0;
+        listener.applied();
+    }
+
+    private void apply(LogEntry entry) {
+        Proposal proposal = proposals.remove(entry.index());
+        if (entry.kind() == LogEntry.Kind.COMMAND) {
+            Message reply = state.apply(entry.data());
+            if (proposal != null && proposal.term == entry.term()) {
+                proposal.reply.complete(reply);
+            } else if (proposal != null) {
+                proposal.reply.completeExceptionally(
+                        new ControlException(ErrorCode.LEADERSHIP_LOST, "another leader replaced the entry"));
+            }
+        }
+        applied = entry.index();
+        appliedTerm = entry.term();
+        entriesSinceSnapshot++;
+        bytesSinceSnapshot += entry.data().length;
+    }
+
+    private void completeReads() {
+        while (!confirmedReads.isEmpty() && confirmedReads.firstKey() <= applied) {
+            confirmedReads.pollFirstEntry().getValue().forEach(confirmation -> confirmation.complete(null));
+        }
+    }
+
+    private void takeSnapshotIfDue() {
+        boolean due = entriesSinceSnapshot >= SNAPSHOT_ENTRIES || bytesSinceSnapshot >= SNAPSHOT_BYTES;
+        if (!due || takingSnapshot) {
+            return;
+        }
+        takingSnapshot = true;
+        entriesSinceSnapshot = 0;
+        bytesSinceSnapshot = 0;
+        LogSnapshot snapshot = new LogSnapshot(applied, appliedTerm, log.membershipAt(applied), state.snapshot());
+        long firstKept = log.firstKept(applied, KEPT_ENTRIES, KEPT_BYTES);
+        Consumer<Runnable> onControl = control::execute;
+        storageExecutor.execute(() -> {
+            try {
+                storage.compact(snapshot, firstKept);
+                onControl.accept(() -> {
+                    takingSnapshot = false;
+                    log.compact(snapshot, firstKept);
+                });
+            } catch (RosemarybeamException failure) {
+                onControl.accept(() -> listener.failed(failure));
+            }
+        });
+    }
+
+    /** A proposal whose entry is not applied yet. Immutable. */
+    private record Proposal(long term, CompletableFuture<Message> reply) {}
+}
--- /dev/null
+++ b/rosemarybeam-control/src/test/java/io/rosemarybeam/control/TestCluster.java
@@ -0,0 +1,273 @@
+package io.rosemarybeam.control;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.configuration.ConfigurationParser;
+import io.rosemarybeam.common.configuration.OperatorConfiguration.ControlHost;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.wire.CommonReply;
+import io.rosemarybeam.common.wire.Credentials;
+import io.rosemarybeam.common.wire.HandshakeMessage.Role;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.MessageHandler;
+import io.rosemarybeam.common.wire.OperatorRequest;
+import io.rosemarybeam.common.wire.WireConnection;
+import io.rosemarybeam.common.wire.WireSettings;
+import io.rosemarybeam.common.wire.WireTransport;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Control processes on the loopback interface, and clients of them. Confined to the thread of the test. */
+final class TestCluster implements AutoCloseable {
+    static final String SECRET = "cluster-secret";
+    static final String TOKEN = "operator-token";
+    private static final Duration DEADLINE = Duration.ofSeconds(3);
+    private static final long PATIENCE_MILLISECONDS = 15_000;
+
+    private final Path folder;
+    private final Map<String, ControlHost> hosts = new TreeMap<>();
+    private final Map<String, ControlProcess> running = new TreeMap<>();
+    private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
+    private final WireTransport transport = WireTransport.of(eventLoops, WireSettings.standard());
+
+    TestCluster(Path folder, int size) {
+        this.folder = folder;
+        for (int number = 1; number <= size; number++) {
+            define("control-" + number);
+        }
+    }
+
+    ControlHost define(String name) {
+        ControlHost host = new ControlHost(HostName.of(name), "127.0.0.1:" + freePort(), FailureDomain.of("amman-a"));
+        hosts.put(name, host);
+        return host;
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    List<String> names() {
+        return List.copyOf(hosts.keySet());
+    }
+
+    ControlProcess start(String name) {
+        ControlHost host = hosts.get(name);
+        ControlSettings settings = new ControlSettings(
+                host.name(),
+                host.address(),
+                Optional.empty(),
+                host.failureDomain(),
+                folder.resolve(name),
+                SECRET,
+                TOKEN,
+                List.copyOf(hosts.values()));
+        ControlProcess process = ControlProcess.of(settings, ConfigurationParser.standard(), failure -> {
+            throw new AssertionError("control process failed", failure);
+        });
+        process.start();
+        running.put(name, process);
+        return process;
+    }
+
+    void startAll() {
+        names().forEach(this::start);
+    }
+
+    void stop(String name) {
+        running.remove(name).stop();
+    }
+
+    void wipe(String name) {
+        try (Stream<Path> files = Files.walk(folder.resolve(name))) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    String dump(String name) {
+        return running.get(name).dump().join();
+    }
+
+    Optional<String> leader() {
+        return running.keySet().stream()
+                .filter(name -> dump(name).contains("\"role\" : \"LEADER\""))
+                .findFirst();
+    }
+
+    /** Returns whether every given host and no other is a voter, as the leader sees it. */
+    boolean votersAre(List<String> names) {
+        return leader().map(this::dump)
+                .map(dump -> {
+                    String hostsPart = dump.substring(dump.indexOf("controlHosts"), dump.indexOf("membershipVersion"));
+                    long voters = hostsPart
+                            .lines()
+                            .filter(line -> line.contains("\"voter\" : true"))
+                            .count();
+                    return voters == names.size()
+                            && names.stream().allMatch(name -> hostsPart.contains("\"" + name + "\""));
+                })
+                .orElse(false);
+    }
+
+    static void await(String what, BooleanSupplier condition) {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLISECONDS);
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < deadline, "not reached in time: " + what);
+            sleep(20);
+        }
+    }
+
+    static void sleep(long milliseconds) {
+        try {
+            Thread.sleep(milliseconds);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new AssertionError(interrupted);
+        }
+    }
+
+    String text(long number, List<String> controlHosts, int limit) {
+        String listed = controlHosts.stream()
+                .map(hosts::get)
+                .map(host -> "{\"name\": \"%s\", \"address\": \"%s\", \"failureDomain\": \"amman-a\"}"
+                        .formatted(host.name(), host.address()))
+                .collect(Collectors.joining(", "));
+        return """
+                {
+                  "number": %d, // written by a test
+                  "controlHosts": [%s],
+                  "services": {
+                    "workshop-app": {
+                      "class": "plain",
+                      "limits": {"maximumConcurrent": %d, "maximumQueued": 16, "maximumBodyBytes": 4096,
+                                 "concurrentPerEndpoint": 4},
+                      "deadlines": {"totalMilliseconds": 30000, "progressMilliseconds": 2000,
+                                    "connectMilliseconds": 500},
+                      "retries": {"maximumAttempts": 3, "budgetPercent": 10}
+                    }
+                  }
+                }
+                """.formatted(number, listed, limit);
+    }
+
+    Client client(Role role, String name) {
+        return new Client(role, name);
+    }
+
+    @Override
+    public void close() {
+        List.copyOf(running.keySet()).forEach(this::stop);
+        eventLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    /** Sends requests to whichever control host leads. Confined to the thread of the test. */
+    final class Client {
+        private final Role role;
+        private final String name;
+        private final List<Message> pushed = new ArrayList<>();
+        private final Map<String, WireConnection> connections = new TreeMap<>();
+
+        Client(Role role, String name) {
+            this.role = role;
+            this.name = name;
+        }
+
+        private Optional<WireConnection> connect(String address) {
+            WireConnection known = connections.get(address);
+            if (known != null && known.isOpen()) {
+                return Optional.of(known);
+            }
+            String secret = role == Role.OPERATOR ? TOKEN : SECRET;
+            MessageHandler handler = (connection, correlation, message) -> {
+                synchronized (pushed) {
+                    pushed.add(message);
+                }
+            };
+            Optional<WireConnection> opened =
+                    result(transport.connect(address, new Credentials(role, name, 1, secret), handler));
+            opened.ifPresent(connection -> connections.put(address, connection));
+            return opened;
+        }
+
+        /** Sends a request until a host that leads and serves has answered it. */
+        Message request(Message message) {
+            long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLISECONDS);
+            Message last = null;
+            while (System.nanoTime() < deadline) {
+                for (ControlHost host : hosts.values()) {
+                    Optional<Message> reply = connect(host.address())
+                            .flatMap(connection -> result(connection.request(message, DEADLINE)));
+                    if (reply.isPresent() && !isRefusedForNow(reply.get())) {
+                        return reply.get();
+                    }
+                    last = reply.orElse(last);
+                }
+                sleep(20);
+            }
+            throw new AssertionError("no answer to " + message + "; last " + last);
+        }
+
+        <T extends Message> T request(Message message, Class<T> type) {
+            return type.cast(request(message));
+        }
+
+        private static boolean isRefusedForNow(Message reply) {
+            return reply instanceof CommonReply.NotLeader
+                    || (reply instanceof CommonReply.Refused refused
+                            && (refused.code() == io.rosemarybeam.common.error.ErrorCode.LEADERSHIP_LOST
+                                    || refused.code() == io.rosemarybeam.common.error.ErrorCode.QUORUM_UNAVAILABLE));
+        }
+
+        List<Message> pushed() {
+            synchronized (pushed) {
+                return List.copyOf(pushed);
+            }
+        }
+
+        io.rosemarybeam.common.wire.ControlReply.ApplyReply apply(String text, long wait) {
+            return request(
+                    new OperatorRequest.ApplyConfiguration(text, name, wait),
+                    io.rosemarybeam.common.wire.ControlReply.ApplyReply.class);
+        }
+    }
+
+    private static <T> Optional<T> result(CompletableFuture<T> future) {
+        Function<Throwable, Optional<T>> none = failure -> Optional.empty();
+        try {
+            return Optional.of(future.get(PATIENCE_MILLISECONDS, TimeUnit.MILLISECONDS));
+        } catch (ExecutionException | TimeoutException failure) {
+            return none.apply(failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new AssertionError(interrupted);
+        }
+    }
+}
