--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
@@ -24,7 +24,8 @@
  * entry and all later ones, so nothing durable is ever overwritten in place.
  *
  * <p>Invariant: when {@link #persist} returns, everything passed to it is durable. After a failure the storage refuses
- * all further use, because a failed sync leaves unknown what is durable. Confined to one thread at a time.
+ * all further use, because a failed sync leaves unknown what is durable. Confined to one thread at a time,
+ * apart from {@link #syncs}.
  */
 public final class LogStorage implements AutoCloseable {
     private static final String IDENTITY_FILE = "identity";
@@ -40,7 +41,7 @@
 
     private Optional<AppendFile> current = Optional.empty();
     private Optional<StorageException> failure = Optional.empty();
-    private long syncs;
+    private volatile long syncs;
 
     private LogStorage(FileSystem files) {
         this.files = files;
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlMain.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlMain.java
@@ -6,6 +6,8 @@
 
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.error.RosemarybeamException;
+import io.rosemarybeam.common.error.SettingsException;
+import io.rosemarybeam.common.settings.ControlSettings;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
@@ -67,14 +69,15 @@
         ControlSettings settings;
         try {
             settings = ControlSettings.load(settingsFile);
-        } catch (RosemarybeamException failure) {
+            settings.secrets();
+            if (checkOnly) {
+                return;
+            }
+        } catch (SettingsException failure) {
             System.err.println(failure.getMessage());
             System.exit(USAGE);
             return;
         }
-        if (checkOnly) {
-            return;
-        }
         AtomicBoolean failed = new AtomicBoolean();
         CountDownLatch stopped = new CountDownLatch(1);
         try {
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
@@ -16,12 +16,15 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.admin.AdminServer;
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.configuration.OperatorConfiguration.ControlHost;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.RosemarybeamException;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.common.settings.ControlSettings;
 import io.rosemarybeam.common.wire.CommonReply;
 import io.rosemarybeam.common.wire.ControlTraffic.LogTraffic;
 import io.rosemarybeam.common.wire.Credentials;
@@ -66,6 +69,7 @@
     private static final byte[] INITIAL_STATE = {};
 
     private final ControlSettings settings;
+    private final Secrets secrets;
     private final MonotonicClock clock;
     private final Consumer<Throwable> onFailure;
     private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
@@ -83,6 +87,7 @@
     private final PeerLinks links;
     private final WireTransport transport;
     private Channel listener;
+    private Optional<AdminServer> admin = Optional.empty();
     private Optional<Leader> leader = Optional.empty();
     private boolean empty;
     private boolean failed;
@@ -92,6 +97,7 @@
      * Opens the data folder of a control process.
      *
      * @param settings its settings
+     * @param secrets what other processes must know
      * @param parser reads the operator's text
      * @param files the data folder
      * @param clock time of this machine
@@ -99,14 +105,16 @@
      */
     ControlProcess(
             ControlSettings settings,
+            Secrets secrets,
             ConfigurationParser parser,
             FileSystem files,
             MonotonicClock clock,
             Consumer<Throwable> onFailure) {
         this.settings = settings;
+        this.secrets = secrets;
         this.clock = clock;
         this.onFailure = onFailure;
-        this.configuration = new CurrentConfiguration(parser, settings.controlHosts());
+        this.configuration = new CurrentConfiguration(parser, settings.initialControlHosts());
         this.storage = LogStorage.open(files);
         this.self = storage.identity(settings.name().value(), new SecureRandom().nextLong());
         DurableState durable = storage.load();
@@ -117,7 +125,7 @@
         this.report = new StatusReport(driver, state);
         this.transport = WireTransport.of(eventLoops, WireSettings.standard());
         Credentials credentials =
-                new Credentials(Role.CONTROL, self.name(), self.incarnation(), settings.clusterSecret());
+                new Credentials(Role.CONTROL, self.name(), self.incarnation(), secrets.clusterSecret());
         this.links = new PeerLinks(transport, credentials, new Receiver(), control);
     }
 
@@ -132,8 +140,37 @@
      */
     public static ControlProcess of(
             ControlSettings settings, ConfigurationParser parser, Consumer<Throwable> onFailure) {
+        Secrets secrets = settings.secrets();
         FileSystem files = FileSystem.of(settings.dataFolder());
-        return new ControlProcess(settings, parser, files, MonotonicClock.system(), onFailure);
+        return new ControlProcess(settings, secrets, parser, files, MonotonicClock.system(), onFailure);
+    }
+
+    private Metrics metrics() {
+        Metrics metrics = Metrics.ofProcess();
+        // Read on the event loop that the state is confined to, because the admin server runs there too.
+        metrics.computedGauge(
+                "control_term",
+                "Term of the replicated log.",
+                () -> driver.log().term());
+        metrics.computedGauge("control_leads", "1 while this host leads, else 0.", () -> leader.isPresent() ? 1 : 0);
+        metrics.computedCounter("control_applied_entries", "Last applied entry of the log.", driver::applied);
+        metrics.computedCounter("control_synced_entries", "Entries synced since the start.", driver::syncedEntries);
+        metrics.computedCounter("control_syncs", "Syncs since the start.", storage::syncs);
+        metrics.computedGauge(
+                "control_configuration",
+                "Newest accepted configuration.",
+                () -> state.configurations().newestNumber());
+        metrics.computedGauge(
+                "control_entry_hosts",
+                "Registered entry hosts.",
+                () -> state.entries().all().size());
+        metrics.computedGauge(
+                "control_endpoints",
+                "Announced endpoints.",
+                () -> state.endpoints().all().size());
+        metrics.computedGauge(
+                "control_claims", "Claims that are kept.", () -> state.claims().size());
+        return metrics;
     }
 
     private LogOptions options() {
@@ -146,10 +183,10 @@
      * @throws RosemarybeamException if the address cannot be bound
      */
     public void start() {
-        Secrets secrets = new Secrets(settings.clusterSecret(), Optional.of(settings.operatorToken()));
-        listener = transport.listen(settings.address(), self.name(), secrets, new Receiver());
+        admin = Optional.of(AdminServer.start(eventLoops, settings.adminAddress(), metrics(), this::dump));
+        listener = transport.listen(settings.protocolAddress(), self.name(), secrets, new Receiver());
         control.scheduleAtFixedRate(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
-        LOG.log(Event.PROCESS_STARTED, "name", self.name(), "address", settings.address());
+        LOG.log(Event.PROCESS_STARTED, "name", self.name(), "address", settings.protocolAddress());
     }
 
     /**
@@ -163,6 +200,7 @@
                 .orTimeout(STOP_MILLISECONDS, TimeUnit.MILLISECONDS)
                 .exceptionally(late -> null)
                 .join();
+        admin.ifPresent(AdminServer::close);
         control.submit(() -> {
                     driver.stop();
                     leader.ifPresent(Leader::stop);
@@ -267,7 +305,7 @@
         for (String name : links.names()) {
             links.send(name, new LogTraffic(self.name(), self.incarnation(), EMPTY_HOST));
         }
-        List<String> names = settings.controlHosts().stream()
+        List<String> names = settings.initialControlHosts().stream()
                 .map(host -> host.name().value())
                 .sorted()
                 .toList();
@@ -283,7 +321,7 @@
 
     private void startFirstLog() {
         empty = false;
-        Membership alone = new Membership(List.of(new Member(self, settings.address())), List.of());
+        Membership alone = new Membership(List.of(new Member(self, settings.protocolAddress())), List.of());
         LogSnapshot snapshot = new LogSnapshot(1, 1, alone, INITIAL_STATE);
         HardState hardState = new HardState(1, Optional.empty());
         storageExecutor.execute(() -> {
--- a/rosemarybeam-control/src/test/java/io/rosemarybeam/control/TestCluster.java
+++ b/rosemarybeam-control/src/test/java/io/rosemarybeam/control/TestCluster.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -24,18 +25,24 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.configuration.OperatorConfiguration.ControlHost;
+import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.id.FailureDomain;
 import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.settings.ControlSettings;
 import io.rosemarybeam.common.wire.CommonReply;
+import io.rosemarybeam.common.wire.ControlReply.ApplyReply;
 import io.rosemarybeam.common.wire.Credentials;
 import io.rosemarybeam.common.wire.HandshakeMessage.Role;
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.common.wire.MessageHandler;
 import io.rosemarybeam.common.wire.OperatorRequest;
+import io.rosemarybeam.common.wire.Secrets;
 import io.rosemarybeam.common.wire.WireConnection;
 import io.rosemarybeam.common.wire.WireSettings;
 import io.rosemarybeam.common.wire.WireTransport;
+import io.rosemarybeam.consensus.storage.FileSystem;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Control processes on the loopback interface, and clients of them. Confined to the thread of the test. */
@@ -48,6 +55,7 @@
     private final Path folder;
     private final Map<String, ControlHost> hosts = new TreeMap<>();
     private final Map<String, ControlProcess> running = new TreeMap<>();
+    private final List<Throwable> failures = new CopyOnWriteArrayList<>();
     private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
     private final WireTransport transport = WireTransport.of(eventLoops, WireSettings.standard());
 
@@ -80,16 +88,20 @@
         ControlHost host = hosts.get(name);
         ControlSettings settings = new ControlSettings(
                 host.name(),
-                host.address(),
-                Optional.empty(),
                 host.failureDomain(),
+                host.address(),
+                "127.0.0.1:0",
                 folder.resolve(name),
-                SECRET,
-                TOKEN,
+                folder.resolve("secret"),
+                folder.resolve("token"),
                 List.copyOf(hosts.values()));
-        ControlProcess process = ControlProcess.of(settings, ConfigurationParser.standard(), failure -> {
-            throw new AssertionError("control process failed", failure);
-        });
+        ControlProcess process = new ControlProcess(
+                settings,
+                new Secrets(SECRET, Optional.of(TOKEN)),
+                ConfigurationParser.standard(),
+                FileSystem.of(settings.dataFolder()),
+                MonotonicClock.system(),
+                failures::add);
         process.start();
         running.put(name, process);
         return process;
@@ -186,6 +198,7 @@
     public void close() {
         List.copyOf(running.keySet()).forEach(this::stop);
         eventLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        assertEquals(List.of(), failures, "no control process fails");
     }
 
     /** Sends requests to whichever control host leads. Confined to the thread of the test. */
@@ -242,8 +255,8 @@
         private static boolean isRefusedForNow(Message reply) {
             return reply instanceof CommonReply.NotLeader
                     || (reply instanceof CommonReply.Refused refused
-                            && (refused.code() == io.rosemarybeam.common.error.ErrorCode.LEADERSHIP_LOST
-                                    || refused.code() == io.rosemarybeam.common.error.ErrorCode.QUORUM_UNAVAILABLE));
+                            && (refused.code() == ErrorCode.LEADERSHIP_LOST
+                                    || refused.code() == ErrorCode.QUORUM_UNAVAILABLE));
         }
 
         List<Message> pushed() {
@@ -252,10 +265,8 @@
             }
         }
 
-        io.rosemarybeam.common.wire.ControlReply.ApplyReply apply(String text, long wait) {
-            return request(
-                    new OperatorRequest.ApplyConfiguration(text, name, wait),
-                    io.rosemarybeam.common.wire.ControlReply.ApplyReply.class);
+        ApplyReply apply(String text, long wait) {
+            return request(new OperatorRequest.ApplyConfiguration(text, name, wait), ApplyReply.class);
         }
     }
 
