Add the operators' command line

Cause: operators change the deployment only through one text and need to check, compare, apply and read it from a shell.

Change: rosemarybeam validate, diff, apply, status, history and dump.

--- /dev/null
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/CommandLine.java
@@ -0,0 +1,139 @@
+package io.rosemarybeam.cli;
+
+import java.io.StringWriter;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.RosemarybeamException;
+import io.rosemarybeam.common.error.SettingsException;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.ParserProperties;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** Understands the command line and runs the command. Confined to the main thread. */
+final class CommandLine {
+    private static final String PROGRAM = "rosemarybeam";
+    private static final int USAGE_WIDTH = 100;
+    static final ParserProperties PROPERTIES = ParserProperties.defaults()
+            .withAtSyntax(false)
+            .withShowDefaults(false)
+            .withUsageWidth(USAGE_WIDTH);
+    private static final List<Command> COMMANDS = List.of(
+            new ValidateCommand(),
+            new DiffCommand(),
+            new ApplyCommand(),
+            new StatusCommand(),
+            new HistoryCommand(),
+            new DumpCommand());
+
+    private CommandLine() {}
+
+    /** The arguments before those of a command. Filled by the command line. */
+    private static final class Arguments {
+        @Argument(metaVar = "COMMAND", required = true, handler = CommandHandler.class)
+        @SubCommands({
+            @SubCommand(name = "validate", impl = ValidateCommand.class),
+            @SubCommand(name = "diff", impl = DiffCommand.class),
+            @SubCommand(name = "apply", impl = ApplyCommand.class),
+            @SubCommand(name = "status", impl = StatusCommand.class),
+            @SubCommand(name = "history", impl = HistoryCommand.class),
+            @SubCommand(name = "dump", impl = DumpCommand.class)
+        })
+        private Command command;
+
+        @Option(name = "--help", help = true, usage = "print this help")
+        private boolean help;
+    }
+
+    /**
+     * Runs a command line.
+     *
+     * @param arguments the arguments
+     * @param console where it writes
+     * @return how the program ends
+     */
+    static ExitCode run(List<String> arguments, Console console) {
+        boolean json = arguments.contains("--json");
+        Arguments parsed = new Arguments();
+        try {
+            new CmdLineParser(parsed, PROPERTIES).parseArgument(arguments);
+        } catch (CmdLineException failure) {
+            console.fail(new SettingsException(ErrorCode.USAGE, failure.getMessage()), json);
+            console.note("Try \"" + PROGRAM + " --help\".");
+            return ExitCode.USAGE;
+        }
+        if (parsed.help || parsed.command.help()) {
+            console.printWhole(parsed.command == null ? help() : help(parsed.command));
+            return ExitCode.SUCCESS;
+        }
+        try {
+            return parsed.command.run(console);
+        } catch (RosemarybeamException failure) {
+            console.fail(failure, json);
+            return ExitCode.of(failure.code());
+        }
+    }
+
+    private static String name(Command command) {
+        return command.getClass().getSimpleName().replace("Command", "").toLowerCase(Locale.ROOT);
+    }
+
+    // Help texts
+
+    private static String help() {
+        StringBuilder text = new StringBuilder("usage: " + PROGRAM + " COMMAND ...\n\nCommands:\n");
+        for (Command command : COMMANDS) {
+            String padded = (name(command) + "          ").substring(0, 10);
+            text.append("  ").append(padded).append(firstSentence(command)).append('\n');
+        }
+        text.append('\n').append("\"").append(PROGRAM).append(" COMMAND --help\" explains a command.\n");
+        return text.append(exitCodes()).toString();
+    }
+
+    private static String firstSentence(Command command) {
+        String description = command.description();
+        return description.substring(0, description.indexOf('.') + 1);
+    }
+
+    private static String help(Command command) {
+        CmdLineParser parser = new CmdLineParser(command, PROPERTIES);
+        StringWriter line = new StringWriter();
+        parser.printSingleLineUsage(line, null);
+        StringWriter options = new StringWriter();
+        parser.printUsage(options, null);
+        return "usage: " + PROGRAM + " " + name(command) + line.toString().stripTrailing() + "\n\n"
+                + wrapped(command.description()) + "\n" + options + exitCodes();
+    }
+
+    private static String wrapped(String text) {
+        StringBuilder wrapped = new StringBuilder();
+        int column = 0;
+        for (String word : Arrays.asList(text.split(" "))) {
+            if (column > 0 && column + 1 + word.length() > USAGE_WIDTH) {
+                wrapped.append('\n');
+                column = 0;
+            }
+            wrapped.append(column == 0 ? "" : " ").append(word);
+            column += word.length() + (column == 0 ? 0 : 1);
+        }
+        return wrapped.append('\n').toString();
+    }
+
+    private static String exitCodes() {
+        return """
+
+                Exit codes:
+                  0  success
+                  1  refused, or the outcome was missed
+                  2  wrong usage or bad input
+                  3  no control host answered
+                  4  another text was accepted under the same number
+                """;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ConfigurationDifference.java
@@ -0,0 +1,192 @@
+package io.rosemarybeam.cli;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import io.rosemarybeam.common.configuration.OperatorConfiguration;
+import io.rosemarybeam.common.configuration.OperatorConfiguration.ControlHost;
+import io.rosemarybeam.common.configuration.ServiceConfiguration;
+import io.rosemarybeam.common.configuration.ServiceConfiguration.IdempotentCall;
+
+/**
+ * What differs between two configurations, by part and key.
+ *
+ * <p>Invariant: parts and keys are in a fixed order, so equal differences have equal texts. Immutable and safe for use by
+ * several threads.
+ */
+final class ConfigurationDifference {
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().registerModule(new Jdk8Module()).enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
+    private static final String PRESENT = "yes";
+
+    private final List<Part> parts;
+
+    private ConfigurationDifference(List<Part> parts) {
+        this.parts = parts;
+    }
+
+    /** What differs in one part. */
+    private record Part(String name, boolean added, boolean removed, List<Change> changes) {}
+
+    /** What differs under one key; a missing side is empty. */
+    private record Change(String key, Optional<String> before, Optional<String> after) {}
+
+    /**
+     * Compares two configurations.
+     *
+     * @param before the accepted one, or empty if there is none
+     * @param after the wanted one
+     * @return the difference
+     */
+    static ConfigurationDifference between(Optional<OperatorConfiguration> before, OperatorConfiguration after) {
+        Map<String, Map<String, String>> old =
+                before.map(ConfigurationDifference::parts).orElse(Map.of());
+        Map<String, Map<String, String>> wanted = parts(after);
+        Set<String> names = new LinkedHashSet<>(wanted.keySet());
+        names.addAll(old.keySet());
+        List<Part> parts = new ArrayList<>();
+        for (String name : names) {
+            Map<String, String> left = old.getOrDefault(name, Map.of());
+            Map<String, String> right = wanted.getOrDefault(name, Map.of());
+            List<Change> changes = changes(left, right);
+            if (!changes.isEmpty()) {
+                parts.add(new Part(name, left.isEmpty(), right.isEmpty(), changes));
+            }
+        }
+        return new ConfigurationDifference(parts);
+    }
+
+    private static List<Change> changes(Map<String, String> left, Map<String, String> right) {
+        Set<String> keys = new LinkedHashSet<>(right.keySet());
+        keys.addAll(left.keySet());
+        return keys.stream()
+                .filter(key -> !Objects.equals(left.get(key), right.get(key)))
+                .map(key -> new Change(key, Optional.ofNullable(left.get(key)), Optional.ofNullable(right.get(key))))
+                .toList();
+    }
+
+    /**
+     * Returns the difference for people.
+     *
+     * @return lines; {@code +} is new, {@code -} goes away, {@code ~} changes
+     */
+    String text() {
+        if (parts.isEmpty()) {
+            return "no difference\n";
+        }
+        StringBuilder text = new StringBuilder();
+        for (Part part : parts) {
+            text.append(part.name())
+                    .append(part.added() ? " (new)" : part.removed() ? " (removed)" : "")
+                    .append('\n');
+            part.changes()
+                    .forEach(change -> text.append("  ").append(line(change)).append('\n'));
+        }
+        return text.toString();
+    }
+
+    private static String line(Change change) {
+        if (change.before().isEmpty()) {
+            return "+ " + change.key() + shown(change.after().orElseThrow());
+        }
+        if (change.after().isEmpty()) {
+            return "- " + change.key() + shown(change.before().orElseThrow());
+        }
+        return "~ " + change.key() + ": " + change.before().get() + " -> "
+                + change.after().get();
+    }
+
+    private static String shown(String value) {
+        return value.equals(PRESENT) ? "" : ": " + value;
+    }
+
+    /**
+     * Returns the difference for scripts.
+     *
+     * @return lists and maps
+     */
+    Map<String, Object> fields() {
+        List<Map<String, Object>> changes = new ArrayList<>();
+        for (Part part : parts) {
+            for (Change change : part.changes()) {
+                Map<String, Object> fields = new LinkedHashMap<>();
+                fields.put("part", part.name());
+                fields.put("key", change.key());
+                fields.put("before", change.before().orElse(null));
+                fields.put("after", change.after().orElse(null));
+                changes.add(fields);
+            }
+        }
+        return Map.of("changes", changes);
+    }
+
+    // Parts of a configuration
+
+    private static Map<String, Map<String, String>> parts(OperatorConfiguration configuration) {
+        Map<String, Map<String, String>> parts = new LinkedHashMap<>();
+        parts.put("configuration", Map.of("number", configuration.number().toString()));
+        Map<String, String> hosts = new TreeMap<>();
+        for (ControlHost host : configuration.controlHosts()) {
+            hosts.put(host.name().value(), host.address() + " in " + host.failureDomain());
+        }
+        parts.put("control hosts", hosts);
+        Map<String, String> entries = new TreeMap<>();
+        configuration.drainingEntryHosts().forEach(host -> entries.put(host.value(), PRESENT));
+        parts.put("draining entry hosts", entries);
+        Map<String, String> endpoints = new TreeMap<>();
+        configuration.drainingEndpoints().forEach(endpoint -> endpoints.put(endpoint.value(), PRESENT));
+        parts.put("draining endpoints", endpoints);
+        Map<String, String> roles = new TreeMap<>();
+        configuration.endpointRoles().forEach((endpoint, role) -> roles.put(endpoint.value(), role));
+        parts.put("endpoint roles", roles);
+        new TreeMap<>(configuration.services()).forEach((name, service) -> parts.put("service " + name, keys(service)));
+        return parts;
+    }
+
+    private static Map<String, String> keys(ServiceConfiguration service) {
+        Map<String, String> keys = new LinkedHashMap<>();
+        for (Map.Entry<String, JsonNode> member : MAPPER.valueToTree(service).properties()) {
+            switch (member.getKey()) {
+                case "name" -> {}
+                case "serviceClass" ->
+                    keys.put("class", member.getValue().asText().toLowerCase(java.util.Locale.ROOT));
+                case "idempotentCalls" ->
+                    service.idempotentCalls().stream()
+                            .map(ConfigurationDifference::call)
+                            .sorted()
+                            .forEach(call -> keys.put("idempotentCalls " + call, PRESENT));
+                default -> flatten(member.getKey(), member.getValue(), keys);
+            }
+        }
+        return keys;
+    }
+
+    private static String call(IdempotentCall call) {
+        return call.method() + " " + call.path();
+    }
+
+    private static void flatten(String key, JsonNode value, Map<String, String> keys) {
+        if (value.isObject()) {
+            value.properties().forEach(member -> flatten(key + "." + member.getKey(), member.getValue(), keys));
+        } else if (value.isArray()) {
+            List<String> elements = new ArrayList<>();
+            value.forEach(element -> elements.add(element.asText()));
+            if (!elements.isEmpty()) {
+                keys.put(key, String.join(", ", elements));
+            }
+        } else if (!value.isNull()) {
+            keys.put(key, value.asText());
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ConfigurationFile.java
@@ -0,0 +1,63 @@
+package io.rosemarybeam.cli;
+
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.rosemarybeam.common.configuration.ConfigurationParser;
+import io.rosemarybeam.common.configuration.ConfigurationParser.Problem;
+import io.rosemarybeam.common.configuration.ConfigurationParser.Result;
+import io.rosemarybeam.common.settings.SettingsFile;
+
+/**
+ * An operator's text in a file, as read and checked. Immutable and safe for use by several threads.
+ *
+ * @param file the file
+ * @param text its content
+ * @param result what the parser found
+ */
+record ConfigurationFile(Path file, String text, Result result) {
+    /**
+     * Reads and checks a file.
+     *
+     * @param file the file
+     * @return its content and what the parser found
+     * @throws io.rosemarybeam.common.error.SettingsException if the file cannot be read
+     */
+    static ConfigurationFile read(Path file) {
+        String text = SettingsFile.readText(file);
+        return new ConfigurationFile(file, text, ConfigurationParser.standard().parse(text));
+    }
+
+    /**
+     * Prints what is wrong.
+     *
+     * @param console where to print
+     * @param problems what is wrong
+     * @param json whether a script reads it
+     * @return the exit code of a wrong input
+     */
+    ExitCode refuse(Console console, List<Problem> problems, boolean json) {
+        if (json) {
+            Map<String, Object> report = new LinkedHashMap<>();
+            report.put("file", file.toString());
+            report.put("valid", false);
+            report.put(
+                    "problems", problems.stream().map(ConfigurationFile::fields).toList());
+            console.printJson(report);
+        } else {
+            problems.forEach(problem -> console.note("file " + file + ", " + problem));
+            console.note("rosemarybeam: " + problems.size() + (problems.size() == 1 ? " problem" : " problems"));
+        }
+        return ExitCode.USAGE;
+    }
+
+    private static Map<String, Object> fields(Problem problem) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("line", problem.line());
+        fields.put("path", problem.path());
+        fields.put("message", problem.message());
+        return fields;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ControlClient.java
@@ -0,0 +1,245 @@
+package io.rosemarybeam.cli;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.RosemarybeamException;
+import io.rosemarybeam.common.error.WireException;
+import io.rosemarybeam.common.wire.CommonReply.NotLeader;
+import io.rosemarybeam.common.wire.CommonReply.Refused;
+import io.rosemarybeam.common.wire.Credentials;
+import io.rosemarybeam.common.wire.HandshakeMessage.Role;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.WireConnection;
+import io.rosemarybeam.common.wire.WireSettings;
+import io.rosemarybeam.common.wire.WireTransport;
+
+/**
+ * Asks the leading control host, which it finds through the answers of the others.
+ *
+ * <p>Invariant: a request is sent again after a lost answer; every operator request is idempotent, so that is safe.
+ * Confined to the thread that opened it.
+ */
+final class ControlClient implements AutoCloseable {
+    private static final Duration REPLY_DEADLINE = Duration.ofSeconds(5);
+    private static final Duration PAUSE_BETWEEN_ROUNDS = Duration.ofMillis(200);
+
+    /** How many answers of the kind "that host leads" are followed in a row; hosts may disagree during an election. */
+    private static final int MAXIMUM_REDIRECTIONS = 3;
+
+    private final List<String> addresses;
+    private final Credentials credentials;
+    private final Duration patience;
+    private final WireSettings settings = WireSettings.standard();
+    private final EventLoopGroup eventLoops = new NioEventLoopGroup(1);
+    private final WireTransport transport = WireTransport.of(eventLoops, settings);
+
+    private ControlClient(List<String> addresses, Credentials credentials, Duration patience) {
+        this.addresses = List.copyOf(addresses);
+        this.credentials = credentials;
+        this.patience = patience;
+    }
+
+    /**
+     * Opens a client; it connects when it is asked.
+     *
+     * @param addresses protocol addresses to try in turn
+     * @param token the operator token
+     * @param patience how long to look for a host that answers
+     * @return the client
+     */
+    static ControlClient open(List<String> addresses, String token, Duration patience) {
+        long incarnation = ProcessHandle.current().pid();
+        return new ControlClient(
+                addresses, new Credentials(Role.OPERATOR, operatorName(), incarnation, token), patience);
+    }
+
+    /**
+     * Names the person who runs the program.
+     *
+     * @return the name of the operating system's user
+     */
+    static String operatorName() {
+        return System.getProperty("user.name", "operator");
+    }
+
+    /** What became of one attempt. */
+    private sealed interface Attempt {
+        /** The host answered. */
+        record Answered(Message reply) implements Attempt {}
+
+        /** The host knows the leader. */
+        record Moved(String address) implements Attempt {}
+
+        /** Another attempt may succeed, after a pause if one is given. */
+        record Failed(RosemarybeamException failure, Duration pause) implements Attempt {
+            boolean isWrongToken() {
+                return failure.code() == ErrorCode.HANDSHAKE_REFUSED;
+            }
+        }
+    }
+
+    /**
+     * Asks until a leading host answers.
+     *
+     * @param request gives the message for each attempt
+     * @param extraWait how much longer than usual an answer may take
+     * @return the answer
+     * @throws ControlException if the request is refused
+     * @throws WireException if no host answers in time, or every host refuses the operator token
+     */
+    Message ask(Supplier<Message> request, Duration extraWait) {
+        long end = System.nanoTime() + patience.plus(extraWait).toNanos();
+        while (true) {
+            Attempt.Failed last = null;
+            boolean wrongToken = true;
+            for (String address : addresses) {
+                Attempt attempt = follow(address, request, extraWait, end);
+                if (attempt instanceof Attempt.Answered answered) {
+                    return answered.reply();
+                }
+                last = failure(attempt);
+                wrongToken &= last.isWrongToken();
+            }
+            Duration pause = last.pause().compareTo(PAUSE_BETWEEN_ROUNDS) > 0 ? last.pause() : PAUSE_BETWEEN_ROUNDS;
+            if (wrongToken || System.nanoTime() + pause.toNanos() >= end) {
+                throw exhausted(last, wrongToken);
+            }
+            sleep(pause);
+        }
+    }
+
+    private Attempt follow(String first, Supplier<Message> request, Duration extraWait, long end) {
+        Attempt attempt = attempt(first, request, extraWait, end);
+        for (int hop = 0; hop < MAXIMUM_REDIRECTIONS && attempt instanceof Attempt.Moved moved; hop++) {
+            attempt = attempt(moved.address(), request, extraWait, end);
+        }
+        return attempt;
+    }
+
+    private Attempt attempt(String address, Supplier<Message> request, Duration extraWait, long end) {
+        Duration remaining = Duration.ofNanos(end - System.nanoTime());
+        if (remaining.isNegative() || remaining.isZero()) {
+            return failed(new WireException(ErrorCode.DEADLINE_EXCEEDED, "no time is left to ask " + address));
+        }
+        Duration usual = REPLY_DEADLINE.plus(extraWait);
+        Duration deadline = usual.compareTo(remaining) < 0 ? usual : remaining;
+        try {
+            WireConnection connection = connect(address);
+            try {
+                return classify(address, await(connection.request(request.get(), deadline)));
+            } finally {
+                connection.close();
+            }
+        } catch (WireException failure) {
+            return failed(new WireException(failure.code(), "control host " + address + ": " + detail(failure)));
+        }
+    }
+
+    /** Tells a host that refuses the proof from one that accepts connections and says nothing. */
+    private WireConnection connect(String address) {
+        long start = System.nanoTime();
+        try {
+            return await(transport.connect(address, credentials, (connection, correlation, message) -> {}));
+        } catch (WireException failure) {
+            long elapsed = System.nanoTime() - start;
+            if (failure.code() == ErrorCode.HANDSHAKE_REFUSED
+                    && elapsed >= settings.handshakeDeadline().toNanos()) {
+                throw new WireException(ErrorCode.CONNECTION_SILENT, "the handshake was not answered", failure);
+            }
+            throw failure;
+        }
+    }
+
+    private static Attempt classify(String address, Message reply) {
+        if (reply instanceof NotLeader redirection) {
+            Optional<String> leader = redirection.leaderAddress().filter(found -> !found.equals(address));
+            if (leader.isPresent()) {
+                return new Attempt.Moved(leader.get());
+            }
+            return failed(new ControlException(
+                    ErrorCode.NOT_LEADER, "control host " + address + " does not lead and knows no leader"));
+        }
+        if (reply instanceof Refused refused) {
+            return classify(address, refused);
+        }
+        return new Attempt.Answered(reply);
+    }
+
+    private static Attempt classify(String address, Refused refused) {
+        ControlException failure =
+                new ControlException(refused.code(), "control host " + address + ": " + refused.detail());
+        boolean passing = ExitCode.of(refused.code()) == ExitCode.UNREACHABLE;
+        if (!passing && refused.retryAfterMilliseconds() <= 0) {
+            throw failure;
+        }
+        return new Attempt.Failed(failure, Duration.ofMillis(Math.max(0, refused.retryAfterMilliseconds())));
+    }
+
+    private static Attempt.Failed failed(RosemarybeamException failure) {
+        return new Attempt.Failed(failure, Duration.ZERO);
+    }
+
+    private static Attempt.Failed failure(Attempt attempt) {
+        return switch (attempt) {
+            case Attempt.Failed failed -> failed;
+            case Attempt.Moved moved ->
+                failed(new ControlException(
+                        ErrorCode.NOT_LEADER, "the hosts do not agree on a leader; the last named " + moved.address()));
+            case Attempt.Answered answered -> throw new IllegalArgumentException("answered: " + answered);
+        };
+    }
+
+    private RosemarybeamException exhausted(Attempt.Failed last, boolean wrongToken) {
+        if (wrongToken) {
+            return new WireException(
+                    ErrorCode.HANDSHAKE_REFUSED, "every control host refused the operator token; check --token-file");
+        }
+        String detail =
+                "no control host of " + String.join(", ", addresses) + " answered within " + patience.toSeconds()
+                        + " s; the last failure was " + last.failure().getMessage();
+        ErrorCode code = last.isWrongToken()
+                ? ErrorCode.CONNECTION_FAILED
+                : last.failure().code();
+        return new WireException(code, detail, last.failure());
+    }
+
+    private static String detail(WireException failure) {
+        String message = failure.getMessage();
+        return message.substring(message.indexOf(": ") + 2);
+    }
+
+    private static <T> T await(CompletableFuture<T> future) {
+        try {
+            return future.join();
+        } catch (CompletionException failure) {
+            if (failure.getCause() instanceof RosemarybeamException typed) {
+                throw typed;
+            }
+            throw new WireException(ErrorCode.CONNECTION_CLOSED, String.valueOf(failure.getCause()), failure);
+        }
+    }
+
+    private static void sleep(Duration pause) {
+        try {
+            Thread.sleep(pause);
+        } catch (InterruptedException interruption) {
+            Thread.currentThread().interrupt();
+            throw new WireException(ErrorCode.CONNECTION_CLOSED, "interrupted", interruption);
+        }
+    }
+
+    @Override
+    public void close() {
+        eventLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/DiffCommand.java
@@ -0,0 +1,80 @@
+package io.rosemarybeam.cli;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+
+import io.rosemarybeam.common.configuration.ConfigurationParser;
+import io.rosemarybeam.common.configuration.ConfigurationParser.Result;
+import io.rosemarybeam.common.configuration.OperatorConfiguration;
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.wire.ControlReply.ConfigurationReply;
+import io.rosemarybeam.common.wire.ControlReply.ConfigurationText;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.OperatorRequest.ReadConfiguration;
+import org.kohsuke.args4j.Argument;
+
+/** Compares a text with the accepted one. Filled by the command line; confined to the main thread. */
+final class DiffCommand extends ControlCommand {
+    @Argument(metaVar = "FILE", required = true, usage = "operator text")
+    private Path file;
+
+    @Override
+    String description() {
+        return "Shows what applying an operator text would change, by service and key. Defaults are filled in on both "
+                + "sides, so only effective differences are shown. Changes nothing.";
+    }
+
+    @Override
+    ExitCode run(Console console) {
+        ConfigurationFile read = ConfigurationFile.read(file);
+        return switch (read.result()) {
+            case Result.Invalid invalid -> read.refuse(console, invalid.problems(), json());
+            case Result.Valid valid -> {
+                compare(console, read.text(), valid.configuration());
+                yield ExitCode.SUCCESS;
+            }
+        };
+    }
+
+    private void compare(Console console, String text, OperatorConfiguration wanted) {
+        Optional<ConfigurationText> accepted = accepted();
+        ConfigurationDifference difference = ConfigurationDifference.between(accepted.map(DiffCommand::parse), wanted);
+        if (json()) {
+            console.printJson(difference.fields());
+        } else {
+            console.printWhole(difference.text());
+        }
+        accepted.flatMap(before -> advice(before, text, wanted)).ifPresent(console::note);
+    }
+
+    private Optional<ConfigurationText> accepted() {
+        try (ControlClient client = client()) {
+            Message reply = client.ask(ReadConfiguration::new, Duration.ZERO);
+            if (reply instanceof ConfigurationReply found) {
+                return found.configuration();
+            }
+            throw new ControlException(ErrorCode.INTERNAL, "unexpected answer " + reply);
+        }
+    }
+
+    private static OperatorConfiguration parse(ConfigurationText accepted) {
+        return switch (ConfigurationParser.standard().parse(accepted.text())) {
+            case Result.Valid valid -> valid.configuration();
+            case Result.Invalid invalid ->
+                throw new ControlException(
+                        ErrorCode.INTERNAL,
+                        "this program does not understand the accepted text: "
+                                + invalid.problems().getFirst());
+        };
+    }
+
+    private static Optional<String> advice(ConfigurationText accepted, String text, OperatorConfiguration wanted) {
+        if (accepted.text().equals(text) || wanted.number().value() > accepted.number()) {
+            return Optional.empty();
+        }
+        return Optional.of("note: number " + accepted.number()
+                + " is accepted already; raise the number above it before " + "you apply this text");
+    }
+}
