--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -22,6 +22,23 @@
     LEADER_ELECTED(300, Severity.INFORMATION, "A control host became leader."),
     /** An entry lost its configuration lease and takes no new work. */
     LEASE_LAPSED(400, Severity.WARNING, "An entry lost its configuration lease and takes no new work."),
+    /** An entry connected to a control host. */
+    CONTROL_CONNECTED(401, Severity.INFORMATION, "An entry connected to a control host."),
+    /** A configuration took effect in an entry. */
+    CONFIGURATION_ACTIVATED(402, Severity.INFORMATION, "A configuration took effect in an entry."),
+    /** An accepted configuration could not be read by an entry and is not in force there. */
+    CONFIGURATION_UNREADABLE(
+            403, Severity.ERROR, "An accepted configuration could not be read by an entry and is not in force there."),
+    /** An entry ignored a state that is older than its own. */
+    STALE_STATE_IGNORED(404, Severity.WARNING, "An entry ignored a state that is older than its own."),
+    /** An entry holds its configuration lease again. */
+    LEASE_HELD(405, Severity.INFORMATION, "An entry holds its configuration lease again."),
+    /** An entry began to drain. */
+    DRAIN_STARTED(406, Severity.INFORMATION, "An entry began to drain."),
+    /** A draining entry has answered its last request. */
+    DRAIN_FINISHED(407, Severity.INFORMATION, "A draining entry has answered its last request."),
+    /** A drain ended before all requests were answered. */
+    DRAIN_CUT(408, Severity.ERROR, "A drain ended before all requests were answered."),
     /** A request was quarantined because it crashed several endpoints. */
     REQUEST_QUARANTINED(500, Severity.WARNING, "A request was quarantined because it crashed several endpoints."),
     /** A step was opened or taken over by this entry. */
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/AttemptListener.java
@@ -0,0 +1,38 @@
+package io.rosemarybeam.entry;
+
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+
+/** Learns what becomes of attempts. Called on event loops and on the decision thread. */
+interface AttemptListener {
+    /**
+     * The request is about to be written; from now on it may have run.
+     *
+     * @param attempt the attempt
+     */
+    void onSent(AttemptStream attempt);
+
+    /**
+     * More of the answer arrived. The listener calls {@link AttemptStream#progressTaken} once it has taken the report.
+     *
+     * @param attempt the attempt
+     * @param progress how far the answer is
+     */
+    void onProgress(AttemptStream attempt, Work.Progress progress);
+
+    /**
+     * The whole answer arrived.
+     *
+     * @param attempt the attempt
+     * @param progress how far the answer is
+     */
+    void onCompleted(AttemptStream attempt, Work.Progress progress);
+
+    /**
+     * The attempt ended without the whole answer.
+     *
+     * @param attempt the attempt
+     * @param progress how far the answer is
+     * @param failure the reason
+     */
+    void onFailed(AttemptStream attempt, Work.Progress progress, AttemptFailure failure);
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/AttemptStream.java
@@ -0,0 +1,259 @@
+package io.rosemarybeam.entry;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.RequestException;
+import io.rosemarybeam.common.id.AttemptId;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.decision.request.RequestCommand.StartAttempt;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
+import org.asynchttpclient.netty.request.NettyRequest;
+
+/**
+ * One attempt to run a request on an endpoint.
+ *
+ * <p>Invariant: it ends exactly once, by success or failure, and reports its progress before its end. Nothing is sent
+ * after {@code sendNotAfter}, also if the process was paused between the decision and the connection. Safe for use by
+ * several threads.
+ */
+final class AttemptStream implements AsyncHandler<Void> {
+    private final StartAttempt command;
+    private final Work work;
+    private final AttemptListener listener;
+    private final MonotonicClock clock;
+    private final long startedAtMilliseconds;
+    private final long sendNotAfterMilliseconds;
+    private final AtomicBoolean ended = new AtomicBoolean();
+    private volatile Channel channel;
+    private volatile boolean sent;
+    private volatile boolean paused;
+    private volatile long lastByteMilliseconds;
+    private int status;
+    private int reportedTokens = -1;
+    private Optional<WeightVersion> reportedVersion = Optional.empty();
+    private final AtomicBoolean progressPending = new AtomicBoolean();
+
+    AttemptStream(
+            StartAttempt command,
+            Work work,
+            AttemptListener listener,
+            MonotonicClock clock,
+            long sendNotAfterMilliseconds) {
+        this.command = command;
+        this.work = work;
+        this.listener = listener;
+        this.clock = clock;
+        this.sendNotAfterMilliseconds = sendNotAfterMilliseconds;
+        this.startedAtMilliseconds = clock.nowMilliseconds();
+        this.lastByteMilliseconds = startedAtMilliseconds;
+    }
+
+    AttemptId id() {
+        return command.attempt();
+    }
+
+    StartAttempt command() {
+        return command;
+    }
+
+    Work work() {
+        return work;
+    }
+
+    boolean isSent() {
+        return sent;
+    }
+
+    long startedAtMilliseconds() {
+        return startedAtMilliseconds;
+    }
+
+    // ---- Connection ----
+
+    @Override
+    public void onTcpConnectSuccess(InetSocketAddress address, Channel connected) {
+        use(connected);
+    }
+
+    @Override
+    public void onConnectionPooled(Channel pooled) {
+        use(pooled);
+    }
+
+    private void use(Channel used) {
+        channel = used;
+        if (ended.get()) {
+            used.close();
+        }
+    }
+
+    @Override
+    public void onConnectionOffer(Channel returned) {
+        returned.config().setAutoRead(true);
+    }
+
+    @Override
+    public void onRequestSend(NettyRequest request) {
+        if (ended.get() || clock.nowMilliseconds() > sendNotAfterMilliseconds) {
+            throw new RequestException(
+                    ErrorCode.DEADLINE_EXCEEDED, "attempt " + id() + " was not sent before its dispatch deadline");
+        }
+        sent = true;
+        lastByteMilliseconds = clock.nowMilliseconds();
+        listener.onSent(this);
+    }
+
+    // ---- Answer ----
+
+    @Override
+    public State onStatusReceived(HttpResponseStatus received) {
+        touch();
+        status = received.getStatusCode();
+        return ended.get() ? State.ABORT : State.CONTINUE;
+    }
+
+    @Override
+    public State onHeadersReceived(HttpHeaders headers) {
+        touch();
+        return goOn(work.onHead(this, status, headers));
+    }
+
+    @Override
+    public State onBodyPartReceived(HttpResponseBodyPart part) {
+        touch();
+        State state = goOn(work.onBytes(this, part.getBodyByteBuf()));
+        if (state == State.CONTINUE) {
+            reportProgress();
+            pauseIfFull();
+        }
+        return state;
+    }
+
+    private State goOn(Optional<AttemptFailure> failure) {
+        failure.ifPresent(this::fail);
+        return ended.get() ? State.ABORT : State.CONTINUE;
+    }
+
+    @Override
+    public Void onCompleted() {
+        if (ended.get()) {
+            return null;
+        }
+        Optional<AttemptFailure> failure = work.onEnd(this);
+        if (failure.isPresent()) {
+            fail(failure.get());
+        } else if (ended.compareAndSet(false, true)) {
+            listener.onCompleted(this, work.progress());
+        }
+        return null;
+    }
+
+    @Override
+    public void onThrowable(Throwable failure) {
+        fail(sent ? AttemptFailure.BROKEN : AttemptFailure.CONNECT_FAILED);
+    }
+
+    private void touch() {
+        lastByteMilliseconds = clock.nowMilliseconds();
+    }
+
+    /** Reports at most one progress at a time, so that a fast stream cannot flood the decision thread. */
+    private void reportProgress() {
+        Work.Progress progress = work.progress();
+        boolean versionChanged = !progress.version().equals(reportedVersion);
+        if (progress.received() == reportedTokens && !versionChanged) {
+            return;
+        }
+        if (progressPending.compareAndSet(false, true) || versionChanged) {
+            reportedTokens = progress.received();
+            reportedVersion = progress.version();
+            listener.onProgress(this, progress);
+        }
+    }
+
+    void progressTaken() {
+        progressPending.set(false);
+    }
+
+    // ---- Back-pressure ----
+
+    private void pauseIfFull() {
+        if (work.isWritable()) {
+            return;
+        }
+        paused = true;
+        channel.config().setAutoRead(false);
+        if (work.isWritable()) {
+            resumeReading();
+        }
+    }
+
+    void resumeReading() {
+        if (paused) {
+            touch();
+            paused = false;
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    // ---- End ----
+
+    /**
+     * Checks the time limits.
+     *
+     * @param nowMilliseconds the time
+     */
+    void checkTime(long nowMilliseconds) {
+        if (!sent) {
+            if (nowMilliseconds > startedAtMilliseconds + command.connectMilliseconds()) {
+                fail(AttemptFailure.CONNECT_FAILED);
+            }
+        } else if (!paused && nowMilliseconds > lastByteMilliseconds + command.progressMilliseconds()) {
+            fail(AttemptFailure.SILENT);
+        }
+    }
+
+    /** Restarts the progress deadline after the process itself stood still. */
+    void forgive() {
+        touch();
+    }
+
+    private void fail(AttemptFailure failure) {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
+        closeChannel();
+        Work.Progress progress = work.progress();
+        work.detach(this);
+        listener.onFailed(this, progress, failure);
+    }
+
+    /**
+     * Ends the attempt without a report.
+     *
+     * @return whether it had not ended before
+     */
+    boolean cancel() {
+        if (!ended.compareAndSet(false, true)) {
+            return false;
+        }
+        work.detach(this);
+        closeChannel();
+        return true;
+    }
+
+    private void closeChannel() {
+        Channel used = channel;
+        if (used != null) {
+            used.close();
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/BodyStore.java
@@ -0,0 +1,136 @@
+package io.rosemarybeam.entry;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.rosemarybeam.common.wire.PeerRequest.SampleBody;
+import io.rosemarybeam.decision.step.StepInput.StepKey;
+
+/**
+ * Holds copies of sample bodies for other entries.
+ *
+ * <p>Invariant: the texts never exceed the byte limit; what does not fit is refused and nothing else is dropped for it.
+ * A step that nobody has asked for during one hour is dropped. Safe for use by several threads.
+ */
+final class BodyStore {
+    private static final long KEPT_MILLISECONDS = 3_600_000;
+    private static final int OVERHEAD_BYTES = 200;
+    private static final int BYTES_PER_SPAN = 32;
+
+    private final long maximumBytes;
+    private final Map<StepKey, Copies> steps = new LinkedHashMap<>();
+    private long usedBytes;
+
+    /** The copies of one step. Confined by the lock of the store. */
+    private static final class Copies {
+        private final Map<Integer, SampleBody> bodies = new TreeMap<>();
+        private long usedAtMilliseconds;
+    }
+
+    BodyStore(long maximumBytes) {
+        this.maximumBytes = maximumBytes;
+    }
+
+    /**
+     * Stores copies, or none of them.
+     *
+     * @param step the step
+     * @param bodies the copies
+     * @param nowMilliseconds the time
+     * @return false if they do not fit
+     */
+    synchronized boolean store(StepKey step, Collection<SampleBody> bodies, long nowMilliseconds) {
+        expire(nowMilliseconds);
+        Copies copies = steps.getOrDefault(step, new Copies());
+        long needed = 0;
+        for (SampleBody body : bodies) {
+            needed += size(body) - size(copies.bodies.get(body.index()));
+        }
+        if (usedBytes + needed > maximumBytes) {
+            return false;
+        }
+        bodies.forEach(body -> copies.bodies.put(body.index(), body));
+        copies.usedAtMilliseconds = nowMilliseconds;
+        steps.put(step, copies);
+        usedBytes += needed;
+        return true;
+    }
+
+    /**
+     * Returns copies, as many as fit in a number of bytes.
+     *
+     * @param step the step
+     * @param indexes the wanted samples; empty for all
+     * @param limitBytes how much to return; at least one copy is returned if any is held
+     * @param nowMilliseconds the time
+     * @return those that are held
+     */
+    synchronized List<SampleBody> fetch(
+            StepKey step, Collection<Integer> indexes, long limitBytes, long nowMilliseconds) {
+        Copies copies = steps.get(step);
+        if (copies == null) {
+            return List.of();
+        }
+        copies.usedAtMilliseconds = nowMilliseconds;
+        List<SampleBody> found = new ArrayList<>();
+        long bytes = 0;
+        for (int index : indexes.isEmpty() ? copies.bodies.keySet() : indexes) {
+            SampleBody body = copies.bodies.get(index);
+            bytes += size(body);
+            if (bytes > limitBytes && !found.isEmpty()) {
+                break;
+            }
+            if (body != null) {
+                found.add(body);
+            }
+        }
+        return found;
+    }
+
+    /**
+     * Drops copies.
+     *
+     * @param step the step
+     * @param indexes the samples
+     */
+    synchronized void drop(StepKey step, Collection<Integer> indexes) {
+        Copies copies = steps.get(step);
+        if (copies == null) {
+            return;
+        }
+        for (int index : indexes) {
+            usedBytes -= size(copies.bodies.remove(index));
+        }
+        if (copies.bodies.isEmpty()) {
+            steps.remove(step);
+        }
+    }
+
+    synchronized long usedBytes() {
+        return usedBytes;
+    }
+
+    private void expire(long nowMilliseconds) {
+        Iterator<Copies> each = steps.values().iterator();
+        while (each.hasNext()) {
+            Copies copies = each.next();
+            if (nowMilliseconds - copies.usedAtMilliseconds > KEPT_MILLISECONDS) {
+                copies.bodies.values().forEach(body -> usedBytes -= size(body));
+                each.remove();
+            }
+        }
+    }
+
+    private static long size(SampleBody body) {
+        return body == null
+                ? 0
+                : OVERHEAD_BYTES
+                        + 2L * body.text().length()
+                        + (long) BYTES_PER_SPAN * body.spans().size();
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerRoutes.java
@@ -0,0 +1,216 @@
+package io.rosemarybeam.entry;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.configuration.OperatorConfiguration;
+import io.rosemarybeam.common.configuration.ServiceConfiguration;
+import io.rosemarybeam.common.configuration.ServiceConfiguration.ServiceClass;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.RequestException;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.Fingerprint;
+import io.rosemarybeam.common.id.IdempotencyKey;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.wire.EntryHostRecord;
+import io.rosemarybeam.decision.request.RequestInput.Precedence;
+import io.rosemarybeam.decision.request.RequestInput.RequestArrived;
+
+/** Serves callers: addresses, completions and plain services. Called on event loops. Safe for use by several threads. */
+final class CallerRoutes {
+    /** How long a caller keeps the answer to a question for addresses. */
+    static final long ADDRESS_TIME_TO_LIVE_MILLISECONDS = 5_000;
+
+    private static final int MAXIMUM_ADDRESSES = 16;
+    private static final int DEFAULT_MAXIMUM_TOKENS = 16;
+    private static final String SERVICES = "/services/";
+
+    private final StateKeeper keeper;
+    private final RequestDriver requests;
+    private final WorkFactory works;
+    private final MonotonicClock clock;
+
+    CallerRoutes(StateKeeper keeper, RequestDriver requests, WorkFactory works, MonotonicClock clock) {
+        this.keeper = keeper;
+        this.requests = requests;
+        this.works = works;
+        this.clock = clock;
+    }
+
+    static OperatorConfiguration configuration(EntryView view) {
+        return view.configuration()
+                .orElseThrow(() -> new RequestException(
+                        ErrorCode.LEASE_LAPSED, "this entry has not received a configuration yet"));
+    }
+
+    static ServiceConfiguration service(EntryView view, String name) {
+        return configuration(view)
+                .service(ServiceName.of(name))
+                .orElseThrow(() -> new RequestException(ErrorCode.SERVICE_UNKNOWN, "there is no service " + name));
+    }
+
+    // ---- Addresses ----
+
+    void addresses(HttpCall call) {
+        requireMethod(call, "GET");
+        Optional<FailureDomain> domain = call.head().parameter("failureDomain").map(FailureDomain::of);
+        List<EntryHostRecord> near = new ArrayList<>();
+        List<EntryHostRecord> far = new ArrayList<>();
+        for (EntryHostRecord entry : keeper.view().entryHosts()) {
+            if (!entry.draining()) {
+                boolean same = domain.map(entry.failureDomain()::equals).orElse(false);
+                (same ? near : far).add(entry);
+            }
+        }
+        Collections.shuffle(near, ThreadLocalRandom.current());
+        Collections.shuffle(far, ThreadLocalRandom.current());
+        near.addAll(far);
+        if (near.isEmpty()) {
+            call.refuse(Problem.retryLater(ErrorCode.LEASE_LAPSED, 1_000));
+            return;
+        }
+        List<String> addresses = near.stream()
+                .limit(MAXIMUM_ADDRESSES)
+                .map(EntryHostRecord::callerAddress)
+                .toList();
+        call.respondJson(
+                200, Map.of("addresses", addresses, "timeToLiveMilliseconds", ADDRESS_TIME_TO_LIVE_MILLISECONDS));
+    }
+
+    // ---- Completions ----
+
+    void complete(HttpCall call) {
+        requireMethod(call, "POST");
+        ObjectNode body = Json.readObject(call.body());
+        String model = body.path("model").asText("");
+        ServiceConfiguration service = service(keeper.view(), model);
+        if (service.serviceClass() != ServiceClass.MODEL) {
+            throw new RequestException(ErrorCode.REQUEST_INVALID, model + " is not a model service");
+        }
+        requireSize(call, service);
+        if (!body.path("prompt").isTextual()) {
+            throw new RequestException(ErrorCode.REQUEST_INVALID, "prompt must be a text");
+        }
+        int maximumTokens = body.path("max_tokens").asInt(DEFAULT_MAXIMUM_TOKENS);
+        if (maximumTokens < 1) {
+            throw new RequestException(ErrorCode.REQUEST_INVALID, "max_tokens must be at least 1");
+        }
+        RequestId id = works.nextRequestId();
+        boolean stream = body.path("stream").asBoolean(false);
+        HttpCompletionReceiver receiver = new HttpCompletionReceiver(call, id.value(), model, stream, maximumTokens);
+        HttpHeaders headers = ProxyHeaders.forEndpoint(call.head().headers());
+        Work work = works.work(
+                id,
+                service.name(),
+                "POST",
+                WorkFactory.COMPLETIONS_PATH,
+                headers,
+                true,
+                works.completion(body, receiver));
+        Fingerprint fingerprint = Digests.fingerprint(service.name(), "", call.body());
+        List<Long> prefixes = Digests.prefixHashes(body.path("prompt").textValue());
+        submit(call, work, service, fingerprint, prefixes, maximumTokens);
+    }
+
+    // ---- Plain services ----
+
+    void proxy(HttpCall call, ServiceName name) {
+        HttpRequestHead head = call.head();
+        ServiceConfiguration service = service(keeper.view(), name.value());
+        if (service.serviceClass() != ServiceClass.PLAIN) {
+            throw new RequestException(ErrorCode.REQUEST_INVALID, name + " is not a plain service");
+        }
+        requireSize(call, service);
+        String uri = head.uri().substring(SERVICES.length() + name.value().length());
+        String path = head.path().substring(SERVICES.length() + name.value().length());
+        requirePlainPath(path);
+        boolean idempotent = service.idempotentCalls().stream().anyMatch(listed -> listed.matches(head.method(), path));
+        Optional<IdempotencyKey> key =
+                head.header(EndpointHeaders.IDEMPOTENCY_KEY).map(IdempotencyKey::of);
+        Work work = works.work(
+                works.nextRequestId(),
+                name,
+                head.method(),
+                uri,
+                ProxyHeaders.forEndpoint(head.headers()),
+                idempotent,
+                key,
+                works.proxy(PlainReceiver.of(call), head.method(), call.body()));
+        Fingerprint fingerprint = Digests.fingerprint(name, head.method() + " " + uri, call.body());
+        submit(call, work, service, fingerprint, List.of(), 1);
+    }
+
+    /** A path that the endpoint could read as another one must not decide whether the call is idempotent. */
+    private static void requirePlainPath(String path) {
+        for (String segment : path.split("/")) {
+            String decoded = segment.replace("%2e", ".").replace("%2E", ".");
+            if (decoded.equals(".") || decoded.equals("..")) {
+                throw new RequestException(ErrorCode.REQUEST_INVALID, "the path has a dot segment");
+            }
+        }
+    }
+
+    // ---- Common ----
+
+    private void submit(
+            HttpCall call,
+            Work work,
+            ServiceConfiguration service,
+            Fingerprint fingerprint,
+            List<Long> prefixes,
+            int expectedTokens) {
+        RequestId id = work.target().id();
+        call.whenWritable(work::resumeReading);
+        requests.submit(
+                work,
+                new RequestArrived(
+                        id,
+                        service.name(),
+                        Precedence.CUSTOMER,
+                        Optional.empty(),
+                        work.target().idempotent(),
+                        work.target().key(),
+                        fingerprint,
+                        prefixes,
+                        expectedTokens,
+                        deadline(call, service),
+                        Optional.empty(),
+                        Set.of()));
+        call.whenClosed(() -> requests.cancel(id));
+    }
+
+    private long deadline(HttpCall call, ServiceConfiguration service) {
+        long total = service.deadlines().totalMilliseconds();
+        Optional<String> asked = call.head().header(EndpointHeaders.DEADLINE);
+        if (asked.isPresent()) {
+            try {
+                total = Math.min(total, Long.parseLong(asked.get().trim()));
+            } catch (NumberFormatException malformed) {
+                throw new RequestException(
+                        ErrorCode.REQUEST_INVALID, EndpointHeaders.DEADLINE + " is not a number", malformed);
+            }
+        }
+        return clock.nowMilliseconds() + total;
+    }
+
+    private static void requireMethod(HttpCall call, String method) {
+        if (!call.head().method().equals(method)) {
+            throw new RequestException(ErrorCode.REQUEST_INVALID, call.head().path() + " serves only " + method);
+        }
+    }
+
+    private static void requireSize(HttpCall call, ServiceConfiguration service) {
+        int limit = service.limits().maximumBodyBytes();
+        if (call.body().length > limit) {
+            throw new RequestException(ErrorCode.BODY_TOO_LARGE, "the body exceeds " + limit + " bytes");
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ControlSession.java
@@ -0,0 +1,232 @@
+package io.rosemarybeam.entry;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.netty.channel.EventLoop;
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.wire.CommonReply.NotLeader;
+import io.rosemarybeam.common.wire.CommonReply.Refused;
+import io.rosemarybeam.common.wire.ControlReply.EntryState;
+import io.rosemarybeam.common.wire.ControlReply.PushState;
+import io.rosemarybeam.common.wire.Credentials;
+import io.rosemarybeam.common.wire.EntryRequest;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.MessageHandler;
+import io.rosemarybeam.common.wire.WireConnection;
+import io.rosemarybeam.common.wire.WireTransport;
+
+/**
+ * Talks to the leader of the control processes.
+ *
+ * <p>Invariant: at most one connection is open. A host that does not answer, refuses the connection or does not lead is
+ * left for the leader that it names, or for the next host of the settings. The state is confined to one event loop;
+ * {@link #request} is safe for use by several threads.
+ */
+final class ControlSession implements ControlGateway, AutoCloseable {
+    private static final EventLog LOG = EventLog.of(ControlSession.class);
+    private static final long TRY_MILLISECONDS = 800;
+    private static final long FIRST_BACKOFF_MILLISECONDS = 20;
+    private static final long LONGEST_BACKOFF_MILLISECONDS = 400;
+
+    private final WireTransport transport;
+    private final Credentials credentials;
+    private final List<String> addresses;
+    private final EventLoop loop;
+    private final MonotonicClock clock;
+    private final Consumer<EntryState> onPush;
+    private final Deque<Pending> waiting = new ArrayDeque<>();
+    private Optional<WireConnection> connection = Optional.empty();
+    private boolean connecting;
+    private boolean closed;
+    private int next;
+    private Optional<String> hint = Optional.empty();
+    private long lastReplyMilliseconds;
+
+    ControlSession(
+            WireTransport transport,
+            Credentials credentials,
+            List<String> addresses,
+            EventLoop loop,
+            MonotonicClock clock,
+            Consumer<EntryState> onPush) {
+        this.transport = transport;
+        this.credentials = credentials;
+        this.addresses = List.copyOf(addresses);
+        this.loop = loop;
+        this.clock = clock;
+        this.onPush = onPush;
+        this.next = ThreadLocalRandom.current().nextInt(addresses.size());
+    }
+
+    /** A request that is not answered yet. Confined to the event loop, except for the result. */
+    private static final class Pending {
+        private final EntryRequest request;
+        private final long deadlineMilliseconds;
+        private final CompletableFuture<Message> result = new CompletableFuture<>();
+        private long backoffMilliseconds = FIRST_BACKOFF_MILLISECONDS;
+
+        private Pending(EntryRequest request, long deadlineMilliseconds) {
+            this.request = request;
+            this.deadlineMilliseconds = deadlineMilliseconds;
+        }
+    }
+
+    @Override
+    public CompletableFuture<Message> request(EntryRequest request, Duration deadline) {
+        Pending pending = new Pending(request, clock.nowMilliseconds() + deadline.toMillis());
+        loop.execute(() -> {
+            loop.schedule(() -> expire(pending), deadline.toMillis(), TimeUnit.MILLISECONDS);
+            send(pending);
+        });
+        return pending.result;
+    }
+
+    private void expire(Pending pending) {
+        waiting.remove(pending);
+        pending.result.completeExceptionally(new ControlException(
+                ErrorCode.DEADLINE_EXCEEDED,
+                "no control host answered " + pending.request.getClass().getSimpleName() + " in time"));
+    }
+
+    // ---- Requests ----
+
+    private void send(Pending pending) {
+        if (pending.result.isDone()) {
+            return;
+        }
+        if (closed) {
+            expire(pending);
+            return;
+        }
+        if (connection.isEmpty() || !connection.get().isOpen()) {
+            waiting.add(pending);
+            connect();
+            return;
+        }
+        WireConnection used = connection.get();
+        long sentAt = clock.nowMilliseconds();
+        long patience = Math.max(1, Math.min(TRY_MILLISECONDS, pending.deadlineMilliseconds - sentAt));
+        used.request(pending.request, Duration.ofMillis(patience))
+                .whenComplete((reply, failure) -> loop.execute(() -> {
+                    if (failure != null) {
+                        leaveIfSilent(used, sentAt);
+                        retry(pending);
+                    } else {
+                        lastReplyMilliseconds = clock.nowMilliseconds();
+                        onReply(used, pending, reply);
+                    }
+                }));
+    }
+
+    private void onReply(WireConnection used, Pending pending, Message reply) {
+        if (reply instanceof NotLeader notLeader) {
+            leave(used, notLeader.leaderAddress());
+            retry(pending);
+        } else if (reply instanceof Refused refused && isTransient(refused.code())) {
+            leave(used, Optional.empty());
+            retry(pending);
+        } else if (reply instanceof Refused refused) {
+            pending.result.completeExceptionally(new ControlException(refused.code(), refused.detail()));
+        } else {
+            pending.result.complete(reply);
+        }
+    }
+
+    private static boolean isTransient(ErrorCode code) {
+        return code == ErrorCode.NOT_LEADER
+                || code == ErrorCode.LEADERSHIP_LOST
+                || code == ErrorCode.QUORUM_UNAVAILABLE;
+    }
+
+    private void retry(Pending pending) {
+        long backoff = pending.backoffMilliseconds;
+        pending.backoffMilliseconds = Math.min(LONGEST_BACKOFF_MILLISECONDS, backoff * 2);
+        long jittered = backoff / 2 + ThreadLocalRandom.current().nextLong(backoff);
+        loop.schedule(() -> send(pending), jittered, TimeUnit.MILLISECONDS);
+    }
+
+    // ---- Choice of host ----
+
+    /** Leaves a host that has answered nothing since the request was sent; one slow request alone is no reason. */
+    private void leaveIfSilent(WireConnection used, long sentAt) {
+        if (!used.isOpen() || lastReplyMilliseconds < sentAt) {
+            leave(used, Optional.empty());
+        }
+    }
+
+    private void leave(WireConnection used, Optional<String> leader) {
+        if (connection.isPresent() && connection.get() == used) {
+            connection = Optional.empty();
+            hint = leader;
+            next++;
+            used.close();
+        }
+    }
+
+    private void connect() {
+        if (connecting || closed) {
+            return;
+        }
+        connecting = true;
+        String address = hint.orElse(addresses.get(Math.floorMod(next, addresses.size())));
+        hint = Optional.empty();
+        transport
+                .connect(address, credentials, new Pushes())
+                .whenComplete((opened, failure) -> loop.execute(() -> onConnected(address, opened, failure)));
+    }
+
+    private void onConnected(String address, WireConnection opened, Throwable failure) {
+        connecting = false;
+        if (failure != null) {
+            next++;
+            loop.schedule(this::reconnect, LONGEST_BACKOFF_MILLISECONDS / 4, TimeUnit.MILLISECONDS);
+            return;
+        }
+        if (closed) {
+            opened.close();
+            return;
+        }
+        connection = Optional.of(opened);
+        LOG.log(Event.CONTROL_CONNECTED, "remote", opened.remoteName(), "address", address);
+        Pending pending = waiting.poll();
+        while (pending != null) {
+            send(pending);
+            pending = waiting.poll();
+        }
+    }
+
+    private void reconnect() {
+        if (!waiting.isEmpty()) {
+            connect();
+        }
+    }
+
+    /** Receives what the leader pushes. */
+    private final class Pushes implements MessageHandler {
+        @Override
+        public void onMessage(WireConnection from, long correlation, Message message) {
+            if (message instanceof PushState push) {
+                onPush.accept(push.state());
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        loop.execute(() -> {
+            closed = true;
+            connection.ifPresent(WireConnection::close);
+        });
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/DecisionLoop.java
@@ -0,0 +1,93 @@
+package io.rosemarybeam.entry;
+
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+
+/**
+ * Runs the decision cores on one thread.
+ *
+ * <p>Invariant: tasks run one after another in the order in which they were submitted; the tick runs between them at
+ * least once per tick time unless one task takes longer. Submitting is safe for use by several threads.
+ */
+final class DecisionLoop implements AutoCloseable {
+    private static final EventLog LOG = EventLog.of(DecisionLoop.class);
+    private static final long TICK_MILLISECONDS = 10;
+    private static final long STOP_MILLISECONDS = 2_000;
+
+    private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
+    private final MonotonicClock clock;
+    private final Thread thread;
+    private volatile LongConsumer tick = now -> {};
+    private volatile boolean running = true;
+
+    DecisionLoop(MonotonicClock clock) {
+        this.clock = clock;
+        this.thread = new Thread(this::run, "decision");
+        this.thread.setDaemon(true);
+    }
+
+    /**
+     * Starts the thread.
+     *
+     * @param onTick called with the time in milliseconds
+     */
+    void start(LongConsumer onTick) {
+        tick = onTick;
+        thread.start();
+    }
+
+    /**
+     * Submits a task.
+     *
+     * @param task runs on the decision thread
+     */
+    void execute(Runnable task) {
+        tasks.add(task);
+    }
+
+    /**
+     * Returns the time.
+     *
+     * @return milliseconds of the monotonic clock
+     */
+    long now() {
+        return clock.nowMilliseconds();
+    }
+
+    private void run() {
+        long nextTick = now() + TICK_MILLISECONDS;
+        while (running) {
+            try {
+                Runnable task = tasks.poll(Math.max(0, nextTick - now()), TimeUnit.MILLISECONDS);
+                if (task != null) {
+                    task.run();
+                }
+                long now = now();
+                if (now >= nextTick) {
+                    nextTick = now + TICK_MILLISECONDS;
+                    tick.accept(now);
+                }
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                return;
+            } catch (RuntimeException failure) {
+                LOG.log(Event.HANDLER_FAILED, failure, "thread", "decision");
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        running = false;
+        tasks.add(() -> {});
+        try {
+            thread.join(STOP_MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Drain.java
@@ -0,0 +1,90 @@
+package io.rosemarybeam.entry;
+
+import java.util.concurrent.CompletableFuture;
+
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.decision.request.RequestInput;
+import io.rosemarybeam.decision.rollout.RolloutInput;
+
+/**
+ * Takes an entry out of service without interrupting a request.
+ *
+ * <p>Invariant: work is accepted until every answer that names this entry has lapsed, which is the time to live of
+ * addresses after the other entries have learned of the drain. Confined to the decision thread.
+ */
+final class Drain {
+    private static final EventLog LOG = EventLog.of(Drain.class);
+    /** Membership reaches all entries within two seconds. */
+    private static final long SPREAD_MILLISECONDS = 2_000;
+
+    private final StateKeeper keeper;
+    private final StateKeeper.Drivers drivers;
+    private final DecisionLoop loop;
+    private final long maximumMilliseconds;
+    private final CompletableFuture<Void> finished = new CompletableFuture<>();
+    private Phase phase = Phase.SERVING;
+    private long startedAt;
+
+    /** How far the drain is. */
+    private enum Phase {
+        /** No drain has begun. */
+        SERVING,
+        /** Callers may still know the address. */
+        NAMED,
+        /** No new work is taken. */
+        FINISHING,
+        /** The process may exit. */
+        DONE
+    }
+
+    Drain(StateKeeper keeper, StateKeeper.Drivers drivers, DecisionLoop loop, long maximumMilliseconds) {
+        this.keeper = keeper;
+        this.drivers = drivers;
+        this.loop = loop;
+        this.maximumMilliseconds = maximumMilliseconds;
+    }
+
+    CompletableFuture<Void> finished() {
+        return finished;
+    }
+
+    /** Begins the drain; a second call has no effect. */
+    void start() {
+        if (phase != Phase.SERVING) {
+            return;
+        }
+        phase = Phase.NAMED;
+        startedAt = loop.now();
+        LOG.log(Event.DRAIN_STARTED);
+        keeper.startDrain();
+        drivers.rollout().handle(new RolloutInput.DrainStarted());
+    }
+
+    /**
+     * Goes on.
+     *
+     * @param now the time, in milliseconds
+     */
+    void tick(long now) {
+        long lapsed = now - startedAt;
+        if (phase == Phase.NAMED && lapsed >= SPREAD_MILLISECONDS + CallerRoutes.ADDRESS_TIME_TO_LIVE_MILLISECONDS) {
+            phase = Phase.FINISHING;
+            drivers.request().handle(new RequestInput.DrainStarted());
+        }
+        if (phase != Phase.FINISHING) {
+            return;
+        }
+        if (drivers.request().openRequests() == 0) {
+            end(Event.DRAIN_FINISHED);
+        } else if (lapsed >= maximumMilliseconds) {
+            end(Event.DRAIN_CUT);
+        }
+    }
+
+    private void end(Event event) {
+        phase = Phase.DONE;
+        LOG.log(event, "openRequests", drivers.request().openRequests());
+        finished.complete(null);
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
@@ -0,0 +1,208 @@
+package io.rosemarybeam.entry;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.rosemarybeam.common.id.AttemptId;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.decision.request.RequestCommand.StartAttempt;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+import io.rosemarybeam.decision.rollout.RolloutCommand.SendOrder;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.AsyncHttpClientConfig;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.Dsl;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.Response;
+
+/**
+ * Sends requests and orders to endpoints.
+ *
+ * <p>Invariant: it never repeats a request, because only the request core does. A connection that was silent is closed,
+ * and the idle connections to the same address are not used any more. A request that must not run twice gets a new
+ * connection, since the endpoint may close an idle one at the moment of sending. Safe for use by several threads.
+ */
+final class EndpointClient implements AutoCloseable {
+    private static final Duration NEVER = Duration.ofMillis(-1);
+    private static final Duration LONGEST_CONNECT = Duration.ofSeconds(10);
+    /** Common servers close idle connections after 5 s or more. */
+    private static final Duration POOL_IDLE = Duration.ofSeconds(4);
+
+    private static final Duration CANCEL_TIME = Duration.ofSeconds(2);
+    private static final Duration ORDER_TIME = Duration.ofSeconds(5);
+    private static final int MAXIMUM_HEADER_BYTES = 32_768;
+    private static final long DISPATCH_SLACK_MILLISECONDS = 500;
+    private static final long STANDSTILL_MILLISECONDS = 500;
+
+    private final AsyncHttpClient client;
+    private final MonotonicClock clock;
+    private final AttemptListener listener;
+    private final Map<AttemptId, AttemptStream> attempts = new ConcurrentHashMap<>();
+    private final Map<String, Integer> generations = new ConcurrentHashMap<>();
+    private final AtomicLong unsharedConnections = new AtomicLong();
+    private long lastCheckMilliseconds;
+
+    EndpointClient(EventLoopGroup eventLoops, MonotonicClock clock, AttemptListener listener) {
+        this.clock = clock;
+        this.listener = listener;
+        this.lastCheckMilliseconds = clock.nowMilliseconds();
+        this.client = Dsl.asyncHttpClient(new DefaultAsyncHttpClientConfig.Builder()
+                .setEventLoopGroup(eventLoops)
+                .setMaxRequestRetry(0)
+                .setFollowRedirect(false)
+                .setEnableAutomaticDecompression(false)
+                .setRequestTimeout(NEVER)
+                .setReadTimeout(NEVER)
+                .setConnectTimeout(LONGEST_CONNECT)
+                .setPooledConnectionIdleTimeout(POOL_IDLE)
+                .setHttpClientCodecMaxHeaderSize(MAXIMUM_HEADER_BYTES)
+                .setTcpNoDelay(true)
+                .setCookieStore(null)
+                .setResponseBodyPartFactory(AsyncHttpClientConfig.ResponseBodyPartFactory.LAZY));
+    }
+
+    // ---- Attempts ----
+
+    /**
+     * Starts an attempt.
+     *
+     * @param command what to send where
+     * @param work the request
+     */
+    void start(StartAttempt command, Work work) {
+        long now = clock.nowMilliseconds();
+        long sendNotAfter = Math.min(
+                now + command.connectMilliseconds() + DISPATCH_SLACK_MILLISECONDS, work.dispatchDeadlineMilliseconds());
+        AttemptStream attempt = new AttemptStream(command, work, listener, clock, sendNotAfter);
+        attempts.put(command.attempt(), attempt);
+        boolean resumes = command.resumeOffset() > 0;
+        byte[] body = work.begin(attempt, resumes, command.spliced());
+        RequestBuilder request = new RequestBuilder(work.target().method(), true)
+                .setUrl(command.address() + work.target().uri())
+                .setHeaders(work.target().headers())
+                .setHeader(EndpointHeaders.ATTEMPT_ID, command.attempt().value())
+                .setHeader(EndpointHeaders.PRIORITY, Integer.toString(command.enginePriority()))
+                .setHeader(EndpointHeaders.DEADLINE, Long.toString(Math.max(0, command.deadlineMilliseconds() - now)));
+        if (resumes) {
+            request.setHeader(EndpointHeaders.RESUME_OFFSET, Integer.toString(work.received()));
+        }
+        if (body.length > 0) {
+            request.setBody(body);
+        }
+        String partition = partition(command.address(), work.target().idempotent());
+        request.setChannelPoolPartitioning((uri, virtualHost, proxy) -> partition);
+        if (!work.target().idempotent()) {
+            request.setHeader(HttpHeaderNames.CONNECTION, "close");
+        }
+        client.executeRequest(request.build(), attempt);
+    }
+
+    private String partition(String address, boolean shared) {
+        if (!shared) {
+            return address + "!" + unsharedConnections.incrementAndGet();
+        }
+        return address + "#" + generations.getOrDefault(address, 0);
+    }
+
+    /**
+     * Forgets an attempt that has ended.
+     *
+     * @param attempt the attempt
+     * @param failure why it failed, or null if it succeeded
+     */
+    void ended(AttemptStream attempt, AttemptFailure failure) {
+        attempts.remove(attempt.id());
+        if (failure == AttemptFailure.SILENT) {
+            generations.merge(attempt.command().address(), 1, Integer::sum);
+        }
+    }
+
+    /**
+     * Stops an attempt.
+     *
+     * @param id the attempt
+     * @param canCancel whether an endpoint can cancel
+     */
+    void cancel(AttemptId id, Predicate<EndpointId> canCancel) {
+        AttemptStream attempt = attempts.remove(id);
+        if (attempt == null || !attempt.cancel()) {
+            return;
+        }
+        if (!attempt.isSent() || !canCancel.test(attempt.command().endpoint())) {
+            return;
+        }
+        RequestBuilder request = new RequestBuilder("DELETE", true)
+                .setUrl(attempt.command().address() + "/v1/attempts/" + id.value())
+                .setRequestTimeout(CANCEL_TIME);
+        client.executeRequest(request.build());
+    }
+
+    /**
+     * Returns the number of attempts in progress.
+     *
+     * @return how many
+     */
+    int attemptCount() {
+        return attempts.size();
+    }
+
+    /**
+     * Checks the time limits of all attempts. Called on the decision thread.
+     *
+     * @param nowMilliseconds the time
+     */
+    void checkTime(long nowMilliseconds) {
+        boolean stoodStill = nowMilliseconds - lastCheckMilliseconds > STANDSTILL_MILLISECONDS;
+        lastCheckMilliseconds = nowMilliseconds;
+        for (AttemptStream attempt : attempts.values()) {
+            if (stoodStill) {
+                attempt.forgive();
+            }
+            attempt.checkTime(nowMilliseconds);
+        }
+    }
+
+    // ---- Orders ----
+
+    /**
+     * Sends an order.
+     *
+     * @param order the order
+     * @return completes with whether the endpoint said that it took the order
+     */
+    CompletableFuture<Boolean> order(SendOrder order) {
+        if (clock.nowMilliseconds() > order.notAfterMilliseconds()) {
+            return CompletableFuture.completedFuture(false);
+        }
+        Map<String, Object> body = Map.of(
+                "kind",
+                order.kind().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'),
+                "version",
+                order.argument(),
+                "fencingNumber",
+                order.fencingNumber().value());
+        RequestBuilder request = new RequestBuilder("POST", true)
+                .setUrl(order.address() + "/v1/orders")
+                .setHeader(HttpHeaderNames.CONTENT_TYPE, "application/json")
+                .setBody(Json.write(body))
+                .setRequestTimeout(ORDER_TIME);
+        return client.executeRequest(request.build())
+                .toCompletableFuture()
+                .handle((response, failure) -> failure == null && isSuccess(response));
+    }
+
+    private static boolean isSuccess(Response response) {
+        return response.getStatusCode() / 100 == 2;
+    }
+
+    @Override
+    public void close() throws java.io.IOException {
+        client.close();
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointHeaders.java
@@ -0,0 +1,27 @@
+package io.rosemarybeam.entry;
+
+/** Names of the headers between callers, entries and endpoints. Stateless. */
+final class EndpointHeaders {
+    /** Id of the attempt, echoed by the endpoint. */
+    static final String ATTEMPT_ID = "X-Attempt-Id";
+
+    /** Priority within the engine; smaller is more urgent. */
+    static final String PRIORITY = "X-Priority";
+
+    /** Tokens that were already received. */
+    static final String RESUME_OFFSET = "X-Resume-Offset";
+
+    /** Milliseconds that remain until the answer must be complete. */
+    static final String DEADLINE = "X-Deadline-Milliseconds";
+
+    /** Key under which a caller resends a non-idempotent request. */
+    static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+    /** Says whether a refused request was run. */
+    static final String RUN = "X-Run";
+
+    /** Value of {@link #RUN} for a request that was not run. */
+    static final String NOT_RUN = "not-run";
+
+    private EndpointHeaders() {}
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointRoutes.java
@@ -0,0 +1,211 @@
+package io.rosemarybeam.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.RequestException;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.EndpointRecord;
+import io.rosemarybeam.common.wire.EntryHostRecord;
+import io.rosemarybeam.common.wire.EntryRequest;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.decision.request.RequestInput;
+
+/**
+ * Serves endpoints: announcement, renewal, load and cache reports, leaving.
+ *
+ * <p>Invariant: an announcement is confirmed only after the control process has it. Called on event loops; the work is
+ * done on the decision thread.
+ */
+final class EndpointRoutes {
+    private static final long LEASE_MILLISECONDS = 5_000;
+    private static final long RENEW_MILLISECONDS = 1_000;
+    private static final Duration CONTROL_TIME = Duration.ofSeconds(3);
+    /** Two forward the renewals of an endpoint, so that the loss of one entry does not cost its lease. */
+    private static final int RENEWING_ENTRIES = 2;
+
+    private final StateKeeper keeper;
+    private final RequestDriver requests;
+    private final ControlGateway control;
+    private final DecisionLoop loop;
+    private final EntryIdentity identity;
+
+    EndpointRoutes(
+            StateKeeper keeper,
+            RequestDriver requests,
+            ControlGateway control,
+            DecisionLoop loop,
+            EntryIdentity identity) {
+        this.keeper = keeper;
+        this.requests = requests;
+        this.control = control;
+        this.loop = loop;
+        this.identity = identity;
+    }
+
+    void handle(HttpCall call, List<String> path) {
+        String method = call.head().method();
+        if (path.size() == 2 && method.equals("POST")) {
+            ObjectNode body = Json.readObject(call.body());
+            EndpointRecord endpoint = read(body);
+            loop.execute(() -> announce(call, endpoint, body));
+        } else if (path.size() == 3 && method.equals("DELETE")) {
+            EndpointId id = EndpointId.of(path.get(2));
+            long incarnation = call.head()
+                    .parameter("incarnation")
+                    .map(EndpointRoutes::parse)
+                    .orElseThrow(() -> new RequestException(ErrorCode.REQUEST_INVALID, "incarnation is missing"));
+            loop.execute(() -> leave(call, id, incarnation));
+        } else {
+            throw new RequestException(ErrorCode.REQUEST_INVALID, "endpoints are announced by POST and left by DELETE");
+        }
+    }
+
+    private static long parse(String number) {
+        try {
+            return Long.parseLong(number);
+        } catch (NumberFormatException malformed) {
+            throw new RequestException(ErrorCode.REQUEST_INVALID, number + " is not a number", malformed);
+        }
+    }
+
+    private static EndpointRecord read(ObjectNode body) {
+        String address = body.path("address").asText("");
+        if (!address.startsWith("http://")) {
+            throw new RequestException(ErrorCode.REQUEST_INVALID, "address must be an http URL");
+        }
+        JsonNode version = body.path("weightVersion");
+        Optional<WeightVersion> held =
+                version.isIntegralNumber() ? Optional.of(WeightVersion.of(version.longValue())) : Optional.empty();
+        return new EndpointRecord(
+                EndpointId.of(body.path("id").asText("")),
+                body.path("incarnation").asLong(),
+                ServiceName.of(body.path("service").asText("")),
+                address.endsWith("/") ? address.substring(0, address.length() - 1) : address,
+                FailureDomain.of(body.path("failureDomain").asText("")),
+                Math.max(1, body.path("capacity").asInt(1)),
+                body.path("fencing").asBoolean(false),
+                body.path("resume").asBoolean(false),
+                body.path("cancel").asBoolean(false),
+                body.path("keyValueTransfer").asBoolean(false),
+                held,
+                false);
+    }
+
+    // ---- On the decision thread ----
+
+    private void announce(HttpCall call, EndpointRecord endpoint, ObjectNode body) {
+        if (!keeper.view().holdsLease(loop.now())) {
+            call.refuse(Problem.retryLater(ErrorCode.LEASE_LAPSED, RENEW_MILLISECONDS));
+            return;
+        }
+        Optional<EndpointRecord> known = keeper.membership().endpoint(endpoint.id());
+        if (known.isPresent() && isRenewal(known.get(), endpoint)) {
+            if (isRenewer(endpoint.id())) {
+                keeper.renewEndpoint(endpoint, known.get());
+            }
+            report(endpoint, body);
+            confirm(call, endpoint);
+            return;
+        }
+        control.request(new EntryRequest.AnnounceEndpoint(endpoint), CONTROL_TIME)
+                .whenComplete((reply, failure) -> loop.execute(() -> {
+                    if (failure != null) {
+                        call.refuse(Problem.retryLater(Failures.code(failure), RENEW_MILLISECONDS));
+                        return;
+                    }
+                    keeper.overlay(endpoint);
+                    report(endpoint, body);
+                    confirm(call, endpoint);
+                }));
+    }
+
+    private static boolean isRenewal(EndpointRecord known, EndpointRecord endpoint) {
+        return known.equals(endpoint.withWeightVersion(known.weightVersion()));
+    }
+
+    private List<EntryHostRecord> reporters(EndpointId endpoint) {
+        List<EntryHostRecord> serving = keeper.membership().entryHosts().stream()
+                .filter(entry -> !entry.draining())
+                .toList();
+        return ReporterSubset.choose(endpoint, serving);
+    }
+
+    private boolean isRenewer(EndpointId endpoint) {
+        List<EntryHostRecord> reporters = reporters(endpoint);
+        int rank = 0;
+        while (rank < reporters.size() && !reporters.get(rank).name().equals(identity.name())) {
+            rank++;
+        }
+        return rank < RENEWING_ENTRIES || rank == reporters.size();
+    }
+
+    private void report(EndpointRecord endpoint, JsonNode body) {
+        JsonNode load = body.path("load");
+        if (load.isObject()) {
+            requests.handle(new RequestInput.LoadReported(
+                    endpoint.id(),
+                    endpoint.incarnation(),
+                    load.path("sequence").asLong(),
+                    load.path("running").asInt(),
+                    load.path("waiting").asInt(),
+                    loop.now()));
+        }
+        for (JsonNode event : body.path("cacheEvents")) {
+            requests.handle(new RequestInput.CacheReported(
+                    endpoint.id(),
+                    endpoint.incarnation(),
+                    event.path("sequence").asLong(),
+                    numbers(event.path("added")),
+                    numbers(event.path("removed"))));
+        }
+    }
+
+    private static List<Long> numbers(JsonNode list) {
+        List<Long> numbers = new ArrayList<>();
+        list.forEach(number -> numbers.add(number.asLong()));
+        return numbers;
+    }
+
+    private void confirm(HttpCall call, EndpointRecord endpoint) {
+        List<String> reportTo = reporters(endpoint.id()).stream()
+                .map(EntryHostRecord::callerAddress)
+                .toList();
+        call.respondJson(
+                200,
+                Map.of(
+                        "leaseMilliseconds",
+                        LEASE_MILLISECONDS,
+                        "renewMilliseconds",
+                        RENEW_MILLISECONDS,
+                        "reportTo",
+                        reportTo));
+    }
+
+    private void leave(HttpCall call, EndpointId id, long incarnation) {
+        keeper.membership()
+                .endpoint(id)
+                .filter(endpoint -> endpoint.incarnation() == incarnation)
+                .ifPresent(endpoint -> keeper.overlay(endpoint.asLeaving()));
+        CompletableFuture<Message> left =
+                control.request(new EntryRequest.LeaveEndpoint(id, incarnation), CONTROL_TIME);
+        left.whenComplete((reply, failure) -> {
+            if (failure == null) {
+                call.respond(204, new byte[0], new DefaultHttpHeaders());
+            } else {
+                call.refuse(Problem.retryLater(Failures.code(failure), RENEW_MILLISECONDS));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
@@ -0,0 +1,220 @@
+package io.rosemarybeam.entry;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.rosemarybeam.common.configuration.ConfigurationParser;
+import io.rosemarybeam.common.wire.Credentials;
+import io.rosemarybeam.common.wire.HandshakeMessage.Role;
+import io.rosemarybeam.common.wire.WireSettings;
+import io.rosemarybeam.common.wire.WireTransport;
+import io.rosemarybeam.decision.request.RequestCore;
+import io.rosemarybeam.decision.rollout.RolloutCore;
+import io.rosemarybeam.decision.step.StepCore;
+
+/**
+ * An entry process: the servers, the clients, and the thread that runs the decision cores.
+ *
+ * <p>Invariant: no work is taken before the first lease. Safe for use by several threads.
+ */
+public final class EntryProcess implements AutoCloseable {
+    private static final long ATTEMPT_CHECK_MILLISECONDS = 50;
+    private static final long EXPIRY_CHECK_MILLISECONDS = 60_000;
+    private static final long DUMP_MILLISECONDS = 2_000;
+
+    private final EntryIdentity identity;
+    private final NioEventLoopGroup eventLoops;
+    private final EntryMetrics metrics = new EntryMetrics();
+    private final DecisionLoop loop;
+    private final ControlSession control;
+    private final PeerTransport peers;
+    private final RequestDriver requests;
+    private final StepDriver steps;
+    private final RolloutDriver rollout;
+    private final StateKeeper keeper;
+    private final EndpointClient endpoints;
+    private final ByteBudget budget;
+    private final BodyStore bodies;
+    private final HttpServer server;
+    private final Drain drain;
+    private long nextAttemptCheck;
+    private long nextExpiryCheck;
+
+    /**
+     * The decision cores.
+     *
+     * @param request decides which request runs where and when
+     * @param step works on training steps
+     * @param rollout brings endpoints to the published version
+     */
+    public record Cores(RequestCore request, StepCore step, RolloutCore rollout) {}
+
+    private EntryProcess(EntrySettings settings, Cores cores, ConfigurationParser parser) {
+        long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+        identity = new EntryIdentity(
+                settings.name(),
+                incarnation,
+                settings.callerAddress(),
+                settings.peerAddress(),
+                settings.failureDomain());
+        eventLoops = new NioEventLoopGroup(settings.limits().eventLoops(), new DefaultThreadFactory("entry", true));
+        MonotonicClock clock = MonotonicClock.system();
+        loop = new DecisionLoop(clock);
+        Credentials credentials =
+                new Credentials(Role.ENTRY, settings.name().value(), incarnation, settings.clusterSecret());
+        WireTransport transport = WireTransport.of(eventLoops, WireSettings.standard());
+        Membership membership = new Membership();
+        control = new ControlSession(
+                transport,
+                credentials,
+                settings.controlAddresses(),
+                eventLoops.next(),
+                clock,
+                state -> loop.execute(() -> applyPush(state)));
+        bodies = new BodyStore(settings.limits().sampleBodyBytes());
+        peers = new PeerTransport(transport, credentials, bodies, clock);
+        requests = new RequestDriver(cores.request(), loop, control, identity, metrics, membership);
+        WorkFactory works = new WorkFactory(identity, clock, metrics);
+        steps = new StepDriver(cores.step(), loop, control, peers, membership, requests, works);
+        rollout = new RolloutDriver(cores.rollout(), loop, control, identity);
+        endpoints = new EndpointClient(eventLoops, clock, requests);
+        requests.connect(endpoints, steps::onProgress);
+        rollout.connect(endpoints);
+        StateKeeper.Drivers drivers = new StateKeeper.Drivers(requests, steps, rollout);
+        keeper = new StateKeeper(identity, control, parser, loop, membership, drivers, metrics);
+        drain = new Drain(keeper, drivers, loop, settings.limits().drainMilliseconds());
+        keeper.onDrainText(drain::start);
+        TrainerRoutes trainers = new TrainerRoutes(loop, control, identity, keeper, steps, peers);
+        EntryRoutes routes = new EntryRoutes(
+                keeper,
+                new CallerRoutes(keeper, requests, works, clock),
+                new EndpointRoutes(keeper, requests, control, loop, identity),
+                trainers,
+                metrics);
+        budget = new ByteBudget(settings.limits().bufferedBodyBytes());
+        peers.listen(settings.peerAddress(), trainers::onRelay);
+        server = HttpServer.open(eventLoops, settings.callerAddress(), routes, budget);
+    }
+
+    /**
+     * Starts an entry process.
+     *
+     * @param settings settings of the process
+     * @param cores the decision cores, which nobody else uses
+     * @param parser reads the operator's text
+     * @return the running process
+     * @throws io.rosemarybeam.common.error.WireException if an address cannot be bound
+     */
+    public static EntryProcess start(EntrySettings settings, Cores cores, ConfigurationParser parser) {
+        EntryProcess process = new EntryProcess(settings, cores, parser);
+        process.loop.start(process::tick);
+        return process;
+    }
+
+    private void tick(long now) {
+        keeper.tick(now);
+        requests.handle(new io.rosemarybeam.decision.request.RequestInput.Tick());
+        steps.handle(new io.rosemarybeam.decision.step.StepInput.Tick());
+        rollout.handle(new io.rosemarybeam.decision.rollout.RolloutInput.Tick());
+        if (now >= nextAttemptCheck) {
+            nextAttemptCheck = now + ATTEMPT_CHECK_MILLISECONDS;
+            endpoints.checkTime(now);
+        }
+        if (now >= nextExpiryCheck) {
+            nextExpiryCheck = now + EXPIRY_CHECK_MILLISECONDS;
+            if (requests.quarantine().expire(now)) {
+                requests.handle(requests.quarantine().asInput());
+            }
+        }
+        drain.tick(now);
+    }
+
+    private void applyPush(io.rosemarybeam.common.wire.ControlReply.EntryState state) {
+        keeper.apply(state);
+    }
+
+    /**
+     * Begins a drain, as SIGTERM does.
+     *
+     * @return completes when the last request has been answered or the drain time has passed
+     */
+    public CompletableFuture<Void> drain() {
+        loop.execute(drain::start);
+        return drain.finished();
+    }
+
+    /**
+     * Returns the end of a drain, however it began.
+     *
+     * @return completes when the process may exit
+     */
+    public CompletableFuture<Void> drained() {
+        return drain.finished();
+    }
+
+    /**
+     * Returns the metrics.
+     *
+     * @return the registry
+     */
+    public PrometheusRegistry metrics() {
+        return metrics.registry();
+    }
+
+    /**
+     * Returns the state of the process.
+     *
+     * @return names and values that Jackson can write
+     */
+    public Map<String, Object> dump() {
+        CompletableFuture<Map<String, Object>> dumped = new CompletableFuture<>();
+        loop.execute(() -> dumped.complete(dumpHere()));
+        return dumped.orTimeout(DUMP_MILLISECONDS, TimeUnit.MILLISECONDS).join();
+    }
+
+    private Map<String, Object> dumpHere() {
+        EntryView view = keeper.view();
+        Map<String, Object> dump = new LinkedHashMap<>();
+        dump.put("entry", identity.asRecord(view.draining()));
+        dump.put("leaseRemainingMilliseconds", view.leaseValidUntilMilliseconds() - loop.now());
+        dump.put("leaderTerm", keeper.leaderTerm());
+        dump.put(
+                "configurationNumber",
+                keeper.configuration().map(text -> text.number().value()).orElse(0L));
+        dump.put("membershipVersion", keeper.membership().version());
+        dump.put("endpoints", keeper.membership().endpoints());
+        dump.put("entryHosts", view.entryHosts());
+        dump.put("openRequests", requests.openRequests());
+        dump.put("attempts", endpoints.attemptCount());
+        dump.put("connections", server.connectionCount());
+        dump.put("bufferedBodyBytes", budget.usedBytes());
+        dump.put("sampleBodyBytes", bodies.usedBytes());
+        dump.put("request", requests.core().dump());
+        dump.put("step", steps.core().dump());
+        dump.put("rollout", rollout.core().dump());
+        return dump;
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        loop.close();
+        control.close();
+        peers.close();
+        try {
+            endpoints.close();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        } finally {
+            eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpCall.java
@@ -0,0 +1,230 @@
+package io.rosemarybeam.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/**
+ * One HTTP request with its whole body, and the way to answer it.
+ *
+ * <p>Invariant: exactly one answer is written. Every write is a task of the channel's event loop, so the writes of
+ * different threads keep their order. Safe for use by several threads.
+ */
+final class HttpCall {
+    /** Bytes that may wait for the caller before the sender has to pause. */
+    static final long MAXIMUM_PENDING_BYTES = 65_536;
+
+    private final Channel channel;
+    private final HttpRequestHead head;
+    private final byte[] body;
+    private final Runnable onAnswered;
+    private final AtomicLong pendingBytes = new AtomicLong();
+    private final AtomicBoolean started = new AtomicBoolean();
+    private final AtomicBoolean finished = new AtomicBoolean();
+    private final List<Runnable> onWritable = new ArrayList<>();
+    private final List<Runnable> onClosed = new ArrayList<>();
+    private boolean closed;
+    private volatile boolean closing;
+
+    HttpCall(Channel channel, HttpRequestHead head, byte[] body, Runnable onAnswered) {
+        this.channel = channel;
+        this.head = head;
+        this.body = body;
+        this.onAnswered = onAnswered;
+        this.closing = !head.keepAlive();
+    }
+
+    HttpRequestHead head() {
+        return head;
+    }
+
+    byte[] body() {
+        return body;
+    }
+
+    /** Has the connection closed after the answer, as a draining entry does. */
+    void closeAfterAnswer() {
+        closing = true;
+    }
+
+    // ---- Whole answers ----
+
+    void respondJson(int status, Object value) {
+        respond(status, "application/json", Json.write(value), new DefaultHttpHeaders());
+    }
+
+    void refuse(Problem problem) {
+        DefaultHttpHeaders headers = new DefaultHttpHeaders();
+        if (problem.retryAfterMilliseconds() > 0) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, problem.retryAfterSeconds());
+        }
+        respond(problem.status(), Problem.MEDIA_TYPE, problem.body(), headers);
+    }
+
+    void respond(int status, String contentType, byte[] content, HttpHeaders headers) {
+        headers.set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        respond(status, content, headers);
+    }
+
+    void respond(int status, byte[] content, HttpHeaders headers) {
+        if (!started.compareAndSet(false, true)) {
+            abort();
+            return;
+        }
+        finished.set(true);
+        boolean bodyless = head.method().equals("HEAD");
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                bodyless ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(content));
+        response.headers().set(headers);
+        if (status >= 200 && status != 204 && status != 304 && !(bodyless && headers.contains("content-length"))) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
+        }
+        response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+        markConnection(response.headers());
+        channel.eventLoop().execute(() -> {
+            channel.writeAndFlush(response);
+            answered();
+        });
+    }
+
+    // ---- Streamed answers ----
+
+    /**
+     * Starts a streamed answer.
+     *
+     * @param status HTTP status
+     * @param headers headers; without {@code Content-Length} the body is sent in chunks
+     */
+    void start(int status, HttpHeaders headers) {
+        if (!started.compareAndSet(false, true)) {
+            return;
+        }
+        DefaultHttpResponse response =
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        response.headers().set(headers);
+        if (!headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        markConnection(response.headers());
+        channel.eventLoop().execute(() -> channel.writeAndFlush(response));
+    }
+
+    /**
+     * Sends a part of a streamed answer.
+     *
+     * @param bytes released by this method
+     */
+    void write(ByteBuf bytes) {
+        if (finished.get()) {
+            bytes.release();
+            return;
+        }
+        int length = bytes.readableBytes();
+        pendingBytes.addAndGet(length);
+        channel.eventLoop().execute(() -> {
+            channel.writeAndFlush(new DefaultHttpContent(bytes));
+            pendingBytes.addAndGet(-length);
+            notifyWritable();
+        });
+    }
+
+    /** Ends a streamed answer. */
+    void finish() {
+        if (finished.compareAndSet(false, true)) {
+            channel.eventLoop().execute(() -> {
+                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+                answered();
+            });
+        }
+    }
+
+    /** Closes the connection without the end of the answer, so that the caller sees that it is not whole. */
+    void abort() {
+        finished.set(true);
+        channel.eventLoop().execute(() -> {
+            channel.close();
+        });
+    }
+
+    boolean isStarted() {
+        return started.get();
+    }
+
+    boolean isWritable() {
+        return channel.isWritable() && pendingBytes.get() < MAXIMUM_PENDING_BYTES;
+    }
+
+    // ---- Notifications, on the event loop of the caller ----
+
+    /**
+     * Has a task run whenever the answer can be continued.
+     *
+     * @param task the task
+     */
+    void whenWritable(Runnable task) {
+        channel.eventLoop().execute(() -> onWritable.add(task));
+    }
+
+    /**
+     * Has a task run if the caller goes away before its answer is complete.
+     *
+     * @param task the task
+     */
+    void whenClosed(Runnable task) {
+        channel.eventLoop().execute(() -> {
+            if (closed) {
+                task.run();
+            } else {
+                onClosed.add(task);
+            }
+        });
+    }
+
+    void notifyWritable() {
+        if (isWritable()) {
+            onWritable.forEach(Runnable::run);
+        }
+    }
+
+    void notifyClosed() {
+        closed = true;
+        boolean complete = finished.getAndSet(true);
+        if (!complete) {
+            onClosed.forEach(Runnable::run);
+        }
+        onWritable.forEach(Runnable::run);
+    }
+
+    private void answered() {
+        if (closing) {
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(io.netty.channel.ChannelFutureListener.CLOSE);
+        } else {
+            onAnswered.run();
+        }
+    }
+
+    private void markConnection(HttpHeaders headers) {
+        if (closing) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        } else if (head.versionOneZero()) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/PlainReceiver.java
@@ -0,0 +1,101 @@
+package io.rosemarybeam.entry;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** Gets the answer of a plain service. Implementations are called by one thread at a time; see {@link Work}. */
+interface PlainReceiver {
+    /**
+     * A streamed answer starts.
+     *
+     * @param status HTTP status
+     * @param headers headers
+     */
+    void start(int status, HttpHeaders headers);
+
+    /**
+     * A part of a streamed answer arrived.
+     *
+     * @param bytes released by the receiver
+     */
+    void write(ByteBuf bytes);
+
+    /** A streamed answer is whole. */
+    void finish();
+
+    /**
+     * A whole answer arrived at once.
+     *
+     * @param status HTTP status
+     * @param headers headers
+     * @param body body
+     */
+    void respond(int status, HttpHeaders headers, byte[] body);
+
+    /**
+     * The request ended without its answer.
+     *
+     * @param problem the reason
+     */
+    void refuse(Problem problem);
+
+    /**
+     * Returns whether more can be taken now.
+     *
+     * @return false while the sender has to pause
+     */
+    boolean isWritable();
+
+    /**
+     * Returns a receiver that answers a caller.
+     *
+     * @param call the caller's request
+     * @return the receiver
+     */
+    static PlainReceiver of(HttpCall call) {
+        return new HttpPlainReceiver(call);
+    }
+
+    /** Answers a caller. Called by one thread at a time. */
+    final class HttpPlainReceiver implements PlainReceiver {
+        private final HttpCall call;
+
+        private HttpPlainReceiver(HttpCall call) {
+            this.call = call;
+        }
+
+        @Override
+        public void start(int status, HttpHeaders headers) {
+            call.start(status, headers);
+        }
+
+        @Override
+        public void write(ByteBuf bytes) {
+            call.write(bytes);
+        }
+
+        @Override
+        public void finish() {
+            call.finish();
+        }
+
+        @Override
+        public void respond(int status, HttpHeaders headers, byte[] body) {
+            call.respond(status, body, headers);
+        }
+
+        @Override
+        public void refuse(Problem problem) {
+            if (call.isStarted()) {
+                call.abort();
+            } else {
+                call.refuse(problem);
+            }
+        }
+
+        @Override
+        public boolean isWritable() {
+            return call.isWritable();
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ProxyAnswer.java
@@ -0,0 +1,181 @@
+package io.rosemarybeam.entry;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.RequestOutcome;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+
+/**
+ * Passes the answer of a plain service on.
+ *
+ * <p>Invariant: a short answer of known length is held until it is whole, so that a broken attempt can be repeated
+ * without the caller noticing; any other answer is passed on as it arrives. An answer that ends only with its
+ * connection has no end mark and counts as broken. Not safe for use by several threads; see {@link Work}.
+ */
+final class ProxyAnswer implements Answer {
+    private static final int MAXIMUM_HELD_BYTES = 65_536;
+    private static final int FIRST_PROXY_ERROR = 502;
+    private static final int LAST_PROXY_ERROR = 504;
+    private static final int UNAVAILABLE = 503;
+    private static final int NO_CONTENT = 204;
+    private static final int NOT_MODIFIED = 304;
+
+    private final PlainReceiver receiver;
+    private final EntryMetrics metrics;
+    private final byte[] requestBody;
+    private final boolean bodyless;
+    private String attempt = "";
+    private int status;
+    private HttpHeaders headers = new DefaultHttpHeaders();
+    private boolean passing;
+    private ByteBuf recorded = Unpooled.buffer(0);
+    private boolean truncated;
+    private int received;
+
+    /**
+     * Creates the answer.
+     *
+     * @param receiver gets the answer
+     * @param method HTTP method of the request
+     * @param requestBody body of the request
+     * @param metrics counts dropped answers
+     */
+    ProxyAnswer(PlainReceiver receiver, String method, byte[] requestBody, EntryMetrics metrics) {
+        this.receiver = receiver;
+        this.bodyless = method.equals("HEAD");
+        this.requestBody = requestBody;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void begin(String newAttempt, boolean resumes, boolean spliced) {
+        attempt = newAttempt;
+        received = 0;
+        truncated = false;
+        recorded = Unpooled.buffer(0);
+    }
+
+    @Override
+    public Optional<AttemptFailure> onHead(int newStatus, HttpHeaders newHeaders) {
+        String echo = newHeaders.get(EndpointHeaders.ATTEMPT_ID);
+        if (echo != null && !echo.equals(attempt)) {
+            metrics.countMismatch();
+            return Optional.of(AttemptFailure.MISMATCHED);
+        }
+        if (newStatus == UNAVAILABLE && EndpointHeaders.NOT_RUN.equals(newHeaders.get(EndpointHeaders.RUN))) {
+            return Optional.of(AttemptFailure.REFUSED_NOT_RUN);
+        }
+        if (newStatus >= FIRST_PROXY_ERROR && newStatus <= LAST_PROXY_ERROR) {
+            return Optional.of(AttemptFailure.ERROR_ANSWER);
+        }
+        boolean lengthKnown = newHeaders.contains(HttpHeaderNames.CONTENT_LENGTH);
+        boolean withoutBody = bodyless || newStatus == NO_CONTENT || newStatus == NOT_MODIFIED;
+        if (!withoutBody && !lengthKnown && !newHeaders.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+            return Optional.of(AttemptFailure.BROKEN);
+        }
+        if (passing) {
+            return Optional.of(AttemptFailure.BROKEN);
+        }
+        status = newStatus;
+        headers = ProxyHeaders.forCaller(newHeaders);
+        if (!withoutBody && (!lengthKnown || longerThanHeld(newHeaders))) {
+            passing = true;
+            receiver.start(status, headers);
+        }
+        return Optional.empty();
+    }
+
+    private static boolean longerThanHeld(HttpHeaders headers) {
+        try {
+            return Long.parseLong(headers.get(HttpHeaderNames.CONTENT_LENGTH)) > MAXIMUM_HELD_BYTES;
+        } catch (NumberFormatException malformed) {
+            return true;
+        }
+    }
+
+    @Override
+    public Optional<AttemptFailure> onBytes(ByteBuf bytes) {
+        received += bytes.readableBytes();
+        if (recorded.readableBytes() + bytes.readableBytes() > RequestOutcome.MAXIMUM_BODY_BYTES) {
+            truncated = true;
+        } else {
+            recorded.writeBytes(bytes, bytes.readerIndex(), bytes.readableBytes());
+        }
+        if (passing) {
+            receiver.write(bytes.retainedSlice());
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<AttemptFailure> onEnd() {
+        return Optional.empty();
+    }
+
+    @Override
+    public int received() {
+        return received;
+    }
+
+    @Override
+    public Optional<WeightVersion> version() {
+        return Optional.empty();
+    }
+
+    @Override
+    public boolean reachedCaller() {
+        return passing;
+    }
+
+    @Override
+    public boolean isWritable() {
+        return !passing || receiver.isWritable();
+    }
+
+    @Override
+    public void finish() {
+        if (passing) {
+            receiver.finish();
+        } else {
+            receiver.respond(status, headers.copy(), recordedBytes());
+        }
+    }
+
+    private byte[] recordedBytes() {
+        byte[] body = new byte[recorded.readableBytes()];
+        recorded.getBytes(recorded.readerIndex(), body);
+        return body;
+    }
+
+    @Override
+    public RequestOutcome outcome() {
+        Map<String, String> kept = new TreeMap<>();
+        headers.forEach(header -> kept.put(header.getKey(), header.getValue()));
+        return new RequestOutcome(status, kept, truncated ? new byte[0] : recordedBytes(), truncated);
+    }
+
+    @Override
+    public void replay(RequestOutcome outcome) {
+        HttpHeaders replayed = new DefaultHttpHeaders();
+        outcome.headers().forEach(replayed::set);
+        receiver.respond(outcome.status(), replayed, outcome.body());
+    }
+
+    @Override
+    public void refuse(Problem problem) {
+        receiver.refuse(problem);
+    }
+
+    @Override
+    public byte[] requestBody(boolean resumes) {
+        return requestBody;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ProxyHeaders.java
@@ -0,0 +1,68 @@
+package io.rosemarybeam.entry;
+
+import java.util.Locale;
+import java.util.Set;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** Chooses the headers that a proxy passes on. Stateless and safe for use by several threads. */
+final class ProxyHeaders {
+    private static final Set<String> HOP_BY_HOP = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade");
+    private static final Set<String> REQUEST_ONLY = Set.of(
+            "host",
+            "content-length",
+            "expect",
+            "x-attempt-id",
+            "x-priority",
+            "x-resume-offset",
+            "x-deadline-milliseconds");
+
+    private ProxyHeaders() {}
+
+    /**
+     * Returns the headers of a request for the endpoint.
+     *
+     * @param headers as the caller sent them
+     * @return without those of this connection and those that the entry sets itself
+     */
+    static HttpHeaders forEndpoint(HttpHeaders headers) {
+        HttpHeaders kept = copy(headers);
+        REQUEST_ONLY.forEach(kept::remove);
+        return kept;
+    }
+
+    /**
+     * Returns the headers of an answer for the caller.
+     *
+     * @param headers as the endpoint sent them
+     * @return without those of this connection
+     */
+    static HttpHeaders forCaller(HttpHeaders headers) {
+        HttpHeaders kept = copy(headers);
+        kept.remove(EndpointHeaders.ATTEMPT_ID);
+        return kept;
+    }
+
+    private static HttpHeaders copy(HttpHeaders headers) {
+        HttpHeaders kept = new DefaultHttpHeaders();
+        kept.set(headers);
+        for (String named : headers.getAll(HttpHeaderNames.CONNECTION)) {
+            for (String token : named.split(",")) {
+                kept.remove(token.trim().toLowerCase(Locale.ROOT));
+            }
+        }
+        HOP_BY_HOP.forEach(kept::remove);
+        return kept;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Quarantine.java
@@ -0,0 +1,107 @@
+package io.rosemarybeam.entry;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.rosemarybeam.common.id.Fingerprint;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.decision.request.RequestInput;
+
+/**
+ * The fingerprints that must not be run, and those that are suspects.
+ *
+ * <p>Invariant: a fingerprint is kept for one hour after it was last named, and at most {@value #MAXIMUM} are kept.
+ * Confined to the decision thread.
+ */
+final class Quarantine {
+    private static final int MAXIMUM = 10_000;
+    private static final long KEPT_MILLISECONDS = 3_600_000;
+
+    private final Map<Key, Long> quarantined = new Bounded();
+    private final Map<Key, Long> suspects = new Bounded();
+
+    /**
+     * Names a request of a service.
+     *
+     * @param service the service
+     * @param fingerprint the request
+     */
+    private record Key(ServiceName service, Fingerprint fingerprint) {}
+
+    /** Drops the entry that was named first when it grows too large. Confined to the decision thread. */
+    private static final class Bounded extends LinkedHashMap<Key, Long> {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Key, Long> eldest) {
+            return size() > MAXIMUM;
+        }
+    }
+
+    /**
+     * Takes the answer to a crash report.
+     *
+     * @param service the service
+     * @param newQuarantined must not be run
+     * @param newSuspects may run, but never two on one endpoint
+     * @param nowMilliseconds the time
+     */
+    void add(
+            ServiceName service,
+            Collection<Fingerprint> newQuarantined,
+            Collection<Fingerprint> newSuspects,
+            long nowMilliseconds) {
+        newSuspects.forEach(fingerprint -> suspects.put(new Key(service, fingerprint), nowMilliseconds));
+        newQuarantined.forEach(fingerprint -> {
+            Key key = new Key(service, fingerprint);
+            quarantined.put(key, nowMilliseconds);
+            suspects.remove(key);
+        });
+    }
+
+    /**
+     * Takes what the control process names.
+     *
+     * @param named fingerprints as {@code service/fingerprint}
+     * @param nowMilliseconds the time
+     * @return whether anything is new
+     */
+    boolean addNamed(List<String> named, long nowMilliseconds) {
+        boolean changed = false;
+        for (String text : named) {
+            int slash = text.lastIndexOf('/');
+            Key key = new Key(ServiceName.of(text.substring(0, slash)), Fingerprint.of(text.substring(slash + 1)));
+            changed |= quarantined.put(key, nowMilliseconds) == null;
+            suspects.remove(key);
+        }
+        return changed;
+    }
+
+    /**
+     * Drops what has not been named for long.
+     *
+     * @param nowMilliseconds the time
+     * @return whether anything was dropped
+     */
+    boolean expire(long nowMilliseconds) {
+        boolean dropped = quarantined.values().removeIf(at -> nowMilliseconds - at > KEPT_MILLISECONDS);
+        return suspects.values().removeIf(at -> nowMilliseconds - at > KEPT_MILLISECONDS) || dropped;
+    }
+
+    RequestInput asInput() {
+        Map<ServiceName, Set<Fingerprint>> byService = new HashMap<>();
+        quarantined
+                .keySet()
+                .forEach(key -> byService
+                        .computeIfAbsent(key.service(), service -> new HashSet<>())
+                        .add(key.fingerprint()));
+        Set<Fingerprint> suspected = new HashSet<>();
+        suspects.keySet().forEach(key -> suspected.add(key.fingerprint()));
+        return new RequestInput.QuarantineChanged(byService, suspected);
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ReporterSubset.java
@@ -0,0 +1,61 @@
+package io.rosemarybeam.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.wire.EntryHostRecord;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Chooses the entries to which an endpoint reports.
+ *
+ * <p>Invariant: all entries while there are at most {@value #MAXIMUM_REPORTERS}, otherwise that many with at least one of
+ * every failure domain. The choice is made by rendezvous hashing within each failure domain, so the loss or gain of a
+ * host changes only few choices. Stateless and safe for use by several threads.
+ */
+final class ReporterSubset {
+    /** Most entries to which one endpoint reports. */
+    static final int MAXIMUM_REPORTERS = 24;
+
+    private ReporterSubset() {}
+
+    /**
+     * Chooses the entries.
+     *
+     * @param endpoint the endpoint
+     * @param entries the live entries that do not drain
+     * @return the chosen ones; the first ones of the failure domains come first
+     */
+    static List<EntryHostRecord> choose(EndpointId endpoint, List<EntryHostRecord> entries) {
+        Map<FailureDomain, List<EntryHostRecord>> domains = new TreeMap<>();
+        for (EntryHostRecord entry : entries) {
+            domains.computeIfAbsent(entry.failureDomain(), domain -> new ArrayList<>())
+                    .add(entry);
+        }
+        Comparator<EntryHostRecord> byWeight = Comparator.comparingLong(entry -> -weight(endpoint, entry));
+        domains.values().forEach(members -> members.sort(byWeight));
+        List<List<EntryHostRecord>> ranked = new ArrayList<>(domains.values());
+        ranked.sort(Comparator.comparingLong(members -> -weight(endpoint, members.getFirst())));
+        List<EntryHostRecord> chosen = new ArrayList<>();
+        int limit = Math.max(MAXIMUM_REPORTERS, ranked.size());
+        for (int rank = 0; chosen.size() < Math.min(limit, entries.size()); rank++) {
+            for (List<EntryHostRecord> members : ranked) {
+                if (rank < members.size() && chosen.size() < limit) {
+                    chosen.add(members.get(rank));
+                }
+            }
+        }
+        return chosen;
+    }
+
+    private static long weight(EndpointId endpoint, EntryHostRecord entry) {
+        byte[] key = (endpoint.value() + '\n' + entry.name().value()).getBytes(StandardCharsets.UTF_8);
+        return MurmurHash3.hash128x64(key)[0] >>> 1;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
@@ -0,0 +1,327 @@
+package io.rosemarybeam.entry;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.wire.ControlReply.ClaimReply;
+import io.rosemarybeam.common.wire.ControlReply.ClaimState;
+import io.rosemarybeam.common.wire.ControlReply.QuarantineState;
+import io.rosemarybeam.common.wire.EndpointRecord;
+import io.rosemarybeam.common.wire.EntryRequest;
+import io.rosemarybeam.common.wire.RequestOutcome;
+import io.rosemarybeam.decision.request.RequestCommand;
+import io.rosemarybeam.decision.request.RequestCommand.RunState;
+import io.rosemarybeam.decision.request.RequestCore;
+import io.rosemarybeam.decision.request.RequestInput;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+
+/**
+ * Feeds the request core and carries out its commands.
+ *
+ * <p>Invariant: every request that was submitted is ended exactly once. Confined to the decision thread, except for
+ * {@link #submit}, {@link #feed} and the attempt notifications, which any thread may call.
+ */
+final class RequestDriver implements AttemptListener {
+    private static final Duration OUTCOME_TIME = Duration.ofSeconds(30);
+    private static final Duration CRASH_REPORT_TIME = Duration.ofSeconds(30);
+    private static final int KEPT_OUTCOMES = 1_024;
+
+    private final RequestCore core;
+    private final DecisionLoop loop;
+    private final ControlGateway control;
+    private final EntryIdentity identity;
+    private final EntryMetrics metrics;
+    private final Membership membership;
+    private final Quarantine quarantine;
+    private final Map<RequestId, Work> works = new HashMap<>();
+    private final Map<RequestId, RequestOutcome> outcomes = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<RequestId, RequestOutcome> eldest) {
+            return size() > KEPT_OUTCOMES;
+        }
+    };
+    private EndpointClient endpoints;
+    private SampleProgress sampleProgress = (request, endpoint, tokens) -> {};
+
+    /** Learns how far a request is. Called on the decision thread. */
+    @FunctionalInterface
+    interface SampleProgress {
+        /**
+         * Learns how far a request is.
+         *
+         * @param request the request
+         * @param endpoint where it runs
+         * @param tokens tokens so far
+         */
+        void onProgress(RequestId request, EndpointId endpoint, int tokens);
+    }
+
+    RequestDriver(
+            RequestCore core,
+            DecisionLoop loop,
+            ControlGateway control,
+            EntryIdentity identity,
+            EntryMetrics metrics,
+            Membership membership) {
+        this.core = core;
+        this.loop = loop;
+        this.control = control;
+        this.identity = identity;
+        this.metrics = metrics;
+        this.membership = membership;
+        this.quarantine = new Quarantine();
+    }
+
+    void connect(EndpointClient client, SampleProgress progress) {
+        endpoints = client;
+        sampleProgress = progress;
+    }
+
+    Quarantine quarantine() {
+        return quarantine;
+    }
+
+    RequestCore core() {
+        return core;
+    }
+
+    int openRequests() {
+        return works.size();
+    }
+
+    /**
+     * Submits a request.
+     *
+     * @param work the request
+     * @param arrival what the core learns of it
+     */
+    void submit(Work work, RequestInput.RequestArrived arrival) {
+        loop.execute(() -> {
+            works.put(arrival.request(), work);
+            handle(arrival);
+        });
+    }
+
+    /**
+     * Tells the core what happened.
+     *
+     * @param input what happened
+     */
+    void feed(RequestInput input) {
+        loop.execute(() -> handle(input));
+    }
+
+    void handle(RequestInput input) {
+        List<RequestCommand> commands = core.handle(loop.now(), input);
+        for (RequestCommand command : commands) {
+            carryOut(command);
+        }
+    }
+
+    private void carryOut(RequestCommand command) {
+        switch (command) {
+            case RequestCommand.StartAttempt start -> startAttempt(start);
+            case RequestCommand.CancelAttempt cancel -> endpoints.cancel(cancel.attempt(), this::canCancel);
+            case RequestCommand.FinishRequest finish -> finish(finish.request());
+            case RequestCommand.ReplayOutcome replay -> replay(replay);
+            case RequestCommand.RefuseRequest refuse -> refuse(refuse);
+            case RequestCommand.RequestClaim claim -> claim(claim);
+            case RequestCommand.RecordOutcome record -> record(record);
+            case RequestCommand.ReportCrash report -> report(report);
+        }
+    }
+
+    // ---- Attempts ----
+
+    private void startAttempt(RequestCommand.StartAttempt start) {
+        Work work = works.get(start.request());
+        if (work == null) {
+            feed(new RequestInput.AttemptFailed(start.attempt(), AttemptFailure.CONNECT_FAILED));
+            return;
+        }
+        endpoints.start(start, work);
+    }
+
+    private boolean canCancel(EndpointId endpoint) {
+        return membership.endpoint(endpoint).map(EndpointRecord::cancels).orElse(false);
+    }
+
+    @Override
+    public void onSent(AttemptStream attempt) {
+        feed(new RequestInput.AttemptSent(attempt.id()));
+    }
+
+    @Override
+    public void onProgress(AttemptStream attempt, Work.Progress progress) {
+        loop.execute(() -> {
+            attempt.progressTaken();
+            handleProgress(attempt, progress);
+        });
+    }
+
+    private void handleProgress(AttemptStream attempt, Work.Progress progress) {
+        handle(new RequestInput.AttemptProgressed(
+                attempt.id(), progress.received(), progress.version(), progress.reachedCaller()));
+        sampleProgress.onProgress(attempt.command().request(), attempt.command().endpoint(), progress.received());
+    }
+
+    @Override
+    public void onCompleted(AttemptStream attempt, Work.Progress progress) {
+        loop.execute(() -> {
+            ended(attempt, null);
+            handleProgress(attempt, progress);
+            handle(new RequestInput.AttemptCompleted(attempt.id(), progress.received()));
+        });
+    }
+
+    @Override
+    public void onFailed(AttemptStream attempt, Work.Progress progress, AttemptFailure failure) {
+        loop.execute(() -> {
+            ended(attempt, failure);
+            if (progress.received() > 0) {
+                handleProgress(attempt, progress);
+            }
+            handle(new RequestInput.AttemptFailed(attempt.id(), failure));
+        });
+    }
+
+    private void ended(AttemptStream attempt, AttemptFailure failure) {
+        endpoints.ended(attempt, failure);
+        metrics.countAttempt(attempt.work().target().service().value(), failure);
+    }
+
+    // ---- Ends of requests ----
+
+    private void finish(RequestId request) {
+        Work work = works.remove(request);
+        if (work == null) {
+            return;
+        }
+        work.finish().ifPresent(outcome -> {
+            count(work, "answered");
+            if (work.target().key().isPresent() && !work.target().idempotent()) {
+                outcomes.put(request, outcome);
+            }
+        });
+    }
+
+    private void replay(RequestCommand.ReplayOutcome replay) {
+        Work work = works.remove(replay.request());
+        if (work == null) {
+            return;
+        }
+        count(work, "replayed");
+        if (replay.outcome().truncated()) {
+            work.refuse(
+                    new Problem(ErrorCode.OUTCOME_UNKNOWN, RunState.RUN, 0, "the answer was too large to be recorded"));
+        } else {
+            work.replay(replay.outcome());
+        }
+    }
+
+    private void refuse(RequestCommand.RefuseRequest refuse) {
+        Work work = works.remove(refuse.request());
+        if (work != null) {
+            metrics.countRefusal(refuse.code());
+            count(work, "refused");
+            work.refuse(new Problem(
+                    refuse.code(),
+                    refuse.runState(),
+                    refuse.retryAfterMilliseconds(),
+                    refuse.code().description()));
+        }
+    }
+
+    /**
+     * Forgets a request whose caller went away.
+     *
+     * @param request the request
+     */
+    void cancel(RequestId request) {
+        loop.execute(() -> {
+            Work work = works.get(request);
+            handle(new RequestInput.RequestCancelled(request));
+            if (work != null && works.remove(request) != null) {
+                work.refuse(new Problem(
+                        ErrorCode.CONNECTION_CLOSED, RunState.UNKNOWN, 0, "the caller closed its connection"));
+                count(work, "cancelled");
+            }
+        });
+    }
+
+    private void count(Work work, String result) {
+        long duration = loop.now() - work.target().arrivedAtMilliseconds();
+        metrics.countRequest(work.target().service().value(), result, duration);
+    }
+
+    // ---- Claims and crashes ----
+
+    private void claim(RequestCommand.RequestClaim claim) {
+        long dispatchDeadline = loop.now() + claim.dispatchWindowMilliseconds();
+        EntryRequest.ClaimRequest request = new EntryRequest.ClaimRequest(
+                claim.service(),
+                claim.key(),
+                claim.fingerprint(),
+                identity.name(),
+                identity.incarnation(),
+                claim.dispatchWindowMilliseconds(),
+                claim.runWindowMilliseconds());
+        control.request(request, Duration.ofMillis(claim.dispatchWindowMilliseconds()))
+                .whenComplete((reply, failure) -> loop.execute(() -> {
+                    if (reply instanceof ClaimReply answer) {
+                        onClaim(claim.request(), answer, dispatchDeadline);
+                    } else {
+                        handle(new RequestInput.ClaimFailed(claim.request()));
+                    }
+                }));
+    }
+
+    private void onClaim(RequestId request, ClaimReply answer, long dispatchDeadline) {
+        Work work = works.get(request);
+        if (work != null && answer.state() == ClaimState.GRANTED) {
+            work.dispatchNotAfter(dispatchDeadline);
+        }
+        handle(new RequestInput.ClaimAnswered(request, answer.state(), answer.outcome(), dispatchDeadline));
+    }
+
+    private void record(RequestCommand.RecordOutcome record) {
+        Optional<RequestOutcome> outcome = record.completedBy().flatMap(attempt -> outcomeOf(record.request()));
+        if (record.completedBy().isPresent() && outcome.isEmpty()) {
+            return;
+        }
+        control.request(
+                new EntryRequest.RecordOutcome(
+                        record.service(), record.key(), identity.name(), identity.incarnation(), outcome),
+                OUTCOME_TIME);
+    }
+
+    private Optional<RequestOutcome> outcomeOf(RequestId request) {
+        Work work = works.get(request);
+        if (work != null) {
+            return Optional.of(work.outcome());
+        }
+        return Optional.ofNullable(outcomes.remove(request));
+    }
+
+    private void report(RequestCommand.ReportCrash report) {
+        control.request(
+                        new EntryRequest.ReportCrash(
+                                report.service(), report.endpoint(), report.incarnation(), report.batch()),
+                        CRASH_REPORT_TIME)
+                .thenAccept(reply -> loop.execute(() -> {
+                    if (reply instanceof QuarantineState state) {
+                        quarantine.add(report.service(), state.quarantined(), state.suspects(), loop.now());
+                        handle(quarantine.asInput());
+                    }
+                }));
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StateKeeper.java
@@ -0,0 +1,364 @@
+package io.rosemarybeam.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+import io.rosemarybeam.common.configuration.ConfigurationParser;
+import io.rosemarybeam.common.configuration.OperatorConfiguration;
+import io.rosemarybeam.common.configuration.ServiceConfiguration;
+import io.rosemarybeam.common.configuration.ServiceConfiguration.ServiceClass;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.ControlReply.ConfigurationText;
+import io.rosemarybeam.common.wire.ControlReply.EntryLease;
+import io.rosemarybeam.common.wire.ControlReply.EntryState;
+import io.rosemarybeam.common.wire.EndpointRecord;
+import io.rosemarybeam.common.wire.EntryRequest;
+import io.rosemarybeam.common.wire.EntryRequest.EndpointRenewal;
+import io.rosemarybeam.common.wire.MembershipDelta;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.decision.request.RequestInput;
+import io.rosemarybeam.decision.rollout.RolloutInput;
+import io.rosemarybeam.decision.step.StepInput;
+
+/**
+ * Renews the lease of this entry and applies the state that the control process sends.
+ *
+ * <p>Invariant: a state of a smaller leader term or an older configuration number than seen before changes nothing. The
+ * lease counts from the moment of sending, so a paused process finds it lapsed when it wakes. Confined to the decision
+ * thread, except for {@link #view}.
+ */
+final class StateKeeper {
+    private static final EventLog LOG = EventLog.of(StateKeeper.class);
+    private static final long RENEW_MILLISECONDS = 1_000;
+    private static final long RETRY_MILLISECONDS = 100;
+    private static final Duration RENEW_TIME = Duration.ofMillis(1_500);
+
+    private final EntryIdentity identity;
+    private final ControlGateway control;
+    private final ConfigurationParser parser;
+    private final DecisionLoop loop;
+    private final Membership membership;
+    private final Drivers drivers;
+    private final EntryMetrics metrics;
+    private final Map<EndpointId, EndpointRenewal> renewals = new HashMap<>();
+    private final Set<EndpointId> outOfService = new HashSet<>();
+    private final Map<ServiceName, Integer> shares = new HashMap<>();
+    private final Map<ServiceName, WeightVersion> published = new HashMap<>();
+    private final Map<ServiceName, StepInput.CapacityChanged> capacities = new HashMap<>();
+    private Runnable onDrainText = () -> {};
+    private Optional<OperatorConfiguration> configuration = Optional.empty();
+    private boolean unreadable;
+    private long leaderTerm;
+    private long leaseValidUntil;
+    private boolean held;
+    private boolean draining;
+    private boolean renewing;
+    private long nextRenewal;
+    private volatile EntryView view = EntryView.initial();
+
+    /**
+     * The three drivers.
+     *
+     * @param request drives the request core
+     * @param step drives the step core
+     * @param rollout drives the rollout core
+     */
+    record Drivers(RequestDriver request, StepDriver step, RolloutDriver rollout) {}
+
+    StateKeeper(
+            EntryIdentity identity,
+            ControlGateway control,
+            ConfigurationParser parser,
+            DecisionLoop loop,
+            Membership membership,
+            Drivers drivers,
+            EntryMetrics metrics) {
+        this.identity = identity;
+        this.control = control;
+        this.parser = parser;
+        this.loop = loop;
+        this.membership = membership;
+        this.drivers = drivers;
+        this.metrics = metrics;
+    }
+
+    void onDrainText(Runnable task) {
+        onDrainText = task;
+    }
+
+    EntryView view() {
+        return view;
+    }
+
+    Membership membership() {
+        return membership;
+    }
+
+    Optional<OperatorConfiguration> configuration() {
+        return configuration;
+    }
+
+    long leaderTerm() {
+        return leaderTerm;
+    }
+
+    // ---- Lease ----
+
+    /**
+     * Renews the lease when it is due.
+     *
+     * @param now the time, in milliseconds
+     */
+    void tick(long now) {
+        if (!renewing && now >= nextRenewal) {
+            renew(now);
+        }
+        boolean holds = now < leaseValidUntil;
+        if (holds != held) {
+            held = holds;
+            LOG.log(holds ? Event.LEASE_HELD : Event.LEASE_LAPSED, "entry", identity.name());
+        }
+        metrics.leaseRemaining(leaseValidUntil - now);
+    }
+
+    /** Has the next renewal sent at once, since it carries news. */
+    void renewSoon() {
+        nextRenewal = 0;
+    }
+
+    /** Has the next renewal sent at once; any thread may call this. */
+    void renewAfterNews() {
+        loop.execute(this::renewSoon);
+    }
+
+    private void renew(long now) {
+        renewing = true;
+        nextRenewal = now + RENEW_MILLISECONDS;
+        List<EndpointRenewal> sent = new ArrayList<>(renewals.values());
+        renewals.clear();
+        EntryRequest.RenewEntryLease request = new EntryRequest.RenewEntryLease(
+                identity.asRecord(draining),
+                configuration.map(text -> text.number().value()).orElse(0L),
+                leaderTerm,
+                membership.version(),
+                sent,
+                drivers.request().core().demandByService());
+        control.request(request, RENEW_TIME)
+                .whenComplete((reply, failure) -> loop.execute(() -> onRenewed(now, sent, reply)));
+    }
+
+    private void onRenewed(long sentAt, List<EndpointRenewal> sent, Message reply) {
+        renewing = false;
+        if (reply instanceof EntryLease lease) {
+            onLease(sentAt, lease);
+        } else {
+            sent.forEach(renewal -> renewals.putIfAbsent(renewal.id(), renewal));
+            nextRenewal = Math.min(nextRenewal, loop.now() + RETRY_MILLISECONDS);
+        }
+    }
+
+    private void onLease(long sentAt, EntryLease lease) {
+        if (!apply(lease.state()) || unreadable) {
+            return;
+        }
+        leaseValidUntil = Math.max(leaseValidUntil, sentAt + lease.leaseMilliseconds());
+        drivers.request().handle(new RequestInput.LeaseRenewed(leaseValidUntil));
+        publish();
+    }
+
+    // ---- State ----
+
+    /**
+     * Applies a state.
+     *
+     * @param state the state
+     * @return false if it is older than what is known
+     */
+    boolean apply(EntryState state) {
+        if (state.leaderTerm() < leaderTerm) {
+            LOG.log(Event.STALE_STATE_IGNORED, "term", state.leaderTerm(), "known", leaderTerm);
+            return false;
+        }
+        leaderTerm = state.leaderTerm();
+        state.configuration().ifPresent(this::activate);
+        state.membership().ifPresent(this::change);
+        if (!state.limitShares().isEmpty()) {
+            state.limitShares().forEach((service, share) -> shares.put(ServiceName.of(service), share));
+            drivers.request().handle(new RequestInput.SharesAssigned(Map.copyOf(shares)));
+        }
+        if (drivers.request().quarantine().addNamed(state.quarantined(), loop.now())) {
+            drivers.request().handle(drivers.request().quarantine().asInput());
+        }
+        state.weightVersions().forEach((service, version) -> publishWeights(ServiceName.of(service), version));
+        updateCapacities();
+        publish();
+        return true;
+    }
+
+    private void activate(ConfigurationText text) {
+        long known = configuration.map(current -> current.number().value()).orElse(0L);
+        if (text.number() <= known) {
+            return;
+        }
+        ConfigurationParser.Result result = parser.parse(text.text());
+        switch (result) {
+            case ConfigurationParser.Result.Valid valid -> activate(valid.configuration());
+            case ConfigurationParser.Result.Invalid invalid -> {
+                unreadable = true;
+                LOG.log(Event.CONFIGURATION_UNREADABLE, "number", text.number(), "problems", invalid.problems());
+            }
+        }
+    }
+
+    private void activate(OperatorConfiguration accepted) {
+        unreadable = false;
+        configuration = Optional.of(accepted);
+        metrics.configurationNumber(accepted.number().value());
+        LOG.log(Event.CONFIGURATION_ACTIVATED, "number", accepted.number());
+        drivers.request().handle(new RequestInput.ConfigurationActivated(accepted));
+        drivers.step().handle(new StepInput.ConfigurationActivated(accepted));
+        drivers.rollout().handle(new RolloutInput.ConfigurationActivated(accepted));
+        renewSoon();
+        if (accepted.drainingEntryHosts().contains(identity.name())) {
+            onDrainText.run();
+        }
+    }
+
+    private void change(MembershipDelta delta) {
+        if (!membership.apply(delta)) {
+            if (membership.version() == 0) {
+                renewSoon();
+            }
+            return;
+        }
+        tellCores(delta);
+        if (!delta.entryHosts().isEmpty() || !delta.removedEntryHosts().isEmpty()) {
+            drivers.step().handle(new StepInput.EntryHostsChanged(membership.entryHosts()));
+        }
+    }
+
+    private void tellCores(MembershipDelta delta) {
+        drivers.request().handle(new RequestInput.MembershipChanged(delta));
+        drivers.rollout().handle(new RolloutInput.MembershipChanged(delta));
+        delta.removedEndpoints().forEach(outOfService::remove);
+        delta.endpoints().forEach(this::tellAvailability);
+    }
+
+    /** A model endpoint without a whole version is in the middle of a swap. */
+    private void tellAvailability(EndpointRecord endpoint) {
+        boolean model = configuration
+                .flatMap(text -> text.service(endpoint.service()))
+                .map(service -> service.serviceClass() == ServiceClass.MODEL)
+                .orElse(false);
+        if (!model) {
+            return;
+        }
+        boolean swapping = endpoint.weightVersion().isEmpty();
+        boolean changed = swapping ? outOfService.add(endpoint.id()) : outOfService.remove(endpoint.id());
+        if (changed) {
+            drivers.request().handle(new RequestInput.EndpointAvailability(endpoint.id(), !swapping));
+        }
+    }
+
+    private void publishWeights(ServiceName service, WeightVersion version) {
+        WeightVersion known = published.get(service);
+        if (known == null || known.compareTo(version) < 0) {
+            published.put(service, version);
+            drivers.step().handle(new StepInput.WeightsPublished(service, version));
+            drivers.rollout().handle(new RolloutInput.WeightsPublished(service, version));
+        }
+    }
+
+    private void updateCapacities() {
+        configuration.ifPresent(text -> text.services().values().stream()
+                .filter(service -> service.training().isPresent())
+                .forEach(this::updateCapacity));
+    }
+
+    private void updateCapacity(ServiceConfiguration service) {
+        Set<EndpointId> drained = configuration.orElseThrow().drainingEndpoints();
+        int capacity = 0;
+        TreeMap<WeightVersion, Integer> versions = new TreeMap<>();
+        for (EndpointRecord endpoint : membership.endpoints()) {
+            boolean serves = endpoint.service().equals(service.name())
+                    && endpoint.weightVersion().isPresent()
+                    && !endpoint.leaving()
+                    && !drained.contains(endpoint.id());
+            if (serves) {
+                int usable = Math.min(endpoint.capacity(), service.limits().concurrentPerEndpoint());
+                capacity += usable * (100 - service.customerReservePercent()) / 100;
+                versions.merge(endpoint.weightVersion().get(), 1, Integer::sum);
+            }
+        }
+        if (versions.isEmpty() && !capacities.containsKey(service.name())) {
+            return;
+        }
+        int share = shares.getOrDefault(service.name(), Integer.MAX_VALUE);
+        StepInput.CapacityChanged changed = versions.isEmpty()
+                ? withoutCapacity(capacities.get(service.name()))
+                : new StepInput.CapacityChanged(
+                        service.name(), Math.min(capacity, share), versions.firstKey(), versions.lastKey());
+        if (!changed.equals(capacities.put(service.name(), changed))) {
+            drivers.step().handle(changed);
+        }
+    }
+
+    private static StepInput.CapacityChanged withoutCapacity(StepInput.CapacityChanged last) {
+        return new StepInput.CapacityChanged(last.service(), 0, last.oldestVersion(), last.newestVersion());
+    }
+
+    // ---- Endpoints ----
+
+    /**
+     * Queues the renewal of an endpoint for the next renewal of this entry.
+     *
+     * @param endpoint what it said of itself
+     * @param record what is known of it
+     */
+    void renewEndpoint(EndpointRecord endpoint, EndpointRecord record) {
+        renewals.put(
+                endpoint.id(), new EndpointRenewal(endpoint.id(), endpoint.incarnation(), endpoint.weightVersion()));
+        if (!endpoint.weightVersion().equals(record.weightVersion())) {
+            overlay(record.withWeightVersion(endpoint.weightVersion()));
+            renewSoon();
+        }
+    }
+
+    /**
+     * Takes over what an endpoint said before the control process repeats it.
+     *
+     * @param endpoint the endpoint
+     */
+    void overlay(EndpointRecord endpoint) {
+        tellCores(membership.overlay(endpoint));
+        updateCapacities();
+    }
+
+    // ---- Drain ----
+
+    /** Says from now on that this entry drains. */
+    void startDrain() {
+        draining = true;
+        renewSoon();
+        publish();
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
+    private void publish() {
+        view = new EntryView(configuration, membership.entryHosts(), leaseValidUntil, draining);
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
@@ -0,0 +1,342 @@
+package io.rosemarybeam.entry;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.RosemarybeamException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.wire.EntryHostRecord;
+import io.rosemarybeam.common.wire.EntryRequest;
+import io.rosemarybeam.common.wire.PeerRequest.SampleBody;
+import io.rosemarybeam.common.wire.StepRecords.SampleCommit;
+import io.rosemarybeam.common.wire.StepRecords.StepSnapshot;
+import io.rosemarybeam.decision.request.RequestInput;
+import io.rosemarybeam.decision.request.RequestInput.Precedence;
+import io.rosemarybeam.decision.step.StepCommand;
+import io.rosemarybeam.decision.step.StepCore;
+import io.rosemarybeam.decision.step.StepInput;
+import io.rosemarybeam.decision.step.StepInput.StepKey;
+
+/**
+ * Feeds the step core and carries out its commands.
+ *
+ * <p>Invariant: every submitted sample and every read is answered exactly once. Confined to the decision thread, except
+ * for {@link #feed}.
+ */
+final class StepDriver {
+    private static final EventLog LOG = EventLog.of(StepDriver.class);
+    private static final Duration LEDGER_TIME = Duration.ofSeconds(5);
+    private static final long SCORE_MILLISECONDS = 10_000;
+    private static final int CHARACTERS_PER_TOKEN = 4;
+
+    private final StepCore core;
+    private final DecisionLoop loop;
+    private final ControlGateway control;
+    private final PeerTransport peers;
+    private final Membership membership;
+    private final RequestDriver requests;
+    private final WorkFactory works;
+    private final Map<RequestId, StepCommand.SubmitSample> samples = new HashMap<>();
+    private final Map<StepKey, StepSnapshot> owned = new HashMap<>();
+    private final Map<Long, Read> reads = new HashMap<>();
+    private long lastRead;
+
+    /**
+     * A read that waits for its answer.
+     *
+     * @param step the step
+     * @param reply takes the answer
+     */
+    private record Read(StepKey step, TrainerReply reply) {}
+
+    StepDriver(
+            StepCore core,
+            DecisionLoop loop,
+            ControlGateway control,
+            PeerTransport peers,
+            Membership membership,
+            RequestDriver requests,
+            WorkFactory works) {
+        this.core = core;
+        this.loop = loop;
+        this.control = control;
+        this.peers = peers;
+        this.membership = membership;
+        this.requests = requests;
+        this.works = works;
+    }
+
+    StepCore core() {
+        return core;
+    }
+
+    /**
+     * Tells the core what happened.
+     *
+     * @param input what happened
+     */
+    void feed(StepInput input) {
+        loop.execute(() -> handle(input));
+    }
+
+    void handle(StepInput input) {
+        for (StepCommand command : core.handle(loop.now(), input)) {
+            carryOut(command);
+        }
+    }
+
+    private void carryOut(StepCommand command) {
+        switch (command) {
+            case StepCommand.SubmitSample submit -> submit(submit);
+            case StepCommand.CancelSample cancel -> {
+                samples.remove(cancel.request());
+                requests.cancel(cancel.request());
+            }
+            case StepCommand.ScoreSample score -> score(score);
+            case StepCommand.StoreBodies store -> store(store);
+            case StepCommand.FetchBodies fetch -> fetch(fetch);
+            case StepCommand.DropBodies drop ->
+                address(drop.peer()).ifPresent(peer -> peers.drop(peer, drop.step(), drop.indexes()));
+            case StepCommand.CommitSamples commit -> commit(commit);
+            case StepCommand.RecordHandOver record -> record(record);
+            case StepCommand.AnswerRead answer -> answer(answer);
+            case StepCommand.RefuseRead refuse -> refuse(refuse);
+        }
+    }
+
+    // ---- Ownership and reads ----
+
+    boolean owns(StepKey step) {
+        return owned.containsKey(step);
+    }
+
+    /** Takes the durable state of a step that this entry owns. */
+    void own(StepSnapshot snapshot) {
+        StepKey key = new StepKey(
+                snapshot.specification().trainer(), snapshot.specification().step());
+        StepSnapshot known = owned.put(key, snapshot);
+        if (known == null || known.ownerEpoch() != snapshot.ownerEpoch()) {
+            LOG.log(Event.STEP_OWNED, "trainer", key.trainer(), "step", key.step(), "epoch", snapshot.ownerEpoch());
+            handle(new StepInput.StepOwned(snapshot));
+        }
+    }
+
+    /** Stops work on a step that another entry owns. */
+    void lose(StepKey step) {
+        if (owned.remove(step) != null) {
+            handle(new StepInput.StepLost(step));
+            reads.entrySet().removeIf(entry -> {
+                boolean stale = entry.getValue().step().equals(step);
+                if (stale) {
+                    entry.getValue().reply().refuse(Problem.retryLater(ErrorCode.STALE_OWNER, 100));
+                }
+                return stale;
+            });
+        }
+    }
+
+    /**
+     * Reads samples of a step that this entry owns.
+     *
+     * @param step the step
+     * @param cursor the cursor
+     * @param maximum how many samples at most
+     * @param waitMilliseconds how long to wait for samples
+     * @param reply takes the answer
+     */
+    void read(StepKey step, long cursor, int maximum, long waitMilliseconds, TrainerReply reply) {
+        long read = ++lastRead;
+        reads.put(read, new Read(step, reply));
+        handle(new StepInput.SamplesRead(read, step, cursor, maximum, loop.now() + waitMilliseconds));
+    }
+
+    private void answer(StepCommand.AnswerRead answer) {
+        Read read = reads.remove(answer.read());
+        if (read == null) {
+            return;
+        }
+        ObjectNode json = Json.MAPPER.createObjectNode();
+        json.put("cursor", answer.cursor()).put("remaining", answer.remaining());
+        var list = json.putArray("samples");
+        for (SampleBody body : answer.bodies()) {
+            ObjectNode sample = list.addObject();
+            sample.put("index", body.index()).put("digest", body.digest()).put("text", body.text());
+            if (!Double.isNaN(body.score())) {
+                sample.put("score", body.score());
+            }
+            var spans = sample.putArray("spans");
+            body.spans()
+                    .forEach(span -> spans.addObject()
+                            .put("weightVersion", span.version().value())
+                            .put("tokens", span.tokens()));
+        }
+        read.reply().json(200, json);
+    }
+
+    private void refuse(StepCommand.RefuseRead refuse) {
+        Read read = reads.remove(refuse.read());
+        if (read != null) {
+            read.reply().refuse(Problem.notRun(refuse.code(), refuse.code().description()));
+        }
+    }
+
+    // ---- Samples ----
+
+    private void submit(StepCommand.SubmitSample submit) {
+        samples.put(submit.request(), submit);
+        ObjectNode body = Json.MAPPER.createObjectNode();
+        body.put("model", submit.service().value())
+                .put("prompt", submit.prompt())
+                .put("max_tokens", submit.maximumTokens())
+                .put("stream", true);
+        byte[] text = Json.write(body);
+        CompletionAnswer answer = works.completion(body, new SampleReceiver(this, submit.request()));
+        Work work = works.work(
+                submit.request(), submit.service(), "POST", WorkFactory.COMPLETIONS_PATH, jsonHeaders(), true, answer);
+        requests.submit(
+                work,
+                new RequestInput.RequestArrived(
+                        submit.request(),
+                        submit.service(),
+                        Precedence.TRAINING,
+                        Optional.of(submit.trainer()),
+                        true,
+                        Optional.empty(),
+                        Digests.fingerprint(submit.service(), "", text),
+                        Digests.prefixHashes(submit.prompt()),
+                        submit.expectedTokens(),
+                        submit.deadlineMilliseconds(),
+                        Optional.of(submit.minimumVersion()),
+                        submit.avoid()));
+    }
+
+    /** Passes the progress of submitted samples on. */
+    void onProgress(RequestId request, EndpointId endpoint, int tokens) {
+        if (samples.containsKey(request)) {
+            feed(new StepInput.SampleProgressed(request, endpoint, tokens));
+        }
+    }
+
+    /** Passes the end of a submitted sample on. */
+    void sampleEnded(RequestId request, StepInput input) {
+        if (samples.remove(request) != null) {
+            feed(input);
+        }
+    }
+
+    private static HttpHeaders jsonHeaders() {
+        return new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    }
+
+    // ---- Scoring ----
+
+    private void score(StepCommand.ScoreSample score) {
+        String sampleId =
+                score.step().trainer() + "/" + score.step().step() + "/" + score.index() + "/" + score.digest();
+        ObjectNode body = Json.MAPPER.createObjectNode();
+        body.put("sampleId", sampleId).put("prompt", score.prompt()).put("text", score.text());
+        byte[] text = Json.write(body);
+        RequestId request = works.nextRequestId();
+        HttpHeaders headers = jsonHeaders().set(EndpointHeaders.IDEMPOTENCY_KEY, sampleId);
+        ProxyAnswer answer = works.proxy(new ScoreReceiver(this, score), "POST", text);
+        Work work = works.work(request, score.scoringService(), "POST", "/score", headers, true, answer);
+        requests.submit(
+                work,
+                new RequestInput.RequestArrived(
+                        request,
+                        score.scoringService(),
+                        Precedence.TRAINING,
+                        Optional.of(score.step().trainer()),
+                        true,
+                        Optional.empty(),
+                        Digests.fingerprint(score.scoringService(), "/score", text),
+                        List.of(),
+                        1 + score.text().length() / CHARACTERS_PER_TOKEN,
+                        loop.now() + SCORE_MILLISECONDS,
+                        Optional.empty(),
+                        Set.of()));
+    }
+
+    // ---- Bodies ----
+
+    private Optional<String> address(HostName peer) {
+        return membership.entryHost(peer).map(EntryHostRecord::peerAddress);
+    }
+
+    private void store(StepCommand.StoreBodies store) {
+        List<Integer> indexes = store.bodies().stream().map(SampleBody::index).toList();
+        Optional<String> peer = address(store.peer());
+        if (peer.isEmpty()) {
+            feed(new StepInput.BodiesStored(store.step(), store.peer(), indexes, false));
+            return;
+        }
+        peers.store(peer.get(), store.step(), store.bodies())
+                .thenAccept(stored -> feed(new StepInput.BodiesStored(store.step(), store.peer(), indexes, stored)));
+    }
+
+    private void fetch(StepCommand.FetchBodies fetch) {
+        Optional<String> peer = address(fetch.peer());
+        if (peer.isEmpty()) {
+            feed(new StepInput.BodiesFetched(fetch.step(), fetch.peer(), List.of()));
+            return;
+        }
+        peers.fetch(peer.get(), fetch.step(), fetch.indexes())
+                .thenAccept(bodies -> feed(new StepInput.BodiesFetched(fetch.step(), fetch.peer(), bodies)));
+    }
+
+    // ---- Ledger ----
+
+    private void commit(StepCommand.CommitSamples commit) {
+        List<Integer> indexes =
+                commit.samples().stream().map(SampleCommit::index).toList();
+        EntryRequest request = new EntryRequest.CommitSamples(
+                commit.step().trainer(),
+                commit.step().step(),
+                commit.ownerEpoch(),
+                commit.samples(),
+                commit.replacing());
+        control.request(request, LEDGER_TIME)
+                .whenComplete((reply, failure) -> loop.execute(() -> {
+                    if (!loseIfStale(commit.step(), failure)) {
+                        handle(new StepInput.CommitAnswered(commit.step(), indexes, failure == null));
+                    }
+                }));
+    }
+
+    private void record(StepCommand.RecordHandOver record) {
+        EntryRequest request = new EntryRequest.RecordHandOver(
+                record.step().trainer(),
+                record.step().step(),
+                record.ownerEpoch(),
+                record.cursor(),
+                record.sampleIndexes());
+        control.request(request, LEDGER_TIME)
+                .whenComplete((reply, failure) -> loop.execute(() -> {
+                    if (!loseIfStale(record.step(), failure)) {
+                        handle(new StepInput.HandOverAnswered(record.step(), record.cursor(), failure == null));
+                    }
+                }));
+    }
+
+    private boolean loseIfStale(StepKey step, Throwable failure) {
+        boolean stale = Failures.unwrap(failure) instanceof RosemarybeamException known
+                && known.code() == ErrorCode.STALE_OWNER;
+        if (stale) {
+            lose(step);
+        }
+        return stale;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Work.java
@@ -0,0 +1,182 @@
+package io.rosemarybeam.entry;
+
+import java.util.Optional;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.id.IdempotencyKey;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.RequestOutcome;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+
+/**
+ * A request that this entry holds until it is answered.
+ *
+ * <p>Invariant: only the current attempt contributes to the answer, and nothing does once the request has ended. Safe
+ * for use by several threads.
+ */
+final class Work {
+    private final Target target;
+    private final Answer answer;
+    private AttemptStream current;
+    private boolean ended;
+    private volatile long dispatchDeadlineMilliseconds = Long.MAX_VALUE;
+
+    /**
+     * What is sent to an endpoint. Immutable.
+     *
+     * @param id the request
+     * @param service the service
+     * @param method HTTP method
+     * @param uri path and query at the endpoint
+     * @param headers headers for the endpoint
+     * @param idempotent whether it may run more than once
+     * @param key key of the caller
+     * @param arrivedAtMilliseconds when it arrived
+     */
+    record Target(
+            RequestId id,
+            ServiceName service,
+            String method,
+            String uri,
+            HttpHeaders headers,
+            boolean idempotent,
+            Optional<IdempotencyKey> key,
+            long arrivedAtMilliseconds) {}
+
+    /**
+     * How far an answer is.
+     *
+     * @param received tokens, or bytes for plain services
+     * @param version weight version of the last part
+     * @param reachedCaller whether any part was passed on
+     */
+    record Progress(int received, Optional<WeightVersion> version, boolean reachedCaller) {}
+
+    Work(Target target, Answer answer) {
+        this.target = target;
+        this.answer = answer;
+    }
+
+    Target target() {
+        return target;
+    }
+
+    /** Forbids dispatch after a moment, as agreed with the claim. */
+    void dispatchNotAfter(long milliseconds) {
+        dispatchDeadlineMilliseconds = milliseconds;
+    }
+
+    long dispatchDeadlineMilliseconds() {
+        return dispatchDeadlineMilliseconds;
+    }
+
+    // ---- Attempts ----
+
+    /**
+     * Makes an attempt the current one.
+     *
+     * @param attempt the attempt
+     * @param resumes whether it resumes the answer
+     * @param spliced whether it continues the text of another generation
+     * @return the body to send
+     */
+    synchronized byte[] begin(AttemptStream attempt, boolean resumes, boolean spliced) {
+        byte[] body = answer.requestBody(resumes);
+        current = attempt;
+        answer.begin(attempt.id().value(), resumes, spliced);
+        return body;
+    }
+
+    synchronized int received() {
+        return answer.received();
+    }
+
+    synchronized Optional<AttemptFailure> onHead(AttemptStream from, int status, HttpHeaders headers) {
+        return isCurrent(from) ? answer.onHead(status, headers) : Optional.of(AttemptFailure.MISMATCHED);
+    }
+
+    synchronized Optional<AttemptFailure> onBytes(AttemptStream from, ByteBuf bytes) {
+        return isCurrent(from) ? answer.onBytes(bytes) : Optional.of(AttemptFailure.MISMATCHED);
+    }
+
+    synchronized Optional<AttemptFailure> onEnd(AttemptStream from) {
+        return isCurrent(from) ? answer.onEnd() : Optional.of(AttemptFailure.MISMATCHED);
+    }
+
+    synchronized Progress progress() {
+        return new Progress(answer.received(), answer.version(), answer.reachedCaller());
+    }
+
+    /**
+     * Stops an attempt from contributing.
+     *
+     * @param attempt the attempt
+     */
+    synchronized void detach(AttemptStream attempt) {
+        if (current == attempt) {
+            current = null;
+        }
+    }
+
+    private boolean isCurrent(AttemptStream from) {
+        return !ended && current == from;
+    }
+
+    boolean isWritable() {
+        return answer.isWritable();
+    }
+
+    /** Lets the current attempt read on after the receiver took what was pending. */
+    void resumeReading() {
+        AttemptStream attempt;
+        synchronized (this) {
+            attempt = current;
+        }
+        if (attempt != null) {
+            attempt.resumeReading();
+        }
+    }
+
+    // ---- End ----
+
+    /**
+     * Ends the request with the whole answer.
+     *
+     * @return what to record of it; empty if the request has ended before
+     */
+    synchronized Optional<RequestOutcome> finish() {
+        if (ended) {
+            return Optional.empty();
+        }
+        ended = true;
+        RequestOutcome outcome = answer.outcome();
+        answer.finish();
+        return Optional.of(outcome);
+    }
+
+    /**
+     * Returns what is to be recorded of the whole answer.
+     *
+     * @return the outcome
+     */
+    synchronized RequestOutcome outcome() {
+        return answer.outcome();
+    }
+
+    synchronized void replay(RequestOutcome outcome) {
+        if (!ended) {
+            ended = true;
+            answer.replay(outcome);
+        }
+    }
+
+    synchronized void refuse(Problem problem) {
+        if (!ended) {
+            ended = true;
+            answer.refuse(problem);
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/WorkFactory.java
@@ -0,0 +1,69 @@
+package io.rosemarybeam.entry;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.id.IdempotencyKey;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.id.ServiceName;
+
+/** Makes the requests that the entry holds. Safe for use by several threads. */
+final class WorkFactory {
+    /** Path of completions at callers and endpoints. */
+    static final String COMPLETIONS_PATH = "/v1/completions";
+
+    private final String prefix;
+    private final MonotonicClock clock;
+    private final EntryMetrics metrics;
+    private final AtomicLong last = new AtomicLong();
+
+    WorkFactory(EntryIdentity identity, MonotonicClock clock, EntryMetrics metrics) {
+        this.prefix = identity.name() + "-" + Long.toHexString(identity.incarnation()) + "-";
+        this.clock = clock;
+        this.metrics = metrics;
+    }
+
+    /**
+     * Returns a new id.
+     *
+     * @return an id that no other request of any entry has
+     */
+    RequestId nextRequestId() {
+        return RequestId.of(prefix + last.incrementAndGet());
+    }
+
+    CompletionAnswer completion(ObjectNode request, CompletionReceiver receiver) {
+        return new CompletionAnswer(request, receiver, metrics);
+    }
+
+    ProxyAnswer proxy(PlainReceiver receiver, String method, byte[] body) {
+        return new ProxyAnswer(receiver, method, body, metrics);
+    }
+
+    Work work(
+            RequestId id,
+            ServiceName service,
+            String method,
+            String uri,
+            HttpHeaders headers,
+            boolean idempotent,
+            Answer answer) {
+        return work(id, service, method, uri, headers, idempotent, Optional.empty(), answer);
+    }
+
+    Work work(
+            RequestId id,
+            ServiceName service,
+            String method,
+            String uri,
+            HttpHeaders headers,
+            boolean idempotent,
+            Optional<IdempotencyKey> key,
+            Answer answer) {
+        Work.Target target =
+                new Work.Target(id, service, method, uri, headers, idempotent, key, clock.nowMilliseconds());
+        return new Work(target, answer);
+    }
+}
