--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Availability.java
@@ -0,0 +1,65 @@
+package io.rosemarybeam.entry;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.decision.request.RequestInput;
+
+/**
+ * Combines the reasons why an endpoint gets no work during a weight swap.
+ *
+ * <p>Invariant: an endpoint is in service only if it holds a whole version and the rollout core has not taken it out.
+ * Confined to the decision thread.
+ */
+final class Availability {
+    private final RequestDriver requests;
+    private final Set<EndpointId> swapping = new HashSet<>();
+    private final Set<EndpointId> takenOut = new HashSet<>();
+
+    Availability(RequestDriver requests) {
+        this.requests = requests;
+    }
+
+    /**
+     * Takes the decision of the rollout core.
+     *
+     * @param endpoint the endpoint
+     * @param inService whether it may get work
+     */
+    void set(EndpointId endpoint, boolean inService) {
+        change(takenOut, endpoint, !inService);
+    }
+
+    /**
+     * Takes what a model endpoint reports.
+     *
+     * @param endpoint the endpoint
+     * @param whole whether it holds a whole version
+     */
+    void report(EndpointId endpoint, boolean whole) {
+        change(swapping, endpoint, !whole);
+    }
+
+    void remove(EndpointId endpoint) {
+        swapping.remove(endpoint);
+        takenOut.remove(endpoint);
+    }
+
+    private void change(Set<EndpointId> reason, EndpointId endpoint, boolean holds) {
+        boolean before = inService(endpoint);
+        if (holds) {
+            reason.add(endpoint);
+        } else {
+            reason.remove(endpoint);
+        }
+        boolean after = inService(endpoint);
+        if (before != after) {
+            requests.feed(new RequestInput.EndpointAvailability(endpoint, after));
+        }
+    }
+
+    private boolean inService(EndpointId endpoint) {
+        return !swapping.contains(endpoint) && !takenOut.contains(endpoint);
+    }
+}
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CompletionAnswer.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CompletionAnswer.java
@@ -35,7 +35,7 @@
     private ServerSentEvents events = new ServerSentEvents();
     private String attempt = "";
     private int tokens;
-    private int attemptTokens;
+    private boolean dropped;
     private boolean unstamped;
     private boolean markSpliced;
     private boolean ended;
@@ -61,7 +61,7 @@
     public void begin(String newAttempt, boolean resumes, boolean spliced) {
         attempt = newAttempt;
         events = new ServerSentEvents();
-        attemptTokens = 0;
+        dropped = false;
         ended = false;
         status = OK;
         errorBody = new byte[0];
@@ -127,9 +127,10 @@
         ModelChunk chunk = ModelChunk.parse(buffer, offset, length);
         if (!attempt.equals(chunk.id())) {
             metrics.countMismatch();
+            dropped = true;
             return;
         }
-        if (chunk.index() != attemptTokens && chunk.index() != tokens) {
+        if (chunk.index() != tokens) {
             throw new IOException("chunk at " + chunk.index() + " where " + tokens + " was expected");
         }
         if (text.length() + chunk.text().length() > MAXIMUM_TEXT_CHARACTERS) {
@@ -140,7 +141,6 @@
 
     private void accept(ModelChunk chunk) {
         tokens += chunk.tokenCount();
-        attemptTokens += chunk.tokenCount();
         text.append(chunk.text());
         version = chunk.version();
         if (chunk.tokenCount() > 0) {
@@ -165,6 +165,9 @@
 
     @Override
     public Optional<AttemptFailure> onEnd() {
+        if (dropped) {
+            return Optional.of(AttemptFailure.MISMATCHED);
+        }
         return ended || status != OK ? Optional.empty() : Optional.of(AttemptFailure.BROKEN);
     }
 
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Digests.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Digests.java
@@ -40,7 +40,8 @@
     }
 
     /**
-     * Returns hashes of ever longer prefixes of a prompt, whose lengths double from {@value #SHORTEST_PREFIX_CHARACTERS}.
+     * Returns hashes of ever longer prefixes of a prompt, whose lengths double from {@value #SHORTEST_PREFIX_CHARACTERS}
+     * characters, and of the whole prompt.
      *
      * @param prompt the prompt
      * @return the hashes, shortest prefix first
@@ -48,11 +49,15 @@
     static List<Long> prefixHashes(String prompt) {
         List<Long> hashes = new ArrayList<>();
         int length = SHORTEST_PREFIX_CHARACTERS;
-        while (length <= prompt.length() && hashes.size() < MAXIMUM_PREFIXES) {
-            byte[] prefix = prompt.substring(0, length).getBytes(StandardCharsets.UTF_8);
-            hashes.add(MurmurHash3.hash128x64(prefix)[0]);
+        while (length < prompt.length() && hashes.size() < MAXIMUM_PREFIXES) {
+            hashes.add(hash(prompt.substring(0, length)));
             length *= 2;
         }
+        hashes.add(hash(prompt));
         return hashes;
     }
+
+    private static long hash(String prefix) {
+        return MurmurHash3.hash128x64(prefix.getBytes(StandardCharsets.UTF_8))[0];
+    }
 }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
@@ -13,6 +13,7 @@
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.decision.request.RequestCommand.StartAttempt;
 import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+import io.rosemarybeam.decision.rollout.RolloutCommand.OrderKind;
 import io.rosemarybeam.decision.rollout.RolloutCommand.SendOrder;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.AsyncHttpClientConfig;
@@ -35,7 +36,7 @@
     private static final Duration POOL_IDLE = Duration.ofSeconds(4);
 
     private static final Duration CANCEL_TIME = Duration.ofSeconds(2);
-    private static final Duration ORDER_TIME = Duration.ofSeconds(5);
+    private static final Duration ORDER_TIME = Duration.ofSeconds(1);
     private static final int MAXIMUM_HEADER_BYTES = 32_768;
     private static final long DISPATCH_SLACK_MILLISECONDS = 500;
     private static final long STANDSTILL_MILLISECONDS = 500;
@@ -184,7 +185,7 @@
                 "kind",
                 order.kind().name().toLowerCase(java.util.Locale.ROOT).replace('_', '-'),
                 "version",
-                order.argument(),
+                order.kind() == OrderKind.LOAD_WEIGHTS ? Long.valueOf(order.argument()) : order.argument(),
                 "fencingNumber",
                 order.fencingNumber().value());
         RequestBuilder request = new RequestBuilder("POST", true)
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -10,15 +11,22 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
-import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.rosemarybeam.common.admin.AdminServer;
 import io.rosemarybeam.common.configuration.ConfigurationParser;
+import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.common.settings.EntrySettings;
+import io.rosemarybeam.common.wire.ControlReply.EntryState;
 import io.rosemarybeam.common.wire.Credentials;
 import io.rosemarybeam.common.wire.HandshakeMessage.Role;
+import io.rosemarybeam.common.wire.Secrets;
 import io.rosemarybeam.common.wire.WireSettings;
 import io.rosemarybeam.common.wire.WireTransport;
 import io.rosemarybeam.decision.request.RequestCore;
+import io.rosemarybeam.decision.request.RequestInput;
 import io.rosemarybeam.decision.rollout.RolloutCore;
+import io.rosemarybeam.decision.rollout.RolloutInput;
 import io.rosemarybeam.decision.step.StepCore;
+import io.rosemarybeam.decision.step.StepInput;
 
 /**
  * An entry process: the servers, the clients, and the thread that runs the decision cores.
@@ -28,7 +36,11 @@
 public final class EntryProcess implements AutoCloseable {
     private static final long ATTEMPT_CHECK_MILLISECONDS = 50;
     private static final long EXPIRY_CHECK_MILLISECONDS = 60_000;
-    private static final long DUMP_MILLISECONDS = 2_000;
+    private static final int EVENT_LOOPS = 2;
+    private static final long BUFFERED_BODY_BYTES = 16_777_216;
+    private static final long SAMPLE_BODY_BYTES = 16_777_216;
+    /** Longer than the default total deadline of a request. */
+    private static final long DRAIN_MILLISECONDS = 120_000;
 
     private final EntryIdentity identity;
     private final NioEventLoopGroup eventLoops;
@@ -44,6 +56,7 @@
     private final ByteBudget budget;
     private final BodyStore bodies;
     private final HttpServer server;
+    private final AdminServer admin;
     private final Drain drain;
     private long nextAttemptCheck;
     private long nextExpiryCheck;
@@ -65,11 +78,12 @@
                 settings.callerAddress(),
                 settings.peerAddress(),
                 settings.failureDomain());
-        eventLoops = new NioEventLoopGroup(settings.limits().eventLoops(), new DefaultThreadFactory("entry", true));
+        eventLoops = new NioEventLoopGroup(EVENT_LOOPS, new DefaultThreadFactory("entry", true));
         MonotonicClock clock = MonotonicClock.system();
         loop = new DecisionLoop(clock);
+        Secrets secrets = settings.secrets();
         Credentials credentials =
-                new Credentials(Role.ENTRY, settings.name().value(), incarnation, settings.clusterSecret());
+                new Credentials(Role.ENTRY, settings.name().value(), incarnation, secrets.clusterSecret());
         WireTransport transport = WireTransport.of(eventLoops, WireSettings.standard());
         Membership membership = new Membership();
         control = new ControlSession(
@@ -79,18 +93,19 @@
                 eventLoops.next(),
                 clock,
                 state -> loop.execute(() -> applyPush(state)));
-        bodies = new BodyStore(settings.limits().sampleBodyBytes());
+        bodies = new BodyStore(SAMPLE_BODY_BYTES);
         peers = new PeerTransport(transport, credentials, bodies, clock);
         requests = new RequestDriver(cores.request(), loop, control, identity, metrics, membership);
         WorkFactory works = new WorkFactory(identity, clock, metrics);
+        Availability availability = new Availability(requests);
         steps = new StepDriver(cores.step(), loop, control, peers, membership, requests, works);
-        rollout = new RolloutDriver(cores.rollout(), loop, control, identity);
+        rollout = new RolloutDriver(cores.rollout(), loop, control, identity, availability);
         endpoints = new EndpointClient(eventLoops, clock, requests);
         requests.connect(endpoints, steps::onProgress);
         rollout.connect(endpoints);
-        StateKeeper.Drivers drivers = new StateKeeper.Drivers(requests, steps, rollout);
+        StateKeeper.Drivers drivers = new StateKeeper.Drivers(requests, steps, rollout, availability);
         keeper = new StateKeeper(identity, control, parser, loop, membership, drivers, metrics);
-        drain = new Drain(keeper, drivers, loop, settings.limits().drainMilliseconds());
+        drain = new Drain(keeper, drivers, loop, DRAIN_MILLISECONDS);
         keeper.onDrainText(drain::start);
         TrainerRoutes trainers = new TrainerRoutes(loop, control, identity, keeper, steps, peers);
         EntryRoutes routes = new EntryRoutes(
@@ -99,8 +114,9 @@
                 new EndpointRoutes(keeper, requests, control, loop, identity),
                 trainers,
                 metrics);
-        budget = new ByteBudget(settings.limits().bufferedBodyBytes());
-        peers.listen(settings.peerAddress(), trainers::onRelay);
+        budget = new ByteBudget(BUFFERED_BODY_BYTES);
+        peers.listen(settings.peerAddress(), secrets, trainers::onRelay, this::dump);
+        admin = AdminServer.start(eventLoops, settings.adminAddress(), metrics.metrics(), this::dump);
         server = HttpServer.open(eventLoops, settings.callerAddress(), routes, budget);
     }
 
@@ -121,9 +137,9 @@
 
     private void tick(long now) {
         keeper.tick(now);
-        requests.handle(new io.rosemarybeam.decision.request.RequestInput.Tick());
-        steps.handle(new io.rosemarybeam.decision.step.StepInput.Tick());
-        rollout.handle(new io.rosemarybeam.decision.rollout.RolloutInput.Tick());
+        requests.handle(new RequestInput.Tick());
+        steps.handle(new StepInput.Tick());
+        rollout.handle(new RolloutInput.Tick());
         if (now >= nextAttemptCheck) {
             nextAttemptCheck = now + ATTEMPT_CHECK_MILLISECONDS;
             endpoints.checkTime(now);
@@ -137,7 +153,7 @@
         drain.tick(now);
     }
 
-    private void applyPush(io.rosemarybeam.common.wire.ControlReply.EntryState state) {
+    private void applyPush(EntryState state) {
         keeper.apply(state);
     }
 
@@ -163,21 +179,27 @@
     /**
      * Returns the metrics.
      *
-     * @return the registry
+     * @return the metrics of this process
      */
-    public PrometheusRegistry metrics() {
-        return metrics.registry();
+    public Metrics metrics() {
+        return metrics.metrics();
     }
 
     /**
      * Returns the state of the process.
      *
-     * @return names and values that Jackson can write
+     * @return completes with a JSON document
      */
-    public Map<String, Object> dump() {
-        CompletableFuture<Map<String, Object>> dumped = new CompletableFuture<>();
-        loop.execute(() -> dumped.complete(dumpHere()));
-        return dumped.orTimeout(DUMP_MILLISECONDS, TimeUnit.MILLISECONDS).join();
+    public CompletableFuture<String> dump() {
+        CompletableFuture<String> dumped = new CompletableFuture<>();
+        loop.execute(() -> {
+            try {
+                dumped.complete(new String(Json.write(dumpHere()), StandardCharsets.UTF_8));
+            } catch (RuntimeException failure) {
+                dumped.completeExceptionally(failure);
+            }
+        });
+        return dumped;
     }
 
     private Map<String, Object> dumpHere() {
@@ -206,6 +228,7 @@
     @Override
     public void close() {
         server.close();
+        admin.close();
         loop.close();
         control.close();
         peers.close();
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/PeerTransport.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/PeerTransport.java
@@ -9,13 +9,16 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import io.netty.channel.Channel;
+import io.rosemarybeam.common.admin.DumpSource;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.wire.CommonReply.Accepted;
+import io.rosemarybeam.common.wire.CommonReply.DumpReply;
 import io.rosemarybeam.common.wire.CommonReply.Refused;
 import io.rosemarybeam.common.wire.Credentials;
 import io.rosemarybeam.common.wire.HandshakeMessage.Role;
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.common.wire.MessageHandler;
+import io.rosemarybeam.common.wire.OperatorRequest;
 import io.rosemarybeam.common.wire.PeerRequest;
 import io.rosemarybeam.common.wire.PeerRequest.SampleBody;
 import io.rosemarybeam.common.wire.Secrets;
@@ -42,6 +45,7 @@
     private final Map<String, CompletableFuture<WireConnection>> connections = new ConcurrentHashMap<>();
     private volatile RelayHandler relays =
             (request, answer) -> answer.accept(new PeerRequest.RelayedAnswer(503, Problem.MEDIA_TYPE, new byte[0]));
+    private volatile DumpSource dumps = DumpSource.of(() -> "{}");
     private Optional<Channel> listener = Optional.empty();
 
     /** Serves relayed requests of trainers. */
@@ -68,21 +72,24 @@
      * Listens for other entries.
      *
      * @param address IP number and port
+     * @param secrets what clients must know
      * @param handler serves relayed requests
-     * @return the port that was bound
+     * @param dump gives the state of this process to operators
      */
-    int listen(String address, RelayHandler handler) {
+    void listen(String address, Secrets secrets, RelayHandler handler, DumpSource dump) {
         relays = handler;
-        Secrets secrets = new Secrets(credentials.secret(), Optional.empty());
-        Channel bound = transport.listen(address, credentials.name(), secrets, this);
-        listener = Optional.of(bound);
-        return ((java.net.InetSocketAddress) bound.localAddress()).getPort();
+        dumps = dump;
+        listener = Optional.of(transport.listen(address, credentials.name(), secrets, this));
     }
 
     // ---- Serving ----
 
     @Override
     public void onMessage(WireConnection connection, long correlation, Message message) {
+        if (message instanceof OperatorRequest.DumpRequest) {
+            dump(connection, correlation);
+            return;
+        }
         if (connection.remoteRole() != Role.ENTRY) {
             connection.reply(correlation, refused());
             return;
@@ -108,6 +115,13 @@
         }
     }
 
+    private void dump(WireConnection connection, long correlation) {
+        dumps.dump()
+                .whenComplete((json, failure) -> connection.reply(
+                        correlation,
+                        failure == null ? new DumpReply(json) : new Refused(ErrorCode.INTERNAL, "the dump failed", 0)));
+    }
+
     private static Refused refused() {
         return new Refused(ErrorCode.FRAME_INVALID, "entries do not serve this message", 0);
     }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
@@ -274,7 +274,8 @@
                 identity.name(),
                 identity.incarnation(),
                 claim.dispatchWindowMilliseconds(),
-                claim.runWindowMilliseconds());
+                claim.runWindowMilliseconds(),
+                claim.request().value());
         control.request(request, Duration.ofMillis(claim.dispatchWindowMilliseconds()))
                 .whenComplete((reply, failure) -> loop.execute(() -> {
                     if (reply instanceof ClaimReply answer) {
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RolloutDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RolloutDriver.java
@@ -19,13 +19,20 @@
     private final DecisionLoop loop;
     private final ControlGateway control;
     private final EntryIdentity identity;
+    private final Availability availability;
     private EndpointClient endpoints;
 
-    RolloutDriver(RolloutCore core, DecisionLoop loop, ControlGateway control, EntryIdentity identity) {
+    RolloutDriver(
+            RolloutCore core,
+            DecisionLoop loop,
+            ControlGateway control,
+            EntryIdentity identity,
+            Availability availability) {
         this.core = core;
         this.loop = loop;
         this.control = control;
         this.identity = identity;
+        this.availability = availability;
     }
 
     void connect(EndpointClient client) {
@@ -50,6 +57,7 @@
             switch (command) {
                 case RolloutCommand.AcquireIssuer acquire -> acquire(acquire.service());
                 case RolloutCommand.SendOrder order -> send(order);
+                case RolloutCommand.SetAvailability set -> availability.set(set.endpoint(), set.inService());
             }
         }
     }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StateKeeper.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StateKeeper.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -52,7 +51,6 @@
     private final Drivers drivers;
     private final EntryMetrics metrics;
     private final Map<EndpointId, EndpointRenewal> renewals = new HashMap<>();
-    private final Set<EndpointId> outOfService = new HashSet<>();
     private final Map<ServiceName, Integer> shares = new HashMap<>();
     private final Map<ServiceName, WeightVersion> published = new HashMap<>();
     private final Map<ServiceName, StepInput.CapacityChanged> capacities = new HashMap<>();
@@ -73,8 +71,9 @@
      * @param request drives the request core
      * @param step drives the step core
      * @param rollout drives the rollout core
+     * @param availability combines the reasons why an endpoint gets no work
      */
-    record Drivers(RequestDriver request, StepDriver step, RolloutDriver rollout) {}
+    record Drivers(RequestDriver request, StepDriver step, RolloutDriver rollout, Availability availability) {}
 
     StateKeeper(
             EntryIdentity identity,
@@ -153,11 +152,18 @@
                 leaderTerm,
                 membership.version(),
                 sent,
-                drivers.request().core().demandByService());
+                drivers.request().core().demandByService(),
+                heldShares());
         control.request(request, RENEW_TIME)
                 .whenComplete((reply, failure) -> loop.execute(() -> onRenewed(now, sent, reply)));
     }
 
+    private Map<String, Integer> heldShares() {
+        Map<String, Integer> held = new HashMap<>();
+        shares.forEach((service, share) -> held.put(service.value(), share));
+        return held;
+    }
+
     private void onRenewed(long sentAt, List<EndpointRenewal> sent, Message reply) {
         renewing = false;
         if (reply instanceof EntryLease lease) {
@@ -251,7 +257,7 @@
     private void tellCores(MembershipDelta delta) {
         drivers.request().handle(new RequestInput.MembershipChanged(delta));
         drivers.rollout().handle(new RolloutInput.MembershipChanged(delta));
-        delta.removedEndpoints().forEach(outOfService::remove);
+        delta.removedEndpoints().forEach(drivers.availability()::remove);
         delta.endpoints().forEach(this::tellAvailability);
     }
 
@@ -264,11 +270,7 @@
         if (!model) {
             return;
         }
-        boolean swapping = endpoint.weightVersion().isEmpty();
-        boolean changed = swapping ? outOfService.add(endpoint.id()) : outOfService.remove(endpoint.id());
-        if (changed) {
-            drivers.request().handle(new RequestInput.EndpointAvailability(endpoint.id(), !swapping));
-        }
+        drivers.availability().report(endpoint.id(), endpoint.weightVersion().isPresent());
     }
 
     private void publishWeights(ServiceName service, WeightVersion version) {
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
@@ -180,7 +180,7 @@
             var spans = sample.putArray("spans");
             body.spans()
                     .forEach(span -> spans.addObject()
-                            .put("weightVersion", span.version().value())
+                            .put("version", span.version().value())
                             .put("tokens", span.tokens()));
         }
         read.reply().json(200, json);
@@ -280,11 +280,12 @@
         List<Integer> indexes = store.bodies().stream().map(SampleBody::index).toList();
         Optional<String> peer = address(store.peer());
         if (peer.isEmpty()) {
-            feed(new StepInput.BodiesStored(store.step(), store.peer(), indexes, false));
+            feed(new StepInput.BodiesStored(store.store(), store.step(), store.peer(), indexes, false));
             return;
         }
         peers.store(peer.get(), store.step(), store.bodies())
-                .thenAccept(stored -> feed(new StepInput.BodiesStored(store.step(), store.peer(), indexes, stored)));
+                .thenAccept(stored ->
+                        feed(new StepInput.BodiesStored(store.store(), store.step(), store.peer(), indexes, stored)));
     }
 
     private void fetch(StepCommand.FetchBodies fetch) {
@@ -311,7 +312,7 @@
         control.request(request, LEDGER_TIME)
                 .whenComplete((reply, failure) -> loop.execute(() -> {
                     if (!loseIfStale(commit.step(), failure)) {
-                        handle(new StepInput.CommitAnswered(commit.step(), indexes, failure == null));
+                        handle(new StepInput.CommitAnswered(commit.commit(), commit.step(), indexes, failure == null));
                     }
                 }));
     }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/TrainerRoutes.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/TrainerRoutes.java
@@ -195,7 +195,7 @@
 
     private void samples(StepKey step, Map<String, List<String>> parameters, Request request) {
         long cursor = number(parameters, "cursor").orElse(1L);
-        int maximum = (int) Math.clamp(number(parameters, "maximum").orElse((long) DEFAULT_MAXIMUM_SAMPLES), 1, 4_096);
+        int maximum = Math.clamp(number(parameters, "maximum").orElse((long) DEFAULT_MAXIMUM_SAMPLES), 1, 4_096);
         long wait = Math.clamp(
                 number(parameters, "waitMilliseconds").orElse(LONGEST_POLL_MILLISECONDS), 0, LONGEST_POLL_MILLISECONDS);
         loop.execute(() -> atOwner(step, request, () -> steps.read(step, cursor, maximum, wait, request.reply())));
--- /dev/null
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/CompletionTest.java
@@ -0,0 +1,175 @@
+package io.rosemarybeam.entry;
+
+import java.net.http.HttpResponse;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against answers that are cut, doubled, mixed up or joined from two attempts without a trace. */
+class CompletionTest {
+    private static final String BODY = "{\"model\":\"brailler-lm\",\"prompt\":\"p\",\"max_tokens\":8";
+    private static final String WHOLE_TEXT = ScriptedEndpoint.text(0, 8);
+
+    private EntryHarness harness;
+    private EntryHarness.Entry entry;
+
+    @BeforeEach
+    void start() throws Exception {
+        harness = new EntryHarness(1);
+        entry = harness.startReadyEntry("entry-1", "amman-a");
+    }
+
+    @AfterEach
+    void stop() {
+        harness.close();
+    }
+
+    private ScriptedEndpoint endpoint(String id, ScriptedEndpoint.Script script) {
+        ScriptedEndpoint endpoint = harness.startEndpoint(script);
+        assertEquals(
+                200, harness.announce(entry, id, "brailler-lm", endpoint.url()).statusCode());
+        return endpoint;
+    }
+
+    private static int offset(ScriptedEndpoint.Call call) {
+        return Integer.parseInt(call.headers().getOrDefault("x-resume-offset", "0"));
+    }
+
+    private static void answerRest(ScriptedEndpoint.Call call) throws java.io.IOException {
+        call.startStream();
+        for (int token = offset(call); token < 8; token += 2) {
+            call.tokens(call.attempt(), token, 2, 7);
+        }
+        call.endStream();
+    }
+
+    private String whole() throws Exception {
+        HttpResponse<String> answer = harness.post(entry, "/v1/completions", BODY + "}");
+        assertEquals(200, answer.statusCode(), answer.body());
+        return Json.MAPPER.readTree(answer.body()).at("/choices/0/text").asText();
+    }
+
+    @Test
+    void shouldAnswerWholeWhenEndpointStreams() throws Exception {
+        ScriptedEndpoint endpoint = endpoint("a", CompletionTest::answerRest);
+        assertEquals(WHOLE_TEXT, whole());
+        ScriptedEndpoint.Call call = endpoint.calls().getFirst();
+        assertTrue(call.body().contains("\"stream\":true"), call.body());
+        assertEquals("0", call.headers().get("x-priority"));
+    }
+
+    @Test
+    void shouldStreamWithEndMarkWhenCallerAsks() {
+        endpoint("a", CompletionTest::answerRest);
+        String text = harness.post(entry, "/v1/completions", BODY + ",\"stream\":true}")
+                .body();
+        assertTrue(text.endsWith("data: [DONE]\n\n"), text);
+        assertTrue(text.contains("\"weight_version\":7"), text);
+    }
+
+    @Test
+    void shouldResumeAtOffsetWhenEndpointDiesMidStream() throws Exception {
+        endpoint("a", call -> {
+            call.startStream();
+            call.tokens(call.attempt(), 0, 2, 7);
+            call.socket().close();
+        });
+        ScriptedEndpoint second = endpoint("b", CompletionTest::answerRest);
+        String text = harness.post(entry, "/v1/completions", BODY + ",\"stream\":true}")
+                .body();
+        assertTrue(text.endsWith("data: [DONE]\n\n"), text);
+        assertEquals(1, text.split("t0 ", -1).length - 1, text);
+        ScriptedEndpoint.Call resumed = second.calls().getFirst();
+        assertEquals("2", resumed.headers().get("x-resume-offset"));
+        assertTrue(resumed.body().contains("\"resume_text\":\"t0 t1 \""), resumed.body());
+    }
+
+    @Test
+    void shouldRunAgainOnNewConnectionWhenEndpointGoesSilent() throws Exception {
+        endpoint("a", call -> {
+            call.startStream();
+            Thread.sleep(5_000);
+        });
+        endpoint("b", CompletionTest::answerRest);
+        long start = System.nanoTime();
+        assertEquals(WHOLE_TEXT, whole());
+        assertTrue(System.nanoTime() - start < 2_000_000_000L, "the silent endpoint was left too late");
+    }
+
+    @Test
+    void shouldDropChunksWhenTheyCarryAnotherAttempt() throws Exception {
+        endpoint("a", call -> {
+            call.startStream();
+            call.tokens("other", 0, 8, 7);
+            call.endStream();
+        });
+        endpoint("b", CompletionTest::answerRest);
+        assertEquals(WHOLE_TEXT, whole());
+        String metrics = new String(entry.process().metrics().text(), java.nio.charset.StandardCharsets.UTF_8);
+        assertTrue(metrics.contains("rosemarybeam_entry_mismatched_chunks_total 1"), metrics);
+    }
+
+    @Test
+    void shouldNotTakeAnswerForWholeWhenEndMarkIsMissing() throws Exception {
+        endpoint("a", call -> {
+            call.startStream();
+            call.tokens(call.attempt(), 0, 8, 7);
+            call.write("0\r\n\r\n");
+        });
+        endpoint("b", CompletionTest::answerRest);
+        assertEquals(WHOLE_TEXT, whole());
+    }
+
+    @Test
+    void shouldNotTakeAnswerForWholeWhenChunkIsMissing() throws Exception {
+        endpoint("a", call -> {
+            call.startStream();
+            call.tokens(call.attempt(), 0, 2, 7);
+            call.tokens(call.attempt(), 4, 4, 7);
+            call.endStream();
+        });
+        endpoint("b", CompletionTest::answerRest);
+        assertEquals(WHOLE_TEXT, whole());
+    }
+
+    @Test
+    void shouldEndStreamWithoutEndMarkWhenNoEndpointFinishes() {
+        endpoint("a", call -> {
+            call.startStream();
+            call.tokens(call.attempt(), 0, 2, 7);
+            call.socket().close();
+        });
+        try {
+            String text = harness.post(entry, "/v1/completions", BODY + ",\"stream\":true}")
+                    .body();
+            assertFalse(text.contains("[DONE]"), text);
+        } catch (java.io.UncheckedIOException cut) {
+            assertTrue(cut.getCause() instanceof java.io.IOException);
+        }
+    }
+
+    @Test
+    void shouldRefuseAsNotRunWhenNoEndpointCanBeReached() throws Exception {
+        ScriptedEndpoint gone = harness.startEndpoint(call -> {});
+        harness.announce(entry, "a", "brailler-lm", gone.url());
+        gone.close();
+        HttpResponse<String> answer = harness.post(entry, "/v1/completions", BODY + "}");
+        assertEquals(
+                "application/problem+json",
+                answer.headers().firstValue("content-type").orElse(""));
+        assertEquals("not-run", EntryHarness.json(answer.body()).get("run"), answer.body());
+    }
+
+    @Test
+    void shouldPassOnErrorWhenEngineFindsRequestMalformed() {
+        endpoint("a", call -> call.whole(400, "{\"error\":\"temperature\"}", "Content-Type", "application/json"));
+        HttpResponse<String> answer = harness.post(entry, "/v1/completions", BODY + "}");
+        assertEquals(400, answer.statusCode());
+        assertEquals("{\"error\":\"temperature\"}", answer.body());
+    }
+}
