--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
@@ -79,7 +79,8 @@
     void start(StartAttempt command, Work work) {
         long now = clock.nowMilliseconds();
         long sendNotAfter = Math.min(
-                now + command.connectMilliseconds() + DISPATCH_SLACK_MILLISECONDS, work.dispatchDeadlineMilliseconds());
+                now + command.connectMilliseconds() + DISPATCH_SLACK_MILLISECONDS,
+                command.dispatchDeadlineMilliseconds());
         AttemptStream attempt = new AttemptStream(command, work, listener, clock, sendNotAfter);
         attempts.put(command.attempt(), attempt);
         boolean resumes = command.resumeOffset() > 0;
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
@@ -11,7 +11,6 @@
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.RequestId;
 import io.rosemarybeam.common.wire.ControlReply.ClaimReply;
-import io.rosemarybeam.common.wire.ControlReply.ClaimState;
 import io.rosemarybeam.common.wire.ControlReply.QuarantineState;
 import io.rosemarybeam.common.wire.EndpointRecord;
 import io.rosemarybeam.common.wire.EntryRequest;
@@ -287,10 +286,6 @@
     }
 
     private void onClaim(RequestId request, ClaimReply answer, long dispatchDeadline) {
-        Work work = works.get(request);
-        if (work != null && answer.state() == ClaimState.GRANTED) {
-            work.dispatchNotAfter(dispatchDeadline);
-        }
         handle(new RequestInput.ClaimAnswered(request, answer.state(), answer.outcome(), dispatchDeadline));
     }
 
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Work.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Work.java
@@ -22,7 +22,6 @@
     private final Answer answer;
     private AttemptStream current;
     private boolean ended;
-    private volatile long dispatchDeadlineMilliseconds = Long.MAX_VALUE;
 
     /**
      * What is sent to an endpoint. Immutable.
@@ -64,15 +63,6 @@
         return target;
     }
 
-    /** Forbids dispatch after a moment, as agreed with the claim. */
-    void dispatchNotAfter(long milliseconds) {
-        dispatchDeadlineMilliseconds = milliseconds;
-    }
-
-    long dispatchDeadlineMilliseconds() {
-        return dispatchDeadlineMilliseconds;
-    }
-
     // ---- Attempts ----
 
     /**
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ThinRequestCore.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ThinRequestCore.java
@@ -31,6 +31,7 @@
     private final Map<AttemptId, RequestId> attempts = new HashMap<>();
     private final Set<RequestId> claimed = new HashSet<>();
     private long leaseUntil;
+    private long dispatchDeadline = Long.MAX_VALUE;
     private boolean draining;
 
     /** One request. */
@@ -94,6 +95,7 @@
     private void claim(long now, RequestInput.ClaimAnswered answered, List<RequestCommand> commands) {
         if (answered.state() == ClaimState.GRANTED) {
             claimed.add(answered.request());
+            dispatchDeadline = answered.dispatchDeadlineMilliseconds();
             start(now, requests.get(answered.request()), commands);
         } else {
             commands.add(new RequestCommand.ReplayOutcome(
@@ -124,7 +126,8 @@
                 false,
                 CONNECT_MILLISECONDS,
                 PROGRESS_MILLISECONDS,
-                state.arrived.deadlineMilliseconds()));
+                state.arrived.deadlineMilliseconds(),
+                dispatchDeadline));
     }
 
     private void fail(long now, State state, AttemptFailure failure, List<RequestCommand> commands) {
