Send requests to endpoints that hold their prompt prefix

Cache events and own answers tell which endpoint holds a prefix. A holder is preferred while its load is at most a quarter of its capacity above the mean.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
@@ -94,6 +94,7 @@
 
     private void expire(RequestRow row) {
         if (row.state != RequestRow.State.DONE) {
+            attempts.noteExpiry(row);
             attempts.cancelOpenAttempt(row);
             completion.refuse(row, ErrorCode.DEADLINE_EXCEEDED, 0);
         }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
@@ -117,6 +117,9 @@
         close(attempt, End.COMPLETED);
         crashes.completed(attempt);
         ejection.completed(attempt);
+        if (attempt.endpoint.member) {
+            attempt.endpoint.cache.answered(attempt.request.arrival.prefixHashes());
+        }
         completion.finish(attempt.request, attempt);
     }
 
@@ -134,6 +137,13 @@
         retry.afterFailure(attempt, input.failure());
     }
 
+    /** Notes that the deadline of a request passed while its attempt was open. */
+    void noteExpiry(RequestRow row) {
+        if (row.attempt != null) {
+            ejection.expired(row.attempt);
+        }
+    }
+
     /** Stops the open attempt of a request, if there is one. */
     void cancelOpenAttempt(RequestRow row) {
         if (row.attempt != null) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EjectionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EjectionSystem.java
@@ -73,6 +73,13 @@
         }
     }
 
+    /** An attempt that ran into its deadline speaks against its endpoint only if it took unusually long. */
+    void expired(AttemptRow attempt) {
+        if (attempt.tokens == attempt.resumeOffset && isOverdue(attempt)) {
+            failed(attempt, AttemptFailure.SILENT);
+        }
+    }
+
     /** Readmits endpoints whose time is over, and at intervals compares the endpoints of each service. */
     void run() {
         if (tables.now < nextEvaluation || !tables.uses(RequestPolicy.EJECTION)) {
@@ -136,12 +143,17 @@
         }
         int overdue = 0;
         for (AttemptRow attempt : endpoint.open) {
-            double expected = OVERDUE_FACTOR * median * tokens(attempt) + LEAST_DIFFERENCE_MILLISECONDS;
-            overdue += tables.now - attempt.startedAt > expected ? 1 : 0;
+            overdue += isOverdue(attempt) ? 1 : 0;
         }
         return overdue >= LEAST_OVERDUE && 2 * overdue >= endpoint.open.size();
     }
 
+    private boolean isOverdue(AttemptRow attempt) {
+        double median = attempt.endpoint.service.medianPace;
+        double expected = OVERDUE_FACTOR * median * tokens(attempt) + LEAST_DIFFERENCE_MILLISECONDS;
+        return median > 0 && tables.now - attempt.startedAt > expected;
+    }
+
     private static double medianPace(ServiceRow service) {
         double[] paces = service.endpoints.rows().stream()
                 .filter(endpoint -> endpoint.health.pace.count() >= LEAST_OUTCOMES)
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
@@ -20,6 +20,15 @@
     /** Cost of an endpoint on which the request failed before; larger than any load. */
     private static final double FAILED_BEFORE_COST = 4;
 
+    /** Gain of a fully cached prompt, as a part of an endpoint's capacity. */
+    private static final double PREFIX_GAIN = 0.5;
+
+    /** Load above the mean, as a part of the capacity, up to which cached prefixes attract requests. */
+    private static final double PREFIX_LOAD_BOUND = 0.25;
+
+    /** Holders of cached prefixes that are compared. */
+    private static final int COMPARED_HOLDERS = 8;
+
     /** Estimated load, in multiples of the slots, from which an endpoint gets nothing more. */
     private static final double SATURATED_LOAD = 2;
 
@@ -45,6 +54,7 @@
         boolean sampled = size > COMPARED_ENDPOINTS;
         int position = sampled ? tables.random.nextInt(size) : 0;
         boolean suspect = crashes.isSuspect(row);
+        double loads = 0;
         int compared = 0;
         int searched = Math.min(size, SEARCHED_ENDPOINTS);
         for (int index = 0; index < searched && compared < COMPARED_ENDPOINTS; index++) {
@@ -52,6 +62,7 @@
             position = nextPosition(position, size, sampled && index < COMPARED_ENDPOINTS);
             if (suits(row, endpoint) && !(suspect && crashes.runsSuspect(endpoint))) {
                 compared++;
+                loads += load(endpoint);
                 double score = score(row, endpoint);
                 if (score < bestScore) {
                     best = endpoint;
@@ -59,9 +70,46 @@
                 }
             }
         }
+        if (compared < 2 || !tables.uses(RequestPolicy.PREFIX_AFFINITY)) {
+            return best;
+        }
+        return holderOr(best, bestScore, row, loads / compared, suspect);
+    }
+
+    /** Returns a holder of a cached prefix if that outweighs its load, else the best endpoint so far. */
+    private EndpointRow holderOr(
+            EndpointRow found, double foundScore, RequestRow row, double meanLoad, boolean suspect) {
+        EndpointRow best = found;
+        double bestScore = foundScore;
+        List<Long> prefixes = row.arrival.prefixHashes();
+        int compared = 0;
+        for (int index = prefixes.size() - 1; index >= 0 && compared < COMPARED_HOLDERS; index--) {
+            Long prefix = prefixes.get(index);
+            double gain = PREFIX_GAIN * (index + 1) / prefixes.size();
+            List<EndpointRow> holders = row.service.prefixes.getOrDefault(prefix, List.of());
+            int start = holders.isEmpty() ? 0 : tables.random.nextInt(holders.size());
+            for (int offset = 0; offset < holders.size() && compared < COMPARED_HOLDERS; offset++) {
+                EndpointRow holder = holders.get((start + offset) % holders.size());
+                compared++;
+                if (hasRoom(row, holder)
+                        && load(holder) <= meanLoad + PREFIX_LOAD_BOUND
+                        && suits(row, holder)
+                        && !(suspect && crashes.runsSuspect(holder))) {
+                    double score = score(row, holder) - gain * holder.cache.trust(prefix);
+                    if (score < bestScore) {
+                        best = holder;
+                        bestScore = score;
+                    }
+                }
+            }
+        }
         return best;
     }
 
+    private static boolean hasRoom(RequestRow row, EndpointRow endpoint) {
+        return (row.isTraining() ? endpoint.trainingIndex : endpoint.availableIndex) != EndpointRow.NOT_LISTED;
+    }
+
     private int nextPosition(int position, int size, boolean drawn) {
         if (drawn) {
             return tables.random.nextInt(size);
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointRow.java
@@ -19,6 +19,7 @@
 
     final LoadView load = new LoadView();
     final EndpointHealth health = new EndpointHealth();
+    final CacheView cache = new CacheView(this);
 
     // ---- Attempts that were open when one of them broke ----
     final List<AttemptRow> batch = new ArrayList<>();
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/MembershipSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/MembershipSystem.java
@@ -54,6 +54,13 @@
         }
     }
 
+    void cacheReported(RequestInput.CacheReported report) {
+        EndpointRow endpoint = tables.endpoints.get(report.endpoint());
+        if (endpoint != null && endpoint.record.incarnation() == report.incarnation()) {
+            endpoint.cache.report(report);
+        }
+    }
+
     private void put(EndpointRecord endpointRecord) {
         EndpointRow endpoint = tables.endpoints.get(endpointRecord.id());
         if (endpoint != null && endpointRecord.incarnation() < endpoint.record.incarnation()) {
@@ -77,6 +84,7 @@
         EndpointRow endpoint = tables.endpoints.remove(id);
         if (endpoint != null) {
             endpoint.member = false;
+            endpoint.cache.clear();
             endpoint.service.endpoints.remove(endpoint);
             tables.refresh(endpoint);
         }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
@@ -1,6 +1,9 @@
 package io.rosemarybeam.decision.request;
 
+import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.SequencedSet;
 import java.util.Set;
 
@@ -28,6 +31,10 @@
     final Average timePerToken = new Average(0.05);
 
     final Average expectedTokens = new Average(0.05);
+
+    /** Endpoints that are believed to hold a prompt prefix, by hash of the prefix. */
+    final Map<Long, List<EndpointRow>> prefixes = new HashMap<>();
+
     final Set<EndpointRow> ejected = new LinkedHashSet<>();
 
     ServiceConfiguration configuration;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
@@ -60,9 +60,7 @@
             case RequestInput.AttemptFailed failed -> attempts.failed(failed);
             case RequestInput.MembershipChanged changed -> membership.changed(changed.delta());
             case RequestInput.LoadReported reported -> membership.loadReported(reported);
-            case RequestInput.CacheReported _ -> {
-                // Cache reports are not used yet.
-            }
+            case RequestInput.CacheReported reported -> membership.cacheReported(reported);
             case RequestInput.EndpointAvailability availability -> membership.availability(availability);
             case RequestInput.ConfigurationActivated activated -> configurations.activate(activated.configuration());
             case RequestInput.LeaseRenewed renewed -> configurations.renewLease(renewed);
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/LoadSimulation.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/LoadSimulation.java
@@ -52,6 +52,7 @@
         int served;
         int peak;
         long reports;
+        long cacheSequence;
 
         Engine(EndpointRecord endpoint) {
             this.endpoint = endpoint;
@@ -99,9 +100,20 @@
             boolean hit = !request.prefixHashes().isEmpty()
                     && cache.containsKey(request.prefixHashes().getLast());
             request.prefixHashes().forEach(prefix -> cache.put(prefix, true));
+            List<Long> removed = new ArrayList<>();
             while (cache.size() > cacheCapacity) {
-                Long oldest = cache.keySet().iterator().next();
-                cache.remove(oldest);
+                removed.add(cache.keySet().iterator().next());
+                cache.remove(removed.getLast());
+            }
+            if (!request.prefixHashes().isEmpty()) {
+                long number = ++cacheSequence;
+                // Cache events are late and every twentieth is lost.
+                if (number % 20 != 0) {
+                    at(
+                            100,
+                            () -> give(new RequestInput.CacheReported(
+                                    endpoint.id(), 1, number, request.prefixHashes(), removed)));
+                }
             }
             hits += hit ? 1 : 0;
             double work = meanService * (0.5 - 0.5 * Math.log(1 - random.nextDouble()));
@@ -113,12 +125,6 @@
             running.remove(start.attempt());
             served++;
             give(new RequestInput.AttemptCompleted(start.attempt(), request.expectedTokens()));
-            if (!request.prefixHashes().isEmpty()) {
-                at(
-                        100,
-                        () -> give(new RequestInput.CacheReported(
-                                endpoint.id(), 1, cacheSequence++, request.prefixHashes(), List.of())));
-            }
             fill();
         }
 
@@ -174,7 +180,6 @@
     int hits;
     int crashes;
     long now;
-    private long cacheSequence;
     private long sequence;
     private final Map<String, Engine> byId = new HashMap<>();
     private final PriorityQueue<Event> events =
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreLoadTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreLoadTest.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.decision.request;
 
+import java.util.List;
 import java.util.function.Consumer;
 
 import io.rosemarybeam.common.error.ErrorCode;
@@ -79,6 +80,55 @@
         return simulation.latencies(Precedence.CUSTOMER, WARM_UP, END);
     }
 
+    @Test
+    void shouldUsePrefixCachesWithoutRunningOneEndpointHot() {
+        LoadSimulation affine = withPrefixes();
+        LoadSimulation plain = withPrefixes(RequestPolicy.PREFIX_AFFINITY);
+        LoadSimulation turns = withPrefixes(RequestPolicy.PREFIX_AFFINITY, RequestPolicy.LEAST_LOAD);
+        for (LoadSimulation simulation : List.of(affine, plain, turns)) {
+            long[] latencies = simulation.latencies(Precedence.CUSTOMER, WARM_UP, END);
+            report(
+                    "prefixes: hits %d of %d, p50/p99 %d/%d ms, busiest endpoint %.2f of mean, peak %d",
+                    simulation.hits,
+                    simulation.starts,
+                    p50(latencies),
+                    p99(latencies),
+                    busiest(simulation),
+                    simulation.engines.stream()
+                            .mapToInt(engine -> engine.peak)
+                            .max()
+                            .orElseThrow());
+        }
+        assertTrue(affine.hits > 1.2 * plain.hits, "no more hits than without affinity");
+        assertTrue(busiest(affine) <= 1.25, "one endpoint runs hot");
+        assertTrue(
+                p99(affine.latencies(Precedence.CUSTOMER, WARM_UP, END))
+                        <= p99(plain.latencies(Precedence.CUSTOMER, WARM_UP, END)),
+                "slower than without affinity");
+    }
+
+    private static double busiest(LoadSimulation simulation) {
+        return simulation.engines.stream()
+                        .mapToInt(engine -> engine.served)
+                        .max()
+                        .orElseThrow()
+                * (double) simulation.engines.size()
+                / simulation.engines.stream().mapToInt(engine -> engine.served).sum();
+    }
+
+    /** Every second request has one popular prefix, the others one of sixty; an engine holds sixteen. */
+    private static LoadSimulation withPrefixes(RequestPolicy... switchedOff) {
+        LoadSimulation simulation = new LoadSimulation(6, 8, switchedOff);
+        simulation.cacheCapacity = 16;
+        simulation.arrivals(
+                180,
+                0,
+                END,
+                request -> request.prefix(simulation.random.nextBoolean() ? 0L : 1L + simulation.random.nextInt(60)));
+        simulation.runUntil(END + 5_000);
+        return simulation;
+    }
+
     @Test
     void shouldNotStormWhenHalfOfTheEndpointsDie() {
         LoadSimulation guarded = halfDead();
