Let one request at a time work on an idempotency key

A resend that reaches the same entry is answered at once, a claim that is granted after its request was answered is given back, and a grant for a key that this entry may have run is not dispatched. A lapsed lease refuses claims in progress at once. Preemption only frees endpoints that the first customer can use, and training gives way when the share shrinks.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
@@ -56,6 +56,10 @@
             completion.refuseArrival(arrival, ErrorCode.REQUEST_QUARANTINED, 0);
             return;
         }
+        if (RequestRow.isClaimed(arrival) && tables.claims.isTaken(arrival)) {
+            refuseTakenKey(arrival);
+            return;
+        }
         ServiceRow service = tables.service(arrival.service());
         retry.grantBudget(service, configuration);
         if (service.servingSlots == 0) {
@@ -73,11 +77,28 @@
             return;
         }
         tables.requests.put(arrival.request(), row);
+        service.requests++;
+        if (row.isClaimed()) {
+            tables.claims.take(arrival);
+        }
         attempts.fairShare().queue(row);
         tables.timers.at(row.deadline(), () -> expire(row));
         tables.wantDispatch(service);
     }
 
+    private void refuseTakenKey(RequestArrived arrival) {
+        if (tables.claims.isReused(arrival)) {
+            completion.refuseArrival(arrival, ErrorCode.KEY_REUSED, 0);
+            return;
+        }
+        // The other request with this key may run, so this one cannot say that nothing was run.
+        tables.emit(new RequestCommand.RefuseRequest(
+                arrival.request(),
+                ErrorCode.REQUEST_IN_PROGRESS,
+                RequestCommand.RunState.UNKNOWN,
+                RETRY_ELSEWHERE_MILLISECONDS));
+    }
+
     /** Work that may have begun and must not be repeated runs on, so that its outcome can be recorded. */
     void cancel(RequestInput.RequestCancelled cancelled) {
         RequestRow row = tables.requests.get(cancelled.request());
@@ -96,7 +117,8 @@
         if (row.state != RequestRow.State.DONE) {
             attempts.noteExpiry(row);
             attempts.cancelOpenAttempt(row);
-            completion.refuse(row, ErrorCode.DEADLINE_EXCEEDED, 0);
+            boolean mayBeSentAgain = row.arrival.idempotent() || row.isClaimed() || !row.mayHaveRun;
+            completion.refuse(row, ErrorCode.DEADLINE_EXCEEDED, mayBeSentAgain ? shedding.retryAfter(row.service) : 0);
         }
     }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ClaimSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ClaimSystem.java
@@ -1,6 +1,9 @@
 package io.rosemarybeam.decision.request;
 
+import java.util.Optional;
+
 import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.wire.ControlReply.ClaimState;
 
 /**
  * Claims the right to dispatch non-idempotent requests that carry a key.
@@ -39,8 +42,10 @@
     void answered(RequestInput.ClaimAnswered answer) {
         RequestRow row = tables.requests.get(answer.request());
         if (row == null || row.state != RequestRow.State.CLAIMING) {
+            giveAbandonedBack(answer);
             return;
         }
+        row.claimAnswered = true;
         switch (answer.state()) {
             case GRANTED -> grant(row, answer.dispatchDeadlineMilliseconds());
             case IN_PROGRESS -> refuseAsRun(row, ErrorCode.REQUEST_IN_PROGRESS);
@@ -52,13 +57,28 @@
     }
 
     void failed(RequestInput.ClaimFailed input) {
+        tables.claims.settleAbandoned(input.request());
         RequestRow row = tables.requests.get(input.request());
         if (row != null && row.state == RequestRow.State.CLAIMING) {
+            row.claimAnswered = true;
             completion.refuse(row, ErrorCode.CLAIM_UNAVAILABLE, RETRY_AFTER_MILLISECONDS);
         }
     }
 
+    private void giveAbandonedBack(RequestInput.ClaimAnswered answer) {
+        RequestInput.RequestArrived arrival = tables.claims.settleAbandoned(answer.request());
+        if (arrival != null && answer.state() == ClaimState.GRANTED && !tables.claims.mayHaveRun(arrival)) {
+            tables.emit(new RequestCommand.RecordOutcome(
+                    arrival.request(), arrival.service(), arrival.key().orElseThrow(), Optional.empty()));
+        }
+    }
+
+    /** A grant for a key that this entry may have run cannot be told from a repeated answer to the earlier claim. */
     private void grant(RequestRow row, long dispatchDeadline) {
+        if (tables.claims.mayHaveRun(row.arrival)) {
+            refuseAsRun(row, ErrorCode.OUTCOME_UNKNOWN);
+            return;
+        }
         row.service.open--;
         row.state = RequestRow.State.QUEUED;
         row.claimGranted = true;
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ClaimTable.java
@@ -0,0 +1,82 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.rosemarybeam.common.id.Fingerprint;
+import io.rosemarybeam.common.id.IdempotencyKey;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.decision.request.RequestInput.RequestArrived;
+
+/**
+ * The idempotency keys that this entry works on, and those that it may have run.
+ *
+ * <p>Invariant: at most one request of this entry works on a key, up to the answer of its claim. Confined to the thread of
+ * the core.
+ */
+final class ClaimTable {
+    private static final int REMEMBERED_KEYS = 10_000;
+
+    private record Key(ServiceName service, IdempotencyKey key) {}
+
+    private record Holder(RequestId request, Fingerprint fingerprint) {}
+
+    private final Map<Key, Holder> active = new HashMap<>();
+
+    /** Claims whose request was answered before the claim was. */
+    private final Map<RequestId, RequestArrived> abandoned = new LinkedHashMap<>();
+
+    private final Map<Key, Boolean> mayHaveRun = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Key, Boolean> eldest) {
+            return size() > REMEMBERED_KEYS;
+        }
+    };
+
+    /** Returns whether another request works on the key of a request. */
+    boolean isTaken(RequestArrived arrival) {
+        return active.containsKey(key(arrival));
+    }
+
+    /** Returns whether the request that works on the key is a different one. */
+    boolean isReused(RequestArrived arrival) {
+        return !active.get(key(arrival)).fingerprint().equals(arrival.fingerprint());
+    }
+
+    void take(RequestArrived arrival) {
+        active.put(key(arrival), new Holder(arrival.request(), arrival.fingerprint()));
+    }
+
+    void release(RequestArrived arrival) {
+        active.remove(key(arrival), new Holder(arrival.request(), arrival.fingerprint()));
+    }
+
+    /** Keeps the key of a request that ends before its claim is answered. */
+    void abandon(RequestArrived arrival) {
+        abandoned.put(arrival.request(), arrival);
+    }
+
+    /** Returns the abandoned request of a claim that is now answered and frees its key, or null. */
+    RequestArrived settleAbandoned(RequestId request) {
+        RequestArrived arrival = abandoned.remove(request);
+        if (arrival != null) {
+            release(arrival);
+        }
+        return arrival;
+    }
+
+    void noteRun(RequestArrived arrival) {
+        mayHaveRun.put(key(arrival), true);
+    }
+
+    /** Returns whether this entry may have run the key for an earlier request. */
+    boolean mayHaveRun(RequestArrived arrival) {
+        return mayHaveRun.containsKey(key(arrival));
+    }
+
+    private static Key key(RequestArrived arrival) {
+        return new Key(arrival.service(), arrival.key().orElseThrow());
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CompletionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CompletionSystem.java
@@ -72,11 +72,20 @@
         if (row.state == RequestRow.State.QUEUED) {
             row.service.queue.remove(row);
         }
+        if (row.isClaimed() && (row.state != RequestRow.State.CLAIMING || row.claimAnswered)) {
+            tables.claims.release(row.arrival);
+        } else if (row.isClaimed()) {
+            tables.claims.abandon(row.arrival);
+        }
+        if (row.isClaimed() && row.claimGranted && row.mayHaveRun) {
+            tables.claims.noteRun(row.arrival);
+        }
         if (row.state == RequestRow.State.CLAIMING) {
             row.service.open--;
             tables.wantDispatch(row.service);
         }
         row.state = RequestRow.State.DONE;
+        row.service.requests--;
         tables.requests.remove(row.arrival.request());
         return true;
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ConfigurationSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ConfigurationSystem.java
@@ -30,9 +30,6 @@
         }
         tables.configuration = configuration;
         configuration.services().forEach((name, service) -> tables.service(name).configuration = service);
-        tables.services.values().stream()
-                .filter(service -> !configuration.services().containsKey(service.name))
-                .forEach(service -> service.queue.trainers.values().removeIf(queue -> !queue.isActive()));
         for (EndpointRow endpoint : tables.endpoints.values()) {
             endpoint.drainingByConfiguration = configuration.drainingEndpoints().contains(endpoint.id);
             tables.refresh(endpoint);
@@ -61,7 +58,7 @@
             return;
         }
         for (RequestRow row : tables.requests.values().toArray(new RequestRow[0])) {
-            if (row.state == RequestRow.State.QUEUED || row.state == RequestRow.State.WAITING_FOR_RETRY) {
+            if (row.attempt == null) {
                 completion.refuse(row, ErrorCode.LEASE_LAPSED, RETRY_ELSEWHERE_MILLISECONDS);
             }
         }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
@@ -35,6 +35,9 @@
         for (int index = 0; index < tables.dispatchWanted.size(); index++) {
             ServiceRow service = tables.dispatchWanted.get(index);
             service.dispatchWanted = false;
+            while (service.open > service.share && preemption.freePlace(service, endpoint -> true)) {
+                // Training gives way at once when the share shrinks.
+            }
             if (tables.holdsLease() && service.queue.size() > 0) {
                 dispatchCustomers(service);
                 dispatchTraining(service);
@@ -45,7 +48,10 @@
 
     private void dispatchCustomers(ServiceRow service) {
         while (!service.queue.customers.isEmpty()) {
-            if (!service.hasRoom() && !preemption.freePlace(service)) {
+            RequestRow first = service.queue.customers.first();
+            if (!service.hasRoom()
+                    && !preemption.freePlace(
+                            service, endpoint -> endpoint.mayServe() && choice.accepts(first, endpoint))) {
                 return;
             }
             if (!placeFirst(service.queue.customers)) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
@@ -106,6 +106,11 @@
         return best;
     }
 
+    /** Returns whether a request may run on an endpoint, regardless of room. */
+    boolean accepts(RequestRow row, EndpointRow endpoint) {
+        return suits(row, endpoint) && !(crashes.isSuspect(row) && crashes.runsSuspect(endpoint));
+    }
+
     private static boolean hasRoom(RequestRow row, EndpointRow endpoint) {
         return (row.isTraining() ? endpoint.trainingIndex : endpoint.availableIndex) != EndpointRow.NOT_LISTED;
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/FairShareSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/FairShareSystem.java
@@ -12,6 +12,7 @@
  * <p>Invariant: a trainer that was idle gets no credit for that time. Confined to the thread of the core.
  */
 final class FairShareSystem {
+    private static final int REMEMBERED_TRAINERS = 64;
     private static final Comparator<TrainerQueue> LEAST_SERVED = Comparator.comparingDouble(queue -> queue.served);
     private static final Comparator<TrainerQueue> FIRST_DEADLINE =
             Comparator.comparing(queue -> queue.rows.first(), RequestQueue.EARLIEST_DEADLINE);
@@ -33,6 +34,9 @@
     /** Queues a request; a trainer that becomes active starts level with the least served active one. */
     void queue(RequestRow row) {
         if (row.isTraining()) {
+            if (row.service.queue.trainers.size() >= REMEMBERED_TRAINERS) {
+                row.service.queue.trainers.values().removeIf(known -> !known.isActive());
+            }
             TrainerQueue queue = row.service.queue.trainer(row);
             if (!queue.isActive()) {
                 row.service.queue.trainers.values().stream()
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/PreemptionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/PreemptionSystem.java
@@ -1,5 +1,7 @@
 package io.rosemarybeam.decision.request;
 
+import java.util.function.Predicate;
+
 /**
  * Cancels training attempts when customers wait; the training requests go back to the queue and are resumed later.
  * Confined to the thread of the core.
@@ -16,15 +18,18 @@
         this.attempts = attempts;
     }
 
-    /** Frees the place of the training attempt that began last, and so loses least; returns whether there was one. */
-    boolean freePlace(ServiceRow service) {
+    /**
+     * Frees the place of the training attempt that began last, and so loses least, on an endpoint that a customer can use;
+     * returns whether there was one.
+     */
+    boolean freePlace(ServiceRow service, Predicate<EndpointRow> usable) {
         if (!tables.uses(RequestPolicy.PREEMPTION)) {
             return false;
         }
         AttemptRow victim = null;
         int searched = 0;
         for (AttemptRow attempt : service.trainingAttempts.reversed()) {
-            if (attempt.endpoint.mayServe() && attempt.endpoint.record.cancels()) {
+            if (attempt.endpoint.record.cancels() && usable.test(attempt.endpoint)) {
                 victim = attempt;
                 break;
             }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestRow.java
@@ -37,6 +37,7 @@
     boolean callerGone;
 
     // ---- Claim ----
+    boolean claimAnswered;
     boolean claimGranted;
     long claimDeadline = Long.MAX_VALUE;
 
@@ -64,8 +65,17 @@
         return arrival.trainer().map(trainer -> trainer.value()).orElse("");
     }
 
+    boolean isClaimed() {
+        return isClaimed(arrival);
+    }
+
+    /** Returns whether a request may run only under a claim. */
+    static boolean isClaimed(RequestArrived arrival) {
+        return !arrival.idempotent() && arrival.key().isPresent();
+    }
+
     boolean needsClaim() {
-        return !arrival.idempotent() && arrival.key().isPresent() && !claimGranted;
+        return isClaimed() && !claimGranted;
     }
 
     long deadline() {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
@@ -32,10 +32,12 @@
         RequestRow row = attempt.request;
         row.failedEndpoints.add(attempt.endpoint.id);
         if (!row.arrival.idempotent() && !mayRepeat(row, attempt)) {
+            // Without a key a caller that sends it again may have it run twice.
+            boolean mayBeSentAgain = !row.mayHaveRun || row.isClaimed();
             completion.refuse(
                     row,
                     row.mayHaveRun ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.ENDPOINT_FAILED,
-                    RETRY_AFTER_MILLISECONDS);
+                    mayBeSentAgain ? RETRY_AFTER_MILLISECONDS : 0);
             return;
         }
         if (row.callerGone) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
@@ -40,6 +40,7 @@
     ServiceConfiguration configuration;
     int share;
     int open;
+    int requests;
     int servingSlots;
     int servingEndpoints;
     double medianPace;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/SheddingSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/SheddingSystem.java
@@ -91,6 +91,8 @@
         for (ServiceRow service : tables.services.values()) {
             if (service.queue.size() > 0) {
                 sweep(service);
+                // Estimates change with time, so endpoints may suit that did not before.
+                tables.wantDispatch(service);
             }
         }
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
@@ -82,7 +82,7 @@
     @Override
     public Map<String, Integer> demandByService() {
         Map<String, Integer> demand = new LinkedHashMap<>();
-        tables.services.forEach((name, service) -> demand.put(name.value(), service.open + service.queue.size()));
+        tables.services.forEach((name, service) -> demand.put(name.value(), service.requests));
         return demand;
     }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
@@ -19,6 +19,7 @@
     final RequestCoreSettings settings;
     final UniformRandomProvider random;
     final Timers timers = new Timers();
+    final ClaimTable claims = new ClaimTable();
     final Map<ServiceName, ServiceRow> services = new LinkedHashMap<>();
     final Map<EndpointId, EndpointRow> endpoints = new HashMap<>();
     final Map<RequestId, RequestRow> requests = new HashMap<>();
--- /dev/null
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreBenchmark.java
@@ -0,0 +1,113 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.decision.request.RequestCommand.StartAttempt;
+import org.junit.jupiter.api.Test;
+
+/** Measures the time per input; runs only when named: {@code -Dtest=RequestCoreBenchmark}. */
+class RequestCoreBenchmark {
+    private static final int SLOTS = 8;
+    private static final int WARM_UP_INPUTS = 300_000;
+    private static final int INPUTS = 1_000_000;
+
+    private final Random random = new Random(CoreFixture.SEED);
+    private RequestCore core;
+    private long now;
+    private int nextRequest;
+    private final ArrayDeque<StartAttempt> open = new ArrayDeque<>();
+    private long[] samples;
+    private int count;
+
+    @Test
+    void shouldReportTimePerInput() {
+        for (int endpoints : List.of(10, 100, 1_000)) {
+            run(endpoints, 0.7);
+            run(endpoints, 1.5);
+        }
+    }
+
+    private void run(int endpoints, double load) {
+        core = RequestCore.of(CoreFixture.settings(1));
+        now = 0;
+        open.clear();
+        samples = new long[INPUTS];
+        count = -WARM_UP_INPUTS;
+        core.handle(
+                0,
+                new RequestInput.ConfigurationActivated(CoreFixture.configuration(1, CoreFixture.limits(SLOTS, 256))));
+        core.handle(0, new RequestInput.LeaseRenewed(Long.MAX_VALUE));
+        core.handle(0, new RequestInput.SharesAssigned(Map.of(CoreFixture.MODEL, endpoints * SLOTS)));
+        for (int index = 0; index < endpoints; index++) {
+            core.handle(0, CoreFixture.membership(CoreFixture.endpoint("e" + index, CoreFixture.MODEL, SLOTS)));
+        }
+        long started = System.nanoTime();
+        long steps = 0;
+        while (count < INPUTS) {
+            step(endpoints, load, steps++);
+        }
+        double seconds = (System.nanoTime() - started) / 1e9;
+        Arrays.sort(samples);
+        System.out.printf(
+                "[benchmark] %d endpoints, load %.1f, %d in progress: mean %.2f us, p50 %.2f, p99 %.2f, p99.9 %.2f, max %.0f (%.1f s)%n",
+                endpoints,
+                load,
+                core.demandByService().get(CoreFixture.MODEL.value()),
+                Arrays.stream(samples).average().orElseThrow() / 1e3,
+                samples[INPUTS / 2] / 1e3,
+                samples[INPUTS * 99 / 100] / 1e3,
+                samples[INPUTS * 999 / 1_000] / 1e3,
+                samples[INPUTS - 1] / 1e3,
+                seconds);
+    }
+
+    /** One request arrives and, once the places are taken, the oldest ends; run time is constant as seen by the core. */
+    private void step(int endpoints, double load, long step) {
+        double perMillisecond = load * endpoints * SLOTS / 200.0;
+        long next = (long) (step / perMillisecond);
+        if (next / 10 != now / 10) {
+            give(new RequestInput.Tick());
+        }
+        if (next != now) {
+            for (int index = 0; index < endpoints; index++) {
+                if (index % 1_000 == next % 1_000) {
+                    give(new RequestInput.LoadReported(EndpointId.of("e" + index), 1, next, 4, 0, next - 200));
+                }
+            }
+        }
+        now = next;
+        long prefix = random.nextInt(200);
+        give(new RequestBuilder("r" + nextRequest++)
+                .prefix(prefix, prefix + 1_000)
+                .deadline(now + 2_000)
+                .build());
+        while (open.size() > Math.min(load, 0.99) * endpoints * SLOTS) {
+            StartAttempt ended = open.poll();
+            give(new RequestInput.AttemptProgressed(ended.attempt(), 5, Optional.of(WeightVersion.of(7)), true));
+            give(new RequestInput.AttemptCompleted(ended.attempt(), 10));
+        }
+    }
+
+    private void give(RequestInput input) {
+        long start = System.nanoTime();
+        List<RequestCommand> commands = core.handle(now, input);
+        long taken = System.nanoTime() - start;
+        if (count >= 0 && count < INPUTS) {
+            samples[count] = taken;
+        }
+        count++;
+        for (RequestCommand command : commands) {
+            if (command instanceof StartAttempt attempt) {
+                open.add(attempt);
+                give(new RequestInput.AttemptSent(attempt.attempt()));
+            }
+        }
+    }
+}
