Tell lost racks from requests that crash their endpoints

When three or more endpoints broke within 200 ms, every request that ran on them became a suspect, and suspects run one at a time per endpoint. Crashes are now held back for that time; if the batches have no request in common, no request is suspected. Copies of a request that are lost together count one crash. The dump lists tables and counters, events of attempts that are not open among them.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
@@ -30,6 +30,7 @@
     }
 
     void arrive(RequestArrived arrival) {
+        tables.counters.arrivals++;
         if (tables.requests.containsKey(arrival.request())) {
             throw new IllegalArgumentException("request " + arrival.request() + " arrived twice");
         }
@@ -92,11 +93,8 @@
             return;
         }
         // The other request with this key may run, so this one cannot say that nothing was run.
-        tables.emit(new RequestCommand.RefuseRequest(
-                arrival.request(),
-                ErrorCode.REQUEST_IN_PROGRESS,
-                RequestCommand.RunState.UNKNOWN,
-                RETRY_ELSEWHERE_MILLISECONDS));
+        completion.refuseArrival(
+                arrival, ErrorCode.REQUEST_IN_PROGRESS, RequestCommand.RunState.UNKNOWN, RETRY_ELSEWHERE_MILLISECONDS);
     }
 
     /** Work that may have begun and must not be repeated runs on, so that its outcome can be recorded. */
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
@@ -63,6 +63,8 @@
             row.version = endpoint.record.weightVersion().orElse(null);
         }
         tables.attempts.put(id, attempt);
+        tables.counters.attempts++;
+        tables.counters.resumedAttempts += plan.offset() > 0 ? 1 : 0;
         endpoint.open.add(attempt);
         row.service.open++;
         if (row.isTraining()) {
@@ -85,14 +87,14 @@
     }
 
     void sent(RequestInput.AttemptSent input) {
-        AttemptRow attempt = tables.attempts.get(input.attempt());
+        AttemptRow attempt = find(input.attempt());
         if (attempt != null) {
             attempt.sent = true;
         }
     }
 
     void progressed(RequestInput.AttemptProgressed input) {
-        AttemptRow attempt = tables.attempts.get(input.attempt());
+        AttemptRow attempt = find(input.attempt());
         if (attempt == null) {
             return;
         }
@@ -108,7 +110,7 @@
     }
 
     void completed(RequestInput.AttemptCompleted input) {
-        AttemptRow attempt = tables.attempts.get(input.attempt());
+        AttemptRow attempt = find(input.attempt());
         if (attempt == null) {
             return;
         }
@@ -124,7 +126,7 @@
     }
 
     void failed(RequestInput.AttemptFailed input) {
-        AttemptRow attempt = tables.attempts.get(input.attempt());
+        AttemptRow attempt = find(input.attempt());
         if (attempt == null) {
             return;
         }
@@ -137,6 +139,15 @@
         retry.afterFailure(attempt, input.failure());
     }
 
+    /** Returns an open attempt, or null; what belongs to no open attempt is dropped and counted. */
+    private AttemptRow find(AttemptId id) {
+        AttemptRow attempt = tables.attempts.get(id);
+        if (attempt == null) {
+            tables.counters.droppedEvents++;
+        }
+        return attempt;
+    }
+
     /** Notes that the deadline of a request passed while its attempt was open. */
     void noteExpiry(RequestRow row) {
         if (row.attempt != null) {
@@ -160,6 +171,7 @@
         RequestRow row = attempt.request;
         cancelOpenAttempt(row);
         row.attempts--;
+        tables.counters.preemptions++;
         row.state = RequestRow.State.QUEUED;
         fairShare.queue(row);
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CompletionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CompletionSystem.java
@@ -29,6 +29,7 @@
                         row.arrival.key().orElseThrow(),
                         Optional.of(attempt.id)));
             }
+            tables.counters.answers++;
             tables.emit(new RequestCommand.FinishRequest(row.arrival.request(), attempt.id));
         }
     }
@@ -41,6 +42,7 @@
         if (row.claimGranted && !row.mayHaveRun) {
             giveClaimBack(row);
         }
+        tables.counters.refusals++;
         tables.emit(new RequestCommand.RefuseRequest(
                 row.arrival.request(), code, runState(row), Math.max(0, retryAfterMilliseconds)));
     }
@@ -48,14 +50,22 @@
     /** Answers a resent request with its recorded outcome. */
     void replay(RequestRow row, RequestOutcome outcome) {
         if (close(row)) {
+            tables.counters.answers++;
             tables.emit(new RequestCommand.ReplayOutcome(row.arrival.request(), outcome));
         }
     }
 
     /** Refuses a request that never entered the tables. */
     void refuseArrival(RequestInput.RequestArrived arrival, ErrorCode code, long retryAfterMilliseconds) {
+        refuseArrival(arrival, code, RunState.NOT_RUN, retryAfterMilliseconds);
+    }
+
+    /** Refuses a request that never entered the tables, but that another request may have run. */
+    void refuseArrival(
+            RequestInput.RequestArrived arrival, ErrorCode code, RunState runState, long retryAfterMilliseconds) {
+        tables.counters.refusals++;
         tables.emit(new RequestCommand.RefuseRequest(
-                arrival.request(), code, RunState.NOT_RUN, Math.max(0, retryAfterMilliseconds)));
+                arrival.request(), code, runState, Math.max(0, retryAfterMilliseconds)));
     }
 
     /** Ends a request without telling anyone, because the caller went away. */
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
@@ -1,7 +1,9 @@
 package io.rosemarybeam.decision.request;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -14,26 +16,27 @@
 /**
  * Recognises crashed endpoints, counts the requests that crash them and keeps suspects apart.
  *
- * <p>An endpoint has crashed if all its open attempts break within a short time. Invariant: a request that was answered
- * in full is no suspect. Confined to the thread of the core.
+ * <p>An endpoint has crashed if all its open attempts break within a short time. When several endpoints go at once
+ * without a common request, a rack or a link has failed, and no request is suspected. Invariant: a request that was
+ * answered in full is no suspect. Confined to the thread of the core.
  */
 final class CrashSystem {
     private static final long BATCH_WINDOW_MILLISECONDS = 100;
+
+    /** Crashes within this time may have one cause; reports are held back for as long. */
+    private static final long SAME_FAILURE_MILLISECONDS = 200;
+
+    private static final int INFRASTRUCTURE_FAILURE_ENDPOINTS = 3;
     private static final int QUARANTINE_CRASHES = 2;
     private static final long REMEMBERED_MILLISECONDS = 3_600_000;
     private static final int REMEMBERED_FINGERPRINTS = 10_000;
 
     private record Key(ServiceName service, Fingerprint fingerprint) {}
 
-    /** Crashes of the endpoints that ran a request; counts over restarts of the caller. */
-    private static final class Suspicion {
-        private int crashes;
-        private boolean quarantined;
-        private long lastSeen;
-    }
-
     private final Tables tables;
     private final CompletionSystem completion;
+    private final List<CrashReport> heldBack = new ArrayList<>();
+    private long infrastructureFailureUntil;
     private final Map<Key, Suspicion> suspicions = new LinkedHashMap<>(16, 0.75f, true) {
         @Override
         protected boolean removeEldestEntry(Map.Entry<Key, Suspicion> eldest) {
@@ -86,8 +89,7 @@
         }
         endpoint.batchPending.remove(attempt);
         if (endpoint.batchPending.isEmpty()) {
-            List<RequestRow> batch = new ArrayList<>();
-            endpoint.batch.forEach(member -> batch.add(member.request));
+            List<AttemptRow> batch = List.copyOf(endpoint.batch);
             endpoint.batch.clear();
             crashed(endpoint, batch);
         }
@@ -114,20 +116,77 @@
         }
     }
 
-    private void crashed(EndpointRow endpoint, List<RequestRow> batch) {
-        List<Fingerprint> fingerprints =
-                batch.stream().map(row -> row.arrival.fingerprint()).distinct().toList();
-        tables.emit(new RequestCommand.ReportCrash(
-                endpoint.service.name, endpoint.id, endpoint.record.incarnation(), fingerprints));
-        for (Fingerprint fingerprint : fingerprints) {
-            Suspicion suspicion = suspect(endpoint.service.name, fingerprint);
-            suspicion.crashes++;
+    private void crashed(EndpointRow endpoint, List<AttemptRow> batch) {
+        ServiceName service = endpoint.service.name;
+        if (tables.now < infrastructureFailureUntil) {
+            infrastructureFailureUntil = tables.now + SAME_FAILURE_MILLISECONDS;
+            return;
+        }
+        Set<Fingerprint> fingerprints = new LinkedHashSet<>();
+        Set<Fingerprint> counted = new LinkedHashSet<>();
+        for (AttemptRow attempt : batch) {
+            Fingerprint fingerprint = attempt.request.arrival.fingerprint();
+            fingerprints.add(fingerprint);
+            if (suspect(service, fingerprint).count(attempt.startedAt, tables.now)) {
+                counted.add(fingerprint);
+            }
+        }
+        CrashReport report = new CrashReport(endpoint, tables.now, fingerprints, counted);
+        heldBack.add(report);
+        if (isInfrastructureFailure()) {
+            infrastructureFailureUntil = tables.now + SAME_FAILURE_MILLISECONDS;
+            heldBack.forEach(this::withdraw);
+            heldBack.clear();
+            return;
+        }
+        tables.timers.at(tables.now + SAME_FAILURE_MILLISECONDS, () -> send(report));
+        for (Fingerprint fingerprint : counted) {
+            Suspicion suspicion = suspect(service, fingerprint);
             if (suspicion.crashes >= QUARANTINE_CRASHES) {
-                quarantine(suspicion, endpoint.service.name, fingerprint);
+                quarantine(suspicion, service, fingerprint);
+                sendAll(fingerprint);
             }
         }
     }
 
+    /** Several endpoints that go at once without a common request were not brought down by a request. */
+    private boolean isInfrastructureFailure() {
+        if (heldBack.size() < INFRASTRUCTURE_FAILURE_ENDPOINTS) {
+            return false;
+        }
+        Set<Fingerprint> common = new HashSet<>(heldBack.getFirst().batch);
+        heldBack.forEach(report -> common.retainAll(report.batch));
+        return common.isEmpty();
+    }
+
+    private void withdraw(CrashReport report) {
+        for (Fingerprint fingerprint : report.counted) {
+            Key key = new Key(report.endpoint.service.name, fingerprint);
+            Suspicion suspicion = suspicions.get(key);
+            if (suspicion != null && !suspicion.quarantined && --suspicion.crashes <= 0) {
+                suspicions.remove(key);
+            }
+        }
+    }
+
+    private void sendAll(Fingerprint fingerprint) {
+        heldBack.stream()
+                .filter(report -> report.batch.contains(fingerprint))
+                .toList()
+                .forEach(this::send);
+    }
+
+    private void send(CrashReport report) {
+        if (heldBack.remove(report) && !report.counted.isEmpty()) {
+            tables.counters.crashes++;
+            tables.emit(new RequestCommand.ReportCrash(
+                    report.endpoint.service.name,
+                    report.endpoint.id,
+                    report.endpoint.record.incarnation(),
+                    List.copyOf(report.counted)));
+        }
+    }
+
     // ---- State from the control process ----
 
     void changed(RequestInput.QuarantineChanged input) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EjectionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EjectionSystem.java
@@ -179,6 +179,7 @@
         }
         long length =
                 Math.min(LONGEST_EJECTION_MILLISECONDS, BASE_EJECTION_MILLISECONDS << Math.min(health.ejections, 10));
+        tables.counters.ejections++;
         health.state = State.EJECTED;
         health.ejections++;
         health.ejectedAt = tables.now;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
@@ -69,6 +69,7 @@
             completion.refuse(row, ErrorCode.ATTEMPTS_EXHAUSTED, RETRY_AFTER_MILLISECONDS);
             return;
         }
+        tables.counters.repeatedAttempts++;
         row.state = RequestRow.State.WAITING_FOR_RETRY;
         tables.timers.at(tables.now + wait, () -> queueAgain(row));
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/SheddingSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/SheddingSystem.java
@@ -17,7 +17,7 @@
     private static final long LONGEST_RETRY_AFTER_MILLISECONDS = 60_000;
     private static final long UNKNOWN_RETRY_AFTER_MILLISECONDS = 1_000;
 
-    /** How long queued requests wait for a service that has lost all its endpoints. */
+    /** How long queued requests wait for a service that has lost all its endpoints or its share of the limit. */
     private static final long NO_ENDPOINT_GRACE_MILLISECONDS = 1_000;
 
     /**
@@ -52,7 +52,7 @@
     /** Returns after which time a refused caller may try again. */
     long retryAfter(ServiceRow service) {
         double wait = waitMilliseconds(service, service.queue.size());
-        if (service.servingSlots == 0 || service.holdTime.count() == 0) {
+        if (service.servingSlots == 0 || service.share == 0 || service.holdTime.count() == 0) {
             return UNKNOWN_RETRY_AFTER_MILLISECONDS;
         }
         // Jitter keeps callers that were refused together from coming back together.
@@ -98,10 +98,11 @@
     }
 
     private void sweep(ServiceRow service) {
-        if (service.servingSlots > 0) {
+        if (service.servingSlots > 0 && service.share > 0) {
             service.lastServingAt = tables.now;
         } else if (tables.now - service.lastServingAt >= NO_ENDPOINT_GRACE_MILLISECONDS) {
-            rows(service).forEach(row -> completion.refuse(row, ErrorCode.NO_ENDPOINT, retryAfter(service)));
+            ErrorCode code = service.servingSlots == 0 ? ErrorCode.NO_ENDPOINT : ErrorCode.OVERLOADED;
+            rows(service).forEach(row -> completion.refuse(row, code, retryAfter(service)));
             return;
         }
         if (!tables.uses(RequestPolicy.SHEDDING)) {
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Suspicion.java
@@ -0,0 +1,26 @@
+package io.rosemarybeam.decision.request;
+
+/** How often a request ran on an endpoint that crashed. Confined to the thread of the core. */
+final class Suspicion {
+    private static final long SAME_FAILURE_MILLISECONDS = 200;
+
+    int crashes;
+    boolean quarantined;
+    long lastSeen;
+    private long lastCrashAt;
+
+    /**
+     * Counts a crash. Copies of a request that run at the same time may all be lost to one failure of a rack or a link,
+     * so a crash counts anew only for a run that began after the last one, or some time later.
+     *
+     * @return whether it counts
+     */
+    boolean count(long attemptStartedAt, long now) {
+        if (crashes > 0 && attemptStartedAt <= lastCrashAt && now - lastCrashAt < SAME_FAILURE_MILLISECONDS) {
+            return false;
+        }
+        crashes++;
+        lastCrashAt = now;
+        return true;
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableRequestCore.java
@@ -72,11 +72,7 @@
 
     @Override
     public Map<String, Object> dump() {
-        Map<String, Object> dump = new LinkedHashMap<>();
-        dump.put("now", tables.now);
-        dump.put("requests", tables.requests.size());
-        dump.put("attempts", tables.attempts.size());
-        return dump;
+        return new TableDump(tables).write();
     }
 
     @Override
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
@@ -20,6 +20,7 @@
     final UniformRandomProvider random;
     final Timers timers = new Timers();
     final ClaimTable claims = new ClaimTable();
+    final Counters counters = new Counters();
     final Map<ServiceName, ServiceRow> services = new LinkedHashMap<>();
     final Map<EndpointId, EndpointRow> endpoints = new HashMap<>();
     final Map<RequestId, RequestRow> requests = new HashMap<>();
