--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/CommandLine.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/CommandLine.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 
+import io.rosemarybeam.common.error.ControlException;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.RosemarybeamException;
 import io.rosemarybeam.common.error.SettingsException;
@@ -77,6 +78,9 @@
         } catch (RosemarybeamException failure) {
             console.fail(failure, json);
             return ExitCode.of(failure.code());
+        } catch (RuntimeException failure) {
+            console.fail(new ControlException(ErrorCode.INTERNAL, String.valueOf(failure), failure), json);
+            return ExitCode.REFUSED;
         }
     }
 
--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ConfigurationDifference.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ConfigurationDifference.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -29,6 +30,7 @@
     private static final ObjectMapper MAPPER =
             new ObjectMapper().registerModule(new Jdk8Module()).enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS);
     private static final String PRESENT = "yes";
+    private static final String SERVICE = "service ";
 
     private final List<Part> parts;
 
@@ -37,7 +39,15 @@
     }
 
     /** What differs in one part. */
-    private record Part(String name, boolean added, boolean removed, List<Change> changes) {}
+    private record Part(String name, boolean added, boolean removed, List<Change> changes) {
+        boolean isRemovedService() {
+            return removed && name.startsWith(SERVICE);
+        }
+
+        boolean isAddedService() {
+            return added && name.startsWith(SERVICE);
+        }
+    }
 
     /** What differs under one key; a missing side is empty. */
     private record Change(String key, Optional<String> before, Optional<String> after) {}
@@ -79,23 +89,31 @@
     /**
      * Returns the difference for people.
      *
-     * @return lines; {@code +} is new, {@code -} goes away, {@code ~} changes
+     * @return lines; {@code +} is new, {@code -} goes away, {@code ~} changes; a removed service has no lines of its own
      */
     String text() {
         if (parts.isEmpty()) {
-            return "no difference\n";
+            return "no effective difference\n";
         }
         StringBuilder text = new StringBuilder();
         for (Part part : parts) {
-            text.append(part.name())
-                    .append(part.added() ? " (new)" : part.removed() ? " (removed)" : "")
-                    .append('\n');
-            part.changes()
-                    .forEach(change -> text.append("  ").append(line(change)).append('\n'));
+            text.append(part.name()).append(mark(part)).append('\n');
+            if (!part.isRemovedService()) {
+                part.changes()
+                        .forEach(
+                                change -> text.append("  ").append(line(change)).append('\n'));
+            }
         }
         return text.toString();
     }
 
+    private static String mark(Part part) {
+        if (part.isAddedService()) {
+            return " (new)";
+        }
+        return part.isRemovedService() ? " (removed)" : "";
+    }
+
     private static String line(Change change) {
         if (change.before().isEmpty()) {
             return "+ " + change.key() + shown(change.after().orElseThrow());
@@ -150,7 +168,7 @@
         Map<String, String> roles = new TreeMap<>();
         configuration.endpointRoles().forEach((endpoint, role) -> roles.put(endpoint.value(), role));
         parts.put("endpoint roles", roles);
-        new TreeMap<>(configuration.services()).forEach((name, service) -> parts.put("service " + name, keys(service)));
+        new TreeMap<>(configuration.services()).forEach((name, service) -> parts.put(SERVICE + name, keys(service)));
         return parts;
     }
 
@@ -160,7 +178,7 @@
             switch (member.getKey()) {
                 case "name" -> {}
                 case "serviceClass" ->
-                    keys.put("class", member.getValue().asText().toLowerCase(java.util.Locale.ROOT));
+                    keys.put("class", member.getValue().asText().toLowerCase(Locale.ROOT));
                 case "idempotentCalls" ->
                     service.idempotentCalls().stream()
                             .map(ConfigurationDifference::call)
--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ControlClient.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ControlClient.java
@@ -31,6 +31,7 @@
  */
 final class ControlClient implements AutoCloseable {
     private static final Duration REPLY_DEADLINE = Duration.ofSeconds(5);
+    private static final Duration MINIMUM_DEADLINE = Duration.ofMillis(100);
     private static final Duration PAUSE_BETWEEN_ROUNDS = Duration.ofMillis(200);
 
     /** How many answers of the kind "that host leads" are followed in a row; hosts may disagree during an election. */
@@ -109,6 +110,9 @@
                 }
                 last = failure(attempt);
                 wrongToken &= last.isWrongToken();
+                if (System.nanoTime() >= end) {
+                    throw exhausted(last, false);
+                }
             }
             Duration pause = last.pause().compareTo(PAUSE_BETWEEN_ROUNDS) > 0 ? last.pause() : PAUSE_BETWEEN_ROUNDS;
             if (wrongToken || System.nanoTime() + pause.toNanos() >= end) {
@@ -121,16 +125,16 @@
     private Attempt follow(String first, Supplier<Message> request, Duration extraWait, long end) {
         Attempt attempt = attempt(first, request, extraWait, end);
         for (int hop = 0; hop < MAXIMUM_REDIRECTIONS && attempt instanceof Attempt.Moved moved; hop++) {
+            if (System.nanoTime() >= end) {
+                break;
+            }
             attempt = attempt(moved.address(), request, extraWait, end);
         }
         return attempt;
     }
 
     private Attempt attempt(String address, Supplier<Message> request, Duration extraWait, long end) {
-        Duration remaining = Duration.ofNanos(end - System.nanoTime());
-        if (remaining.isNegative() || remaining.isZero()) {
-            return failed(new WireException(ErrorCode.DEADLINE_EXCEEDED, "no time is left to ask " + address));
-        }
+        Duration remaining = Duration.ofNanos(Math.max(end - System.nanoTime(), MINIMUM_DEADLINE.toNanos()));
         Duration usual = REPLY_DEADLINE.plus(extraWait);
         Duration deadline = usual.compareTo(remaining) < 0 ? usual : remaining;
         try {
