Add catalogues of errors and events, held together with the code by tests

Cause: operators look up a number at night; a page that drifts from the code misleads them.

Change: docs/ERRORS.md with meaning and what to do, docs/EVENTS.md with severity and meaning. Tests compare both ways, in order, and check that each number is used once. The parser refuses texts above 262,144 characters, the limit that the control process already has, so that validate and apply agree.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/ConfigurationParser.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/ConfigurationParser.java
@@ -4,6 +4,9 @@
 
 /** Reads and checks the operator's text. Implementations are immutable and safe for use by several threads. */
 public interface ConfigurationParser {
+    /** Longest accepted text, in characters; the control hosts keep up to 1,000 texts in memory. */
+    int MAXIMUM_CHARACTERS = 262_144;
+
     /**
      * Reads and checks a text.
      *
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/JsonConfigurationParser.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/configuration/JsonConfigurationParser.java
@@ -29,6 +29,10 @@
 
     @Override
     public Result parse(String text) {
+        if (text.length() > MAXIMUM_CHARACTERS) {
+            return new Result.Invalid(List.of(new Problem(
+                    1, "/", "the text has " + text.length() + " characters, more than " + MAXIMUM_CHARACTERS)));
+        }
         Findings findings = new Findings();
         Optional<OperatorConfiguration> configuration =
                 JsonText.read(text, findings).map(root -> read(root, findings));
--- /dev/null
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/event/CataloguePage.java
@@ -0,0 +1,35 @@
+package io.rosemarybeam.common.event;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/** Reads the table rows of a catalogue page in docs. Stateless. */
+public final class CataloguePage {
+    private static final Path DOCS = Path.of("..", "docs");
+
+    private CataloguePage() {}
+
+    /**
+     * Reads the rows whose first cell has a digit; head lines have none.
+     *
+     * @param name name of the page
+     * @param cells how many cells of a row to keep
+     * @return the cells of each row
+     * @throws IOException if the page cannot be read
+     */
+    public static List<List<String>> rows(String name, int cells) throws IOException {
+        List<List<String>> rows = new ArrayList<>();
+        for (String line : Files.readAllLines(DOCS.resolve(name))) {
+            List<String> row =
+                    Arrays.stream(line.split("\\|")).map(String::strip).skip(1).toList();
+            if (line.startsWith("|") && row.getFirst().matches(".*[0-9].*")) {
+                rows.add(row.subList(0, Math.min(cells, row.size())));
+            }
+        }
+        return rows;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/event/EventTest.java
@@ -0,0 +1,33 @@
+package io.rosemarybeam.common.event;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Guards against events that the page does not explain, or explains under another number. */
+class EventTest {
+    @Test
+    void shouldMatchThePageWhenEventsAreListed() throws IOException {
+        List<List<String>> expected = Arrays.stream(Event.values())
+                .map(event -> List.of(
+                        Integer.toString(event.number()),
+                        event.name(),
+                        event.severity().name().toLowerCase(Locale.ROOT),
+                        event.description()))
+                .toList();
+
+        assertEquals(expected, CataloguePage.rows("EVENTS.md", 4));
+    }
+
+    @Test
+    void shouldUseEveryNumberOnceWhenEventsAreListed() {
+        List<Integer> numbers = Arrays.stream(Event.values()).map(Event::number).toList();
+
+        assertEquals(numbers.stream().distinct().sorted().toList(), numbers);
+    }
+}
