--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/CallerLoad.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/CallerLoad.java
@@ -75,7 +75,7 @@
 
     /** Sends one booking with an idempotency key; a resend uses the same key. */
     public void book() {
-        String order = "order-" + ProcessHandle.current().pid() + "-" + numbers.incrementAndGet();
+        String order = orderPrefix() + numbers.incrementAndGet();
         String body = "{\"order\":\"" + order + "\"}";
         Response response = send("POST", "/services/" + plainService + "/bookings", body, order);
         if (response != null) {
@@ -83,6 +83,27 @@
         }
     }
 
+    /** Reads how often each order of this process ran and counts those that ran more than once. */
+    public void checkRuns() {
+        String prefix = orderPrefix();
+        Response response = send("GET", "/services/" + plainService + "/runs", "", null);
+        if (response == null) {
+            return;
+        }
+        problem(response).fields().forEachRemaining(run -> {
+            if (run.getKey().startsWith(prefix)) {
+                report.count("orders run");
+                if (run.getValue().asInt() > 1) {
+                    report.count(Outcome.RAN_TWICE);
+                }
+            }
+        });
+    }
+
+    private static String orderPrefix() {
+        return "order-" + ProcessHandle.current().pid() + "-";
+    }
+
     private void check(String text, String expected) {
         if (text == null) {
             report.count(Outcome.CUT_STREAM);
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/LoadTool.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/LoadTool.java
@@ -99,6 +99,7 @@
             for (Thread thread : threads) {
                 thread.join();
             }
+            load.checkRuns();
             if (report.countOf(Outcome.STEP_WHOLE) == 0 && steps > 0) {
                 report.count(Outcome.STEP_INCOMPLETE);
             }
