--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/CallerLoad.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/CallerLoad.java
@@ -90,7 +90,7 @@
         if (response == null) {
             return;
         }
-        problem(response).fields().forEachRemaining(run -> {
+        problem(response).properties().forEach(run -> {
             if (run.getKey().startsWith(prefix)) {
                 report.count("orders run");
                 if (run.getValue().asInt() > 1) {
