Test the replicated log under interleaved faults and its storage on failing files

Members with the same seed drew the same election timeouts, so their elections tied for ever; the identity of the member is now part of the seed. Found by the interleaving test with membership changes.

--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -68,7 +68,8 @@
     public ReplicatedLog(LogOptions options, MemberId self, DurableState restored) {
         this.options = Objects.requireNonNull(options, "options");
         this.self = Objects.requireNonNull(self, "self");
-        this.random = new SplittableRandom(options.seed());
+        // Members with the same seed must not draw the same timeouts, or their elections tie for ever.
+        this.random = new SplittableRandom(options.seed() + self.hashCode());
         this.hardState = restored.hardState();
         this.snapshot = restored.snapshot();
         restore(restored);
--- /dev/null
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/LogCluster.java
@@ -0,0 +1,284 @@
+package io.rosemarybeam.consensus;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.consensus.LogMessage.Envelope;
+import io.rosemarybeam.consensus.storage.FaultyFileSystem;
+import io.rosemarybeam.consensus.storage.LogStorage;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Members of a log on files that lose unsynced data, with a network whose messages the test delivers, drops or repeats.
+ *
+ * <p>Every applied entry is compared with what any member applied at the same index before, and every leader with the
+ * leaders of its term. Confined to the thread of the test.
+ */
+final class LogCluster {
+    private static final int KEPT_ENTRIES = 3;
+
+    final SplittableRandom random;
+    final Map<String, Node> nodes = new LinkedHashMap<>();
+    final List<Envelope> network = new ArrayList<>();
+    final Set<String> isolated = new TreeSet<>();
+    private final LogOptions options;
+    private final TreeMap<Long, String> committed = new TreeMap<>();
+    private final Map<Long, Integer> stateByIndex = new HashMap<>();
+    private final Map<Long, MemberId> leaderByTerm = new HashMap<>();
+    private final Map<Long, Long> readFloor = new HashMap<>();
+    private long nextNumber;
+    private long confirmedReads;
+
+    LogCluster(int size, long seed, LogOptions options) {
+        this.random = new SplittableRandom(seed);
+        this.options = options;
+        List<Member> voters = new ArrayList<>();
+        for (int number = 1; number <= size; number++) {
+            voters.add(member("m" + number, 1));
+        }
+        LogSnapshot first = new LogSnapshot(1, 1, new Membership(voters, List.of()), state(0));
+        stateByIndex.put(1L, 0);
+        for (Member voter : voters) {
+            Node node = add(voter.id().name(), 1);
+            node.storage.persist(Optional.of(new HardState(1, Optional.empty())), Optional.of(first), List.of());
+            node.open();
+        }
+    }
+
+    static Member member(String name, long incarnation) {
+        return new Member(new MemberId(name, incarnation), name + ":1");
+    }
+
+    private static byte[] state(int hash) {
+        return Integer.toString(hash).getBytes();
+    }
+
+    Node add(String name, long incarnation) {
+        Node node = new Node(new MemberId(name, incarnation));
+        nodes.put(name, node);
+        return node;
+    }
+
+    /** Loses the disk of a host; it comes back empty under a new incarnation. */
+    void loseDisk(String name) {
+        long incarnation = nodes.get(name).id.incarnation() + 1;
+        nodes.remove(name);
+        add(name, incarnation);
+    }
+
+    Optional<Node> leader() {
+        return nodes.values().stream()
+                .filter(node -> node.log.role() == ReplicatedLog.Role.LEADER)
+                .max((one, other) -> Long.compare(one.log.term(), other.log.term()));
+    }
+
+    long committedEntries() {
+        return committed.size();
+    }
+
+    long confirmedReads() {
+        return confirmedReads;
+    }
+
+    long lastCommitted() {
+        return committed.isEmpty() ? 1 : committed.lastKey();
+    }
+
+    // Network and time
+
+    void deliver(int position, boolean keep) {
+        Envelope envelope = keep ? network.get(position) : network.remove(position);
+        boolean blocked = isolated.contains(envelope.from().name())
+                || isolated.contains(envelope.to().name());
+        Node target = nodes.get(envelope.to().name());
+        if (!blocked && target != null) {
+            target.log.receive(LogMessageCodec.decode(LogMessageCodec.encode(envelope)));
+            target.process();
+        }
+    }
+
+    /** Lets time pass on a network without faults. */
+    void run(int ticks) {
+        for (int tick = 0; tick < ticks; tick++) {
+            for (Node node : List.copyOf(nodes.values())) {
+                node.log.tick();
+                node.process();
+                node.persist();
+            }
+            for (int message = 0; message < 2_000 && !network.isEmpty(); message++) {
+                deliver(0, false);
+                nodes.values().forEach(Node::persist);
+            }
+        }
+    }
+
+    void runUntilLeader() {
+        for (int round = 0; round < 100; round++) {
+            if (leader().filter(node -> node.log.hasCommittedInTerm()).isPresent()) {
+                return;
+            }
+            run(5);
+        }
+        throw new AssertionError("no leader");
+    }
+
+    // Checks
+
+    private void checkLeader(Node node) {
+        if (node.log.role() == ReplicatedLog.Role.LEADER) {
+            MemberId known = leaderByTerm.putIfAbsent(node.log.term(), node.id);
+            assertTrue(known == null || known.equals(node.id), "two leaders in term " + node.log.term());
+        }
+    }
+
+    void checkLogsMatch() {
+        for (Node one : nodes.values()) {
+            for (Node other : nodes.values()) {
+                long last = Math.min(one.log.lastIndex(), other.log.lastIndex());
+                boolean same = false;
+                for (long index = last; index > 0; index--) {
+                    Optional<Long> first = one.log.termAt(index);
+                    Optional<Long> second = other.log.termAt(index);
+                    if (first.isEmpty() || second.isEmpty()) {
+                        break;
+                    }
+                    assertTrue(!same || first.equals(second), "logs differ before a common entry at " + index);
+                    same = same || first.equals(second);
+                }
+            }
+        }
+    }
+
+    void propose() {
+        leader().ifPresent(node -> {
+            nextNumber++;
+            try {
+                node.log.propose(("c" + nextNumber).getBytes());
+            } catch (ControlException refused) {
+                return;
+            }
+            node.process();
+        });
+    }
+
+    void read(Node node) {
+        nextNumber++;
+        try {
+            node.log.readIndex(nextNumber);
+            readFloor.put(nextNumber, lastCommitted());
+        } catch (ControlException refused) {
+            return;
+        }
+        node.process();
+    }
+
+    /** A member with its files. Confined to the thread of the test. */
+    final class Node {
+        final MemberId id;
+        final FaultyFileSystem files = new FaultyFileSystem();
+        LogStorage storage = LogStorage.open(files);
+        ReplicatedLog log;
+        long applied;
+        private int hash;
+        private long appliedTerm;
+        private Optional<Ready> persisting = Optional.empty();
+
+        Node(MemberId id) {
+            this.id = id;
+            open();
+        }
+
+        void open() {
+            storage = LogStorage.open(files);
+            DurableState durable = storage.load();
+            log = new ReplicatedLog(options, id, durable);
+            persisting = Optional.empty();
+            applied = 0;
+            durable.snapshot().ifPresent(this::install);
+        }
+
+        void crash() {
+            files.crash(random);
+            open();
+        }
+
+        void process() {
+            while (log.hasReady()) {
+                Ready ready = log.ready();
+                network.addAll(ready.messages());
+                if (ready.needsPersisting()) {
+                    assertTrue(persisting.isEmpty(), "one batch is persisted at a time");
+                    persisting = Optional.of(ready);
+                }
+                ready.committed().forEach(this::apply);
+                ready.reads().forEach(read -> {
+                    assertTrue(read.index() >= readFloor.get(read.context()), "stale read");
+                    confirmedReads++;
+                });
+                checkLeader(this);
+            }
+        }
+
+        void persist() {
+            while (persisting.isPresent()) {
+                Ready ready = persisting.get();
+                persisting = Optional.empty();
+                storage.persist(ready.hardState(), ready.snapshot(), ready.entries());
+                ready.snapshot().ifPresent(this::install);
+                log.persisted(0, 0);
+                process();
+            }
+        }
+
+        private void install(LogSnapshot snapshot) {
+            hash = Integer.parseInt(new String(snapshot.state()));
+            assertEquals(stateByIndex.get(snapshot.index()), hash, "state of snapshot " + snapshot.index());
+            applied = snapshot.index();
+            appliedTerm = snapshot.term();
+        }
+
+        private void apply(LogEntry entry) {
+            assertEquals(applied + 1, entry.index(), "entries are applied in order");
+            applied = entry.index();
+            appliedTerm = entry.term();
+            hash = 31 * hash + Arrays.hashCode(entry.data());
+            String content = entry.term() + " " + entry.kind() + " " + Arrays.hashCode(entry.data());
+            String known = committed.putIfAbsent(entry.index(), content);
+            assertTrue(known == null || known.equals(content), "committed entry " + entry.index() + " changed");
+            stateByIndex.put(entry.index(), hash);
+        }
+
+        void compact() {
+            if (applied < 2) {
+                return;
+            }
+            LogSnapshot snapshot = new LogSnapshot(applied, appliedTerm, log.membershipAt(applied), state(hash));
+            long firstKept = log.firstKept(applied, KEPT_ENTRIES, Integer.MAX_VALUE);
+            if (persisting.isEmpty()) {
+                storage.compact(snapshot, firstKept);
+                log.compact(snapshot, firstKept);
+            }
+        }
+
+        void change(MembershipChange change) {
+            try {
+                log.proposeChange(change);
+                process();
+            } catch (ControlException refused) {
+                // The change is tried again by a later action.
+            }
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogInterleavingTest.java
@@ -0,0 +1,116 @@
+package io.rosemarybeam.consensus;
+
+import java.util.List;
+
+import io.rosemarybeam.consensus.LogCluster.Node;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against two leaders in one term, logs that diverge, committed entries that change or vanish, and stale reads,
+ * under reordered, lost and repeated messages, crashes that lose unsynced data, snapshots and membership changes.
+ */
+class ReplicatedLogInterleavingTest {
+    private static final int STEPS = 600;
+    private static final int SETTLE_TICKS = 120;
+
+    @Property(tries = 150, seed = "20261204", shrinking = ShrinkingMode.OFF)
+    void shouldKeepCommittedEntriesWhenFaultsInterleave(@ForAll long seed) {
+        LogCluster cluster = new LogCluster(3, seed, LogOptions.standard(seed).withSnapshotPartBytes(4));
+        for (int step = 0; step < STEPS; step++) {
+            act(cluster);
+        }
+        settle(cluster);
+    }
+
+    @Property(tries = 100, seed = "20261205", shrinking = ShrinkingMode.OFF)
+    void shouldKeepCommittedEntriesWhenMembersChangeAndFaultsInterleave(@ForAll long seed) {
+        LogCluster cluster = new LogCluster(3, seed, LogOptions.standard(seed));
+        cluster.add("m4", 1);
+        cluster.add("m5", 1);
+        for (int step = 0; step < STEPS; step++) {
+            act(cluster);
+            if (cluster.random.nextInt(12) == 0) {
+                changeMember(cluster);
+            }
+        }
+        settle(cluster);
+    }
+
+    @Property(tries = 50, seed = "20261206", shrinking = ShrinkingMode.OFF)
+    void shouldKeepCommittedEntriesWhenEverySyncCarriesOneEntry(@ForAll long seed) {
+        LogOptions options = LogOptions.standard(seed).withMaximumEntriesPerSync(1);
+        LogCluster cluster = new LogCluster(3, seed, options);
+        for (int step = 0; step < STEPS; step++) {
+            act(cluster);
+        }
+        settle(cluster);
+    }
+
+    private static Node any(LogCluster cluster) {
+        List<Node> nodes = List.copyOf(cluster.nodes.values());
+        return nodes.get(cluster.random.nextInt(nodes.size()));
+    }
+
+    private static void act(LogCluster cluster) {
+        int choice = cluster.random.nextInt(100);
+        Node node = any(cluster);
+        if (choice < 30) {
+            node.log.tick();
+            node.process();
+        } else if (choice < 62 && !cluster.network.isEmpty()) {
+            int position = cluster.random.nextInt(Math.min(cluster.network.size(), 8));
+            cluster.deliver(position, cluster.random.nextInt(20) == 0);
+        } else if (choice < 80) {
+            node.persist();
+        } else if (choice < 88) {
+            cluster.propose();
+        } else if (choice < 91 && !cluster.network.isEmpty()) {
+            cluster.network.remove(cluster.random.nextInt(cluster.network.size()));
+        } else if (choice < 93) {
+            node.crash();
+        } else if (choice < 95) {
+            node.compact();
+        } else if (choice < 97) {
+            cluster.read(node);
+        } else if (choice < 98) {
+            cluster.isolated.add(node.id.name());
+        } else {
+            cluster.isolated.clear();
+        }
+    }
+
+    private static void changeMember(LogCluster cluster) {
+        cluster.leader().ifPresent(leader -> {
+            Node subject = any(cluster);
+            boolean isVoter = leader.log.membership().isVoter(subject.id);
+            if (isVoter && leader.log.membership().voters().size() > 2) {
+                leader.change(new MembershipChange.Remove(subject.id));
+            } else if (leader.log.membership().isLearner(subject.id)) {
+                leader.change(new MembershipChange.Promote(subject.id));
+            } else if (!isVoter) {
+                leader.change(new MembershipChange.AddLearner(
+                        LogCluster.member(subject.id.name(), subject.id.incarnation())));
+            }
+        });
+    }
+
+    /** Without faults a leader is found and every member that it replicates to catches up. */
+    private static void settle(LogCluster cluster) {
+        cluster.isolated.clear();
+        cluster.network.clear();
+        cluster.runUntilLeader();
+        cluster.propose();
+        cluster.run(SETTLE_TICKS);
+        cluster.checkLogsMatch();
+        Node leader = cluster.leader().orElseThrow();
+        assertTrue(cluster.committedEntries() > 0, "nothing was committed");
+        for (Member member : leader.log.membership().members()) {
+            Node node = cluster.nodes.get(member.id().name());
+            assertTrue(node.applied == leader.applied, node.id + " applied " + node.applied + " of " + leader.applied);
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/FaultyFileSystem.java
@@ -0,0 +1,167 @@
+package io.rosemarybeam.consensus.storage;
+
+import java.io.FileNotFoundException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * Files in memory that lose unsynced data in a crash, fail a sync or fill up. Confined to the thread of the test.
+ *
+ * <p>A crash keeps the synced part of every file and an arbitrary prefix of what was written after it, and forgets
+ * creations, renames and deletions since the folder was synced.
+ */
+public final class FaultyFileSystem implements FileSystem {
+    private final TreeMap<String, Content> durableNames = new TreeMap<>();
+    private final TreeMap<String, Content> names = new TreeMap<>();
+    private boolean failSyncs;
+    private long capacity = Long.MAX_VALUE;
+    private int syncs;
+
+    /** Makes every sync fail from now on. */
+    public void failSyncs() {
+        failSyncs = true;
+    }
+
+    /** Sets how many bytes all files together may have. */
+    public void setCapacity(long bytes) {
+        capacity = bytes;
+    }
+
+    /** Returns how many syncs succeeded. */
+    public int syncs() {
+        return syncs;
+    }
+
+    /** Ends the process that used the files, together with its machine. */
+    public void crash(RandomGenerator random) {
+        names.clear();
+        names.putAll(durableNames);
+        for (Content content : names.values()) {
+            int unsynced = content.bytes.length - content.syncedBytes;
+            int kept = unsynced <= 0 ? 0 : random.nextInt(unsynced + 1);
+            content.bytes = Arrays.copyOf(content.bytes, content.syncedBytes + kept);
+            content.syncedBytes = content.bytes.length;
+        }
+        failSyncs = false;
+    }
+
+    /** Changes one byte of a file. */
+    public void corrupt(String name, int position) {
+        names.get(name).bytes[position] ^= 0x55;
+    }
+
+    /** Shortens a file as an interrupted write does. */
+    public void cut(String name, int bytes) {
+        Content content = names.get(name);
+        content.bytes = Arrays.copyOf(content.bytes, content.bytes.length - bytes);
+        content.syncedBytes = content.bytes.length;
+    }
+
+    @Override
+    public List<String> list() {
+        return List.copyOf(names.keySet());
+    }
+
+    @Override
+    public byte[] read(String name) throws IOException {
+        return find(name).bytes.clone();
+    }
+
+    private Content find(String name) throws IOException {
+        Content content = names.get(name);
+        if (content == null) {
+            throw new FileNotFoundException(name);
+        }
+        return content;
+    }
+
+    @Override
+    public AppendFile append(String name) {
+        return new FakeAppendFile(names.computeIfAbsent(name, ignored -> new Content()));
+    }
+
+    @Override
+    public void truncate(String name, long size) throws IOException {
+        Content content = find(name);
+        content.bytes = Arrays.copyOf(content.bytes, (int) size);
+        content.syncedBytes = content.bytes.length;
+    }
+
+    @Override
+    public void rename(String from, String to) throws IOException {
+        names.put(to, find(from));
+        names.remove(from);
+    }
+
+    @Override
+    public void delete(String name) throws IOException {
+        find(name);
+        names.remove(name);
+    }
+
+    @Override
+    public void syncFolder() throws IOException {
+        sync();
+        durableNames.clear();
+        durableNames.putAll(names);
+    }
+
+    private void sync() throws IOException {
+        if (failSyncs) {
+            throw new IOException("sync failed");
+        }
+        syncs++;
+    }
+
+    @Override
+    public void close() {}
+
+    private long size() {
+        return names.values().stream()
+                .mapToLong(content -> content.bytes.length)
+                .sum();
+    }
+
+    /** Content of a file. Confined to the thread of the test. */
+    private static final class Content {
+        private byte[] bytes = {};
+        private int syncedBytes;
+    }
+
+    /** An open file. Confined to the thread of the test. */
+    private final class FakeAppendFile implements AppendFile {
+        private final Content content;
+
+        FakeAppendFile(Content content) {
+            this.content = content;
+        }
+
+        @Override
+        public void write(ByteBuffer bytes) throws IOException {
+            if (FaultyFileSystem.this.size() + bytes.remaining() > capacity) {
+                throw new IOException("no space left");
+            }
+            int start = content.bytes.length;
+            content.bytes = Arrays.copyOf(content.bytes, start + bytes.remaining());
+            bytes.get(content.bytes, start, bytes.remaining());
+        }
+
+        @Override
+        public void sync() throws IOException {
+            FaultyFileSystem.this.sync();
+            content.syncedBytes = content.bytes.length;
+        }
+
+        @Override
+        public long size() {
+            return content.bytes.length;
+        }
+
+        @Override
+        public void close() {}
+    }
+}
--- /dev/null
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
@@ -0,0 +1,188 @@
+package io.rosemarybeam.consensus.storage;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.StorageException;
+import io.rosemarybeam.consensus.DurableState;
+import io.rosemarybeam.consensus.HardState;
+import io.rosemarybeam.consensus.LogEntry;
+import io.rosemarybeam.consensus.LogSnapshot;
+import io.rosemarybeam.consensus.MemberId;
+import io.rosemarybeam.consensus.Membership;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against entries that are acknowledged but not durable, and against damaged files that are read as valid. */
+class LogStorageTest {
+    private static final String FIRST_SEGMENT = "log-0000000000000001";
+
+    private final FaultyFileSystem files = new FaultyFileSystem();
+
+    private static LogEntry entry(long index, long term) {
+        return new LogEntry(index, term, LogEntry.Kind.COMMAND, ("command " + index + " of " + term).getBytes());
+    }
+
+    private static List<LogEntry> entries(long first, long last, long term) {
+        List<LogEntry> entries = new ArrayList<>();
+        for (long index = first; index <= last; index++) {
+            entries.add(entry(index, term));
+        }
+        return entries;
+    }
+
+    private static LogSnapshot snapshot(long index, long term) {
+        return new LogSnapshot(index, term, Membership.empty(), new byte[] {1, 2, 3});
+    }
+
+    private static void append(LogStorage storage, List<LogEntry> entries) {
+        storage.persist(Optional.empty(), Optional.empty(), entries);
+    }
+
+    private static List<String> positions(DurableState state) {
+        return state.entries().stream()
+                .map(entry -> entry.index() + "/" + entry.term())
+                .toList();
+    }
+
+    private LogStorage reopened() {
+        return LogStorage.open(files);
+    }
+
+    @Test
+    void shouldKeepEverythingPersistedWhenMachineCrashes() {
+        LogStorage storage = reopened();
+        HardState hardState = new HardState(3, Optional.of(new MemberId("control-1", 7)));
+        storage.persist(Optional.of(hardState), Optional.empty(), entries(1, 3, 1));
+        append(storage, entries(4, 5, 3));
+        files.crash(new SplittableRandom(1));
+
+        DurableState loaded = reopened().load();
+
+        assertEquals(hardState, loaded.hardState());
+        assertEquals(List.of("1/1", "2/1", "3/1", "4/3", "5/3"), positions(loaded));
+        assertEquals("command 5 of 3", new String(loaded.entries().getLast().data()));
+    }
+
+    @Test
+    void shouldReplaceConflictingEntriesWhenLeaderOverwritesThem() {
+        LogStorage storage = reopened();
+        append(storage, entries(1, 5, 1));
+        append(storage, entries(3, 4, 2));
+
+        assertEquals(List.of("1/1", "2/1", "3/2", "4/2"), positions(reopened().load()));
+    }
+
+    @Test
+    void shouldDropIncompleteRecordWhenWriteWasInterrupted() {
+        LogStorage storage = reopened();
+        append(storage, entries(1, 2, 1));
+        append(storage, entries(3, 3, 1));
+        files.cut(FIRST_SEGMENT, 5);
+
+        LogStorage again = reopened();
+        assertEquals(List.of("1/1", "2/1"), positions(again.load()));
+        append(again, entries(3, 3, 2));
+        assertEquals(List.of("1/1", "2/1", "3/2"), positions(reopened().load()));
+    }
+
+    @Test
+    void shouldRefuseToLoadWhenRecordInTheMiddleIsDamaged() {
+        LogStorage storage = reopened();
+        append(storage, entries(1, 2, 1));
+        append(storage, entries(3, 3, 1));
+        files.corrupt(FIRST_SEGMENT, 20);
+
+        StorageException failure =
+                assertThrows(StorageException.class, () -> reopened().load());
+        assertEquals(ErrorCode.CORRUPT_RECORD, failure.code());
+    }
+
+    @Test
+    void shouldRefuseAllFurtherUseWhenSyncFails() {
+        LogStorage storage = reopened();
+        append(storage, entries(1, 1, 1));
+        files.failSyncs();
+
+        StorageException failure = assertThrows(StorageException.class, () -> append(storage, entries(2, 2, 1)));
+        files.crash(new SplittableRandom(1));
+        StorageException later = assertThrows(StorageException.class, () -> append(storage, entries(2, 2, 1)));
+
+        assertEquals(ErrorCode.SYNC_FAILED, failure.code());
+        assertEquals(ErrorCode.SYNC_FAILED, later.code());
+    }
+
+    @Test
+    void shouldFailAndKeepFormerStateWhenDiskIsFull() {
+        LogStorage storage = reopened();
+        append(storage, entries(1, 1, 1));
+        files.setCapacity(100);
+
+        StorageException failure = assertThrows(StorageException.class, () -> append(storage, entries(2, 50, 1)));
+
+        assertEquals(ErrorCode.SYNC_FAILED, failure.code());
+        files.setCapacity(Long.MAX_VALUE);
+        files.crash(new SplittableRandom(1));
+        assertEquals(List.of("1/1"), positions(reopened().load()));
+    }
+
+    @Test
+    void shouldDropOldLogWhenSnapshotOfLeaderIsInstalled() {
+        LogStorage storage = reopened();
+        append(storage, entries(1, 5, 1));
+        storage.persist(Optional.empty(), Optional.of(snapshot(9, 2)), entries(10, 11, 2));
+
+        DurableState loaded = reopened().load();
+
+        assertEquals(9, loaded.snapshot().orElseThrow().index());
+        assertEquals(List.of("10/2", "11/2"), positions(loaded));
+    }
+
+    @Test
+    void shouldAppendAfterSnapshotWhenCrashLeftTheOldLogBehind() {
+        LogStorage storage = reopened();
+        append(storage, entries(1, 5, 1));
+        // Like an installation that ends after the rename and before the old segments are deleted.
+        storage.compact(snapshot(9, 2), 0);
+
+        LogStorage again = reopened();
+        assertEquals(List.of(), positions(again.load()));
+        append(again, entries(10, 10, 2));
+        assertEquals(List.of("10/2"), positions(reopened().load()));
+    }
+
+    @Test
+    void shouldDeleteOldSegmentsWhenSnapshotCoversThem() {
+        LogStorage storage = reopened();
+        LogEntry large = new LogEntry(1, 1, LogEntry.Kind.COMMAND, new byte[5 * 1024 * 1024]);
+        append(storage, List.of(large));
+        append(storage, entries(2, 3, 1));
+        storage.compact(snapshot(2, 1), 2);
+
+        assertTrue(files.list().stream().noneMatch(name -> name.equals(FIRST_SEGMENT)));
+        assertEquals(List.of("2/1", "3/1"), positions(reopened().load()));
+    }
+
+    @Test
+    void shouldRefuseFolderWhenItBelongsToAnotherHostOrProcess(@TempDir Path folder) {
+        MemberId created = reopened().identity("control-1", 5);
+
+        assertEquals(created, reopened().identity("control-1", 6));
+        StorageException other =
+                assertThrows(StorageException.class, () -> reopened().identity("control-2", 6));
+        assertEquals(ErrorCode.DATA_FOLDER_INVALID, other.code());
+        LogStorage first = LogStorage.open(FileSystem.of(folder));
+        StorageException used = assertThrows(StorageException.class, () -> FileSystem.of(folder));
+        assertEquals(ErrorCode.DATA_FOLDER_INVALID, used.code());
+        first.close();
+        LogStorage.open(FileSystem.of(folder)).close();
+    }
+}
