Hold back reads for slow callers and check answers without headers

Cause: AsyncHttpClient asks for the next read after every read, so switching automatic reads off did not pause it: 64 MiB were read for a caller that read nothing. It also skips the header callback of an answer without headers, so an answer that ends only with its connection passed as whole with status 0. Change: a gate in the client pipeline drops reads while the caller is slow; missing headers are checked as empty ones. A drain now also waits until every HTTP answer has been handed to the operating system. An endpoint with a malformed address fails its attempt only.

--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/AttemptStream.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/AttemptStream.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.RequestException;
@@ -37,6 +38,7 @@
     private volatile boolean paused;
     private volatile long lastByteMilliseconds;
     private int status;
+    private boolean headSeen;
     private int reportedTokens = -1;
     private Optional<WeightVersion> reportedVersion = Optional.empty();
     private final AtomicBoolean progressPending = new AtomicBoolean();
@@ -97,7 +99,7 @@
 
     @Override
     public void onConnectionOffer(Channel returned) {
-        returned.config().setAutoRead(true);
+        ReadGate.open(returned);
     }
 
     @Override
@@ -123,12 +125,21 @@
     @Override
     public State onHeadersReceived(HttpHeaders headers) {
         touch();
+        headSeen = true;
         return goOn(work.onHead(this, status, headers));
     }
 
+    /** AsyncHttpClient does not report the headers of an answer that has none. */
+    private boolean goesOnWithoutHeaders() {
+        return headSeen || onHeadersReceived(EmptyHttpHeaders.INSTANCE) == State.CONTINUE;
+    }
+
     @Override
     public State onBodyPartReceived(HttpResponseBodyPart part) {
         touch();
+        if (!goesOnWithoutHeaders()) {
+            return State.ABORT;
+        }
         State state = goOn(work.onBytes(this, part.getBodyByteBuf()));
         if (state == State.CONTINUE) {
             reportProgress();
@@ -144,7 +155,7 @@
 
     @Override
     public Void onCompleted() {
-        if (ended.get()) {
+        if (ended.get() || !goesOnWithoutHeaders()) {
             return null;
         }
         Optional<AttemptFailure> failure = work.onEnd(this);
@@ -190,7 +201,7 @@
             return;
         }
         paused = true;
-        channel.config().setAutoRead(false);
+        ReadGate.shut(channel);
         if (work.isWritable()) {
             resumeReading();
         }
@@ -200,7 +211,7 @@
         if (paused) {
             touch();
             paused = false;
-            channel.config().setAutoRead(true);
+            ReadGate.open(channel);
         }
     }
 
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerConnection.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerConnection.java
@@ -31,6 +31,7 @@
 
     private final HttpRoutes routes;
     private final ByteBudget budget;
+    private final OpenCalls openCalls;
     private final Deque<Object> waiting = new ArrayDeque<>();
     private HttpRequestHead head;
     private ByteBuf body = Unpooled.EMPTY_BUFFER;
@@ -39,8 +40,9 @@
     private HttpCall call;
     private boolean discarding;
 
-    CallerConnection(HttpRoutes routes, ByteBudget budget) {
+    CallerConnection(HttpRoutes routes, ByteBudget budget, OpenCalls openCalls) {
         this.routes = routes;
+        this.openCalls = openCalls;
         this.budget = budget;
     }
 
@@ -107,7 +109,8 @@
             byte[] bytes = new byte[body.readableBytes()];
             body.readBytes(bytes);
             releaseBody();
-            HttpCall ready = new HttpCall(context.channel(), head, bytes, () -> next(context));
+            Runnable release = openCalls.enter();
+            HttpCall ready = new HttpCall(context.channel(), head, bytes, () -> next(context), release);
             call = ready;
             dispatch(ready);
         }
@@ -141,7 +144,7 @@
     private void refuse(ChannelHandlerContext context, Problem problem) {
         discarding = true;
         routes.countRefusal(problem.code());
-        HttpCall refused = new HttpCall(context.channel(), head, new byte[0], () -> {});
+        HttpCall refused = new HttpCall(context.channel(), head, new byte[0], () -> {}, openCalls.enter());
         refused.closeAfterAnswer();
         refused.refuse(problem);
     }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerRoutes.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerRoutes.java
@@ -106,7 +106,7 @@
         RequestId id = works.nextRequestId();
         boolean stream = body.path("stream").asBoolean(false);
         HttpCompletionReceiver receiver = new HttpCompletionReceiver(call, id.value(), model, stream, maximumTokens);
-        HttpHeaders headers = ProxyHeaders.forEndpoint(call.head().headers());
+        HttpHeaders headers = ProxyHeaders.forEngine(call.head().headers());
         Work work = works.work(
                 id,
                 service.name(),
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/DecisionLoop.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/DecisionLoop.java
@@ -76,6 +76,9 @@
                 return;
             } catch (RuntimeException failure) {
                 LOG.log(Event.HANDLER_FAILED, failure, "thread", "decision");
+            } catch (Error failure) {
+                LOG.log(Event.PROCESS_FAILED, failure, "thread", "decision");
+                throw failure;
             }
         }
     }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Drain.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Drain.java
@@ -21,6 +21,7 @@
     private final StateKeeper keeper;
     private final StateKeeper.Drivers drivers;
     private final DecisionLoop loop;
+    private final OpenCalls openCalls;
     private final long maximumMilliseconds;
     private final CompletableFuture<Void> finished = new CompletableFuture<>();
     private Phase phase = Phase.SERVING;
@@ -38,10 +39,16 @@
         DONE
     }
 
-    Drain(StateKeeper keeper, StateKeeper.Drivers drivers, DecisionLoop loop, long maximumMilliseconds) {
+    Drain(
+            StateKeeper keeper,
+            StateKeeper.Drivers drivers,
+            DecisionLoop loop,
+            OpenCalls openCalls,
+            long maximumMilliseconds) {
         this.keeper = keeper;
         this.drivers = drivers;
         this.loop = loop;
+        this.openCalls = openCalls;
         this.maximumMilliseconds = maximumMilliseconds;
     }
 
@@ -76,15 +83,20 @@
             return;
         }
         if (drivers.request().openRequests() == 0) {
-            end(Event.DRAIN_FINISHED);
-        } else if (lapsed >= maximumMilliseconds) {
+            drivers.step().refuseReads();
+            if (openCalls.count() == 0) {
+                end(Event.DRAIN_FINISHED);
+                return;
+            }
+        }
+        if (lapsed >= maximumMilliseconds) {
             end(Event.DRAIN_CUT);
         }
     }
 
     private void end(Event event) {
         phase = Phase.DONE;
-        LOG.log(event, "openRequests", drivers.request().openRequests());
+        LOG.log(event, "openRequests", drivers.request().openRequests(), "openCalls", openCalls.count());
         finished.complete(null);
     }
 }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
@@ -65,6 +65,7 @@
                 .setHttpClientCodecMaxHeaderSize(MAXIMUM_HEADER_BYTES)
                 .setTcpNoDelay(true)
                 .setCookieStore(null)
+                .setHttpAdditionalChannelInitializer(ReadGate::install)
                 .setResponseBodyPartFactory(AsyncHttpClientConfig.ResponseBodyPartFactory.LAZY));
     }
 
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
@@ -58,6 +58,7 @@
     private final HttpServer server;
     private final AdminServer admin;
     private final Drain drain;
+    private final OpenCalls openCalls = new OpenCalls();
     private long nextAttemptCheck;
     private long nextExpiryCheck;
 
@@ -105,7 +106,7 @@
         rollout.connect(endpoints);
         StateKeeper.Drivers drivers = new StateKeeper.Drivers(requests, steps, rollout, availability);
         keeper = new StateKeeper(identity, control, parser, loop, membership, drivers, metrics);
-        drain = new Drain(keeper, drivers, loop, DRAIN_MILLISECONDS);
+        drain = new Drain(keeper, drivers, loop, openCalls, DRAIN_MILLISECONDS);
         keeper.onDrainText(drain::start);
         TrainerRoutes trainers = new TrainerRoutes(loop, control, identity, keeper, steps, peers);
         EntryRoutes routes = new EntryRoutes(
@@ -117,7 +118,7 @@
         budget = new ByteBudget(BUFFERED_BODY_BYTES);
         peers.listen(settings.peerAddress(), secrets, trainers::onRelay, this::dump);
         admin = AdminServer.start(eventLoops, settings.adminAddress(), metrics.metrics(), this::dump);
-        server = HttpServer.open(eventLoops, settings.callerAddress(), routes, budget);
+        server = HttpServer.open(eventLoops, settings.callerAddress(), routes, budget, openCalls);
     }
 
     /**
@@ -215,6 +216,7 @@
         dump.put("endpoints", keeper.membership().endpoints());
         dump.put("entryHosts", view.entryHosts());
         dump.put("openRequests", requests.openRequests());
+        dump.put("openCalls", openCalls.count());
         dump.put("attempts", endpoints.attemptCount());
         dump.put("connections", server.connectionCount());
         dump.put("bufferedBodyBytes", budget.usedBytes());
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpCall.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpCall.java
@@ -8,6 +8,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -33,6 +35,7 @@
     private final HttpRequestHead head;
     private final byte[] body;
     private final Runnable onAnswered;
+    private final Runnable onSent;
     private final AtomicLong pendingBytes = new AtomicLong();
     private final AtomicBoolean started = new AtomicBoolean();
     private final AtomicBoolean finished = new AtomicBoolean();
@@ -41,11 +44,21 @@
     private boolean closed;
     private volatile boolean closing;
 
-    HttpCall(Channel channel, HttpRequestHead head, byte[] body, Runnable onAnswered) {
+    /**
+     * Creates a call.
+     *
+     * @param channel the connection
+     * @param head request line and headers
+     * @param body body
+     * @param onAnswered called once the answer is written and the connection can take the next request
+     * @param onSent called once the whole answer has been handed to the operating system, or the connection has failed
+     */
+    HttpCall(Channel channel, HttpRequestHead head, byte[] body, Runnable onAnswered, Runnable onSent) {
         this.channel = channel;
         this.head = head;
         this.body = body;
         this.onAnswered = onAnswered;
+        this.onSent = onSent;
         this.closing = !head.keepAlive();
     }
 
@@ -98,10 +111,7 @@
         }
         response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
         markConnection(response.headers());
-        channel.eventLoop().execute(() -> {
-            channel.writeAndFlush(response);
-            answered();
-        });
+        channel.eventLoop().execute(() -> answered(channel.writeAndFlush(response)));
     }
 
     // ---- Streamed answers ----
@@ -148,10 +158,7 @@
     /** Ends a streamed answer. */
     void finish() {
         if (finished.compareAndSet(false, true)) {
-            channel.eventLoop().execute(() -> {
-                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-                answered();
-            });
+            channel.eventLoop().execute(() -> answered(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)));
         }
     }
 
@@ -209,12 +216,14 @@
         if (!complete) {
             onClosed.forEach(Runnable::run);
         }
+        onSent.run();
         onWritable.forEach(Runnable::run);
     }
 
-    private void answered() {
+    private void answered(ChannelFuture written) {
+        written.addListener(ended -> onSent.run());
         if (closing) {
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(io.netty.channel.ChannelFutureListener.CLOSE);
+            written.addListener(ChannelFutureListener.CLOSE);
         } else {
             onAnswered.run();
         }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpServer.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpServer.java
@@ -50,10 +50,12 @@
      * @param address IP number and port
      * @param routes serves the requests
      * @param budget bounds the bodies
+     * @param openCalls counts the requests in progress
      * @return the server
      * @throws WireException with {@link ErrorCode#CONNECTION_FAILED} if the address cannot be bound
      */
-    static HttpServer open(EventLoopGroup eventLoops, String address, HttpRoutes routes, ByteBudget budget) {
+    static HttpServer open(
+            EventLoopGroup eventLoops, String address, HttpRoutes routes, ByteBudget budget, OpenCalls openCalls) {
         ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(eventLoops)
@@ -74,7 +76,7 @@
                                         FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES, true))
                                 .addLast(new HttpServerCodec(
                                         MAXIMUM_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES))
-                                .addLast(new CallerConnection(routes, budget));
+                                .addLast(new CallerConnection(routes, budget, openCalls));
                     }
                 });
         var bound = bootstrap.bind(WireTransport.parse(address)).awaitUninterruptibly();
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/OpenCalls.java
@@ -0,0 +1,28 @@
+package io.rosemarybeam.entry;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Counts the HTTP requests whose answers have not been sent in full. Safe for use by several threads. */
+final class OpenCalls {
+    private final AtomicInteger count = new AtomicInteger();
+
+    /**
+     * Counts a request.
+     *
+     * @return ends its count; a second run has no effect
+     */
+    Runnable enter() {
+        count.incrementAndGet();
+        AtomicBoolean left = new AtomicBoolean();
+        return () -> {
+            if (left.compareAndSet(false, true)) {
+                count.decrementAndGet();
+            }
+        };
+    }
+
+    int count() {
+        return count.get();
+    }
+}
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ProxyHeaders.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ProxyHeaders.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.entry;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 
@@ -27,6 +28,7 @@
             "x-priority",
             "x-resume-offset",
             "x-deadline-milliseconds");
+    private static final List<String> TRACE = List.of("traceparent", "tracestate", "x-request-id");
 
     private ProxyHeaders() {}
 
@@ -42,6 +44,26 @@
         return kept;
     }
 
+    /**
+     * Returns the headers of a completion request. Only trace headers of the caller are kept: others, such as accepted
+     * encodings, could change the stream that the entry has to read.
+     *
+     * @param headers as the caller sent them
+     * @return the headers
+     */
+    static HttpHeaders forEngine(HttpHeaders headers) {
+        HttpHeaders kept = new DefaultHttpHeaders();
+        kept.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        kept.set(HttpHeaderNames.ACCEPT, "text/event-stream");
+        for (String name : TRACE) {
+            String value = headers.get(name);
+            if (value != null) {
+                kept.set(name, value);
+            }
+        }
+        return kept;
+    }
+
     /**
      * Returns the headers of an answer for the caller.
      *
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ReadGate.java
@@ -0,0 +1,74 @@
+package io.rosemarybeam.entry;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+
+/**
+ * Holds reads back while the receiver of an answer is slow.
+ *
+ * <p>Invariant: while it is shut no read reaches the socket. AsyncHttpClient asks for the next read by itself after every
+ * one, so switching automatic reads off is not enough. Confined to the event loop of its connection; {@link #shut} and
+ * {@link #open} may be called by any thread.
+ */
+final class ReadGate extends ChannelOutboundHandlerAdapter {
+    private boolean shut;
+    private boolean readWanted;
+
+    /**
+     * Adds a gate to a new connection.
+     *
+     * @param channel the connection
+     */
+    static void install(Channel channel) {
+        channel.pipeline().addFirst(new ReadGate());
+    }
+
+    /**
+     * Holds reads back from now on.
+     *
+     * @param channel the connection
+     */
+    static void shut(Channel channel) {
+        set(channel, true);
+    }
+
+    /**
+     * Lets reads through from now on.
+     *
+     * @param channel the connection
+     */
+    static void open(Channel channel) {
+        set(channel, false);
+    }
+
+    private static void set(Channel channel, boolean shut) {
+        if (channel.eventLoop().inEventLoop()) {
+            setHere(channel, shut);
+        } else {
+            channel.eventLoop().execute(() -> setHere(channel, shut));
+        }
+    }
+
+    private static void setHere(Channel channel, boolean shut) {
+        ReadGate gate = channel.pipeline().get(ReadGate.class);
+        if (gate == null) {
+            return;
+        }
+        gate.shut = shut;
+        channel.config().setAutoRead(!shut);
+        if (!shut && gate.readWanted) {
+            gate.readWanted = false;
+            channel.read();
+        }
+    }
+
+    @Override
+    public void read(ChannelHandlerContext context) {
+        if (shut) {
+            readWanted = true;
+        } else {
+            context.read();
+        }
+    }
+}
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 
 import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.RequestId;
 import io.rosemarybeam.common.wire.ControlReply.ClaimReply;
@@ -28,6 +30,7 @@
  * {@link #submit}, {@link #feed} and the attempt notifications, which any thread may call.
  */
 final class RequestDriver implements AttemptListener {
+    private static final EventLog LOG = EventLog.of(RequestDriver.class);
     private static final Duration OUTCOME_TIME = Duration.ofSeconds(30);
     private static final Duration CRASH_REPORT_TIME = Duration.ofSeconds(30);
     private static final int KEPT_OUTCOMES = 1_024;
@@ -122,7 +125,15 @@
     void handle(RequestInput input) {
         List<RequestCommand> commands = core.handle(loop.now(), input);
         for (RequestCommand command : commands) {
-            carryOut(command);
+            try {
+                carryOut(command);
+            } catch (RuntimeException failure) {
+                LOG.log(
+                        Event.HANDLER_FAILED,
+                        failure,
+                        "command",
+                        command.getClass().getSimpleName());
+            }
         }
     }
 
@@ -147,7 +158,12 @@
             feed(new RequestInput.AttemptFailed(start.attempt(), AttemptFailure.CONNECT_FAILED));
             return;
         }
-        endpoints.start(start, work);
+        try {
+            endpoints.start(start, work);
+        } catch (IllegalArgumentException malformedAddress) {
+            LOG.log(Event.HANDLER_FAILED, malformedAddress, "endpoint", start.endpoint());
+            feed(new RequestInput.AttemptFailed(start.attempt(), AttemptFailure.CONNECT_FAILED));
+        }
     }
 
     private boolean canCancel(EndpointId endpoint) {
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
@@ -40,6 +40,7 @@
     private static final EventLog LOG = EventLog.of(StepDriver.class);
     private static final Duration LEDGER_TIME = Duration.ofSeconds(5);
     private static final long SCORE_MILLISECONDS = 10_000;
+    private static final long RETRY_MILLISECONDS = 1_000;
     private static final int CHARACTERS_PER_TOKEN = 4;
 
     private final StepCore core;
@@ -94,7 +95,15 @@
 
     void handle(StepInput input) {
         for (StepCommand command : core.handle(loop.now(), input)) {
-            carryOut(command);
+            try {
+                carryOut(command);
+            } catch (RuntimeException failure) {
+                LOG.log(
+                        Event.HANDLER_FAILED,
+                        failure,
+                        "command",
+                        command.getClass().getSimpleName());
+            }
         }
     }
 
@@ -163,6 +172,12 @@
         handle(new StepInput.SamplesRead(read, step, cursor, maximum, loop.now() + waitMilliseconds));
     }
 
+    /** Answers all waiting reads, so that their trainers ask another entry. */
+    void refuseReads() {
+        reads.values().forEach(read -> read.reply().refuse(Problem.retryLater(ErrorCode.DRAINING, RETRY_MILLISECONDS)));
+        reads.clear();
+    }
+
     private void answer(StepCommand.AnswerRead answer) {
         Read read = reads.remove(answer.read());
         if (read == null) {
--- /dev/null
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ProxyTest.java
@@ -0,0 +1,212 @@
+package io.rosemarybeam.entry;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against repeated orders, answers that are cut unnoticed, and buffers that grow with a slow caller. */
+class ProxyTest {
+    private static final String PATH = "/services/workshop-app";
+    private static final int CHUNK_BYTES = 16_384;
+
+    private EntryHarness harness;
+    private EntryHarness.Entry entry;
+
+    @BeforeEach
+    void start() throws Exception {
+        harness = new EntryHarness(1);
+        entry = harness.startReadyEntry("entry-1", "amman-a");
+    }
+
+    @AfterEach
+    void stop() {
+        harness.close();
+    }
+
+    private ScriptedEndpoint endpoint(String id, ScriptedEndpoint.Script script) {
+        ScriptedEndpoint endpoint = harness.startEndpoint(script);
+        assertEquals(
+                200, harness.announce(entry, id, "workshop-app", endpoint.url()).statusCode());
+        return endpoint;
+    }
+
+    private static String run(HttpResponse<String> answer) throws IOException {
+        return String.valueOf(EntryHarness.json(answer.body()).get("run"));
+    }
+
+    @Test
+    void shouldPassOnMethodPathHeadersAndBodyWhenCallIsProxied() {
+        ScriptedEndpoint endpoint = endpoint(
+                "a", call -> call.whole(201, "made " + call.body(), "X-Shop", "yes", "X-Attempt-Id", call.attempt()));
+        HttpResponse<String> answer = harness.post(entry, PATH + "/a%20b/c?x=1&y=%2F", "sign", "X-Custom", "7");
+        assertEquals(201, answer.statusCode());
+        assertEquals("made sign", answer.body());
+        assertEquals("yes", answer.headers().firstValue("x-shop").orElse(""));
+        assertTrue(answer.headers().firstValue("x-attempt-id").isEmpty());
+        ScriptedEndpoint.Call call = endpoint.calls().getFirst();
+        assertEquals("/a%20b/c?x=1&y=%2F", call.uri());
+        assertEquals("7", call.headers().get("x-custom"));
+        assertTrue(Long.parseLong(call.headers().get("x-deadline-milliseconds")) <= 30_000);
+    }
+
+    @Test
+    void shouldNotRepeatWhenOrderMayHaveRun() throws Exception {
+        endpoint("a", call -> call.socket().close());
+        ScriptedEndpoint second = endpoint("b", call -> call.whole(200, "again"));
+        HttpResponse<String> answer = harness.post(entry, PATH + "/bookings", "{}");
+        assertEquals("unknown", run(answer), answer.body());
+        assertEquals(0, second.calls().size());
+    }
+
+    @Test
+    void shouldRunElsewhereWhenEndpointRefusedBeforeRunning() {
+        endpoint("a", call -> call.whole(503, "", "X-Run", "not-run"));
+        endpoint("b", call -> call.whole(200, "ran"));
+        assertEquals("ran", harness.post(entry, PATH + "/bookings", "{}").body());
+    }
+
+    @Test
+    void shouldRepeatUnnoticedWhenShortIdempotentAnswerBreaks() {
+        endpoint("a", call -> {
+            call.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+            call.socket().close();
+        });
+        endpoint("b", call -> call.whole(200, "whole"));
+        assertEquals("whole", harness.get(entry, PATH + "/page").body());
+    }
+
+    @Test
+    void shouldNotTakeAnswerForWholeWhenItEndsOnlyWithItsConnection() {
+        endpoint("a", call -> {
+            call.write("HTTP/1.1 200 OK\r\n\r\nmaybe half");
+            call.socket().close();
+        });
+        endpoint("b", call -> call.whole(200, "whole"));
+        assertEquals("whole", harness.get(entry, PATH + "/page").body());
+    }
+
+    @Test
+    void shouldDropAnswerWhenItBelongsToAnotherAttempt() {
+        endpoint("a", call -> call.whole(200, "not yours", "X-Attempt-Id", "other"));
+        endpoint("b", call -> call.whole(200, "yours", "X-Attempt-Id", call.attempt()));
+        assertEquals("yours", harness.get(entry, PATH + "/page").body());
+    }
+
+    @Test
+    void shouldReplayRecordedOutcomeWhenKeyIsSentAgain() throws Exception {
+        ScriptedEndpoint endpoint = endpoint("a", call -> call.whole(201, "booked", "X-Shop", "yes"));
+        harness.post(entry, PATH + "/bookings", "{}", "Idempotency-Key", "k1");
+        EntryHarness.await(() -> {
+            synchronized (harness.state) {
+                return harness.state.outcomes.containsKey("k1");
+            }
+        });
+        HttpResponse<String> again = harness.post(entry, PATH + "/bookings", "{}", "Idempotency-Key", "k1");
+        assertEquals(201, again.statusCode());
+        assertEquals("booked", again.body());
+        assertEquals("yes", again.headers().firstValue("x-shop").orElse(""));
+        assertEquals(1, endpoint.calls().size());
+    }
+
+    @Test
+    void shouldUseNewConnectionWhenCallMustNotRunTwice() {
+        ScriptedEndpoint endpoint = endpoint("a", call -> call.whole(200, "x"));
+        for (int number = 0; number < 3; number++) {
+            harness.post(entry, PATH + "/bookings", "{}");
+        }
+        assertEquals(
+                3,
+                endpoint.calls().stream()
+                        .map(ScriptedEndpoint.Call::connection)
+                        .distinct()
+                        .count());
+    }
+
+    @Test
+    void shouldRefuseWhenBodyExceedsLimit() throws Exception {
+        ScriptedEndpoint endpoint = endpoint("a", call -> call.whole(200, "x"));
+        HttpResponse<String> declared = harness.post(entry, PATH + "/bookings", "x".repeat(70_000));
+        assertEquals(413, declared.statusCode());
+        assertEquals("not-run", run(declared));
+        HttpRequest chunked = HttpRequest.newBuilder(java.net.URI.create("http://" + entry.address() + PATH + "/b"))
+                .POST(HttpRequest.BodyPublishers.ofInputStream(
+                        () -> new java.io.ByteArrayInputStream(new byte[70_000])))
+                .build();
+        assertEquals(413, harness.send(chunked).statusCode());
+        assertEquals(0, endpoint.calls().size());
+    }
+
+    @Test
+    void shouldRefuseWhenDotSegmentCouldHideAnotherPath() {
+        endpoint("a", call -> call.whole(200, "x"));
+        assertEquals(400, harness.get(entry, PATH + "/a/%2e%2e/bookings").statusCode());
+    }
+
+    @Test
+    void shouldStopReadingFromEndpointWhenCallerIsSlow() throws Exception {
+        AtomicLong written = new AtomicLong();
+        long total = 64L * 1024 * 1024;
+        endpoint("a", call -> {
+            call.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            String chunk = Integer.toHexString(CHUNK_BYTES) + "\r\n" + "x".repeat(CHUNK_BYTES) + "\r\n";
+            while (written.get() < total) {
+                call.write(chunk);
+                written.addAndGet(CHUNK_BYTES);
+            }
+            call.write("0\r\n\r\n");
+        });
+        String[] address = entry.address().split(":");
+        try (Socket caller = new Socket()) {
+            caller.setReceiveBufferSize(CHUNK_BYTES);
+            caller.connect(new java.net.InetSocketAddress(address[0], Integer.parseInt(address[1])));
+            caller.getOutputStream()
+                    .write(("GET " + PATH + "/large HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            EntryHarness.await(() -> written.get() > 0);
+            Thread.sleep(1_500);
+            assertTrue(written.get() < total / 4, written + " bytes were read for a caller that reads nothing");
+            InputStream input = caller.getInputStream();
+            byte[] buffer = new byte[65_536];
+            long read = 0;
+            while (read < total) {
+                int count = input.read(buffer);
+                assertTrue(count > 0, "the answer was cut after " + read + " bytes");
+                read += count;
+            }
+        }
+        assertEquals(total, written.get());
+    }
+
+    @Test
+    void shouldCancelAttemptWhenCallerGoesAway() throws Exception {
+        AtomicLong closedAt = new AtomicLong();
+        endpoint("a", call -> {
+            call.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            try {
+                while (true) {
+                    call.write("1\r\nx\r\n");
+                    Thread.sleep(20);
+                }
+            } finally {
+                closedAt.set(System.nanoTime());
+            }
+        });
+        String[] address = entry.address().split(":");
+        try (Socket caller = new Socket(address[0], Integer.parseInt(address[1]))) {
+            caller.getOutputStream()
+                    .write(("GET " + PATH + "/x HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            assertTrue(caller.getInputStream().read() > 0);
+        }
+        EntryHarness.await(() -> closedAt.get() > 0);
+    }
+}
