--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/MembershipSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/MembershipSystem.java
@@ -17,9 +17,11 @@
  */
 final class MembershipSystem {
     private final Tables tables;
+    private final EjectionSystem ejection;
 
-    MembershipSystem(Tables tables) {
+    MembershipSystem(Tables tables, EjectionSystem ejection) {
         this.tables = tables;
+        this.ejection = ejection;
     }
 
     void changed(MembershipDelta delta) {
@@ -32,6 +34,7 @@
         }
         delta.removedEndpoints().forEach(this::remove);
         delta.endpoints().forEach(this::put);
+        tables.services.values().forEach(ejection::keepFloor);
     }
 
     void availability(RequestInput.EndpointAvailability input) {
@@ -39,6 +42,7 @@
         if (endpoint != null) {
             endpoint.inService = input.inService();
             tables.refresh(endpoint);
+            ejection.keepFloor(endpoint.service);
         }
     }
 
@@ -50,6 +54,13 @@
         }
     }
 
+    void cacheReported(RequestInput.CacheReported report) {
+        EndpointRow endpoint = tables.endpoints.get(report.endpoint());
+        if (endpoint != null && endpoint.record.incarnation() == report.incarnation()) {
+            endpoint.cache.report(report);
+        }
+    }
+
     private void put(EndpointRecord endpointRecord) {
         EndpointRow endpoint = tables.endpoints.get(endpointRecord.id());
         if (endpoint != null && endpointRecord.incarnation() < endpoint.record.incarnation()) {
@@ -73,6 +84,7 @@
         EndpointRow endpoint = tables.endpoints.remove(id);
         if (endpoint != null) {
             endpoint.member = false;
+            endpoint.cache.clear();
             endpoint.service.endpoints.remove(endpoint);
             tables.refresh(endpoint);
         }
