--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepCommand.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepCommand.java
@@ -28,6 +28,9 @@
      * @param minimumVersion oldest weight version that may serve it
      * @param avoid endpoints that run other attempts of the sample
      * @param deadlineMilliseconds when it must be complete
+     * @param step the step
+     * @param index the sample; attempts of one sample may share a sampling seed, so that the first to complete is no
+     *     shorter than the others
      */
     record SubmitSample(
             RequestId request,
@@ -38,7 +41,9 @@
             int expectedTokens,
             WeightVersion minimumVersion,
             Set<EndpointId> avoid,
-            long deadlineMilliseconds)
+            long deadlineMilliseconds,
+            StepKey step,
+            int index)
             implements StepCommand {
         /** Copies the endpoints. */
         public SubmitSample {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/SubmissionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/SubmissionSystem.java
@@ -125,7 +125,9 @@
                 LengthPredictor.predict(step, sample),
                 WeightVersion.of(tables.oldestPermitted(step).orElse(0L)),
                 avoid,
-                attempt.deadlineMilliseconds));
+                attempt.deadlineMilliseconds,
+                step.key,
+                sample.index));
         sample.attempts.add(attempt);
         tables.running.put(request, new Running(step, sample, attempt));
         step.move(sample, Status.RUNNING);
--- /dev/null
+++ b/rosemarybeam-replay/src/main/java/io/rosemarybeam/replay/CallerModel.java
@@ -0,0 +1,175 @@
+package io.rosemarybeam.replay;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.id.IdempotencyKey;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.decision.request.RequestCommand.RunState;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Stand-in for the callers: sends requests, sends them again when they may be, and checks the promises.
+ *
+ * <p>Invariant: a request without key that is not idempotent is sent again only if it was not run. Confined to one thread.
+ */
+final class CallerModel {
+    /** A caller gives up this long after its first sending. */
+    private static final long PATIENCE_MILLISECONDS = 60_000;
+
+    private static final long MINIMUM_PAUSE_MILLISECONDS = 100;
+
+    /** A request as its caller sees it. */
+    record Call(
+            String id,
+            ServiceName service,
+            int tokens,
+            int promptTokens,
+            String prefix,
+            boolean idempotent,
+            Optional<IdempotencyKey> key,
+            boolean poisoned) {}
+
+    /** Takes the end of a sending. */
+    interface AnswerHandler {
+        /** The whole answer arrived. */
+        void answered(int tokens);
+
+        /** The request was refused. */
+        void refused(RunState state, long retryAfterMilliseconds);
+    }
+
+    /** What a caller asks of the entry. */
+    interface Entry {
+        /** Sends a request. */
+        void send(Call call, AnswerHandler handler);
+    }
+
+    private final VirtualTime time;
+    private final Entry entry;
+    private final Measures measures;
+    private final UniformRandomProvider random;
+    private final Map<String, Integer> answers = new HashMap<>();
+    private long calls;
+    private long open;
+
+    CallerModel(VirtualTime time, Entry entry, Measures measures, long seed) {
+        this.time = time;
+        this.entry = entry;
+        this.measures = measures;
+        this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    }
+
+    void arrive(TraceEvent.Arrival arrival) {
+        Optional<IdempotencyKey> key =
+                arrival.idempotent() ? Optional.empty() : Optional.of(IdempotencyKey.of("key-" + calls));
+        begin(new Call(
+                nextId(),
+                ServiceName.of(arrival.service()),
+                arrival.tokens(),
+                arrival.promptTokens(),
+                arrival.prefix(),
+                arrival.idempotent(),
+                key,
+                false));
+    }
+
+    void arrive(TraceEvent.Arrivals arrivals) {
+        double at = arrivals.at();
+        while (true) {
+            at += -Math.log(1 - random.nextDouble()) * 1_000 / arrivals.perSecond();
+            if (at >= arrivals.at() + arrivals.durationMilliseconds()) {
+                return;
+            }
+            boolean keyed = random.nextDouble() < arrivals.keyedShare();
+            int tokens = tokens(random, arrivals.meanTokens(), arrivals.maximumTokens());
+            String id = nextId();
+            Call call = new Call(
+                    id,
+                    ServiceName.of(arrivals.service()),
+                    tokens,
+                    arrivals.promptTokens(),
+                    arrivals.service() + "-prefix-" + random.nextInt(arrivals.prefixes()),
+                    !keyed,
+                    keyed ? Optional.of(IdempotencyKey.of("key-" + id)) : Optional.empty(),
+                    false);
+            time.at((long) at, () -> begin(call));
+        }
+    }
+
+    void poison(TraceEvent.PoisonedRequest poisoned) {
+        Call call = new Call(
+                "poisoned-" + poisoned.service() + "-" + poisoned.at(),
+                ServiceName.of(poisoned.service()),
+                64,
+                16,
+                "poison",
+                true,
+                Optional.empty(),
+                true);
+        for (int sending = 0; sending < poisoned.sendings(); sending++) {
+            time.after(
+                    sending * poisoned.everyMilliseconds(),
+                    () -> entry.send(call, new AnswerHandler() {
+                        @Override
+                        public void answered(int tokens) {
+                            measures.count("poisoned requests answered");
+                        }
+
+                        @Override
+                        public void refused(RunState state, long retryAfterMilliseconds) {
+                            measures.count("poisoned requests refused");
+                        }
+                    }));
+        }
+    }
+
+    void finish() {
+        measures.customerRequestsUnanswered += open;
+    }
+
+    /** Draws a length with a long tail. */
+    static int tokens(UniformRandomProvider random, int mean, int maximum) {
+        double drawn = mean / 2.0 - Math.log(1 - random.nextDouble()) * mean / 2.0;
+        return (int) Math.max(1, Math.min(maximum, drawn));
+    }
+
+    private String nextId() {
+        calls++;
+        return "call-" + calls;
+    }
+
+    private void begin(Call call) {
+        open++;
+        long startedAt = time.now();
+        send(call, startedAt);
+    }
+
+    private void send(Call call, long startedAt) {
+        entry.send(call, new AnswerHandler() {
+            @Override
+            public void answered(int tokens) {
+                open--;
+                measures.promise("whole answer to its own request", tokens == call.tokens(), call.id());
+                int times = answers.merge(call.id(), 1, Integer::sum);
+                measures.promise("every customer request answered once", times == 1, call.id());
+                measures.customerLatency.recordValue(Math.max(0, time.now() - startedAt));
+                measures.customerTokens += tokens;
+            }
+
+            @Override
+            public void refused(RunState state, long retryAfterMilliseconds) {
+                boolean mayRepeat = call.idempotent() || call.key().isPresent() || state == RunState.NOT_RUN;
+                long pause = Math.max(MINIMUM_PAUSE_MILLISECONDS, retryAfterMilliseconds);
+                measures.count("customer refusals " + state);
+                if (mayRepeat && time.now() + pause < startedAt + PATIENCE_MILLISECONDS) {
+                    time.after(pause, () -> send(call, startedAt));
+                } else {
+                    measures.count("customer requests given up");
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/rosemarybeam-replay/src/main/java/io/rosemarybeam/replay/ControlModel.java
@@ -0,0 +1,198 @@
+package io.rosemarybeam.replay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.IdempotencyKey;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.ControlReply.ClaimState;
+import io.rosemarybeam.common.wire.RequestOutcome;
+import io.rosemarybeam.common.wire.StepRecords.HandOver;
+import io.rosemarybeam.common.wire.StepRecords.SampleCommit;
+import io.rosemarybeam.common.wire.StepRecords.StepSnapshot;
+import io.rosemarybeam.common.wire.StepRecords.StepSpecification;
+import io.rosemarybeam.decision.step.StepInput.StepKey;
+
+/**
+ * Stand-in for the control process: a ledger that answers after a fixed delay, in the order of the calls.
+ *
+ * <p>Invariant: a sample has one committed winner, a cursor keeps its samples, and a call with an old owner epoch changes
+ * nothing. Confined to one thread.
+ */
+final class ControlModel {
+    /** Time from a call to its answer: one majority write between failure domains. */
+    static final long DELAY_MILLISECONDS = 10;
+
+    /** After this time a call without answer fails. */
+    private static final long TIMEOUT_MILLISECONDS = 2_000;
+
+    /** A step as the control process keeps it. */
+    private static final class LedgerStep {
+        final StepSpecification specification;
+        long epoch = 1;
+        final TreeMap<Integer, SampleCommit> committed = new TreeMap<>();
+        final TreeMap<Long, HandOver> handOvers = new TreeMap<>();
+
+        LedgerStep(StepSpecification specification) {
+            this.specification = specification;
+        }
+
+        boolean isAcknowledged(int index) {
+            return handOvers.values().stream()
+                    .anyMatch(handOver ->
+                            handOver.acknowledged() && handOver.sampleIndexes().contains(index));
+        }
+    }
+
+    /** A claim of a non-idempotent request. */
+    private static final class Claim {
+        ClaimState state = ClaimState.IN_PROGRESS;
+        Optional<RequestOutcome> outcome = Optional.empty();
+        String fingerprint;
+        long settlesAtMilliseconds;
+    }
+
+    private final VirtualTime time;
+    private final HostName entry;
+    private final Map<StepKey, LedgerStep> steps = new HashMap<>();
+    private final Map<String, Claim> claims = new HashMap<>();
+    private final Map<ServiceName, Long> published = new HashMap<>();
+    private long outageUntil = -1;
+
+    ControlModel(VirtualTime time, HostName entry) {
+        this.time = time;
+        this.entry = entry;
+    }
+
+    void fail(long milliseconds) {
+        outageUntil = Math.max(outageUntil, time.now() + milliseconds);
+    }
+
+    /** Applies a call half-way through the delay and returns its answer at the end of it. */
+    <T> void call(Supplier<T> change, Consumer<T> onAnswer, Runnable onFailure) {
+        if (time.now() < outageUntil) {
+            time.after(TIMEOUT_MILLISECONDS, onFailure);
+            return;
+        }
+        time.after(DELAY_MILLISECONDS / 2, () -> {
+            T answer = change.get();
+            if (time.now() < outageUntil) {
+                time.after(TIMEOUT_MILLISECONDS, onFailure);
+            } else {
+                time.after(DELAY_MILLISECONDS / 2, () -> onAnswer.accept(answer));
+            }
+        });
+    }
+
+    // ---- Steps ----
+
+    long published(ServiceName service) {
+        return published.getOrDefault(service, 0L);
+    }
+
+    boolean publish(ServiceName service, long version) {
+        published.merge(service, version, Math::max);
+        return true;
+    }
+
+    StepSnapshot open(StepSpecification specification) {
+        StepKey key = new StepKey(specification.trainer(), specification.step());
+        return snapshot(steps.computeIfAbsent(key, unused -> new LedgerStep(specification)));
+    }
+
+    /** Gives all steps a new owner epoch and returns their states. */
+    List<StepSnapshot> takeAll() {
+        List<StepSnapshot> snapshots = new ArrayList<>();
+        for (LedgerStep step : steps.values()) {
+            step.epoch++;
+            snapshots.add(snapshot(step));
+        }
+        return snapshots;
+    }
+
+    boolean commit(StepKey key, long epoch, List<SampleCommit> samples, boolean replacing) {
+        LedgerStep step = steps.get(key);
+        if (step == null || epoch != step.epoch) {
+            return false;
+        }
+        for (SampleCommit sample : samples) {
+            SampleCommit known = step.committed.get(sample.index());
+            if (known == null || replacing && !step.isAcknowledged(sample.index())) {
+                step.committed.put(sample.index(), sample);
+            }
+        }
+        return true;
+    }
+
+    boolean record(StepKey key, long epoch, long cursor, List<Integer> indexes) {
+        LedgerStep step = steps.get(key);
+        if (step == null || epoch != step.epoch) {
+            return false;
+        }
+        HandOver known = step.handOvers.putIfAbsent(cursor, new HandOver(cursor, indexes, false));
+        return known == null || known.sampleIndexes().equals(indexes);
+    }
+
+    boolean acknowledge(StepKey key, long cursor) {
+        steps.get(key)
+                .handOvers
+                .headMap(cursor, true)
+                .replaceAll((number, handOver) -> new HandOver(number, handOver.sampleIndexes(), true));
+        return true;
+    }
+
+    private StepSnapshot snapshot(LedgerStep step) {
+        long trainerVersion =
+                Math.max(step.specification.trainerVersion().value(), published(step.specification.service()));
+        return new StepSnapshot(
+                step.specification,
+                Optional.of(entry),
+                step.epoch,
+                List.copyOf(step.committed.values()),
+                List.copyOf(step.handOvers.values()),
+                WeightVersion.of(trainerVersion));
+    }
+
+    // ---- Claims ----
+
+    /** What is known of a claim. */
+    record ClaimAnswer(ClaimState state, Optional<RequestOutcome> outcome) {}
+
+    ClaimAnswer claim(ServiceName service, IdempotencyKey key, String fingerprint, long windowMilliseconds) {
+        String name = service + "/" + key;
+        Claim known = claims.get(name);
+        if (known == null) {
+            Claim claim = new Claim();
+            claim.fingerprint = fingerprint;
+            claim.settlesAtMilliseconds = time.now() + windowMilliseconds;
+            claims.put(name, claim);
+            return new ClaimAnswer(ClaimState.GRANTED, Optional.empty());
+        }
+        if (!known.fingerprint.equals(fingerprint)) {
+            return new ClaimAnswer(ClaimState.KEY_REUSED, Optional.empty());
+        }
+        if (known.state == ClaimState.IN_PROGRESS && time.now() >= known.settlesAtMilliseconds) {
+            known.state = ClaimState.UNKNOWN;
+        }
+        return new ClaimAnswer(known.state, known.outcome);
+    }
+
+    boolean recordOutcome(ServiceName service, IdempotencyKey key, Optional<RequestOutcome> outcome) {
+        Claim claim = claims.get(service + "/" + key);
+        if (claim != null && outcome.isEmpty()) {
+            claims.remove(service + "/" + key);
+        } else if (claim != null) {
+            claim.state = ClaimState.COMPLETED;
+            claim.outcome = outcome;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-replay/src/main/java/io/rosemarybeam/replay/EndpointModel.java
@@ -0,0 +1,199 @@
+package io.rosemarybeam.replay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.id.AttemptId;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.EndpointRecord;
+
+/**
+ * Service-time model of an endpoint: streams share the engine, each further stream slows all of them down, and a cached
+ * prefix saves most of the prefill.
+ *
+ * <p>Invariant: at most {@code capacity} jobs run; the others wait by priority and arrival. Confined to one thread.
+ */
+final class EndpointModel {
+    /** Time between two advances of all streams of an endpoint. */
+    static final long QUANTUM_MILLISECONDS = 50;
+
+    /** Prefill is so much faster per token than decoding. */
+    private static final double PREFILL_SPEEDUP = 20;
+
+    /** Share of the prompt that a cached prefix covers. */
+    private static final double PREFIX_SHARE = 0.9;
+
+    private static final int CACHED_PREFIXES = 32;
+
+    /** Running time after which a poisoned request crashes its endpoint. */
+    private static final double POISON_TOKENS = 4;
+
+    /** What the endpoint tells about its jobs. */
+    interface Listener {
+        /** A job has produced tokens. */
+        void progressed(AttemptId attempt, int tokens, Optional<WeightVersion> version);
+
+        /** A job is complete. */
+        void completed(AttemptId attempt, int tokens);
+
+        /** A poisoned job crashed the endpoint. */
+        void crashed(EndpointModel endpoint);
+    }
+
+    /** What is asked of an engine. */
+    record Job(
+            AttemptId attempt, int priority, int from, int tokens, int promptTokens, long prefix, boolean poisoned) {}
+
+    /** A job in the engine. */
+    private static final class Run {
+        final Job job;
+        double produced;
+        double prefillLeft;
+        int told;
+        boolean silent;
+
+        Run(Job job, double prefill) {
+            this.job = job;
+            this.produced = job.from();
+            this.told = job.from();
+            this.prefillLeft = prefill;
+        }
+    }
+
+    final double tokensPerSecond;
+    final double batchSlowdown;
+    final long swapMilliseconds;
+    EndpointRecord record;
+    boolean down;
+    boolean partial;
+    boolean failNextSwap;
+    long swappingUntil = -1;
+    double slowdown = 1;
+    double producedTokens;
+    private final Listener listener;
+    private final List<Run> running = new ArrayList<>();
+    private final List<Job> waiting = new ArrayList<>();
+    private final Map<Long, Boolean> prefixes = new LinkedHashMap<>(16, 0.75f, true);
+    private final List<Long> addedPrefixes = new ArrayList<>();
+    private final List<Long> removedPrefixes = new ArrayList<>();
+
+    EndpointModel(EndpointRecord record, TraceEvent.Endpoints kind, Listener listener) {
+        this.record = record;
+        this.tokensPerSecond = kind.tokensPerSecond();
+        this.batchSlowdown = kind.batchSlowdown();
+        this.swapMilliseconds = kind.swapMilliseconds();
+        this.listener = listener;
+    }
+
+    boolean accepts() {
+        return !down && !partial;
+    }
+
+    int running() {
+        return running.size();
+    }
+
+    int waiting() {
+        return waiting.size();
+    }
+
+    void start(Job job) {
+        waiting.add(job);
+        waiting.sort(Comparator.comparingInt(Job::priority));
+        admit();
+    }
+
+    void cancel(AttemptId attempt) {
+        running.removeIf(run -> run.job.attempt().equals(attempt));
+        waiting.removeIf(job -> job.attempt().equals(attempt));
+        admit();
+    }
+
+    /** Drops all jobs and returns their attempts. */
+    List<AttemptId> dropAll() {
+        List<AttemptId> dropped = new ArrayList<>();
+        running.forEach(run -> dropped.add(run.job.attempt()));
+        waiting.forEach(job -> dropped.add(job.attempt()));
+        running.clear();
+        waiting.clear();
+        prefixes.clear();
+        return dropped;
+    }
+
+    void silence() {
+        running.forEach(run -> run.silent = true);
+    }
+
+    /** Advances all streams by one quantum. */
+    void advance(long now) {
+        if (down || now < swappingUntil || running.isEmpty()) {
+            return;
+        }
+        double rate = tokensPerSecond / slowdown / (1 + batchSlowdown * (running.size() - 1));
+        double step = rate * QUANTUM_MILLISECONDS / 1_000;
+        for (Run run : List.copyOf(running)) {
+            double prefill = Math.min(run.prefillLeft, step * PREFILL_SPEEDUP);
+            run.prefillLeft -= prefill;
+            double tokens = Math.min(step - prefill / PREFILL_SPEEDUP, run.job.tokens() - run.produced);
+            run.produced += tokens;
+            producedTokens += tokens;
+            if (run.job.poisoned() && run.produced - run.job.from() >= POISON_TOKENS) {
+                listener.crashed(this);
+                return;
+            }
+            if (!run.silent) {
+                tell(run);
+            }
+        }
+    }
+
+    private void tell(Run run) {
+        int whole = (int) Math.floor(run.produced + 1e-9);
+        if (whole > run.told) {
+            run.told = whole;
+            listener.progressed(run.job.attempt(), whole, record.weightVersion());
+        }
+        if (whole >= run.job.tokens()) {
+            running.remove(run);
+            admit();
+            listener.completed(run.job.attempt(), whole);
+        }
+    }
+
+    private void admit() {
+        while (running.size() < record.capacity() && !waiting.isEmpty()) {
+            Job job = waiting.removeFirst();
+            boolean hit = prefixes.put(job.prefix(), true) != null;
+            if (!hit) {
+                addedPrefixes.add(job.prefix());
+                evict();
+            }
+            double prefill = (job.promptTokens() + job.from()) * (hit ? 1 - PREFIX_SHARE : 1);
+            running.add(new Run(job, prefill));
+        }
+    }
+
+    private void evict() {
+        if (prefixes.size() > CACHED_PREFIXES) {
+            long eldest = prefixes.keySet().iterator().next();
+            prefixes.remove(eldest);
+            removedPrefixes.add(eldest);
+        }
+    }
+
+    List<Long> takeAddedPrefixes() {
+        List<Long> taken = List.copyOf(addedPrefixes);
+        addedPrefixes.clear();
+        return taken;
+    }
+
+    List<Long> takeRemovedPrefixes() {
+        List<Long> taken = List.copyOf(removedPrefixes);
+        removedPrefixes.clear();
+        return taken;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-replay/src/main/java/io/rosemarybeam/replay/EntryModel.java
@@ -0,0 +1,594 @@
+package io.rosemarybeam.replay;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import io.rosemarybeam.common.configuration.OperatorConfiguration;
+import io.rosemarybeam.common.configuration.ServiceConfiguration;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.id.AttemptId;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.Fingerprint;
+import io.rosemarybeam.common.id.IdempotencyKey;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.TrainerName;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.EndpointRecord;
+import io.rosemarybeam.common.wire.MembershipDelta;
+import io.rosemarybeam.common.wire.RequestOutcome;
+import io.rosemarybeam.common.wire.StepRecords.VersionSpan;
+import io.rosemarybeam.decision.request.RequestCommand;
+import io.rosemarybeam.decision.request.RequestCommand.RunState;
+import io.rosemarybeam.decision.request.RequestCore;
+import io.rosemarybeam.decision.request.RequestInput;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+import io.rosemarybeam.decision.request.RequestInput.Precedence;
+import org.apache.commons.codec.digest.DigestUtils;
+
+/**
+ * Drives the request core: requests, attempts at the endpoint models, claims and crash reports.
+ *
+ * <p>Invariant: an input reaches the core only while the entry is not paused, in the order in which it happened. Confined
+ * to one thread.
+ */
+final class EntryModel implements EndpointModel.Listener, CallerModel.Entry {
+    private static final long NETWORK_MILLISECONDS = 2;
+    private static final long LEASE_MILLISECONDS = 3_000;
+    private static final long ENDPOINT_LEASE_MILLISECONDS = 5_000;
+    private static final long LEAVE_GRACE_MILLISECONDS = 2_000;
+    private static final long RETRY_MILLISECONDS = 500;
+    private static final int CRASHES_TO_QUARANTINE = 2;
+
+    /** Takes the end of a training request. */
+    interface SampleHandler {
+        /** Part of the answer arrived. */
+        void progressed(RequestId request, EndpointId endpoint, int tokens);
+
+        /** The whole answer arrived. */
+        void generated(RequestId request, List<VersionSpan> spans);
+
+        /** The request was refused. */
+        void failed(RequestId request, ErrorCode code, long retryAfterMilliseconds);
+    }
+
+    /** A request in the entry. */
+    private static final class RequestRow {
+        final CallerModel.Call call;
+        final Optional<CallerModel.AnswerHandler> caller;
+        final List<VersionSpan> spans = new ArrayList<>();
+        int received;
+        boolean ran;
+
+        RequestRow(CallerModel.Call call, Optional<CallerModel.AnswerHandler> caller) {
+            this.call = call;
+            this.caller = caller;
+        }
+    }
+
+    /** An attempt at an endpoint. */
+    private static final class AttemptRow {
+        final RequestId request;
+        final EndpointModel endpoint;
+        final long progressMilliseconds;
+        long lastByteAt;
+
+        AttemptRow(RequestId request, EndpointModel endpoint, long progressMilliseconds, long now) {
+            this.request = request;
+            this.endpoint = endpoint;
+            this.progressMilliseconds = progressMilliseconds;
+            this.lastByteAt = now;
+        }
+    }
+
+    final TreeMap<EndpointId, EndpointModel> endpoints = new TreeMap<>();
+    private final VirtualTime time;
+    private final Measures measures;
+    private final ControlModel control;
+    private final RequestCore core;
+    private final Map<RequestId, RequestRow> requests = new HashMap<>();
+    private final Map<AttemptId, AttemptRow> attempts = new HashMap<>();
+    private final Map<String, Integer> runsByKey = new HashMap<>();
+    private final Map<EndpointId, Long> leftAt = new HashMap<>();
+    private final Map<EndpointId, Long> reportSequences = new HashMap<>();
+    private final Map<Fingerprint, Set<String>> crashes = new HashMap<>();
+    private final Map<ServiceName, Set<Fingerprint>> quarantined = new HashMap<>();
+    private final Set<Fingerprint> suspects = new HashSet<>();
+    private final Set<EndpointId> cacheGaps = new HashSet<>();
+    private final ArrayDeque<RequestInput> inbox = new ArrayDeque<>();
+    private boolean handling;
+    private SampleHandler samples;
+    private OperatorConfiguration configuration;
+    private long pausedUntil = -1;
+    private long leaseLostUntil = -1;
+    private long loadLag;
+    private long membershipVersion = 1;
+    private long lastRequest;
+    private final List<Consumer<MembershipDelta>> deltaListeners = new ArrayList<>();
+
+    EntryModel(VirtualTime time, Measures measures, ControlModel control, RequestCore core) {
+        this.time = time;
+        this.measures = measures;
+        this.control = control;
+        this.core = core;
+    }
+
+    void start(SampleHandler handler) {
+        samples = handler;
+        renewLease();
+        time.every(1_000, this::renewLease);
+        time.every(10, () -> input(new RequestInput.Tick()));
+        time.every(100, this::failSilentAttempts);
+        time.every(EndpointModel.QUANTUM_MILLISECONDS, this::advance);
+        time.every(1_000, this::report);
+    }
+
+    void onMembership(Consumer<MembershipDelta> listener) {
+        deltaListeners.add(listener);
+    }
+
+    /** Runs an action now, or when the entry goes on after a pause. */
+    void whenRunning(Runnable action) {
+        if (time.now() < pausedUntil) {
+            time.at(pausedUntil, () -> whenRunning(action));
+        } else {
+            action.run();
+        }
+    }
+
+    void input(RequestInput input) {
+        whenRunning(() -> {
+            inbox.add(input);
+            if (handling) {
+                return;
+            }
+            handling = true;
+            while (!inbox.isEmpty()) {
+                core.handle(time.now(), inbox.removeFirst()).forEach(this::execute);
+            }
+            handling = false;
+        });
+    }
+
+    Optional<ServiceConfiguration> service(ServiceName name) {
+        return configuration == null ? Optional.empty() : configuration.service(name);
+    }
+
+    // ---- Trace events ----
+
+    void activate(OperatorConfiguration value) {
+        configuration = value;
+        input(new RequestInput.ConfigurationActivated(value));
+        Map<ServiceName, Integer> shares = new HashMap<>();
+        value.services()
+                .forEach((name, service) -> shares.put(name, service.limits().maximumConcurrent()));
+        input(new RequestInput.SharesAssigned(shares));
+    }
+
+    void announce(EndpointModel endpoint) {
+        endpoints.put(endpoint.record.id(), endpoint);
+        membershipChanged(endpoint);
+    }
+
+    /** Tells the cores what an endpoint reports at the time at which the control process takes the report. */
+    void membershipChanged(EndpointModel endpoint) {
+        control.call(
+                () -> endpoint.record,
+                current -> deliver(List.of(current), List.of()),
+                () -> time.after(RETRY_MILLISECONDS, () -> membershipChanged(endpoint)));
+    }
+
+    void leave(EndpointId id) {
+        EndpointModel endpoint = endpoints.get(id);
+        endpoint.record = endpoint.record.asLeaving();
+        leftAt.put(id, time.now());
+        membershipChanged(endpoint);
+    }
+
+    void crash(EndpointModel endpoint, long restartAfterMilliseconds) {
+        if (endpoint.down) {
+            return;
+        }
+        endpoint.down = true;
+        endpoint.dropAll().forEach(attempt -> fail(attempt, AttemptFailure.BROKEN));
+        EndpointRecord before = endpoint.record;
+        time.after(ENDPOINT_LEASE_MILLISECONDS, () -> {
+            if (endpoint.down) {
+                deliver(List.of(), List.of(before.id()));
+            }
+        });
+        time.after(restartAfterMilliseconds, () -> restart(endpoint));
+    }
+
+    private void restart(EndpointModel endpoint) {
+        EndpointRecord before = endpoint.record;
+        endpoint.record = new EndpointRecord(
+                before.id(),
+                before.incarnation() + 1,
+                before.service(),
+                before.address(),
+                before.failureDomain(),
+                before.capacity(),
+                before.checksFencing(),
+                before.resumes(),
+                before.cancels(),
+                before.transfersKeyValueCache(),
+                before.weightVersion(),
+                before.leaving());
+        endpoint.down = false;
+        reportSequences.remove(before.id());
+        membershipChanged(endpoint);
+    }
+
+    void pause(long milliseconds) {
+        pausedUntil = Math.max(pausedUntil, time.now() + milliseconds);
+    }
+
+    void loseLease(long milliseconds) {
+        leaseLostUntil = Math.max(leaseLostUntil, time.now() + milliseconds);
+    }
+
+    void loadLag(long milliseconds) {
+        loadLag = milliseconds;
+    }
+
+    void cacheGap(EndpointId id) {
+        cacheGaps.add(id);
+    }
+
+    // ---- Requests ----
+
+    @Override
+    public void send(CallerModel.Call call, CallerModel.AnswerHandler handler) {
+        lastRequest++;
+        RequestId request = RequestId.of(call.id() + "-sent-" + lastRequest);
+        requests.put(request, new RequestRow(call, Optional.of(handler)));
+        long deadline = service(call.service())
+                .map(service -> service.deadlines().totalMilliseconds())
+                .orElse(30_000L);
+        arrive(request, call, Precedence.CUSTOMER, Optional.empty(), call.tokens(), time.now() + deadline, 0, Set.of());
+    }
+
+    void submit(
+            RequestId request,
+            CallerModel.Call call,
+            TrainerName trainer,
+            int expectedTokens,
+            long deadline,
+            WeightVersion minimumVersion,
+            Set<EndpointId> avoid) {
+        requests.put(request, new RequestRow(call, Optional.empty()));
+        arrive(
+                request,
+                call,
+                Precedence.TRAINING,
+                Optional.of(trainer),
+                expectedTokens,
+                deadline,
+                minimumVersion.value(),
+                avoid);
+    }
+
+    void cancel(RequestId request) {
+        if (requests.remove(request) != null) {
+            input(new RequestInput.RequestCancelled(request));
+        }
+    }
+
+    private void arrive(
+            RequestId request,
+            CallerModel.Call call,
+            Precedence precedence,
+            Optional<TrainerName> trainer,
+            int expectedTokens,
+            long deadline,
+            long minimumVersion,
+            Set<EndpointId> avoid) {
+        input(new RequestInput.RequestArrived(
+                request,
+                call.service(),
+                precedence,
+                trainer,
+                call.idempotent(),
+                call.key(),
+                fingerprint(call),
+                List.of(prefixHash(call)),
+                expectedTokens,
+                deadline,
+                minimumVersion > 0 ? Optional.of(WeightVersion.of(minimumVersion)) : Optional.empty(),
+                avoid));
+    }
+
+    private static Fingerprint fingerprint(CallerModel.Call call) {
+        return Fingerprint.of(DigestUtils.sha256Hex(call.service() + "/" + call.id()));
+    }
+
+    private static long prefixHash(CallerModel.Call call) {
+        return call.prefix().hashCode();
+    }
+
+    // ---- Commands ----
+
+    private void execute(RequestCommand command) {
+        switch (command) {
+            case RequestCommand.StartAttempt start -> begin(start);
+            case RequestCommand.CancelAttempt cancel -> {
+                AttemptRow row = attempts.remove(cancel.attempt());
+                if (row != null) {
+                    time.after(NETWORK_MILLISECONDS, () -> row.endpoint.cancel(cancel.attempt()));
+                }
+            }
+            case RequestCommand.FinishRequest finish -> finish(finish);
+            case RequestCommand.ReplayOutcome replay -> {
+                RequestRow row = requests.remove(replay.request());
+                int tokens = Integer.parseInt(new String(replay.outcome().body(), StandardCharsets.UTF_8));
+                row.caller.ifPresent(caller -> caller.answered(tokens));
+            }
+            case RequestCommand.RefuseRequest refuse -> refuse(refuse);
+            case RequestCommand.RequestClaim claim -> claim(claim);
+            case RequestCommand.RecordOutcome record -> record(record);
+            case RequestCommand.ReportCrash report -> report(report);
+        }
+    }
+
+    private void begin(RequestCommand.StartAttempt start) {
+        RequestRow row = requests.get(start.request());
+        EndpointModel endpoint = endpoints.get(start.endpoint());
+        if (row == null) {
+            return;
+        }
+        Long left = leftAt.get(start.endpoint());
+        measures.promise(
+                "no new work for an endpoint that left",
+                left == null || time.now() <= left + LEAVE_GRACE_MILLISECONDS,
+                start.endpoint().toString());
+        attempts.put(
+                start.attempt(), new AttemptRow(start.request(), endpoint, start.progressMilliseconds(), time.now()));
+        truncate(row, start.resumeOffset());
+        time.after(NETWORK_MILLISECONDS, () -> {
+            if (!attempts.containsKey(start.attempt())) {
+                return;
+            }
+            if (endpoint.down) {
+                fail(start.attempt(), AttemptFailure.CONNECT_FAILED);
+            } else if (endpoint.partial) {
+                fail(start.attempt(), AttemptFailure.REFUSED_NOT_RUN);
+            } else {
+                run(start, row, endpoint);
+            }
+        });
+    }
+
+    private void run(RequestCommand.StartAttempt start, RequestRow row, EndpointModel endpoint) {
+        row.ran = true;
+        row.call.key().ifPresent(key -> {
+            int runs = runsByKey.merge(row.call.service() + "/" + key, 1, Integer::sum);
+            measures.promise("a non-idempotent request runs at most once", runs == 1, row.call.id());
+        });
+        input(new RequestInput.AttemptSent(start.attempt()));
+        endpoint.start(new EndpointModel.Job(
+                start.attempt(),
+                start.enginePriority(),
+                start.resumeOffset(),
+                row.call.tokens(),
+                row.call.promptTokens(),
+                prefixHash(row.call),
+                row.call.poisoned()));
+    }
+
+    private static void truncate(RequestRow row, int offset) {
+        List<VersionSpan> kept = new ArrayList<>();
+        int left = offset;
+        for (VersionSpan span : row.spans) {
+            int tokens = Math.min(left, span.tokens());
+            if (tokens > 0) {
+                kept.add(new VersionSpan(span.version(), tokens));
+                left -= tokens;
+            }
+        }
+        row.spans.clear();
+        row.spans.addAll(kept);
+        row.received = offset;
+    }
+
+    private void finish(RequestCommand.FinishRequest finish) {
+        RequestRow row = requests.remove(finish.request());
+        if (row == null) {
+            return;
+        }
+        if (row.caller.isPresent()) {
+            row.caller.get().answered(row.received);
+        } else {
+            samples.generated(finish.request(), List.copyOf(row.spans));
+        }
+    }
+
+    private void refuse(RequestCommand.RefuseRequest refuse) {
+        RequestRow row = requests.remove(refuse.request());
+        if (row == null) {
+            return;
+        }
+        if (row.caller.isPresent()) {
+            if (refuse.runState() == RunState.NOT_RUN) {
+                measures.promise("refused as not run means not run", !row.ran, row.call.id());
+            }
+            measures.count("refusals of customers " + refuse.code());
+            row.caller.get().refused(refuse.runState(), refuse.retryAfterMilliseconds());
+        } else {
+            measures.count("refusals of samples " + refuse.code());
+            samples.failed(refuse.request(), refuse.code(), refuse.retryAfterMilliseconds());
+        }
+    }
+
+    private void claim(RequestCommand.RequestClaim claim) {
+        long sentAt = time.now();
+        control.call(
+                () -> control.claim(
+                        claim.service(),
+                        claim.key(),
+                        claim.fingerprint().value(),
+                        claim.dispatchWindowMilliseconds() + claim.runWindowMilliseconds()),
+                answer -> input(new RequestInput.ClaimAnswered(
+                        claim.request(),
+                        answer.state(),
+                        answer.outcome(),
+                        sentAt + claim.dispatchWindowMilliseconds())),
+                () -> input(new RequestInput.ClaimFailed(claim.request())));
+    }
+
+    private void record(RequestCommand.RecordOutcome record) {
+        RequestRow row = requests.get(record.request());
+        Optional<RequestOutcome> outcome = record.completedBy().map(attempt -> {
+            String tokens = Integer.toString(row == null ? 0 : row.received);
+            return new RequestOutcome(200, Map.of(), tokens.getBytes(StandardCharsets.UTF_8), false);
+        });
+        recordOutcome(record.service(), record.key(), outcome);
+    }
+
+    private void recordOutcome(ServiceName service, IdempotencyKey key, Optional<RequestOutcome> outcome) {
+        control.call(
+                () -> control.recordOutcome(service, key, outcome),
+                done -> {},
+                () -> time.after(RETRY_MILLISECONDS, () -> recordOutcome(service, key, outcome)));
+    }
+
+    private void report(RequestCommand.ReportCrash report) {
+        control.call(
+                () -> {
+                    for (Fingerprint fingerprint : report.batch()) {
+                        Set<String> seen = crashes.computeIfAbsent(fingerprint, unused -> new HashSet<>());
+                        seen.add(report.endpoint() + "/" + report.incarnation());
+                        if (seen.size() >= CRASHES_TO_QUARANTINE) {
+                            quarantined
+                                    .computeIfAbsent(report.service(), unused -> new HashSet<>())
+                                    .add(fingerprint);
+                            suspects.remove(fingerprint);
+                        } else {
+                            suspects.add(fingerprint);
+                        }
+                    }
+                    return true;
+                },
+                done -> input(new RequestInput.QuarantineChanged(quarantined, suspects)),
+                () -> time.after(RETRY_MILLISECONDS, () -> report(report)));
+    }
+
+    // ---- Endpoints ----
+
+    @Override
+    public void progressed(AttemptId attempt, int tokens, Optional<WeightVersion> version) {
+        AttemptRow row = attempts.get(attempt);
+        RequestRow request = row == null ? null : requests.get(row.request);
+        if (request == null) {
+            return;
+        }
+        row.lastByteAt = time.now();
+        int added = tokens - request.received;
+        request.received = tokens;
+        version.ifPresent(stamped -> addSpan(request.spans, stamped, added));
+        input(new RequestInput.AttemptProgressed(attempt, tokens, version, request.caller.isPresent()));
+        if (request.caller.isEmpty()) {
+            samples.progressed(row.request, row.endpoint.record.id(), tokens);
+        }
+    }
+
+    private static void addSpan(List<VersionSpan> spans, WeightVersion version, int tokens) {
+        if (!spans.isEmpty() && spans.getLast().version().equals(version)) {
+            VersionSpan last = spans.removeLast();
+            spans.add(new VersionSpan(version, last.tokens() + tokens));
+        } else {
+            spans.add(new VersionSpan(version, tokens));
+        }
+    }
+
+    @Override
+    public void completed(AttemptId attempt, int tokens) {
+        if (attempts.remove(attempt) != null) {
+            input(new RequestInput.AttemptCompleted(attempt, tokens));
+        }
+    }
+
+    @Override
+    public void crashed(EndpointModel endpoint) {
+        measures.endpointsCrashedByPoison++;
+        crash(endpoint, 10_000);
+    }
+
+    void fail(AttemptId attempt, AttemptFailure failure) {
+        if (attempts.remove(attempt) != null) {
+            measures.count("attempts failed " + failure);
+            input(new RequestInput.AttemptFailed(attempt, failure));
+        }
+    }
+
+    private void failSilentAttempts() {
+        if (time.now() < pausedUntil) {
+            return;
+        }
+        List<AttemptId> silent = new ArrayList<>();
+        attempts.forEach((attempt, row) -> {
+            if (time.now() > row.lastByteAt + row.progressMilliseconds) {
+                silent.add(attempt);
+            }
+        });
+        silent.sort(null);
+        for (AttemptId attempt : silent) {
+            attempts.get(attempt).endpoint.cancel(attempt);
+            fail(attempt, AttemptFailure.SILENT);
+        }
+    }
+
+    private void advance() {
+        endpoints.values().forEach(endpoint -> endpoint.advance(time.now()));
+    }
+
+    private void report() {
+        for (EndpointModel endpoint : endpoints.values()) {
+            if (endpoint.down) {
+                continue;
+            }
+            EndpointRecord record = endpoint.record;
+            long sequence = reportSequences.merge(record.id(), 1L, Long::sum);
+            long measuredAt = time.now();
+            int running = endpoint.running();
+            int waiting = endpoint.waiting();
+            List<Long> added = endpoint.takeAddedPrefixes();
+            List<Long> removed = endpoint.takeRemovedPrefixes();
+            boolean lost = cacheGaps.remove(record.id());
+            time.after(loadLag, () -> {
+                input(new RequestInput.LoadReported(
+                        record.id(), record.incarnation(), sequence, running, waiting, measuredAt));
+                if (!lost) {
+                    input(new RequestInput.CacheReported(record.id(), record.incarnation(), sequence, added, removed));
+                }
+            });
+        }
+    }
+
+    // ---- Control ----
+
+    private void deliver(List<EndpointRecord> changed, List<EndpointId> removed) {
+        MembershipDelta delta =
+                new MembershipDelta(membershipVersion, membershipVersion + 1, changed, removed, List.of(), List.of());
+        membershipVersion++;
+        input(new RequestInput.MembershipChanged(delta));
+        deltaListeners.forEach(listener -> listener.accept(delta));
+    }
+
+    private void renewLease() {
+        long sentAt = time.now();
+        if (sentAt < leaseLostUntil || sentAt < pausedUntil) {
+            return;
+        }
+        control.call(() -> true, done -> input(new RequestInput.LeaseRenewed(sentAt + LEASE_MILLISECONDS)), () -> {});
+    }
+}
--- /dev/null
+++ b/rosemarybeam-replay/src/main/java/io/rosemarybeam/replay/Measures.java
@@ -0,0 +1,93 @@
+package io.rosemarybeam.replay;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.HdrHistogram.Histogram;
+
+/** Collects what a replay is judged by. Confined to one thread. */
+final class Measures {
+    /** Names of the measures that an outcome may state a bound of. */
+    static final Set<String> NAMES = Set.of(
+            "promisesBroken",
+            "trainerIdleSeconds",
+            "stepSecondsMaximum",
+            "stepsUnfinished",
+            "stalenessMean",
+            "stalenessP99",
+            "stalenessMaximum",
+            "customerLatencyP50Milliseconds",
+            "customerLatencyP99Milliseconds",
+            "customerRequestsUnanswered",
+            "rolloutSecondsMaximum",
+            "goodputTokensPerSecond",
+            "wastedTokens",
+            "endpointsCrashedByPoison");
+
+    private static final long LARGEST_LATENCY_MILLISECONDS = 3_600_000;
+
+    /** Checks and violations of a promise. */
+    private static final class PromiseCount {
+        long checked;
+        long broken;
+    }
+
+    final Histogram customerLatency = new Histogram(LARGEST_LATENCY_MILLISECONDS, 3);
+    final Histogram staleness = new Histogram(1_000, 3);
+    final TreeMap<String, Long> counts = new TreeMap<>();
+    long customerTokens;
+    long sampleTokens;
+    double producedTokens;
+    double trainerIdleSeconds;
+    double stepSecondsMaximum;
+    long stepsUnfinished;
+    long customerRequestsUnanswered;
+    double rolloutSecondsMaximum;
+    long endpointsCrashedByPoison;
+    private final Map<String, PromiseCount> promises = new TreeMap<>();
+    private final Map<String, String> firstBreaks = new LinkedHashMap<>();
+
+    void count(String name) {
+        counts.merge(name, 1L, Long::sum);
+    }
+
+    void promise(String name, boolean kept, String detail) {
+        PromiseCount count = promises.computeIfAbsent(name, unused -> new PromiseCount());
+        count.checked++;
+        if (!kept) {
+            count.broken++;
+            firstBreaks.putIfAbsent(name, detail);
+        }
+    }
+
+    Map<String, Double> values(long endMilliseconds) {
+        Map<String, Double> values = new LinkedHashMap<>();
+        values.put("promisesBroken", (double)
+                promises.values().stream().mapToLong(count -> count.broken).sum());
+        values.put("trainerIdleSeconds", trainerIdleSeconds);
+        values.put("stepSecondsMaximum", stepSecondsMaximum);
+        values.put("stepsUnfinished", (double) stepsUnfinished);
+        values.put("stalenessMean", staleness.getTotalCount() == 0 ? 0 : staleness.getMean());
+        values.put("stalenessP99", (double) staleness.getValueAtPercentile(99));
+        values.put("stalenessMaximum", (double) staleness.getMaxValue());
+        values.put("customerLatencyP50Milliseconds", (double) customerLatency.getValueAtPercentile(50));
+        values.put("customerLatencyP99Milliseconds", (double) customerLatency.getValueAtPercentile(99));
+        values.put("customerRequestsUnanswered", (double) customerRequestsUnanswered);
+        values.put("rolloutSecondsMaximum", rolloutSecondsMaximum);
+        values.put("goodputTokensPerSecond", (customerTokens + sampleTokens) * 1_000.0 / Math.max(1, endMilliseconds));
+        values.put("wastedTokens", Math.max(0, producedTokens - customerTokens - sampleTokens));
+        values.put("endpointsCrashedByPoison", (double) endpointsCrashedByPoison);
+        return values;
+    }
+
+    Map<String, String> promiseLines() {
+        Map<String, String> lines = new LinkedHashMap<>();
+        promises.forEach((name, count) -> lines.put(
+                name,
+                count.checked + " checked, " + count.broken + " broken"
+                        + (firstBreaks.containsKey(name) ? ", first: " + firstBreaks.get(name) : "")));
+        return lines;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-replay/src/main/java/io/rosemarybeam/replay/StepModel.java
@@ -0,0 +1,422 @@
+package io.rosemarybeam.replay;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.LongFunction;
+
+import io.rosemarybeam.common.configuration.OperatorConfiguration;
+import io.rosemarybeam.common.configuration.ServiceConfiguration.Training;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.HostName;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.StepId;
+import io.rosemarybeam.common.id.TrainerName;
+import io.rosemarybeam.common.id.WeightVersion;
+import io.rosemarybeam.common.wire.EntryHostRecord;
+import io.rosemarybeam.common.wire.PeerRequest.SampleBody;
+import io.rosemarybeam.common.wire.StepRecords.GroupSpecification;
+import io.rosemarybeam.common.wire.StepRecords.StepSnapshot;
+import io.rosemarybeam.common.wire.StepRecords.StepSpecification;
+import io.rosemarybeam.common.wire.StepRecords.VersionSpan;
+import io.rosemarybeam.decision.step.StepCommand;
+import io.rosemarybeam.decision.step.StepCore;
+import io.rosemarybeam.decision.step.StepInput;
+import io.rosemarybeam.decision.step.StepInput.StepKey;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Drives the step core: attempts through the request core, scores, copies at peers, the ledger and the trainers' reads.
+ *
+ * <p>Invariant: an answer that was under way when the owner was replaced reaches no later core. Confined to one thread.
+ */
+final class StepModel implements EntryModel.SampleHandler, TrainerModel.Entry {
+    private static final long PEER_MILLISECONDS = 5;
+    private static final long SCORING_MILLISECONDS = 20;
+    private static final long RETRY_MILLISECONDS = 500;
+    private static final int PROMPT_TOKENS = 64;
+    private static final int PERCENT = 100;
+    private static final long PROGRESS_INTERVAL_MILLISECONDS = 250;
+
+    /** How long the samples of a step are. */
+    private record Lengths(int mean, int maximum) {}
+
+    /** Bodies that a peer holds, by step and sample. */
+    private static final class Peer {
+        final Map<StepKey, TreeMap<Integer, SampleBody>> bodies = new HashMap<>();
+    }
+
+    private final VirtualTime time;
+    private final Measures measures;
+    private final ControlModel control;
+    private final EntryModel entry;
+    private final RolloutModel rollouts;
+    private final LongFunction<StepCore> cores;
+    private final long seed;
+    private final List<EntryHostRecord> hosts;
+    private final TreeMap<HostName, Peer> peers = new TreeMap<>();
+    private final TreeMap<TrainerName, TrainerModel> trainers = new TreeMap<>();
+    private final Map<StepKey, Lengths> lengths = new HashMap<>();
+    private final Map<StepKey, StepSpecification> specifications = new HashMap<>();
+    private final Map<String, List<VersionSpan>> stamped = new HashMap<>();
+    private final Map<ServiceName, Long> knownVersions = new HashMap<>();
+    private final Map<Long, TrainerModel.ReadHandler> reads = new LinkedHashMap<>();
+    private final Map<RequestId, Long> progressTold = new HashMap<>();
+    private final Set<RequestId> submitted = new HashSet<>();
+    private final ArrayDeque<StepInput> inbox = new ArrayDeque<>();
+    private boolean handling;
+    private StepCore core;
+    private OperatorConfiguration configuration;
+    private long generation;
+    private long lastRead;
+
+    StepModel(
+            VirtualTime time,
+            Measures measures,
+            ControlModel control,
+            EntryModel entry,
+            RolloutModel rollouts,
+            LongFunction<StepCore> cores,
+            List<EntryHostRecord> hosts,
+            long seed) {
+        this.time = time;
+        this.measures = measures;
+        this.control = control;
+        this.entry = entry;
+        this.rollouts = rollouts;
+        this.cores = cores;
+        this.hosts = hosts;
+        this.seed = seed;
+        this.core = cores.apply(seed);
+        hosts.forEach(host -> peers.put(host.name(), new Peer()));
+    }
+
+    void start() {
+        input(new StepInput.EntryHostsChanged(hosts));
+        time.every(10, () -> input(new StepInput.Tick()));
+    }
+
+    void finish(long end) {
+        trainers.values().forEach(trainer -> trainer.finish(end));
+    }
+
+    // ---- Trace events ----
+
+    void activate(OperatorConfiguration value) {
+        configuration = value;
+        input(new StepInput.ConfigurationActivated(value));
+    }
+
+    void capacityChanged() {
+        if (configuration == null) {
+            return;
+        }
+        configuration.services().forEach((name, service) -> {
+            int capacity = 0;
+            long oldest = Long.MAX_VALUE;
+            long newest = -1;
+            for (EndpointModel endpoint : entry.endpoints.values()) {
+                Optional<WeightVersion> version = endpoint.record.weightVersion();
+                boolean inService = endpoint.record.service().equals(name)
+                        && !endpoint.down
+                        && !endpoint.record.leaving()
+                        && version.isPresent()
+                        && !rollouts.isOutOfService(endpoint.record.id());
+                if (inService) {
+                    capacity += endpoint.record.capacity() * (PERCENT - service.customerReservePercent()) / PERCENT;
+                    oldest = Math.min(oldest, version.get().value());
+                    newest = Math.max(newest, version.get().value());
+                }
+            }
+            if (newest >= 0) {
+                input(new StepInput.CapacityChanged(
+                        name, capacity, WeightVersion.of(oldest), WeightVersion.of(newest)));
+            }
+        });
+    }
+
+    void open(TraceEvent.Step step, int repetition) {
+        List<GroupSpecification> groups = new ArrayList<>();
+        for (int group = 0; group < step.groups(); group++) {
+            groups.add(new GroupSpecification(
+                    step.trainer() + "-prompt-" + group, step.samplesPerGroup(), step.maximumTokens()));
+        }
+        ServiceName service = ServiceName.of(step.service());
+        StepSpecification specification = new StepSpecification(
+                TrainerName.of(step.trainer()),
+                StepId.of(step.step() + "-" + repetition),
+                service,
+                WeightVersion.of(control.published(service)),
+                groups);
+        StepKey key = new StepKey(specification.trainer(), specification.step());
+        lengths.put(key, new Lengths(step.meanTokens(), step.maximumTokens()));
+        specifications.put(key, specification);
+        open(specification, time.now());
+    }
+
+    private void open(StepSpecification specification, long askedAt) {
+        control.call(
+                () -> control.open(specification),
+                snapshot -> {
+                    input(new StepInput.StepOwned(snapshot));
+                    trainer(specification.trainer()).opened(specification, askedAt);
+                },
+                () -> time.after(RETRY_MILLISECONDS, () -> open(specification, askedAt)));
+    }
+
+    void publish(ServiceName service, long version) {
+        long publishedAt = time.now();
+        control.call(
+                () -> control.publish(service, version),
+                done -> {
+                    entry.whenRunning(() -> knownVersions.merge(service, version, Math::max));
+                    input(new StepInput.WeightsPublished(service, WeightVersion.of(version)));
+                    rollouts.published(service, version, publishedAt);
+                },
+                () -> time.after(RETRY_MILLISECONDS, () -> publish(service, version)));
+    }
+
+    void restartTrainer(TrainerName name) {
+        trainer(name).restart();
+    }
+
+    /** Replaces the owner of all steps by a new entry process; the peers keep only a part of the bodies. */
+    void replaceOwner(double lostShare) {
+        generation++;
+        submitted.forEach(entry::cancel);
+        submitted.clear();
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed + generation);
+        for (Peer peer : peers.values()) {
+            peer.bodies.values().forEach(bodies -> bodies.keySet().removeIf(index -> random.nextDouble() < lostShare));
+        }
+        List<TrainerModel.ReadHandler> open = List.copyOf(reads.values());
+        reads.clear();
+        core = cores.apply(seed + generation);
+        input(new StepInput.EntryHostsChanged(hosts));
+        if (configuration != null) {
+            input(new StepInput.ConfigurationActivated(configuration));
+        }
+        knownVersions.forEach(
+                (service, version) -> input(new StepInput.WeightsPublished(service, WeightVersion.of(version))));
+        capacityChanged();
+        takeOver();
+        open.forEach(handler -> handler.answered(List.of(), -1));
+    }
+
+    private void takeOver() {
+        long current = generation;
+        control.call(
+                control::takeAll,
+                snapshots -> {
+                    for (StepSnapshot snapshot : snapshots) {
+                        whenCurrent(current, new StepInput.StepOwned(snapshot));
+                    }
+                },
+                () -> time.after(RETRY_MILLISECONDS, this::takeOver));
+    }
+
+    private TrainerModel trainer(TrainerName name) {
+        return trainers.computeIfAbsent(name, unused -> new TrainerModel(time, this, measures, name));
+    }
+
+    // ---- Core ----
+
+    private void input(StepInput input) {
+        entry.whenRunning(() -> {
+            inbox.add(input);
+            if (handling) {
+                return;
+            }
+            handling = true;
+            while (!inbox.isEmpty()) {
+                core.handle(time.now(), inbox.removeFirst()).forEach(this::execute);
+            }
+            handling = false;
+        });
+    }
+
+    private void whenCurrent(long wanted, StepInput input) {
+        if (wanted == generation) {
+            input(input);
+        }
+    }
+
+    private void execute(StepCommand command) {
+        long current = generation;
+        switch (command) {
+            case StepCommand.SubmitSample submit -> submit(submit);
+            case StepCommand.CancelSample cancel -> {
+                submitted.remove(cancel.request());
+                entry.cancel(cancel.request());
+            }
+            case StepCommand.ScoreSample score ->
+                time.after(
+                        SCORING_MILLISECONDS,
+                        () -> whenCurrent(
+                                current,
+                                new StepInput.SampleScored(
+                                        score.step(),
+                                        score.index(),
+                                        score.digest(),
+                                        score.text().length())));
+            case StepCommand.StoreBodies store -> time.after(PEER_MILLISECONDS, () -> store(current, store));
+            case StepCommand.FetchBodies fetch -> time.after(PEER_MILLISECONDS, () -> fetch(current, fetch));
+            case StepCommand.DropBodies drop ->
+                time.after(PEER_MILLISECONDS, () -> {
+                    TreeMap<Integer, SampleBody> held =
+                            peers.get(drop.peer()).bodies.getOrDefault(drop.step(), new TreeMap<>());
+                    held.keySet().removeAll(drop.indexes());
+                });
+            case StepCommand.CommitSamples commit -> commit(current, commit);
+            case StepCommand.RecordHandOver record ->
+                control.call(
+                        () -> control.record(
+                                record.step(), record.ownerEpoch(), record.cursor(), record.sampleIndexes()),
+                        done -> whenCurrent(
+                                current, new StepInput.HandOverAnswered(record.step(), record.cursor(), done)),
+                        () -> whenCurrent(
+                                current, new StepInput.HandOverAnswered(record.step(), record.cursor(), false)));
+            case StepCommand.AnswerRead answer -> {
+                TrainerModel.ReadHandler handler = reads.remove(answer.read());
+                if (handler != null) {
+                    time.after(1, () -> handler.answered(answer.bodies(), answer.remaining()));
+                }
+            }
+            case StepCommand.RefuseRead refuse -> {
+                TrainerModel.ReadHandler handler = reads.remove(refuse.read());
+                if (handler != null) {
+                    time.after(1, () -> handler.answered(List.of(), -1));
+                }
+            }
+        }
+    }
+
+    private void submit(StepCommand.SubmitSample submit) {
+        Lengths length = lengths.get(submit.step());
+        long sampleSeed = seed ^ (submit.step().hashCode() * 31L + submit.index()) * 0x9E3779B97F4A7C15L;
+        int tokens = CallerModel.tokens(RandomSource.SPLIT_MIX_64.create(sampleSeed), length.mean(), length.maximum());
+        CallerModel.Call call = new CallerModel.Call(
+                submit.step() + "-" + submit.index(),
+                submit.service(),
+                tokens,
+                PROMPT_TOKENS,
+                submit.prompt(),
+                true,
+                Optional.empty(),
+                false);
+        submitted.add(submit.request());
+        measures.count("samples submitted");
+        entry.submit(
+                submit.request(),
+                call,
+                submit.trainer(),
+                submit.expectedTokens(),
+                submit.deadlineMilliseconds(),
+                submit.minimumVersion(),
+                submit.avoid());
+    }
+
+    private void commit(long current, StepCommand.CommitSamples commit) {
+        List<Integer> indexes =
+                commit.samples().stream().map(sample -> sample.index()).toList();
+        control.call(
+                () -> control.commit(commit.step(), commit.ownerEpoch(), commit.samples(), commit.replacing()),
+                done -> whenCurrent(
+                        current, new StepInput.CommitAnswered(commit.commit(), commit.step(), indexes, done)),
+                () -> whenCurrent(
+                        current, new StepInput.CommitAnswered(commit.commit(), commit.step(), indexes, false)));
+    }
+
+    private void store(long current, StepCommand.StoreBodies store) {
+        TreeMap<Integer, SampleBody> held =
+                peers.get(store.peer()).bodies.computeIfAbsent(store.step(), unused -> new TreeMap<>());
+        store.bodies().forEach(body -> held.put(body.index(), body));
+        List<Integer> indexes = store.bodies().stream().map(SampleBody::index).toList();
+        whenCurrent(current, new StepInput.BodiesStored(store.store(), store.step(), store.peer(), indexes, true));
+    }
+
+    private void fetch(long current, StepCommand.FetchBodies fetch) {
+        TreeMap<Integer, SampleBody> held = peers.get(fetch.peer()).bodies.getOrDefault(fetch.step(), new TreeMap<>());
+        List<SampleBody> bodies = fetch.indexes().stream()
+                .filter(held::containsKey)
+                .map(held::get)
+                .toList();
+        whenCurrent(current, new StepInput.BodiesFetched(fetch.step(), fetch.peer(), bodies));
+    }
+
+    // ---- Samples ----
+
+    @Override
+    public void progressed(RequestId request, EndpointId endpoint, int tokens) {
+        long told = progressTold.getOrDefault(request, Long.MIN_VALUE / 2);
+        if (time.now() >= told + PROGRESS_INTERVAL_MILLISECONDS) {
+            progressTold.put(request, time.now());
+            input(new StepInput.SampleProgressed(request, endpoint, tokens));
+        }
+    }
+
+    @Override
+    public void generated(RequestId request, List<VersionSpan> spans) {
+        String text = "text of " + request;
+        stamped.put(text, spans);
+        progressTold.remove(request);
+        submitted.remove(request);
+        input(new StepInput.SampleGenerated(request, text, DigestUtils.sha256Hex(text), spans));
+    }
+
+    @Override
+    public void failed(RequestId request, ErrorCode code, long retryAfterMilliseconds) {
+        progressTold.remove(request);
+        submitted.remove(request);
+        input(new StepInput.SampleFailed(request, code, retryAfterMilliseconds));
+    }
+
+    // ---- Trainers ----
+
+    @Override
+    public void read(StepKey step, long cursor, int maximumSamples, long deadline, TrainerModel.ReadHandler handler) {
+        lastRead++;
+        reads.put(lastRead, handler);
+        input(new StepInput.SamplesRead(lastRead, step, cursor, maximumSamples, deadline));
+    }
+
+    @Override
+    public void acknowledge(StepKey step, long cursor) {
+        control.call(
+                () -> control.acknowledge(step, cursor),
+                done -> input(new StepInput.CursorAcknowledged(step, cursor)),
+                () -> time.after(RETRY_MILLISECONDS, () -> acknowledge(step, cursor)));
+    }
+
+    @Override
+    public long trainerVersion(StepKey step) {
+        StepSpecification specification = specifications.get(step);
+        return Math.max(
+                specification.trainerVersion().value(), knownVersions.getOrDefault(specification.service(), 0L));
+    }
+
+    @Override
+    public int stalenessBound(StepKey step) {
+        return configuration
+                .service(specifications.get(step).service())
+                .flatMap(service -> service.training())
+                .map(Training::stalenessBoundVersions)
+                .orElse(0);
+    }
+
+    @Override
+    public List<VersionSpan> stamped(String text) {
+        return stamped.getOrDefault(text, List.of());
+    }
+}
--- /dev/null
+++ b/rosemarybeam-replay/src/main/java/io/rosemarybeam/replay/TrainerModel.java
@@ -0,0 +1,176 @@
+package io.rosemarybeam.replay;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.rosemarybeam.common.id.TrainerName;
+import io.rosemarybeam.common.wire.PeerRequest.SampleBody;
+import io.rosemarybeam.common.wire.StepRecords.StepSpecification;
+import io.rosemarybeam.common.wire.StepRecords.VersionSpan;
+import io.rosemarybeam.decision.step.StepInput.StepKey;
+
+/**
+ * Stand-in for a trainer: reads the samples of its steps by cursor, acknowledges them and checks the promises.
+ *
+ * <p>Invariant: the cursor of a step moves on only when an answer with samples arrived. Confined to one thread.
+ */
+final class TrainerModel {
+    private static final int MAXIMUM_SAMPLES = 64;
+    private static final long POLL_MILLISECONDS = 10_000;
+    private static final long RETRY_MILLISECONDS = 200;
+
+    /** What a trainer asks of the entry. */
+    interface Entry {
+        /** Reads a cursor. */
+        void read(StepKey step, long cursor, int maximumSamples, long deadlineMilliseconds, ReadHandler handler);
+
+        /** Acknowledges a cursor. */
+        void acknowledge(StepKey step, long cursor);
+
+        /** Returns the version that the trainers of the step's service hold. */
+        long trainerVersion(StepKey step);
+
+        /** Returns the staleness bound of the step's service. */
+        int stalenessBound(StepKey step);
+
+        /** Returns what the engine stamped on a text. */
+        List<VersionSpan> stamped(String text);
+    }
+
+    /** Takes the answer of a read; no bodies and a negative remainder stand for a refusal. */
+    interface ReadHandler {
+        /** Takes the answer. */
+        void answered(List<SampleBody> bodies, int remaining);
+    }
+
+    /** A step in progress. */
+    private static final class OpenStep {
+        final StepSpecification specification;
+        final long openedAt;
+        long cursor = 1;
+        long generation;
+        final TreeMap<Long, List<SampleBody>> answers = new TreeMap<>();
+        final Map<Integer, Long> received = new HashMap<>();
+        long finishedAt = -1;
+
+        OpenStep(StepSpecification specification, long openedAt) {
+            this.specification = specification;
+            this.openedAt = openedAt;
+        }
+    }
+
+    private final VirtualTime time;
+    private final Entry entry;
+    private final Measures measures;
+    private final TrainerName name;
+    private final Map<StepKey, OpenStep> steps = new LinkedHashMap<>();
+    private long idleSince = -1;
+
+    TrainerModel(VirtualTime time, Entry entry, Measures measures, TrainerName name) {
+        this.time = time;
+        this.entry = entry;
+        this.measures = measures;
+        this.name = name;
+    }
+
+    void opened(StepSpecification specification, long openedAt) {
+        StepKey key = new StepKey(name, specification.step());
+        OpenStep step = new OpenStep(specification, openedAt);
+        steps.put(key, step);
+        if (idleSince < 0) {
+            idleSince = openedAt;
+        }
+        read(key, step);
+    }
+
+    /** Forgets what was read since the last acknowledgement, as a restarted process does. */
+    void restart() {
+        steps.forEach((key, step) -> {
+            if (step.finishedAt < 0) {
+                step.generation++;
+                step.cursor = Math.max(1, step.cursor - 1);
+                read(key, step);
+            }
+        });
+    }
+
+    void finish(long end) {
+        for (OpenStep step : steps.values()) {
+            if (step.finishedAt < 0) {
+                measures.stepsUnfinished++;
+            }
+        }
+        if (idleSince >= 0) {
+            measures.trainerIdleSeconds += (end - idleSince) / 1_000.0;
+        }
+    }
+
+    private void read(StepKey key, OpenStep step) {
+        long cursor = step.cursor;
+        long generation = step.generation;
+        entry.read(key, cursor, MAXIMUM_SAMPLES, time.now() + POLL_MILLISECONDS, (bodies, remaining) -> {
+            if (generation == step.generation && step.finishedAt < 0) {
+                take(key, step, cursor, bodies, remaining);
+            }
+        });
+    }
+
+    private void take(StepKey key, OpenStep step, long cursor, List<SampleBody> bodies, int remaining) {
+        if (remaining < 0) {
+            // The cursor may have been acknowledged before a restart.
+            if (step.answers.containsKey(cursor)) {
+                step.cursor = cursor + 1;
+            }
+            time.after(RETRY_MILLISECONDS, () -> read(key, step));
+            return;
+        }
+        if (!bodies.isEmpty()) {
+            check(key, step, cursor, bodies);
+            entry.acknowledge(key, cursor);
+            step.cursor = cursor + 1;
+        }
+        if (step.received.size() == step.specification.sampleCount()) {
+            close(step);
+        } else {
+            read(key, step);
+        }
+    }
+
+    private void check(StepKey key, OpenStep step, long cursor, List<SampleBody> bodies) {
+        List<SampleBody> before = step.answers.putIfAbsent(cursor, bodies);
+        if (before != null) {
+            measures.promise("same cursor, same content", before.equals(bodies), key + " cursor " + cursor);
+            return;
+        }
+        long version = entry.trainerVersion(key);
+        for (SampleBody body : bodies) {
+            String detail = key + " sample " + body.index();
+            Long earlier = step.received.putIfAbsent(body.index(), cursor);
+            measures.promise("every sample exactly once", earlier == null, detail);
+            measures.promise("right version labels", entry.stamped(body.text()).equals(body.spans()), detail);
+            long oldest = body.spans().stream()
+                    .mapToLong(span -> span.version().value())
+                    .min()
+                    .orElse(0);
+            long staleness = Math.max(0, version - oldest);
+            measures.promise("no sample beyond the staleness bound", staleness <= entry.stalenessBound(key), detail);
+            measures.staleness.recordValue(staleness);
+            measures.sampleTokens +=
+                    body.spans().stream().mapToInt(VersionSpan::tokens).sum();
+        }
+    }
+
+    private void close(OpenStep step) {
+        step.finishedAt = time.now();
+        measures.stepSecondsMaximum =
+                Math.max(measures.stepSecondsMaximum, (step.finishedAt - step.openedAt) / 1_000.0);
+        boolean waiting = steps.values().stream().anyMatch(other -> other.finishedAt < 0);
+        if (!waiting && idleSince >= 0) {
+            measures.trainerIdleSeconds += (time.now() - idleSince) / 1_000.0;
+            idleSince = -1;
+        }
+    }
+}
