--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreBenchmark.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreBenchmark.java
@@ -56,7 +56,8 @@
         double seconds = (System.nanoTime() - started) / 1e9;
         Arrays.sort(samples);
         System.out.printf(
-                "[benchmark] %d endpoints, load %.1f, %d in progress: mean %.2f us, p50 %.2f, p99 %.2f, p99.9 %.2f, max %.0f (%.1f s)%n",
+                "[benchmark] %d endpoints, load %.1f, %d in progress: mean %.2f us, p50 %.2f, p99 %.2f, p99.9 %.2f,"
+                        + " max %.0f (%.1f s)%n",
                 endpoints,
                 load,
                 core.demandByService().get(CoreFixture.MODEL.value()),
