Damp load reports by the number of entries

All entries see the same lagged reports and reacted together: with six entries the median latency was 1450 ms with load reports, 214 without. A report now counts only with this entry's part of the work and deviates from the endpoint's own average for about one run time; load is weighted by the pace of the endpoint.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
@@ -29,8 +29,10 @@
     /** Holders of cached prefixes that are compared. */
     private static final int COMPARED_HOLDERS = 8;
 
-    /** Estimated load, in multiples of the slots, from which an endpoint gets nothing more. */
-    private static final double SATURATED_LOAD = 2;
+    /** Bounds of the pace of an endpoint relative to the median; beyond them ejection decides. */
+    private static final double FASTEST_PACE = 0.5;
+
+    private static final double SLOWEST_PACE = 4;
 
     private final Tables tables;
     private final CrashSystem crashes;
@@ -127,13 +129,10 @@
         if (row.arrival.avoid().contains(endpoint.id) || !ResumePlan.isPossible(row, endpoint)) {
             return false;
         }
-        if (row.arrival.minimumVersion().isPresent()
-                && (endpoint.record.weightVersion().isEmpty()
-                        || endpoint.record.weightVersion().get().value()
-                                < row.arrival.minimumVersion().get().value())) {
-            return false;
-        }
-        return load(endpoint) < SATURATED_LOAD;
+        return row.arrival.minimumVersion().isEmpty()
+                || endpoint.record.weightVersion().isPresent()
+                        && endpoint.record.weightVersion().get().value()
+                                >= row.arrival.minimumVersion().get().value();
     }
 
     private double score(RequestRow row, EndpointRow endpoint) {
@@ -154,8 +153,23 @@
         endpoint.lastTurn = ++turn;
     }
 
+    /**
+     * Estimates the load of an endpoint in multiples of its capacity, weighted by its pace. All entries see the same
+     * reports, so each reacts only with its own part: at full weight six entries drove the median latency from 214 to
+     * 1450 ms in the load test.
+     */
     private double load(EndpointRow endpoint) {
-        double foreign = tables.uses(RequestPolicy.LOAD_REPORTS) ? endpoint.load.foreign(tables.now) : 0;
-        return (endpoint.open.size() + foreign) / endpoint.slots();
+        double foreign = tables.uses(RequestPolicy.LOAD_REPORTS)
+                ? endpoint.load.foreign(tables.now, endpoint.service.holdTime.value()) * tables.foreignWeight()
+                : 0;
+        return (endpoint.open.size() + foreign) / endpoint.slots() * relativePace(endpoint);
+    }
+
+    private static double relativePace(EndpointRow endpoint) {
+        double median = endpoint.service.medianPace;
+        if (median == 0 || endpoint.health.pace.count() == 0) {
+            return 1;
+        }
+        return Math.clamp(endpoint.health.pace.value() / median, FASTEST_PACE, SLOWEST_PACE);
     }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/LoadView.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/LoadView.java
@@ -8,14 +8,14 @@
  * <p>Invariant: reports are taken in the order of their sequence. Confined to the thread of the core.
  */
 final class LoadView {
-    /** Age at which half of the reported foreign load is believed; reports come every second. */
-    private static final double HALF_LIFE_MILLISECONDS = 2_000;
+    private static final double AVERAGE_WEIGHT = 0.3;
 
     private static final long REMEMBERED_MILLISECONDS = 3_000;
     private static final int REMEMBERED_ENDS = 256;
 
     private record Ended(long startedAt, long endedAt) {}
 
+    private final Average average = new Average(AVERAGE_WEIGHT);
     private final ArrayDeque<Ended> ended = new ArrayDeque<>();
     private long sequence = Long.MIN_VALUE;
     private long measuredAt;
@@ -44,13 +44,18 @@
             own += attempt.startedAt() <= measuredAt && attempt.endedAt() > measuredAt ? 1 : 0;
         }
         foreign = Math.max(0, report.running() + report.waiting() - own);
+        average.add(foreign);
     }
 
-    /** Returns the estimated work of other entries on the endpoint, in requests. */
-    double foreign(long now) {
-        if (foreign == 0) {
-            return 0;
-        }
-        return foreign * Math.exp(-Math.max(0, now - measuredAt) * Math.log(2) / HALF_LIFE_MILLISECONDS);
+    /**
+     * Returns the estimated work of other entries on the endpoint, in requests. A report says how the endpoint differs
+     * from its own average only for about as long as requests run.
+     *
+     * @param now the time, in milliseconds
+     * @param runTime mean run time of requests, in milliseconds
+     */
+    double foreign(long now, double runTime) {
+        double fresh = Math.exp(-Math.max(0, now - measuredAt) / Math.max(1, runTime));
+        return average.value() + (foreign - average.value()) * fresh;
     }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/MembershipSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/MembershipSystem.java
@@ -31,7 +31,10 @@
             List<EndpointId> gone = new ArrayList<>(tables.endpoints.keySet());
             gone.removeIf(kept::contains);
             gone.forEach(this::remove);
+            tables.entryHosts.clear();
         }
+        tables.entryHosts.removeAll(Set.copyOf(delta.removedEntryHosts()));
+        delta.entryHosts().forEach(host -> tables.entryHosts.add(host.name()));
         delta.removedEndpoints().forEach(this::remove);
         delta.endpoints().forEach(this::put);
         tables.services.values().forEach(ejection::keepFloor);
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableDump.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/TableDump.java
@@ -66,7 +66,7 @@
         dump.put("health", endpoint.health.state.name());
         dump.put("open", endpoint.open.size());
         dump.put("slots", endpoint.slots());
-        dump.put("foreign", endpoint.load.foreign(tables.now));
+        dump.put("foreign", endpoint.load.foreign(tables.now, endpoint.service.holdTime.value()));
         dump.put("failureRate", endpoint.health.failureRate.value());
         dump.put("millisecondsPerToken", endpoint.health.pace.value());
         dump.put("prefixes", endpoint.cache.size());
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
@@ -2,13 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.rosemarybeam.common.configuration.OperatorConfiguration;
 import io.rosemarybeam.common.id.AttemptId;
 import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.HostName;
 import io.rosemarybeam.common.id.RequestId;
 import io.rosemarybeam.common.id.ServiceName;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -16,11 +19,15 @@
 
 /** The tables that all systems work on, and the commands of the current input. Confined to the thread of the core. */
 final class Tables {
+    /** Entries that send requests to one endpoint, at most. */
+    private static final int REPORTERS_PER_ENDPOINT = 24;
+
     final RequestCoreSettings settings;
     final UniformRandomProvider random;
     final Timers timers = new Timers();
     final ClaimTable claims = new ClaimTable();
     final Counters counters = new Counters();
+    final Set<HostName> entryHosts = new HashSet<>();
     final Map<ServiceName, ServiceRow> services = new LinkedHashMap<>();
     final Map<EndpointId, EndpointRow> endpoints = new HashMap<>();
     final Map<RequestId, RequestRow> requests = new HashMap<>();
@@ -52,6 +59,11 @@
         return services.computeIfAbsent(name, ServiceRow::new);
     }
 
+    /** Returns the part of the work on an endpoint that this entry is answerable for. */
+    double foreignWeight() {
+        return 1.0 / Math.clamp(entryHosts.size(), 1, REPORTERS_PER_ENDPOINT);
+    }
+
     void emit(RequestCommand command) {
         commands.add(command);
     }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/LoadSimulation.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/LoadSimulation.java
@@ -10,17 +10,21 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.id.AttemptId;
+import io.rosemarybeam.common.id.HostName;
 import io.rosemarybeam.common.id.RequestId;
 import io.rosemarybeam.common.wire.EndpointRecord;
+import io.rosemarybeam.common.wire.EntryHostRecord;
+import io.rosemarybeam.common.wire.MembershipDelta;
 import io.rosemarybeam.decision.request.RequestCommand.StartAttempt;
 import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
 import io.rosemarybeam.decision.request.RequestInput.Precedence;
 import io.rosemarybeam.decision.request.RequestInput.RequestArrived;
 
-/** Drives one core on virtual time against endpoints that run as many requests at once as they have capacity for. */
+/** Drives cores that share the load on virtual time against endpoints that run as many requests as they have capacity for. */
 final class LoadSimulation {
     static final int TOKENS = 10;
     private static final int NETWORK_MILLISECONDS = 2;
@@ -60,10 +64,10 @@
 
         void accept(StartAttempt start) {
             if (dead) {
-                give(new RequestInput.AttemptFailed(start.attempt(), AttemptFailure.CONNECT_FAILED));
+                give(start, new RequestInput.AttemptFailed(start.attempt(), AttemptFailure.CONNECT_FAILED));
                 return;
             }
-            give(new RequestInput.AttemptSent(start.attempt()));
+            give(start, new RequestInput.AttemptSent(start.attempt()));
             waiting.add(start);
             fill();
             peak = Math.max(peak, running.size() + waiting.size());
@@ -87,11 +91,13 @@
                         service / 2,
                         () -> ifRunning(
                                 start,
-                                () -> give(new RequestInput.AttemptProgressed(
-                                        start.attempt(),
-                                        request.expectedTokens() / 2,
-                                        endpoint.weightVersion(),
-                                        true))));
+                                () -> give(
+                                        start,
+                                        new RequestInput.AttemptProgressed(
+                                                start.attempt(),
+                                                request.expectedTokens() / 2,
+                                                endpoint.weightVersion(),
+                                                true))));
                 at(service, () -> ifRunning(start, () -> complete(start, request)));
             }
         }
@@ -111,7 +117,7 @@
                 if (number % 20 != 0) {
                     at(
                             100,
-                            () -> give(new RequestInput.CacheReported(
+                            () -> giveAll(new RequestInput.CacheReported(
                                     endpoint.id(), 1, number, request.prefixHashes(), removed)));
                 }
             }
@@ -124,7 +130,7 @@
         private void complete(StartAttempt start, RequestArrived request) {
             running.remove(start.attempt());
             served++;
-            give(new RequestInput.AttemptCompleted(start.attempt(), request.expectedTokens()));
+            give(start, new RequestInput.AttemptCompleted(start.attempt(), request.expectedTokens()));
             fill();
         }
 
@@ -136,7 +142,7 @@
 
         void drop(StartAttempt start, AttemptFailure failure) {
             if (running.remove(start.attempt()) != null) {
-                give(new RequestInput.AttemptFailed(start.attempt(), failure));
+                give(start, new RequestInput.AttemptFailed(start.attempt(), failure));
                 fill();
             }
         }
@@ -148,7 +154,7 @@
             lost.addAll(waiting);
             running.clear();
             waiting.clear();
-            lost.forEach(start -> give(new RequestInput.AttemptFailed(start.attempt(), AttemptFailure.BROKEN)));
+            lost.forEach(start -> give(start, new RequestInput.AttemptFailed(start.attempt(), AttemptFailure.BROKEN)));
             at(recoveryMilliseconds, () -> dead = false);
         }
 
@@ -159,7 +165,7 @@
             if (!dead) {
                 at(
                         REPORT_LAG_MILLISECONDS,
-                        () -> give(
+                        () -> giveAll(
                                 new RequestInput.LoadReported(endpoint.id(), 1, ++reports, ran, waited, measuredAt)));
             }
             at(1_000, this::report);
@@ -171,7 +177,8 @@
     final Random random = new Random(CoreFixture.SEED);
     final List<Engine> engines = new ArrayList<>();
     final Map<RequestId, Outcome> outcomes = new LinkedHashMap<>();
-    final RequestCore core;
+    final List<RequestCore> cores = new ArrayList<>();
+    private final Map<AttemptId, RequestCore> owners = new HashMap<>();
     java.util.function.Predicate<RequestArrived> poisoned = request -> false;
     double meanService = 200;
     int cacheCapacity = 64;
@@ -186,22 +193,37 @@
             new PriorityQueue<>(Comparator.comparingLong(Event::time).thenComparingLong(Event::sequence));
 
     LoadSimulation(int endpoints, int capacity, RequestPolicy... switchedOff) {
-        CoreFixture fixture = new CoreFixture(switchedOff);
-        core = fixture.core;
+        this(1, endpoints, capacity, switchedOff);
+    }
+
+    LoadSimulation(int entries, int endpoints, int capacity, RequestPolicy... switchedOff) {
+        for (int index = 0; index < entries; index++) {
+            cores.add(RequestCore.of(CoreFixture.settings(CoreFixture.SEED + index, switchedOff)));
+        }
         // A deep queue shows what shedding does; with a shallow one the bound alone keeps waits short.
-        give(new RequestInput.ConfigurationActivated(
-                CoreFixture.configuration(2, CoreFixture.limits(capacity, 10_000))));
-        give(new RequestInput.SharesAssigned(Map.of(CoreFixture.MODEL, endpoints * capacity)));
+        giveAll(new RequestInput.ConfigurationActivated(
+                CoreFixture.configuration(1, CoreFixture.limits(capacity, 10_000))));
+        giveAll(new RequestInput.LeaseRenewed(Long.MAX_VALUE));
+        giveAll(new RequestInput.SharesAssigned(Map.of(CoreFixture.MODEL, endpoints * capacity / entries)));
+        giveAll(entryHosts(entries));
         for (int index = 0; index < endpoints; index++) {
             Engine engine = new Engine(CoreFixture.endpoint("e" + index, CoreFixture.MODEL, capacity));
             engines.add(engine);
             byId.put("e" + index, engine);
-            give(CoreFixture.membership(engine.endpoint));
+            giveAll(CoreFixture.membership(engine.endpoint));
             at(index * 1_000L / endpoints, engine::report);
         }
         at(10, this::tick);
     }
 
+    private static RequestInput entryHosts(int count) {
+        List<EntryHostRecord> hosts = IntStream.range(0, count)
+                .mapToObj(index -> new EntryHostRecord(
+                        HostName.of("entry-" + index), 1, "127.0.0.1:1", "127.0.0.1:2", CoreFixture.HOME, false))
+                .toList();
+        return new RequestInput.MembershipChanged(new MembershipDelta(1, 2, List.of(), List.of(), hosts, List.of()));
+    }
+
     void at(long delay, Runnable action) {
         events.add(new Event(now + delay, sequence++, action));
     }
@@ -226,7 +248,7 @@
 
     void arrive(RequestArrived request) {
         outcomes.put(request.request(), new Outcome(request, now));
-        give(request);
+        give(cores.get(cores.size() == 1 ? 0 : random.nextInt(cores.size())), request);
     }
 
     void runUntil(long end) {
@@ -238,11 +260,20 @@
         now = end;
     }
 
-    void give(RequestInput input) {
+    void giveAll(RequestInput input) {
+        cores.forEach(core -> give(core, input));
+    }
+
+    private void give(StartAttempt start, RequestInput input) {
+        give(owners.get(start.attempt()), input);
+    }
+
+    private void give(RequestCore core, RequestInput input) {
         for (RequestCommand command : core.handle(now, input)) {
             switch (command) {
                 case StartAttempt start -> {
                     starts++;
+                    owners.put(start.attempt(), core);
                     at(
                             NETWORK_MILLISECONDS,
                             () -> byId.get(start.endpoint().value()).accept(start));
@@ -271,7 +302,7 @@
     }
 
     private void tick() {
-        give(new RequestInput.Tick());
+        giveAll(new RequestInput.Tick());
         at(10, this::tick);
     }
 
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreLoadTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreLoadTest.java
@@ -129,6 +129,31 @@
         return simulation;
     }
 
+    @Test
+    void shouldBalanceWhenSeveralEntriesShareTheEndpoints() {
+        for (int service : List.of(200, 1_000, 3_000)) {
+            long[] full = sharedByEntries(service);
+            long[] withoutReports = sharedByEntries(service, RequestPolicy.LOAD_REPORTS);
+            long[] turns = sharedByEntries(service, RequestPolicy.LOAD_REPORTS, RequestPolicy.LEAST_LOAD);
+            report(
+                    "six entries, run time %d ms, p50/p99 ms: full %d/%d, without load reports %d/%d, round robin %d/%d",
+                    service, p50(full), p99(full), p50(withoutReports), p99(withoutReports), p50(turns), p99(turns));
+            assertTrue(p99(full) <= p99(withoutReports), "worse than without load reports");
+            assertTrue(p99(full) <= p99(turns), "worse than round robin");
+        }
+    }
+
+    /** A slower endpoint fills up with the work of all entries, of which each sees only a sixth. */
+    private static long[] sharedByEntries(int service, RequestPolicy... switchedOff) {
+        LoadSimulation simulation = new LoadSimulation(6, 6, 8, switchedOff);
+        simulation.engines.getFirst().slowness = 2;
+        simulation.meanService = service;
+        long end = 200L * service;
+        simulation.arrivals(34_000.0 / service, 0, end, request -> request.deadline(2 * end));
+        simulation.runUntil(end + 50L * service);
+        return simulation.latencies(Precedence.CUSTOMER, 20L * service, end);
+    }
+
     @Test
     void shouldNotStormWhenHalfOfTheEndpointsDie() {
         LoadSimulation guarded = halfDead();
