--- /dev/null
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -0,0 +1,289 @@
+package io.rosemarybeam.consensus;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.consensus.LogCluster.Node;
+import io.rosemarybeam.consensus.LogMessage.Envelope;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against hosts that disrupt the others when they return from isolation, stale reads, hosts that cannot catch up,
+ * and hosts that count for a quorum before they hold the whole state.
+ */
+class ReplicatedLogTest {
+    private static final long SEED = 7;
+    private static final int LONG_TIME = 400;
+
+    private LogCluster cluster = cluster(3);
+
+    private static LogCluster cluster(int size) {
+        LogCluster cluster =
+                new LogCluster(size, SEED, LogOptions.standard(SEED).withSnapshotPartBytes(2));
+        cluster.runUntilLeader();
+        return cluster;
+    }
+
+    private Node leader() {
+        return cluster.leader().orElseThrow();
+    }
+
+    private Node follower() {
+        return cluster.nodes.values().stream()
+                .filter(node -> node != leader())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private void propose(int count) {
+        for (int number = 0; number < count; number++) {
+            cluster.propose();
+        }
+        cluster.run(5);
+    }
+
+    @Test
+    void shouldNotDisturbLeaderWhenFollowerReturnsFromLongIsolation() {
+        Node leader = leader();
+        long term = leader.log.term();
+        Node isolated = follower();
+        cluster.isolated.add(isolated.id.name());
+        cluster.run(LONG_TIME);
+        propose(3);
+        cluster.isolated.clear();
+        cluster.run(50);
+
+        assertEquals(term, leader().log.term());
+        assertEquals(leader.id, leader().id);
+        assertEquals(leader.applied, isolated.applied);
+    }
+
+    @Test
+    void shouldNotConfirmReadWhenLeaderWasReplacedWithoutKnowing() {
+        Node former = leader();
+        cluster.isolated.add(former.id.name());
+        // The others elect a leader while no time passes for the isolated one, as if its process were paused.
+        List<Node> others =
+                cluster.nodes.values().stream().filter(node -> node != former).toList();
+        for (int round = 0; round < 60; round++) {
+            for (Node node : others) {
+                node.log.tick();
+                node.process();
+                node.persist();
+                while (!cluster.network.isEmpty()) {
+                    cluster.deliver(0, false);
+                    others.forEach(Node::persist);
+                }
+            }
+        }
+        propose(2);
+        assertTrue(others.contains(leader()));
+        assertEquals(ReplicatedLog.Role.LEADER, former.log.role());
+
+        cluster.read(former);
+        cluster.isolated.clear();
+        cluster.run(50);
+
+        assertEquals(0, cluster.confirmedReads());
+        assertEquals(ReplicatedLog.Role.FOLLOWER, former.log.role());
+    }
+
+    @Test
+    void shouldConfirmReadsWhenMajorityAnswers() {
+        cluster.read(leader());
+        cluster.run(5);
+
+        assertEquals(1, cluster.confirmedReads());
+    }
+
+    @Test
+    void shouldStepDownWhenLeaderLosesMajority() {
+        Node former = leader();
+        cluster.isolated.add(former.id.name());
+        cluster.run(30);
+
+        assertFalse(former.log.role() == ReplicatedLog.Role.LEADER);
+        assertThrows(ControlException.class, () -> former.log.propose(new byte[1]));
+    }
+
+    @Test
+    void shouldCatchUpFromEntriesWhenFollowerMissedHundredsOfChanges() {
+        Node behind = follower();
+        cluster.isolated.add(behind.id.name());
+        propose(500);
+        cluster.isolated.clear();
+        cluster.run(20);
+
+        assertEquals(leader().applied, behind.applied);
+        assertTrue(behind.applied > 500);
+    }
+
+    @Test
+    void shouldCatchUpFromSnapshotWhenLeaderForgotTheEntries() {
+        Node behind = follower();
+        cluster.isolated.add(behind.id.name());
+        propose(500);
+        cluster.nodes.values().stream().filter(node -> node != behind).forEach(Node::compact);
+        propose(5);
+        cluster.isolated.clear();
+        cluster.run(40);
+
+        assertEquals(leader().applied, behind.applied);
+        assertTrue(behind.log.keptEntries() < 20, "entries were replicated instead of the snapshot");
+        behind.crash();
+        assertTrue(behind.applied > 500, "the snapshot was not durable");
+    }
+
+    @Test
+    void shouldApplyEverythingAgainWhenAllRestartAfterHundredsOfChanges() {
+        propose(300);
+        long committed = cluster.lastCommitted();
+        cluster.nodes.values().forEach(Node::crash);
+        cluster.network.clear();
+        cluster.runUntilLeader();
+        cluster.run(10);
+
+        cluster.nodes.values().forEach(node -> assertTrue(node.applied >= committed));
+    }
+
+    private Node repair(String name) {
+        cluster.loseDisk(name);
+        Node repaired = cluster.nodes.get(name);
+        MemberId former = new MemberId(name, repaired.id.incarnation() - 1);
+        cluster.runUntilLeader();
+        leader().change(new MembershipChange.AddLearner(LogCluster.member(name, repaired.id.incarnation())));
+        cluster.run(10);
+        leader().change(new MembershipChange.Remove(former));
+        cluster.run(10);
+        leader().change(new MembershipChange.Promote(repaired.id));
+        cluster.run(10);
+        return repaired;
+    }
+
+    @Test
+    void shouldKeepEntriesWhenSecondHostIsLostJustAfterFirstWasRepaired() {
+        propose(20);
+        long before = cluster.lastCommitted();
+        Node repaired = repair("m1");
+        Node second = repair("m2");
+
+        assertTrue(leader().log.membership().isVoter(repaired.id));
+        assertTrue(leader().log.membership().isVoter(second.id));
+        assertEquals(3, leader().log.membership().voters().size());
+        cluster.nodes.values().forEach(node -> assertTrue(node.applied > before));
+    }
+
+    @Test
+    void shouldNotCountEmptyHostWhenItsDiskWasLost() {
+        Node leader = leader();
+        List<String> followers = cluster.nodes.keySet().stream()
+                .filter(name -> !name.equals(leader.id.name()))
+                .toList();
+        followers.forEach(cluster::loseDisk);
+        long committed = leader.log.commitIndex();
+        cluster.propose();
+        cluster.run(100);
+
+        assertEquals(committed, leader.log.commitIndex());
+        assertTrue(cluster.leader().isEmpty());
+    }
+
+    @Test
+    void shouldRefuseSecondChangeWhenFirstIsNotCommitted() {
+        cluster.add("m4", 1);
+        ReplicatedLog log = leader().log;
+        log.proposeChange(new MembershipChange.AddLearner(LogCluster.member("m4", 1)));
+
+        ControlException pending = assertThrows(
+                ControlException.class,
+                () -> log.proposeChange(new MembershipChange.AddLearner(LogCluster.member("m5", 1))));
+
+        assertEquals(ErrorCode.MEMBERSHIP_CHANGE_PENDING, pending.code());
+    }
+
+    @Test
+    void shouldRefusePromotionWhenLearnerIsNotCaughtUp() {
+        Node learner = cluster.add("m4", 1);
+        cluster.isolated.add("m4");
+        leader().change(new MembershipChange.AddLearner(LogCluster.member("m4", 1)));
+        cluster.run(10);
+
+        ControlException refused = assertThrows(
+                ControlException.class, () -> leader().log.proposeChange(new MembershipChange.Promote(learner.id)));
+
+        assertEquals(ErrorCode.MEMBERSHIP_CHANGE_PENDING, refused.code());
+        assertFalse(leader().log.membership().isVoter(learner.id));
+    }
+
+    @Test
+    void shouldHandLeadershipOverWhenAsked() {
+        Node target = follower();
+        leader().log.transferLeadership(target.id);
+        leader().process();
+        cluster.run(3);
+
+        assertEquals(target.id, leader().id);
+    }
+
+    @Test
+    void shouldSyncOnceWhenManyProposalsArriveTogether() {
+        LogCluster alone = cluster(1);
+        Node only = alone.leader().orElseThrow();
+        int before = only.files.syncs();
+        for (int number = 0; number < 100; number++) {
+            only.log.propose(new byte[] {1});
+        }
+        only.process();
+        only.persist();
+
+        assertEquals(1, only.files.syncs() - before);
+        assertEquals(only.log.lastIndex(), only.applied);
+    }
+
+    @Test
+    void shouldRefuseProposalWhenItIsTooLarge() {
+        byte[] tooLarge = new byte[LogOptions.standard(SEED).maximumProposalBytes() + 1];
+        ControlException refused =
+                assertThrows(ControlException.class, () -> leader().log.propose(tooLarge));
+
+        assertEquals(ErrorCode.PROPOSAL_TOO_LARGE, refused.code());
+    }
+
+    /** An entry of an earlier term on a majority can still be replaced, so it is not committed by counting. */
+    @Test
+    void shouldNotCommitEntryOfEarlierTermWhenOnlyCounted() {
+        MemberId self = new MemberId("m1", 1);
+        MemberId other = new MemberId("m2", 1);
+        Membership members = new Membership(
+                List.of(LogCluster.member("m1", 1), LogCluster.member("m2", 1), LogCluster.member("m3", 1)), List.of());
+        LogSnapshot snapshot = new LogSnapshot(1, 1, members, new byte[0]);
+        LogEntry old = new LogEntry(2, 2, LogEntry.Kind.COMMAND, new byte[] {1});
+        ReplicatedLog log = new ReplicatedLog(
+                LogOptions.standard(SEED),
+                self,
+                new DurableState(new HardState(2, Optional.empty()), Optional.of(snapshot), List.of(old)));
+        for (int tick = 0; tick < 25 && log.role() == ReplicatedLog.Role.FOLLOWER; tick++) {
+            log.tick();
+        }
+        log.receive(new Envelope(other, self, new LogMessage.Vote(3, true, true)));
+        log.ready();
+        log.persisted(0, 0);
+        log.receive(new Envelope(other, self, new LogMessage.Vote(3, false, true)));
+        assertEquals(ReplicatedLog.Role.LEADER, log.role());
+
+        log.receive(new Envelope(other, self, new LogMessage.Appended(3, true, 2, 0, 0)));
+        log.ready();
+        log.persisted(3, 3);
+
+        assertEquals(1, log.commitIndex());
+        log.receive(new Envelope(other, self, new LogMessage.Appended(3, true, 3, 0, 0)));
+        assertEquals(3, log.commitIndex());
+    }
+}
