--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/IssuerTable.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/IssuerTable.java
@@ -25,11 +25,8 @@
         HostName entry = command.request().entry();
         long incarnation = command.request().entryIncarnation();
         Issuer known = issuers.get(service);
-        FencingNumber current = fencingNumber(service);
-        if (known != null && known.isHeldBy(entry, incarnation)) {
-            return known;
-        }
-        if (!current.equals(command.expected())) {
+        boolean replaced = known != null && !known.fencingNumber().equals(command.expected());
+        if (replaced || (known != null && known.isHeldBy(entry, incarnation))) {
             return known;
         }
         lastFencingNumber++;
