--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -45,6 +45,8 @@
     private HardState hardState;
     private boolean hardStateChanged;
     private boolean persisting;
+    private boolean hardStatePersisting;
+    private boolean snapshotPersisting;
     private boolean votePersisting;
     private Optional<LogSnapshot> snapshot;
     private Optional<LogSnapshot> snapshotToInstall = Optional.empty();
@@ -434,6 +436,8 @@
             throw new IllegalStateException("nothing was being persisted");
         }
         persisting = false;
+        hardStatePersisting = false;
+        snapshotPersisting = false;
         buffer.finishPersisting();
         if (votePersisting) {
             votePersisting = false;
@@ -468,8 +472,8 @@
         Optional<HardState> hardStateToPersist = Optional.empty();
         Optional<LogSnapshot> snapshotToPersist = Optional.empty();
         List<LogEntry> entries = List.of();
+        releaseWithheld();
         if (!persisting) {
-            releaseWithheld();
             if (hardStateChanged) {
                 hardStateToPersist = Optional.of(hardState);
                 hardStateChanged = false;
@@ -478,7 +482,9 @@
             snapshotToPersist = snapshotToInstall;
             snapshotToInstall = Optional.empty();
             entries = buffer.startPersisting(options.maximumEntriesPerSync());
-            persisting = hardStateToPersist.isPresent() || snapshotToPersist.isPresent() || !entries.isEmpty();
+            hardStatePersisting = hardStateToPersist.isPresent();
+            snapshotPersisting = snapshotToPersist.isPresent();
+            persisting = hardStatePersisting || snapshotPersisting || !entries.isEmpty();
         }
         List<Envelope> outgoing = List.copyOf(messages);
         messages.clear();
@@ -658,7 +664,13 @@
         }
         long last = append.previousIndex() + append.entries().size();
         commit = Math.max(commit, Math.min(append.commit(), last));
-        withhold(from, last, new LogMessage.Appended(hardState.term(), true, last, 0, append.readRound()));
+        long durable = Math.min(last, buffer.stable());
+        if (append.entries().isEmpty() && durable < last) {
+            // A slow disk must not look like a lost host: heartbeats are answered with what is durable so far.
+            withhold(from, 0, new LogMessage.Appended(hardState.term(), true, durable, 0, append.readRound()));
+        } else {
+            withhold(from, last, new LogMessage.Appended(hardState.term(), true, last, 0, append.readRound()));
+        }
     }
 
     private void store(LogEntry entry) {
@@ -756,10 +768,9 @@
     }
 
     private boolean isReleasable(Withheld candidate) {
-        return !persisting
-                && !hardStateChanged
-                && snapshotToInstall.isEmpty()
-                && candidate.requiredIndex <= buffer.stable();
+        boolean hardStateIsDurable = !hardStateChanged && !hardStatePersisting;
+        boolean snapshotIsDurable = snapshotToInstall.isEmpty() && !snapshotPersisting;
+        return hardStateIsDurable && snapshotIsDurable && candidate.requiredIndex <= buffer.stable();
     }
 
     private void releaseWithheld() {
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -247,6 +247,28 @@
         assertEquals(only.log.lastIndex(), only.applied);
     }
 
+    @Test
+    void shouldKeepLeadingWhenDisksOfFollowersAreSlow() {
+        Node leader = leader();
+        long committed = leader.log.commitIndex();
+        cluster.propose();
+        for (int tick = 0; tick < 100; tick++) {
+            cluster.nodes.values().forEach(node -> {
+                node.log.tick();
+                node.process();
+            });
+            while (!cluster.network.isEmpty()) {
+                cluster.deliver(0, false);
+            }
+            leader.persist();
+        }
+
+        assertEquals(ReplicatedLog.Role.LEADER, leader.log.role());
+        assertEquals(committed, leader.log.commitIndex());
+        cluster.run(3);
+        assertTrue(leader.log.commitIndex() > committed);
+    }
+
     @Test
     void shouldRefuseProposalWhenItIsTooLarge() {
         byte[] tooLarge = new byte[LogOptions.standard(SEED).maximumProposalBytes() + 1];
