--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
@@ -0,0 +1,124 @@
+package io.rosemarybeam.decision.request;
+
+import io.rosemarybeam.common.configuration.ServiceConfiguration;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.decision.request.RequestInput.RequestArrived;
+
+/** Takes requests into the queue or refuses them. Confined to the thread of the core. */
+final class AdmissionSystem {
+    private static final long RETRY_ELSEWHERE_MILLISECONDS = 1_000;
+
+    private final Tables tables;
+    private final CompletionSystem completion;
+    private final RetrySystem retry;
+    private final AttemptSystem attempts;
+    private final SheddingSystem shedding;
+    private final CrashSystem crashes;
+
+    AdmissionSystem(
+            Tables tables,
+            CompletionSystem completion,
+            AttemptSystem attempts,
+            SheddingSystem shedding,
+            CrashSystem crashes) {
+        this.crashes = crashes;
+        this.shedding = shedding;
+        this.tables = tables;
+        this.completion = completion;
+        this.attempts = attempts;
+        this.retry = attempts.retry();
+    }
+
+    void arrive(RequestArrived arrival) {
+        if (tables.requests.containsKey(arrival.request())) {
+            throw new IllegalArgumentException("request " + arrival.request() + " arrived twice");
+        }
+        if (!tables.holdsLease()) {
+            completion.refuseArrival(arrival, ErrorCode.LEASE_LAPSED, RETRY_ELSEWHERE_MILLISECONDS);
+            return;
+        }
+        if (tables.draining) {
+            completion.refuseArrival(arrival, ErrorCode.DRAINING, RETRY_ELSEWHERE_MILLISECONDS);
+            return;
+        }
+        ServiceConfiguration configuration = tables.configuration == null
+                ? null
+                : tables.configuration.services().get(arrival.service());
+        if (configuration == null) {
+            completion.refuseArrival(arrival, ErrorCode.SERVICE_UNKNOWN, 0);
+            return;
+        }
+        if (arrival.deadlineMilliseconds() <= tables.now) {
+            completion.refuseArrival(arrival, ErrorCode.DEADLINE_UNREACHABLE, 0);
+            return;
+        }
+        if (crashes.isQuarantined(arrival.service(), arrival.fingerprint())) {
+            completion.refuseArrival(arrival, ErrorCode.REQUEST_QUARANTINED, 0);
+            return;
+        }
+        if (RequestRow.isClaimed(arrival) && tables.claims.isTaken(arrival)) {
+            refuseTakenKey(arrival);
+            return;
+        }
+        ServiceRow service = tables.service(arrival.service());
+        retry.grantBudget(service, configuration);
+        if (service.servingSlots == 0) {
+            completion.refuseArrival(arrival, ErrorCode.NO_ENDPOINT, RETRY_ELSEWHERE_MILLISECONDS);
+            return;
+        }
+        RequestRow row = new RequestRow(arrival, service, configuration, tables.nextRequestSequence++, tables.now);
+        if (shedding.isHopeless(row)) {
+            completion.refuseArrival(arrival, ErrorCode.DEADLINE_UNREACHABLE, shedding.retryAfter(service));
+            return;
+        }
+        boolean full = service.queue.size() >= configuration.limits().maximumQueued();
+        if (full && (row.isTraining() || !shedding.makeRoom(service))) {
+            completion.refuseArrival(arrival, ErrorCode.OVERLOADED, shedding.retryAfter(service));
+            return;
+        }
+        tables.requests.put(arrival.request(), row);
+        service.requests++;
+        if (row.isClaimed()) {
+            tables.claims.take(arrival);
+        }
+        attempts.fairShare().queue(row);
+        tables.timers.at(row.deadline(), () -> expire(row));
+        tables.wantDispatch(service);
+    }
+
+    private void refuseTakenKey(RequestArrived arrival) {
+        if (tables.claims.isReused(arrival)) {
+            completion.refuseArrival(arrival, ErrorCode.KEY_REUSED, 0);
+            return;
+        }
+        // The other request with this key may run, so this one cannot say that nothing was run.
+        tables.emit(new RequestCommand.RefuseRequest(
+                arrival.request(),
+                ErrorCode.REQUEST_IN_PROGRESS,
+                RequestCommand.RunState.UNKNOWN,
+                RETRY_ELSEWHERE_MILLISECONDS));
+    }
+
+    /** Work that may have begun and must not be repeated runs on, so that its outcome can be recorded. */
+    void cancel(RequestInput.RequestCancelled cancelled) {
+        RequestRow row = tables.requests.get(cancelled.request());
+        if (row == null) {
+            return;
+        }
+        if (row.attempt != null && !row.arrival.idempotent()) {
+            row.callerGone = true;
+            return;
+        }
+        attempts.cancelOpenAttempt(row);
+        completion.forget(row);
+    }
+
+    private void expire(RequestRow row) {
+        if (row.state != RequestRow.State.DONE) {
+            attempts.noteExpiry(row);
+            attempts.cancelOpenAttempt(row);
+            boolean mayBeSentAgain = row.arrival.idempotent() || row.isClaimed() || !row.mayHaveRun;
+            completion.refuse(row, ErrorCode.DEADLINE_EXCEEDED, mayBeSentAgain ? shedding.retryAfter(row.service) : 0);
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
@@ -0,0 +1,198 @@
+package io.rosemarybeam.decision.request;
+
+import io.rosemarybeam.common.id.AttemptId;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+
+/**
+ * Opens and closes attempts and keeps the truth of what may have run.
+ *
+ * <p>Invariant: an event of an attempt that is not open changes nothing. Confined to the thread of the core.
+ */
+final class AttemptSystem {
+    private static final int CUSTOMER_ENGINE_PRIORITY = 0;
+    private static final int TRAINING_ENGINE_PRIORITY = 10;
+
+    private enum End {
+        COMPLETED,
+        FAILED,
+        CANCELLED
+    }
+
+    private final Tables tables;
+    private final CompletionSystem completion;
+    private final RetrySystem retry;
+    private final FairShareSystem fairShare;
+    private final CrashSystem crashes;
+    private final EjectionSystem ejection;
+    private final String idPrefix;
+    private long nextId;
+
+    AttemptSystem(
+            Tables tables,
+            CompletionSystem completion,
+            RetrySystem retry,
+            FairShareSystem fairShare,
+            CrashSystem crashes,
+            EjectionSystem ejection) {
+        this.crashes = crashes;
+        this.ejection = ejection;
+        this.tables = tables;
+        this.fairShare = fairShare;
+        this.completion = completion;
+        this.retry = retry;
+        this.idPrefix = tables.settings.entryName() + "-" + Long.toHexString(tables.random.nextLong()) + "-";
+    }
+
+    RetrySystem retry() {
+        return retry;
+    }
+
+    FairShareSystem fairShare() {
+        return fairShare;
+    }
+
+    /** Sends a request to an endpoint that has room. */
+    void start(RequestRow row, EndpointRow endpoint, ResumePlan plan) {
+        AttemptId id = AttemptId.of(idPrefix + nextId++);
+        AttemptRow attempt = new AttemptRow(id, row, endpoint, tables.now, plan.offset());
+        row.attempt = attempt;
+        row.attempts++;
+        row.state = RequestRow.State.RUNNING;
+        row.tokens = plan.offset();
+        if (plan.offset() == 0) {
+            row.version = endpoint.record.weightVersion().orElse(null);
+        }
+        tables.attempts.put(id, attempt);
+        endpoint.open.add(attempt);
+        row.service.open++;
+        if (row.isTraining()) {
+            row.service.trainingAttempts.add(attempt);
+            fairShare.started(attempt);
+        }
+        tables.refresh(endpoint);
+        tables.emit(new RequestCommand.StartAttempt(
+                row.arrival.request(),
+                id,
+                endpoint.id,
+                endpoint.record.address(),
+                row.isTraining() ? TRAINING_ENGINE_PRIORITY : CUSTOMER_ENGINE_PRIORITY,
+                plan.offset(),
+                plan.spliced(),
+                row.configuration.deadlines().connectMilliseconds(),
+                row.configuration.deadlines().progressMilliseconds(),
+                row.deadline(),
+                Math.min(tables.leaseValidUntil, row.claimDeadline)));
+    }
+
+    void sent(RequestInput.AttemptSent input) {
+        AttemptRow attempt = tables.attempts.get(input.attempt());
+        if (attempt != null) {
+            attempt.sent = true;
+        }
+    }
+
+    void progressed(RequestInput.AttemptProgressed input) {
+        AttemptRow attempt = tables.attempts.get(input.attempt());
+        if (attempt == null) {
+            return;
+        }
+        RequestRow row = attempt.request;
+        crashes.alive(attempt);
+        attempt.sent = true;
+        attempt.tokens = Math.max(attempt.tokens, input.tokens());
+        row.tokens = attempt.tokens;
+        row.hasRun = true;
+        row.mayHaveRun = true;
+        row.reachedCaller |= input.reachedCaller();
+        input.version().ifPresent(version -> row.version = version);
+    }
+
+    void completed(RequestInput.AttemptCompleted input) {
+        AttemptRow attempt = tables.attempts.get(input.attempt());
+        if (attempt == null) {
+            return;
+        }
+        attempt.request.hasRun = true;
+        attempt.request.mayHaveRun = true;
+        close(attempt, End.COMPLETED);
+        crashes.completed(attempt);
+        ejection.completed(attempt);
+        if (attempt.endpoint.member) {
+            attempt.endpoint.cache.answered(attempt.request.arrival.prefixHashes());
+        }
+        completion.finish(attempt.request, attempt);
+    }
+
+    void failed(RequestInput.AttemptFailed input) {
+        AttemptRow attempt = tables.attempts.get(input.attempt());
+        if (attempt == null) {
+            return;
+        }
+        crashes.failed(attempt, input.failure());
+        if (mayHaveRun(attempt, input.failure())) {
+            attempt.request.mayHaveRun = true;
+        }
+        close(attempt, End.FAILED);
+        ejection.failed(attempt, input.failure());
+        retry.afterFailure(attempt, input.failure());
+    }
+
+    /** Notes that the deadline of a request passed while its attempt was open. */
+    void noteExpiry(RequestRow row) {
+        if (row.attempt != null) {
+            ejection.expired(row.attempt);
+        }
+    }
+
+    /** Stops the open attempt of a request, if there is one. */
+    void cancelOpenAttempt(RequestRow row) {
+        if (row.attempt != null) {
+            AttemptRow attempt = row.attempt;
+            row.mayHaveRun = true;
+            close(attempt, End.CANCELLED);
+            crashes.cancelled(attempt);
+            tables.emit(new RequestCommand.CancelAttempt(attempt.id));
+        }
+    }
+
+    /** Stops a training attempt in favour of a customer; it counts for no limit on attempts. */
+    void preempt(AttemptRow attempt) {
+        RequestRow row = attempt.request;
+        cancelOpenAttempt(row);
+        row.attempts--;
+        row.state = RequestRow.State.QUEUED;
+        fairShare.queue(row);
+    }
+
+    private void close(AttemptRow attempt, End end) {
+        RequestRow row = attempt.request;
+        if (end != End.CANCELLED) {
+            row.service.holdTime.add(tables.now - attempt.startedAt);
+        }
+        if (end == End.COMPLETED) {
+            double tokens = Math.max(1, row.expectedTokens() - attempt.resumeOffset);
+            row.service.expectedTokens.add(tokens);
+            row.service.timePerToken.add((tables.now - attempt.startedAt) / tokens);
+        }
+        if (row.isTraining()) {
+            fairShare.ended(attempt, end == End.COMPLETED);
+        }
+        tables.attempts.remove(attempt.id);
+        attempt.endpoint.open.remove(attempt);
+        attempt.endpoint.load.ended(attempt, tables.now);
+        row.service.trainingAttempts.remove(attempt);
+        row.service.open--;
+        row.attempt = null;
+        tables.refresh(attempt.endpoint);
+        tables.wantDispatch(row.service);
+    }
+
+    /** A failed connection proves that nothing ran only while nothing was sent. */
+    static boolean mayHaveRun(AttemptRow attempt, AttemptFailure failure) {
+        return switch (failure) {
+            case CONNECT_FAILED -> attempt.sent;
+            case REFUSED_NOT_RUN -> false;
+            case BROKEN, SILENT, ERROR_ANSWER, MISMATCHED -> true;
+        };
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointRow.java
@@ -0,0 +1,69 @@
+package io.rosemarybeam.decision.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.wire.EndpointRecord;
+
+/** An endpoint and what this entry knows of it. Confined to the thread of the core. */
+final class EndpointRow {
+    static final int NOT_LISTED = -1;
+
+    final EndpointId id;
+    final ServiceRow service;
+    final Set<AttemptRow> open = new LinkedHashSet<>();
+
+    final LoadView load = new LoadView();
+    final EndpointHealth health = new EndpointHealth();
+    final CacheView cache = new CacheView(this);
+
+    // ---- Attempts that were open when one of them broke ----
+    final List<AttemptRow> batch = new ArrayList<>();
+    final Set<AttemptRow> batchPending = new HashSet<>();
+    long batchOpenedAt;
+
+    EndpointRecord record;
+    boolean member = true;
+    boolean inService = true;
+    boolean drainingByConfiguration;
+    int lastTurn;
+    int listIndex = NOT_LISTED;
+    int availableIndex = NOT_LISTED;
+    int trainingIndex = NOT_LISTED;
+    int countedSlots;
+    boolean countedEligible;
+
+    EndpointRow(EndpointRecord record, ServiceRow service) {
+        this.id = record.id();
+        this.record = record;
+        this.service = service;
+    }
+
+    /** Returns whether the endpoint may get new work at all, regardless of its load. */
+    boolean mayServe() {
+        return isEligible() && health.state != EndpointHealth.State.EJECTED;
+    }
+
+    /** Returns whether the endpoint may get new work, regardless of its load and of ejection. */
+    boolean isEligible() {
+        return member
+                && inService
+                && !record.leaving()
+                && !drainingByConfiguration
+                && (!service.isModel() || record.weightVersion().isPresent());
+    }
+
+    /** Returns how many attempts of this entry the endpoint may run at once. */
+    int slots() {
+        return Math.min(fullSlots(), health.recoveringSlots);
+    }
+
+    /** Returns how many attempts of this entry the endpoint may run at once after its recovery. */
+    int fullSlots() {
+        return Math.max(1, Math.min(record.capacity(), service.concurrentPerEndpoint()));
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
@@ -0,0 +1,120 @@
+package io.rosemarybeam.decision.request;
+
+import io.rosemarybeam.common.configuration.ServiceConfiguration;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+
+/**
+ * Decides after a failed attempt whether the request runs again.
+ *
+ * <p>Invariant: a request that is not idempotent runs again only if its attempt provably did not run. Confined to the
+ * thread of the core.
+ */
+final class RetrySystem {
+    private static final long BACKOFF_BASE_MILLISECONDS = 20;
+    private static final long BACKOFF_LIMIT_MILLISECONDS = 1_000;
+    private static final int LEAST_BUDGET_LIMIT = 10;
+    private static final long RETRY_AFTER_MILLISECONDS = 1_000;
+
+    private final Tables tables;
+    private final CompletionSystem completion;
+    private final FairShareSystem fairShare;
+    private final CrashSystem crashes;
+
+    RetrySystem(Tables tables, CompletionSystem completion, FairShareSystem fairShare, CrashSystem crashes) {
+        this.crashes = crashes;
+        this.fairShare = fairShare;
+        this.tables = tables;
+        this.completion = completion;
+    }
+
+    void afterFailure(AttemptRow attempt, AttemptFailure failure) {
+        RequestRow row = attempt.request;
+        row.failedEndpoints.add(attempt.endpoint.id);
+        if (!row.arrival.idempotent() && !mayRepeat(row, attempt)) {
+            // Without a key a caller that sends it again may have it run twice.
+            boolean mayBeSentAgain = !row.mayHaveRun || row.isClaimed();
+            completion.refuse(
+                    row,
+                    row.mayHaveRun ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.ENDPOINT_FAILED,
+                    mayBeSentAgain ? RETRY_AFTER_MILLISECONDS : 0);
+            return;
+        }
+        if (row.callerGone) {
+            completion.forget(row);
+            return;
+        }
+        if (row.reachedCaller && !row.service.isModel()) {
+            completion.refuse(row, ErrorCode.ENDPOINT_FAILED, RETRY_AFTER_MILLISECONDS);
+            return;
+        }
+        if (!tables.holdsLease()) {
+            completion.refuse(row, ErrorCode.LEASE_LAPSED, RETRY_AFTER_MILLISECONDS);
+            return;
+        }
+        if (crashes.isQuarantined(row.service.name, row.arrival.fingerprint())) {
+            completion.refuse(row, ErrorCode.REQUEST_QUARANTINED, 0);
+            return;
+        }
+        if (row.attempts >= row.configuration.retries().maximumAttempts()) {
+            completion.refuse(row, ErrorCode.ATTEMPTS_EXHAUSTED, RETRY_AFTER_MILLISECONDS);
+            return;
+        }
+        long wait = backoff(row.attempts);
+        if (tables.now + wait >= row.deadline()) {
+            completion.refuse(row, ErrorCode.DEADLINE_UNREACHABLE, 0);
+            return;
+        }
+        if (!spendBudget(row.service)) {
+            completion.refuse(row, ErrorCode.ATTEMPTS_EXHAUSTED, RETRY_AFTER_MILLISECONDS);
+            return;
+        }
+        row.state = RequestRow.State.WAITING_FOR_RETRY;
+        tables.timers.at(tables.now + wait, () -> queueAgain(row));
+    }
+
+    /** Each arriving request pays for a part of a repeated attempt. */
+    void grantBudget(ServiceRow service, ServiceConfiguration configuration) {
+        double part = configuration.retries().budgetPercent() / 100.0;
+        service.retryTokens = Math.min(budgetLimit(service), budget(service) + part);
+    }
+
+    private boolean spendBudget(ServiceRow service) {
+        if (!tables.uses(RequestPolicy.RETRY_BUDGET)) {
+            return true;
+        }
+        double left = budget(service);
+        if (left < 1) {
+            return false;
+        }
+        service.retryTokens = left - 1;
+        return true;
+    }
+
+    private static double budget(ServiceRow service) {
+        return Double.isNaN(service.retryTokens) ? budgetLimit(service) : service.retryTokens;
+    }
+
+    /** The crash of every endpoint at once may be answered with one repeated attempt each. */
+    private static double budgetLimit(ServiceRow service) {
+        return Math.max(LEAST_BUDGET_LIMIT, service.share);
+    }
+
+    /** Without a key nobody could tell a second run from the first, so only an unsent attempt is repeated. */
+    private static boolean mayRepeat(RequestRow row, AttemptRow attempt) {
+        return !row.mayHaveRun && (row.claimGranted || !attempt.sent);
+    }
+
+    private void queueAgain(RequestRow row) {
+        if (row.state == RequestRow.State.WAITING_FOR_RETRY) {
+            row.state = RequestRow.State.QUEUED;
+            fairShare.queue(row);
+            tables.wantDispatch(row.service);
+        }
+    }
+
+    private long backoff(int attempts) {
+        long limit = Math.min(BACKOFF_LIMIT_MILLISECONDS, BACKOFF_BASE_MILLISECONDS << Math.min(attempts - 1, 16));
+        return limit / 2 + tables.random.nextLong(limit / 2 + 1);
+    }
+}
