--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -59,6 +60,7 @@
     private final AdminServer admin;
     private final Drain drain;
     private final OpenCalls openCalls = new OpenCalls();
+    private final AtomicBoolean closed = new AtomicBoolean();
     private long nextAttemptCheck;
     private long nextExpiryCheck;
 
@@ -229,6 +231,9 @@
 
     @Override
     public void close() {
+        if (!closed.compareAndSet(false, true)) {
+            return;
+        }
         server.close();
         admin.close();
         loop.close();
--- /dev/null
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ControlSessionTest.java
@@ -0,0 +1,148 @@
+package io.rosemarybeam.entry;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.wire.ControlReply.ConfigurationText;
+import io.rosemarybeam.common.wire.ControlReply.EntryState;
+import io.rosemarybeam.common.wire.EntryRequest.RenewEntryLease;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against an entry that serves without lease, follows a deposed leader or goes back to an older text. */
+class ControlSessionTest {
+    private EntryHarness harness;
+
+    @BeforeEach
+    void start() throws Exception {
+        harness = new EntryHarness(3);
+    }
+
+    @AfterEach
+    void stop() {
+        harness.close();
+    }
+
+    private int status(EntryHarness.Entry entry) {
+        return harness.get(entry, "/services/workshop-app/page").statusCode();
+    }
+
+    private void lead(int host) {
+        synchronized (harness.state) {
+            harness.state.leader = Optional.of(harness.controls.get(host).address());
+        }
+    }
+
+    private boolean renewedAt(int host) {
+        return harness.controls.get(host).received.stream().anyMatch(RenewEntryLease.class::isInstance);
+    }
+
+    private EntryHarness.Entry serve() throws Exception {
+        EntryHarness.Entry entry = harness.startReadyEntry("entry-1", "amman-a");
+        ScriptedEndpoint endpoint = harness.startEndpoint(call -> call.whole(200, "page"));
+        EntryHarness.await(() ->
+                harness.announce(entry, "a", "workshop-app", endpoint.url()).statusCode() == 200);
+        assertEquals(200, status(entry));
+        return entry;
+    }
+
+    @Test
+    void shouldFollowLeaderWhenItChanges() throws Exception {
+        lead(0);
+        EntryHarness.Entry entry = serve();
+        lead(2);
+        EntryHarness.await(() -> renewedAt(2));
+        assertEquals(200, status(entry));
+    }
+
+    @Test
+    void shouldLeaveLeaderWhenItGoesSilent() throws Exception {
+        lead(1);
+        EntryHarness.Entry entry = serve();
+        harness.controls.get(1).setSilent(true);
+        lead(2);
+        EntryHarness.await(() -> renewedAt(2));
+        EntryHarness.await(() -> status(entry) == 200);
+    }
+
+    @Test
+    void shouldLeaveLeaderWhenItsHostIsGone() throws Exception {
+        lead(1);
+        EntryHarness.Entry entry = serve();
+        harness.controls.get(1).close();
+        lead(0);
+        EntryHarness.await(() -> renewedAt(0));
+        EntryHarness.await(() -> status(entry) == 200);
+    }
+
+    @Test
+    void shouldRefuseAsNotRunWhenLeaseLapses() throws Exception {
+        harness.state.leaseMilliseconds = 1_500;
+        EntryHarness.Entry entry = serve();
+        harness.controls.forEach(control -> control.setSilent(true));
+        EntryHarness.await(() -> status(entry) == 503);
+        HttpResponse<String> refused = harness.get(entry, "/services/workshop-app/page");
+        Map<?, ?> problem = EntryHarness.json(refused.body());
+        assertEquals("LEASE_LAPSED", problem.get("code"));
+        assertEquals("not-run", problem.get("run"));
+        assertTrue(refused.headers().firstValue("retry-after").isPresent());
+        harness.controls.forEach(control -> control.setSilent(false));
+        EntryHarness.await(() -> status(entry) == 200);
+    }
+
+    @Test
+    void shouldTakeNoWorkWhenNoLeaseWasEverGranted() throws Exception {
+        harness.controls.forEach(control -> control.setSilent(true));
+        EntryHarness.Entry entry = harness.startEntry("entry-1", "amman-a");
+        assertEquals(503, harness.get(entry, "/v1/addresses").statusCode());
+        HttpResponse<String> refused = harness.get(entry, "/services/workshop-app/page");
+        assertEquals("not-run", EntryHarness.json(refused.body()).get("run"));
+        assertEquals(
+                503,
+                harness.announce(entry, "a", "workshop-app", "http://127.0.0.1:1")
+                        .statusCode());
+    }
+
+    private static EntryState state(long term, long number, String text) {
+        return new EntryState(
+                term,
+                Optional.of(new ConfigurationText(number, text)),
+                Optional.empty(),
+                Map.of(),
+                List.of(),
+                Map.of());
+    }
+
+    private long configurationNumber(EntryHarness.Entry entry) throws Exception {
+        return Json.MAPPER
+                .readTree(entry.process().dump().get())
+                .path("configurationNumber")
+                .asLong();
+    }
+
+    @Test
+    void shouldIgnoreStateWhenTermOrNumberIsOlder() throws Exception {
+        lead(0);
+        harness.state.leaderTerm = 5;
+        EntryHarness.Entry entry = serve();
+        String text = EntryHarness.CONFIGURATION;
+        harness.controls.getFirst().push(state(5, 3, text.replace("\"number\": 1", "\"number\": 3")));
+        EntryHarness.await(() -> {
+            try {
+                return configurationNumber(entry) == 3;
+            } catch (Exception failure) {
+                throw new IllegalStateException(failure);
+            }
+        });
+        harness.controls.getFirst().push(state(5, 2, text.replace("\"number\": 1", "\"number\": 2")));
+        harness.controls.getFirst().push(state(4, 9, text.replace("\"number\": 1", "\"number\": 9")));
+        Thread.sleep(300);
+        assertEquals(3, configurationNumber(entry));
+    }
+}
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/FakeControl.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/FakeControl.java
@@ -127,7 +127,7 @@
     }
 
     private Message renew(EntryRequest.RenewEntryLease renew) {
-        if (state.entries.put(renew.entry().name().value(), renew.entry()) == null) {
+        if (!renew.entry().equals(state.entries.put(renew.entry().name().value(), renew.entry()))) {
             state.version++;
         }
         Optional<ConfigurationText> newer = state.configuration.filter(text -> text.number() > renew.appliedRevision());
