--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
@@ -2,21 +2,67 @@
 
 import java.util.List;
 
-/** Chooses the endpoint of an attempt. Confined to the thread of the core. */
+/**
+ * Chooses the endpoint of an attempt by estimated load, failure domain, cached prefix and earlier failures.
+ *
+ * <p>Invariant: looks at a bounded number of endpoints. Confined to the thread of the core.
+ */
 final class EndpointChoice {
+    /** Up to this many endpoints are all compared; of more, as many are drawn at random. */
+    private static final int COMPARED_ENDPOINTS = 16;
+
+    /** Endpoints that are looked at before a request with rare requirements is left in the queue. */
+    private static final int SEARCHED_ENDPOINTS = 128;
+
+    /** Cost of another failure domain, as a part of an endpoint's capacity. */
+    private static final double FAILURE_DOMAIN_COST = 0.15;
+
+    /** Cost of an endpoint on which the request failed before; larger than any load. */
+    private static final double FAILED_BEFORE_COST = 4;
+
+    /** Gain of a fully cached prompt, as a part of an endpoint's capacity. */
+    private static final double PREFIX_GAIN = 0.5;
+
+    /** Load above the mean, as a part of the capacity, up to which cached prefixes attract requests. */
+    private static final double PREFIX_LOAD_BOUND = 0.25;
+
+    /** Holders of cached prefixes that are compared. */
+    private static final int COMPARED_HOLDERS = 8;
+
+    /** Estimated load, in multiples of the slots, from which an endpoint gets nothing more. */
+    private static final double SATURATED_LOAD = 2;
+
     private final Tables tables;
+    private final CrashSystem crashes;
+    private int turn;
 
-    EndpointChoice(Tables tables) {
+    EndpointChoice(Tables tables, CrashSystem crashes) {
         this.tables = tables;
+        this.crashes = crashes;
     }
 
     /** Returns the best endpoint with room, or null if none suits the request. */
     EndpointRow choose(RequestRow row) {
-        List<EndpointRow> candidates = row.service.available.rows();
         EndpointRow best = null;
         double bestScore = Double.MAX_VALUE;
-        for (EndpointRow endpoint : candidates) {
-            if (suits(row, endpoint)) {
+        EndpointList list = row.isTraining() ? row.service.availableForTraining : row.service.available;
+        List<EndpointRow> available = list.rows();
+        int size = available.size();
+        if (size == 0) {
+            return null;
+        }
+        boolean sampled = size > COMPARED_ENDPOINTS;
+        int position = sampled ? tables.random.nextInt(size) : 0;
+        boolean suspect = crashes.isSuspect(row);
+        double loads = 0;
+        int compared = 0;
+        int searched = Math.min(size, SEARCHED_ENDPOINTS);
+        for (int index = 0; index < searched && compared < COMPARED_ENDPOINTS; index++) {
+            EndpointRow endpoint = available.get(position);
+            position = nextPosition(position, size, sampled && index < COMPARED_ENDPOINTS);
+            if (suits(row, endpoint) && !(suspect && crashes.runsSuspect(endpoint))) {
+                compared++;
+                loads += load(endpoint);
                 double score = score(row, endpoint);
                 if (score < bestScore) {
                     best = endpoint;
@@ -24,45 +70,91 @@
                 }
             }
         }
-        return best;
+        if (compared < 2 || !tables.uses(RequestPolicy.PREFIX_AFFINITY)) {
+            return best;
+        }
+        return holderOr(best, bestScore, row, loads / compared, suspect);
     }
 
-    /** Returns how a request goes on at an endpoint. */
-    ResumePlan resumePlan(RequestRow row, EndpointRow endpoint) {
-        if (row.tokens == 0 || !endpoint.record.resumes() || !row.service.isModel()) {
-            return ResumePlan.FRESH;
+    /** Returns a holder of a cached prefix if that outweighs its load, else the best endpoint so far. */
+    private EndpointRow holderOr(
+            EndpointRow found, double foundScore, RequestRow row, double meanLoad, boolean suspect) {
+        EndpointRow best = found;
+        double bestScore = foundScore;
+        List<Long> prefixes = row.arrival.prefixHashes();
+        int compared = 0;
+        for (int index = prefixes.size() - 1; index >= 0 && compared < COMPARED_HOLDERS; index--) {
+            Long prefix = prefixes.get(index);
+            double gain = PREFIX_GAIN * (index + 1) / prefixes.size();
+            List<EndpointRow> holders = row.service.prefixes.getOrDefault(prefix, List.of());
+            int start = holders.isEmpty() ? 0 : tables.random.nextInt(holders.size());
+            for (int offset = 0; offset < holders.size() && compared < COMPARED_HOLDERS; offset++) {
+                EndpointRow holder = holders.get((start + offset) % holders.size());
+                compared++;
+                if (hasRoom(row, holder)
+                        && load(holder) <= meanLoad + PREFIX_LOAD_BOUND
+                        && suits(row, holder)
+                        && !(suspect && crashes.runsSuspect(holder))) {
+                    double score = score(row, holder) - gain * holder.cache.trust(prefix);
+                    if (score < bestScore) {
+                        best = holder;
+                        bestScore = score;
+                    }
+                }
+            }
         }
-        boolean sameVersion = endpoint.record
-                .weightVersion()
-                .filter(version -> version.equals(row.version))
-                .isPresent();
-        if (!sameVersion && !row.reachedCaller) {
-            return ResumePlan.FRESH;
+        return best;
+    }
+
+    /** Returns whether a request may run on an endpoint, regardless of room. */
+    boolean accepts(RequestRow row, EndpointRow endpoint) {
+        return suits(row, endpoint) && !(crashes.isSuspect(row) && crashes.runsSuspect(endpoint));
+    }
+
+    private static boolean hasRoom(RequestRow row, EndpointRow endpoint) {
+        return (row.isTraining() ? endpoint.trainingIndex : endpoint.availableIndex) != EndpointRow.NOT_LISTED;
+    }
+
+    private int nextPosition(int position, int size, boolean drawn) {
+        if (drawn) {
+            return tables.random.nextInt(size);
         }
-        return new ResumePlan(row.tokens, !sameVersion);
+        return position + 1 == size ? 0 : position + 1;
     }
 
     private boolean suits(RequestRow row, EndpointRow endpoint) {
-        if (row.arrival.avoid().contains(endpoint.id)) {
+        if (row.arrival.avoid().contains(endpoint.id) || !ResumePlan.isPossible(row, endpoint)) {
             return false;
         }
-        if (row.reachedCaller && row.tokens > 0 && !endpoint.record.resumes()) {
+        if (row.arrival.minimumVersion().isPresent()
+                && (endpoint.record.weightVersion().isEmpty()
+                        || endpoint.record.weightVersion().get().value()
+                                < row.arrival.minimumVersion().get().value())) {
             return false;
         }
-        return row.arrival.minimumVersion().isEmpty()
-                || endpoint.record.weightVersion().isPresent()
-                        && endpoint.record.weightVersion().get().value()
-                                >= row.arrival.minimumVersion().get().value();
+        return load(endpoint) < SATURATED_LOAD;
     }
 
     private double score(RequestRow row, EndpointRow endpoint) {
-        double score = (double) (endpoint.open.size() + 1) / endpoint.slots();
-        if (row.failedEndpoints.contains(endpoint.id)) {
-            score += 2;
+        double score = row.failedEndpoints.contains(endpoint.id) ? FAILED_BEFORE_COST : 0;
+        if (!tables.uses(RequestPolicy.LEAST_LOAD)) {
+            return score + (endpoint.lastTurn - (double) turn) / Integer.MAX_VALUE;
         }
-        if (!endpoint.record.failureDomain().equals(tables.settings.failureDomain())) {
-            score += 0.15;
+        score += load(endpoint) + 1.0 / endpoint.slots();
+        if (tables.uses(RequestPolicy.FAILURE_DOMAIN_COST)
+                && !endpoint.record.failureDomain().equals(tables.settings.failureDomain())) {
+            score += FAILURE_DOMAIN_COST;
         }
         return score;
     }
+
+    /** Notes that an endpoint got an attempt, for the plain baseline in which endpoints take turns. */
+    void chosen(EndpointRow endpoint) {
+        endpoint.lastTurn = ++turn;
+    }
+
+    private double load(EndpointRow endpoint) {
+        double foreign = tables.uses(RequestPolicy.LOAD_REPORTS) ? endpoint.load.foreign(tables.now) : 0;
+        return (endpoint.open.size() + foreign) / endpoint.slots();
+    }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Tables.java
@@ -19,6 +19,7 @@
     final RequestCoreSettings settings;
     final UniformRandomProvider random;
     final Timers timers = new Timers();
+    final ClaimTable claims = new ClaimTable();
     final Map<ServiceName, ServiceRow> services = new LinkedHashMap<>();
     final Map<EndpointId, EndpointRow> endpoints = new HashMap<>();
     final Map<RequestId, RequestRow> requests = new HashMap<>();
@@ -70,11 +71,29 @@
 
     /** Puts the endpoint into or out of the list of endpoints with room. */
     void refresh(EndpointRow endpoint) {
-        if (endpoint.isAvailable()) {
-            endpoint.service.available.add(endpoint);
-            wantDispatch(endpoint.service);
+        ServiceRow service = endpoint.service;
+        boolean eligible = endpoint.isEligible();
+        if (eligible != endpoint.countedEligible) {
+            service.servingEndpoints += eligible ? 1 : -1;
+            endpoint.countedEligible = eligible;
+        }
+        if (!eligible && service.ejected.remove(endpoint)) {
+            // What made it ineligible, such as a restart or a swap, may also have cured it.
+            endpoint.health.startRecovery();
+        }
+        int slots = endpoint.mayServe() ? endpoint.slots() : 0;
+        service.servingSlots += slots - endpoint.countedSlots;
+        endpoint.countedSlots = slots;
+        if (endpoint.open.size() < slots) {
+            service.available.add(endpoint);
+            wantDispatch(service);
+        } else {
+            service.available.remove(endpoint);
+        }
+        if (endpoint.open.size() < slots - service.reserve(slots, this)) {
+            service.availableForTraining.add(endpoint);
         } else {
-            endpoint.service.available.remove(endpoint);
+            service.availableForTraining.remove(endpoint);
         }
     }
 }
