--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/FakeControl.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/FakeControl.java
@@ -44,6 +44,7 @@
         final Map<String, EntryHostRecord> entries = new LinkedHashMap<>();
         final Map<String, StepSnapshot> steps = new LinkedHashMap<>();
         final Map<String, EntryRequest.RecordOutcome> outcomes = new LinkedHashMap<>();
+        final Map<String, Integer> shares = Map.of("brailler-lm", 1_000, "workshop-app", 1_000);
         long version = 1;
         long leaderTerm = 1;
         long leaseMilliseconds = 3_000;
@@ -141,7 +142,8 @@
                         new ArrayList<>(state.entries.values()),
                         List.of()));
         return new EntryLease(
-                state.leaseMilliseconds, new EntryState(state.leaderTerm, newer, full, Map.of(), List.of(), Map.of()));
+                state.leaseMilliseconds,
+                new EntryState(state.leaderTerm, newer, full, state.shares, List.of(), Map.of()));
     }
 
     private Message open(StepSpecification specification, HostName entry) {
