--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/FetchPacing.java
@@ -0,0 +1,29 @@
+package io.rosemarybeam.decision.rollout;
+
+import java.util.ArrayDeque;
+
+/**
+ * Spreads fetches from the weight store evenly.
+ *
+ * <p>Invariant: no second contains more fetches than permitted, wherever it begins. Confined to the thread of the core.
+ */
+final class FetchPacing {
+    private static final double MILLISECONDS_PER_SECOND = 1_000;
+
+    /** A fetch that is late by a tick does not delay the following ones. */
+    private static final double CATCH_UP_MILLISECONDS = 10;
+
+    private final ArrayDeque<Long> recent = new ArrayDeque<>();
+    private double nextAtMilliseconds = Double.NEGATIVE_INFINITY;
+
+    boolean isPermitted(long now, int perSecond) {
+        recent.removeIf(fetch -> now >= fetch + MILLISECONDS_PER_SECOND);
+        return now >= nextAtMilliseconds && recent.size() < perSecond;
+    }
+
+    void add(long now, int perSecond) {
+        recent.add(now);
+        double due = Math.max(nextAtMilliseconds, now - CATCH_UP_MILLISECONDS);
+        nextAtMilliseconds = due + MILLISECONDS_PER_SECOND / Math.max(1, perSecond);
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/RolloutTables.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/RolloutTables.java
@@ -73,7 +73,7 @@
         long askedAtMilliseconds = Long.MIN_VALUE;
         boolean asking;
         long neededSinceMilliseconds = -1;
-        long nextFetchAtMilliseconds = Long.MIN_VALUE;
+        final FetchPacing fetches = new FetchPacing();
 
         boolean isIssuer(long now) {
             return fencingNumber != null && now < validUntilMilliseconds;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/SwapSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/rollout/SwapSystem.java
@@ -28,7 +28,6 @@
     /** Two intervals of endpoint reports: after a failed swap the reported version is at most this old. */
     private static final long REPORT_DELAY_MILLISECONDS = 2_000;
 
-    private static final long MILLISECONDS_PER_SECOND = 1_000;
     private static final int PERCENT = 100;
 
     private final RolloutTables tables;
@@ -76,7 +75,7 @@
         endpoints.stream()
                 .filter(endpoint -> !isInService(endpoint))
                 .forEach(endpoint -> missing.merge(endpoint.record.failureDomain(), 1, Integer::sum));
-        while (now >= service.nextFetchAtMilliseconds) {
+        while (service.fetches.isPermitted(now, rules.storeFetchesPerSecond())) {
             int removable = inService - floor;
             EndpointEntity next = endpoints.stream()
                     .filter(endpoint -> isDue(now, service, endpoint))
@@ -94,8 +93,7 @@
                 missing.merge(next.record.failureDomain(), 1, Integer::sum);
             }
             order(now, service, next, commands);
-            long interval = MILLISECONDS_PER_SECOND / Math.max(1, rules.storeFetchesPerSecond());
-            service.nextFetchAtMilliseconds = Math.max(now - interval, service.nextFetchAtMilliseconds) + interval;
+            service.fetches.add(now, rules.storeFetchesPerSecond());
         }
     }
 
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/GenerationSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/GenerationSystem.java
@@ -22,7 +22,7 @@
  */
 final class GenerationSystem {
     private static final long FIRST_BACKOFF_MILLISECONDS = 200;
-    private static final long MAXIMUM_BACKOFF_MILLISECONDS = 30_000;
+    private static final long MAXIMUM_BACKOFF_MILLISECONDS = 10_000;
 
     /** How long after its deadline an attempt without any result counts as failed. */
     private static final long OVERDUE_MILLISECONDS = 5_000;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/OwnershipSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/OwnershipSystem.java
@@ -109,6 +109,9 @@
         }
         SampleBody body = sample.body;
         sample.committed = commit;
+        if (step.commitBatch != null) {
+            step.commitBatch.samples.removeIf(confirmed -> confirmed.index() == commit.index());
+        }
         if (SampleEntity.isBodyOf(body, commit)) {
             sample.copies.addAll(commit.holders());
             sample.copies.remove(tables.settings.entry());
