--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
@@ -10,14 +10,23 @@
 
     private final Tables tables;
     private final CompletionSystem completion;
+    private final RetrySystem retry;
     private final AttemptSystem attempts;
     private final SheddingSystem shedding;
+    private final CrashSystem crashes;
 
-    AdmissionSystem(Tables tables, CompletionSystem completion, AttemptSystem attempts, SheddingSystem shedding) {
+    AdmissionSystem(
+            Tables tables,
+            CompletionSystem completion,
+            AttemptSystem attempts,
+            SheddingSystem shedding,
+            CrashSystem crashes) {
+        this.crashes = crashes;
         this.shedding = shedding;
         this.tables = tables;
         this.completion = completion;
         this.attempts = attempts;
+        this.retry = attempts.retry();
     }
 
     void arrive(RequestArrived arrival) {
@@ -43,7 +52,16 @@
             completion.refuseArrival(arrival, ErrorCode.DEADLINE_UNREACHABLE, 0);
             return;
         }
+        if (crashes.isQuarantined(arrival.service(), arrival.fingerprint())) {
+            completion.refuseArrival(arrival, ErrorCode.REQUEST_QUARANTINED, 0);
+            return;
+        }
+        if (RequestRow.isClaimed(arrival) && tables.claims.isTaken(arrival)) {
+            refuseTakenKey(arrival);
+            return;
+        }
         ServiceRow service = tables.service(arrival.service());
+        retry.grantBudget(service, configuration);
         if (service.servingSlots == 0) {
             completion.refuseArrival(arrival, ErrorCode.NO_ENDPOINT, RETRY_ELSEWHERE_MILLISECONDS);
             return;
@@ -59,11 +77,28 @@
             return;
         }
         tables.requests.put(arrival.request(), row);
+        service.requests++;
+        if (row.isClaimed()) {
+            tables.claims.take(arrival);
+        }
         attempts.fairShare().queue(row);
         tables.timers.at(row.deadline(), () -> expire(row));
         tables.wantDispatch(service);
     }
 
+    private void refuseTakenKey(RequestArrived arrival) {
+        if (tables.claims.isReused(arrival)) {
+            completion.refuseArrival(arrival, ErrorCode.KEY_REUSED, 0);
+            return;
+        }
+        // The other request with this key may run, so this one cannot say that nothing was run.
+        tables.emit(new RequestCommand.RefuseRequest(
+                arrival.request(),
+                ErrorCode.REQUEST_IN_PROGRESS,
+                RequestCommand.RunState.UNKNOWN,
+                RETRY_ELSEWHERE_MILLISECONDS));
+    }
+
     /** Work that may have begun and must not be repeated runs on, so that its outcome can be recorded. */
     void cancel(RequestInput.RequestCancelled cancelled) {
         RequestRow row = tables.requests.get(cancelled.request());
@@ -80,8 +115,10 @@
 
     private void expire(RequestRow row) {
         if (row.state != RequestRow.State.DONE) {
+            attempts.noteExpiry(row);
             attempts.cancelOpenAttempt(row);
-            completion.refuse(row, ErrorCode.DEADLINE_EXCEEDED, 0);
+            boolean mayBeSentAgain = row.arrival.idempotent() || row.isClaimed() || !row.mayHaveRun;
+            completion.refuse(row, ErrorCode.DEADLINE_EXCEEDED, mayBeSentAgain ? shedding.retryAfter(row.service) : 0);
         }
     }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
@@ -20,9 +20,10 @@
     private final SheddingSystem shedding;
     private final FairShareSystem fairShare;
 
-    DispatchSystem(Tables tables, AttemptSystem attempts, ClaimSystem claims, SheddingSystem shedding) {
+    DispatchSystem(
+            Tables tables, EndpointChoice choice, AttemptSystem attempts, ClaimSystem claims, SheddingSystem shedding) {
         this.tables = tables;
-        this.choice = new EndpointChoice(tables);
+        this.choice = choice;
         this.attempts = attempts;
         this.claims = claims;
         this.preemption = new PreemptionSystem(tables, attempts);
@@ -34,6 +35,9 @@
         for (int index = 0; index < tables.dispatchWanted.size(); index++) {
             ServiceRow service = tables.dispatchWanted.get(index);
             service.dispatchWanted = false;
+            while (service.open > service.share && preemption.freePlace(service, endpoint -> true)) {
+                // Training gives way at once when the share shrinks.
+            }
             if (tables.holdsLease() && service.queue.size() > 0) {
                 dispatchCustomers(service);
                 dispatchTraining(service);
@@ -44,7 +48,10 @@
 
     private void dispatchCustomers(ServiceRow service) {
         while (!service.queue.customers.isEmpty()) {
-            if (!service.hasRoom() && !preemption.freePlace(service)) {
+            RequestRow first = service.queue.customers.first();
+            if (!service.hasRoom()
+                    && !preemption.freePlace(
+                            service, endpoint -> endpoint.mayServe() && choice.accepts(first, endpoint))) {
                 return;
             }
             if (!placeFirst(service.queue.customers)) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
@@ -1,7 +1,11 @@
 package io.rosemarybeam.decision.request;
 
+import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.SequencedSet;
+import java.util.Set;
 
 import io.rosemarybeam.common.configuration.ServiceConfiguration;
 import io.rosemarybeam.common.configuration.ServiceConfiguration.ServiceClass;
@@ -26,10 +30,21 @@
     /** Run time per expected token of completed attempts, in milliseconds. */
     final Average timePerToken = new Average(0.05);
 
+    final Average expectedTokens = new Average(0.05);
+
+    /** Endpoints that are believed to hold a prompt prefix, by hash of the prefix. */
+    final Map<Long, List<EndpointRow>> prefixes = new HashMap<>();
+
+    final Set<EndpointRow> ejected = new LinkedHashSet<>();
+
     ServiceConfiguration configuration;
     int share;
     int open;
+    int requests;
     int servingSlots;
+    int servingEndpoints;
+    double medianPace;
+    double retryTokens = Double.NaN;
     long lastServingAt;
     boolean dispatchWanted;
 
