--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ConfigurationSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ConfigurationSystem.java
@@ -14,8 +14,10 @@
 
     private final Tables tables;
     private final CompletionSystem completion;
+    private final EjectionSystem ejection;
 
-    ConfigurationSystem(Tables tables, CompletionSystem completion) {
+    ConfigurationSystem(Tables tables, CompletionSystem completion, EjectionSystem ejection) {
+        this.ejection = ejection;
         this.tables = tables;
         this.completion = completion;
     }
@@ -28,13 +30,11 @@
         }
         tables.configuration = configuration;
         configuration.services().forEach((name, service) -> tables.service(name).configuration = service);
-        tables.services.values().stream()
-                .filter(service -> !configuration.services().containsKey(service.name))
-                .forEach(service -> service.queue.trainers.values().removeIf(queue -> !queue.isActive()));
         for (EndpointRow endpoint : tables.endpoints.values()) {
             endpoint.drainingByConfiguration = configuration.drainingEndpoints().contains(endpoint.id);
             tables.refresh(endpoint);
         }
+        tables.services.values().forEach(ejection::keepFloor);
     }
 
     void assignShares(RequestInput.SharesAssigned input) {
@@ -58,7 +58,7 @@
             return;
         }
         for (RequestRow row : tables.requests.values().toArray(new RequestRow[0])) {
-            if (row.state == RequestRow.State.QUEUED || row.state == RequestRow.State.WAITING_FOR_RETRY) {
+            if (row.attempt == null) {
                 completion.refuse(row, ErrorCode.LEASE_LAPSED, RETRY_ELSEWHERE_MILLISECONDS);
             }
         }
