--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ControlClient.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ControlClient.java
@@ -1,12 +1,15 @@
 package io.rosemarybeam.cli;
 
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -100,23 +103,29 @@
      */
     Message ask(Supplier<Message> request, Duration extraWait) {
         long end = System.nanoTime() + patience.plus(extraWait).toNanos();
+        Map<String, Attempt.Failed> failures = new LinkedHashMap<>();
         while (true) {
-            Attempt.Failed last = null;
-            boolean wrongToken = true;
+            Duration pause = PAUSE_BETWEEN_ROUNDS;
             for (String address : addresses) {
                 Attempt attempt = follow(address, request, extraWait, end);
                 if (attempt instanceof Attempt.Answered answered) {
                     return answered.reply();
                 }
-                last = failure(attempt);
-                wrongToken &= last.isWrongToken();
+                Attempt.Failed failed = failure(attempt);
+                failures.put(address, failed);
                 if (System.nanoTime() >= end) {
-                    throw exhausted(last, false);
+                    throw exhausted(failures);
                 }
+                pause = failed.pause().compareTo(pause) > 0 ? failed.pause() : pause;
             }
-            Duration pause = last.pause().compareTo(PAUSE_BETWEEN_ROUNDS) > 0 ? last.pause() : PAUSE_BETWEEN_ROUNDS;
-            if (wrongToken || System.nanoTime() + pause.toNanos() >= end) {
-                throw exhausted(last, wrongToken);
+            boolean wrongToken = failures.values().stream().allMatch(Attempt.Failed::isWrongToken);
+            if (wrongToken) {
+                throw new WireException(
+                        ErrorCode.HANDSHAKE_REFUSED,
+                        "every control host refused the operator token; check --token-file");
+            }
+            if (System.nanoTime() + pause.toNanos() >= end) {
+                throw exhausted(failures);
             }
             sleep(pause);
         }
@@ -145,7 +154,7 @@
                 connection.close();
             }
         } catch (WireException failure) {
-            return failed(new WireException(failure.code(), "control host " + address + ": " + detail(failure)));
+            return failed(new WireException(failure.code(), "control host " + address + ": " + reason(failure)));
         }
     }
 
@@ -203,21 +212,31 @@
         };
     }
 
-    private RosemarybeamException exhausted(Attempt.Failed last, boolean wrongToken) {
-        if (wrongToken) {
-            return new WireException(
-                    ErrorCode.HANDSHAKE_REFUSED, "every control host refused the operator token; check --token-file");
-        }
-        String detail =
-                "no control host of " + String.join(", ", addresses) + " answered within " + patience.toSeconds()
-                        + " s; the last failure was " + last.failure().getMessage();
-        ErrorCode code = last.isWrongToken()
-                ? ErrorCode.CONNECTION_FAILED
-                : last.failure().code();
-        return new WireException(code, detail, last.failure());
+    /** Names the last failure of every host; one that answered tells more than one that did not. */
+    private RosemarybeamException exhausted(Map<String, Attempt.Failed> failures) {
+        String hosts = failures.values().stream()
+                .map(failed -> "\n  " + detail(failed.failure()))
+                .collect(Collectors.joining());
+        RosemarybeamException telling = failures.values().stream()
+                .map(Attempt.Failed::failure)
+                .filter(ControlException.class::isInstance)
+                .findFirst()
+                .orElse(failures.values().iterator().next().failure());
+        ErrorCode code = telling.code() == ErrorCode.HANDSHAKE_REFUSED ? ErrorCode.CONNECTION_FAILED : telling.code();
+        String detail = "no leading control host answered within " + patience.toSeconds() + " s:" + hosts;
+        return telling instanceof ControlException
+                ? new ControlException(code, detail, telling)
+                : new WireException(code, detail, telling);
+    }
+
+    /** Adds what the operating system said, for example that the connection was refused. */
+    private static String reason(WireException failure) {
+        Throwable cause = failure.getCause();
+        String system = cause == null || cause instanceof RosemarybeamException ? "" : " (" + cause.getMessage() + ")";
+        return detail(failure) + system;
     }
 
-    private static String detail(WireException failure) {
+    private static String detail(RosemarybeamException failure) {
         String message = failure.getMessage();
         return message.substring(message.indexOf(": ") + 2);
     }
--- a/rosemarybeam-cli/src/test/java/io/rosemarybeam/cli/CommandLineTest.java
+++ b/rosemarybeam-cli/src/test/java/io/rosemarybeam/cli/CommandLineTest.java
@@ -143,6 +143,19 @@
         }
     }
 
+    @Test
+    void shouldNameTheFailureOfEveryHostWhenNoLeaderIsFound() {
+        Message noLeader = new NotLeader(Optional.empty(), Optional.empty());
+        try (FakeControlHost host = FakeControlHost.answering(noLeader)) {
+            Run run = runner.ask("127.0.0.1:1," + host.address(), "status", "--timeout", "1");
+
+            assertEquals(ExitCode.UNREACHABLE, run.code());
+            assertTrue(run.err().contains("RB-3001 NOT_LEADER"), run.err());
+            assertTrue(run.err().contains("control host 127.0.0.1:1: cannot connect"), run.err());
+            assertTrue(run.err().contains("control host " + host.address() + " does not lead"), run.err());
+        }
+    }
+
     @Test
     void shouldEndAsRefusedWhenTheTokenIsWrong() throws IOException {
         try (FakeControlHost host = FakeControlHost.answering(new StatusReply("{}"))) {
