Refuse reports of endpoints that have left, and test late wake-ups

Cause: a report that was on its way when an endpoint left would have announced it again; the client library logged an error with stack for each attempt that missed its dispatch deadline; refusals without lease had no Retry-After. Change: outdated reports are refused; a late attempt closes its connection before the write instead of throwing; refusals carry X-Run and, without lease, Retry-After; the durable state of a step reaches the step core whenever it is read.

--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/AttemptStream.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/AttemptStream.java
@@ -7,8 +7,6 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.rosemarybeam.common.error.ErrorCode;
-import io.rosemarybeam.common.error.RequestException;
 import io.rosemarybeam.common.id.AttemptId;
 import io.rosemarybeam.common.id.WeightVersion;
 import io.rosemarybeam.decision.request.RequestCommand.StartAttempt;
@@ -104,9 +102,13 @@
 
     @Override
     public void onRequestSend(NettyRequest request) {
-        if (ended.get() || clock.nowMilliseconds() > sendNotAfterMilliseconds) {
-            throw new RequestException(
-                    ErrorCode.DEADLINE_EXCEEDED, "attempt " + id() + " was not sent before its dispatch deadline");
+        if (clock.nowMilliseconds() > sendNotAfterMilliseconds) {
+            fail(AttemptFailure.CONNECT_FAILED);
+        }
+        if (ended.get()) {
+            // Closing runs before the write that follows this call, which therefore sends nothing.
+            closeChannel();
+            return;
         }
         sent = true;
         lastByteMilliseconds = clock.nowMilliseconds();
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerConnection.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerConnection.java
@@ -78,7 +78,7 @@
         try {
             limit = routes.bodyLimit(head);
         } catch (RosemarybeamException failure) {
-            refuse(context, Problem.notRun(failure.code(), failure.getMessage()));
+            refuse(context, Problem.of(failure));
             return;
         }
         if (HttpUtil.getContentLength(request, 0L) > limit) {
@@ -120,7 +120,8 @@
         try {
             routes.handle(ready);
         } catch (RosemarybeamException failure) {
-            ready.refuse(Problem.notRun(failure.code(), failure.getMessage()));
+            routes.countRefusal(failure.code());
+            ready.refuse(Problem.of(failure));
         } catch (RuntimeException failure) {
             LOG.log(Event.HANDLER_FAILED, failure, "path", ready.head().path());
             ready.refuse(Problem.notRun(ErrorCode.INTERNAL, ErrorCode.INTERNAL.description()));
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointHeaders.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointHeaders.java
@@ -17,7 +17,7 @@
     /** Key under which a caller resends a non-idempotent request. */
     static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
-    /** Says whether a refused request was run. */
+    /** Says whether a refused request was run; entries set it too, so that a refusal can be passed on along dependencies. */
     static final String RUN = "X-Run";
 
     /** Value of {@link #RUN} for a request that was not run. */
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointRoutes.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointRoutes.java
@@ -111,6 +111,11 @@
             return;
         }
         Optional<EndpointRecord> known = keeper.membership().endpoint(endpoint.id());
+        if (known.isPresent() && isOutdated(known.get(), endpoint)) {
+            call.refuse(Problem.notRun(
+                    ErrorCode.REQUEST_INVALID, endpoint.id() + " has left or was replaced by a newer incarnation"));
+            return;
+        }
         if (known.isPresent() && isRenewal(known.get(), endpoint)) {
             if (isRenewer(endpoint.id())) {
                 keeper.renewEndpoint(endpoint, known.get());
@@ -131,6 +136,12 @@
                 }));
     }
 
+    /** A report that was on its way when the endpoint left must not bring it back. */
+    private static boolean isOutdated(EndpointRecord known, EndpointRecord endpoint) {
+        boolean sameAndLeaving = known.leaving() && known.incarnation() == endpoint.incarnation();
+        return sameAndLeaving || known.incarnation() > endpoint.incarnation();
+    }
+
     private static boolean isRenewal(EndpointRecord known, EndpointRecord endpoint) {
         return known.equals(endpoint.withWeightVersion(known.weightVersion()));
     }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
@@ -14,6 +14,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.rosemarybeam.common.admin.AdminServer;
 import io.rosemarybeam.common.configuration.ConfigurationParser;
+import io.rosemarybeam.common.error.WireException;
 import io.rosemarybeam.common.metric.Metrics;
 import io.rosemarybeam.common.settings.EntrySettings;
 import io.rosemarybeam.common.wire.ControlReply.EntryState;
@@ -118,9 +119,14 @@
                 trainers,
                 metrics);
         budget = new ByteBudget(BUFFERED_BODY_BYTES);
-        peers.listen(settings.peerAddress(), secrets, trainers::onRelay, this::dump);
-        admin = AdminServer.start(eventLoops, settings.adminAddress(), metrics.metrics(), this::dump);
-        server = HttpServer.open(eventLoops, settings.callerAddress(), routes, budget, openCalls);
+        try {
+            peers.listen(settings.peerAddress(), secrets, trainers::onRelay, this::dump);
+            admin = AdminServer.start(eventLoops, settings.adminAddress(), metrics.metrics(), this::dump);
+            server = HttpServer.open(eventLoops, settings.callerAddress(), routes, budget, openCalls);
+        } catch (WireException failure) {
+            eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            throw failure;
+        }
     }
 
     /**
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpCall.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpCall.java
@@ -83,6 +83,7 @@
 
     void refuse(Problem problem) {
         DefaultHttpHeaders headers = new DefaultHttpHeaders();
+        headers.set(EndpointHeaders.RUN, problem.run());
         if (problem.retryAfterMilliseconds() > 0) {
             headers.set(HttpHeaderNames.RETRY_AFTER, problem.retryAfterSeconds());
         }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Problem.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Problem.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 
 import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.RosemarybeamException;
 import io.rosemarybeam.decision.request.RequestCommand.RunState;
 
 /**
@@ -31,6 +32,18 @@
         return new Problem(code, RunState.NOT_RUN, 0, detail);
     }
 
+    /**
+     * Returns the refusal of a request that failed before anything was done for it.
+     *
+     * @param failure the failure
+     * @return the refusal
+     */
+    static Problem of(RosemarybeamException failure) {
+        boolean worthRetry = failure.code() == ErrorCode.LEASE_LAPSED;
+        return new Problem(
+                failure.code(), RunState.NOT_RUN, worthRetry ? MILLISECONDS_PER_SECOND : 0, failure.getMessage());
+    }
+
     static Problem retryLater(ErrorCode code, long retryAfterMilliseconds) {
         return new Problem(code, RunState.NOT_RUN, retryAfterMilliseconds, code.description());
     }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ProxyAnswer.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ProxyAnswer.java
@@ -103,7 +103,7 @@
 
     @Override
     public Optional<AttemptFailure> onBytes(ByteBuf bytes) {
-        received += bytes.readableBytes();
+        received = (int) Math.min(Integer.MAX_VALUE, received + (long) bytes.readableBytes());
         if (recorded.readableBytes() + bytes.readableBytes() > RequestOutcome.MAXIMUM_BODY_BYTES) {
             truncated = true;
         } else {
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
@@ -139,8 +139,8 @@
         StepSnapshot known = owned.put(key, snapshot);
         if (known == null || known.ownerEpoch() != snapshot.ownerEpoch()) {
             LOG.log(Event.STEP_OWNED, "trainer", key.trainer(), "step", key.step(), "epoch", snapshot.ownerEpoch());
-            handle(new StepInput.StepOwned(snapshot));
         }
+        handle(new StepInput.StepOwned(snapshot));
     }
 
     /** Stops work on a step that another entry owns. */
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/TrainerRoutes.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/TrainerRoutes.java
@@ -312,7 +312,7 @@
         try {
             handle(request.method(), request.path(), request.body(), true, reply);
         } catch (RosemarybeamException failure) {
-            reply.refuse(Problem.notRun(failure.code(), failure.getMessage()));
+            reply.refuse(Problem.of(failure));
         }
     }
 
--- /dev/null
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/EndpointClientTest.java
@@ -0,0 +1,158 @@
+package io.rosemarybeam.entry;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.id.AttemptId;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.decision.request.RequestCommand.StartAttempt;
+import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+/** Guards against requests that are sent after their dispatch deadline, and against silent connections that are reused. */
+class EndpointClientTest {
+    private static final long DISPATCH_DEADLINE = 20_000;
+
+    private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
+    private final Recorder recorder = new Recorder();
+    private final EntryMetrics metrics = new EntryMetrics();
+    private int attempts;
+
+    /** Remembers the end of the last attempt. */
+    private static final class Recorder implements AttemptListener {
+        private EndpointClient client;
+        private CompletableFuture<Optional<AttemptFailure>> end = new CompletableFuture<>();
+
+        @Override
+        public void onSent(AttemptStream attempt) {}
+
+        @Override
+        public void onProgress(AttemptStream attempt, Work.Progress progress) {
+            attempt.progressTaken();
+        }
+
+        @Override
+        public void onCompleted(AttemptStream attempt, Work.Progress progress) {
+            client.ended(attempt, null);
+            end.complete(Optional.empty());
+        }
+
+        @Override
+        public void onFailed(AttemptStream attempt, Work.Progress progress, AttemptFailure failure) {
+            client.ended(attempt, failure);
+            end.complete(Optional.of(failure));
+        }
+    }
+
+    /** Takes any answer. */
+    private static final class Ignoring implements PlainReceiver {
+        @Override
+        public void start(int status, HttpHeaders headers) {}
+
+        @Override
+        public void write(ByteBuf bytes) {
+            bytes.release();
+        }
+
+        @Override
+        public void finish() {}
+
+        @Override
+        public void respond(int status, HttpHeaders headers, byte[] body) {}
+
+        @Override
+        public void refuse(Problem problem) {}
+
+        @Override
+        public boolean isWritable() {
+            return true;
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        eventLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    private void start(EndpointClient client, ScriptedEndpoint endpoint) {
+        recorder.client = client;
+        recorder.end = new CompletableFuture<>();
+        Work.Target target = new Work.Target(
+                RequestId.of("r"),
+                ServiceName.of("s"),
+                "GET",
+                "/",
+                new DefaultHttpHeaders(),
+                true,
+                Optional.empty(),
+                0);
+        Work work = new Work(target, new ProxyAnswer(new Ignoring(), "GET", new byte[0], metrics));
+        attempts++;
+        client.start(
+                new StartAttempt(
+                        RequestId.of("r"),
+                        AttemptId.of("a" + attempts),
+                        EndpointId.of("e"),
+                        endpoint.url(),
+                        0,
+                        0,
+                        false,
+                        10_000,
+                        300,
+                        60_000,
+                        DISPATCH_DEADLINE),
+                work);
+    }
+
+    @Test
+    void shouldNotSendWhenProcessWakesAfterDispatchDeadline() throws Exception {
+        Thread decision = Thread.currentThread();
+        MonotonicClock clock = () -> Thread.currentThread() == decision ? 1_000 : DISPATCH_DEADLINE + 1;
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint(call -> call.whole(200, "ran"));
+                EndpointClient client = new EndpointClient(eventLoops, clock, recorder)) {
+            start(client, endpoint);
+            assertEquals(Optional.of(AttemptFailure.CONNECT_FAILED), recorder.end.get(5, TimeUnit.SECONDS));
+            assertEquals(0, endpoint.calls().size());
+        }
+    }
+
+    @Test
+    void shouldNotReuseIdleConnectionsWhenOneWentSilent() throws Exception {
+        MonotonicClock clock = MonotonicClock.system();
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint(EndpointClientTest::silentOnSecondCall);
+                EndpointClient client = new EndpointClient(eventLoops, clock, recorder)) {
+            start(client, endpoint);
+            assertEquals(Optional.empty(), recorder.end.get(5, TimeUnit.SECONDS));
+            start(client, endpoint);
+            EntryHarness.await(() -> {
+                client.checkTime(clock.nowMilliseconds());
+                return recorder.end.isDone();
+            });
+            assertEquals(Optional.of(AttemptFailure.SILENT), recorder.end.get());
+            start(client, endpoint);
+            assertEquals(Optional.empty(), recorder.end.get(5, TimeUnit.SECONDS));
+            assertNotEquals(
+                    endpoint.calls().get(1).connection(),
+                    endpoint.calls().get(2).connection());
+        }
+    }
+
+    private static void silentOnSecondCall(ScriptedEndpoint.Call call) throws IOException, InterruptedException {
+        if ("a2".equals(call.attempt())) {
+            Thread.sleep(3_000);
+        }
+        call.whole(200, "page");
+    }
+}
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/EntryHarness.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/EntryHarness.java
@@ -19,6 +19,7 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.rosemarybeam.common.configuration.ConfigurationParser;
+import io.rosemarybeam.common.error.WireException;
 import io.rosemarybeam.common.id.FailureDomain;
 import io.rosemarybeam.common.id.HostName;
 import io.rosemarybeam.common.settings.EntrySettings;
@@ -93,7 +94,20 @@
     /** An entry and its address. */
     record Entry(EntryProcess process, String address) {}
 
+    /** Starts an entry; a port that another process took in the meantime is replaced by a new one. */
     Entry startEntry(String name, String domain) {
+        for (int attempt = 1; ; attempt++) {
+            try {
+                return startEntryOnce(name, domain);
+            } catch (WireException taken) {
+                if (attempt == 5) {
+                    throw taken;
+                }
+            }
+        }
+    }
+
+    private Entry startEntryOnce(String name, String domain) {
         String callerAddress = freeAddress();
         EntrySettings settings = new EntrySettings(
                 HostName.of(name),
