Refuse malformed commands on every replica instead of stopping all of them

A request with missing components would have thrown while it was applied, on every replica and again after every restart. It is now refused alike everywhere, and claim windows are bounded. Weight versions go to an entry only when they changed, a refused change of the control hosts no longer stops the process, and NotLeader names the address of the operator's text.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -24,6 +24,13 @@
     LEADERSHIP_LOST(301, Severity.INFORMATION, "A control host stopped leading."),
     /** The leader changes the control hosts. */
     CONTROL_HOSTS_CHANGING(302, Severity.INFORMATION, "The leader changes the control hosts."),
+    /** A change of the control hosts was refused and is tried again. */
+    CONTROL_HOSTS_CHANGE_REFUSED(
+            303, Severity.WARNING, "A change of the control hosts was refused and is tried again."),
+    /** An operator's configuration was accepted. */
+    CONFIGURATION_ACCEPTED(304, Severity.INFORMATION, "An operator's configuration was accepted."),
+    /** A request was quarantined by the replicated state. */
+    FINGERPRINT_QUARANTINED(305, Severity.WARNING, "A request was quarantined by the replicated state."),
     /** An entry lost its configuration lease and takes no new work. */
     LEASE_LAPSED(400, Severity.WARNING, "An entry lost its configuration lease and takes no new work."),
     /** An entry connected to a control host. */
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
@@ -19,6 +19,7 @@
 import io.rosemarybeam.common.admin.AdminServer;
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.configuration.OperatorConfiguration.ControlHost;
+import io.rosemarybeam.common.error.ControlException;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.RosemarybeamException;
 import io.rosemarybeam.common.event.Event;
@@ -262,6 +263,9 @@
             if (empty && ticks % RECONCILE_TICKS == 0) {
                 tryFirstLog();
             }
+        } catch (ControlException refusal) {
+            // The log refused a change of the members; the next tick tries again.
+            LOG.log(Event.CONTROL_HOSTS_CHANGE_REFUSED, "reason", refusal.getMessage());
         } catch (RuntimeException failure) {
             fail(failure);
         }
@@ -435,7 +439,13 @@
                 emptyHosts.put(traffic.fromName(), clock.milliseconds());
                 return;
             }
-            driver.receive(LogMessageCodec.decode(traffic.payload()));
+            Envelope envelope = LogMessageCodec.decode(traffic.payload());
+            try {
+                driver.receive(envelope);
+            } catch (RuntimeException failure) {
+                // The log found that an invariant does not hold.
+                fail(failure);
+            }
         }
 
         private void serve(WireConnection connection, long correlation, Service service) {
@@ -466,8 +476,7 @@
 
     private CommonReply.NotLeader notLeader() {
         Optional<MemberId> known = driver.log().leader().filter(id -> !id.equals(self));
-        Optional<String> address =
-                known.flatMap(driver.log().membership()::find).map(Member::address);
+        Optional<String> address = known.map(id -> addresses().get(id.name()));
         return new CommonReply.NotLeader(known.map(MemberId::name), address);
     }
 
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.rosemarybeam.common.id.WeightVersion;
 import io.rosemarybeam.common.wire.ControlReply.ConfigurationText;
 import io.rosemarybeam.common.wire.ControlReply.EntryState;
 import io.rosemarybeam.common.wire.ControlReply.PushState;
@@ -18,6 +19,8 @@
  * version with its next renewal. Confined to the control executor.
  */
 final class EntryPushes {
+    private static final long NOTHING_SENT = -1;
+
     private final ControlState state;
     private final long term;
     private final Map<WireConnection, Sent> sentByConnection = new LinkedHashMap<>();
@@ -52,7 +55,7 @@
         return sent.revision < state.configurations().newestNumber()
                 || sent.membershipVersion < state.membershipVersion()
                 || sent.quarantineVersion < state.quarantineVersion()
-                || !sent.weights.equals(state.weights().newestByService());
+                || sent.weightChanges != state.weights().changes();
     }
 
     private EntryState changes(Sent sent, Map<String, Integer> shares) {
@@ -62,11 +65,14 @@
         Optional<MembershipDelta> membership =
                 newMembership ? Optional.of(state.membershipSince(sent.membershipVersion)) : Optional.empty();
         var quarantined = state.quarantine().quarantinedSince(sent.quarantineVersion);
-        var weights = state.weights().newestByService();
+        Map<String, WeightVersion> weights =
+                sent.weightChanges == state.weights().changes()
+                        ? Map.of()
+                        : state.weights().newestByService();
         sent.revision = Math.max(sent.revision, state.configurations().newestNumber());
         sent.membershipVersion = state.membershipVersion();
         sent.quarantineVersion = state.quarantineVersion();
-        sent.weights = weights;
+        sent.weightChanges = state.weights().changes();
         return new EntryState(term, configuration, membership, shares, quarantined, weights);
     }
 
@@ -75,6 +81,6 @@
         private long revision;
         private long membershipVersion;
         private long quarantineVersion;
-        private Map<String, ?> weights = Map.of();
+        private long weightChanges = NOTHING_SENT;
     }
 }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/Leader.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/Leader.java
@@ -8,9 +8,12 @@
 
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.HostName;
 import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.wire.CommonReply.DumpReply;
 import io.rosemarybeam.common.wire.CommonReply.Refused;
 import io.rosemarybeam.common.wire.ControlReply;
 import io.rosemarybeam.common.wire.ControlReply.ApplyOutcome;
@@ -51,6 +54,7 @@
     /** Largest accepted configuration, in characters. */
     static final int MAXIMUM_TEXT_CHARACTERS = 262_144;
 
+    private static final EventLog LOG = EventLog.of(Leader.class);
     private static final long RETRY_MILLISECONDS = 500;
 
     private final LogDriver driver;
@@ -96,7 +100,7 @@
                 propose(new Command.LeaveEndpoint(leave.id(), leave.incarnation()));
             case EntryRequest.ClaimRequest claim -> propose(new Command.Claim(claim));
             case EntryRequest.RecordOutcome outcome -> propose(new Command.Outcome(outcome));
-            case EntryRequest.ReportCrash crash -> propose(new Command.Crash(crash));
+            case EntryRequest.ReportCrash crash -> reportCrash(crash);
             case EntryRequest.OpenStep open -> propose(new Command.OpenStep(open));
             case EntryRequest.TakeStep take -> takeStep(take);
             case EntryRequest.CommitSamples commit -> propose(new Command.CommitSamples(commit));
@@ -119,8 +123,7 @@
             case OperatorRequest.ReadStatus ignored ->
                 read().thenApply(done -> new ControlReply.StatusReply(report.status(this)));
             case OperatorRequest.DumpRequest ignored ->
-                CompletableFuture.completedFuture(
-                        new io.rosemarybeam.common.wire.CommonReply.DumpReply(report.dump(Optional.of(this))));
+                CompletableFuture.completedFuture(new DumpReply(report.dump(Optional.of(this))));
         };
     }
 
@@ -174,6 +177,23 @@
         return propose(new Command.AnnounceEndpoint(endpoint));
     }
 
+    private CompletableFuture<Message> reportCrash(EntryRequest.ReportCrash crash) {
+        return propose(new Command.Crash(crash)).thenApply(reply -> {
+            if (reply instanceof ControlReply.QuarantineState quarantine
+                    && !quarantine.quarantined().isEmpty()) {
+                LOG.log(
+                        Event.FINGERPRINT_QUARANTINED,
+                        "service",
+                        crash.service(),
+                        "endpoint",
+                        crash.endpoint(),
+                        "fingerprints",
+                        quarantine.quarantined());
+            }
+            return reply;
+        });
+    }
+
     // Steps and issuers
 
     private CompletableFuture<Message> takeStep(EntryRequest.TakeStep take) {
@@ -306,6 +326,10 @@
     /** Learns that commands were applied. */
     void applied(boolean newConfiguration) {
         if (newConfiguration) {
+            LOG.log(
+                    Event.CONFIGURATION_ACCEPTED,
+                    "number",
+                    state.configurations().newestNumber());
             lender.setLimits(configuration.limits());
             pushes.flush();
         }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -17,6 +17,7 @@
 import io.rosemarybeam.consensus.LogEntry;
 import io.rosemarybeam.consensus.LogMessage.Envelope;
 import io.rosemarybeam.consensus.LogSnapshot;
+import io.rosemarybeam.consensus.MemberId;
 import io.rosemarybeam.consensus.MembershipChange;
 import io.rosemarybeam.consensus.Ready;
 import io.rosemarybeam.consensus.ReplicatedLog;
@@ -60,6 +61,7 @@
     private boolean takingSnapshot;
     private boolean scheduled;
     private boolean stopped;
+    private boolean leadingReported;
 
     /** Learns what the log does. Called on the control executor. */
     interface Listener {
@@ -155,7 +157,7 @@
         schedule();
     }
 
-    void transferLeadership(io.rosemarybeam.consensus.MemberId target) {
+    void transferLeadership(MemberId target) {
         log.transferLeadership(target);
         schedule();
     }
@@ -202,8 +204,6 @@
         }
     }
 
-    private boolean leadingReported;
-
     private void observeRole() {
         boolean leading = log.role() == ReplicatedLog.Role.LEADER && appliedTerm == log.term();
         if (log.role() != ReplicatedLog.Role.LEADER) {
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/PeerLinks.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/PeerLinks.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.Executor;
 
 import io.rosemarybeam.common.wire.Credentials;
 import io.rosemarybeam.common.wire.Message;
@@ -21,14 +22,10 @@
     private final WireTransport transport;
     private final Credentials credentials;
     private final MessageHandler handler;
-    private final java.util.concurrent.Executor control;
+    private final Executor control;
     private final Map<String, Link> links = new HashMap<>();
 
-    PeerLinks(
-            WireTransport transport,
-            Credentials credentials,
-            MessageHandler handler,
-            java.util.concurrent.Executor control) {
+    PeerLinks(WireTransport transport, Credentials credentials, MessageHandler handler, Executor control) {
         this.transport = transport;
         this.credentials = credentials;
         this.handler = handler;
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ClaimTable.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ClaimTable.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 
 import io.rosemarybeam.common.error.ControlException;
@@ -43,6 +44,10 @@
     private long outcomeBytes;
 
     ClaimReply claim(ClaimRequest request, long now) {
+        checkWindow(request.dispatchWindowMilliseconds());
+        checkWindow(request.runWindowMilliseconds());
+        Objects.requireNonNull(request.fingerprint(), "fingerprint");
+        Objects.requireNonNull(request.entry(), "entry");
         Key key = new Key(request.service(), request.key());
         Claim known = claims.get(key);
         if (known == null) {
@@ -68,6 +73,12 @@
         return new ClaimReply(ClaimState.IN_PROGRESS, Optional.empty());
     }
 
+    private static void checkWindow(long milliseconds) {
+        if (milliseconds < 0 || milliseconds > SETTLED_MILLISECONDS) {
+            throw new ControlException(ErrorCode.REQUEST_INVALID, "a window of " + milliseconds + " ms");
+        }
+    }
+
     private static boolean isResend(Claim known, ClaimRequest request) {
         return !request.attempt().isEmpty()
                 && request.attempt().equals(known.attempt)
@@ -170,7 +181,13 @@
     }
 
     /** Names a claim. Immutable. */
-    record Key(ServiceName service, IdempotencyKey key) {}
+    record Key(ServiceName service, IdempotencyKey key) {
+        /** Checks that both components are present. */
+        Key {
+            Objects.requireNonNull(service, "service");
+            Objects.requireNonNull(key, "key");
+        }
+    }
 
     /** What is known of a claim; the deadline settles or removes it. Immutable. */
     record Claim(
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ControlState.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ControlState.java
@@ -5,6 +5,7 @@
 
 import io.rosemarybeam.common.error.ControlException;
 import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.InvalidIdentifierException;
 import io.rosemarybeam.common.error.RosemarybeamException;
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.HostName;
@@ -60,9 +61,16 @@
         } catch (ControlException refusal) {
             long retry = refusal.code() == ErrorCode.TABLE_FULL ? RETRY_MILLISECONDS : 0;
             return new Refused(refusal.code(), refusal.getMessage(), retry);
+        } catch (NullPointerException | IllegalArgumentException | InvalidIdentifierException malformed) {
+            // Every replica refuses a request with missing components alike; stopping would stop all of them.
+            return new Refused(ErrorCode.REQUEST_INVALID, "malformed " + nameOf(timed.command()), 0);
         }
     }
 
+    private static String nameOf(Command command) {
+        return command.getClass().getSimpleName();
+    }
+
     private Message apply(Command command) {
         return switch (command) {
             case Command.AcceptConfiguration accept -> configurations.accept(accept);
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/WeightTable.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/WeightTable.java
@@ -22,6 +22,7 @@
     public static final int MAXIMUM_LINES = 1_000;
 
     private final TreeMap<String, Line> lines = new TreeMap<>();
+    private long changes;
 
     void publish(PublishWeights request) {
         String key = request.trainer() + "/" + request.service();
@@ -31,6 +32,7 @@
         }
         if (known == null || known.version.compareTo(request.version()) < 0) {
             lines.put(key, new Line(request.trainer(), request.service(), request.version()));
+            changes++;
         }
     }
 
@@ -51,11 +53,21 @@
         return newest;
     }
 
+    /**
+     * Returns a number that grows with every change; it is not the same on every replica.
+     *
+     * @return the number
+     */
+    public long changes() {
+        return changes;
+    }
+
     Image image() {
         return new Image(List.copyOf(lines.values()));
     }
 
     void restore(Image image) {
+        changes++;
         lines.clear();
         image.lines.forEach(line -> lines.put(line.trainer + "/" + line.service, line));
     }
--- a/rosemarybeam-control/src/test/java/io/rosemarybeam/control/state/ControlStateTest.java
+++ b/rosemarybeam-control/src/test/java/io/rosemarybeam/control/state/ControlStateTest.java
@@ -226,6 +226,17 @@
         }
     }
 
+    @Test
+    void shouldRefuseMalformedRequestWhenComponentsAreMissing() {
+        EntryRequest.ClaimRequest missing = new EntryRequest.ClaimRequest(SERVICE, null, null, null, 1, 10, 10);
+        EntryRequest.ClaimRequest endless =
+                new EntryRequest.ClaimRequest(SERVICE, IdempotencyKey.of("k"), null, ENTRY, 1, Long.MAX_VALUE, 10);
+
+        assertEquals(ErrorCode.REQUEST_INVALID, code(apply(new Command.Claim(missing))));
+        assertEquals(ErrorCode.REQUEST_INVALID, code(apply(new Command.Claim(endless))));
+        assertEquals(0, state.claims().size());
+    }
+
     // Quarantine
 
     private QuarantineState crash(String endpoint, long incarnation, String... batch) {
