Refuse a crashing request only once every entry knows of its quarantine

Cause: with real processes one request crashed six endpoints: each of three entries let it crash two, because the caller was refused at once and sent it to the next entry before the quarantine had been agreed. With 300 ms between the resends two endpoints crashed, so the sharing itself worked. Ruled out: lost crash reports and a wrong comparison of batches in the control state. Change: the refusal waits for the answer of the control process, at most 500 ms.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
@@ -28,6 +28,13 @@
 
     private static final int INFRASTRUCTURE_FAILURE_ENDPOINTS = 3;
     private static final int QUARANTINE_CRASHES = 2;
+
+    /**
+     * How long a request waits until its quarantine is agreed. Refused earlier, its caller could send it to an entry that
+     * does not know of the quarantine yet and crash further endpoints.
+     */
+    private static final long AGREEMENT_MILLISECONDS = 500;
+
     private static final long REMEMBERED_MILLISECONDS = 3_600_000;
     private static final int REMEMBERED_FINGERPRINTS = 10_000;
 
@@ -55,6 +62,14 @@
         return suspicion != null && suspicion.quarantined;
     }
 
+    /** Refuses a quarantined request as soon as every entry knows of the quarantine. */
+    void refuseWhenAgreed(RequestRow row) {
+        row.state = RequestRow.State.WAITING_FOR_RETRY;
+        if (find(key(row)).agreed) {
+            refuse(row);
+        }
+    }
+
     /** Returns whether a request may only run where no other suspect runs. */
     boolean isSuspect(RequestRow row) {
         return !suspicions.isEmpty() && find(key(row)) != null;
@@ -143,7 +158,7 @@
         for (Fingerprint fingerprint : counted) {
             Suspicion suspicion = suspect(service, fingerprint);
             if (suspicion.crashes >= QUARANTINE_CRASHES) {
-                quarantine(suspicion, service, fingerprint);
+                quarantine(service, fingerprint);
                 sendAll(fingerprint);
             }
         }
@@ -191,19 +206,28 @@
 
     void changed(RequestInput.QuarantineChanged input) {
         input.quarantined()
-                .forEach((service, fingerprints) -> fingerprints.forEach(
-                        fingerprint -> quarantine(suspect(service, fingerprint), service, fingerprint)));
+                .forEach((service, fingerprints) -> fingerprints.forEach(fingerprint -> agree(service, fingerprint)));
         Set<ServiceName> services = tables.services.keySet();
         for (Fingerprint fingerprint : input.suspects()) {
             services.forEach(service -> suspect(service, fingerprint));
         }
     }
 
-    private void quarantine(Suspicion suspicion, ServiceName service, Fingerprint fingerprint) {
-        if (suspicion.quarantined) {
-            return;
+    private void quarantine(ServiceName service, Fingerprint fingerprint) {
+        Suspicion suspicion = suspect(service, fingerprint);
+        if (!suspicion.quarantined) {
+            suspicion.quarantined = true;
+            tables.timers.at(tables.now + AGREEMENT_MILLISECONDS, () -> agree(service, fingerprint));
         }
+    }
+
+    private void agree(ServiceName service, Fingerprint fingerprint) {
+        Suspicion suspicion = suspect(service, fingerprint);
         suspicion.quarantined = true;
+        if (suspicion.agreed) {
+            return;
+        }
+        suspicion.agreed = true;
         // Quarantine is rare, so a search through all requests is cheaper than an index.
         tables.requests.values().stream()
                 .filter(row -> row.service.name.equals(service)
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
@@ -53,7 +53,7 @@
             return;
         }
         if (crashes.isQuarantined(row.service.name, row.arrival.fingerprint())) {
-            completion.refuse(row, ErrorCode.REQUEST_QUARANTINED, 0);
+            crashes.refuseWhenAgreed(row);
             return;
         }
         if (row.attempts >= row.configuration.retries().maximumAttempts()) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Suspicion.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Suspicion.java
@@ -6,6 +6,10 @@
 
     int crashes;
     boolean quarantined;
+
+    /** Whether the control process confirmed the quarantine, so that every other entry knows it too. */
+    boolean agreed;
+
     long lastSeen;
     private long lastCrashAt;
 
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/CallerLoad.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/CallerLoad.java
@@ -21,7 +21,7 @@
 public final class CallerLoad {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final int MAXIMUM_TOKENS = 48;
-    private static final int MAXIMUM_TRIES = 12;
+    private static final long PATIENCE_MILLISECONDS = 30_000;
     private static final long DEFAULT_WAIT_MILLISECONDS = 250;
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(40);
     private static final String DONE = "data: [DONE]";
@@ -116,7 +116,7 @@
 
     private Response send(String method, String path, String body, String key) {
         long start = ModelEngine.nowMilliseconds();
-        for (int attempt = 0; attempt < MAXIMUM_TRIES; attempt++) {
+        while (ModelEngine.nowMilliseconds() < start + PATIENCE_MILLISECONDS) {
             String entry = directory.next();
             try {
                 Response response = client.executeRequest(request(method, "http://" + entry + path, body, key))
@@ -129,7 +129,7 @@
                 String code = code(response);
                 report.count("refusals " + code);
                 if (code.endsWith("OUTCOME_UNKNOWN") || !mayResend(response, key)) {
-                    report.count("requests that may have run, not resent");
+                    report.count(Outcome.OUTCOME_UNKNOWN);
                     return null;
                 }
                 pause(waitMilliseconds(response));
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/LoadReport.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/LoadReport.java
@@ -51,30 +51,34 @@
     /** Outcomes that decide whether a run passed. */
     public enum Outcome {
         /** A whole and correct answer. */
-        ANSWERED("requests answered in full"),
+        ANSWERED("requests answered in full", false),
         /** An answer that was not the expected text. */
-        WRONG_ANSWER("WRONG ANSWERS"),
+        WRONG_ANSWER("WRONG ANSWERS", true),
         /** A stream that ended without its end mark. */
-        CUT_STREAM("STREAMS CUT"),
+        CUT_STREAM("STREAMS CUT", true),
         /** A request that was given up after all tries. */
-        LOST("REQUESTS LOST"),
+        LOST("REQUESTS LOST", true),
         /** An order that ran more than once. */
-        RAN_TWICE("ORDERS RUN MORE THAN ONCE"),
+        RAN_TWICE("ORDERS RUN MORE THAN ONCE", true),
         /** A sample that was delivered again under another cursor. */
-        DELIVERED_TWICE("SAMPLES DELIVERED MORE THAN ONCE"),
+        DELIVERED_TWICE("SAMPLES DELIVERED MORE THAN ONCE", true),
         /** A sample that was older than the bound. */
-        TOO_STALE("SAMPLES OLDER THAN THE BOUND"),
+        TOO_STALE("SAMPLES OLDER THAN THE BOUND", true),
         /** A sample without the versions that produced it. */
-        UNLABELLED("SAMPLES WITHOUT VERSIONS"),
+        UNLABELLED("SAMPLES WITHOUT VERSIONS", true),
         /** A step that was not whole in time. */
-        STEP_INCOMPLETE("STEPS NOT WHOLE IN TIME"),
+        STEP_INCOMPLETE("STEPS NOT WHOLE IN TIME", true),
         /** A whole step. */
-        STEP_WHOLE("steps whole");
+        STEP_WHOLE("steps whole", false),
+        /** A request that may have run and was not resent. */
+        OUTCOME_UNKNOWN("requests with an unknown outcome", false);
 
         private final String label;
+        private final boolean broken;
 
-        Outcome(String label) {
+        Outcome(String label, boolean broken) {
             this.label = label;
+            this.broken = broken;
         }
 
         /**
@@ -103,8 +107,7 @@
      */
     public boolean passed() {
         for (Outcome outcome : Outcome.values()) {
-            boolean good = outcome == Outcome.ANSWERED || outcome == Outcome.STEP_WHOLE;
-            if (!good && countOf(outcome) > 0) {
+            if (outcome.broken && countOf(outcome) > 0) {
                 return false;
             }
         }
--- /dev/null
+++ b/rosemarybeam-testbed/src/test/java/io/rosemarybeam/testbed/Deployment.java
@@ -0,0 +1,481 @@
+package io.rosemarybeam.testbed;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.wire.CommonReply.DumpReply;
+import io.rosemarybeam.common.wire.ControlReply.ApplyReply;
+import io.rosemarybeam.common.wire.ControlReply.ConfigurationReply;
+import io.rosemarybeam.common.wire.ControlReply.HistoryReply;
+import io.rosemarybeam.common.wire.ControlReply.StatusReply;
+import io.rosemarybeam.common.wire.Credentials;
+import io.rosemarybeam.common.wire.HandshakeMessage.Role;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.OperatorRequest;
+import io.rosemarybeam.common.wire.WireConnection;
+import io.rosemarybeam.common.wire.WireSettings;
+import io.rosemarybeam.common.wire.WireTransport;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.Dsl;
+
+/**
+ * A small deployment of real control and entry processes on loopback, with stand-in endpoints in this process.
+ *
+ * <p>Invariant: {@link #close} ends every process that was started here, and no other. Confined to the test thread.
+ */
+final class Deployment implements AutoCloseable {
+    static final String MODEL_SERVICE = "brailler-lm";
+    static final String PLAIN_SERVICE = "workshop-app";
+    static final String POISON = "poison";
+
+    private static final List<String> DOMAINS = List.of("amman-a", "amman-b", "amman-c", "amman-d");
+    private static final Duration CALL_DEADLINE = Duration.ofSeconds(5);
+    private static final long START_MILLISECONDS = 30_000;
+
+    private final Path folder;
+    private final List<String> controlAddresses = new ArrayList<>();
+    private final Map<String, Process> processes = new LinkedHashMap<>();
+    private final Map<String, String> callerAddresses = new LinkedHashMap<>();
+    private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(2);
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final AsyncHttpClient client = Dsl.asyncHttpClient(Dsl.config().setMaxRequestRetry(0));
+    private final WireTransport transport = WireTransport.of(eventLoops, WireSettings.standard());
+    private final List<ModelEngine> engines = new ArrayList<>();
+    private final List<PlainEndpoint> plainEndpoints = new ArrayList<>();
+    private final Map<String, Announcer> announcers = new LinkedHashMap<>();
+    private final Map<String, AtomicInteger> runsByOrder = PlainEndpoint.newRecord();
+    private List<String> entryControlAddresses = List.of();
+
+    Deployment(Path folder, int controls) {
+        this.folder = folder;
+        for (int index = 0; index < controls; index++) {
+            controlAddresses.add("127.0.0.1:" + freePort());
+        }
+        entryControlAddresses = List.copyOf(controlAddresses);
+        writeSecret("cluster");
+        writeSecret("operator");
+        for (int index = 0; index < controls; index++) {
+            startControl(index);
+        }
+    }
+
+    // ---- Processes ----
+
+    void startControl(int index) {
+        String name = "control-" + index;
+        StringBuilder hosts = new StringBuilder();
+        for (int host = 0; host < controlAddresses.size(); host++) {
+            hosts.append(host == 0 ? "" : ", ").append(controlHost(host));
+        }
+        write(name + ".json", """
+                {"name": "%s", "failureDomain": "%s", "protocolAddress": "%s", "adminAddress": "127.0.0.1:%d",
+                 "dataFolder": "%s", "clusterSecretFile": "%s", "operatorTokenFile": "%s",
+                 "initialControlHosts": [%s]}
+                """.formatted(
+                        name,
+                        domain(index),
+                        controlAddresses.get(index),
+                        freePort(),
+                        folder.resolve("data-" + index),
+                        folder.resolve("cluster"),
+                        folder.resolve("operator"),
+                        hosts));
+        start(name, "io.rosemarybeam.control.ControlMain");
+    }
+
+    /** Names the addresses that entries started from now on use to reach the control processes. */
+    void useControlAddresses(List<String> addresses) {
+        entryControlAddresses = List.copyOf(addresses);
+    }
+
+    void startEntry(int index) {
+        String name = "entry-" + index;
+        callerAddresses.computeIfAbsent(name, ignored -> "127.0.0.1:" + freePort());
+        String controls = "\"" + String.join("\", \"", entryControlAddresses) + "\"";
+        write(name + ".json", """
+                {"name": "%s", "failureDomain": "%s", "callerAddress": "%s", "peerAddress": "127.0.0.1:%d",
+                 "adminAddress": "127.0.0.1:%d", "controlAddresses": [%s],
+                 "clusterSecretFile": "%s", "operatorTokenFile": "%s"}
+                """.formatted(
+                        name,
+                        domain(index),
+                        callerAddresses.get(name),
+                        freePort(),
+                        freePort(),
+                        controls,
+                        folder.resolve("cluster"),
+                        folder.resolve("operator")));
+        start(name, "io.rosemarybeam.entry.EntryMain");
+    }
+
+    private void start(String name, String mainClass) {
+        List<String> command = List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx96m",
+                "--sun-misc-unsafe-memory-access=allow",
+                "-Dlog4j.shutdownHookEnabled=false",
+                "-cp",
+                System.getProperty("java.class.path"),
+                mainClass,
+                "--settings",
+                folder.resolve(name + ".json").toString());
+        File log = folder.resolve(name + ".log").toFile();
+        try {
+            processes.put(
+                    name,
+                    new ProcessBuilder(command)
+                            .redirectErrorStream(true)
+                            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+                            .start());
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    void signal(String name, String signal) {
+        try {
+            new ProcessBuilder(
+                            "kill",
+                            "-" + signal,
+                            Long.toString(processes.get(name).pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Kills a process at once and waits until it is gone. */
+    void kill(String name) {
+        processes.get(name).destroyForcibly().onExit().join();
+    }
+
+    /** Asks a process to stop gracefully and returns whether it was gone in time. */
+    boolean stop(String name, Duration deadline) {
+        Process process = processes.get(name);
+        process.destroy();
+        try {
+            return process.waitFor(deadline.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    String log(String name) {
+        try {
+            return Files.readString(folder.resolve(name + ".log"));
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    void eraseDisk(int index) {
+        File[] files = folder.resolve("data-" + index).toFile().listFiles();
+        for (File file : files == null ? new File[0] : files) {
+            if (!file.delete()) {
+                throw new IllegalStateException("cannot delete " + file);
+            }
+        }
+    }
+
+    // ---- Endpoints ----
+
+    void startEndpoints(int models, int plain) {
+        for (int index = 0; index < models; index++) {
+            EngineSettings settings = settings(MODEL_SERVICE, index, 8, 2);
+            ModelEngine engine = new ModelEngine(eventLoops, 0, settings, POISON);
+            engines.add(engine);
+            announce(
+                    settings,
+                    engine.baseUrl(),
+                    true,
+                    () -> new Announcer.Report(
+                            engine.weightVersion().orElse(null),
+                            engine.runningCount(),
+                            engine.waitingCount(),
+                            engine.takePrefixes()));
+        }
+        for (int index = 0; index < plain; index++) {
+            EngineSettings settings = settings(PLAIN_SERVICE, index, 32, 5);
+            PlainEndpoint endpoint = new PlainEndpoint(eventLoops, 0, settings, runsByOrder);
+            plainEndpoints.add(endpoint);
+            announce(
+                    settings,
+                    endpoint.baseUrl(),
+                    false,
+                    () -> new Announcer.Report(null, endpoint.runningCount(), 0, List.of()));
+        }
+    }
+
+    private static EngineSettings settings(String service, int index, int capacity, int milliseconds) {
+        return new EngineSettings(
+                EndpointId.of(service + "-" + index),
+                ServiceName.of(service),
+                FailureDomain.of(domain(index)),
+                capacity,
+                milliseconds,
+                200,
+                index % 2 == 0);
+    }
+
+    private void announce(
+            EngineSettings settings,
+            String address,
+            boolean model,
+            java.util.function.Supplier<Announcer.Report> report) {
+        Announcer announcer =
+                new Announcer(client, settings, address, System.currentTimeMillis(), model, report, entryAddresses());
+        announcer.start(timer);
+        announcers.put(settings.id().value(), announcer);
+    }
+
+    Announcer announcer(String endpoint) {
+        return announcers.get(endpoint);
+    }
+
+    List<ModelEngine> engines() {
+        return engines;
+    }
+
+    List<PlainEndpoint> plainEndpoints() {
+        return plainEndpoints;
+    }
+
+    Map<String, AtomicInteger> runsByOrder() {
+        return runsByOrder;
+    }
+
+    // ---- Callers and operators ----
+
+    AsyncHttpClient client() {
+        return client;
+    }
+
+    NioEventLoopGroup eventLoops() {
+        return eventLoops;
+    }
+
+    List<String> controlAddresses() {
+        return controlAddresses;
+    }
+
+    List<String> entryAddresses() {
+        return List.copyOf(callerAddresses.values());
+    }
+
+    EntryDirectory directory() {
+        return new EntryDirectory(client, entryAddresses(), DOMAINS.getFirst());
+    }
+
+    ApplyReply apply(String text, Duration wait) {
+        return (ApplyReply) operate(
+                new OperatorRequest.ApplyConfiguration(text, "test", wait.toMillis()), wait.plus(CALL_DEADLINE));
+    }
+
+    HistoryReply history() {
+        return (HistoryReply) operate(new OperatorRequest.ReadHistory(10_000), CALL_DEADLINE);
+    }
+
+    ConfigurationReply configuration() {
+        return (ConfigurationReply) operate(new OperatorRequest.ReadConfiguration(), CALL_DEADLINE);
+    }
+
+    String status() {
+        return ((StatusReply) operate(new OperatorRequest.ReadStatus(), CALL_DEADLINE)).json();
+    }
+
+    /** Sends to each control process in turn until one that leads answers. */
+    private Message operate(OperatorRequest request, Duration deadline) {
+        long end = ModelEngine.nowMilliseconds() + START_MILLISECONDS;
+        while (ModelEngine.nowMilliseconds() < end) {
+            for (String address : controlAddresses) {
+                Optional<Message> reply = ask(address, request, deadline);
+                if (reply.isPresent() && isAnswer(reply.get())) {
+                    return reply.get();
+                }
+            }
+            pause(100);
+        }
+        throw new AssertionError(
+                "no control process answered " + request.getClass().getSimpleName());
+    }
+
+    private static boolean isAnswer(Message reply) {
+        return reply instanceof ApplyReply
+                || reply instanceof HistoryReply
+                || reply instanceof ConfigurationReply
+                || reply instanceof StatusReply
+                || reply instanceof DumpReply;
+    }
+
+    Optional<Message> ask(String address, OperatorRequest request, Duration deadline) {
+        try {
+            Credentials credentials = new Credentials(
+                    Role.OPERATOR,
+                    "test",
+                    0,
+                    Files.readString(folder.resolve("operator")).strip());
+            WireConnection connection = transport
+                    .connect(address, credentials, (ignored, correlation, message) -> {})
+                    .get(2, TimeUnit.SECONDS);
+            try {
+                return Optional.of(connection.request(request, deadline).join());
+            } finally {
+                connection.close();
+            }
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        } catch (Exception unreachable) {
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the name of the leader, waiting until there is one. */
+    String leader() {
+        long end = ModelEngine.nowMilliseconds() + START_MILLISECONDS;
+        while (ModelEngine.nowMilliseconds() < end) {
+            for (int index = 0; index < controlAddresses.size(); index++) {
+                Optional<Message> reply =
+                        ask(controlAddresses.get(index), new OperatorRequest.ReadStatus(), Duration.ofSeconds(1));
+                if (reply.isPresent() && reply.get() instanceof StatusReply) {
+                    return "control-" + index;
+                }
+            }
+            pause(100);
+        }
+        throw new AssertionError("no leader");
+    }
+
+    /** Returns an operator text that the deployment can use. */
+    String text(int number, int maximumQueued) {
+        StringBuilder hosts = new StringBuilder();
+        for (int index = 0; index < controlAddresses.size(); index++) {
+            hosts.append(index == 0 ? "" : ", ").append(controlHost(index));
+        }
+        return """
+                {
+                  // Deployment of a test.
+                  "number": %d,
+                  "controlHosts": [%s],
+                  "services": {
+                    "brailler-lm": {
+                      "class": "model",
+                      "limits": {"maximumConcurrent": 48, "maximumQueued": %d, "maximumBodyBytes": 1048576,
+                                 "concurrentPerEndpoint": 8},
+                      "deadlines": {"totalMilliseconds": 20000, "progressMilliseconds": 1000,
+                                    "connectMilliseconds": 300},
+                      "training": {"stalenessBoundVersions": 2, "trainerIdleWeight": 0.5, "stalenessWeight": 0.5,
+                                   "trainerShares": {"trainer-a": 1}},
+                      "rollout": {"capacityFloorPercent": 50, "storeFetchesPerSecond": 4}
+                    },
+                    "workshop-app": {
+                      "class": "plain",
+                      "dependsOn": ["brailler-lm"],
+                      "deadlines": {"totalMilliseconds": 10000, "progressMilliseconds": 1000,
+                                    "connectMilliseconds": 300},
+                      "idempotentCalls": [{"method": "GET", "path": "/**"}]
+                    }
+                  }
+                }
+                """.formatted(number, hosts, maximumQueued);
+    }
+
+    private String controlHost(int index) {
+        return "{\"name\": \"control-" + index + "\", \"address\": \"" + controlAddresses.get(index)
+                + "\", \"failureDomain\": \"" + domain(index) + "\"}";
+    }
+
+    // ---- Support ----
+
+    static boolean eventually(Duration deadline, BooleanSupplier condition) {
+        long end = ModelEngine.nowMilliseconds() + deadline.toMillis();
+        while (ModelEngine.nowMilliseconds() < end) {
+            if (condition.getAsBoolean()) {
+                return true;
+            }
+            pause(50);
+        }
+        return condition.getAsBoolean();
+    }
+
+    static void pause(long milliseconds) {
+        try {
+            Thread.sleep(milliseconds);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static String domain(int index) {
+        return DOMAINS.get(index % DOMAINS.size());
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    private void write(String name, String content) {
+        try {
+            Files.writeString(folder.resolve(name), content);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    private void writeSecret(String name) {
+        try {
+            Path file = Files.createFile(
+                    folder.resolve(name),
+                    PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rw-------")));
+            Files.writeString(file, "secret-of-" + name + "-for-tests");
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        processes.values().forEach(Process::destroyForcibly);
+        engines.forEach(ModelEngine::close);
+        plainEndpoints.forEach(PlainEndpoint::close);
+        try {
+            client.close();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        eventLoops.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
+    }
+}
