Pace pushes to entries and do not repeat missed ticks

With 380 entries and 850 endpoints that register at once, the leader encoded a membership change for every entry in one go, stalled for more than an election timeout, ran the missed ticks in a burst and stepped down (790 renewals answered in 24 s). A flush now serves 32 connections, equal changes are computed once and ticks have a fixed delay.

--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
@@ -186,7 +186,9 @@
     public void start() {
         admin = Optional.of(AdminServer.start(eventLoops, settings.adminAddress(), metrics(), this::dump));
         listener = transport.listen(settings.protocolAddress(), self.name(), secrets, new Receiver());
-        control.scheduleAtFixedRate(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+        // With a fixed delay a stall is not followed by a burst of ticks, which would look like the silence of the
+        // others.
+        control.scheduleWithFixedDelay(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
         LOG.log(Event.PROCESS_STARTED, "name", self.name(), "address", settings.protocolAddress());
     }
 
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
@@ -1,6 +1,8 @@
 package io.rosemarybeam.control;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -21,9 +23,17 @@
 final class EntryPushes {
     private static final long NOTHING_SENT = -1;
 
+    /**
+     * Connections served by one flush. Encoding for all entries at target size in one go would stall the log long enough
+     * to lose leadership.
+     */
+    private static final int CONNECTIONS_PER_FLUSH = 32;
+
     private final ControlState state;
     private final long term;
     private final Map<WireConnection, Sent> sentByConnection = new LinkedHashMap<>();
+    private final Map<Long, MembershipDelta> deltas = new HashMap<>();
+    private long deltasVersion;
 
     EntryPushes(ControlState state, long term) {
         this.state = state;
@@ -42,13 +52,18 @@
         sentByConnection.remove(connection);
     }
 
-    /** Sends every change that a connection has not seen. */
+    /**
+     * Sends the changes that connections have not seen to some of them; the next flush goes on with the others.
+     */
     void flush() {
-        sentByConnection.forEach((connection, sent) -> {
-            if (connection.isOpen() && isBehind(sent)) {
-                connection.send(new PushState(changes(sent, Map.of())));
-            }
-        });
+        List<WireConnection> behind = sentByConnection.entrySet().stream()
+                .filter(entry -> entry.getKey().isOpen() && isBehind(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .limit(CONNECTIONS_PER_FLUSH)
+                .toList();
+        for (WireConnection connection : behind) {
+            connection.send(new PushState(changes(sentByConnection.get(connection), Map.of())));
+        }
     }
 
     private boolean isBehind(Sent sent) {
@@ -76,6 +91,15 @@
         return new EntryState(term, configuration, membership, shares, quarantined, weights);
     }
 
+    /** Connections that are equally far behind share one computed change. */
+    private MembershipDelta membershipSince(long version) {
+        if (deltasVersion != state.membershipVersion()) {
+            deltasVersion = state.membershipVersion();
+            deltas.clear();
+        }
+        return deltas.computeIfAbsent(version, state::membershipSince);
+    }
+
     /** What was sent on a connection. Confined to the control executor. */
     private static final class Sent {
         private long revision;
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/Leader.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/Leader.java
@@ -56,6 +56,7 @@
 
     private static final EventLog LOG = EventLog.of(Leader.class);
     private static final long RETRY_MILLISECONDS = 500;
+    private static final long REVIEW_MILLISECONDS = 200;
 
     private final LogDriver driver;
     private final ControlState state;
@@ -71,6 +72,7 @@
             new LeaseTable<>(ControlState.ISSUER_LEASE_MILLISECONDS, MARGIN_MILLISECONDS);
     private final TreeSet<EntryId> lapsedEntries = new TreeSet<>();
     private boolean expiryProposed;
+    private long nextReview;
 
     Leader(LogDriver driver, ControlState state, CurrentConfiguration configuration, LeaderClock clock) {
         this.driver = driver;
@@ -148,6 +150,7 @@
         lapsedEntries.remove(id);
         inForce.reported(id, renewal.appliedRevision());
         renewEndpoints(renewal.endpointRenewals(), received);
+        inForce.check(received);
         return confirmed.thenApply(result -> {
             if (result instanceof Refused refused) {
                 return refused;
@@ -297,9 +300,14 @@
 
     // Time and changes
 
-    /** Removes what lapsed and proposes what the time requires. */
+    /** Pushes what changed, and from time to time removes what lapsed and proposes what the time requires. */
     void tick() {
+        pushes.flush();
         long now = clock.now();
+        if (now < nextReview) {
+            return;
+        }
+        nextReview = now + REVIEW_MILLISECONDS;
         for (EntryId entry : entryLeases.lapsedBefore(now, 0)) {
             if (lapsedEntries.add(entry)) {
                 inForce.lapsed(entry);
@@ -320,7 +328,6 @@
             expiryProposed = true;
             propose(new Command.Expire()).whenComplete((reply, failure) -> expiryProposed = false);
         }
-        pushes.flush();
     }
 
     /** Learns that commands were applied. */
