Recognise crashes and slow endpoints as the entry reports them

The entry reports the progress of an attempt just before its break, which the core took as a sign of life, so no crash of a batch was counted. Only an answer well after a break now says that an endpoint is alive. Callers allow far more tokens than they get: run times are estimated by the smaller of tokens and past run times, and the pace is measured by the tokens received, after more answers. A request that was sent too late by a paused process does not count against its endpoint. Named quarantine replaces what was named before.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptRow.java
@@ -8,16 +8,24 @@
     final RequestRow request;
     final EndpointRow endpoint;
     final long startedAt;
+    final long dispatchDeadline;
     final int resumeOffset;
 
     boolean sent;
     int tokens;
 
-    AttemptRow(AttemptId id, RequestRow request, EndpointRow endpoint, long startedAt, int resumeOffset) {
+    AttemptRow(
+            AttemptId id,
+            RequestRow request,
+            EndpointRow endpoint,
+            long startedAt,
+            long dispatchDeadline,
+            int resumeOffset) {
         this.id = id;
         this.request = request;
         this.endpoint = endpoint;
         this.startedAt = startedAt;
+        this.dispatchDeadline = dispatchDeadline;
         this.resumeOffset = resumeOffset;
         this.tokens = resumeOffset;
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
@@ -54,7 +54,8 @@
     /** Sends a request to an endpoint that has room. */
     void start(RequestRow row, EndpointRow endpoint, ResumePlan plan) {
         AttemptId id = AttemptId.of(idPrefix + nextId++);
-        AttemptRow attempt = new AttemptRow(id, row, endpoint, tables.now, plan.offset());
+        long dispatchDeadline = Math.min(tables.leaseValidUntil, row.claimDeadline);
+        AttemptRow attempt = new AttemptRow(id, row, endpoint, tables.now, dispatchDeadline, plan.offset());
         row.attempt = attempt;
         row.attempts++;
         row.state = RequestRow.State.RUNNING;
@@ -83,7 +84,7 @@
                 row.configuration.deadlines().connectMilliseconds(),
                 row.configuration.deadlines().progressMilliseconds(),
                 row.deadline(),
-                Math.min(tables.leaseValidUntil, row.claimDeadline)));
+                dispatchDeadline));
     }
 
     void sent(RequestInput.AttemptSent input) {
@@ -99,7 +100,6 @@
             return;
         }
         RequestRow row = attempt.request;
-        crashes.alive(attempt);
         attempt.sent = true;
         attempt.tokens = Math.max(attempt.tokens, input.tokens());
         row.tokens = attempt.tokens;
@@ -118,7 +118,7 @@
         attempt.request.mayHaveRun = true;
         close(attempt, End.COMPLETED);
         crashes.completed(attempt);
-        ejection.completed(attempt);
+        ejection.completed(attempt, input.tokens());
         if (attempt.endpoint.member) {
             attempt.endpoint.cache.answered(attempt.request.arrival.prefixHashes());
         }
@@ -135,7 +135,10 @@
             attempt.request.mayHaveRun = true;
         }
         close(attempt, End.FAILED);
-        ejection.failed(attempt, input.failure());
+        if (input.failure() != AttemptFailure.CONNECT_FAILED || tables.now < attempt.dispatchDeadline) {
+            // After its dispatch deadline it was this process that was late.
+            ejection.failed(attempt, input.failure());
+        }
         retry.afterFailure(attempt, input.failure());
     }
 
@@ -161,8 +164,8 @@
             AttemptRow attempt = row.attempt;
             row.mayHaveRun = true;
             close(attempt, End.CANCELLED);
-            crashes.cancelled(attempt);
             tables.emit(new RequestCommand.CancelAttempt(attempt.id));
+            crashes.cancelled(attempt);
         }
     }
 
@@ -170,6 +173,10 @@
     void preempt(AttemptRow attempt) {
         RequestRow row = attempt.request;
         cancelOpenAttempt(row);
+        if (row.state == RequestRow.State.DONE) {
+            // Its end completed the picture of a crash, and the request was quarantined.
+            return;
+        }
         row.attempts--;
         tables.counters.preemptions++;
         row.state = RequestRow.State.QUEUED;
@@ -183,7 +190,7 @@
         }
         if (end == End.COMPLETED) {
             double tokens = Math.max(1, row.expectedTokens() - attempt.resumeOffset);
-            row.service.expectedTokens.add(tokens);
+            row.runTime().add(tables.now - attempt.startedAt);
             row.service.timePerToken.add((tables.now - attempt.startedAt) / tokens);
         }
         if (row.isTraining()) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
@@ -21,7 +21,11 @@
  * answered in full is no suspect. Confined to the thread of the core.
  */
 final class CrashSystem {
-    private static final long BATCH_WINDOW_MILLISECONDS = 100;
+    /** Time in which the connections to a crashed endpoint break. */
+    private static final long BATCH_WINDOW_MILLISECONDS = 500;
+
+    /** Events of one endpoint arrive over several threads; an answer so soon after a break may be older than it. */
+    private static final long REORDERING_MILLISECONDS = 50;
 
     /** Crashes within this time may have one cause; reports are held back for as long. */
     private static final long SAME_FAILURE_MILLISECONDS = 200;
@@ -35,6 +39,10 @@
 
     private final Tables tables;
     private final CompletionSystem completion;
+    /** What the control process names: quarantined requests, and suspects. */
+    private Map<ServiceName, Set<Fingerprint>> named = Map.of();
+
+    private Set<Fingerprint> namedSuspects = Set.of();
     private final List<CrashReport> heldBack = new ArrayList<>();
     private long infrastructureFailureUntil;
     private final Map<Key, Suspicion> suspicions = new LinkedHashMap<>(16, 0.75f, true) {
@@ -51,8 +59,15 @@
     }
 
     boolean isQuarantined(ServiceName service, Fingerprint fingerprint) {
+        if (named.getOrDefault(service, Set.of()).contains(fingerprint)) {
+            return true;
+        }
         Suspicion suspicion = find(new Key(service, fingerprint));
-        return suspicion != null && suspicion.quarantined;
+        if (suspicion == null || !suspicion.quarantined) {
+            return false;
+        }
+        suspicion.lastSeen = tables.now;
+        return true;
     }
 
     /** Returns whether a request may only run where no other suspect runs. */
@@ -74,43 +89,58 @@
 
     /** Notes the end of an attempt that is still listed as open. */
     void failed(AttemptRow attempt, AttemptFailure failure) {
-        EndpointRow endpoint = attempt.endpoint;
-        if (failure != AttemptFailure.BROKEN) {
-            alive(attempt);
-            return;
+        switch (failure) {
+            case BROKEN -> broken(attempt);
+            case CONNECT_FAILED, SILENT -> cancelled(attempt);
+            case REFUSED_NOT_RUN, ERROR_ANSWER, MISMATCHED -> answered(attempt);
+            default -> throw new IllegalStateException("failure " + failure);
         }
-        long opened = endpoint.batchOpenedAt;
-        if (endpoint.batch.isEmpty() || tables.now - opened > BATCH_WINDOW_MILLISECONDS) {
+    }
+
+    private void broken(AttemptRow attempt) {
+        EndpointRow endpoint = attempt.endpoint;
+        if (endpoint.batch.isEmpty() || tables.now - endpoint.batchOpenedAt > BATCH_WINDOW_MILLISECONDS) {
             endpoint.batch.clear();
-            endpoint.batch.addAll(endpoint.open);
             endpoint.batchPending.clear();
-            endpoint.batchPending.addAll(endpoint.open);
+            for (AttemptRow open : endpoint.open) {
+                if (open.sent || open == attempt) {
+                    endpoint.batch.add(open);
+                    endpoint.batchPending.add(open);
+                }
+            }
             endpoint.batchOpenedAt = tables.now;
         }
+        cancelled(attempt);
+    }
+
+    /** Notes that an attempt ended in a way that does not tell whether its endpoint is alive. */
+    void cancelled(AttemptRow attempt) {
+        EndpointRow endpoint = attempt.endpoint;
+        if (tables.now - endpoint.batchOpenedAt > BATCH_WINDOW_MILLISECONDS) {
+            endpoint.batch.clear();
+        }
         endpoint.batchPending.remove(attempt);
-        if (endpoint.batchPending.isEmpty()) {
+        if (endpoint.batchPending.isEmpty() && !endpoint.batch.isEmpty()) {
             List<AttemptRow> batch = List.copyOf(endpoint.batch);
             endpoint.batch.clear();
             crashed(endpoint, batch);
         }
     }
 
-    /** Notes that an attempt was cancelled, which says nothing about its endpoint. */
-    void cancelled(AttemptRow attempt) {
-        attempt.endpoint.batchPending.remove(attempt);
-    }
-
-    /** Notes that an endpoint still answers, so that a broken attempt was no crash. */
-    void alive(AttemptRow attempt) {
-        if (!attempt.endpoint.batch.isEmpty()) {
-            attempt.endpoint.batch.clear();
-            attempt.endpoint.batchPending.clear();
+    /** An endpoint that still answers a while after an attempt broke has not crashed. */
+    private void answered(AttemptRow attempt) {
+        EndpointRow endpoint = attempt.endpoint;
+        if (tables.now - endpoint.batchOpenedAt > REORDERING_MILLISECONDS) {
+            endpoint.batch.clear();
+            endpoint.batchPending.clear();
+        } else {
+            cancelled(attempt);
         }
     }
 
     /** Clears a request that was answered in full. */
     void completed(AttemptRow attempt) {
-        alive(attempt);
+        answered(attempt);
         if (!suspicions.isEmpty()) {
             suspicions.remove(key(attempt.request));
         }
@@ -190,13 +220,18 @@
     // ---- State from the control process ----
 
     void changed(RequestInput.QuarantineChanged input) {
-        input.quarantined()
-                .forEach((service, fingerprints) -> fingerprints.forEach(
-                        fingerprint -> quarantine(suspect(service, fingerprint), service, fingerprint)));
-        Set<ServiceName> services = tables.services.keySet();
+        Map<ServiceName, Set<Fingerprint>> before = named;
+        named = Map.copyOf(input.quarantined());
+        named.forEach((service, fingerprints) -> fingerprints.stream()
+                .filter(fingerprint -> !before.getOrDefault(service, Set.of()).contains(fingerprint))
+                .forEach(fingerprint -> refuseAll(service, fingerprint)));
+        // A suspect that was answered since it was first named is cleared and not named again.
         for (Fingerprint fingerprint : input.suspects()) {
-            services.forEach(service -> suspect(service, fingerprint));
+            if (!namedSuspects.contains(fingerprint)) {
+                tables.services.keySet().forEach(service -> suspect(service, fingerprint));
+            }
         }
+        namedSuspects = input.suspects();
     }
 
     private void quarantine(Suspicion suspicion, ServiceName service, Fingerprint fingerprint) {
@@ -204,6 +239,10 @@
             return;
         }
         suspicion.quarantined = true;
+        refuseAll(service, fingerprint);
+    }
+
+    private void refuseAll(ServiceName service, Fingerprint fingerprint) {
         // Quarantine is rare, so a search through all requests is cheaper than an index.
         tables.requests.values().stream()
                 .filter(row -> row.service.name.equals(service)
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EjectionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EjectionSystem.java
@@ -18,14 +18,21 @@
     private static final long EVALUATION_INTERVAL_MILLISECONDS = 500;
     private static final int CONSECUTIVE_FAILURES = 3;
     private static final double FAILURE_RATE = 0.5;
-    private static final int LEAST_OUTCOMES = 5;
+    static final int LEAST_OUTCOMES = 5;
+
+    /** Answers before an endpoint is ejected for its pace; run times of plain calls may differ by orders of magnitude. */
+    private static final int LEAST_PACES = 20;
+
+    /** Work of a model before its first token, as a number of tokens. */
+    private static final int TOKENS_BEFORE_FIRST = 4;
+
     private static final int LEAST_COMPARED_ENDPOINTS = 3;
 
     /** Multiple of the median pace from which an endpoint is slow. */
     private static final double SLOW_FACTOR = 3;
 
-    /** Multiple of the expected run time from which an open attempt is overdue. */
-    private static final double OVERDUE_FACTOR = 5;
+    /** Mean deviations above the mean run time from which an open attempt is overdue. */
+    private static final double OVERDUE_DEVIATIONS = 8;
 
     private static final int LEAST_OVERDUE = 2;
 
@@ -43,15 +50,17 @@
         this.tables = tables;
     }
 
-    void completed(AttemptRow attempt) {
+    void completed(AttemptRow attempt, int tokens) {
         EndpointRow endpoint = attempt.endpoint;
         EndpointHealth health = endpoint.health;
-        double pace = pace(attempt);
+        boolean overdue = isOverdue(attempt);
+        double size = endpoint.service.isModel() ? TOKENS_BEFORE_FIRST + Math.max(0, tokens - attempt.resumeOffset) : 1;
+        endpoint.service.size.add(size);
         health.failureRate.add(0);
-        health.pace.add(pace);
+        health.pace.add((tables.now - attempt.startedAt) / size);
         health.consecutiveFailures = 0;
         if (health.state == State.RECOVERING) {
-            if (isSlow(endpoint.service, pace, attempt.request.expectedTokens())) {
+            if (overdue) {
                 eject(endpoint);
             } else {
                 health.succeedInRecovery(endpoint.fullSlots());
@@ -122,23 +131,21 @@
         if (health.failureRate.count() >= LEAST_OUTCOMES && health.failureRate.value() > FAILURE_RATE) {
             return true;
         }
-        double expectedTokens = endpoint.service.expectedTokens.value();
-        if (health.pace.count() >= LEAST_OUTCOMES && isSlow(endpoint.service, health.pace.value(), expectedTokens)) {
-            return true;
-        }
-        return isOverdue(endpoint);
+        return isSlow(endpoint) || isOverdue(endpoint);
     }
 
-    private static boolean isSlow(ServiceRow service, double pace, double tokens) {
-        return service.medianPace > 0
-                && pace > SLOW_FACTOR * service.medianPace
-                && (pace - service.medianPace) * tokens > LEAST_DIFFERENCE_MILLISECONDS;
+    private static boolean isSlow(EndpointRow endpoint) {
+        double pace = endpoint.health.pace.value();
+        double median = endpoint.service.medianPace;
+        return median > 0
+                && endpoint.health.pace.count() >= LEAST_PACES
+                && pace > SLOW_FACTOR * median
+                && (pace - median) * endpoint.service.size.value() > LEAST_DIFFERENCE_MILLISECONDS;
     }
 
     /** An endpoint that completes nothing has no pace, but its open attempts take too long. */
     private boolean isOverdue(EndpointRow endpoint) {
-        double median = endpoint.service.medianPace;
-        if (median == 0 || endpoint.open.size() < LEAST_OVERDUE) {
+        if (endpoint.open.size() < LEAST_OVERDUE) {
             return false;
         }
         int overdue = 0;
@@ -149,9 +156,9 @@
     }
 
     private boolean isOverdue(AttemptRow attempt) {
-        double median = attempt.endpoint.service.medianPace;
-        double expected = OVERDUE_FACTOR * median * tokens(attempt) + LEAST_DIFFERENCE_MILLISECONDS;
-        return median > 0 && tables.now - attempt.startedAt > expected;
+        Average runTime = attempt.request.runTime();
+        double limit = runTime.above(OVERDUE_DEVIATIONS) + LEAST_DIFFERENCE_MILLISECONDS;
+        return runTime.count() >= LEAST_PACES && tables.now - attempt.startedAt > limit;
     }
 
     private static double medianPace(ServiceRow service) {
@@ -193,12 +200,4 @@
         endpoint.health.startRecovery();
         tables.refresh(endpoint);
     }
-
-    private double pace(AttemptRow attempt) {
-        return (tables.now - attempt.startedAt) / tokens(attempt);
-    }
-
-    private static double tokens(AttemptRow attempt) {
-        return Math.max(1, attempt.request.expectedTokens() - attempt.resumeOffset);
-    }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointChoice.java
@@ -167,7 +167,7 @@
 
     private static double relativePace(EndpointRow endpoint) {
         double median = endpoint.service.medianPace;
-        if (median == 0 || endpoint.health.pace.count() == 0) {
+        if (median == 0 || endpoint.health.pace.count() < EjectionSystem.LEAST_OUTCOMES) {
             return 1;
         }
         return Math.clamp(endpoint.health.pace.value() / median, FASTEST_PACE, SLOWEST_PACE);
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointHealth.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EndpointHealth.java
@@ -3,7 +3,7 @@
 /** What the outcomes of attempts say about one endpoint. Confined to the thread of the core. */
 final class EndpointHealth {
     private static final double FAILURE_WEIGHT = 0.1;
-    private static final double PACE_WEIGHT = 0.2;
+    private static final double PACE_WEIGHT = 0.05;
     private static final int FIRST_SLOTS = 1;
 
     /** Whether an endpoint gets work. */
@@ -16,7 +16,7 @@
     State state = State.HEALTHY;
     Average failureRate = new Average(FAILURE_WEIGHT);
 
-    /** Time per expected token, in milliseconds. */
+    /** Run time per unit of size, in milliseconds: per token of a model, per answer of a plain service. */
     Average pace = new Average(PACE_WEIGHT);
 
     int consecutiveFailures;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestInput.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestInput.java
@@ -215,7 +215,7 @@
     record SharesAssigned(Map<ServiceName, Integer> concurrentByService) implements RequestInput {}
 
     /**
-     * The quarantined requests changed.
+     * The quarantined requests changed. Replaces what was named before; what this core found itself stays.
      *
      * @param quarantined fingerprints by service that must not be run
      * @param suspects fingerprints that may run, but never two on one endpoint
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestRow.java
@@ -61,6 +61,11 @@
         return arrival.precedence() == Precedence.TRAINING;
     }
 
+    /** Returns the run time of requests of the same kind; samples run far longer than answers to customers. */
+    Average runTime() {
+        return isTraining() ? service.trainingRunTime : service.customerRunTime;
+    }
+
     String trainerName() {
         return arrival.trainer().map(trainer -> trainer.value()).orElse("");
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
@@ -30,7 +30,14 @@
     /** Run time per expected token of completed attempts, in milliseconds. */
     final Average timePerToken = new Average(0.05);
 
-    final Average expectedTokens = new Average(0.05);
+    /** Run time of completed attempts for customers, in milliseconds. */
+    final Average customerRunTime = new Average(0.05);
+
+    /** Run time of completed attempts for trainers, in milliseconds. */
+    final Average trainingRunTime = new Average(0.05);
+
+    /** Size of completed attempts, in the units of {@link EndpointHealth#pace}. */
+    final Average size = new Average(0.05);
 
     /** Endpoints that are believed to hold a prompt prefix, by hash of the prefix. */
     final Map<Long, List<EndpointRow>> prefixes = new HashMap<>();
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/SheddingSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/SheddingSystem.java
@@ -132,6 +132,8 @@
     }
 
     private static double runMilliseconds(RequestRow row, double margin) {
-        return row.service.timePerToken.above(margin) * Math.max(1, row.expectedTokens() - row.tokens);
+        double byTokens = row.service.timePerToken.above(margin) * Math.max(1, row.expectedTokens() - row.tokens);
+        // Callers often allow far more tokens than the answer has.
+        return Math.min(byTokens, row.runTime().above(margin));
     }
 }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestPolicyTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestPolicyTest.java
@@ -54,6 +54,7 @@
         for (int index = 0; index < count; index++) {
             starts.addAll(all(StartAttempt.class, fixture.arrive(new RequestBuilder(prefix + index))));
         }
+        starts.forEach(started -> fixture.give(new RequestInput.AttemptSent(started.attempt())));
         return starts;
     }
 
@@ -233,6 +234,21 @@
         }
     }
 
+    @Test
+    void shouldNotRefuseWhenCallersAllowFarMoreTokensThanTheyGet() {
+        fixture.members(endpoint("e1", MODEL, 1));
+        for (int index = 0; index < 5; index++) {
+            StartAttempt started = start(new RequestBuilder("warm" + index));
+            fixture.advance(200);
+            fixture.give(new RequestInput.AttemptCompleted(started.attempt(), 10));
+        }
+        start(new RequestBuilder("running"));
+        fixture.arrive(new RequestBuilder("ahead"));
+        long deadline = fixture.now + 1_000;
+        assertTrue(fixture.arrive(new RequestBuilder("r").tokens(4_096).deadline(deadline))
+                .isEmpty());
+    }
+
     @Test
     void shouldAnswerQueuedRequestsSoonWhenAllEndpointsAreGone() {
         fixture.members(endpoint("e1", MODEL, 1));
@@ -308,7 +324,11 @@
         List<StartAttempt> batch = starts(4, "r");
         fixture.members(endpoint("e2", MODEL, 8), endpoint("e3", MODEL, 8));
         List<RequestCommand> commands = new ArrayList<>();
-        batch.forEach(started -> commands.addAll(fixture.fail(started.attempt(), AttemptFailure.BROKEN)));
+        for (StartAttempt started : batch) {
+            // The entry reports what arrived before the break, also after another attempt of the batch broke.
+            fixture.give(new RequestInput.AttemptProgressed(started.attempt(), 1, Optional.empty(), false));
+            commands.addAll(fixture.fail(started.attempt(), AttemptFailure.BROKEN));
+        }
         fixture.members(endpoint("e1", MODEL, 8).asLeaving());
         commands.addAll(fixture.advance(500));
         assertEquals(4, only(ReportCrash.class, commands).batch().size());
@@ -329,6 +349,7 @@
         fixture.members(endpoint("e1", MODEL, 8));
         List<StartAttempt> batch = starts(3, "r");
         fixture.fail(batch.get(0).attempt(), AttemptFailure.BROKEN);
+        fixture.advance(100);
         fixture.give(new RequestInput.AttemptCompleted(batch.get(1).attempt(), 10));
         fixture.fail(batch.get(2).attempt(), AttemptFailure.SILENT);
         assertTrue(all(ReportCrash.class, fixture.advance(500)).isEmpty());
