--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
@@ -66,7 +66,7 @@
     }
 
     boolean isQuarantined(ServiceName service, Fingerprint fingerprint) {
-        if (named.getOrDefault(service, Set.of()).contains(fingerprint)) {
+        if (isNamed(service, fingerprint)) {
             return true;
         }
         Suspicion suspicion = find(new Key(service, fingerprint));
@@ -80,11 +80,16 @@
     /** Refuses a quarantined request as soon as every entry knows of the quarantine. */
     void refuseWhenAgreed(RequestRow row) {
         row.state = RequestRow.State.WAITING_FOR_RETRY;
-        if (find(key(row)).agreed) {
+        Suspicion suspicion = find(key(row));
+        if (suspicion == null || suspicion.agreed || isNamed(row.service.name, row.arrival.fingerprint())) {
             refuse(row);
         }
     }
 
+    private boolean isNamed(ServiceName service, Fingerprint fingerprint) {
+        return named.getOrDefault(service, Set.of()).contains(fingerprint);
+    }
+
     /** Returns whether a request may only run where no other suspect runs. */
     boolean isSuspect(RequestRow row) {
         return !suspicions.isEmpty() && find(key(row)) != null;
@@ -235,18 +240,12 @@
     // ---- State from the control process ----
 
     void changed(RequestInput.QuarantineChanged input) {
-<<<<<<< HEAD
-        input.quarantined()
-                .forEach((service, fingerprints) -> fingerprints.forEach(fingerprint -> agree(service, fingerprint)));
-        Set<ServiceName> services = tables.services.keySet();
-=======
         Map<ServiceName, Set<Fingerprint>> before = named;
         named = Map.copyOf(input.quarantined());
         named.forEach((service, fingerprints) -> fingerprints.stream()
                 .filter(fingerprint -> !before.getOrDefault(service, Set.of()).contains(fingerprint))
                 .forEach(fingerprint -> refuseAll(service, fingerprint)));
         // A suspect that was answered since it was first named is cleared and not named again.
->>>>>>> request
         for (Fingerprint fingerprint : input.suspects()) {
             if (!namedSuspects.contains(fingerprint)) {
                 tables.services.keySet().forEach(service -> suspect(service, fingerprint));
@@ -264,20 +263,11 @@
     }
 
     private void agree(ServiceName service, Fingerprint fingerprint) {
-        Suspicion suspicion = suspect(service, fingerprint);
-        suspicion.quarantined = true;
-        if (suspicion.agreed) {
-            return;
-        }
-<<<<<<< HEAD
-        suspicion.agreed = true;
-=======
-        suspicion.quarantined = true;
+        suspect(service, fingerprint).agreed = true;
         refuseAll(service, fingerprint);
     }
 
     private void refuseAll(ServiceName service, Fingerprint fingerprint) {
->>>>>>> request
         // Quarantine is rare, so a search through all requests is cheaper than an index.
         tables.requests.values().stream()
                 .filter(row -> row.service.name.equals(service)
