--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/Announcer.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/Announcer.java
@@ -102,6 +102,15 @@
         }
     }
 
+    /**
+     * Returns the size of an announcement.
+     *
+     * @return bytes of its body
+     */
+    public int bodyBytes() {
+        return announcement().toString().getBytes(StandardCharsets.UTF_8).length;
+    }
+
     private List<String> targets() {
         List<String> known = reportTo;
         if (!known.isEmpty()) {
--- a/rosemarybeam-testbed/src/test/java/io/rosemarybeam/testbed/Deployment.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/Deployment.java
@@ -9,6 +9,7 @@
 import java.nio.file.attribute.PosixFilePermissions;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.rosemarybeam.common.id.EndpointId;
@@ -43,11 +45,54 @@
  *
  * <p>Invariant: {@link #close} ends every process that was started here, and no other. Confined to the test thread.
  */
-final class Deployment implements AutoCloseable {
+public final class Deployment implements AutoCloseable {
     static final String MODEL_SERVICE = "brailler-lm";
     static final String PLAIN_SERVICE = "workshop-app";
     static final String POISON = "poison";
 
+    private static final String CONTROL_MAIN = "io.rosemarybeam.control.ControlMain";
+
+    /** As in bin/rosemarybeam-control. */
+    private static final List<String> CONTROL_FLAGS = List.of(
+            "--sun-misc-unsafe-memory-access=allow",
+            "-XX:+UseSerialGC",
+            "-Xms8m",
+            "-Xmx40m",
+            "-Xss256k",
+            "-XX:TrimNativeHeapInterval=2000",
+            "-XX:MinHeapFreeRatio=10",
+            "-XX:MaxHeapFreeRatio=30",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:CICompilerCount=1",
+            "-XX:ReservedCodeCacheSize=16m",
+            "-XX:+UseCompactObjectHeaders",
+            "-XX:MaxDirectMemorySize=16m",
+            "-XX:-UsePerfData",
+            "-Dio.netty.allocator.type=unpooled",
+            "-Dio.netty.noPreferDirect=true",
+            "-Dlog4j2.disableJmx=true");
+
+    /** As in bin/rosemarybeam-entry. */
+    private static final List<String> ENTRY_FLAGS = List.of(
+            "--sun-misc-unsafe-memory-access=allow",
+            "-XX:+UseSerialGC",
+            "-Xms16m",
+            "-Xmx128m",
+            "-Xss256k",
+            "-XX:MinHeapFreeRatio=10",
+            "-XX:MaxHeapFreeRatio=30",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:CICompilerCount=1",
+            "-XX:ReservedCodeCacheSize=24m",
+            "-XX:+UseCompactObjectHeaders",
+            "-XX:MaxDirectMemorySize=32m",
+            "-XX:-UsePerfData",
+            "-Dio.netty.allocator.numDirectArenas=2",
+            "-Dio.netty.allocator.numHeapArenas=2",
+            "-Dio.netty.allocator.maxOrder=6",
+            "-Dlog4j2.disableJmx=true",
+            "-Dlog4j.shutdownHookEnabled=false");
+
     private static final List<String> DOMAINS = List.of("amman-a", "amman-b", "amman-c", "amman-d");
     private static final Duration CALL_DEADLINE = Duration.ofSeconds(5);
     private static final long START_MILLISECONDS = 30_000;
@@ -66,7 +111,13 @@
     private final Map<String, AtomicInteger> runsByOrder = PlainEndpoint.newRecord();
     private List<String> entryControlAddresses = List.of();
 
-    Deployment(Path folder, int controls) {
+    /**
+     * Starts the control processes.
+     *
+     * @param folder an empty folder for settings, secrets, logs and data
+     * @param controls how many control processes
+     */
+    public Deployment(Path folder, int controls) {
         this.folder = folder;
         for (int index = 0; index < controls; index++) {
             controlAddresses.add("127.0.0.1:" + freePort());
@@ -100,7 +151,7 @@
                         folder.resolve("cluster"),
                         folder.resolve("operator"),
                         hosts));
-        start(name, "io.rosemarybeam.control.ControlMain");
+        start(name, CONTROL_MAIN);
     }
 
     /** Names the addresses that entries started from now on use to reach the control processes. */
@@ -108,7 +159,12 @@
         entryControlAddresses = List.copyOf(addresses);
     }
 
-    void startEntry(int index) {
+    /**
+     * Starts an entry process.
+     *
+     * @param index its number; starting a number again reuses its address
+     */
+    public void startEntry(int index) {
         String name = "entry-" + index;
         callerAddresses.computeIfAbsent(name, ignored -> "127.0.0.1:" + freePort());
         String controls = "\"" + String.join("\", \"", entryControlAddresses) + "\"";
@@ -129,26 +185,18 @@
     }
 
     private void start(String name, String mainClass) {
-        List<String> command = List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-Xmx96m",
-                "--sun-misc-unsafe-memory-access=allow",
-                "-Dlog4j.shutdownHookEnabled=false",
-                "-cp",
-                System.getProperty("java.class.path"),
-                mainClass,
-                "--settings",
-                folder.resolve(name + ".json").toString());
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(mainClass.equals(CONTROL_MAIN) ? CONTROL_FLAGS : ENTRY_FLAGS);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
+        command.addAll(List.of("--settings", folder.resolve(name + ".json").toString()));
         File log = folder.resolve(name + ".log").toFile();
         try {
-            processes.put(
-                    name,
-                    new ProcessBuilder(command)
-                            .redirectErrorStream(true)
-                            .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
-                            .start());
+            ProcessBuilder builder = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+            builder.environment().put("MALLOC_ARENA_MAX", "1");
+            processes.put(name, builder.start());
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
         }
@@ -203,6 +251,66 @@
         }
     }
 
+    /**
+     * Returns the identity of an entry host, for stand-ins of entry processes.
+     *
+     * @param name name of the host
+     * @param incarnation its incarnation
+     * @return the credentials
+     */
+    public Credentials entryCredentials(String name, long incarnation) {
+        return new Credentials(Role.ENTRY, name, incarnation, "secret-of-cluster-for-tests");
+    }
+
+    /**
+     * Returns the processor time that a process has used.
+     *
+     * @param name name of the process
+     * @return seconds over all its threads
+     */
+    public double processorSeconds(String name) {
+        return processes
+                .get(name)
+                .info()
+                .totalCpuDuration()
+                .map(duration -> duration.toNanos() / 1e9)
+                .orElse(0.0);
+    }
+
+    /**
+     * Returns the resident memory of a process.
+     *
+     * @param name name of the process
+     * @return bytes, as the operating system counts them
+     */
+    public long residentBytes(String name) {
+        try {
+            Path status = Path.of("/proc", Long.toString(processes.get(name).pid()), "status");
+            return Files.readAllLines(status).stream()
+                    .filter(line -> line.startsWith("VmRSS:"))
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) * 1_024)
+                    .findFirst()
+                    .orElse(0);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    /**
+     * Returns the size of the data folder of a control process.
+     *
+     * @param index index of the process
+     * @return bytes
+     */
+    public long dataBytes(int index) {
+        File[] files = folder.resolve("data-" + index).toFile().listFiles();
+        long sum = 0;
+        for (File file : files == null ? new File[0] : files) {
+            sum += file.length();
+        }
+        return sum;
+    }
+
     // ---- Endpoints ----
 
     void startEndpoints(int models, int plain) {
@@ -276,15 +384,30 @@
         return client;
     }
 
-    NioEventLoopGroup eventLoops() {
+    /**
+     * Returns the event loops of the stand-ins.
+     *
+     * @return the event loops
+     */
+    public NioEventLoopGroup eventLoops() {
         return eventLoops;
     }
 
-    List<String> controlAddresses() {
+    /**
+     * Returns where the control processes listen.
+     *
+     * @return IP numbers and ports, by index of the process
+     */
+    public List<String> controlAddresses() {
         return controlAddresses;
     }
 
-    List<String> entryAddresses() {
+    /**
+     * Returns where the entry processes serve callers.
+     *
+     * @return IP numbers and ports
+     */
+    public List<String> entryAddresses() {
         return List.copyOf(callerAddresses.values());
     }
 
@@ -292,7 +415,14 @@
         return new EntryDirectory(client, entryAddresses(), DOMAINS.getFirst());
     }
 
-    ApplyReply apply(String text, Duration wait) {
+    /**
+     * Applies an operator text through the leader.
+     *
+     * @param text the text
+     * @param wait how long to wait until it is in force
+     * @return the answer
+     */
+    public ApplyReply apply(String text, Duration wait) {
         return (ApplyReply) operate(
                 new OperatorRequest.ApplyConfiguration(text, "test", wait.toMillis()), wait.plus(CALL_DEADLINE));
     }
@@ -358,8 +488,12 @@
         }
     }
 
-    /** Returns the name of the leader, waiting until there is one. */
-    String leader() {
+    /**
+     * Returns the name of the leader, waiting until there is one.
+     *
+     * @return its name
+     */
+    public String leader() {
         long end = ModelEngine.nowMilliseconds() + START_MILLISECONDS;
         while (ModelEngine.nowMilliseconds() < end) {
             for (int index = 0; index < controlAddresses.size(); index++) {
@@ -374,8 +508,14 @@
         throw new AssertionError("no leader");
     }
 
-    /** Returns an operator text that the deployment can use. */
-    String text(int number, int maximumQueued) {
+    /**
+     * Returns an operator text that the deployment can use.
+     *
+     * @param number the number that it carries
+     * @param maximumQueued a limit to vary
+     * @return the text
+     */
+    public String text(int number, int maximumQueued) {
         StringBuilder hosts = new StringBuilder();
         for (int index = 0; index < controlAddresses.size(); index++) {
             hosts.append(index == 0 ? "" : ", ").append(controlHost(index));
@@ -415,6 +555,19 @@
 
     // ---- Support ----
 
+    /**
+     * Deletes a folder and everything in it.
+     *
+     * @param folder the folder
+     * @throws IOException if the folder cannot be read
+     */
+    public static void delete(Path folder) throws IOException {
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
+        }
+    }
+
     static boolean eventually(Duration deadline, BooleanSupplier condition) {
         long end = ModelEngine.nowMilliseconds() + deadline.toMillis();
         while (ModelEngine.nowMilliseconds() < end) {
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/CapacityBenchmark.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/CapacityBenchmark.java
@@ -1,5 +1,7 @@
 package io.rosemarybeam.testbed.capacity;
 
+import java.io.IOException;
+
 /**
  * Runs the real code at several sizes and prints the slopes that docs/CAPACITY.md uses. Confined to the main thread apart
  * from what it starts.
@@ -11,8 +13,13 @@
      * Runs all measurements.
      *
      * @param arguments unused
+     * @throws IOException if a data folder cannot be made
      */
-    public static void main(String[] arguments) {
+    public static void main(String[] arguments) throws IOException {
+        System.out.println("== control leader and follower ==");
+        new LeaderCosts().measure().forEach(System.out::println);
+        System.out.println("== an entry without requests ==");
+        new EntryCosts().measure().forEach(System.out::println);
         System.out.println("== messages and operator text ==");
         new MessageCosts().measure().forEach(System.out::println);
         System.out.println("== decisions of an entry ==");
--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/LeaderCosts.java
@@ -0,0 +1,156 @@
+package io.rosemarybeam.testbed.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+
+import io.rosemarybeam.common.wire.ControlReply.ApplyReply;
+import io.rosemarybeam.common.wire.WireSettings;
+import io.rosemarybeam.common.wire.WireTransport;
+import io.rosemarybeam.testbed.Deployment;
+
+/**
+ * Measures what entries and endpoints cost the control leader and a follower, with real control processes and stand-ins of
+ * entries in this process. Confined to one thread apart from the stand-ins.
+ */
+final class LeaderCosts {
+    private static final int[] ENTRY_COUNTS = {10, 50, 200, 400};
+    private static final int TARGET_ENTRIES = 380;
+    private static final int TARGET_REPLICAS = 850;
+    private static final int CONTROLS = 3;
+    private static final int CHANGES = 5;
+    private static final long RENEWAL_MILLISECONDS = 1_000;
+    private static final long SETTLE_MILLISECONDS = 3_000;
+    private static final long MEASURED_MILLISECONDS = 6_000;
+    private static final double BYTES_PER_MEBIBYTE = 1_048_576.0;
+    private static final double MILLISECONDS_PER_SECOND = 1_000.0;
+
+    private final Slope leaderProcessor = new Slope("leader, processor time with leases only", "% core", "entry");
+    private final Slope followerProcessor = new Slope("follower, processor time", "% core", "entry");
+    private final Slope leaderMemory = new Slope("leader, resident memory", "MiB", "entry");
+    private final Slope leaderIn = new Slope("leader, bytes in (payload and frame)", "B/s", "entry");
+    private final Slope leaderOut = new Slope("leader, bytes out (payload and frame)", "B/s", "entry");
+    private final Slope inForce = new Slope("slowest of 5 changes until in force everywhere", "ms", "entry");
+    private final Slope announcing = new Slope("all endpoints announced at once until agreed", "ms", "entry");
+
+    List<String> measure() throws IOException {
+        for (int count : ENTRY_COUNTS) {
+            measure(count);
+        }
+        List<String> lines = new ArrayList<>();
+        for (Slope slope :
+                List.of(leaderProcessor, followerProcessor, leaderMemory, leaderIn, leaderOut, inForce, announcing)) {
+            lines.add(slope.render(TARGET_ENTRIES));
+        }
+        return lines;
+    }
+
+    private void measure(int entryCount) throws IOException {
+        Path folder = Files.createTempDirectory("capacity");
+        ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+        try (Deployment deployment = new Deployment(folder, CONTROLS)) {
+            deployment.apply(deployment.text(1, 256), Duration.ofSeconds(10));
+            String leader = deployment.leader();
+            LongAdder toLeader = new LongAdder();
+            LongAdder fromLeader = new LongAdder();
+            List<EntryStandIn> entries = connect(deployment, leader, entryCount, toLeader, fromLeader);
+            for (int index = 0; index < entryCount; index++) {
+                long offset = index * RENEWAL_MILLISECONDS / entryCount;
+                timer.scheduleAtFixedRate(
+                        entries.get(index)::renew, offset, RENEWAL_MILLISECONDS, TimeUnit.MILLISECONDS);
+            }
+            pause(SETTLE_MILLISECONDS);
+            announcing.add(entryCount, announceAll(entries));
+            pause(SETTLE_MILLISECONDS);
+            steadyState(deployment, leader, entryCount, toLeader, fromLeader);
+            inForce.add(entryCount, slowestChange(deployment));
+        } finally {
+            timer.shutdownNow();
+            Deployment.delete(folder);
+        }
+    }
+
+    private static List<EntryStandIn> connect(
+            Deployment deployment, String leader, int entryCount, LongAdder toLeader, LongAdder fromLeader) {
+        WireTransport transport = WireTransport.of(deployment.eventLoops(), WireSettings.standard());
+        String address = deployment.controlAddresses().get(leader.charAt(leader.length() - 1) - '0');
+        List<EntryStandIn> entries = new ArrayList<>();
+        for (int index = 0; index < entryCount; index++) {
+            List<Integer> endpoints = new ArrayList<>();
+            for (int endpoint = index; endpoint < replicas(entryCount); endpoint += entryCount) {
+                endpoints.add(endpoint);
+            }
+            var record = Samples.entryHost(index);
+            EntryStandIn entry = new EntryStandIn(record, endpoints, toLeader, fromLeader);
+            var credentials = deployment.entryCredentials(record.name().value(), record.incarnation());
+            entry.use(transport.connect(address, credentials, entry).join());
+            entries.add(entry);
+        }
+        return entries;
+    }
+
+    /** Replicas grow with the entries in the proportion of the target. */
+    private static int replicas(int entryCount) {
+        return entryCount * TARGET_REPLICAS / TARGET_ENTRIES;
+    }
+
+    private static double announceAll(List<EntryStandIn> entries) {
+        long start = System.nanoTime();
+        List<CompletableFuture<?>> answers = new ArrayList<>();
+        for (int endpoint = 0; endpoint < replicas(entries.size()); endpoint++) {
+            answers.add(entries.get(endpoint % entries.size()).announce(endpoint));
+        }
+        answers.forEach(CompletableFuture::join);
+        return (System.nanoTime() - start) / 1e6;
+    }
+
+    private void steadyState(
+            Deployment deployment, String leader, int entryCount, LongAdder toLeader, LongAdder fromLeader) {
+        String follower = leader.equals("control-0") ? "control-1" : "control-0";
+        double leaderBefore = deployment.processorSeconds(leader);
+        double followerBefore = deployment.processorSeconds(follower);
+        toLeader.reset();
+        fromLeader.reset();
+        long start = System.nanoTime();
+        pause(MEASURED_MILLISECONDS);
+        double seconds = (System.nanoTime() - start) / 1e9;
+        leaderProcessor.add(entryCount, percent(deployment.processorSeconds(leader) - leaderBefore, seconds));
+        followerProcessor.add(entryCount, percent(deployment.processorSeconds(follower) - followerBefore, seconds));
+        leaderIn.add(entryCount, toLeader.sum() / seconds);
+        leaderOut.add(entryCount, fromLeader.sum() / seconds);
+        leaderMemory.add(entryCount, deployment.residentBytes(leader) / BYTES_PER_MEBIBYTE);
+    }
+
+    private static double percent(double used, double seconds) {
+        return 100 * used / seconds;
+    }
+
+    private static double slowestChange(Deployment deployment) {
+        double slowest = 0;
+        for (int number = 2; number < 2 + CHANGES; number++) {
+            long start = System.nanoTime();
+            ApplyReply reply = deployment.apply(deployment.text(number, 256 + number), Duration.ofSeconds(10));
+            if (!reply.inForce()) {
+                throw new IllegalStateException("change " + number + " is not in force: " + reply.pendingEntries());
+            }
+            slowest = Math.max(slowest, (System.nanoTime() - start) / 1e9 * MILLISECONDS_PER_SECOND);
+        }
+        return slowest;
+    }
+
+    private static void pause(long milliseconds) {
+        try {
+            Thread.sleep(milliseconds);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
