--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -24,10 +23,10 @@
     private static final long NOTHING_SENT = -1;
 
     /**
-     * Connections served by one flush. Encoding for all entries at target size in one go would stall the log long enough
-     * to lose leadership.
+     * Records encoded by one flush. Encoding a large change for all entries in one go would stall the log long enough to
+     * lose leadership.
      */
-    private static final int CONNECTIONS_PER_FLUSH = 32;
+    private static final int RECORDS_PER_FLUSH = 2_000;
 
     private final ControlState state;
     private final long term;
@@ -56,16 +55,24 @@
      * Sends the changes that connections have not seen to some of them; the next flush goes on with the others.
      */
     void flush() {
-        List<WireConnection> behind = sentByConnection.entrySet().stream()
-                .filter(entry -> entry.getKey().isOpen() && isBehind(entry.getValue()))
-                .map(Map.Entry::getKey)
-                .limit(CONNECTIONS_PER_FLUSH)
-                .toList();
-        for (WireConnection connection : behind) {
-            connection.send(new PushState(changes(sentByConnection.get(connection), Map.of())));
+        int records = 0;
+        for (Map.Entry<WireConnection, Sent> entry : sentByConnection.entrySet()) {
+            if (!entry.getKey().isOpen() || !isBehind(entry.getValue())) {
+                continue;
+            }
+            if (records >= RECORDS_PER_FLUSH) {
+                return;
+            }
+            EntryState changes = changes(entry.getValue(), Map.of());
+            records += 1 + changes.membership().map(EntryPushes::size).orElse(0);
+            entry.getKey().send(new PushState(changes));
         }
     }
 
+    private static int size(MembershipDelta delta) {
+        return delta.endpoints().size() + delta.entryHosts().size();
+    }
+
     private boolean isBehind(Sent sent) {
         return sent.revision < state.configurations().newestNumber()
                 || sent.membershipVersion < state.membershipVersion()
