--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -56,16 +57,20 @@
      */
     void flush() {
         int records = 0;
-        for (Map.Entry<WireConnection, Sent> entry : sentByConnection.entrySet()) {
-            if (!entry.getKey().isOpen() || !isBehind(entry.getValue())) {
+        for (WireConnection connection : List.copyOf(sentByConnection.keySet())) {
+            Sent sent = sentByConnection.get(connection);
+            if (!connection.isOpen() || !isBehind(sent)) {
                 continue;
             }
             if (records >= RECORDS_PER_FLUSH) {
                 return;
             }
-            EntryState changes = changes(entry.getValue(), Map.of());
+            EntryState changes = changes(sent, Map.of());
             records += 1 + changes.membership().map(EntryPushes::size).orElse(0);
-            entry.getKey().send(new PushState(changes));
+            connection.send(new PushState(changes));
+            // Served connections go to the end, so that steady changes do not starve the others.
+            sentByConnection.remove(connection);
+            sentByConnection.put(connection, sent);
         }
     }
 
