--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ConfigurationTable.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ConfigurationTable.java
@@ -28,6 +28,12 @@
     /** Texts kept, in characters; the oldest are dropped first so that the process keeps its memory target. */
     public static final int MAXIMUM_TEXT_CHARACTERS = 4_194_304;
 
+    /** Lines of one answer, so that it fits into a frame. */
+    public static final int MAXIMUM_HISTORY_LINES = 10_000;
+
+    /** Longest kept name of an operator, in characters. */
+    private static final int MAXIMUM_OPERATOR_CHARACTERS = 128;
+
     private final TreeMap<Long, String> texts = new TreeMap<>();
     private final TreeMap<Long, HistoryLine> lines = new TreeMap<>();
     private long textCharacters;
@@ -39,9 +45,11 @@
         if (known.isPresent()) {
             return known.get();
         }
+        String operator =
+                command.operator().substring(0, Math.min(command.operator().length(), MAXIMUM_OPERATOR_CHARACTERS));
         texts.put(number, command.text());
         textCharacters += command.text().length();
-        lines.put(number, new HistoryLine(number, digest, command.wallClockMilliseconds(), command.operator()));
+        lines.put(number, new HistoryLine(number, digest, command.wallClockMilliseconds(), operator));
         dropOldest();
         return reply(ApplyOutcome.ACCEPTED, number, Optional.empty());
     }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/Step.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/Step.java
@@ -26,6 +26,7 @@
  */
 final class Step {
     private final String digest;
+    private final int specificationBytes;
     private StepSpecification specification;
     private HostName owner;
     private long ownerEpoch;
@@ -35,8 +36,9 @@
     private final Set<Integer> handedOver = new HashSet<>();
     private int acknowledgedSamples;
 
-    Step(EntryRequest.OpenStep request, String digest, long now) {
+    Step(EntryRequest.OpenStep request, String digest, int specificationBytes, long now) {
         this.digest = digest;
+        this.specificationBytes = specificationBytes;
         this.specification = request.specification();
         this.owner = request.entry();
         this.ownerEpoch = 1;
@@ -45,6 +47,7 @@
 
     Step(Image image) {
         this.digest = image.digest;
+        this.specificationBytes = image.specificationBytes;
         this.specification = image.snapshot.specification();
         this.owner = image.snapshot.owner().orElseThrow();
         this.ownerEpoch = image.snapshot.ownerEpoch();
@@ -78,6 +81,11 @@
         return acknowledgedSamples >= specification.sampleCount();
     }
 
+    /** Returns the size of the encoded specification, or zero once the prompts are forgotten. */
+    int specificationBytes() {
+        return isFinished() ? 0 : specificationBytes;
+    }
+
     int sampleCount() {
         return specification.sampleCount();
     }
@@ -193,9 +201,9 @@
     }
 
     Image image() {
-        return new Image(digest, lastActivity, snapshot(Optional.empty()));
+        return new Image(digest, specificationBytes, lastActivity, snapshot(Optional.empty()));
     }
 
     /** A step in a snapshot. Immutable. */
-    record Image(String digest, long lastActivity, StepSnapshot snapshot) {}
+    record Image(String digest, int specificationBytes, long lastActivity, StepSnapshot snapshot) {}
 }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/StepTable.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/StepTable.java
@@ -39,6 +39,9 @@
     /** How long an open step without any activity is kept, in milliseconds. */
     public static final long ABANDONED_MILLISECONDS = 24L * 60 * 60 * 1_000;
 
+    /** Specifications of open steps kept, in encoded bytes; prompts are the bulk of a step. */
+    public static final long MAXIMUM_SPECIFICATION_BYTES = 16L * 1024 * 1024;
+
     private final Map<Key, Step> steps = new LinkedHashMap<>();
     private final WeightTable weights;
 
@@ -49,11 +52,12 @@
     StepSnapshot open(EntryRequest.OpenStep request, long now) {
         StepSpecification specification = request.specification();
         Key key = new Key(specification.trainer(), specification.step());
-        String digest = DigestUtils.sha256Hex(MessageCodec.encode(specification));
+        byte[] encoded = MessageCodec.encode(specification);
+        String digest = DigestUtils.sha256Hex(encoded);
         Step known = steps.get(key);
         if (known == null) {
-            checkRoom(specification);
-            known = new Step(request, digest, now);
+            checkRoom(specification, encoded.length);
+            known = new Step(request, digest, encoded.length, now);
             steps.put(key, known);
         } else if (!known.digest().equals(digest)) {
             throw new ControlException(
@@ -62,7 +66,7 @@
         return snapshot(known);
     }
 
-    private void checkRoom(StepSpecification specification) {
+    private void checkRoom(StepSpecification specification, int bytes) {
         int samples = specification.sampleCount();
         if (samples < 1 || samples > MAXIMUM_SAMPLES) {
             throw new ControlException(
@@ -72,6 +76,12 @@
         if (steps.size() - finished >= MAXIMUM_OPEN_STEPS) {
             throw new ControlException(ErrorCode.TABLE_FULL, MAXIMUM_OPEN_STEPS + " steps are open");
         }
+        long openBytes =
+                steps.values().stream().mapToLong(Step::specificationBytes).sum();
+        if (openBytes + bytes > MAXIMUM_SPECIFICATION_BYTES) {
+            throw new ControlException(
+                    ErrorCode.TABLE_FULL, "open steps have specifications of " + openBytes + " bytes");
+        }
         if (finished >= MAXIMUM_FINISHED_STEPS) {
             throw new ControlException(ErrorCode.TABLE_FULL, MAXIMUM_FINISHED_STEPS + " finished steps are kept");
         }
--- a/rosemarybeam-control/src/test/java/io/rosemarybeam/control/state/ControlStateTest.java
+++ b/rosemarybeam-control/src/test/java/io/rosemarybeam/control/state/ControlStateTest.java
@@ -369,6 +369,23 @@
         assertEquals(4, open().committed().size());
     }
 
+    @Test
+    void shouldRefuseStepWhenPromptsOfOpenStepsAreTooLarge() {
+        String prompt = "p".repeat((int) StepTable.MAXIMUM_SPECIFICATION_BYTES / 2);
+        apply(new Command.OpenStep(new EntryRequest.OpenStep(ENTRY, specification(prompt))));
+        StepSpecification another = new StepSpecification(
+                TRAINER,
+                StepId.of("step-2"),
+                SERVICE,
+                WeightVersion.of(3),
+                List.of(new GroupSpecification(prompt, 4, 16)));
+
+        Message refused = apply(new Command.OpenStep(new EntryRequest.OpenStep(ENTRY, another)));
+
+        assertEquals(ErrorCode.TABLE_FULL, code(refused));
+        assertInstanceOf(StepState.class, openNumbered(3));
+    }
+
     private Message openNumbered(int number) {
         StepSpecification base = specification("p");
         StepSpecification numbered = new StepSpecification(
