Give claims back whose answers were lost

Change: after a claim without answer the entry gives it back, and the next claim of that key waits for the answer. RecordOutcome names the attempt of the claim (appended component), so that control can ignore a late copy. Requests that failed at their endpoints without being run are answered with 503 instead of 502.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EntryRequest.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EntryRequest.java
@@ -162,14 +162,40 @@
      * @param entry the entry host that dispatched
      * @param entryIncarnation its incarnation
      * @param outcome the answer; empty if the request was not run and the claim is given back
+     * @param attempt attempt of the claim that this settles, so that a late copy cannot settle a newer claim of the same
+     *     key; empty if it does not name one
      */
     record RecordOutcome(
             ServiceName service,
             IdempotencyKey key,
             HostName entry,
             long entryIncarnation,
-            Optional<RequestOutcome> outcome)
-            implements EntryRequest {}
+            Optional<RequestOutcome> outcome,
+            String attempt)
+            implements EntryRequest {
+        /** Replaces a missing attempt by an empty one. */
+        public RecordOutcome {
+            attempt = attempt == null ? "" : attempt;
+        }
+
+        /**
+         * Creates a record that does not name its claim.
+         *
+         * @param service the service
+         * @param key the idempotency key
+         * @param entry the entry host that dispatched
+         * @param entryIncarnation its incarnation
+         * @param outcome the answer; empty if the request was not run and the claim is given back
+         */
+        public RecordOutcome(
+                ServiceName service,
+                IdempotencyKey key,
+                HostName entry,
+                long entryIncarnation,
+                Optional<RequestOutcome> outcome) {
+            this(service, key, entry, entryIncarnation, outcome, "");
+        }
+    }
 
     /**
      * Reports that an endpoint crashed; answered by {@link ControlReply.QuarantineState}.
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Problem.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Problem.java
@@ -49,7 +49,7 @@
     }
 
     /**
-     * Returns the HTTP status of a code.
+     * Returns the HTTP status; a request that failed at its endpoints without being run is merely unavailable.
      *
      * @return the status
      */
@@ -62,7 +62,7 @@
             case REQUEST_IN_PROGRESS, STEP_CONFLICT, CURSOR_INVALID -> 409;
             case OVERLOADED -> 429;
             case DEADLINE_UNREACHABLE, DEADLINE_EXCEEDED -> 504;
-            case ATTEMPTS_EXHAUSTED, ENDPOINT_FAILED, OUTCOME_UNKNOWN -> 502;
+            case ATTEMPTS_EXHAUSTED, ENDPOINT_FAILED, OUTCOME_UNKNOWN -> runState == RunState.NOT_RUN ? 503 : 502;
             case INTERNAL -> 500;
             default -> 503;
         };
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
@@ -6,12 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.IdempotencyKey;
 import io.rosemarybeam.common.id.RequestId;
+import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.wire.ControlReply.ClaimReply;
 import io.rosemarybeam.common.wire.ControlReply.QuarantineState;
 import io.rosemarybeam.common.wire.EndpointRecord;
@@ -51,9 +54,13 @@
             return size() > KEPT_OUTCOMES;
         }
     };
+    private final Map<ClaimKey, CompletableFuture<Void>> givingBack = new HashMap<>();
     private EndpointClient endpoints;
     private SampleProgress sampleProgress = (request, endpoint, tokens) -> {};
 
+    /** Names a claim. */
+    private record ClaimKey(ServiceName service, IdempotencyKey key) {}
+
     /** Learns how far a request is. Called on the decision thread. */
     @FunctionalInterface
     interface SampleProgress {
@@ -281,6 +288,15 @@
     // ---- Claims and crashes ----
 
     private void claim(RequestCommand.RequestClaim claim) {
+        CompletableFuture<Void> earlier = givingBack.get(new ClaimKey(claim.service(), claim.key()));
+        if (earlier == null) {
+            sendClaim(claim);
+        } else {
+            earlier.thenRun(() -> loop.execute(() -> claim(claim)));
+        }
+    }
+
+    private void sendClaim(RequestCommand.RequestClaim claim) {
         long dispatchDeadline = loop.now() + claim.dispatchWindowMilliseconds();
         EntryRequest.ClaimRequest request = new EntryRequest.ClaimRequest(
                 claim.service(),
@@ -296,11 +312,34 @@
                     if (reply instanceof ClaimReply answer) {
                         onClaim(claim.request(), answer, dispatchDeadline);
                     } else {
+                        giveBack(claim);
                         handle(new RequestInput.ClaimFailed(claim.request()));
                     }
                 }));
     }
 
+    /**
+     * Gives a claim back whose answer did not arrive: it may have been granted, and would refuse every resend although
+     * nothing was run. The next claim of the key waits until this is answered, so that it is not given back instead.
+     */
+    private void giveBack(RequestCommand.RequestClaim claim) {
+        ClaimKey key = new ClaimKey(claim.service(), claim.key());
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        givingBack.put(key, done);
+        EntryRequest.RecordOutcome request = new EntryRequest.RecordOutcome(
+                claim.service(),
+                claim.key(),
+                identity.name(),
+                identity.incarnation(),
+                Optional.empty(),
+                claim.request().value());
+        control.request(request, OUTCOME_TIME)
+                .whenComplete((reply, failure) -> loop.execute(() -> {
+                    givingBack.remove(key, done);
+                    done.complete(null);
+                }));
+    }
+
     private void onClaim(RequestId request, ClaimReply answer, long dispatchDeadline) {
         handle(new RequestInput.ClaimAnswered(request, answer.state(), answer.outcome(), dispatchDeadline));
     }
@@ -312,7 +351,12 @@
         }
         control.request(
                 new EntryRequest.RecordOutcome(
-                        record.service(), record.key(), identity.name(), identity.incarnation(), outcome),
+                        record.service(),
+                        record.key(),
+                        identity.name(),
+                        identity.incarnation(),
+                        outcome,
+                        record.request().value()),
                 OUTCOME_TIME);
     }
 
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ProxyTest.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ProxyTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicLong;
 
+import io.rosemarybeam.common.wire.EntryRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -119,6 +120,33 @@
         assertEquals(1, endpoint.calls().size());
     }
 
+    @Test
+    void shouldGiveClaimBackWhenItsAnswerIsLost() throws Exception {
+        ScriptedEndpoint endpoint = endpoint("a", call -> call.whole(201, "booked"));
+        harness.controls.getFirst().setSilent(true);
+        HttpResponse<String> refused = harness.post(entry, PATH + "/bookings", "{}", "Idempotency-Key", "k2");
+        assertEquals("not-run", run(refused), refused.body());
+        harness.controls.getFirst().setSilent(false);
+        EntryHarness.await(() -> {
+            synchronized (harness.state) {
+                return harness.state.outcomes.containsKey("k2");
+            }
+        });
+        EntryRequest.RecordOutcome given = harness.state.outcomes.remove("k2");
+        assertTrue(given.outcome().isEmpty());
+        EntryRequest.ClaimRequest claim = harness.controls.getFirst().received.stream()
+                .filter(EntryRequest.ClaimRequest.class::isInstance)
+                .map(EntryRequest.ClaimRequest.class::cast)
+                .findFirst()
+                .orElseThrow();
+        assertEquals(claim.attempt(), given.attempt());
+        assertEquals(0, endpoint.calls().size());
+        assertEquals(
+                201,
+                harness.post(entry, PATH + "/bookings", "{}", "Idempotency-Key", "k2")
+                        .statusCode());
+    }
+
     @Test
     void shouldUseNewConnectionWhenCallMustNotRunTwice() {
         ScriptedEndpoint endpoint = endpoint("a", call -> call.whole(200, "x"));
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ThinRequestCore.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ThinRequestCore.java
@@ -58,6 +58,7 @@
                 changed.delta().endpoints().forEach(endpoint -> endpoints.put(endpoint.id(), endpoint));
             case RequestArrived arrived -> arrive(now, arrived, commands);
             case RequestInput.ClaimAnswered answered -> claim(now, answered, commands);
+            case RequestInput.ClaimFailed failed -> refuse(requests.get(failed.request()), RunState.NOT_RUN, commands);
             case RequestInput.RequestCancelled cancelled -> cancel(cancelled.request(), commands);
             case RequestInput.AttemptSent sent -> state(sent.attempt()).ifPresent(state -> state.sent = true);
             case RequestInput.AttemptProgressed progress ->
