Bound what an entry remembers of steps

Cause: the entry kept the specification of every step that it had ever owned, prompts included, and the owner of every step it was asked for. Change: it keeps the epochs of 256 owned steps and 1,024 owners, least recently used ones forgotten; a forgotten step is read again.

--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Quarantine.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Quarantine.java
@@ -3,7 +3,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,8 +21,8 @@
     private static final int MAXIMUM = 10_000;
     private static final long KEPT_MILLISECONDS = 3_600_000;
 
-    private final Map<Key, Long> quarantined = new Bounded();
-    private final Map<Key, Long> suspects = new Bounded();
+    private final Map<Key, Long> quarantined = new RecentMap<>(MAXIMUM);
+    private final Map<Key, Long> suspects = new RecentMap<>(MAXIMUM);
 
     /**
      * Names a request of a service.
@@ -33,16 +32,6 @@
      */
     private record Key(ServiceName service, Fingerprint fingerprint) {}
 
-    /** Drops the entry that was named first when it grows too large. Confined to the decision thread. */
-    private static final class Bounded extends LinkedHashMap<Key, Long> {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Key, Long> eldest) {
-            return size() > MAXIMUM;
-        }
-    }
-
     /**
      * Takes the answer to a crash report.
      *
--- /dev/null
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RecentMap.java
@@ -0,0 +1,28 @@
+package io.rosemarybeam.entry;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * A map that forgets the entry that was used least recently when it grows too large. Not safe for use by several threads.
+ *
+ * @param <K> type of the keys
+ * @param <V> type of the values
+ */
+final class RecentMap<K, V> extends LinkedHashMap<K, V> {
+    private static final long serialVersionUID = 1L;
+    private static final int INITIAL_CAPACITY = 16;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final int maximumSize;
+
+    RecentMap(int maximumSize) {
+        super(INITIAL_CAPACITY, LOAD_FACTOR, true);
+        this.maximumSize = maximumSize;
+    }
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+        return size() > maximumSize;
+    }
+}
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -46,14 +45,7 @@
     private final Membership membership;
     private final Quarantine quarantine;
     private final Map<RequestId, Work> works = new HashMap<>();
-    private final Map<RequestId, RequestOutcome> outcomes = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<RequestId, RequestOutcome> eldest) {
-            return size() > KEPT_OUTCOMES;
-        }
-    };
+    private final Map<RequestId, RequestOutcome> outcomes = new RecentMap<>(KEPT_OUTCOMES);
     private final Map<ClaimKey, CompletableFuture<Void>> givingBack = new HashMap<>();
     private EndpointClient endpoints;
     private SampleProgress sampleProgress = (request, endpoint, tokens) -> {};
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
@@ -41,6 +41,7 @@
     private static final Duration LEDGER_TIME = Duration.ofSeconds(5);
     private static final long SCORE_MILLISECONDS = 10_000;
     private static final long RETRY_MILLISECONDS = 1_000;
+    private static final int MAXIMUM_OWNED_STEPS = 256;
     private static final int CHARACTERS_PER_TOKEN = 4;
 
     private final StepCore core;
@@ -51,7 +52,9 @@
     private final RequestDriver requests;
     private final WorkFactory works;
     private final Map<RequestId, StepCommand.SubmitSample> samples = new HashMap<>();
-    private final Map<StepKey, StepSnapshot> owned = new HashMap<>();
+    /** Epoch of each owned step; a forgotten step is read from the control process again. */
+    private final Map<StepKey, Long> owned = new RecentMap<>(MAXIMUM_OWNED_STEPS);
+
     private final Map<Long, Read> reads = new HashMap<>();
     private long lastRead;
 
@@ -136,8 +139,8 @@
     void own(StepSnapshot snapshot) {
         StepKey key = new StepKey(
                 snapshot.specification().trainer(), snapshot.specification().step());
-        StepSnapshot known = owned.put(key, snapshot);
-        if (known == null || known.ownerEpoch() != snapshot.ownerEpoch()) {
+        Long known = owned.put(key, snapshot.ownerEpoch());
+        if (known == null || known != snapshot.ownerEpoch()) {
             LOG.log(Event.STEP_OWNED, "trainer", key.trainer(), "step", key.step(), "epoch", snapshot.ownerEpoch());
         }
         handle(new StepInput.StepOwned(snapshot));
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/TrainerRoutes.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/TrainerRoutes.java
@@ -4,7 +4,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -42,6 +41,7 @@
     private static final Duration CONTROL_TIME = Duration.ofSeconds(5);
     private static final long LONGEST_POLL_MILLISECONDS = 10_000;
     private static final long RETRY_MILLISECONDS = 200;
+    private static final int MAXIMUM_KNOWN_OWNERS = 1_024;
     private static final int MAXIMUM_SAMPLES = 4_096;
     private static final int DEFAULT_MAXIMUM_SAMPLES = 256;
 
@@ -51,7 +51,7 @@
     private final StateKeeper keeper;
     private final StepDriver steps;
     private final PeerTransport peers;
-    private final Map<StepKey, HostName> owners = new HashMap<>();
+    private final Map<StepKey, HostName> owners = new RecentMap<>(MAXIMUM_KNOWN_OWNERS);
 
     TrainerRoutes(
             DecisionLoop loop,
