Compare fair sharing and failure domains with their baselines

Of 100 answers the trainer with three quarters of the weight gets 66 to 78, and none when requests are served by arrival. Four requests on two near and two far endpoints all stay near; without the cost some go far.

--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/LoadSimulation.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/LoadSimulation.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.Consumer;
@@ -218,8 +217,8 @@
 
     private static RequestInput entryHosts(int count) {
         List<EntryHostRecord> hosts = IntStream.range(0, count)
-                .mapToObj(index -> new EntryHostRecord(
-                        HostName.of("entry-" + index), 1, "127.0.0.1:1", "127.0.0.1:2", CoreFixture.HOME, false))
+                .mapToObj(
+                        index -> new EntryHostRecord(HostName.of("entry-" + index), 1, "", "", CoreFixture.HOME, false))
                 .toList();
         return new RequestInput.MembershipChanged(new MembershipDelta(1, 2, List.of(), List.of(), hosts, List.of()));
     }
@@ -324,8 +323,4 @@
     static long percentile(long[] sorted, int percent) {
         return sorted.length == 0 ? -1 : sorted[Math.min(sorted.length - 1, sorted.length * percent / 100)];
     }
-
-    static Optional<Long> refusedAfter(Outcome outcome) {
-        return outcome.refusal == null ? Optional.empty() : Optional.of(outcome.endedAt - outcome.arrivedAt);
-    }
 }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestPolicyTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestPolicyTest.java
@@ -174,6 +174,13 @@
 
     @Test
     void shouldShareBetweenTrainersByWeightWhenBothWait() {
+        int served = servedOfHeavierTrainer(fixture);
+        assertTrue(served >= 66 && served <= 78, "of 100 the trainer with three quarters got " + served);
+        assertEquals(0, servedOfHeavierTrainer(new CoreFixture(RequestPolicy.FAIR_SHARING)), "served by arrival");
+    }
+
+    /** Returns how many of the first hundred answers go to the trainer that came second but weighs three times as much. */
+    private static int servedOfHeavierTrainer(CoreFixture fixture) {
         fixture.give(new RequestInput.ConfigurationActivated(CoreFixture.configuration(
                 2,
                 ServiceConfiguration.builder(MODEL, ServiceClass.MODEL)
@@ -187,13 +194,13 @@
             String trainer = index < 200 ? "b" : "a";
             open.addAll(all(StartAttempt.class, fixture.arrive(new RequestBuilder(trainer + index).training(trainer))));
         }
-        int[] served = new int[2];
+        int served = 0;
         for (int index = 0; index < 100; index++) {
             StartAttempt ended = open.removeFirst();
-            served[ended.request().value().startsWith("a") ? 0 : 1]++;
+            served += ended.request().value().startsWith("a") ? 1 : 0;
             open.addAll(all(StartAttempt.class, fixture.give(new RequestInput.AttemptCompleted(ended.attempt(), 10))));
         }
-        assertTrue(served[0] >= 66 && served[0] <= 78, "of 100 the trainer with three quarters got " + served[0]);
+        return served;
     }
 
     // ---- Overload ----
@@ -395,15 +402,23 @@
 
     @Test
     void shouldStayInTheFailureDomainWhileItHasRoom() {
-        fixture.members(
-                endpoint("near-1", MODEL, 8),
-                endpoint("near-2", MODEL, 8),
-                endpoint("far-1", MODEL, 8, 1, FailureDomain.of("amman-b"), 7),
-                endpoint("far-2", MODEL, 8, 1, FailureDomain.of("amman-b"), 7));
-        assertTrue(starts(4, "few").stream()
-                .allMatch(started -> started.endpoint().value().startsWith("near")));
-        assertTrue(starts(20, "many").stream()
-                .anyMatch(started -> started.endpoint().value().startsWith("far")));
+        assertEquals(0, farOf(4), "few requests stay near");
+        assertTrue(farOf(28) >= 8, "many use the far endpoints too");
+        assertTrue(farOf(4, RequestPolicy.FAILURE_DOMAIN_COST) > 0, "without the cost half go far");
+    }
+
+    private static long farOf(int requests, RequestPolicy... switchedOff) {
+        CoreFixture fixture = new CoreFixture(switchedOff);
+        for (String id : List.of("near-1", "near-2", "far-1", "far-2")) {
+            FailureDomain domain = id.startsWith("near") ? HOME : FailureDomain.of("amman-b");
+            fixture.members(endpoint(id, MODEL, 8, 1, domain, 7));
+        }
+        long far = 0;
+        for (int index = 0; index < requests; index++) {
+            StartAttempt started = only(StartAttempt.class, fixture.arrive(new RequestBuilder("r" + index)));
+            far += started.endpoint().value().startsWith("far") ? 1 : 0;
+        }
+        return far;
     }
 
     @Test
