Eject refusing endpoints only if they refuse more than the others

When all endpoints of a service refuse, ejection would make it smaller. The failure rate is now compared with the lower median of the service, as the pace is. Training leaves half of the retry budget to customers. The estimate of the queue position overflowed for deadlines far in the future.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EjectionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/EjectionSystem.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Function;
 
 import io.rosemarybeam.decision.request.EndpointHealth.State;
 import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
@@ -18,6 +19,10 @@
     private static final long EVALUATION_INTERVAL_MILLISECONDS = 500;
     private static final int CONSECUTIVE_FAILURES = 3;
     private static final double FAILURE_RATE = 0.5;
+
+    /** Where all endpoints refuse alike the service is overloaded, and ejection would only make it smaller. */
+    private static final double FAILURE_RATE_DIFFERENCE = 0.2;
+
     static final int LEAST_OUTCOMES = 5;
 
     /** Answers before an endpoint is ejected for its pace; run times of plain calls may differ by orders of magnitude. */
@@ -113,7 +118,8 @@
                 readmit(endpoint);
             }
         }
-        service.medianPace = medianPace(service);
+        service.medianPace = median(service, endpoint -> endpoint.health.pace, LEAST_COMPARED_ENDPOINTS);
+        service.medianFailureRate = median(service, endpoint -> endpoint.health.failureRate, 1);
         List<EndpointRow> bad = new ArrayList<>();
         for (EndpointRow endpoint : service.endpoints.rows()) {
             if (endpoint.mayServe() && isBad(endpoint)) {
@@ -128,7 +134,9 @@
 
     private boolean isBad(EndpointRow endpoint) {
         EndpointHealth health = endpoint.health;
-        if (health.failureRate.count() >= LEAST_OUTCOMES && health.failureRate.value() > FAILURE_RATE) {
+        if (health.failureRate.count() >= LEAST_OUTCOMES
+                && health.failureRate.value() > FAILURE_RATE
+                && health.failureRate.value() > endpoint.service.medianFailureRate + FAILURE_RATE_DIFFERENCE) {
             return true;
         }
         return isSlow(endpoint) || isOverdue(endpoint);
@@ -161,16 +169,18 @@
         return runTime.count() >= LEAST_PACES && tables.now - attempt.startedAt > limit;
     }
 
-    private static double medianPace(ServiceRow service) {
-        double[] paces = service.endpoints.rows().stream()
-                .filter(endpoint -> endpoint.health.pace.count() >= LEAST_OUTCOMES)
-                .mapToDouble(endpoint -> endpoint.health.pace.value())
+    /** Returns the lower median over the endpoints with enough outcomes, or zero if there are too few of them. */
+    private static double median(ServiceRow service, Function<EndpointRow, Average> measure, int leastEndpoints) {
+        double[] values = service.endpoints.rows().stream()
+                .map(measure)
+                .filter(average -> average.count() >= LEAST_OUTCOMES)
+                .mapToDouble(Average::value)
                 .toArray();
-        if (paces.length < LEAST_COMPARED_ENDPOINTS) {
+        if (values.length < leastEndpoints) {
             return 0;
         }
-        Arrays.sort(paces);
-        return paces[(paces.length - 1) / 2];
+        Arrays.sort(values);
+        return values[(values.length - 1) / 2];
     }
 
     private void eject(EndpointRow endpoint) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestQueue.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestQueue.java
@@ -55,7 +55,7 @@
         if (deadline >= last) {
             return customers.size();
         }
-        return (int) (customers.size() * (deadline - first) / (last - first));
+        return (int) (customers.size() * ((double) (deadline - first) / (last - first)));
     }
 
     /** Returns the training request that is given up first: the latest deadline of the longest queue, or null. */
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
@@ -65,7 +65,7 @@
             completion.refuse(row, ErrorCode.DEADLINE_UNREACHABLE, 0);
             return;
         }
-        if (!spendBudget(row.service)) {
+        if (!spendBudget(row)) {
             completion.refuse(row, ErrorCode.ATTEMPTS_EXHAUSTED, RETRY_AFTER_MILLISECONDS);
             return;
         }
@@ -80,12 +80,14 @@
         service.retryTokens = Math.min(budgetLimit(service), budget(service) + part);
     }
 
-    private boolean spendBudget(ServiceRow service) {
+    /** Training leaves half of the budget to customers. */
+    private boolean spendBudget(RequestRow row) {
+        ServiceRow service = row.service;
         if (!tables.uses(RequestPolicy.RETRY_BUDGET)) {
             return true;
         }
         double left = budget(service);
-        if (left < 1) {
+        if (left < (row.isTraining() ? 1 + budgetLimit(service) / 2 : 1)) {
             return false;
         }
         service.retryTokens = left - 1;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/ServiceRow.java
@@ -51,6 +51,7 @@
     int servingSlots;
     int servingEndpoints;
     double medianPace;
+    double medianFailureRate;
     double retryTokens = Double.NaN;
     long lastServingAt;
     boolean dispatchWanted;
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreLoadTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreLoadTest.java
@@ -162,14 +162,14 @@
     void shouldNotStormWhenHalfOfTheEndpointsDie() {
         LoadSimulation guarded = halfDead();
         LoadSimulation plain = halfDead(RequestPolicy.EJECTION, RequestPolicy.RETRY_BUDGET);
+        LoadSimulation budgetOnly = halfDead(RequestPolicy.EJECTION);
+        LoadSimulation ejectionOnly = halfDead(RequestPolicy.RETRY_BUDGET);
         int requests = guarded.outcomes.size();
-        report(
-                "half dead for 20 s: %d requests, starts/answers %d/%d, without ejection and budget %d/%d",
-                requests,
-                guarded.starts,
-                guarded.answered(Precedence.CUSTOMER, 0, END),
-                plain.starts,
-                plain.answered(Precedence.CUSTOMER, 0, END));
+        for (LoadSimulation simulation : List.of(guarded, budgetOnly, ejectionOnly, plain)) {
+            report(
+                    "half dead for 20 s, both/budget/ejection/neither: %d requests, %d attempts, %d answers",
+                    requests, simulation.starts, simulation.answered(Precedence.CUSTOMER, 0, END));
+        }
         assertTrue(guarded.starts <= 1.1 * requests + 48, "more repeated attempts than the budget");
         assertTrue(guarded.answered(Precedence.CUSTOMER, 0, END) >= plain.answered(Precedence.CUSTOMER, 0, END));
     }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestPolicyTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestPolicyTest.java
@@ -290,6 +290,28 @@
         assertEquals(2, used.size(), "endpoints in use after all failed: " + used);
     }
 
+    @Test
+    void shouldEjectOnlyTheEndpointThatRefusesMoreThanTheOthers() {
+        fixture.members(endpoint("e1", PLAIN, 8), endpoint("e2", PLAIN, 8), endpoint("e3", PLAIN, 8));
+        Set<String> used = new HashSet<>();
+        for (int index = 0; index < 120; index++) {
+            RequestBuilder request =
+                    new RequestBuilder("r" + index).service(PLAIN).notIdempotent();
+            StartAttempt started = start(request);
+            fixture.give(new RequestInput.AttemptSent(started.attempt()));
+            boolean refuses = started.endpoint().value().equals("e1") || index % 3 == 0;
+            fixture.give(
+                    refuses
+                            ? new RequestInput.AttemptFailed(started.attempt(), AttemptFailure.REFUSED_NOT_RUN)
+                            : new RequestInput.AttemptCompleted(started.attempt(), 1));
+            fixture.advance(20);
+            if (index >= 60) {
+                used.add(started.endpoint().value());
+            }
+        }
+        assertEquals(Set.of("e2", "e3"), used);
+    }
+
     @Test
     void shouldReadmitGraduallyWhenAnEjectedEndpointReturns() {
         fixture.members(endpoint("e1", MODEL, 8), endpoint("e2", MODEL, 8));
