--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
@@ -32,6 +32,13 @@
 
     private static final int INFRASTRUCTURE_FAILURE_ENDPOINTS = 3;
     private static final int QUARANTINE_CRASHES = 2;
+
+    /**
+     * How long a request waits until its quarantine is agreed. Refused earlier, its caller could send it to an entry that
+     * does not know of the quarantine yet and crash further endpoints.
+     */
+    private static final long AGREEMENT_MILLISECONDS = 500;
+
     private static final long REMEMBERED_MILLISECONDS = 3_600_000;
     private static final int REMEMBERED_FINGERPRINTS = 10_000;
 
@@ -59,7 +66,7 @@
     }
 
     boolean isQuarantined(ServiceName service, Fingerprint fingerprint) {
-        if (named.getOrDefault(service, Set.of()).contains(fingerprint)) {
+        if (isNamed(service, fingerprint)) {
             return true;
         }
         Suspicion suspicion = find(new Key(service, fingerprint));
@@ -70,13 +77,27 @@
         return true;
     }
 
-    /** Refuses a request that was quarantined while it ran or was claimed; returns whether it did. */
-    boolean refuseIfQuarantined(RequestRow row) {
-        boolean refused = isQuarantined(row.service.name, row.arrival.fingerprint());
-        if (refused) {
-            completion.refuse(row, ErrorCode.REQUEST_QUARANTINED, 0);
+    /** Stops a request that was quarantined while it ran or was claimed from running again; returns whether it did. */
+    boolean holdIfQuarantined(RequestRow row) {
+        boolean held = isQuarantined(row.service.name, row.arrival.fingerprint());
+        if (held) {
+            row.service.queue.remove(row);
+            refuseWhenAgreed(row);
+        }
+        return held;
+    }
+
+    /** Refuses a quarantined request as soon as every entry knows of the quarantine. */
+    void refuseWhenAgreed(RequestRow row) {
+        row.state = RequestRow.State.WAITING_FOR_RETRY;
+        Suspicion suspicion = find(key(row));
+        if (suspicion == null || suspicion.agreed || isNamed(row.service.name, row.arrival.fingerprint())) {
+            refuse(row);
         }
-        return refused;
+    }
+
+    private boolean isNamed(ServiceName service, Fingerprint fingerprint) {
+        return named.getOrDefault(service, Set.of()).contains(fingerprint);
     }
 
     /** Returns whether a request may only run where no other suspect runs. */
@@ -151,7 +172,7 @@
     void completed(AttemptRow attempt) {
         answered(attempt);
         if (!suspicions.isEmpty()) {
-            suspicions.remove(key(attempt.request));
+            suspicions.computeIfPresent(key(attempt.request), (key, known) -> known.quarantined ? known : null);
         }
     }
 
@@ -182,7 +203,7 @@
         for (Fingerprint fingerprint : counted) {
             Suspicion suspicion = suspect(service, fingerprint);
             if (suspicion.crashes >= QUARANTINE_CRASHES) {
-                quarantine(suspicion, service, fingerprint);
+                quarantine(service, fingerprint);
                 sendAll(fingerprint);
             }
         }
@@ -243,11 +264,16 @@
         namedSuspects = input.suspects();
     }
 
-    private void quarantine(Suspicion suspicion, ServiceName service, Fingerprint fingerprint) {
-        if (suspicion.quarantined) {
-            return;
+    private void quarantine(ServiceName service, Fingerprint fingerprint) {
+        Suspicion suspicion = suspect(service, fingerprint);
+        if (!suspicion.quarantined) {
+            suspicion.quarantined = true;
+            tables.timers.at(tables.now + AGREEMENT_MILLISECONDS, () -> agree(service, fingerprint));
         }
-        suspicion.quarantined = true;
+    }
+
+    private void agree(ServiceName service, Fingerprint fingerprint) {
+        suspect(service, fingerprint).agreed = true;
         refuseAll(service, fingerprint);
     }
 
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/DispatchSystem.java
@@ -92,7 +92,7 @@
         int searched = 0;
         for (RequestRow row : waiting) {
             // Each of these changes the queue, so the iteration ends.
-            if (shedding.refuseIfTooLate(row) || crashes.refuseIfQuarantined(row) || place(row)) {
+            if (shedding.refuseIfTooLate(row) || crashes.holdIfQuarantined(row) || place(row)) {
                 return true;
             }
             if (++searched == LOOK_AHEAD) {
