Measure time per token by the tokens that an attempt produced

The request core divided the run time of a completed attempt by the expected length less the resume offset. A resumed answer that is longer than expected counted as one token, so a single sample raised the estimate by seconds per token, and shedding then refused almost every customer until it decayed; since nothing ran, it did not. Completion now counts the produced tokens.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AttemptSystem.java
@@ -116,6 +116,7 @@
         }
         attempt.request.hasRun = true;
         attempt.request.mayHaveRun = true;
+        attempt.request.tokens = Math.max(attempt.request.tokens, input.tokens());
         close(attempt, End.COMPLETED);
         crashes.completed(attempt);
         ejection.completed(attempt);
@@ -176,13 +177,18 @@
         fairShare.queue(row);
     }
 
+    /** Counts what was really produced: a resumed answer may be far longer than expected. */
+    private static double tokens(RequestRow row, AttemptRow attempt) {
+        return row.service.isModel() ? Math.max(1, row.tokens - attempt.resumeOffset) : 1;
+    }
+
     private void close(AttemptRow attempt, End end) {
         RequestRow row = attempt.request;
         if (end != End.CANCELLED) {
             row.service.holdTime.add(tables.now - attempt.startedAt);
         }
         if (end == End.COMPLETED) {
-            double tokens = Math.max(1, row.expectedTokens() - attempt.resumeOffset);
+            double tokens = tokens(row, attempt);
             row.service.expectedTokens.add(tokens);
             row.service.timePerToken.add((tables.now - attempt.startedAt) / tokens);
         }
