Predict lengths from prompt history and place long samples first

Cause: the tail of a step decides when the trainer goes on. Change: lengths are predicted from the group, from earlier samples of the prompt and of the trainer; the model of the replay gives samples of one prompt similar lengths.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/GenerationSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/GenerationSystem.java
@@ -8,7 +8,6 @@
 import io.rosemarybeam.common.wire.StepRecords.VersionSpan;
 import io.rosemarybeam.decision.step.SampleEntity.AttemptEntity;
 import io.rosemarybeam.decision.step.SampleEntity.Status;
-import io.rosemarybeam.decision.step.StepEntity.GroupEntity;
 import io.rosemarybeam.decision.step.StepInput.SampleFailed;
 import io.rosemarybeam.decision.step.StepInput.SampleGenerated;
 import io.rosemarybeam.decision.step.StepInput.SampleProgressed;
@@ -68,9 +67,7 @@
         sample.body = new SampleBody(sample.index, generated.digest(), generated.text(), generated.spans(), Double.NaN);
         sample.failures = 0;
         sample.clearCommand();
-        GroupEntity group = step.groups.get(sample.group);
-        group.samples++;
-        group.tokens += SampleEntity.tokens(generated.spans());
+        tables.lengths.learn(step, sample, generated.spans());
         step.move(sample, Status.GENERATED);
     }
 
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/LengthPredictor.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/LengthPredictor.java
@@ -1,26 +1,61 @@
 package io.rosemarybeam.decision.step;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.rosemarybeam.common.wire.StepRecords.VersionSpan;
 import io.rosemarybeam.decision.step.SampleEntity.AttemptEntity;
 import io.rosemarybeam.decision.step.StepEntity.GroupEntity;
 
 /**
- * Predicts how many tokens a sample will have.
+ * Predicts how many tokens a sample will have, from its group, from earlier steps with the same prompt, and from the
+ * trainer's samples in general.
  *
- * <p>Invariant: a prediction is between one token and the longest permitted length. Stateless and safe for use by several
- * threads as long as its arguments are confined to one.
+ * <p>Invariant: a prediction is between one token and the longest permitted length. Confined to the thread of the core.
  */
 final class LengthPredictor {
-    /** Weight of the permitted length, in samples, before a group or step has results of its own. */
+    /** Weight of what is known from outside the group, in samples. */
     private static final double PRIOR_SAMPLES = 1;
 
     /** Share of the permitted length that a sample has when nothing else is known. */
     private static final double PRIOR_SHARE = 0.5;
 
-    private LengthPredictor() {}
+    /** Weight of the newest sample in the mean of a prompt. */
+    private static final double SMOOTHING = 0.2;
+
+    private static final int MAXIMUM_PROMPTS = 8_192;
+
+    private final Map<Integer, Double> shareByPrompt = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
 
-    static int predict(StepEntity step, SampleEntity sample) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Integer, Double> eldest) {
+            return size() > MAXIMUM_PROMPTS;
+        }
+    };
+    private final Map<String, Double> shareByTrainer = new LinkedHashMap<>();
+
+    /** Takes the length of a finished sample. */
+    void learn(StepEntity step, SampleEntity sample, Iterable<VersionSpan> spans) {
+        int tokens = 0;
+        for (VersionSpan span : spans) {
+            tokens += span.tokens();
+        }
         GroupEntity group = step.groups.get(sample.group);
-        double prior = PRIOR_SHARE * sample.maximumTokens;
+        group.samples++;
+        group.tokens += tokens;
+        double share = (double) tokens / Math.max(1, sample.maximumTokens);
+        shareByPrompt.merge(sample.prompt.hashCode(), share, LengthPredictor::smooth);
+        shareByTrainer.merge(step.key.trainer().value(), share, LengthPredictor::smooth);
+    }
+
+    int predict(StepEntity step, SampleEntity sample) {
+        GroupEntity group = step.groups.get(sample.group);
+        Double share = shareByPrompt.get(sample.prompt.hashCode());
+        if (share == null) {
+            share = shareByTrainer.getOrDefault(step.key.trainer().value(), PRIOR_SHARE);
+        }
+        double prior = share * sample.maximumTokens;
         double mean = (group.tokens + PRIOR_SAMPLES * prior) / (group.samples + PRIOR_SAMPLES);
         int sofar = sample.attempts.stream()
                 .mapToInt((AttemptEntity attempt) -> attempt.tokens + 1)
@@ -28,4 +63,8 @@
                 .orElse(1);
         return (int) Math.max(1, Math.min(Math.max(mean, sofar), Math.max(1, sample.maximumTokens)));
     }
+
+    private static double smooth(double known, double added) {
+        return (1 - SMOOTHING) * known + SMOOTHING * added;
+    }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/SampleEntity.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/SampleEntity.java
@@ -110,10 +110,6 @@
                         () -> new IllegalArgumentException("a sample without version spans has no oldest version"));
     }
 
-    static int tokens(List<VersionSpan> spans) {
-        return spans.stream().mapToInt(VersionSpan::tokens).sum();
-    }
-
     void clearCommand() {
         commandId = 0;
         commandSentAtMilliseconds = 0;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepTables.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepTables.java
@@ -40,6 +40,7 @@
     record Running(StepEntity step, SampleEntity sample, AttemptEntity attempt) {}
 
     final StepCoreSettings settings;
+    final LengthPredictor lengths = new LengthPredictor();
     final Map<StepKey, StepEntity> steps = new LinkedHashMap<>();
     final Map<RequestId, Running> running = new HashMap<>();
     final Map<ServiceName, ServiceEntity> services = new HashMap<>();
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/SubmissionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/SubmissionSystem.java
@@ -54,7 +54,7 @@
                 free--;
                 tokens.merge(
                         running.step().key.trainer(),
-                        (long) LengthPredictor.predict(running.step(), running.sample()),
+                        (long) tables.lengths.predict(running.step(), running.sample()),
                         Long::sum);
             }
         }
@@ -77,7 +77,7 @@
             StepEntity step = next.get();
             SampleEntity sample = queues.get(step).removeFirst();
             start(now, step, sample, false, commands);
-            tokens.merge(step.key.trainer(), (long) LengthPredictor.predict(step, sample), Long::sum);
+            tokens.merge(step.key.trainer(), (long) tables.lengths.predict(step, sample), Long::sum);
             free--;
         }
     }
@@ -97,7 +97,7 @@
         }
         Comparator<SampleEntity> order = Comparator.comparingInt(sample -> sample.index);
         if (tables.settings.policies().contains(StepPolicy.LONGEST_FIRST)) {
-            order = Comparator.comparingInt((SampleEntity sample) -> -LengthPredictor.predict(step, sample))
+            order = Comparator.comparingInt((SampleEntity sample) -> -tables.lengths.predict(step, sample))
                     .thenComparing(order);
         }
         return new ArrayList<>(step.with(Status.PENDING).stream()
@@ -122,7 +122,7 @@
                 step.specification.service(),
                 sample.prompt,
                 sample.maximumTokens,
-                LengthPredictor.predict(step, sample),
+                tables.lengths.predict(step, sample),
                 WeightVersion.of(tables.oldestPermitted(step).orElse(0L)),
                 avoid,
                 attempt.deadlineMilliseconds,
--- a/rosemarybeam-replay/src/main/java/io/rosemarybeam/replay/RolloutModel.java
+++ b/rosemarybeam-replay/src/main/java/io/rosemarybeam/replay/RolloutModel.java
@@ -134,7 +134,8 @@
         if (endpoint.failNextSwap) {
             endpoint.failNextSwap = false;
             endpoint.partial = true;
-            endpoint.dropAll().forEach(attempt -> entry.fail(attempt, AttemptFailure.BROKEN));
+            // The engine lives on, so its streams end with an error instead of a broken connection.
+            endpoint.dropAll().forEach(attempt -> entry.fail(attempt, AttemptFailure.ERROR_ANSWER));
             answer(order, false);
             return;
         }
--- a/rosemarybeam-replay/src/main/java/io/rosemarybeam/replay/StepModel.java
+++ b/rosemarybeam-replay/src/main/java/io/rosemarybeam/replay/StepModel.java
@@ -47,6 +47,10 @@
     private static final long RETRY_MILLISECONDS = 500;
     private static final int PROMPT_TOKENS = 64;
     private static final int PERCENT = 100;
+
+    /** An odd number with well mixed bits, so that neighbouring samples get unrelated seeds. */
+    private static final long SEED_SPREAD = 0x9E3779B97F4A7C15L;
+
     private static final long PROGRESS_INTERVAL_MILLISECONDS = 250;
 
     /** How long the samples of a step are. */
@@ -303,9 +307,7 @@
     }
 
     private void submit(StepCommand.SubmitSample submit) {
-        Lengths length = lengths.get(submit.step());
-        long sampleSeed = seed ^ (submit.step().hashCode() * 31L + submit.index()) * 0x9E3779B97F4A7C15L;
-        int tokens = CallerModel.tokens(RandomSource.SPLIT_MIX_64.create(sampleSeed), length.mean(), length.maximum());
+        int tokens = tokens(submit);
         CallerModel.Call call = new CallerModel.Call(
                 submit.step() + "-" + submit.index(),
                 submit.service(),
@@ -327,6 +329,16 @@
                 submit.avoid());
     }
 
+    /** Draws a length that all attempts of a sample share; samples of one prompt are similarly long. */
+    private int tokens(StepCommand.SubmitSample submit) {
+        Lengths length = lengths.get(submit.step());
+        long promptSeed = seed ^ submit.prompt().hashCode() * SEED_SPREAD;
+        int promptMean =
+                CallerModel.tokens(RandomSource.SPLIT_MIX_64.create(promptSeed), length.mean(), length.maximum());
+        long sampleSeed = seed ^ (submit.step().hashCode() * 31L + submit.index()) * SEED_SPREAD;
+        return CallerModel.tokens(RandomSource.SPLIT_MIX_64.create(sampleSeed), promptMean, length.maximum());
+    }
+
     private void commit(long current, StepCommand.CommitSamples commit) {
         List<Integer> indexes =
                 commit.samples().stream().map(sample -> sample.index()).toList();
