Bound memory and report size of a text with very many problems

Cause: every value kept its whole JSON path. Syntax errors never named their path, because the parser was closed before it was asked.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ControlSettings.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ControlSettings.java
@@ -44,7 +44,11 @@
      * @throws io.rosemarybeam.common.error.SettingsException that names file, line and path of everything that is wrong
      */
     public static ControlSettings load(Path file) {
-        return SettingsFile.load(file, reader -> read(reader, new ProcessKeys(reader, file)));
+        return parse(file, SettingsFile.readText(file));
+    }
+
+    static ControlSettings parse(Path file, String text) {
+        return SettingsFile.parse(file, text, reader -> read(reader, new ProcessKeys(reader, file)));
     }
 
     /**
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/EntrySettings.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/EntrySettings.java
@@ -43,7 +43,11 @@
      * @throws io.rosemarybeam.common.error.SettingsException that names file, line and path of everything that is wrong
      */
     public static EntrySettings load(Path file) {
-        return SettingsFile.load(file, reader -> read(reader, new ProcessKeys(reader, file)));
+        return parse(file, SettingsFile.readText(file));
+    }
+
+    static EntrySettings parse(Path file, String text) {
+        return SettingsFile.parse(file, text, reader -> read(reader, new ProcessKeys(reader, file)));
     }
 
     /**
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/JsonText.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/JsonText.java
@@ -11,8 +11,10 @@
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonStreamContext;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import io.rosemarybeam.common.settings.JsonValue.ObjectValue;
 import io.rosemarybeam.common.settings.JsonValue.Position;
@@ -20,7 +22,8 @@
 /**
  * Reads JSON with comments into values that know their place.
  *
- * <p>Invariant: no input throws; whatever is wrong becomes a finding. Stateless and safe for use by several threads.
+ * <p>Invariant: no input throws; whatever is wrong becomes a finding. An instance reads one text; confined to the call that
+ * created it.
  */
 public final class JsonText {
     /** Longest accepted file, in bytes; four bytes for each character. */
@@ -29,6 +32,9 @@
     /** Longest accepted text, in characters; as UTF-8 it fits into one frame of the wire protocol. */
     public static final int MAXIMUM_CHARACTERS = 2_000_000;
 
+    /** Most values of a text; each takes about 200 bytes while the text is read. */
+    private static final int MAXIMUM_VALUES = 50_000;
+
     private static final int MAXIMUM_DEPTH = 32;
     private static final int MAXIMUM_NUMBER_CHARACTERS = 100;
     private static final int MAXIMUM_STRING_CHARACTERS = 100_000;
@@ -45,7 +51,14 @@
                     .build())
             .build();
 
-    private JsonText() {}
+    private final JsonParser parser;
+    private final Findings findings;
+    private int values;
+
+    private JsonText(JsonParser parser, Findings findings) {
+        this.parser = parser;
+        this.findings = findings;
+    }
 
     /**
      * Reads a text whose root is an object.
@@ -57,48 +70,58 @@
     public static Optional<ObjectValue> read(String text, Findings findings) {
         if (text.length() > MAXIMUM_CHARACTERS) {
             findings.add(
-                    new Position(0, 1, "/"),
+                    Position.root(0, 1),
                     "the text has " + text.length() + " characters, more than " + MAXIMUM_CHARACTERS);
             return Optional.empty();
         }
         try (JsonParser parser = FACTORY.createParser(text)) {
-            return readRoot(parser, findings);
-        } catch (JsonProcessingException failure) {
-            JsonLocation location = failure.getLocation();
-            int line = location == null ? 1 : Math.max(1, location.getLineNr());
-            long offset = location == null ? text.length() : Math.max(0, location.getCharOffset());
-            findings.add(new Position(offset, line, path(failure)), "not valid JSON: " + message(failure));
-            return Optional.empty();
+            return new JsonText(parser, findings).readAll();
         } catch (IOException failure) {
-            findings.add(new Position(text.length(), 1, "/"), "not readable: " + failure.getMessage());
+            findings.add(Position.root(0, 1), "not readable: " + failure.getMessage());
             return Optional.empty();
         }
     }
 
-    private static String message(JsonProcessingException failure) {
-        return String.valueOf(failure.getOriginalMessage()).replaceAll(HIDDEN_SOURCE, "");
+    private Optional<ObjectValue> readAll() throws IOException {
+        try {
+            return readRoot();
+        } catch (JsonProcessingException failure) {
+            JsonLocation location = Optional.ofNullable(failure.getLocation()).orElseGet(parser::currentLocation);
+            long offset = Math.max(0, location.getCharOffset());
+            int line = Math.max(1, location.getLineNr());
+            findings.add(place(parser.getParsingContext(), offset, line), message(failure));
+            return Optional.empty();
+        }
     }
 
-    private static String path(JsonProcessingException failure) {
-        if (failure.getProcessor() instanceof JsonParser parser && !parser.isClosed()) {
-            return shown(parser.getParsingContext().pathAsPointer().toString());
-        }
-        return "/";
+    private static String message(JsonProcessingException failure) {
+        String kind = failure instanceof StreamConstraintsException ? "not accepted: " : "not valid JSON: ";
+        return kind + String.valueOf(failure.getOriginalMessage()).replaceAll(HIDDEN_SOURCE, "");
     }
 
-    private static String shown(String pointer) {
-        return pointer.isEmpty() ? "/" : pointer;
+    private static Position place(JsonStreamContext context, long offset, int line) {
+        if (context.inRoot() || context.getParent() == null) {
+            return Position.root(offset, line);
+        }
+        Position around = place(context.getParent(), offset, line);
+        if (context.inObject() && context.hasCurrentName()) {
+            return new Position(offset, line, Optional.of(around), context.getCurrentName());
+        }
+        if (context.inArray() && context.hasCurrentIndex()) {
+            return new Position(offset, line, Optional.of(around), Integer.toString(context.getCurrentIndex()));
+        }
+        return around;
     }
 
-    private static Optional<ObjectValue> readRoot(JsonParser parser, Findings findings) throws IOException {
+    private Optional<ObjectValue> readRoot() throws IOException {
         JsonToken first = parser.nextToken();
         if (first == null) {
-            findings.add(new Position(0, 1, "/"), "the text is empty; an object is required");
+            findings.add(Position.root(0, 1), "the text is empty; an object is required");
             return Optional.empty();
         }
-        JsonValue root = readValue(parser, position(parser, ""), findings);
+        JsonValue root = readValue(root());
         if (parser.nextToken() != null) {
-            findings.add(position(parser, ""), "nothing may follow the object");
+            findings.add(root(), "nothing may follow the object");
             return Optional.empty();
         }
         if (root instanceof ObjectValue object) {
@@ -108,15 +131,25 @@
         return Optional.empty();
     }
 
-    private static Position position(JsonParser parser, String pointer) {
+    private Position root() {
+        JsonLocation location = parser.currentTokenLocation();
+        return Position.root(location.getCharOffset(), location.getLineNr());
+    }
+
+    private Position child(Position parent, String name) {
         JsonLocation location = parser.currentTokenLocation();
-        return new Position(location.getCharOffset(), location.getLineNr(), shown(pointer));
+        return new Position(location.getCharOffset(), location.getLineNr(), Optional.of(parent), name);
     }
 
-    private static JsonValue readValue(JsonParser parser, Position position, Findings findings) throws IOException {
+    private JsonValue readValue(Position position) throws IOException {
+        values++;
+        if (values > MAXIMUM_VALUES) {
+            throw new StreamConstraintsException(
+                    "the text has more than " + MAXIMUM_VALUES + " values", parser.currentTokenLocation());
+        }
         return switch (parser.currentToken()) {
-            case START_OBJECT -> readObject(parser, position, findings);
-            case START_ARRAY -> readArray(parser, position, findings);
+            case START_OBJECT -> readObject(position);
+            case START_ARRAY -> readArray(position);
             case VALUE_NUMBER_INT -> new JsonValue.NumberValue(position, parser.getText(), true);
             case VALUE_NUMBER_FLOAT -> new JsonValue.NumberValue(position, parser.getText(), false);
             case VALUE_TRUE, VALUE_FALSE -> new JsonValue.BooleanValue(position, parser.getBooleanValue());
@@ -125,13 +158,13 @@
         };
     }
 
-    private static ObjectValue readObject(JsonParser parser, Position position, Findings findings) throws IOException {
+    private ObjectValue readObject(Position position) throws IOException {
         Map<String, JsonValue> members = new LinkedHashMap<>();
         while (parser.nextToken() != JsonToken.END_OBJECT) {
             String key = parser.currentName();
-            Position member = position(parser, child(position, escape(key)));
+            Position member = child(position, key);
             parser.nextToken();
-            JsonValue value = readValue(parser, member, findings);
+            JsonValue value = readValue(member);
             JsonValue earlier = members.putIfAbsent(key, value);
             if (earlier != null) {
                 findings.add(
@@ -142,20 +175,12 @@
         return new ObjectValue(position, members);
     }
 
-    private static JsonValue readArray(JsonParser parser, Position position, Findings findings) throws IOException {
+    private JsonValue readArray(Position position) throws IOException {
         List<JsonValue> elements = new ArrayList<>();
         while (parser.nextToken() != JsonToken.END_ARRAY) {
-            Position element = position(parser, child(position, Integer.toString(elements.size())));
-            elements.add(readValue(parser, element, findings));
+            Position element = child(position, Integer.toString(elements.size()));
+            elements.add(readValue(element));
         }
         return new JsonValue.ArrayValue(position, elements);
     }
-
-    private static String child(Position parent, String name) {
-        return parent.path().equals("/") ? "/" + name : parent.path() + "/" + name;
-    }
-
-    private static String escape(String key) {
-        return key.replace("~", "~0").replace("/", "~1");
-    }
 }
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/JsonValue.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/JsonValue.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** A JSON value that knows where it stands in its text. Implementations are immutable and safe for use by several threads. */
 public sealed interface JsonValue {
@@ -24,11 +25,36 @@
     /**
      * A place in a text.
      *
+     * <p>Holds its parent and not its whole path: the paths of a large array below long keys would take thousands of
+     * times the memory of the text.
+     *
      * @param offset characters before it
      * @param line its line, from 1
-     * @param path its JSON pointer; the root is {@code /}
+     * @param parent the place of the object or array around it; empty for the root
+     * @param name key or index within the parent
      */
-    record Position(long offset, int line, String path) {}
+    record Position(long offset, int line, Optional<Position> parent, String name) {
+        /**
+         * Returns the place of a whole text.
+         *
+         * @param offset characters before it
+         * @param line its line, from 1
+         * @return the place
+         */
+        static Position root(long offset, int line) {
+            return new Position(offset, line, Optional.empty(), "");
+        }
+
+        /**
+         * Returns the path.
+         *
+         * @return the JSON pointer; the root is {@code /}
+         */
+        public String path() {
+            return parent.map(around -> around.parent().isEmpty() ? "" : around.path())
+                            .orElse("") + "/" + name.replace("~", "~0").replace("/", "~1");
+        }
+    }
 
     /**
      * An object.
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/SettingsFile.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/SettingsFile.java
@@ -17,19 +17,20 @@
     private SettingsFile() {}
 
     /**
-     * Reads a file and converts its root object.
+     * Reads the text of a file and converts its root object.
      *
-     * @param file the file
+     * @param file the file, for messages
+     * @param text its content
      * @param conversion reads all keys; its result is used only if nothing is wrong
      * @param <T> the type of the settings
      * @return the settings
-     * @throws SettingsException with {@link ErrorCode#SETTINGS_UNREADABLE} if the file cannot be read or is not JSON, or
-     *     with {@link ErrorCode#SETTINGS_INVALID} that names file, line and path of everything that is wrong
+     * @throws SettingsException with {@link ErrorCode#SETTINGS_UNREADABLE} if the text is not JSON, or with
+     *     {@link ErrorCode#SETTINGS_INVALID} that names file, line and path of everything that is wrong
      */
-    public static <T> T load(Path file, Function<SettingsReader, Optional<T>> conversion) {
+    public static <T> T parse(Path file, String text, Function<SettingsReader, Optional<T>> conversion) {
         Findings findings = new Findings();
-        ObjectValue root = JsonText.read(readText(file), findings)
-                .orElseThrow(() -> failure(ErrorCode.SETTINGS_UNREADABLE, file, findings));
+        ObjectValue root =
+                JsonText.read(text, findings).orElseThrow(() -> failure(ErrorCode.SETTINGS_UNREADABLE, file, findings));
         SettingsReader reader = SettingsReader.of(root, findings);
         Optional<T> settings = conversion.apply(reader);
         reader.refuseUnknownKeys();
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/configuration/ConfigurationParserTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/configuration/ConfigurationParserTest.java
@@ -157,4 +157,36 @@
                 line,
                 problems(json.replace('~', '\n').replace('\'', '"')).getFirst().line());
     }
+
+    @Test
+    void shouldStayWithinMemoryWhenThousandsOfElementsBelowLongKeysAreWrong() {
+        String key = "\"" + "k".repeat(900) + "\": {";
+        String start = "{\"controlHosts\": [" + "0,".repeat(20_000) + "0], " + key.repeat(29) + "\"x\": [";
+        String text = start + "0,".repeat(25_000) + "0]" + "}".repeat(30);
+
+        List<Problem> problems = problems(text);
+
+        assertEquals(101, problems.size());
+        assertEquals("/controlHosts/0", problems.get(1).path());
+        assertTrue(problems.getLast().message().endsWith("more problems are not listed"), problems.toString());
+    }
+
+    @Test
+    void shouldRefuseTheTextWhenItHasTooManyValues() {
+        List<Problem> problems = problems("{\"controlHosts\":[\n" + "0,".repeat(60_000) + "0]}");
+
+        assertEquals(
+                List.of(new Problem(2, "/controlHosts/49998", "not accepted: the text has more than 50000 values")),
+                problems);
+    }
+
+    @Test
+    void shouldNameThePathWhenAValueIsNoJson() {
+        Problem problem = problems("{\"number\": 1,\n\"services\": {\"guichet\":\n[1, x]}}")
+                .getFirst();
+
+        assertEquals(3, problem.line());
+        assertEquals("/services/guichet/1", problem.path());
+        assertTrue(problem.message().startsWith("not valid JSON: Unrecognized token 'x'"), problem.message());
+    }
 }
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/settings/SettingsFileFuzzTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/settings/SettingsFileFuzzTest.java
@@ -1,51 +1,36 @@
 package io.rosemarybeam.common.settings;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Random;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 
 import io.rosemarybeam.common.error.SettingsException;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.IntRange;
-import net.jqwik.api.constraints.Size;
-import net.jqwik.api.lifecycle.AfterContainer;
-import net.jqwik.api.lifecycle.BeforeContainer;
+import net.jqwik.api.constraints.StringLength;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against settings files that make a process fail with anything but the typed error. */
 class SettingsFileFuzzTest {
-    private static Path folder;
+    private static final Path FILE = Path.of("settings.json");
 
-    @BeforeContainer
-    static void createFolder() throws IOException {
-        folder = Files.createTempDirectory("settings-fuzz");
-    }
-
-    @AfterContainer
-    static void deleteFolder() throws IOException {
-        Files.deleteIfExists(folder.resolve("settings.json"));
-        Files.delete(folder);
-    }
-
-    private static void assertTyped(byte[] content, Function<Path, ?> load) throws IOException {
-        Path file = Files.write(folder.resolve("settings.json"), content);
+    private static void assertTyped(String text, BiFunction<Path, String, ?> parse) {
         try {
-            load.apply(file);
+            parse.apply(FILE, text);
         } catch (SettingsException refusal) {
-            assertTrue(refusal.getMessage().contains(file.toString()), refusal.getMessage());
+            assertTrue(refusal.getMessage().contains("file " + FILE), refusal.getMessage());
         }
     }
 
-    @Property(seed = "602101", tries = 500, shrinking = ShrinkingMode.BOUNDED)
-    void shouldFailTypedWhenBytesAreArbitrary(@ForAll @Size(max = 100) byte[] content) throws IOException {
-        assertTyped(content, EntrySettings::load);
-        assertTyped(content, ControlSettings::load);
+    @Property(seed = "602101", tries = 1_000, shrinking = ShrinkingMode.BOUNDED)
+    void shouldFailTypedWhenTextIsArbitrary(@ForAll @StringLength(max = 100) String text) {
+        assertTyped(text, EntrySettings::parse);
+        assertTyped(text, ControlSettings::parse);
     }
 
     @Property(seed = "602102", tries = 1_000, shrinking = ShrinkingMode.OFF)
@@ -63,8 +48,6 @@
             int end = Math.min(text.length(), start + random.nextInt(6));
             text.replace(start, end, fragments[random.nextInt(fragments.length)]);
         }
-        byte[] content = text.toString().getBytes(StandardCharsets.UTF_8);
-
-        assertTyped(content, entry ? EntrySettings::load : ControlSettings::load);
+        assertTyped(text.toString(), entry ? EntrySettings::parse : ControlSettings::parse);
     }
 }
