--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/NetworkAddress.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/NetworkAddress.java
@@ -1,10 +1,18 @@
 package io.rosemarybeam.common.settings;
 
-import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.util.Optional;
+import java.util.regex.Pattern;
 
 /** Checks addresses of processes. Stateless and safe for use by several threads. */
 public final class NetworkAddress {
     private static final int MAXIMUM_PORT = 65_535;
+    private static final Pattern PORT = Pattern.compile("[0-9]{1,5}");
+
+    /** All four parts; the class library also accepts shorter forms such as 127.1. */
+    private static final Pattern FOUR_PARTS = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}");
+
+    private static final Pattern IN_BRACKETS = Pattern.compile("\\[[0-9a-fA-F.]*:[0-9a-fA-F:.]*]");
 
     private NetworkAddress() {}
 
@@ -17,11 +25,12 @@
      */
     public static String check(String address) {
         int colon = address.lastIndexOf(':');
-        if (colon < 0 || !isIpNumber(address.substring(0, colon)) || !isPort(address.substring(colon + 1))) {
+        Optional<InetAddress> number = colon < 0 ? Optional.empty() : number(address.substring(0, colon));
+        if (number.isEmpty() || !isPort(address.substring(colon + 1))) {
             throw new IllegalArgumentException(
                     "must be an IP number with a port from 1 to " + MAXIMUM_PORT + ", is \"" + address + "\"");
         }
-        if (isUnspecified(address.substring(0, colon))) {
+        if (number.get().isAnyLocalAddress()) {
             throw new IllegalArgumentException(
                     "must be the IP number of one interface, because other processes are told it, is \"" + address
                             + "\"");
@@ -29,26 +38,20 @@
         return address;
     }
 
-    private static boolean isUnspecified(String host) {
-        byte[] number =
-                NetUtil.createByteArrayFromIpAddressString(host.replace("[", "").replace("]", ""));
-        for (byte part : number) {
-            if (part != 0) {
-                return false;
-            }
+    private static Optional<InetAddress> number(String host) {
+        boolean bracketed = IN_BRACKETS.matcher(host).matches();
+        if (!bracketed && !FOUR_PARTS.matcher(host).matches()) {
+            return Optional.empty();
         }
-        return true;
-    }
-
-    private static boolean isIpNumber(String host) {
-        if (host.startsWith("[") && host.endsWith("]")) {
-            return NetUtil.isValidIpV6Address(host.substring(1, host.length() - 1));
+        try {
+            return Optional.of(InetAddress.ofLiteral(bracketed ? host.substring(1, host.length() - 1) : host));
+        } catch (IllegalArgumentException malformed) {
+            return Optional.empty();
         }
-        return NetUtil.isValidIpV4Address(host);
     }
 
     private static boolean isPort(String port) {
-        if (port.isEmpty() || port.length() > 5 || !port.chars().allMatch(digit -> digit >= '0' && digit <= '9')) {
+        if (!PORT.matcher(port).matches()) {
             return false;
         }
         int number = Integer.parseInt(port);
