--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
@@ -19,6 +19,7 @@
 import io.rosemarybeam.common.admin.AdminServer;
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.configuration.OperatorConfiguration.ControlHost;
+import io.rosemarybeam.common.error.ControlException;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.RosemarybeamException;
 import io.rosemarybeam.common.event.Event;
@@ -185,7 +186,9 @@
     public void start() {
         admin = Optional.of(AdminServer.start(eventLoops, settings.adminAddress(), metrics(), this::dump));
         listener = transport.listen(settings.protocolAddress(), self.name(), secrets, new Receiver());
-        control.scheduleAtFixedRate(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+        // With a fixed delay a stall is not followed by a burst of ticks, which would look like the silence of the
+        // others.
+        control.scheduleWithFixedDelay(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
         LOG.log(Event.PROCESS_STARTED, "name", self.name(), "address", settings.protocolAddress());
     }
 
@@ -262,6 +265,9 @@
             if (empty && ticks % RECONCILE_TICKS == 0) {
                 tryFirstLog();
             }
+        } catch (ControlException refusal) {
+            // The log refused a change of the members; the next tick tries again.
+            LOG.log(Event.CONTROL_HOSTS_CHANGE_REFUSED, "reason", refusal.getMessage());
         } catch (RuntimeException failure) {
             fail(failure);
         }
@@ -435,7 +441,13 @@
                 emptyHosts.put(traffic.fromName(), clock.milliseconds());
                 return;
             }
-            driver.receive(LogMessageCodec.decode(traffic.payload()));
+            Envelope envelope = LogMessageCodec.decode(traffic.payload());
+            try {
+                driver.receive(envelope);
+            } catch (RuntimeException failure) {
+                // The log found that an invariant does not hold.
+                fail(failure);
+            }
         }
 
         private void serve(WireConnection connection, long correlation, Service service) {
@@ -466,8 +478,7 @@
 
     private CommonReply.NotLeader notLeader() {
         Optional<MemberId> known = driver.log().leader().filter(id -> !id.equals(self));
-        Optional<String> address =
-                known.flatMap(driver.log().membership()::find).map(Member::address);
+        Optional<String> address = known.map(id -> addresses().get(id.name()));
         return new CommonReply.NotLeader(known.map(MemberId::name), address);
     }
 
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
@@ -1,9 +1,12 @@
 package io.rosemarybeam.control;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
+import io.rosemarybeam.common.id.WeightVersion;
 import io.rosemarybeam.common.wire.ControlReply.ConfigurationText;
 import io.rosemarybeam.common.wire.ControlReply.EntryState;
 import io.rosemarybeam.common.wire.ControlReply.PushState;
@@ -18,9 +21,19 @@
  * version with its next renewal. Confined to the control executor.
  */
 final class EntryPushes {
+    private static final long NOTHING_SENT = -1;
+
+    /**
+     * Connections served by one flush. Encoding for all entries at target size in one go would stall the log long enough
+     * to lose leadership.
+     */
+    private static final int CONNECTIONS_PER_FLUSH = 32;
+
     private final ControlState state;
     private final long term;
     private final Map<WireConnection, Sent> sentByConnection = new LinkedHashMap<>();
+    private final Map<Long, MembershipDelta> deltas = new HashMap<>();
+    private long deltasVersion;
 
     EntryPushes(ControlState state, long term) {
         this.state = state;
@@ -39,20 +52,25 @@
         sentByConnection.remove(connection);
     }
 
-    /** Sends every change that a connection has not seen. */
+    /**
+     * Sends the changes that connections have not seen to some of them; the next flush goes on with the others.
+     */
     void flush() {
-        sentByConnection.forEach((connection, sent) -> {
-            if (connection.isOpen() && isBehind(sent)) {
-                connection.send(new PushState(changes(sent, Map.of())));
-            }
-        });
+        List<WireConnection> behind = sentByConnection.entrySet().stream()
+                .filter(entry -> entry.getKey().isOpen() && isBehind(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .limit(CONNECTIONS_PER_FLUSH)
+                .toList();
+        for (WireConnection connection : behind) {
+            connection.send(new PushState(changes(sentByConnection.get(connection), Map.of())));
+        }
     }
 
     private boolean isBehind(Sent sent) {
         return sent.revision < state.configurations().newestNumber()
                 || sent.membershipVersion < state.membershipVersion()
                 || sent.quarantineVersion < state.quarantineVersion()
-                || !sent.weights.equals(state.weights().newestByService());
+                || sent.weightChanges != state.weights().changes();
     }
 
     private EntryState changes(Sent sent, Map<String, Integer> shares) {
@@ -62,19 +80,31 @@
         Optional<MembershipDelta> membership =
                 newMembership ? Optional.of(state.membershipSince(sent.membershipVersion)) : Optional.empty();
         var quarantined = state.quarantine().quarantinedSince(sent.quarantineVersion);
-        var weights = state.weights().newestByService();
+        Map<String, WeightVersion> weights =
+                sent.weightChanges == state.weights().changes()
+                        ? Map.of()
+                        : state.weights().newestByService();
         sent.revision = Math.max(sent.revision, state.configurations().newestNumber());
         sent.membershipVersion = state.membershipVersion();
         sent.quarantineVersion = state.quarantineVersion();
-        sent.weights = weights;
+        sent.weightChanges = state.weights().changes();
         return new EntryState(term, configuration, membership, shares, quarantined, weights);
     }
 
+    /** Connections that are equally far behind share one computed change. */
+    private MembershipDelta membershipSince(long version) {
+        if (deltasVersion != state.membershipVersion()) {
+            deltasVersion = state.membershipVersion();
+            deltas.clear();
+        }
+        return deltas.computeIfAbsent(version, state::membershipSince);
+    }
+
     /** What was sent on a connection. Confined to the control executor. */
     private static final class Sent {
         private long revision;
         private long membershipVersion;
         private long quarantineVersion;
-        private Map<String, ?> weights = Map.of();
+        private long weightChanges = NOTHING_SENT;
     }
 }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/Leader.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/Leader.java
@@ -8,9 +8,12 @@
 
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.HostName;
 import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.wire.CommonReply.DumpReply;
 import io.rosemarybeam.common.wire.CommonReply.Refused;
 import io.rosemarybeam.common.wire.ControlReply;
 import io.rosemarybeam.common.wire.ControlReply.ApplyOutcome;
@@ -51,7 +54,9 @@
     /** Largest accepted configuration, in characters. */
     static final int MAXIMUM_TEXT_CHARACTERS = 262_144;
 
+    private static final EventLog LOG = EventLog.of(Leader.class);
     private static final long RETRY_MILLISECONDS = 500;
+    private static final long REVIEW_MILLISECONDS = 200;
 
     private final LogDriver driver;
     private final ControlState state;
@@ -67,6 +72,7 @@
             new LeaseTable<>(ControlState.ISSUER_LEASE_MILLISECONDS, MARGIN_MILLISECONDS);
     private final TreeSet<EntryId> lapsedEntries = new TreeSet<>();
     private boolean expiryProposed;
+    private long nextReview;
 
     Leader(LogDriver driver, ControlState state, CurrentConfiguration configuration, LeaderClock clock) {
         this.driver = driver;
@@ -96,7 +102,7 @@
                 propose(new Command.LeaveEndpoint(leave.id(), leave.incarnation()));
             case EntryRequest.ClaimRequest claim -> propose(new Command.Claim(claim));
             case EntryRequest.RecordOutcome outcome -> propose(new Command.Outcome(outcome));
-            case EntryRequest.ReportCrash crash -> propose(new Command.Crash(crash));
+            case EntryRequest.ReportCrash crash -> reportCrash(crash);
             case EntryRequest.OpenStep open -> propose(new Command.OpenStep(open));
             case EntryRequest.TakeStep take -> takeStep(take);
             case EntryRequest.CommitSamples commit -> propose(new Command.CommitSamples(commit));
@@ -119,8 +125,7 @@
             case OperatorRequest.ReadStatus ignored ->
                 read().thenApply(done -> new ControlReply.StatusReply(report.status(this)));
             case OperatorRequest.DumpRequest ignored ->
-                CompletableFuture.completedFuture(
-                        new io.rosemarybeam.common.wire.CommonReply.DumpReply(report.dump(Optional.of(this))));
+                CompletableFuture.completedFuture(new DumpReply(report.dump(Optional.of(this))));
         };
     }
 
@@ -145,6 +150,7 @@
         lapsedEntries.remove(id);
         inForce.reported(id, renewal.appliedRevision());
         renewEndpoints(renewal.endpointRenewals(), received);
+        inForce.check(received);
         return confirmed.thenApply(result -> {
             if (result instanceof Refused refused) {
                 return refused;
@@ -174,6 +180,23 @@
         return propose(new Command.AnnounceEndpoint(endpoint));
     }
 
+    private CompletableFuture<Message> reportCrash(EntryRequest.ReportCrash crash) {
+        return propose(new Command.Crash(crash)).thenApply(reply -> {
+            if (reply instanceof ControlReply.QuarantineState quarantine
+                    && !quarantine.quarantined().isEmpty()) {
+                LOG.log(
+                        Event.FINGERPRINT_QUARANTINED,
+                        "service",
+                        crash.service(),
+                        "endpoint",
+                        crash.endpoint(),
+                        "fingerprints",
+                        quarantine.quarantined());
+            }
+            return reply;
+        });
+    }
+
     // Steps and issuers
 
     private CompletableFuture<Message> takeStep(EntryRequest.TakeStep take) {
@@ -277,9 +300,14 @@
 
     // Time and changes
 
-    /** Removes what lapsed and proposes what the time requires. */
+    /** Pushes what changed, and from time to time removes what lapsed and proposes what the time requires. */
     void tick() {
+        pushes.flush();
         long now = clock.now();
+        if (now < nextReview) {
+            return;
+        }
+        nextReview = now + REVIEW_MILLISECONDS;
         for (EntryId entry : entryLeases.lapsedBefore(now, 0)) {
             if (lapsedEntries.add(entry)) {
                 inForce.lapsed(entry);
@@ -300,12 +328,15 @@
             expiryProposed = true;
             propose(new Command.Expire()).whenComplete((reply, failure) -> expiryProposed = false);
         }
-        pushes.flush();
     }
 
     /** Learns that commands were applied. */
     void applied(boolean newConfiguration) {
         if (newConfiguration) {
+            LOG.log(
+                    Event.CONFIGURATION_ACCEPTED,
+                    "number",
+                    state.configurations().newestNumber());
             lender.setLimits(configuration.limits());
             pushes.flush();
         }
