Name failure domains whose loss would stop all work

Cause: control hosts in one failure domain are valid but do not survive what the design requires; nothing told the operator.

Change: validate prints a note for each failure domain whose loss leaves no majority of the control hosts; the text stays valid.

--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ConfigurationFile.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ConfigurationFile.java
@@ -4,10 +4,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.configuration.ConfigurationParser.Problem;
 import io.rosemarybeam.common.configuration.ConfigurationParser.Result;
+import io.rosemarybeam.common.configuration.OperatorConfiguration;
+import io.rosemarybeam.common.configuration.OperatorConfiguration.ControlHost;
+import io.rosemarybeam.common.id.FailureDomain;
 import io.rosemarybeam.common.settings.SettingsFile;
 
 /**
@@ -53,6 +58,24 @@
         return ExitCode.USAGE;
     }
 
+    /**
+     * Names what is valid but leaves the deployment without a leader after one loss.
+     *
+     * @param configuration the configuration
+     * @return one sentence for each failure domain whose loss leaves no majority of the control hosts
+     */
+    static List<String> notes(OperatorConfiguration configuration) {
+        int hosts = configuration.controlHosts().size();
+        Map<FailureDomain, Long> hostsByDomain = configuration.controlHosts().stream()
+                .collect(Collectors.groupingBy(ControlHost::failureDomain, TreeMap::new, Collectors.counting()));
+        return hostsByDomain.entrySet().stream()
+                .filter(domain -> 2 * (hosts - domain.getValue()) <= hosts)
+                .map(domain ->
+                        "note: the loss of failure domain " + domain.getKey() + " stops all new work, because it has "
+                                + domain.getValue() + " of " + hosts + " control hosts")
+                .toList();
+    }
+
     private static Map<String, Object> fields(Problem problem) {
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("line", problem.line());
--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ValidateCommand.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ValidateCommand.java
@@ -35,6 +35,7 @@
             console.print("valid: number " + configuration.number() + ", "
                     + configuration.controlHosts().size() + " control hosts, "
                     + configuration.services().size() + " services");
+            ConfigurationFile.notes(configuration).forEach(console::note);
             return;
         }
         Map<String, Object> report = new LinkedHashMap<>();
@@ -43,6 +44,7 @@
         report.put("number", configuration.number().value());
         report.put("controlHosts", configuration.controlHosts().size());
         report.put("services", configuration.services().size());
+        report.put("notes", ConfigurationFile.notes(configuration));
         console.printJson(report);
     }
 }
--- a/rosemarybeam-cli/src/test/java/io/rosemarybeam/cli/CommandLineTest.java
+++ b/rosemarybeam-cli/src/test/java/io/rosemarybeam/cli/CommandLineTest.java
@@ -167,6 +167,23 @@
         }
     }
 
+    @Test
+    void shouldNameTheFailureDomainWhenItsLossLeavesNoMajority() throws IOException {
+        String host = "{\"name\": \"c%d\", \"address\": \"127.0.0.1:740%d\", \"failureDomain\": \"%s\"}";
+        String hosts =
+                host.formatted(1, 1, "fes") + "," + host.formatted(2, 2, "fes") + "," + host.formatted(3, 3, "ifrane");
+        String text = "{\"number\": 1, \"controlHosts\": [" + hosts + "], \"services\": {}}";
+
+        Run lopsided = runner.run("validate", runner.write("lopsided.json", text));
+        Run spread = runner.run("validate", runner.write("spread.json", text.replaceFirst("fes", "tanger")));
+
+        assertEquals(ExitCode.SUCCESS, lopsided.code());
+        assertEquals(
+                "note: the loss of failure domain fes stops all new work, because it has 2 of 3 control hosts\n",
+                lopsided.err());
+        assertEquals("", spread.err());
+    }
+
     // Outcomes of apply
 
     @Test
