Keep the order of answers on the admin address

Cause: a dump that completes later was overtaken by the next answer on the same connection, so a client that sends requests in a row got them mixed up.

Change: an answer is written after all earlier ones of its connection.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/admin/AdminHandler.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/admin/AdminHandler.java
@@ -32,53 +32,51 @@
     private final Metrics metrics;
     private final DumpSource dump;
 
+    /** Completes when all answers so far are written; the answers of a connection keep the order of its requests. */
+    private CompletionStage<Void> written = CompletableFuture.completedFuture(null);
+
     AdminHandler(Metrics metrics, DumpSource dump) {
         this.metrics = metrics;
         this.dump = dump;
     }
 
-    /** Decides whether the connection stays open after the answer. */
-    private record Exchange(ChannelHandlerContext context, boolean keepAlive) {
-        void answer(HttpResponseStatus status, String mediaType, byte[] body) {
-            FullHttpResponse response =
-                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.wrappedBuffer(body));
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, mediaType);
-            if (status.equals(HttpResponseStatus.METHOD_NOT_ALLOWED)) {
-                response.headers().set(HttpHeaderNames.ALLOW, HttpMethod.GET);
-            }
-            HttpUtil.setContentLength(response, body.length);
-            HttpUtil.setKeepAlive(response, keepAlive);
-            ChannelFuture written = context.writeAndFlush(response);
-            if (!keepAlive) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            }
-        }
-
-        void answer(HttpResponseStatus status, String text) {
-            answer(status, PLAIN_TEXT, (text + "\n").getBytes(StandardCharsets.UTF_8));
+    /** An answer that is not written yet. */
+    private record Answer(HttpResponseStatus status, String mediaType, byte[] body) {
+        static Answer of(HttpResponseStatus status, String text) {
+            return new Answer(status, PLAIN_TEXT, (text + "\n").getBytes(StandardCharsets.UTF_8));
         }
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-        Exchange exchange = new Exchange(
-                context,
-                HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess());
+        boolean keepAlive =
+                HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
+        CompletionStage<Answer> answer = answer(context, request);
+        written = written.thenCombineAsync(
+                answer,
+                (done, ready) -> {
+                    write(context, ready, keepAlive);
+                    return done;
+                },
+                context.executor());
+    }
+
+    private CompletionStage<Answer> answer(ChannelHandlerContext context, FullHttpRequest request) {
         if (!request.decoderResult().isSuccess()) {
-            exchange.answer(HttpResponseStatus.BAD_REQUEST, "the request is malformed");
-        } else if (!request.method().equals(HttpMethod.GET)) {
-            exchange.answer(HttpResponseStatus.METHOD_NOT_ALLOWED, "only GET is served");
-        } else {
-            route(exchange, new QueryStringDecoder(request.uri()).path());
+            return now(Answer.of(HttpResponseStatus.BAD_REQUEST, "the request is malformed"));
+        }
+        if (!request.method().equals(HttpMethod.GET)) {
+            return now(Answer.of(HttpResponseStatus.METHOD_NOT_ALLOWED, "only GET is served"));
         }
+        return switch (new QueryStringDecoder(request.uri()).path()) {
+            case "/metrics" -> now(new Answer(HttpResponseStatus.OK, metrics.mediaType(), metrics.text()));
+            case "/dump" -> startDump().handle((document, failure) -> dumpAnswer(context, document, failure));
+            default -> now(Answer.of(HttpResponseStatus.NOT_FOUND, "only /metrics and /dump are served"));
+        };
     }
 
-    private void route(Exchange exchange, String path) {
-        switch (path) {
-            case "/metrics" -> exchange.answer(HttpResponseStatus.OK, metrics.mediaType(), metrics.text());
-            case "/dump" -> answerDump(exchange);
-            default -> exchange.answer(HttpResponseStatus.NOT_FOUND, "only /metrics and /dump are served");
-        }
+    private static CompletionStage<Answer> now(Answer answer) {
+        return CompletableFuture.completedFuture(answer);
     }
 
     private CompletionStage<String> startDump() {
@@ -89,24 +87,28 @@
         }
     }
 
-    private void answerDump(Exchange exchange) {
-        startDump()
-                .whenComplete((document, failure) -> exchange.context()
-                        .executor()
-                        .execute(() -> {
-                            if (failure != null) {
-                                LOG.log(Event.DUMP_FAILED, failure);
-                                exchange.answer(
-                                        HttpResponseStatus.INTERNAL_SERVER_ERROR,
-                                        "the dump failed; the log has the reason");
-                                return;
-                            }
-                            LOG.log(
-                                    Event.DUMP_SERVED,
-                                    "remote",
-                                    exchange.context().channel().remoteAddress());
-                            exchange.answer(HttpResponseStatus.OK, JSON, document.getBytes(StandardCharsets.UTF_8));
-                        }));
+    private static Answer dumpAnswer(ChannelHandlerContext context, String document, Throwable failure) {
+        if (failure != null) {
+            LOG.log(Event.DUMP_FAILED, failure);
+            return Answer.of(HttpResponseStatus.INTERNAL_SERVER_ERROR, "the dump failed; the log has the reason");
+        }
+        LOG.log(Event.DUMP_SERVED, "remote", context.channel().remoteAddress());
+        return new Answer(HttpResponseStatus.OK, JSON, document.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void write(ChannelHandlerContext context, Answer answer, boolean keepAlive) {
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, answer.status(), Unpooled.wrappedBuffer(answer.body()));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.mediaType());
+        if (answer.status().equals(HttpResponseStatus.METHOD_NOT_ALLOWED)) {
+            response.headers().set(HttpHeaderNames.ALLOW, HttpMethod.GET);
+        }
+        HttpUtil.setContentLength(response, answer.body().length);
+        HttpUtil.setKeepAlive(response, keepAlive);
+        ChannelFuture sent = context.writeAndFlush(response);
+        if (!keepAlive) {
+            sent.addListener(ChannelFutureListener.CLOSE);
+        }
     }
 
     @Override
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/admin/AdminServerTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/admin/AdminServerTest.java
@@ -1,11 +1,13 @@
 package io.rosemarybeam.common.admin;
 
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -94,6 +96,22 @@
         assertEquals(500, request("GET", "/dump").statusCode());
     }
 
+    @Test
+    void shouldKeepTheOrderOfRequestsWhenAnEarlierAnswerTakesLonger() throws Exception {
+        start(() -> CompletableFuture.supplyAsync(
+                () -> "{\"slow\":1}", CompletableFuture.delayedExecutor(200, TimeUnit.MILLISECONDS)));
+        int port = Integer.parseInt(server.address().substring(server.address().indexOf(':') + 1));
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            String requests = "GET /dump HTTP/1.1\r\n\r\nGET /other HTTP/1.1\r\nConnection: close\r\n\r\n";
+            socket.getOutputStream().write(requests.getBytes(StandardCharsets.US_ASCII));
+
+            String answers = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+
+            assertTrue(answers.startsWith("HTTP/1.1 200 OK"), answers);
+            assertTrue(answers.indexOf("slow") < answers.indexOf("404 Not Found"), answers);
+        }
+    }
+
     @Test
     void shouldFailToStartWhenAddressIsTaken() {
         start(DumpSource.of(() -> "{}"));
