--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/EntryStandIn.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/EntryStandIn.java
@@ -70,8 +70,8 @@
         bytesOut.add(FRAME_HEADER_BYTES + MessageCodec.encode(request).length);
         connection.request(request, DEADLINE).thenAccept(reply -> {
             bytesIn.add(FRAME_HEADER_BYTES + MessageCodec.encode((Record) reply).length);
-            if (reply instanceof EntryLease lease) {
-                take(lease.state());
+            if (reply instanceof EntryLease lease && take(lease.state())) {
+                renew();
             }
         });
     }
