--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/LoadSimulation.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/LoadSimulation.java
@@ -50,6 +50,7 @@
         final PriorityQueue<StartAttempt> waiting =
                 new PriorityQueue<>(Comparator.comparingInt(StartAttempt::enginePriority));
         double slowness = 1;
+        int foreign;
         boolean dead;
         boolean silent;
         int served;
@@ -73,7 +74,7 @@
         }
 
         void fill() {
-            while (running.size() < endpoint.capacity() && !waiting.isEmpty()) {
+            while (running.size() + foreign < endpoint.capacity() && !waiting.isEmpty()) {
                 StartAttempt start = waiting.poll();
                 running.put(start.attempt(), start);
                 RequestArrived request = outcomes.get(start.request()).request;
@@ -158,7 +159,7 @@
         }
 
         void report() {
-            int ran = running.size();
+            int ran = running.size() + foreign;
             int waited = waiting.size();
             long measuredAt = now;
             if (!dead) {
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreLoadTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestCoreLoadTest.java
@@ -147,6 +147,36 @@
         }
     }
 
+    @Test
+    void shouldAvoidEndpointsThatWorkForOthers() {
+        for (int entries : List.of(1, 6)) {
+            long[] full = withForeignLoad(entries);
+            long[] withoutReports = withForeignLoad(entries, RequestPolicy.LOAD_REPORTS);
+            report(
+                    "%d entries, foreign load that moves, p50/p99 ms: full %d/%d, without load reports %d/%d",
+                    entries, p50(full), p99(full), p50(withoutReports), p99(withoutReports));
+            assertTrue(p99(full) < p99(withoutReports), "load reports do not help");
+        }
+    }
+
+    /** Work that no entry sent fills most of two endpoints, other ones every ten seconds. */
+    private static long[] withForeignLoad(int entries, RequestPolicy... switchedOff) {
+        LoadSimulation simulation = new LoadSimulation(entries, 6, 8, switchedOff);
+        simulation.meanService = 1_000;
+        for (int shift = 0; shift < 12; shift++) {
+            int busy = shift % 3 * 2;
+            simulation.at(shift * 10_000L, () -> {
+                for (int index = 0; index < 6; index++) {
+                    simulation.engines.get(index).foreign = index == busy || index == busy + 1 ? 6 : 0;
+                    simulation.engines.get(index).fill();
+                }
+            });
+        }
+        simulation.arrivals(26, 0, 120_000, request -> request.deadline(200_000));
+        simulation.runUntil(150_000);
+        return simulation.latencies(Precedence.CUSTOMER, WARM_UP, 120_000);
+    }
+
     /** A slower endpoint fills up with the work of all entries, of which each sees only a sixth. */
     private static long[] sharedByEntries(int service, RequestPolicy... switchedOff) {
         LoadSimulation simulation = new LoadSimulation(6, 6, 8, switchedOff);
