Keep the control session alive when a named leader has no usable address

Cause: a malformed address in NotLeader threw inside the connect and left the session connecting for ever; a request too large for a frame was never answered before its deadline. Change: both fail the try, and the session goes on with the next host.

--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ControlSession.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ControlSession.java
@@ -13,6 +13,7 @@
 import io.netty.channel.EventLoop;
 import io.rosemarybeam.common.error.ControlException;
 import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.WireException;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.wire.CommonReply.NotLeader;
@@ -117,7 +118,7 @@
         WireConnection used = connection.get();
         long sentAt = clock.nowMilliseconds();
         long patience = Math.max(1, Math.min(TRY_MILLISECONDS, pending.deadlineMilliseconds - sentAt));
-        used.request(pending.request, Duration.ofMillis(patience))
+        tryOnce(used, pending, Duration.ofMillis(patience))
                 .whenComplete((reply, failure) -> loop.execute(() -> {
                     if (failure != null) {
                         leaveIfSilent(used, sentAt);
@@ -129,6 +130,16 @@
                 }));
     }
 
+    /** A request that does not fit into a frame fails for good. */
+    private static CompletableFuture<Message> tryOnce(WireConnection used, Pending pending, Duration patience) {
+        try {
+            return used.request(pending.request, patience);
+        } catch (WireException tooLarge) {
+            pending.result.completeExceptionally(tooLarge);
+            return CompletableFuture.failedFuture(tooLarge);
+        }
+    }
+
     private void onReply(WireConnection used, Pending pending, Message reply) {
         if (reply instanceof NotLeader notLeader) {
             leave(used, notLeader.leaderAddress());
@@ -181,9 +192,15 @@
         connecting = true;
         String address = hint.orElse(addresses.get(Math.floorMod(next, addresses.size())));
         hint = Optional.empty();
-        transport
-                .connect(address, credentials, new Pushes())
-                .whenComplete((opened, failure) -> loop.execute(() -> onConnected(address, opened, failure)));
+        open(address).whenComplete((opened, failure) -> loop.execute(() -> onConnected(address, opened, failure)));
+    }
+
+    private CompletableFuture<WireConnection> open(String address) {
+        try {
+            return transport.connect(address, credentials, new Pushes());
+        } catch (WireException malformedAddress) {
+            return CompletableFuture.failedFuture(malformedAddress);
+        }
     }
 
     private void onConnected(String address, WireConnection opened, Throwable failure) {
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ControlSessionTest.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ControlSessionTest.java
@@ -61,6 +61,18 @@
         assertEquals(200, status(entry));
     }
 
+    @Test
+    void shouldGoOnWhenNamedLeaderHasNoUsableAddress() throws Exception {
+        synchronized (harness.state) {
+            harness.state.leader = Optional.of("nowhere");
+        }
+        EntryHarness.Entry entry = harness.startEntry("entry-1", "amman-a");
+        EntryHarness.await(() -> renewedAt(0) || renewedAt(1) || renewedAt(2));
+        Thread.sleep(300);
+        lead(1);
+        EntryHarness.await(() -> harness.get(entry, "/v1/addresses").statusCode() == 200);
+    }
+
     @Test
     void shouldLeaveLeaderWhenItGoesSilent() throws Exception {
         lead(1);
