--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
@@ -77,6 +77,16 @@
         return true;
     }
 
+    /** Stops a request that was quarantined while it ran or was claimed from running again; returns whether it did. */
+    boolean holdIfQuarantined(RequestRow row) {
+        boolean held = isQuarantined(row.service.name, row.arrival.fingerprint());
+        if (held) {
+            row.service.queue.remove(row);
+            refuseWhenAgreed(row);
+        }
+        return held;
+    }
+
     /** Refuses a quarantined request as soon as every entry knows of the quarantine. */
     void refuseWhenAgreed(RequestRow row) {
         row.state = RequestRow.State.WAITING_FOR_RETRY;
@@ -162,7 +172,7 @@
     void completed(AttemptRow attempt) {
         answered(attempt);
         if (!suspicions.isEmpty()) {
-            suspicions.remove(key(attempt.request));
+            suspicions.computeIfPresent(key(attempt.request), (key, known) -> known.quarantined ? known : null);
         }
     }
 
@@ -213,7 +223,7 @@
         for (Fingerprint fingerprint : report.counted) {
             Key key = new Key(report.endpoint.service.name, fingerprint);
             Suspicion suspicion = suspicions.get(key);
-            if (suspicion != null && !suspicion.quarantined && --suspicion.crashes <= 0) {
+            if (suspicion != null && !suspicion.quarantined && --suspicion.crashes <= 0 && !suspicion.named) {
                 suspicions.remove(key);
             }
         }
@@ -248,7 +258,7 @@
         // A suspect that was answered since it was first named is cleared and not named again.
         for (Fingerprint fingerprint : input.suspects()) {
             if (!namedSuspects.contains(fingerprint)) {
-                tables.services.keySet().forEach(service -> suspect(service, fingerprint));
+                tables.services.keySet().forEach(service -> suspect(service, fingerprint).named = true);
             }
         }
         namedSuspects = input.suspects();
