Let a drain wait as long as the slowest service allows

Cause: a drain ended after 120 s, also if a service gives its requests more time, and would have cut them. Change: the limit covers the time to live of addresses, the longest total deadline and the hand-over of the last bytes. Conclusion: DrainTest passes; a total deadline above 113 s was not run.

--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Drain.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Drain.java
@@ -17,12 +17,14 @@
     private static final EventLog LOG = EventLog.of(Drain.class);
     /** Membership reaches all entries within two seconds. */
     private static final long SPREAD_MILLISECONDS = 2_000;
+    /** Time to hand the last answers to slow callers. */
+    private static final long FLUSH_MILLISECONDS = 5_000;
 
     private final StateKeeper keeper;
     private final StateKeeper.Drivers drivers;
     private final DecisionLoop loop;
     private final OpenCalls openCalls;
-    private final long maximumMilliseconds;
+    private final long minimumMilliseconds;
     private final CompletableFuture<Void> finished = new CompletableFuture<>();
     private Phase phase = Phase.SERVING;
     private long startedAt;
@@ -44,12 +46,12 @@
             StateKeeper.Drivers drivers,
             DecisionLoop loop,
             OpenCalls openCalls,
-            long maximumMilliseconds) {
+            long minimumMilliseconds) {
         this.keeper = keeper;
         this.drivers = drivers;
         this.loop = loop;
         this.openCalls = openCalls;
-        this.maximumMilliseconds = maximumMilliseconds;
+        this.minimumMilliseconds = minimumMilliseconds;
     }
 
     CompletableFuture<Void> finished() {
@@ -89,11 +91,23 @@
                 return;
             }
         }
-        if (lapsed >= maximumMilliseconds) {
+        if (lapsed >= limitMilliseconds()) {
             end(Event.DRAIN_CUT);
         }
     }
 
+    /** A request that arrived at the last moment may use the whole time of its service. */
+    private long limitMilliseconds() {
+        long longest = keeper.configuration().stream()
+                .flatMap(text -> text.services().values().stream())
+                .mapToLong(service -> service.deadlines().totalMilliseconds())
+                .max()
+                .orElse(0);
+        long needed =
+                SPREAD_MILLISECONDS + CallerRoutes.ADDRESS_TIME_TO_LIVE_MILLISECONDS + longest + FLUSH_MILLISECONDS;
+        return Math.max(minimumMilliseconds, needed);
+    }
+
     private void end(Event event) {
         phase = Phase.DONE;
         LOG.log(event, "openRequests", drivers.request().openRequests(), "openCalls", openCalls.count());
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
@@ -41,7 +41,7 @@
     private static final int EVENT_LOOPS = 2;
     private static final long BUFFERED_BODY_BYTES = 16_777_216;
     private static final long SAMPLE_BODY_BYTES = 16_777_216;
-    /** Longer than the default total deadline of a request. */
+    /** The drain waits longer if a service gives its requests more time. */
     private static final long DRAIN_MILLISECONDS = 120_000;
 
     private final EntryIdentity identity;
