--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
@@ -41,6 +41,7 @@
 
     private Optional<AppendFile> current = Optional.empty();
     private Optional<StorageException> failure = Optional.empty();
+    private long snapshotIndex;
     private volatile long syncs;
 
     private LogStorage(FileSystem files) {
@@ -101,6 +102,7 @@
             Optional<LogSnapshot> snapshot = names.contains(SNAPSHOT_FILE)
                     ? Optional.of(MessageCodec.decode(single(SNAPSHOT_FILE), LogSnapshot.class))
                     : Optional.empty();
+            snapshotIndex = snapshot.map(LogSnapshot::index).orElse(0L);
             TreeMap<Long, LogEntry> entries = loadSegments(names);
             List<LogEntry> kept = keep(snapshot, entries);
             if (kept.isEmpty()) {
@@ -177,6 +179,7 @@
     public void persist(Optional<HardState> hardState, Optional<LogSnapshot> installed, List<LogEntry> entries) {
         guarded("persist", () -> {
             if (installed.isPresent()) {
+                snapshotIndex = installed.get().index();
                 replace(SNAPSHOT_FILE, MessageCodec.encode(installed.get()));
                 deleteSegments(Long.MAX_VALUE);
             }
@@ -212,7 +215,8 @@
     }
 
     /**
-     * Stores a snapshot of this member and deletes segments that hold only old entries.
+     * Stores a snapshot of this member and deletes segments that hold only old entries. Does nothing if a newer snapshot
+     * is stored.
      *
      * @param snapshot the snapshot
      * @param firstKept first entry that must stay
@@ -220,6 +224,11 @@
      */
     public void compact(LogSnapshot snapshot, long firstKept) {
         guarded("store a snapshot", () -> {
+            if (snapshot.index() <= snapshotIndex) {
+                // A newer snapshot of the leader was installed while this one was made.
+                return null;
+            }
+            snapshotIndex = snapshot.index();
             replace(SNAPSHOT_FILE, MessageCodec.encode(snapshot));
             deleteSegments(firstKept);
             return null;
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
@@ -159,6 +159,18 @@
         assertEquals(List.of("10/2"), positions(reopened().load()));
     }
 
+    @Test
+    void shouldKeepNewerSnapshotWhenOlderOneIsFinishedLate() {
+        LogStorage storage = reopened();
+        append(storage, entries(1, 5, 1));
+        storage.persist(Optional.empty(), Optional.of(snapshot(9, 2)), entries(10, 10, 2));
+        storage.compact(snapshot(4, 1), 3);
+
+        DurableState loaded = reopened().load();
+        assertEquals(9, loaded.snapshot().orElseThrow().index());
+        assertEquals(List.of("10/2"), positions(loaded));
+    }
+
     @Test
     void shouldDeleteOldSegmentsWhenSnapshotCoversThem() {
         LogStorage storage = reopened();
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -8,16 +8,17 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import java.util.function.Consumer;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Supplier;
 
 import io.rosemarybeam.common.error.ControlException;
 import io.rosemarybeam.common.error.ErrorCode;
-import io.rosemarybeam.common.error.RosemarybeamException;
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.consensus.LogEntry;
 import io.rosemarybeam.consensus.LogMessage.Envelope;
 import io.rosemarybeam.consensus.LogSnapshot;
 import io.rosemarybeam.consensus.MemberId;
+import io.rosemarybeam.consensus.Membership;
 import io.rosemarybeam.consensus.MembershipChange;
 import io.rosemarybeam.consensus.Ready;
 import io.rosemarybeam.consensus.ReplicatedLog;
@@ -312,22 +313,36 @@
         takingSnapshot = true;
         entriesSinceSnapshot = 0;
         bytesSinceSnapshot = 0;
-        LogSnapshot snapshot = new LogSnapshot(applied, appliedTerm, log.membershipAt(applied), state.snapshot());
-        long firstKept = log.firstKept(applied, KEPT_ENTRIES, KEPT_BYTES);
-        Consumer<Runnable> onControl = control::execute;
-        storageExecutor.execute(() -> {
+        long index = applied;
+        long term = appliedTerm;
+        Membership membership = log.membershipAt(index);
+        long firstKept = log.firstKept(index, KEPT_ENTRIES, KEPT_BYTES);
+        Supplier<byte[]> captured = state.capture();
+        // Encoding a state at its bounds takes longer than an election timeout, so neither control nor storage waits.
+        Thread.ofPlatform().name("snapshot").daemon().start(() -> {
             try {
-                storage.compact(snapshot, firstKept);
-                onControl.accept(() -> {
-                    takingSnapshot = false;
-                    log.compact(snapshot, firstKept);
-                });
-            } catch (RosemarybeamException failure) {
-                onControl.accept(() -> listener.failed(failure));
+                LogSnapshot snapshot = new LogSnapshot(index, term, membership, captured.get());
+                storageExecutor.execute(() -> store(snapshot, firstKept));
+            } catch (RejectedExecutionException stopping) {
+                // The process is stopping; the log still holds every entry.
+            } catch (RuntimeException failure) {
+                control.execute(() -> listener.failed(failure));
             }
         });
     }
 
+    private void store(LogSnapshot snapshot, long firstKept) {
+        try {
+            storage.compact(snapshot, firstKept);
+            control.execute(() -> {
+                takingSnapshot = false;
+                log.compact(snapshot, firstKept);
+            });
+        } catch (RuntimeException failure) {
+            control.execute(() -> listener.failed(failure));
+        }
+    }
+
     /** A proposal whose entry is not applied yet. Immutable. */
     private record Proposal(long term, CompletableFuture<Message> reply) {}
 }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ControlState.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ControlState.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 
 import io.rosemarybeam.common.error.ControlException;
 import io.rosemarybeam.common.error.ErrorCode;
@@ -201,7 +202,16 @@
      * @return the bytes
      */
     public byte[] snapshot() {
-        return MessageCodec.encode(new Image(
+        return capture().get();
+    }
+
+    /**
+     * Copies the state, so that another thread can encode it while commands are applied.
+     *
+     * @return encodes the copy; may be called by any thread
+     */
+    public Supplier<byte[]> capture() {
+        Image image = new Image(
                 time,
                 lastSweep,
                 membershipVersion,
@@ -213,7 +223,8 @@
                 claims.image(),
                 weights.image(),
                 steps.image(),
-                quarantine.image()));
+                quarantine.image());
+        return () -> MessageCodec.encode(image);
     }
 
     /**
--- a/rosemarybeam-control/src/test/java/io/rosemarybeam/control/LeaderTest.java
+++ b/rosemarybeam-control/src/test/java/io/rosemarybeam/control/LeaderTest.java
@@ -2,7 +2,6 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +9,7 @@
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.configuration.OperatorConfiguration;
@@ -70,7 +70,7 @@
     @TempDir
     private Path folder;
 
-    private final Queue<Runnable> tasks = new ArrayDeque<>();
+    private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
     private final ControlState state = new ControlState();
     private final CurrentConfiguration configuration = new CurrentConfiguration(new FakeParser(), List.of());
     private final FakeConnection connection = new FakeConnection();
@@ -254,6 +254,31 @@
         assertTrue(state.claims().nextExpiry() > state.time());
     }
 
+    @Test
+    void shouldForgetOldEntriesWhenSnapshotIsStored() {
+        for (int number = 0; number < 5_000; number++) {
+            leader.handle(
+                    connection,
+                    new EntryRequest.ClaimRequest(
+                            SERVICE,
+                            IdempotencyKey.of("k" + number),
+                            Fingerprint.of("f"),
+                            HostName.of("entry-1"),
+                            1,
+                            100,
+                            200));
+        }
+        runTasks();
+        TestCluster.await("entries are forgotten", () -> {
+            runTasks();
+            return driver.log().keptEntries() < 2_000;
+        });
+
+        ControlState restored = new ControlState();
+        restored.restore(storage.load().snapshot().orElseThrow().state());
+        assertEquals(5_000, restored.claims().size());
+    }
+
     /** Reads texts that consist of a number only. Immutable. */
     private static final class FakeParser implements ConfigurationParser {
         @Override
