--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Suspicion.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/Suspicion.java
@@ -7,6 +7,9 @@
     int crashes;
     boolean quarantined;
 
+    /** Whether the control process named the request, so that it stays a suspect without a crash seen here. */
+    boolean named;
+
     /** Whether the control process confirmed the quarantine, so that every other entry knows it too. */
     boolean agreed;
 
