--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogInterleavingTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogInterleavingTest.java
@@ -17,7 +17,7 @@
     private static final int STEPS = 600;
     private static final int SETTLE_TICKS = 120;
 
-    @Property(tries = 150, seed = "20261204", shrinking = ShrinkingMode.OFF)
+    @Property(tries = 600, seed = "20261204", shrinking = ShrinkingMode.OFF)
     void shouldKeepCommittedEntriesWhenFaultsInterleave(@ForAll long seed) {
         LogCluster cluster = new LogCluster(3, seed, LogOptions.standard(seed).withSnapshotPartBytes(4));
         for (int step = 0; step < STEPS; step++) {
@@ -26,7 +26,7 @@
         settle(cluster);
     }
 
-    @Property(tries = 100, seed = "20261205", shrinking = ShrinkingMode.OFF)
+    @Property(tries = 600, seed = "20261205", shrinking = ShrinkingMode.OFF)
     void shouldKeepCommittedEntriesWhenMembersChangeAndFaultsInterleave(@ForAll long seed) {
         LogCluster cluster = new LogCluster(3, seed, LogOptions.standard(seed));
         cluster.add("m4", 1);
@@ -40,7 +40,7 @@
         settle(cluster);
     }
 
-    @Property(tries = 50, seed = "20261206", shrinking = ShrinkingMode.OFF)
+    @Property(tries = 200, seed = "20261206", shrinking = ShrinkingMode.OFF)
     void shouldKeepCommittedEntriesWhenEverySyncCarriesOneEntry(@ForAll long seed) {
         LogOptions options = LogOptions.standard(seed).withMaximumEntriesPerSync(1);
         LogCluster cluster = new LogCluster(3, seed, options);
