Run slow samples of the tail twice

Cause: when an endpoint becomes slow, a few of its samples hold up the step. Change: once no sample of a step waits, a sample whose rate in the last two seconds leaves it behind a fresh attempt by a quarter runs on a second endpoint; the first complete attempt wins. The weight of trainer idle time bounds how many run twice. Earlier forms that compared with the running attempts, or with the rate since the start of an attempt, found almost no straggler and were dropped.

HOLD_BACK was declared but never implemented and is taken out.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/DefaultStepCore.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/DefaultStepCore.java
@@ -40,6 +40,7 @@
     private final OwnershipSystem ownership;
     private final GenerationSystem generation;
     private final SubmissionSystem submission;
+    private final StragglerSystem stragglers;
     private final ScoringSystem scoring;
     private final BodySystem bodies;
     private final CommitSystem commits;
@@ -48,8 +49,9 @@
     DefaultStepCore(StepCoreSettings settings) {
         tables = new StepTables(Objects.requireNonNull(settings, "settings"));
         ownership = new OwnershipSystem(tables);
-        generation = new GenerationSystem(tables);
         submission = new SubmissionSystem(tables);
+        stragglers = new StragglerSystem(tables, submission);
+        generation = new GenerationSystem(tables, stragglers);
         scoring = new ScoringSystem(tables);
         bodies = new BodySystem(tables);
         commits = new CommitSystem(tables);
@@ -69,6 +71,7 @@
         commits.run(nowMilliseconds, commands);
         handOvers.run(nowMilliseconds, commands);
         submission.run(nowMilliseconds, commands);
+        stragglers.run(nowMilliseconds, commands);
         return commands;
     }
 
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/GenerationSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/GenerationSystem.java
@@ -27,9 +27,11 @@
     private static final long OVERDUE_MILLISECONDS = 5_000;
 
     private final StepTables tables;
+    private final StragglerSystem stragglers;
 
-    GenerationSystem(StepTables tables) {
+    GenerationSystem(StepTables tables, StragglerSystem stragglers) {
         this.tables = tables;
+        this.stragglers = stragglers;
     }
 
     void progressed(long now, SampleProgressed progressed) {
@@ -38,13 +40,18 @@
             return;
         }
         AttemptEntity attempt = running.attempt();
+        attempt.tokens = Math.max(attempt.tokens, progressed.tokens());
         if (!progressed.endpoint().equals(attempt.endpoint)) {
             attempt.endpoint = progressed.endpoint();
-            attempt.firstProgressAtMilliseconds = now;
-            attempt.firstTokens = progressed.tokens();
+            attempt.recentRate = -1;
+            attempt.windowStartMilliseconds = now;
+            attempt.windowStartTokens = attempt.tokens;
+        } else if (now >= attempt.windowStartMilliseconds + StragglerSystem.WINDOW_MILLISECONDS) {
+            attempt.recentRate =
+                    (double) (attempt.tokens - attempt.windowStartTokens) / (now - attempt.windowStartMilliseconds);
+            attempt.windowStartMilliseconds = now;
+            attempt.windowStartTokens = attempt.tokens;
         }
-        attempt.tokens = Math.max(attempt.tokens, progressed.tokens());
-        attempt.progressedAtMilliseconds = now;
     }
 
     void generated(long now, SampleGenerated generated, List<StepCommand> commands) {
@@ -68,6 +75,7 @@
         sample.failures = 0;
         sample.clearCommand();
         tables.lengths.learn(step, sample, generated.spans());
+        stragglers.learn(step, running.attempt());
         step.move(sample, Status.GENERATED);
     }
 
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/LengthPredictor.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/LengthPredictor.java
@@ -23,6 +23,9 @@
     /** Weight of the newest sample in the mean of a prompt. */
     private static final double SMOOTHING = 0.2;
 
+    /** Expected rest of a sample that is longer than the mean, as a share of the mean. */
+    private static final double RESIDUAL_SHARE = 0.5;
+
     private static final int MAXIMUM_PROMPTS = 8_192;
 
     private final Map<Integer, Double> shareByPrompt = new LinkedHashMap<>(16, 0.75f, true) {
@@ -50,18 +53,28 @@
     }
 
     int predict(StepEntity step, SampleEntity sample) {
+        int sofar = sample.attempts.stream()
+                .mapToInt((AttemptEntity attempt) -> attempt.tokens + 1)
+                .max()
+                .orElse(1);
+        return (int) Math.max(1, Math.min(Math.max(mean(step, sample), sofar), Math.max(1, sample.maximumTokens)));
+    }
+
+    /** Predicts the length of a sample that runs; one that is longer than the mean is likely to go on for a while. */
+    double predictRunning(StepEntity step, SampleEntity sample, int tokens) {
+        double mean = mean(step, sample);
+        double predicted = Math.max(mean, tokens + RESIDUAL_SHARE * mean);
+        return Math.max(tokens + 1, Math.min(predicted, sample.maximumTokens));
+    }
+
+    private double mean(StepEntity step, SampleEntity sample) {
         GroupEntity group = step.groups.get(sample.group);
         Double share = shareByPrompt.get(sample.prompt.hashCode());
         if (share == null) {
             share = shareByTrainer.getOrDefault(step.key.trainer().value(), PRIOR_SHARE);
         }
         double prior = share * sample.maximumTokens;
-        double mean = (group.tokens + PRIOR_SAMPLES * prior) / (group.samples + PRIOR_SAMPLES);
-        int sofar = sample.attempts.stream()
-                .mapToInt((AttemptEntity attempt) -> attempt.tokens + 1)
-                .max()
-                .orElse(1);
-        return (int) Math.max(1, Math.min(Math.max(mean, sofar), Math.max(1, sample.maximumTokens)));
+        return (group.tokens + PRIOR_SAMPLES * prior) / (group.samples + PRIOR_SAMPLES);
     }
 
     private static double smooth(double known, double added) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/SampleEntity.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/SampleEntity.java
@@ -49,9 +49,11 @@
         final boolean duplicate;
         EndpointId endpoint;
         int tokens;
-        long firstProgressAtMilliseconds;
-        int firstTokens;
-        long progressedAtMilliseconds;
+        long windowStartMilliseconds;
+        int windowStartTokens;
+
+        /** Rate over the last whole window, in tokens per millisecond; negative before the first. */
+        double recentRate = -1;
 
         AttemptEntity(
                 RequestId request,
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepPolicy.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepPolicy.java
@@ -5,7 +5,5 @@
     /** Submits samples with a long predicted length first. */
     LONGEST_FIRST,
     /** Runs slow samples of the tail a second time on another endpoint. */
-    DUPLICATE_STRAGGLERS,
-    /** Holds samples back shortly before an expected publication, so that they start on the new version. */
-    HOLD_BACK
+    DUPLICATE_STRAGGLERS
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepTables.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StepTables.java
@@ -34,6 +34,7 @@
         long publishedVersion;
         long publishedAtMilliseconds;
         double publicationIntervalMilliseconds;
+        double tokensPerMillisecond;
     }
 
     /** Names the sample of an attempt. */
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/StragglerSystem.java
@@ -0,0 +1,123 @@
+package io.rosemarybeam.decision.step;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import io.rosemarybeam.common.configuration.ServiceConfiguration.Training;
+import io.rosemarybeam.decision.step.SampleEntity.AttemptEntity;
+import io.rosemarybeam.decision.step.SampleEntity.Status;
+import io.rosemarybeam.decision.step.StepTables.ServiceEntity;
+
+/**
+ * Runs slow samples of the tail of a step a second time on another endpoint.
+ *
+ * <p>Invariant: a sample runs at most twice at a time, and only while no sample of the step waits and the service has
+ * capacity left. How many samples run twice follows from the weight of trainer idle time. Confined to the thread of the
+ * core.
+ */
+final class StragglerSystem {
+    private static final long INTERVAL_MILLISECONDS = 250;
+
+    /** Time over which the rate of an attempt is measured; an endpoint may become slow at any time. */
+    static final long WINDOW_MILLISECONDS = 2_000;
+
+    /** A second attempt must be expected to finish this much earlier than the first. */
+    private static final double LEAST_SPEEDUP = 1.25;
+
+    /** Time until a new attempt produces its first token. */
+    private static final double START_MILLISECONDS = 500;
+
+    /** Share of the running samples that run twice if only trainer idle time counts. */
+    private static final double LARGEST_SHARE = 0.5;
+
+    /** Weight of the newest attempt in the typical rate of a service. */
+    private static final double RATE_SMOOTHING = 0.05;
+
+    private record Candidate(SampleEntity sample, double gainMilliseconds) {}
+
+    private final StepTables tables;
+    private final SubmissionSystem submission;
+    private long nextAtMilliseconds = Long.MIN_VALUE;
+
+    StragglerSystem(StepTables tables, SubmissionSystem submission) {
+        this.tables = tables;
+        this.submission = submission;
+    }
+
+    void run(long now, List<StepCommand> commands) {
+        if (now < nextAtMilliseconds || !tables.settings.policies().contains(StepPolicy.DUPLICATE_STRAGGLERS)) {
+            return;
+        }
+        nextAtMilliseconds = now + INTERVAL_MILLISECONDS;
+        for (StepEntity step : tables.steps.values()) {
+            if (step.count(Status.PENDING) == 0 && step.count(Status.RUNNING) > 0) {
+                tables.training(step).ifPresent(rules -> duplicate(now, step, rules, commands));
+            }
+        }
+    }
+
+    private void duplicate(long now, StepEntity step, Training rules, List<StepCommand> commands) {
+        List<SampleEntity> running = step.with(Status.RUNNING);
+        // The running attempts say little, because the tail gathers on the slow endpoints.
+        double typical = tables.service(step.specification.service()).tokensPerMillisecond;
+        if (typical <= 0) {
+            return;
+        }
+        long twice =
+                running.stream().filter(sample -> sample.attempts.size() > 1).count();
+        double share = LARGEST_SHARE
+                * rules.trainerIdleWeight()
+                / Math.max(0.01, rules.trainerIdleWeight() + rules.stalenessWeight());
+        long permitted = Math.max(1, Math.round(share * running.size())) - twice;
+        int free = submission.free(step.specification.service());
+        List<Candidate> candidates = new ArrayList<>();
+        for (SampleEntity sample : running) {
+            if (sample.attempts.size() == 1) {
+                double gain = gain(now, step, sample, typical);
+                if (gain > 0) {
+                    candidates.add(new Candidate(sample, gain));
+                }
+            }
+        }
+        candidates.stream()
+                .sorted(Comparator.comparingDouble(Candidate::gainMilliseconds).reversed())
+                .limit(Math.max(0, Math.min(permitted, free)))
+                .forEach(candidate -> submission.start(now, step, candidate.sample(), true, commands));
+    }
+
+    /** Returns by how many milliseconds a second attempt is expected to be earlier; not positive if it is not worth it. */
+    private double gain(long now, StepEntity step, SampleEntity sample, double typical) {
+        AttemptEntity attempt = sample.attempts.getFirst();
+        double rate = rate(now, attempt);
+        if (rate < 0) {
+            return 0;
+        }
+        double predicted = tables.lengths.predictRunning(step, sample, attempt.tokens);
+        double left = Math.max(1, predicted - attempt.tokens) / Math.max(rate, typical / 100);
+        double fresh = START_MILLISECONDS + predicted / typical;
+        return left > fresh * LEAST_SPEEDUP ? left - fresh : 0;
+    }
+
+    /** Takes the rate of an attempt that completed. */
+    void learn(StepEntity step, AttemptEntity attempt) {
+        ServiceEntity service = tables.service(step.specification.service());
+        if (attempt.recentRate > 0) {
+            service.tokensPerMillisecond = service.tokensPerMillisecond == 0
+                    ? attempt.recentRate
+                    : (1 - RATE_SMOOTHING) * service.tokensPerMillisecond + RATE_SMOOTHING * attempt.recentRate;
+        }
+    }
+
+    /** Returns tokens per millisecond in the last window, less if the attempt stands still since, negative if unknown. */
+    private static double rate(long now, AttemptEntity attempt) {
+        long open = now - attempt.windowStartMilliseconds;
+        if (attempt.endpoint == null || attempt.recentRate < 0 && open < WINDOW_MILLISECONDS) {
+            return -1;
+        }
+        if (open < 2 * WINDOW_MILLISECONDS && attempt.recentRate >= 0) {
+            return attempt.recentRate;
+        }
+        return (double) (attempt.tokens - attempt.windowStartTokens) / open;
+    }
+}
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/SubmissionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/SubmissionSystem.java
@@ -82,6 +82,14 @@
         }
     }
 
+    /** Returns how many more samples of a service may run now. */
+    int free(ServiceName service) {
+        long running = tables.running.values().stream()
+                .filter(other -> other.step().specification.service().equals(service))
+                .count();
+        return (int) (tables.capacity(service) - running);
+    }
+
     private int weight(StepEntity step) {
         return tables.training(step)
                 .map(rules -> Math.max(1, rules.trainerShares().getOrDefault(step.key.trainer(), 1)))
