--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryPushes.java
@@ -24,10 +24,10 @@
     private static final long NOTHING_SENT = -1;
 
     /**
-     * Connections served by one flush. Encoding for all entries at target size in one go would stall the log long enough
-     * to lose leadership.
+     * Records encoded by one flush. Encoding a large change for all entries in one go would stall the log long enough to
+     * lose leadership.
      */
-    private static final int CONNECTIONS_PER_FLUSH = 32;
+    private static final int RECORDS_PER_FLUSH = 2_000;
 
     private final ControlState state;
     private final long term;
@@ -56,16 +56,28 @@
      * Sends the changes that connections have not seen to some of them; the next flush goes on with the others.
      */
     void flush() {
-        List<WireConnection> behind = sentByConnection.entrySet().stream()
-                .filter(entry -> entry.getKey().isOpen() && isBehind(entry.getValue()))
-                .map(Map.Entry::getKey)
-                .limit(CONNECTIONS_PER_FLUSH)
-                .toList();
-        for (WireConnection connection : behind) {
-            connection.send(new PushState(changes(sentByConnection.get(connection), Map.of())));
+        int records = 0;
+        for (WireConnection connection : List.copyOf(sentByConnection.keySet())) {
+            Sent sent = sentByConnection.get(connection);
+            if (!connection.isOpen() || !isBehind(sent)) {
+                continue;
+            }
+            if (records >= RECORDS_PER_FLUSH) {
+                return;
+            }
+            EntryState changes = changes(sent, Map.of());
+            records += 1 + changes.membership().map(EntryPushes::size).orElse(0);
+            connection.send(new PushState(changes));
+            // Served connections go to the end, so that steady changes do not starve the others.
+            sentByConnection.remove(connection);
+            sentByConnection.put(connection, sent);
         }
     }
 
+    private static int size(MembershipDelta delta) {
+        return delta.endpoints().size() + delta.entryHosts().size();
+    }
+
     private boolean isBehind(Sent sent) {
         return sent.revision < state.configurations().newestNumber()
                 || sent.membershipVersion < state.membershipVersion()
