Push a quarantine before the crash report is answered

Cause: with paced pushes one request crashed four endpoints again: the reply to the reporting entry left before the push to the others, which waited for the next tick of 50 ms. Change: the leader flushes its pushes when a report leads to a quarantine.

--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/Leader.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/Leader.java
@@ -192,6 +192,9 @@
                         crash.endpoint(),
                         "fingerprints",
                         quarantine.quarantined());
+                // The reporting entry refuses the request as soon as it has this reply, and the caller may go to
+                // another.
+                pushes.flush();
             }
             return reply;
         });
