Repeat ledger commands only after the ledger call has ended

The step core repeated a commit after 2 s while the entry's call takes up to 5 s. A late repetition of a replacing commit could then overwrite its successor. The core waits 6 s; a refused or timed-out call is still repeated after 200 ms.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/CommitSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/CommitSystem.java
@@ -17,7 +17,9 @@
  */
 final class CommitSystem {
     private static final int MAXIMUM_BATCH = 256;
-    private static final long TIMEOUT_MILLISECONDS = 2_000;
+    /** Longer than the ledger call of the entry may take (5 s), so that a command is repeated only after its answer. */
+    private static final long TIMEOUT_MILLISECONDS = 6_000;
+
     private static final long BACKOFF_MILLISECONDS = 200;
 
     private final StepTables tables;
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/HandOverSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/step/HandOverSystem.java
@@ -19,7 +19,9 @@
  * when it is too old for the version that the trainer holds at that moment. Confined to the thread of the core.
  */
 final class HandOverSystem {
-    private static final long TIMEOUT_MILLISECONDS = 2_000;
+    /** Longer than the ledger call of the entry may take (5 s), so that a command is repeated only after its answer. */
+    private static final long TIMEOUT_MILLISECONDS = 6_000;
+
     private static final long BACKOFF_MILLISECONDS = 200;
 
     private final StepTables tables;
