Settle claims of lapsed entries at once and ignore late copies of a return

Cause: a caller that resent a booking after its entry was killed was told REQUEST_IN_PROGRESS for up to 30 s, until the claim expired (one request given up in ProcessFaultTest after 12 tries); a late copy of a returned claim could free a newer claim of the same key, which would allow a second run. Change: the leader settles the unfinished claims of an entry as unknown when its lease lapses, and still takes the outcome if the entry was only paused; a return must name the attempt of the claim. Conclusion: two tests in ControlStateTest fail without the changes.

--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/Leader.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/Leader.java
@@ -315,6 +315,9 @@
             if (lapsedEntries.add(entry)) {
                 inForce.lapsed(entry);
                 lender.lapsed(entry);
+                if (state.claims().size() > 0) {
+                    propose(new Command.SettleClaims(entry.name(), entry.incarnation()));
+                }
             }
         }
         for (EntryId entry : entryLeases.lapsedBefore(now, REMOVAL_MILLISECONDS)) {
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ClaimTable.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ClaimTable.java
@@ -109,8 +109,12 @@
             return true;
         }
         if (request.outcome().isEmpty()) {
-            claims.remove(key);
-            return true;
+            // A late copy of a return must not free a newer claim of the same key.
+            boolean names = request.attempt().isEmpty() || request.attempt().equals(known.attempt);
+            if (names) {
+                claims.remove(key);
+            }
+            return names;
         }
         RequestOutcome outcome = bounded(request.outcome().get());
         outcomeBytes += outcome.body().length;
@@ -118,6 +122,19 @@
         return true;
     }
 
+    /**
+     * Marks the unfinished claims of an entry host as unknown, so that callers that resend need not wait until the claims
+     * expire. An outcome that the entry records later is still taken.
+     */
+    void settle(HostName entry, long incarnation, long now) {
+        for (Map.Entry<Key, Claim> line : List.copyOf(claims.entrySet())) {
+            Claim claim = line.getValue();
+            if (claim.isHeldBy(entry, incarnation) && claim.outcome.isEmpty() && !claim.unknown) {
+                put(line.getKey(), claim.settled(now + SETTLED_MILLISECONDS, true, Optional.empty()));
+            }
+        }
+    }
+
     private RequestOutcome bounded(RequestOutcome outcome) {
         boolean fits = outcome.body().length <= RequestOutcome.MAXIMUM_BODY_BYTES
                 && outcomeBytes + outcome.body().length <= MAXIMUM_OUTCOME_BYTES;
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/Command.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/Command.java
@@ -42,6 +42,14 @@
      */
     record RemoveEntry(HostName name, long incarnation) implements Command {}
 
+    /**
+     * Gives up the unfinished claims of an entry host whose lease lapsed.
+     *
+     * @param name the entry host
+     * @param incarnation its incarnation
+     */
+    record SettleClaims(HostName name, long incarnation) implements Command {}
+
     /**
      * Registers an endpoint.
      *
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/CommandCodec.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/CommandCodec.java
@@ -27,7 +27,8 @@
             Command.AcknowledgeHandOver.class,
             Command.PublishWeights.class,
             Command.GrantIssuer.class,
-            Command.Expire.class);
+            Command.Expire.class,
+            Command.SettleClaims.class);
 
     private CommandCodec() {}
 
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ControlState.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ControlState.java
@@ -98,6 +98,8 @@
             case Command.PublishWeights publish -> accepted(() -> weights.publish(publish.request()));
             case Command.GrantIssuer grant -> grantIssuer(grant);
             case Command.Expire ignored -> new Accepted(0);
+            case Command.SettleClaims settle ->
+                accepted(() -> claims.settle(settle.name(), settle.incarnation(), time));
         };
     }
 
--- a/rosemarybeam-control/src/test/java/io/rosemarybeam/control/state/ControlStateTest.java
+++ b/rosemarybeam-control/src/test/java/io/rosemarybeam/control/state/ControlStateTest.java
@@ -144,6 +144,36 @@
                 new EntryRequest.RecordOutcome(SERVICE, IdempotencyKey.of(key), HostName.of(entry), 1, outcome)));
     }
 
+    private Message giveBack(String attempt) {
+        return apply(new Command.Outcome(new EntryRequest.RecordOutcome(
+                SERVICE, IdempotencyKey.of("k"), HostName.of("entry-1"), 1, Optional.empty(), attempt)));
+    }
+
+    @Test
+    void shouldKeepNewerClaimWhenLateCopyOfReturnArrives() {
+        claimState(claim("k", "f", "entry-1", "a1"));
+        assertInstanceOf(Accepted.class, giveBack("a1"));
+        assertEquals(ClaimState.GRANTED, claimState(claim("k", "f", "entry-1", "a2")));
+
+        assertInstanceOf(Refused.class, giveBack("a1"));
+
+        assertEquals(ClaimState.IN_PROGRESS, claimState(claim("k", "f", "entry-2", "a3")));
+    }
+
+    @Test
+    void shouldAnswerUnknownAtOnceAndStillTakeTheOutcomeWhenLeaseOfClaimingEntryLapsed() {
+        claimState(claim("k", "f", "entry-1", "a1"));
+        claimState(claim("other", "f", "entry-2", "a1"));
+
+        apply(new Command.SettleClaims(HostName.of("entry-1"), 1));
+
+        assertEquals(ClaimState.UNKNOWN, claimState(claim("k", "f", "entry-2", "a2")));
+        assertEquals(ClaimState.IN_PROGRESS, claimState(claim("other", "f", "entry-1", "a2")));
+        RequestOutcome late = new RequestOutcome(201, Map.of(), new byte[] {1}, false);
+        assertInstanceOf(Accepted.class, outcome("k", "entry-1", Optional.of(late)));
+        assertEquals(ClaimState.COMPLETED, claimState(claim("k", "f", "entry-2", "a2")));
+    }
+
     @Test
     void shouldGrantClaimOnceWhenOthersAsk() {
         assertEquals(ClaimState.GRANTED, claimState(claim("k", "f", "entry-1", "a1")));
