Wait for the new incarnation's vote when a test replaces a disk

Ruled out: a fault of the replacement; the log waits for the promotion before it removes another voter. Change: the test waits until another incarnation of the name votes, which is stricter.

--- a/rosemarybeam-control/src/test/java/io/rosemarybeam/control/ControlProcessTest.java
+++ b/rosemarybeam-control/src/test/java/io/rosemarybeam/control/ControlProcessTest.java
@@ -162,9 +162,15 @@
             TestCluster.await("three voters", () -> cluster.votersAre(cluster.names()));
 
             for (String lost : cluster.names()) {
+                Optional<String> before = cluster.voterIncarnation(lost);
                 cluster.stop(lost);
                 cluster.wipe(lost);
                 cluster.start(lost);
+                TestCluster.await(
+                        "the new incarnation of " + lost + " votes",
+                        () -> cluster.voterIncarnation(lost)
+                                .filter(voting -> !Optional.of(voting).equals(before))
+                                .isPresent());
                 TestCluster.await(
                         lost + " is repaired",
                         () -> cluster.leader().isPresent()
--- a/rosemarybeam-control/src/test/java/io/rosemarybeam/control/TestCluster.java
+++ b/rosemarybeam-control/src/test/java/io/rosemarybeam/control/TestCluster.java
@@ -22,6 +22,9 @@
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.configuration.OperatorConfiguration.ControlHost;
@@ -149,6 +152,23 @@
                 .orElse(false);
     }
 
+    /** Returns the incarnation of a host that votes, as the leader sees it. */
+    Optional<String> voterIncarnation(String name) {
+        return leader().flatMap(leading -> {
+            try {
+                for (JsonNode host : new ObjectMapper().readTree(dump(leading)).path("controlHosts")) {
+                    if (host.path("name").asText().equals(name)
+                            && host.path("voter").asBoolean()) {
+                        return Optional.of(host.path("incarnation").asText());
+                    }
+                }
+                return Optional.empty();
+            } catch (JsonProcessingException failure) {
+                throw new IllegalStateException(failure);
+            }
+        });
+    }
+
     static void await(String what, BooleanSupplier condition) {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLISECONDS);
         while (!condition.getAsBoolean()) {
