Test the entry with the real request core and record orders whose caller left

Cause: the entry's tests ran against a simpler request core of their own that always chose the first endpoint. With the real core, which chooses at random among equals, tests that expect a failing first endpoint could pass without meeting it, and an order whose caller went away lost its outcome, so that a resend was told unknown. Change: the tests use the real core, and the request that any endpoint gets first fails, whichever it is. The entry keeps a running order with a key until its outcome is recorded; the core ends an order whose attempt failed with a refusal, so that nothing is kept for ever. A request without key that an endpoint refused is not dispatched again, as the design says; the former test expected that only of the fake core, and is replaced by one with a key and one without.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
@@ -41,7 +41,7 @@
             return;
         }
         if (row.callerGone) {
-            completion.forget(row);
+            completion.refuse(row, row.mayHaveRun ? ErrorCode.OUTCOME_UNKNOWN : ErrorCode.ENDPOINT_FAILED, 0);
             return;
         }
         if (row.reachedCaller && !row.service.isModel()) {
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
@@ -264,7 +264,8 @@
         loop.execute(() -> {
             Work work = works.get(request);
             handle(new RequestInput.RequestCancelled(request));
-            if (work != null && works.remove(request) != null) {
+            // An order that runs is kept until its outcome is recorded, for the caller that sends it again.
+            if (work != null && !work.isRunningOrder() && works.remove(request) != null) {
                 work.refuse(new Problem(
                         ErrorCode.CONNECTION_CLOSED, RunState.UNKNOWN, 0, "the caller closed its connection"));
                 count(work, "cancelled");
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Work.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Work.java
@@ -111,6 +111,11 @@
         }
     }
 
+    /** Returns whether an endpoint may be running a request whose outcome is to be recorded. */
+    synchronized boolean isRunningOrder() {
+        return current != null && !target.idempotent() && target.key().isPresent();
+    }
+
     private boolean isCurrent(AttemptStream from) {
         return !ended && current == from;
     }
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/CompletionTest.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/CompletionTest.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.entry;
 
 import java.net.http.HttpResponse;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -74,28 +75,38 @@
 
     @Test
     void shouldResumeAtOffsetWhenEndpointDiesMidStream() throws Exception {
-        endpoint("a", call -> {
-            call.startStream();
-            call.tokens(call.attempt(), 0, 2, 7);
-            call.socket().close();
-        });
-        ScriptedEndpoint second = endpoint("b", CompletionTest::answerRest);
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.inTurn(
+                call -> {
+                    call.startStream();
+                    call.tokens(call.attempt(), 0, 2, 7);
+                    call.socket().close();
+                },
+                CompletionTest::answerRest);
+        ScriptedEndpoint first = endpoint("a", inTurn);
+        ScriptedEndpoint second = endpoint("b", inTurn);
         String text = harness.post(entry, "/v1/completions", BODY + ",\"stream\":true}")
                 .body();
         assertTrue(text.endsWith("data: [DONE]\n\n"), text);
         assertEquals(1, text.split("t0 ", -1).length - 1, text);
-        ScriptedEndpoint.Call resumed = second.calls().getFirst();
+        ScriptedEndpoint.Call resumed = Stream.of(first, second)
+                .flatMap(endpoint -> endpoint.calls().stream())
+                .filter(call -> !"0".equals(call.headers().getOrDefault("x-resume-offset", "0")))
+                .findFirst()
+                .orElseThrow();
         assertEquals("2", resumed.headers().get("x-resume-offset"));
         assertTrue(resumed.body().contains("\"resume_text\":\"t0 t1 \""), resumed.body());
     }
 
     @Test
     void shouldRunAgainOnNewConnectionWhenEndpointGoesSilent() throws Exception {
-        endpoint("a", call -> {
-            call.startStream();
-            Thread.sleep(5_000);
-        });
-        endpoint("b", CompletionTest::answerRest);
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.inTurn(
+                call -> {
+                    call.startStream();
+                    Thread.sleep(5_000);
+                },
+                CompletionTest::answerRest);
+        endpoint("a", inTurn);
+        endpoint("b", inTurn);
         long start = System.nanoTime();
         assertEquals(WHOLE_TEXT, whole());
         assertTrue(System.nanoTime() - start < 2_000_000_000L, "the silent endpoint was left too late");
@@ -103,12 +114,15 @@
 
     @Test
     void shouldDropChunksWhenTheyCarryAnotherAttempt() throws Exception {
-        endpoint("a", call -> {
-            call.startStream();
-            call.tokens("other", 0, 8, 7);
-            call.endStream();
-        });
-        endpoint("b", CompletionTest::answerRest);
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.inTurn(
+                call -> {
+                    call.startStream();
+                    call.tokens("other", 0, 8, 7);
+                    call.endStream();
+                },
+                CompletionTest::answerRest);
+        endpoint("a", inTurn);
+        endpoint("b", inTurn);
         assertEquals(WHOLE_TEXT, whole());
         String metrics = new String(entry.process().metrics().text(), java.nio.charset.StandardCharsets.UTF_8);
         assertTrue(metrics.contains("rosemarybeam_entry_mismatched_chunks_total 1"), metrics);
@@ -116,24 +130,30 @@
 
     @Test
     void shouldNotTakeAnswerForWholeWhenEndMarkIsMissing() throws Exception {
-        endpoint("a", call -> {
-            call.startStream();
-            call.tokens(call.attempt(), 0, 8, 7);
-            call.write("0\r\n\r\n");
-        });
-        endpoint("b", CompletionTest::answerRest);
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.inTurn(
+                call -> {
+                    call.startStream();
+                    call.tokens(call.attempt(), 0, 8, 7);
+                    call.write("0\r\n\r\n");
+                },
+                CompletionTest::answerRest);
+        endpoint("a", inTurn);
+        endpoint("b", inTurn);
         assertEquals(WHOLE_TEXT, whole());
     }
 
     @Test
     void shouldNotTakeAnswerForWholeWhenChunkIsMissing() throws Exception {
-        endpoint("a", call -> {
-            call.startStream();
-            call.tokens(call.attempt(), 0, 2, 7);
-            call.tokens(call.attempt(), 4, 4, 7);
-            call.endStream();
-        });
-        endpoint("b", CompletionTest::answerRest);
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.inTurn(
+                call -> {
+                    call.startStream();
+                    call.tokens(call.attempt(), 0, 2, 7);
+                    call.tokens(call.attempt(), 4, 4, 7);
+                    call.endStream();
+                },
+                CompletionTest::answerRest);
+        endpoint("a", inTurn);
+        endpoint("b", inTurn);
         assertEquals(WHOLE_TEXT, whole());
     }
 
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/EntryHarness.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/EntryHarness.java
@@ -24,6 +24,8 @@
 import io.rosemarybeam.common.id.HostName;
 import io.rosemarybeam.common.settings.EntrySettings;
 import io.rosemarybeam.common.wire.ControlReply.ConfigurationText;
+import io.rosemarybeam.decision.request.RequestCore;
+import io.rosemarybeam.decision.request.RequestCoreSettings;
 import io.rosemarybeam.decision.rollout.RolloutCore;
 import io.rosemarybeam.decision.rollout.RolloutCoreSettings;
 import io.rosemarybeam.decision.step.StepCore;
@@ -45,7 +47,7 @@
                   "dependsOn": [],
                   "limits": {"maximumConcurrent": 64, "maximumQueued": 256, "maximumBodyBytes": 65536,
                              "concurrentPerEndpoint": 64},
-                  "deadlines": {"totalMilliseconds": 30000, "progressMilliseconds": 2000, "connectMilliseconds": 500},
+                  "deadlines": {"totalMilliseconds": 30000, "progressMilliseconds": 400, "connectMilliseconds": 500},
                   "retries": {"maximumAttempts": 3, "budgetPercent": 10},
                   "customerReservePercent": 25,
                   "training": {"stalenessBoundVersions": 2, "trainerIdleWeight": 0.3, "stalenessWeight": 0.7,
@@ -57,7 +59,7 @@
                   "dependsOn": ["brailler-lm"],
                   "limits": {"maximumConcurrent": 64, "maximumQueued": 256, "maximumBodyBytes": 65536,
                              "concurrentPerEndpoint": 64},
-                  "deadlines": {"totalMilliseconds": 30000, "progressMilliseconds": 2000, "connectMilliseconds": 500},
+                  "deadlines": {"totalMilliseconds": 30000, "progressMilliseconds": 400, "connectMilliseconds": 500},
                   "retries": {"maximumAttempts": 3, "budgetPercent": 10},
                   "idempotentCalls": [{"method": "GET", "path": "/**"}]
                 }
@@ -120,7 +122,9 @@
                 folder.resolve("token"));
         HostName host = settings.name();
         EntryProcess.Cores cores = new EntryProcess.Cores(
-                new ThinRequestCore(),
+                RequestCore.of(RequestCoreSettings.builder(host, settings.failureDomain())
+                        .seed(1)
+                        .build()),
                 StepCore.of(StepCoreSettings.builder(host, settings.failureDomain())
                         .seed(incarnations++)
                         .build()),
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ProxyTest.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ProxyTest.java
@@ -6,6 +6,7 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.rosemarybeam.common.wire.EntryRequest;
@@ -63,44 +64,67 @@
 
     @Test
     void shouldNotRepeatWhenOrderMayHaveRun() throws Exception {
-        endpoint("a", call -> call.socket().close());
-        ScriptedEndpoint second = endpoint("b", call -> call.whole(200, "again"));
+        ScriptedEndpoint.Script inTurn =
+                ScriptedEndpoint.inTurn(call -> call.socket().close(), call -> call.whole(200, "again"));
+        ScriptedEndpoint first = endpoint("a", inTurn);
+        ScriptedEndpoint second = endpoint("b", inTurn);
         HttpResponse<String> answer = harness.post(entry, PATH + "/bookings", "{}");
         assertEquals("unknown", run(answer), answer.body());
-        assertEquals(0, second.calls().size());
+        assertEquals(1, first.calls().size() + second.calls().size());
     }
 
     @Test
-    void shouldRunElsewhereWhenEndpointRefusedBeforeRunning() {
-        endpoint("a", call -> call.whole(503, "", "X-Run", "not-run"));
-        endpoint("b", call -> call.whole(200, "ran"));
-        assertEquals("ran", harness.post(entry, PATH + "/bookings", "{}").body());
+    void shouldRunElsewhereWhenEndpointRefusedBeforeRunningUnderAClaim() {
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.inTurn(
+                call -> call.whole(503, "", "X-Run", "not-run"), call -> call.whole(200, "ran"));
+        endpoint("a", inTurn);
+        endpoint("b", inTurn);
+        HttpResponse<String> answer = harness.post(entry, PATH + "/bookings", "{}", "Idempotency-Key", "k4");
+        assertEquals("ran", answer.body());
+    }
+
+    @Test
+    void shouldDispatchOnceAndSayNotRunWhenEndpointRefusedARequestWithoutKey() throws Exception {
+        ScriptedEndpoint first = endpoint("a", call -> call.whole(503, "", "X-Run", "not-run"));
+        ScriptedEndpoint second = endpoint("b", call -> call.whole(503, "", "X-Run", "not-run"));
+        HttpResponse<String> answer = harness.post(entry, PATH + "/bookings", "{}");
+        assertEquals("not-run", run(answer), answer.body());
+        assertEquals(1, first.calls().size() + second.calls().size());
     }
 
     @Test
     void shouldRepeatUnnoticedWhenShortIdempotentAnswerBreaks() {
-        endpoint("a", call -> {
-            call.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
-            call.socket().close();
-        });
-        endpoint("b", call -> call.whole(200, "whole"));
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.inTurn(
+                call -> {
+                    call.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+                    call.socket().close();
+                },
+                call -> call.whole(200, "whole"));
+        endpoint("a", inTurn);
+        endpoint("b", inTurn);
         assertEquals("whole", harness.get(entry, PATH + "/page").body());
     }
 
     @Test
     void shouldNotTakeAnswerForWholeWhenItEndsOnlyWithItsConnection() {
-        endpoint("a", call -> {
-            call.write("HTTP/1.1 200 OK\r\n\r\nmaybe half");
-            call.socket().close();
-        });
-        endpoint("b", call -> call.whole(200, "whole"));
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.inTurn(
+                call -> {
+                    call.write("HTTP/1.1 200 OK\r\n\r\nmaybe half");
+                    call.socket().close();
+                },
+                call -> call.whole(200, "whole"));
+        endpoint("a", inTurn);
+        endpoint("b", inTurn);
         assertEquals("whole", harness.get(entry, PATH + "/page").body());
     }
 
     @Test
     void shouldDropAnswerWhenItBelongsToAnotherAttempt() {
-        endpoint("a", call -> call.whole(200, "not yours", "X-Attempt-Id", "other"));
-        endpoint("b", call -> call.whole(200, "yours", "X-Attempt-Id", call.attempt()));
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.inTurn(
+                call -> call.whole(200, "not yours", "X-Attempt-Id", "other"),
+                call -> call.whole(200, "yours", "X-Attempt-Id", call.attempt()));
+        endpoint("a", inTurn);
+        endpoint("b", inTurn);
         assertEquals("yours", harness.get(entry, PATH + "/page").body());
     }
 
@@ -120,6 +144,36 @@
         assertEquals(1, endpoint.calls().size());
     }
 
+    @Test
+    void shouldRecordOutcomeOfOrderWhenItsCallerWentAway() throws Exception {
+        CountDownLatch callerGone = new CountDownLatch(1);
+        ScriptedEndpoint endpoint = endpoint("a", call -> {
+            callerGone.await();
+            call.whole(201, "booked");
+        });
+        String[] address = entry.address().split(":");
+        try (Socket caller = new Socket(address[0], Integer.parseInt(address[1]))) {
+            caller.getOutputStream()
+                    .write(("POST " + PATH + "/bookings HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k3\r\n"
+                                    + "Content-Length: 2\r\n\r\n{}")
+                            .getBytes(StandardCharsets.US_ASCII));
+            EntryHarness.await(() -> !endpoint.calls().isEmpty());
+        }
+        Thread.sleep(200);
+        callerGone.countDown();
+        EntryHarness.await(() -> {
+            synchronized (harness.state) {
+                return harness.state.outcomes.containsKey("k3");
+            }
+        });
+        assertTrue(harness.state.outcomes.get("k3").outcome().isPresent());
+        assertEquals(
+                "booked",
+                harness.post(entry, PATH + "/bookings", "{}", "Idempotency-Key", "k3")
+                        .body());
+        assertEquals(1, endpoint.calls().size());
+    }
+
     @Test
     void shouldGiveClaimBackWhenItsAnswerIsLost() throws Exception {
         ScriptedEndpoint endpoint = endpoint("a", call -> call.whole(201, "booked"));
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ScriptedEndpoint.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ScriptedEndpoint.java
@@ -29,6 +29,12 @@
         void answer(Call call) throws IOException, InterruptedException;
     }
 
+    /** Returns a script for several endpoints: the request that any of them gets first is answered unlike all later ones. */
+    static Script inTurn(Script first, Script later) {
+        AtomicInteger requests = new AtomicInteger();
+        return call -> (requests.getAndIncrement() == 0 ? first : later).answer(call);
+    }
+
     /** One request, and the connection to answer it on. */
     record Call(
             String method,
