Do not count refusals before running as attempts, tick less often when idle, stay up after a drain by the text

Change: up to ten refusals before running cost neither attempts nor budget; the decision thread ticks every 50 ms while no request is open; the process stays up and refuses until it is stopped.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestRow.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RequestRow.java
@@ -34,6 +34,10 @@
     State state = State.QUEUED;
     AttemptRow attempt;
     int attempts;
+
+    /** Attempts that an endpoint refused before running, for example while it loads weights. */
+    int refusals;
+
     boolean callerGone;
 
     // ---- Claim ----
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
@@ -14,6 +14,13 @@
     private static final long BACKOFF_BASE_MILLISECONDS = 20;
     private static final long BACKOFF_LIMIT_MILLISECONDS = 1_000;
     private static final int LEAST_BUDGET_LIMIT = 10;
+
+    /**
+     * How many refusals before running count neither as attempts nor against the budget. They cost no endpoint any work,
+     * and a weight swap makes endpoint after endpoint refuse; the growing backoff keeps them from becoming a storm.
+     */
+    private static final int MAXIMUM_REFUSALS = 10;
+
     private static final long RETRY_AFTER_MILLISECONDS = 1_000;
 
     private final Tables tables;
@@ -56,16 +63,21 @@
             crashes.refuseWhenAgreed(row);
             return;
         }
+        boolean refused = failure == AttemptFailure.REFUSED_NOT_RUN && row.refusals < MAXIMUM_REFUSALS;
+        if (refused) {
+            row.attempts--;
+            row.refusals++;
+        }
         if (row.attempts >= row.configuration.retries().maximumAttempts()) {
             completion.refuse(row, ErrorCode.ATTEMPTS_EXHAUSTED, RETRY_AFTER_MILLISECONDS);
             return;
         }
-        long wait = backoff(row.attempts);
+        long wait = backoff(row.attempts + row.refusals);
         if (tables.now + wait >= row.deadline()) {
             completion.refuse(row, ErrorCode.DEADLINE_UNREACHABLE, 0);
             return;
         }
-        if (!spendBudget(row)) {
+        if (!refused && !spendBudget(row)) {
             completion.refuse(row, ErrorCode.ATTEMPTS_EXHAUSTED, RETRY_AFTER_MILLISECONDS);
             return;
         }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/DecisionLoop.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/DecisionLoop.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 
 import io.rosemarybeam.common.event.Event;
@@ -16,12 +17,17 @@
 final class DecisionLoop implements AutoCloseable {
     private static final EventLog LOG = EventLog.of(DecisionLoop.class);
     private static final long TICK_MILLISECONDS = 10;
+
+    /** Between ticks while no request is open: no other timer is finer, and each tick wakes the processor. */
+    private static final long IDLE_TICK_MILLISECONDS = 50;
+
     private static final long STOP_MILLISECONDS = 2_000;
 
     private final LinkedBlockingQueue<Runnable> tasks = new LinkedBlockingQueue<>();
     private final MonotonicClock clock;
     private final Thread thread;
     private volatile LongConsumer tick = now -> {};
+    private volatile BooleanSupplier busy = () -> true;
     private volatile boolean running = true;
 
     DecisionLoop(MonotonicClock clock) {
@@ -34,9 +40,11 @@
      * Starts the thread.
      *
      * @param onTick called with the time in milliseconds
+     * @param isBusy whether the next tick is due soon; called on the decision thread
      */
-    void start(LongConsumer onTick) {
+    void start(LongConsumer onTick, BooleanSupplier isBusy) {
         tick = onTick;
+        busy = isBusy;
         thread.start();
     }
 
@@ -59,16 +67,17 @@
     }
 
     private void run() {
-        long nextTick = now() + TICK_MILLISECONDS;
+        long lastTick = now();
         while (running) {
             try {
+                long nextTick = lastTick + (busy.getAsBoolean() ? TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS);
                 Runnable task = tasks.poll(Math.max(0, nextTick - now()), TimeUnit.MILLISECONDS);
                 if (task != null) {
                     task.run();
                 }
                 long now = now();
                 if (now >= nextTick) {
-                    nextTick = now + TICK_MILLISECONDS;
+                    lastTick = now;
                     tick.accept(now);
                 }
             } catch (InterruptedException interrupted) {
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryMain.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryMain.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.entry;
 
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 
 import io.rosemarybeam.common.configuration.ConfigurationParser;
@@ -71,7 +72,7 @@
     private static void printUsage(CmdLineParser parser) {
         System.err.println("usage: rosemarybeam-entry --settings FILE");
         parser.printUsage(System.err);
-        System.err.println("exit codes: 0 drained or checked, 1 failed, 2 usage or invalid settings");
+        System.err.println("exit codes: 0 stopped or checked, 1 failed, 2 usage or invalid settings");
     }
 
     private void run() {
@@ -91,7 +92,9 @@
             EntryProcess process = EntryProcess.start(settings, cores(settings), ConfigurationParser.standard());
             LOG.log(Event.PROCESS_STARTED, "entry", settings.name(), "address", settings.callerAddress());
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(process)));
-            process.drained().join();
+            // A drain by the operator's text leaves the process running: exiting would have a supervisor restart it.
+            new CountDownLatch(1).await();
+        } catch (InterruptedException interrupted) {
             System.exit(SUCCESS);
         } catch (RosemarybeamException failure) {
             LOG.log(Event.PROCESS_FAILED, failure);
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
@@ -140,7 +140,7 @@
      */
     public static EntryProcess start(EntrySettings settings, Cores cores, ConfigurationParser parser) {
         EntryProcess process = new EntryProcess(settings, cores, parser);
-        process.loop.start(process::tick);
+        process.loop.start(process::tick, () -> process.requests.openRequests() > 0);
         return process;
     }
 
