Give test processes ports that no outgoing connection takes

Cause: ProcessFaultTest failed in its set-up in 3 of about 40 deployments: an entry could not listen, because an outgoing connection had been given the port in between. Change: ports come from below the range of outgoing connections; a failed set-up prints the logs of the processes.

--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/Deployment.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/Deployment.java
@@ -3,6 +3,7 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +17,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -94,6 +96,10 @@
             "-Dlog4j.shutdownHookEnabled=false");
 
     private static final List<String> DOMAINS = List.of("amman-a", "amman-b", "amman-c", "amman-d");
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORTS = 18_000;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(ThreadLocalRandom.current().nextInt(PORTS));
     private static final Duration CALL_DEADLINE = Duration.ofSeconds(5);
     private static final long START_MILLISECONDS = 30_000;
 
@@ -591,11 +597,17 @@
         return DOMAINS.get(index % DOMAINS.size());
     }
 
+    /** Returns a port that nothing listens on, below those that the operating system gives to outgoing connections. */
     private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
+        while (true) {
+            int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORTS;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException taken) {
+                if (NEXT_PORT.get() > 2 * PORTS) {
+                    throw new UncheckedIOException(taken);
+                }
+            }
         }
     }
 
--- a/rosemarybeam-testbed/src/test/java/io/rosemarybeam/testbed/ProcessFaultTest.java
+++ b/rosemarybeam-testbed/src/test/java/io/rosemarybeam/testbed/ProcessFaultTest.java
@@ -52,7 +52,7 @@
         assertTrue(Deployment.eventually(
                 Duration.ofSeconds(20), () -> deployment.status().contains("entry-2")));
         deployment.startEndpoints(6, 4);
-        assertTrue(Deployment.eventually(Duration.ofSeconds(20), this::serves));
+        assertTrue(Deployment.eventually(Duration.ofSeconds(20), this::serves), this::describe);
     }
 
     @AfterEach
@@ -60,6 +60,11 @@
         deployment.close();
     }
 
+    private String describe() {
+        return "status " + deployment.status() + "\n" + deployment.log("entry-0") + "\n" + deployment.log("entry-1")
+                + "\n" + deployment.log("entry-2");
+    }
+
     private boolean serves() {
         for (String entry : deployment.entryAddresses()) {
             try {
