--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/InForceTracker.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/InForceTracker.java
@@ -42,6 +42,15 @@
                 .toList();
     }
 
+    private boolean isPending(long number) {
+        for (long applied : appliedByEntry.values()) {
+            if (applied < number) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Calls back with the pending entries, once there are none or when the deadline passes. */
     void await(long number, long deadline, Consumer<List<HostName>> callback) {
         waiters.add(new Waiter(number, deadline, callback));
@@ -49,8 +58,7 @@
 
     void check(long now) {
         List<Waiter> done = new ArrayList<>();
-        Predicate<Waiter> isDone =
-                waiter -> now >= waiter.deadline || pending(waiter.number).isEmpty();
+        Predicate<Waiter> isDone = waiter -> now >= waiter.deadline || !isPending(waiter.number);
         waiters.removeIf(waiter -> isDone.test(waiter) && done.add(waiter));
         done.forEach(waiter -> waiter.callback.accept(pending(waiter.number)));
     }
