--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -1,6 +1,5 @@
 package io.rosemarybeam.consensus;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -39,7 +38,7 @@
     private final EntryBuffer buffer = new EntryBuffer();
     private final MembershipHistory memberships = new MembershipHistory();
     private final List<Envelope> messages = new ArrayList<>();
-    private final List<Withheld> withheld = new ArrayList<>();
+    private final WithheldMessages withheld = new WithheldMessages();
     private final Set<MemberId> votes = new HashSet<>();
 
     private HardState hardState;
@@ -457,7 +456,7 @@
         boolean canPersist = !persisting && (hardStateChanged || snapshotToInstall.isPresent() || buffer.hasUnstable());
         return canPersist
                 || !messages.isEmpty()
-                || withheld.stream().anyMatch(this::isReleasable)
+                || (stateIsDurable() && withheld.hasReleasable(buffer.stable()))
                 || handedOut < Math.min(commit, buffer.stable())
                 || leadership.map(Leadership::hasWork).orElse(false);
     }
@@ -472,7 +471,9 @@
         Optional<HardState> hardStateToPersist = Optional.empty();
         Optional<LogSnapshot> snapshotToPersist = Optional.empty();
         List<LogEntry> entries = List.of();
-        releaseWithheld();
+        if (stateIsDurable()) {
+            withheld.release(buffer.stable(), messages::add);
+        }
         if (!persisting) {
             if (hardStateChanged) {
                 hardStateToPersist = Optional.of(hardState);
@@ -714,17 +715,13 @@
             withhold(from, commit, new LogMessage.Appended(hardState.term(), true, commit, 0, 0));
             return;
         }
-        IncomingSnapshot receiving = incoming.filter(value -> value.index == part.index())
+        IncomingSnapshot receiving = incoming.filter(value -> value.index() == part.index())
                 .orElseGet(() -> new IncomingSnapshot(part.index()));
         incoming = Optional.of(receiving);
-        if (part.offset() == receiving.bytes.size()) {
-            receiving.bytes.writeBytes(part.data());
-        }
-        int size = receiving.bytes.size();
+        int size = receiving.append(part);
         send(from, new LogMessage.SnapshotProgress(hardState.term(), part.index(), size));
         if (size >= part.total()) {
-            install(new LogSnapshot(
-                    part.index(), part.snapshotTerm(), part.membership(), receiving.bytes.toByteArray()));
+            install(receiving.complete(part));
             withhold(from, part.index(), new LogMessage.Appended(hardState.term(), true, part.index(), 0, 0));
         }
     }
@@ -764,26 +761,14 @@
 
     /** Sends a message once the hard state and all entries up to an index are durable. */
     private void withhold(MemberId to, long requiredIndex, LogMessage message) {
-        withheld.add(new Withheld(requiredIndex, new Envelope(self, to, message)));
+        withheld.add(requiredIndex, new Envelope(self, to, message));
     }
 
-    private boolean isReleasable(Withheld candidate) {
+    /** Returns whether the hard state and any snapshot are durable; entries may still be on their way to the disk. */
+    private boolean stateIsDurable() {
         boolean hardStateIsDurable = !hardStateChanged && !hardStatePersisting;
         boolean snapshotIsDurable = snapshotToInstall.isEmpty() && !snapshotPersisting;
-        return hardStateIsDurable && snapshotIsDurable && candidate.requiredIndex <= buffer.stable();
-    }
-
-    private void releaseWithheld() {
-        List<Withheld> kept = new ArrayList<>();
-        for (Withheld candidate : withheld) {
-            if (isReleasable(candidate)) {
-                messages.add(candidate.envelope);
-            } else {
-                kept.add(candidate);
-            }
-        }
-        withheld.clear();
-        withheld.addAll(kept);
+        return hardStateIsDurable && snapshotIsDurable;
     }
 
     private long appendOwn(LogEntry.Kind kind, byte[] data) {
@@ -792,17 +777,4 @@
         memberships.appended(entry);
         return entry.index();
     }
-
-    /** A message that waits until state is durable. Immutable. */
-    private record Withheld(long requiredIndex, Envelope envelope) {}
-
-    /** The parts of a snapshot received so far. Confined to the thread of the log. */
-    private static final class IncomingSnapshot {
-        private final long index;
-        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-
-        IncomingSnapshot(long index) {
-            this.index = index;
-        }
-    }
 }
