Send a sampling seed with each sample and test silent connections to control

Cause: without a seed of its own the first complete attempt of a sample, and so its winner, is the shortest of several texts; the silent proxy had no test with real processes. Change: all attempts of a sample carry the same seed, which the fingerprint leaves out. Two tests silence and cut the connection between an entry and control: the entry reconnects before its lease lapses (3 of 3 silences, no refusal), and refuses with not-run within 4 s when nothing passes.

--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Digests.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Digests.java
@@ -7,6 +7,7 @@
 
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.decision.step.StepInput.StepKey;
 import org.apache.commons.codec.binary.Hex;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.apache.commons.codec.digest.MurmurHash3;
@@ -57,6 +58,19 @@
         return hashes;
     }
 
+    /**
+     * Returns the sampling seed of a sample. All attempts of a sample get the same one, since a seed of its own for each
+     * attempt would make the first complete attempt, and so the winner, the shortest of several texts.
+     *
+     * @param step the step
+     * @param index the sample
+     * @return a number that is not negative
+     */
+    static int seed(StepKey step, int index) {
+        byte[] name = (step.trainer() + "/" + step.step() + "/" + index).getBytes(StandardCharsets.UTF_8);
+        return MurmurHash3.hash32x86(name) & Integer.MAX_VALUE;
+    }
+
     private static long hash(String prefix) {
         return MurmurHash3.hash128x64(prefix.getBytes(StandardCharsets.UTF_8))[0];
     }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
@@ -220,7 +220,10 @@
                 .put("prompt", submit.prompt())
                 .put("max_tokens", submit.maximumTokens())
                 .put("stream", true);
+        // The fingerprint leaves the seed out: what crashes an endpoint is the prompt, which all samples of a group
+        // share.
         byte[] text = Json.write(body);
+        body.put("seed", Digests.seed(submit.step(), submit.index()));
         CompletionAnswer answer = works.completion(body, new SampleReceiver(this, submit.request()));
         Work work = works.work(
                 submit.request(), submit.service(), "POST", WorkFactory.COMPLETIONS_PATH, jsonHeaders(), true, answer);
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/TrainerTest.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/TrainerTest.java
@@ -27,6 +27,7 @@
     private EntryHarness harness;
     private EntryHarness.Entry first;
     private EntryHarness.Entry second;
+    private ScriptedEndpoint engine;
 
     @BeforeEach
     void start() throws Exception {
@@ -34,7 +35,7 @@
         first = harness.startReadyEntry("entry-1", "amman-a");
         second = harness.startReadyEntry("entry-2", "amman-b");
         EntryHarness.await(() -> harness.get(first, "/v1/addresses").body().contains(second.address()));
-        ScriptedEndpoint engine = harness.startEndpoint(call -> {
+        engine = harness.startEndpoint(call -> {
             call.startStream();
             call.tokens(call.attempt(), 0, 4, 7);
             call.endStream();
@@ -71,6 +72,17 @@
         assertEquals(3, collect(first));
     }
 
+    @Test
+    void shouldSendAnotherSeedWithEachSampleOfAGroup() throws Exception {
+        assertEquals(200, harness.post(first, STEPS, STEP).statusCode());
+        assertEquals(3, collect(first));
+        long seeds = engine.calls().stream()
+                .map(call -> call.body().replaceAll(".*\"seed\":(\\d+).*", "$1"))
+                .distinct()
+                .count();
+        assertEquals(3, seeds);
+    }
+
     @Test
     void shouldRelayWhenAnotherEntryOwnsStep() throws Exception {
         assertEquals(200, harness.post(first, STEPS, STEP).statusCode());
--- /dev/null
+++ b/rosemarybeam-testbed/src/test/java/io/rosemarybeam/testbed/SilentConnectionTest.java
@@ -0,0 +1,103 @@
+package io.rosemarybeam.testbed;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+
+import org.asynchttpclient.Response;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against an entry that loses its lease because a connection went silent while new ones work, and against one that
+ * serves on without a lease when no connection works.
+ */
+class SilentConnectionTest {
+    private static final long LEASE_MILLISECONDS = 3_000;
+    private static final int ROUNDS = 3;
+
+    @TempDir
+    Path folder;
+
+    private Deployment deployment;
+    private SilentProxy proxy;
+
+    @BeforeEach
+    void start() {
+        deployment = new Deployment(folder, 1);
+        String control = deployment.controlAddresses().getFirst();
+        proxy = new SilentProxy(
+                deployment.eventLoops(), Integer.parseInt(control.substring(control.lastIndexOf(':') + 1)));
+        deployment.useControlAddresses(List.of(proxy.address()));
+        deployment.startEntry(0);
+        deployment.apply(deployment.text(1, 256), Duration.ofSeconds(20));
+        deployment.startEndpoints(2, 1);
+        assertTrue(Deployment.eventually(Duration.ofSeconds(20), () -> status() == 200));
+    }
+
+    @AfterEach
+    void stop() {
+        proxy.close();
+        deployment.close();
+    }
+
+    private Response complete() {
+        return deployment
+                .client()
+                .preparePost("http://" + deployment.entryAddresses().getFirst() + "/v1/completions")
+                .setHeader("Content-Type", "application/json")
+                .setBody("{\"model\":\"brailler-lm\",\"max_tokens\":8,\"prompt\":\"x\"}")
+                .execute()
+                .toCompletableFuture()
+                .join();
+    }
+
+    private int status() {
+        try {
+            return complete().getStatusCode();
+        } catch (RuntimeException unreachable) {
+            return 0;
+        }
+    }
+
+    @Test
+    void shouldKeepLeaseWhenOpenConnectionToControlGoesSilent() {
+        int before = connections();
+        for (int round = 0; round < ROUNDS; round++) {
+            proxy.silenceOpenConnections();
+            long end = ModelEngine.nowMilliseconds() + LEASE_MILLISECONDS;
+            while (ModelEngine.nowMilliseconds() < end) {
+                assertEquals(200, status());
+                Deployment.pause(50);
+            }
+        }
+
+        String log = deployment.log("entry-0");
+        assertTrue(connections() >= before + ROUNDS, log);
+        assertFalse(log.contains("LEASE_LAPSED"), log);
+    }
+
+    /** Returns how many connections to the control process the entry has opened. */
+    private int connections() {
+        return deployment.log("entry-0").split("CONTROL_CONNECTED", -1).length - 1;
+    }
+
+    @Test
+    void shouldRefuseWithNotRunAndServeAgainWhenControlIsCutOffForAWhile() {
+        proxy.setCut(true);
+        assertTrue(Deployment.eventually(Duration.ofSeconds(4), () -> status() == 503));
+        Response refused = complete();
+        assertTrue(refused.getResponseBody().contains("\"code\":\"LEASE_LAPSED\""), refused.getResponseBody());
+        assertTrue(refused.getResponseBody().contains("\"run\":\"not-run\""), refused.getResponseBody());
+
+        proxy.setCut(false);
+
+        assertTrue(Deployment.eventually(Duration.ofSeconds(8), () -> status() == 200));
+    }
+}
