--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/CapacityBenchmark.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/CapacityBenchmark.java
@@ -22,6 +22,8 @@
         new EntryCosts().measure().forEach(System.out::println);
         System.out.println("== messages and operator text ==");
         new MessageCosts().measure().forEach(System.out::println);
+        System.out.println("== accepted changes in the replicated state ==");
+        new HistoryCosts().measure().forEach(System.out::println);
         System.out.println("== decisions of an entry ==");
         new DecisionCosts().measure().forEach(System.out::println);
     }
--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/capacity/HistoryCosts.java
@@ -0,0 +1,66 @@
+package io.rosemarybeam.testbed.capacity;
+
+import java.util.List;
+
+import io.rosemarybeam.common.wire.ControlReply.ApplyOutcome;
+import io.rosemarybeam.common.wire.ControlReply.ApplyReply;
+import io.rosemarybeam.control.state.Command;
+import io.rosemarybeam.control.state.CommandCodec;
+import io.rosemarybeam.control.state.ControlState;
+
+/** Measures what accepted configurations cost the replicated state of a control process. Confined to one thread. */
+final class HistoryCosts {
+    private static final int[] CHANGE_COUNTS = {10, 100, 1_000, 10_000};
+
+    /** Twelve days at 840 changes a day. */
+    private static final int TARGET_CHANGES = 10_000;
+
+    private static final int SERVICES = 5;
+    private static final double BYTES_PER_KIBIBYTE = 1_024.0;
+    private static final double MICROSECONDS_PER_MILLISECOND = 1_000.0;
+
+    private final String text = Samples.operatorText(SERVICES);
+
+    List<String> measure() {
+        Slope snapshot = new Slope("snapshot of the state", "KiB", "change");
+        Slope retained = new Slope("state, retained heap", "KiB", "change");
+        Slope restore = new Slope("restore of a snapshot", "ms", "change");
+        Slope apply = new Slope("apply one change after the others", "us", "change");
+        for (int count : CHANGE_COUNTS) {
+            ControlState state = stateWith(count);
+            byte[] bytes = state.snapshot();
+            snapshot.add(count, bytes.length / BYTES_PER_KIBIBYTE);
+            retained.add(count, Cost.retainedBytes(() -> stateWith(count)) / BYTES_PER_KIBIBYTE);
+            restore.add(
+                    count,
+                    Cost.microsecondsPerRun(() -> new ControlState().restore(bytes)) / MICROSECONDS_PER_MILLISECOND);
+            long[] next = {count};
+            apply.add(count, Cost.microsecondsPerRun(() -> accept(state, ++next[0])));
+        }
+        return List.of(
+                "operator text of " + SERVICES + " services: " + text.length() + " B",
+                snapshot.render(TARGET_CHANGES),
+                retained.render(TARGET_CHANGES),
+                restore.render(TARGET_CHANGES),
+                apply.render(TARGET_CHANGES));
+    }
+
+    private ControlState stateWith(int changes) {
+        ControlState state = new ControlState();
+        for (int number = 1; number <= changes; number++) {
+            accept(state, number);
+        }
+        return state;
+    }
+
+    private void accept(ControlState state, long number) {
+        // Each text is an object of its own, as it is when it comes from the log.
+        String numbered = text + " ".repeat((int) (number % 7));
+        byte[] command =
+                CommandCodec.encode(number, new Command.AcceptConfiguration(number, numbered, "operator", number));
+        ApplyReply reply = (ApplyReply) state.apply(command);
+        if (reply.outcome() != ApplyOutcome.ACCEPTED) {
+            throw new IllegalStateException("change " + number + ": " + reply.outcome());
+        }
+    }
+}
