Read the command lines of the test bed's tools in one place

Cause: the load tool and the stand-ins parsed their arguments with the same lines. Change: ToolArguments serves both; help, usage and exit code are as before.

--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/LoadTool.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/LoadTool.java
@@ -8,7 +8,6 @@
 import io.rosemarybeam.testbed.LoadReport.Outcome;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
-import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
@@ -68,14 +67,7 @@
      */
     public static void main(String[] arguments) throws IOException, InterruptedException {
         LoadTool tool = new LoadTool();
-        CmdLineParser parser = new CmdLineParser(tool);
-        try {
-            parser.parseArgument(arguments);
-        } catch (CmdLineException failure) {
-            System.err.println(failure.getMessage());
-            parser.printUsage(System.err);
-            System.exit(2);
-        }
+        CmdLineParser parser = ToolArguments.parse(tool, arguments);
         if (tool.help) {
             parser.printUsage(System.out);
             return;
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/StandIns.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/StandIns.java
@@ -16,7 +16,6 @@
 import io.rosemarybeam.common.id.ServiceName;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
-import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 
@@ -74,14 +73,7 @@
      */
     public static void main(String[] arguments) throws InterruptedException {
         StandIns standIns = new StandIns();
-        CmdLineParser parser = new CmdLineParser(standIns);
-        try {
-            parser.parseArgument(arguments);
-        } catch (CmdLineException failure) {
-            System.err.println(failure.getMessage());
-            parser.printUsage(System.err);
-            System.exit(2);
-        }
+        CmdLineParser parser = ToolArguments.parse(standIns, arguments);
         if (standIns.help) {
             parser.printUsage(System.out);
             return;
