--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -10,6 +10,10 @@
     PROCESS_STOPPED(102, Severity.INFORMATION, "A process finished its graceful stop."),
     /** A process stops because of a failure. */
     PROCESS_FAILED(103, Severity.ERROR, "A process stops because of a failure."),
+    /** The settings file was read again. */
+    SETTINGS_RELOADED(110, Severity.INFORMATION, "The settings file was read again."),
+    /** A changed settings file cannot be used; the former settings stay. */
+    SETTINGS_REFUSED(111, Severity.WARNING, "A changed settings file cannot be used; the former settings stay."),
     /** A connection failed its handshake. */
     HANDSHAKE_REFUSED(200, Severity.WARNING, "A connection failed its handshake."),
     /** A connection was closed because it was silent. */
@@ -60,6 +64,51 @@
     DUMP_FAILED(601, Severity.ERROR, "A state dump could not be made."),
     /** A request to the admin address failed. */
     ADMIN_REQUEST_FAILED(602, Severity.WARNING, "A request to the admin address failed."),
+    /** A connection of a caller broke. */
+    CALLER_CONNECTION_FAILED(700, Severity.INFORMATION, "A connection of a caller broke."),
+    /** A forwarded request has its final answer, or its caller has left. */
+    REQUEST_FINISHED(701, Severity.INFORMATION, "A forwarded request has its final answer, or its caller has left."),
+    /** An endpoint did not answer a forwarded request with success. */
+    ATTEMPT_FAILED(702, Severity.WARNING, "An endpoint did not answer a forwarded request with success."),
+    /** A request was refused before it was sent to an endpoint. */
+    REQUEST_REFUSED(703, Severity.WARNING, "A request was refused before it was sent to an endpoint."),
+    /** A host uses a newer configuration. */
+    CONFIGURATION_IN_USE(710, Severity.INFORMATION, "A host uses a newer configuration."),
+    /** A store host can be reached. */
+    STORE_CONNECTED(711, Severity.INFORMATION, "A store host can be reached."),
+    /** A store host cannot be reached any more. */
+    STORE_LOST(712, Severity.WARNING, "A store host cannot be reached any more."),
+    /** Another store host leads. */
+    STORE_LEADER_CHANGED(713, Severity.INFORMATION, "Another store host leads."),
+    /** A request to the store leader was not carried out. */
+    STORE_REQUEST_FAILED(714, Severity.WARNING, "A request to the store leader was not carried out."),
+    /** An endpoint announced a change. */
+    ENDPOINT_CHANGED(720, Severity.INFORMATION, "An endpoint announced a change."),
+    /** A heartbeat cannot be read or names no usable endpoint. */
+    HEARTBEAT_REFUSED(721, Severity.WARNING, "A heartbeat cannot be read or names no usable endpoint."),
+    /** A batch submission is kept from now on. */
+    SUBMISSION_ACCEPTED(740, Severity.INFORMATION, "A batch submission is kept from now on."),
+    /** A batch submission was ended by its trainer. */
+    SUBMISSION_ENDED(741, Severity.INFORMATION, "A batch submission was ended by its trainer."),
+    /** A run of an item at an endpoint has ended. */
+    ITEM_RUN_ENDED(742, Severity.INFORMATION, "A run of an item at an endpoint has ended."),
+    /** The result of an item is listed. */
+    ITEM_LISTED(743, Severity.INFORMATION, "The result of an item is listed."),
+    /** The scorer of an item did not answer with success. */
+    SCORER_FAILED(744, Severity.WARNING, "The scorer of an item did not answer with success."),
+    /** A trainer named a weight version. */
+    VERSION_NAMED(750, Severity.INFORMATION, "A trainer named a weight version."),
+    /** An endpoint was ordered to load a weight version. */
+    ORDER_GIVEN(751, Severity.INFORMATION, "An endpoint was ordered to load a weight version."),
+    /** An order to an endpoint was refused or not answered. */
+    ORDER_FAILED(752, Severity.WARNING, "An order to an endpoint was refused or not answered."),
+    /** An endpoint reports the ordered weight version. */
+    VERSION_LOADED(753, Severity.INFORMATION, "An endpoint reports the ordered weight version."),
+    /** A store host is to be emptied. */
+    RETIREMENT_STARTED(760, Severity.INFORMATION, "A store host is to be emptied."),
+    /** A request of an operator or a trainer to control has its answer. */
+    CONTROL_REQUEST_FINISHED(
+            761, Severity.INFORMATION, "A request of an operator or a trainer to control has its answer."),
     /** A stand-in of the test bed started. */
     STAND_IN_STARTED(900, Severity.INFORMATION, "A stand-in of the test bed started.");
 
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ServerProgram.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ServerProgram.java
@@ -26,6 +26,9 @@
     /** Exit code for a wrong command line or invalid settings. */
     public static final int USAGE = 2;
 
+    /** Environment variable with the path of the settings file, for platforms that tell it that way. */
+    public static final String SETTINGS_VARIABLE = "ROSEMARYBEAM_SETTINGS";
+
     private static final EventLog LOG = EventLog.of(ServerProgram.class);
 
     private final String name;
@@ -65,6 +68,9 @@
             program.refuse(parser, failure.getMessage());
             return;
         }
+        if (program.settingsFile == null && System.getenv(SETTINGS_VARIABLE) != null) {
+            program.settingsFile = Path.of(System.getenv(SETTINGS_VARIABLE));
+        }
         if (program.help) {
             program.printUsage(parser, System.out);
         } else if (program.settingsFile == null) {
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/SettingsReader.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/SettingsReader.java
@@ -276,6 +276,19 @@
         return fallback;
     }
 
+    /**
+     * Reads a required truth value.
+     *
+     * @param key its key
+     * @return the value, or false if it is missing or of another type
+     */
+    public boolean flag(String key) {
+        return require(key)
+                .flatMap(value -> typed(value, JsonValue.BooleanValue.class, "true or false"))
+                .map(JsonValue.BooleanValue::value)
+                .orElse(false);
+    }
+
     /**
      * Reads a required number.
      *
--- /dev/null
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/SettingsWatch.java
@@ -0,0 +1,91 @@
+package io.rosemarybeam.common.settings;
+
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+
+/**
+ * Notices that a settings file has changed, with or without SIGHUP.
+ *
+ * <p>Confined to the daemon thread that it starts.
+ */
+public final class SettingsWatch implements Runnable {
+    /** Pause between two looks at the file, in seconds; new seeds matter within some seconds. */
+    private static final long POLL_SECONDS = 2;
+
+    private static final EventLog LOG = EventLog.of(SettingsWatch.class);
+
+    private final Path file;
+    private final Runnable onChange;
+    private final Semaphore hangUps = new Semaphore(0);
+    private byte[] content;
+
+    private SettingsWatch(Path file, Runnable onChange) {
+        this.file = file;
+        this.onChange = onChange;
+        this.content = read();
+    }
+
+    /**
+     * Starts to watch.
+     *
+     * @param file the settings file
+     * @param onChange called on a thread of its own after each change and each SIGHUP
+     */
+    public static void start(Path file, Runnable onChange) {
+        SettingsWatch watch = new SettingsWatch(file, onChange);
+        watch.handleHangUps();
+        Thread thread = new Thread(watch, "settings-watch");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** The handler is installed by reflection because the compiler refuses its use under {@code -Werror}. */
+    private void handleHangUps() {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object release = Proxy.newProxyInstance(
+                    SettingsWatch.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, arguments) -> {
+                        hangUps.release();
+                        return null;
+                    });
+            Object hangUp = signal.getConstructor(String.class).newInstance("HUP");
+            signal.getMethod("handle", signal, handler).invoke(null, hangUp, release);
+        } catch (ReflectiveOperationException unsupported) {
+            LOG.log(Event.SETTINGS_REFUSED, unsupported, "reason", "SIGHUP cannot be handled");
+        }
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (true) {
+                boolean hungUp = hangUps.tryAcquire(POLL_SECONDS, TimeUnit.SECONDS);
+                byte[] found = read();
+                if (hungUp || !Arrays.equals(found, content)) {
+                    content = found;
+                    onChange.run();
+                }
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A file that cannot be read counts as empty; the loader reports why when it reads it. */
+    private byte[] read() {
+        try {
+            return Files.readAllBytes(file);
+        } catch (IOException unreadable) {
+            return new byte[0];
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/StoreSettings.java
@@ -0,0 +1,109 @@
+package io.rosemarybeam.common.settings;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.HostName;
+
+/**
+ * Settings of a store process. Immutable and safe for use by several threads.
+ *
+ * @param name name of the host
+ * @param failureDomain where it runs
+ * @param host its IP number
+ * @param operatorAddress IP number and port for operators, endpoints and trainers
+ * @param adminAddress IP number and port of metrics and dump
+ * @param dataFolder folder of all durable files
+ * @param stores what is known of the store hosts
+ * @param firstStart whether the whole deployment starts for the first time
+ * @param toleratedLosses hosts that may be lost at once
+ * @param endpointsCheckFencing whether endpoints refuse orders with an old fencing number
+ * @param orderLease time that an order of a former leader may still count, if endpoints do not check fencing numbers
+ * @param heartbeatInterval how often endpoints announce themselves
+ * @param resultsKept how long results are kept after a submission
+ * @param stopTime time between SIGTERM and SIGKILL
+ */
+public record StoreSettings(
+        HostName name,
+        FailureDomain failureDomain,
+        String host,
+        String operatorAddress,
+        String adminAddress,
+        Path dataFolder,
+        StoreSeeds stores,
+        boolean firstStart,
+        int toleratedLosses,
+        boolean endpointsCheckFencing,
+        Duration orderLease,
+        Duration heartbeatInterval,
+        Duration resultsKept,
+        Duration stopTime) {
+    /**
+     * Loads a settings file.
+     *
+     * @param file JSON with comments
+     * @return the settings
+     * @throws io.rosemarybeam.common.error.SettingsException that names file, line and path of everything that is wrong
+     */
+    public static StoreSettings load(Path file) {
+        return SettingsFile.parse(
+                file, SettingsFile.readText(file), reader -> read(reader, new ProcessKeys(reader, file)));
+    }
+
+    /**
+     * Returns the address of the protocol between processes.
+     *
+     * @return IP number and port
+     */
+    public String protocolAddress() {
+        return host + ":" + stores.port();
+    }
+
+    private static Optional<StoreSettings> read(SettingsReader reader, ProcessKeys keys) {
+        Optional<HostName> name = keys.name();
+        Optional<FailureDomain> failureDomain = keys.failureDomain();
+        Optional<String> host = reader.text("host");
+        Optional<String> operators = keys.ownAddress("operatorAddress");
+        Optional<String> admin = keys.ownAddress("adminAddress");
+        Optional<Path> folder = keys.path("dataFolder");
+        Optional<StoreSeeds> stores = StoreSeeds.read(reader);
+        boolean firstStart = reader.flag("firstStart");
+        int losses = (int) reader.wholeNumber("toleratedLosses", 0, 100);
+        boolean fencing = reader.flag("endpointsCheckFencing");
+        Duration lease = milliseconds(reader, "orderLeaseMilliseconds");
+        Duration heartbeats = milliseconds(reader, "heartbeatMilliseconds");
+        Duration kept = seconds(reader, "resultsKeptSeconds");
+        Duration stopTime = seconds(reader, "stopSeconds");
+        keys.refuseRepeatedAddresses();
+        boolean isWhole = List.of(name, failureDomain, host, operators, admin, folder, stores).stream()
+                .allMatch(Optional::isPresent);
+        return isWhole
+                ? Optional.of(new StoreSettings(
+                        name.get(),
+                        failureDomain.get(),
+                        host.get(),
+                        operators.get(),
+                        admin.get(),
+                        folder.get(),
+                        stores.get(),
+                        firstStart,
+                        losses,
+                        fencing,
+                        lease,
+                        heartbeats,
+                        kept,
+                        stopTime))
+                : Optional.empty();
+    }
+
+    private static Duration milliseconds(SettingsReader reader, String key) {
+        return Duration.ofMillis((long) reader.number(key, 1, 86_400_000));
+    }
+
+    private static Duration seconds(SettingsReader reader, String key) {
+        return Duration.ofMillis((long) (1_000 * reader.number(key, 0.5, 86_400)));
+    }
+}
--- /dev/null
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EndpointAnnouncement.java
@@ -0,0 +1,117 @@
+package io.rosemarybeam.common.wire;
+
+import java.util.List;
+import java.util.Objects;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.id.ServiceName;
+
+/**
+ * What an endpoint said of itself in one heartbeat.
+ *
+ * <p>Invariant: of two announcements under one id, the one with the later start is newer, and of two with the same start
+ * the one with the larger sequence. Immutable and safe for use by several threads.
+ *
+ * @param id the endpoint
+ * @param startedMilliseconds Unix time of its start, in milliseconds
+ * @param sequence number of the heartbeat since that start
+ * @param service the service that it runs
+ * @param address IP number and port for requests
+ * @param failureDomain where it runs
+ * @param capacity requests that it runs at once
+ * @param state whether it takes new requests
+ * @param models the loaded models; empty for plain services
+ */
+public record EndpointAnnouncement(
+        EndpointId id,
+        long startedMilliseconds,
+        long sequence,
+        ServiceName service,
+        String address,
+        FailureDomain failureDomain,
+        int capacity,
+        State state,
+        List<LoadedModel> models) {
+    /** Sequence of the last word of an endpoint, which no heartbeat of the same start outruns. */
+    public static final long LAST_SEQUENCE = Long.MAX_VALUE;
+
+    /** Whether an endpoint takes new requests. */
+    public enum State {
+        /** It takes new requests. */
+        READY,
+        /** It was ready, but no heartbeat has come for some time. */
+        SILENT,
+        /** It finishes its requests and takes no new ones. */
+        DRAINING,
+        /** It has left. */
+        GONE
+    }
+
+    /**
+     * A model that an endpoint has loaded.
+     *
+     * @param model the model
+     * @param version version of its weights
+     */
+    public record LoadedModel(ModelName model, long version) {}
+
+    /** Copies the list and checks that the components are present. */
+    public EndpointAnnouncement {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(state, "state");
+        models = models == null ? List.of() : List.copyOf(models);
+    }
+
+    /**
+     * Returns whether this announcement is newer than another one under the same id.
+     *
+     * @param other the other announcement
+     * @return true if this one was sent later
+     */
+    public boolean isNewerThan(EndpointAnnouncement other) {
+        if (startedMilliseconds != other.startedMilliseconds) {
+            return startedMilliseconds > other.startedMilliseconds;
+        }
+        if (sequence != other.sequence) {
+            return sequence > other.sequence;
+        }
+        return state == State.SILENT && other.state == State.READY;
+    }
+
+    /**
+     * Returns whether the announcements differ in more than the sequence.
+     *
+     * @param other the other announcement
+     * @return true if hosts that route to the endpoint must learn this one
+     */
+    public boolean differsFrom(EndpointAnnouncement other) {
+        return !withSequence(other.sequence).equals(other);
+    }
+
+    /**
+     * Returns a copy that says that the endpoint has left.
+     *
+     * @return the copy, newer than every heartbeat of the same start
+     */
+    public EndpointAnnouncement left() {
+        return new EndpointAnnouncement(
+                id, startedMilliseconds, LAST_SEQUENCE, service, address, failureDomain, capacity, State.GONE, models);
+    }
+
+    /**
+     * Returns a copy that says that no heartbeat followed this one for some time.
+     *
+     * @return the copy, older than every later heartbeat
+     */
+    public EndpointAnnouncement silent() {
+        return new EndpointAnnouncement(
+                id, startedMilliseconds, sequence, service, address, failureDomain, capacity, State.SILENT, models);
+    }
+
+    private EndpointAnnouncement withSequence(long other) {
+        return new EndpointAnnouncement(
+                id, startedMilliseconds, other, service, address, failureDomain, capacity, state, models);
+    }
+}
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/Message.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/Message.java
@@ -13,4 +13,5 @@
                 ControlReply,
                 OperatorRequest,
                 PeerRequest,
-                ControlTraffic {}
+                ControlTraffic,
+                StoreMessage {}
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/MessageType.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/MessageType.java
@@ -98,7 +98,35 @@
     /** {@link PeerRequest.RelayedAnswer}. */
     RELAYED_ANSWER(115, PeerRequest.RelayedAnswer.class),
     /** {@link ControlTraffic.LogTraffic}. */
-    LOG_TRAFFIC(130, ControlTraffic.LogTraffic.class);
+    LOG_TRAFFIC(130, ControlTraffic.LogTraffic.class),
+    /** {@link StoreMessage.EdgeStatus}. */
+    EDGE_STATUS(150, StoreMessage.EdgeStatus.class),
+    /** {@link StoreMessage.StoreStatus}. */
+    STORE_STATUS(151, StoreMessage.StoreStatus.class),
+    /** {@link StoreMessage.PushConfiguration}. */
+    PUSH_CONFIGURATION(152, StoreMessage.PushConfiguration.class),
+    /** {@link StoreMessage.EndpointNews}. */
+    ENDPOINT_NEWS(153, StoreMessage.EndpointNews.class),
+    /** {@link StoreMessage.SubmitBatch}. */
+    SUBMIT_BATCH(154, StoreMessage.SubmitBatch.class),
+    /** {@link StoreMessage.ReadResults}. */
+    READ_RESULTS(155, StoreMessage.ReadResults.class),
+    /** {@link StoreMessage.ReadItem}. */
+    READ_ITEM(156, StoreMessage.ReadItem.class),
+    /** {@link StoreMessage.EndSubmission}. */
+    END_SUBMISSION(157, StoreMessage.EndSubmission.class),
+    /** {@link StoreMessage.ReplaceConfiguration}. */
+    REPLACE_CONFIGURATION(158, StoreMessage.ReplaceConfiguration.class),
+    /** {@link StoreMessage.ReadNewestConfiguration}. */
+    READ_NEWEST_CONFIGURATION(159, StoreMessage.ReadNewestConfiguration.class),
+    /** {@link StoreMessage.NameVersion}. */
+    NAME_VERSION(160, StoreMessage.NameVersion.class),
+    /** {@link StoreMessage.RetireHost}. */
+    RETIRE_HOST(161, StoreMessage.RetireHost.class),
+    /** {@link StoreMessage.ReadRetirement}. */
+    READ_RETIREMENT(162, StoreMessage.ReadRetirement.class),
+    /** {@link StoreMessage.StoreReply}. */
+    STORE_REPLY(163, StoreMessage.StoreReply.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<? extends Message>, MessageType> BY_CLASS = new HashMap<>();
--- /dev/null
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/Submission.java
@@ -0,0 +1,97 @@
+package io.rosemarybeam.common.wire;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import io.rosemarybeam.common.id.ItemId;
+import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.id.SubmissionId;
+
+/**
+ * A batch of generations that a trainer submits at once.
+ *
+ * <p>Invariant: the order of the items never changes. Immutable, provided that arrays are not changed, and safe for use by
+ * several threads.
+ *
+ * @param id the submission
+ * @param host host name of its route
+ * @param routePath path that selected its route
+ * @param step the training step, starting at 0
+ * @param model the model that generates; empty if the items alone say so
+ * @param oldestVersion oldest weight version that may generate
+ * @param wantedGroups complete groups that the trainer waits for
+ * @param items the generations
+ */
+public record Submission(
+        SubmissionId id,
+        String host,
+        String routePath,
+        long step,
+        Optional<ModelName> model,
+        long oldestVersion,
+        int wantedGroups,
+        List<Item> items) {
+    /** Copies the list. */
+    public Submission {
+        Objects.requireNonNull(id, "id");
+        model = model == null ? Optional.empty() : model;
+        items = List.copyOf(items);
+    }
+
+    /**
+     * One generation.
+     *
+     * @param id the item, which is also the id of its request
+     * @param path path of its request
+     * @param headers headers of its request
+     * @param body body of its request
+     * @param tokens prompt tokens and the most output tokens together
+     * @param group items of a group share their prompt; empty if it belongs to none
+     * @param scorer the request that scores the text
+     */
+    public record Item(
+            ItemId id,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long tokens,
+            String group,
+            Optional<Scorer> scorer) {
+        /** Copies the map. */
+        public Item {
+            Objects.requireNonNull(id, "id");
+            headers = Map.copyOf(headers);
+            scorer = scorer == null ? Optional.empty() : scorer;
+        }
+    }
+
+    /**
+     * The request that scores a complete text.
+     *
+     * @param id id of the request
+     * @param host host name that selects its route
+     * @param path its path
+     * @param body its body
+     */
+    public record Scorer(String id, String host, String path, byte[] body) {}
+
+    /**
+     * The outcome of an item, which never changes once it is listed.
+     *
+     * @param item the item
+     * @param completed whether the text is whole; otherwise the item was given up
+     * @param text data of all events in order, separated by line feeds
+     * @param versions all weight versions that generated the text
+     * @param score the score; empty if the item has no scorer or was given up
+     */
+    public record Result(ItemId item, boolean completed, byte[] text, List<Long> versions, Optional<String> score) {
+        /** Copies the list. */
+        public Result {
+            Objects.requireNonNull(item, "item");
+            versions = versions == null ? List.of() : List.copyOf(versions);
+            score = score == null ? Optional.empty() : score;
+        }
+    }
+}
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireSettings.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireSettings.java
@@ -13,6 +13,9 @@
     private static final Duration DEFAULT_HEARTBEAT_INTERVAL = Duration.ofMillis(500);
     private static final Duration DEFAULT_SILENCE_DEADLINE = Duration.ofMillis(2_000);
     private static final Duration DEFAULT_HANDSHAKE_DEADLINE = Duration.ofMillis(2_000);
+    private static final Duration QUICK_HEARTBEAT_INTERVAL = Duration.ofMillis(300);
+    private static final Duration QUICK_SILENCE_DEADLINE = Duration.ofMillis(1_200);
+    private static final Duration QUICK_HANDSHAKE_DEADLINE = Duration.ofMillis(1_000);
 
     /**
      * Returns the settings of the protocol page.
@@ -22,4 +25,13 @@
     public static WireSettings standard() {
         return new WireSettings(DEFAULT_HEARTBEAT_INTERVAL, DEFAULT_SILENCE_DEADLINE, DEFAULT_HANDSHAKE_DEADLINE);
     }
+
+    /**
+     * Returns the settings for processes whose callers wait for less than a second.
+     *
+     * @return a silent connection is given up after 1.2 s, in which three heartbeats were due
+     */
+    public static WireSettings quick() {
+        return new WireSettings(QUICK_HEARTBEAT_INTERVAL, QUICK_SILENCE_DEADLINE, QUICK_HANDSHAKE_DEADLINE);
+    }
 }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LeaderClock.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LeaderClock.java
@@ -7,22 +7,38 @@
  * never goes back and never runs ahead of real time when leadership moves. It stands still while no host leads, which
  * only delays expiry. Confined to the control executor.
  */
-final class LeaderClock {
+public final class LeaderClock {
     private final MonotonicClock monotonic;
     private final long electedAt;
     private final long base;
 
-    LeaderClock(MonotonicClock monotonic, long base) {
+    /**
+     * Starts the clock of a new leader.
+     *
+     * @param monotonic time of this machine
+     * @param base time of the last applied command, in milliseconds
+     */
+    public LeaderClock(MonotonicClock monotonic, long base) {
         this.monotonic = monotonic;
         this.electedAt = monotonic.milliseconds();
         this.base = base;
     }
 
-    long now() {
+    /**
+     * Returns the time of this machine.
+     *
+     * @return the time, in milliseconds
+     */
+    public long now() {
         return monotonic.milliseconds();
     }
 
-    long leaderTime() {
+    /**
+     * Returns the time of the leader.
+     *
+     * @return the time, in milliseconds
+     */
+    public long leaderTime() {
         return base + monotonic.milliseconds() - electedAt;
     }
 }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -23,7 +23,6 @@
 import io.rosemarybeam.consensus.Ready;
 import io.rosemarybeam.consensus.ReplicatedLog;
 import io.rosemarybeam.consensus.storage.LogStorage;
-import io.rosemarybeam.control.state.ControlState;
 
 /**
  * Connects the replicated log with its storage, the other control hosts and the state machine.
@@ -31,7 +30,7 @@
  * <p>Invariants: storage is used by one task at a time on the storage executor; everything else runs on the control
  * executor. A proposal completes once its entry is applied, or fails when this host stops leading.
  */
-final class LogDriver {
+public final class LogDriver {
     /** Entries after which a snapshot is taken. */
     private static final int SNAPSHOT_ENTRIES = 4_096;
 
@@ -47,7 +46,7 @@
     private final Executor control;
     private final Executor storageExecutor;
     private final LogStorage storage;
-    private final ControlState state;
+    private final StateMachine state;
     private final Listener listener;
     private final TreeMap<Long, Proposal> proposals = new TreeMap<>();
     private final Map<Long, CompletableFuture<Void>> reads = new HashMap<>();
@@ -65,7 +64,7 @@
     private boolean leadingReported;
 
     /** Learns what the log does. Called on the control executor. */
-    interface Listener {
+    public interface Listener {
         /**
          * Sends a message to another control host.
          *
@@ -90,13 +89,24 @@
         void failed(Throwable failure);
     }
 
-    LogDriver(
+    /**
+     * Creates a driver.
+     *
+     * @param control runs everything but the storage
+     * @param storageExecutor runs the storage, one task at a time
+     * @param storage where the log is kept
+     * @param log the log
+     * @param snapshot the snapshot that the storage holds
+     * @param state what the commands change
+     * @param listener learns what the log does
+     */
+    public LogDriver(
             Executor control,
             Executor storageExecutor,
             LogStorage storage,
             ReplicatedLog log,
             Optional<LogSnapshot> snapshot,
-            ControlState state,
+            StateMachine state,
             Listener listener) {
         this.control = control;
         this.storageExecutor = storageExecutor;
@@ -107,41 +117,74 @@
         snapshot.ifPresent(this::install);
     }
 
-    ReplicatedLog log() {
+    /**
+     * Returns the log.
+     *
+     * @return the log
+     */
+    public ReplicatedLog log() {
         return log;
     }
 
-    long applied() {
+    /**
+     * Returns the last applied entry.
+     *
+     * @return its index
+     */
+    public long applied() {
         return applied;
     }
 
-    long syncedEntries() {
+    /**
+     * Returns how many entries were synced.
+     *
+     * @return the number since the start
+     */
+    public long syncedEntries() {
         return syncedEntries;
     }
 
-    /** Replaces the log of an empty host by the first log of a new deployment. */
-    void replaceEmptyLog(ReplicatedLog first, LogSnapshot snapshot) {
+    /**
+     * Replaces the log of an empty host by the first log of a new deployment.
+     *
+     * @param first the first log
+     * @param snapshot its snapshot
+     */
+    public void replaceEmptyLog(ReplicatedLog first, LogSnapshot snapshot) {
         log = first;
         install(snapshot);
         schedule();
     }
 
-    void stop() {
+    /** Stops; outstanding proposals and reads fail. */
+    public void stop() {
         stopped = true;
         failPending();
     }
 
-    void tick() {
+    /** Advances the time of the log by one tick. */
+    public void tick() {
         log.tick();
         schedule();
     }
 
-    void receive(Envelope envelope) {
+    /**
+     * Receives a message of another host.
+     *
+     * @param envelope the message
+     */
+    public void receive(Envelope envelope) {
         log.receive(envelope);
         schedule();
     }
 
-    CompletableFuture<Message> propose(byte[] command) {
+    /**
+     * Proposes a command.
+     *
+     * @param command the command
+     * @return completes with the reply once it is applied, or with a {@link ControlException}
+     */
+    public CompletableFuture<Message> propose(byte[] command) {
         CompletableFuture<Message> reply = new CompletableFuture<>();
         try {
             long index = log.propose(command);
@@ -153,18 +196,34 @@
         return reply;
     }
 
-    void proposeChange(MembershipChange change) {
+    /**
+     * Proposes a change of the membership.
+     *
+     * @param change the change
+     * @throws ControlException if the log refuses it
+     */
+    public void proposeChange(MembershipChange change) {
         log.proposeChange(change);
         schedule();
     }
 
-    void transferLeadership(MemberId target) {
+    /**
+     * Starts to hand leadership over.
+     *
+     * @param target the next leader
+     */
+    public void transferLeadership(MemberId target) {
         log.transferLeadership(target);
         schedule();
     }
 
-    /** Completes once a majority has confirmed that this host led after the call, and the state is at least as new. */
-    CompletableFuture<Void> confirm(boolean withHeartbeat) {
+    /**
+     * Completes once a majority has confirmed that this host led after the call, and the state is at least as new.
+     *
+     * @param withHeartbeat whether to wait for the next heartbeat, which costs no message of its own
+     * @return completes with nothing, or with a {@link ControlException}
+     */
+    public CompletableFuture<Void> confirm(boolean withHeartbeat) {
         CompletableFuture<Void> confirmation = new CompletableFuture<>();
         lastRead++;
         try {
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/MonotonicClock.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/MonotonicClock.java
@@ -2,7 +2,7 @@
 
 /** Time that never goes back. Implementations are safe for use by several threads. */
 @FunctionalInterface
-interface MonotonicClock {
+public interface MonotonicClock {
     /**
      * Returns the time since an arbitrary moment.
      *
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/PeerLinks.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/PeerLinks.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Executor;
 
@@ -16,7 +17,7 @@
  *
  * <p>Confined to the control executor.
  */
-final class PeerLinks {
+public final class PeerLinks {
     private static final long RETRY_MILLISECONDS = 300;
 
     private final WireTransport transport;
@@ -25,15 +26,28 @@
     private final Executor control;
     private final Map<String, Link> links = new HashMap<>();
 
-    PeerLinks(WireTransport transport, Credentials credentials, MessageHandler handler, Executor control) {
+    /**
+     * Creates links.
+     *
+     * @param transport opens the connections
+     * @param credentials who this process is
+     * @param handler receives what the others send
+     * @param control runs everything
+     */
+    public PeerLinks(WireTransport transport, Credentials credentials, MessageHandler handler, Executor control) {
         this.transport = transport;
         this.credentials = credentials;
         this.handler = handler;
         this.control = control;
     }
 
-    /** Opens missing connections and closes those to hosts that are not wanted any more. */
-    void maintain(Map<String, String> addressByName, long now) {
+    /**
+     * Opens missing connections and closes those to hosts that are not wanted any more.
+     *
+     * @param addressByName the wanted hosts
+     * @param now steady time, in milliseconds
+     */
+    public void maintain(Map<String, String> addressByName, long now) {
         for (Map.Entry<String, String> wanted : addressByName.entrySet()) {
             if (wanted.getKey().equals(credentials.name())) {
                 continue;
@@ -78,18 +92,40 @@
                         control);
     }
 
-    void send(String name, Message message) {
+    /**
+     * Sends a message.
+     *
+     * @param name the host
+     * @param message the message
+     */
+    public void send(String name, Message message) {
         Link link = links.get(name);
         if (link != null && link.isOpen()) {
             link.connection.send(message);
         }
     }
 
-    Set<String> names() {
+    /**
+     * Returns the connection to a host.
+     *
+     * @param name the host
+     * @return its open connection, or empty if there is none
+     */
+    public Optional<WireConnection> connection(String name) {
+        return Optional.ofNullable(links.get(name)).filter(Link::isOpen).map(link -> link.connection);
+    }
+
+    /**
+     * Returns the wanted hosts.
+     *
+     * @return their names
+     */
+    public Set<String> names() {
         return links.keySet();
     }
 
-    void closeAll() {
+    /** Closes all connections. */
+    public void closeAll() {
         links.values().forEach(PeerLinks::close);
         links.clear();
     }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ControlState.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ControlState.java
@@ -18,6 +18,7 @@
 import io.rosemarybeam.common.wire.MembershipDelta;
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.common.wire.MessageCodec;
+import io.rosemarybeam.control.StateMachine;
 
 /**
  * The replicated state machine.
@@ -25,7 +26,7 @@
  * <p>Invariants: the same commands in the same order give the same state and replies on every replica; the time never
  * goes back; a refused command changes nothing but the time. Confined to one thread.
  */
-public final class ControlState {
+public final class ControlState implements StateMachine {
     /** Length of the lease of an issuer, in milliseconds. */
     public static final long ISSUER_LEASE_MILLISECONDS = 5_000;
 
@@ -53,6 +54,7 @@
      * @param bytes the encoded command
      * @return the reply to whoever asked for it
      */
+    @Override
     public Message apply(byte[] bytes) {
         CommandCodec.Timed timed = CommandCodec.decode(bytes);
         time = Math.max(time, timed.leaderTime());
@@ -212,6 +214,7 @@
      *
      * @return encodes the copy; may be called by any thread
      */
+    @Override
     public Supplier<byte[]> capture() {
         Image image = new Image(
                 time,
@@ -235,6 +238,7 @@
      * @param bytes an encoded state; empty for the initial state
      * @throws RosemarybeamException if the bytes are no state
      */
+    @Override
     public void restore(byte[] bytes) {
         if (bytes.length == 0) {
             return;
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/RoutingTable.java
@@ -0,0 +1,102 @@
+package io.rosemarybeam.decision.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.id.ServiceName;
+
+/**
+ * One version of the configuration, ready to select routes.
+ *
+ * <p>Invariant: no two routes have the same host and prefix, and every route names services of this table; the platform's
+ * decoder refuses other texts. Immutable and safe for use by several threads.
+ */
+public final class RoutingTable {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost;
+    private final Map<ServiceName, ServiceDefinition> services;
+    private final CallerLimits limits;
+
+    private RoutingTable(
+            long version,
+            Map<String, List<Route>> routesByHost,
+            Map<ServiceName, ServiceDefinition> services,
+            CallerLimits limits) {
+        this.version = version;
+        this.routesByHost = routesByHost;
+        this.services = services;
+        this.limits = limits;
+    }
+
+    /**
+     * Returns a table.
+     *
+     * @param version version of the configuration
+     * @param routes its routes
+     * @param services its services
+     * @param limits what callers may send
+     * @return the table
+     */
+    public static RoutingTable of(
+            long version, List<Route> routes, List<ServiceDefinition> services, CallerLimits limits) {
+        Map<String, List<Route>> byHost = new HashMap<>();
+        for (Route route : routes) {
+            byHost.computeIfAbsent(route.host(), ignored -> new ArrayList<>()).add(route);
+        }
+        Comparator<Route> longestFirst =
+                Comparator.comparingInt(route -> -route.pathPrefix().length());
+        byHost.values().forEach(list -> list.sort(longestFirst));
+        Map<ServiceName, ServiceDefinition> byName = new HashMap<>();
+        services.forEach(service -> byName.put(service.name(), service));
+        return new RoutingTable(version, byHost, byName, limits);
+    }
+
+    /**
+     * Finds the route of a request.
+     *
+     * @param host the Host header, with or without a port
+     * @param uri path and query of the request
+     * @return the route with the longest prefix of the path, or empty if none matches
+     */
+    public Optional<Route> find(String host, String uri) {
+        int colon = host.indexOf(':');
+        String hostName = (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
+        int question = uri.indexOf('?');
+        String path = question < 0 ? uri : uri.substring(0, question);
+        return routesByHost.getOrDefault(hostName, List.of()).stream()
+                .filter(route -> path.startsWith(route.pathPrefix()))
+                .findFirst();
+    }
+
+    /**
+     * Returns the version of the configuration.
+     *
+     * @return the version
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns the services.
+     *
+     * @return the services by name
+     */
+    public Map<ServiceName, ServiceDefinition> services() {
+        return services;
+    }
+
+    /**
+     * Returns what callers may send.
+     *
+     * @return the limits
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/BatchRequests.java
@@ -0,0 +1,179 @@
+package io.rosemarybeam.edge;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.rosemarybeam.common.error.InvalidIdentifierException;
+import io.rosemarybeam.common.error.RequestException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.id.ItemId;
+import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.wire.StoreMessage.EndSubmission;
+import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.StoreMessage.ReadItem;
+import io.rosemarybeam.common.wire.StoreMessage.ReadResults;
+import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
+import io.rosemarybeam.common.wire.StoreMessage.SubmitBatch;
+import io.rosemarybeam.common.wire.Submission;
+import io.rosemarybeam.decision.routing.Route;
+import io.rosemarybeam.forward.CallerExchange;
+import io.rosemarybeam.platform.PlatformHeaders;
+import io.rosemarybeam.platform.PlatformPaths;
+import io.rosemarybeam.platform.SubmissionFormat;
+
+/**
+ * Serves the calls that concern batch submissions by asking the store leader.
+ *
+ * <p>Invariant: a submission is refused as not run only if no request for it has left this process; 404 is answered only on
+ * the word of a leader that a majority has confirmed. Confined to the event loop of the edge.
+ */
+final class BatchRequests {
+    /** How long a submission is tried, in milliseconds; an election ends within it. */
+    private static final long SUBMIT_MILLISECONDS = 2_500;
+
+    /** How long a read or an end is tried, in milliseconds; trainers wait 1,500 beyond what they allow. */
+    private static final long READ_MILLISECONDS = 1_300;
+
+    /** Longest time that a read may be kept waiting, in milliseconds. */
+    private static final long MAXIMUM_WAIT_MILLISECONDS = 1_000;
+
+    /** When callers are told to come back if no leader answers, in seconds; an election takes up to one. */
+    private static final double RETRY_AFTER_SECONDS = 0.5;
+
+    private static final EventLog LOG = EventLog.of(BatchRequests.class);
+
+    private final StoreRequests store;
+
+    BatchRequests(StoreRequests store) {
+        this.store = store;
+    }
+
+    /**
+     * Serves a call for a submission that exists.
+     *
+     * @param exchange the call
+     * @return false if the path names no such call
+     */
+    boolean serve(CallerExchange exchange) {
+        Optional<String> submission = PlatformPaths.submission(exchange.path());
+        Optional<String> ofItem = PlatformPaths.submissionOfItem(exchange.path());
+        try {
+            if (submission.isPresent() && exchange.method().equals("DELETE")) {
+                end(exchange, SubmissionId.of(submission.get()));
+            } else if (submission.isPresent()) {
+                read(exchange, SubmissionId.of(submission.get()));
+            } else if (ofItem.isPresent()) {
+                readItem(exchange, SubmissionId.of(ofItem.get()));
+            } else {
+                return false;
+            }
+        } catch (InvalidIdentifierException | NumberFormatException malformed) {
+            exchange.answerText(400, malformed.getMessage());
+        }
+        return true;
+    }
+
+    /**
+     * Accepts a submission.
+     *
+     * @param exchange the call
+     * @param route its route
+     */
+    void submit(CallerExchange exchange, Route route) {
+        String id = exchange.header(PlatformHeaders.REQUEST_ID).orElse("");
+        Submission submission;
+        try {
+            submission = SubmissionFormat.decode(id, route.host(), exchange.path(), exchange.body());
+        } catch (RequestException refused) {
+            LOG.log(Event.REQUEST_REFUSED, "request", id, "route", route.name(), "reason", refused.getMessage());
+            exchange.answerText(400, refused.getMessage());
+            return;
+        }
+        store.send(id, new SubmitBatch(submission), 0, SUBMIT_MILLISECONDS, ending -> {
+            if (ending.reply().isPresent()) {
+                answerSubmission(exchange, ending.reply().get());
+            } else if (ending.mayBeDone()) {
+                exchange.answer(504);
+            } else {
+                refuse(exchange, id);
+            }
+        });
+    }
+
+    private static void answerSubmission(CallerExchange exchange, StoreReply reply) {
+        switch (reply.outcome()) {
+            case DONE, IN_PROGRESS -> exchange.answer(202);
+            case REFUSED -> exchange.refuse(RETRY_AFTER_SECONDS);
+            default -> exchange.answer(500);
+        }
+    }
+
+    private void end(CallerExchange exchange, SubmissionId submission) {
+        store.send(
+                submission.value(),
+                new EndSubmission(submission),
+                0,
+                READ_MILLISECONDS,
+                ending -> answer(exchange, submission.value(), ending, reply -> exchange.answer(200)));
+    }
+
+    private void read(CallerExchange exchange, SubmissionId submission) {
+        int after = parameter(exchange, "After").map(Integer::parseInt).orElse(0);
+        long wait = exchange.header(PlatformHeaders.WAIT).map(Long::parseLong).orElse(0L);
+        long bounded = Math.clamp(wait, 0, MAXIMUM_WAIT_MILLISECONDS);
+        store.send(
+                submission.value(),
+                new ReadResults(submission, Math.max(0, after), bounded),
+                bounded,
+                READ_MILLISECONDS + bounded,
+                ending -> answer(
+                        exchange,
+                        submission.value(),
+                        ending,
+                        reply -> exchange.answerJson(
+                                200, SubmissionFormat.encode(reply.page().orElseThrow()))));
+    }
+
+    private void readItem(CallerExchange exchange, SubmissionId submission) {
+        ItemId item = ItemId.of(parameter(exchange, "Id").orElse(""));
+        store.send(
+                submission.value(),
+                new ReadItem(submission, item),
+                0,
+                READ_MILLISECONDS,
+                ending -> answer(
+                        exchange,
+                        submission.value(),
+                        ending,
+                        reply -> exchange.answer(
+                                200, new io.netty.handler.codec.http.DefaultHttpHeaders(), reply.content())));
+    }
+
+    private static void answer(
+            CallerExchange exchange,
+            String id,
+            StoreRequests.Ending ending,
+            java.util.function.Consumer<StoreReply> onDone) {
+        Optional<StoreReply> reply = ending.reply();
+        if (reply.isEmpty()) {
+            refuse(exchange, id);
+        } else if (reply.get().outcome() == Outcome.UNKNOWN) {
+            exchange.answer(404);
+        } else {
+            onDone.accept(reply.get());
+        }
+    }
+
+    private static void refuse(CallerExchange exchange, String id) {
+        LOG.log(Event.REQUEST_REFUSED, "request", id, "path", exchange.path(), "reason", "no store leader answered");
+        exchange.refuse(RETRY_AFTER_SECONDS);
+    }
+
+    private static Optional<String> parameter(CallerExchange exchange, String name) {
+        Map<String, List<String>> parameters = new QueryStringDecoder(exchange.uri()).parameters();
+        return Optional.ofNullable(parameters.get(name)).map(List::getFirst);
+    }
+}
--- /dev/null
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeMain.java
@@ -0,0 +1,54 @@
+package io.rosemarybeam.edge;
+
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import io.rosemarybeam.common.error.SettingsException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.settings.EdgeSettings;
+import io.rosemarybeam.common.settings.ServerProgram;
+import io.rosemarybeam.common.settings.SettingsWatch;
+
+/** Starts an edge process. Confined to the main thread, apart from the stop hook. */
+public final class EdgeMain {
+    private static final EventLog LOG = EventLog.of(EdgeMain.class);
+
+    private EdgeMain() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param arguments see {@code --help}
+     */
+    public static void main(String[] arguments) {
+        ServerProgram.run("rosemarybeam-edge", arguments, EdgeMain::load, EdgeMain::serve);
+    }
+
+    private static Loaded load(Path file) {
+        return new Loaded(file, EdgeSettings.load(file));
+    }
+
+    private static void serve(Loaded loaded) {
+        EdgeProcess process = new EdgeProcess(loaded.settings);
+        process.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(process::stop));
+        SettingsWatch.start(loaded.file, () -> reload(process, loaded.file));
+        try {
+            new CountDownLatch(1).await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void reload(EdgeProcess process, Path file) {
+        try {
+            process.reload(EdgeSettings.load(file));
+        } catch (SettingsException refused) {
+            LOG.log(Event.SETTINGS_REFUSED, "reason", refused.getMessage());
+        }
+    }
+
+    /** Settings and where they came from. Immutable. */
+    private record Loaded(Path file, EdgeSettings settings) {}
+}
--- /dev/null
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -0,0 +1,280 @@
+package io.rosemarybeam.edge;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.admin.AdminServer;
+import io.rosemarybeam.common.error.ConfigurationException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.common.settings.EdgeSettings;
+import io.rosemarybeam.common.wire.Credentials;
+import io.rosemarybeam.common.wire.EndpointAnnouncement;
+import io.rosemarybeam.common.wire.HandshakeMessage.Role;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.StoreMessage.EdgeAddress;
+import io.rosemarybeam.common.wire.StoreMessage.EdgeStatus;
+import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
+import io.rosemarybeam.common.wire.StoreMessage.PushConfiguration;
+import io.rosemarybeam.common.wire.WireSettings;
+import io.rosemarybeam.common.wire.WireTransport;
+import io.rosemarybeam.decision.routing.CallerLimits;
+import io.rosemarybeam.decision.routing.EndpointDirectory;
+import io.rosemarybeam.decision.routing.EndpointLoads;
+import io.rosemarybeam.decision.routing.RoutingTable;
+import io.rosemarybeam.forward.CallerExchange;
+import io.rosemarybeam.forward.CallerServer;
+import io.rosemarybeam.forward.ForwardMetrics;
+import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.platform.ConfigurationFormat;
+import io.rosemarybeam.platform.EndpointClient;
+import io.rosemarybeam.platform.PlatformPaths;
+import io.rosemarybeam.platform.SubmissionFormat;
+
+/**
+ * An edge process: serves callers.
+ *
+ * <p>Invariant: the configuration in use never becomes older. All state is confined to one event loop; {@link #start},
+ * {@link #stop} and {@link #reload} may be called from any thread.
+ */
+public final class EdgeProcess {
+    /** Pause between two rounds of upkeep, in milliseconds; store hosts drop an edge that is silent for 1,500. */
+    private static final long TICK_MILLISECONDS = 250;
+
+    /** How long callers may keep the addresses, in seconds; some keep them three times as long, which a stop waits for. */
+    private static final int ADDRESS_LIFETIME_SECONDS = 1;
+
+    /** Most addresses in one answer, as the platform reads no more. */
+    private static final int MAXIMUM_ADDRESSES = 64;
+
+    /** Shortest time that a stopping process serves on, in milliseconds: callers keep its address for three lifetimes. */
+    private static final long SHORTEST_DRAIN_MILLISECONDS = 3_000L * ADDRESS_LIFETIME_SECONDS + 1_000;
+
+    /** Time before the forced kill at which a stopping process exits, in milliseconds. */
+    private static final long STOP_MARGIN_MILLISECONDS = 900;
+
+    private static final long DRAIN_POLL_MILLISECONDS = 50;
+    private static final EventLog LOG = EventLog.of(EdgeProcess.class);
+
+    private final EdgeSettings settings;
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final EventLoop loop = loops.next();
+    private final Metrics metrics = Metrics.ofProcess();
+    private final EndpointDirectory directory = new EndpointDirectory();
+    private final EndpointLoads loads = new EndpointLoads();
+    private final EndpointClient client = EndpointClient.of(loop);
+    private final StoreSessions stores;
+    private final EdgeRequests requests;
+    private final List<CallerServer> servers = new ArrayList<>();
+    private AdminServer admin;
+    private boolean draining;
+
+    /**
+     * Creates a process.
+     *
+     * @param settings its settings
+     */
+    public EdgeProcess(EdgeSettings settings) {
+        this.settings = settings;
+        Credentials credentials = new Credentials(
+                Role.ENTRY, settings.name().value(), 0, settings.stores().clusterSecret());
+        this.stores = new StoreSessions(
+                loop,
+                WireTransport.of(loops, WireSettings.quick()),
+                credentials,
+                settings.stores().addresses(),
+                this::status,
+                this::news);
+        Forwarder forwarder =
+                new Forwarder(loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics));
+        this.requests = new EdgeRequests(forwarder, new BatchRequests(new StoreRequests(loop, stores)));
+        registerMetrics();
+    }
+
+    private void registerMetrics() {
+        // Read on the event loop, because the admin server runs there too.
+        metrics.computedGauge(
+                "configuration_version",
+                "Version of the configuration in use; -1 without one.",
+                () -> requests.table().map(RoutingTable::version).orElse(-1L));
+        metrics.computedGauge(
+                "known_endpoints",
+                "Endpoints that were announced.",
+                () -> directory.all().size());
+        metrics.computedCounter("endpoint_connections", "Connections opened to endpoints.", client::connectionsOpened);
+        metrics.computedGauge("open_requests", "Requests without a final answer.", this::openRequests);
+    }
+
+    private int openRequests() {
+        return servers.isEmpty() ? 0 : servers.getFirst().exchanges();
+    }
+
+    /** Listens and starts to reach the store hosts. */
+    public void start() {
+        servers.add(CallerServer.open(loops, settings.callerAddress(), this::limits, requests::serve));
+        servers.add(CallerServer.open(loops, settings.readyAddress(), CallerLimits::standard, this::answerReady));
+        settings.lookupAddress()
+                .ifPresent(address ->
+                        servers.add(CallerServer.open(loops, address, CallerLimits::standard, this::answerLookup)));
+        admin = AdminServer.start(loops, settings.adminAddress(), metrics, this::dump);
+        loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+        LOG.log(
+                Event.PROCESS_STARTED,
+                "name",
+                settings.name(),
+                "address",
+                settings.callerAddress(),
+                "seeds",
+                settings.stores().hosts());
+    }
+
+    private void tick() {
+        try {
+            stores.tick();
+            client.tick();
+            long now = Forwarder.now();
+            directory.forget(now);
+            loads.retain(id -> directory.find(id).isPresent());
+        } catch (RuntimeException failure) {
+            LOG.log(Event.HANDLER_FAILED, failure, "message", "tick");
+        }
+    }
+
+    private CallerLimits limits() {
+        return requests.table().map(RoutingTable::limits).orElse(CallerLimits.standard());
+    }
+
+    private EdgeStatus status() {
+        return new EdgeStatus(
+                settings.name().value(),
+                settings.callerAddress(),
+                settings.failureDomain().value(),
+                draining || requests.table().isEmpty(),
+                requests.table().map(RoutingTable::version).orElse(-1L));
+    }
+
+    private void news(Message message) {
+        if (message instanceof PushConfiguration push) {
+            useConfiguration(push);
+        } else if (message instanceof EndpointNews news) {
+            news.announcements().forEach(this::merge);
+        }
+    }
+
+    private void useConfiguration(PushConfiguration push) {
+        boolean isNewer = requests.table().map(RoutingTable::version).orElse(-1L) < push.version();
+        if (!isNewer) {
+            return;
+        }
+        try {
+            if (requests.use(ConfigurationFormat.decode(push.text()))) {
+                stores.announce();
+            }
+        } catch (ConfigurationException failure) {
+            LOG.log(Event.HANDLER_FAILED, failure, "message", "configuration " + push.version());
+        }
+    }
+
+    private void merge(EndpointAnnouncement announcement) {
+        if (directory.merge(announcement, Forwarder.now()) == EndpointDirectory.Change.CHANGED) {
+            LOG.log(
+                    Event.ENDPOINT_CHANGED,
+                    "endpoint",
+                    announcement.id(),
+                    "service",
+                    announcement.service(),
+                    "address",
+                    announcement.address(),
+                    "state",
+                    announcement.state(),
+                    "sequence",
+                    announcement.sequence());
+        }
+    }
+
+    private void answerReady(CallerExchange exchange) {
+        boolean isReady = exchange.path().equals(PlatformPaths.READY)
+                && !draining
+                && requests.table().isPresent();
+        exchange.answer(isReady ? 200 : 503);
+    }
+
+    private void answerLookup(CallerExchange exchange) {
+        if (!exchange.path().equals(PlatformPaths.RESOLVE)) {
+            exchange.answer(404);
+            return;
+        }
+        List<String> addresses = new ArrayList<>(stores.edges().stream()
+                .map(EdgeAddress::callerAddress)
+                .filter(address -> !draining || !address.equals(settings.callerAddress()))
+                .limit(MAXIMUM_ADDRESSES)
+                .toList());
+        if (addresses.isEmpty() && !draining && requests.table().isPresent()) {
+            addresses.add(settings.callerAddress());
+        }
+        if (addresses.isEmpty()) {
+            exchange.answer(503);
+        } else {
+            exchange.answerJson(200, SubmissionFormat.encodeAddresses(addresses, ADDRESS_LIFETIME_SECONDS));
+        }
+    }
+
+    /**
+     * Uses the seeds of changed settings.
+     *
+     * @param changed the settings that were read again
+     */
+    public void reload(EdgeSettings changed) {
+        loop.execute(() -> {
+            stores.replaceSeeds(changed.stores().addresses());
+            LOG.log(Event.SETTINGS_RELOADED, "seeds", changed.stores().hosts());
+        });
+    }
+
+    /** Asks callers to leave, waits for the requests in progress, and closes everything. Returns when it is done. */
+    public void stop() {
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        long latest = settings.stopTime().toMillis() - STOP_MARGIN_MILLISECONDS;
+        loop.execute(() -> {
+            draining = true;
+            servers.getFirst().drain();
+            stores.announce();
+            LOG.log(Event.PROCESS_STOPPING, "name", settings.name(), "open", openRequests());
+            awaitDrained(drained, Forwarder.now(), latest);
+        });
+        drained.join();
+        LOG.log(Event.PROCESS_STOPPED, "name", settings.name(), "open", openRequests());
+    }
+
+    private void awaitDrained(CompletableFuture<Void> drained, long since, long latest) {
+        long elapsed = Forwarder.now() - since;
+        boolean isIdle = elapsed >= Math.min(SHORTEST_DRAIN_MILLISECONDS, latest) && openRequests() == 0;
+        if (isIdle || elapsed >= latest) {
+            servers.forEach(CallerServer::close);
+            drained.complete(null);
+        } else {
+            loop.schedule(() -> awaitDrained(drained, since, latest), DRAIN_POLL_MILLISECONDS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private CompletableFuture<String> dump() {
+        StringBuilder text = new StringBuilder("{\"configuration\": ")
+                .append(requests.table().map(RoutingTable::version).orElse(-1L))
+                .append(", \"draining\": ")
+                .append(draining)
+                .append(", \"openRequests\": ")
+                .append(openRequests())
+                .append(", \"stores\": [");
+        text.append(Optional.of(stores.describe())
+                .filter(list -> !list.isEmpty())
+                .map(list -> "\"" + String.join("\", \"", list) + "\"")
+                .orElse(""));
+        return CompletableFuture.completedFuture(text.append("]}").toString());
+    }
+}
--- /dev/null
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
@@ -0,0 +1,158 @@
+package io.rosemarybeam.edge;
+
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.decision.routing.Route;
+import io.rosemarybeam.decision.routing.RouteKind;
+import io.rosemarybeam.decision.routing.RoutingTable;
+import io.rosemarybeam.forward.AnswerSink;
+import io.rosemarybeam.forward.CallerExchange;
+import io.rosemarybeam.forward.ForwardCall;
+import io.rosemarybeam.forward.ForwardRequest;
+import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.platform.PlatformHeaders;
+
+/**
+ * Selects the route of each request of a caller.
+ *
+ * <p>Invariant: without a configuration a request is refused as not run, never answered as unknown. Confined to the event
+ * loop of the edge.
+ */
+final class EdgeRequests {
+    /** When callers are told to come back if there is no configuration yet, in seconds. */
+    private static final double RETRY_AFTER_SECONDS = 0.3;
+
+    private static final EventLog LOG = EventLog.of(EdgeRequests.class);
+
+    private final Forwarder forwarder;
+    private final BatchRequests batches;
+    private Optional<RoutingTable> table = Optional.empty();
+
+    EdgeRequests(Forwarder forwarder, BatchRequests batches) {
+        this.forwarder = forwarder;
+        this.batches = batches;
+    }
+
+    Optional<RoutingTable> table() {
+        return table;
+    }
+
+    /** Uses a configuration from now on, if it is newer than the one in use. */
+    boolean use(RoutingTable newer) {
+        if (table.isPresent() && table.get().version() >= newer.version()) {
+            return false;
+        }
+        LOG.log(
+                Event.CONFIGURATION_IN_USE,
+                "version",
+                newer.version(),
+                "former",
+                table.map(RoutingTable::version).orElse(-1L));
+        table = Optional.of(newer);
+        return true;
+    }
+
+    void serve(CallerExchange exchange) {
+        if (batches.serve(exchange)) {
+            return;
+        }
+        String id = exchange.header(PlatformHeaders.REQUEST_ID).orElse("");
+        if (table.isEmpty()) {
+            LOG.log(Event.REQUEST_REFUSED, "request", id, "reason", "no configuration yet");
+            exchange.refuse(RETRY_AFTER_SECONDS);
+            return;
+        }
+        String host = exchange.header(HttpHeaderNames.HOST.toString()).orElse("");
+        Optional<Route> route = table.get().find(host, exchange.uri());
+        if (route.isEmpty()) {
+            LOG.log(
+                    Event.REQUEST_REFUSED,
+                    "request",
+                    id,
+                    "reason",
+                    "no route",
+                    "host",
+                    host,
+                    "path",
+                    exchange.path(),
+                    "configuration",
+                    table.get().version());
+            exchange.answer(404);
+        } else if (route.get().kind() == RouteKind.ROLLOUT) {
+            batches.submit(exchange, route.get());
+        } else {
+            forward(exchange, route.get(), id);
+        }
+    }
+
+    private void forward(CallerExchange exchange, Route route, String id) {
+        long now = Forwarder.now();
+        long timeout = route.timeout().toMillis();
+        long callerWaits = exchange.header(PlatformHeaders.DEADLINE)
+                .map(text -> parse(text, timeout))
+                .orElse(timeout);
+        ForwardRequest request = new ForwardRequest(
+                id,
+                route,
+                route.serviceAt(ThreadLocalRandom.current().nextDouble()),
+                exchange.method(),
+                exchange.uri(),
+                exchange.headers(),
+                exchange.body(),
+                now + Math.min(timeout, callerWaits),
+                table.orElseThrow().version());
+        ForwardCall call = forwarder.forward(request, new ExchangeSink(exchange));
+        exchange.onAbandoned(call::cancel);
+    }
+
+    private static long parse(String text, long fallback) {
+        try {
+            return Math.max(0, (long) Double.parseDouble(text));
+        } catch (NumberFormatException malformed) {
+            return fallback;
+        }
+    }
+
+    /** Answers a caller. */
+    private record ExchangeSink(CallerExchange exchange) implements AnswerSink {
+        @Override
+        public void whole(int status, HttpHeaders headers, byte[] body) {
+            exchange.answer(status, headers, body);
+        }
+
+        @Override
+        public void begin(int status, HttpHeaders headers) {
+            exchange.begin(status, headers);
+        }
+
+        @Override
+        public void part(byte[] bytes) {
+            exchange.send(bytes);
+        }
+
+        @Override
+        public void end() {
+            exchange.end();
+        }
+
+        @Override
+        public void breakOff() {
+            exchange.breakOff();
+        }
+
+        @Override
+        public void refuse(double retryAfterSeconds) {
+            exchange.refuse(retryAfterSeconds);
+        }
+
+        @Override
+        public void fail(int status) {
+            exchange.answer(status);
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerServer.java
@@ -0,0 +1,124 @@
+package io.rosemarybeam.forward;
+
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.WireException;
+import io.rosemarybeam.common.wire.WireTransport;
+import io.rosemarybeam.decision.routing.CallerLimits;
+
+/**
+ * Accepts HTTP connections and hands their requests on.
+ *
+ * <p>Invariant: the event loops belong to the caller. Confined to one event loop, apart from {@link #open}.
+ */
+public final class CallerServer {
+    private static final int MAXIMUM_LINE_BYTES = 8_192;
+    private static final int BACKLOG = 1_024;
+
+    private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Supplier<CallerLimits> limits;
+    private final Consumer<CallerExchange> handler;
+    private Channel listener;
+    private int exchanges;
+    private boolean draining;
+
+    private CallerServer(Supplier<CallerLimits> limits, Consumer<CallerExchange> handler) {
+        this.limits = limits;
+        this.handler = handler;
+    }
+
+    /**
+     * Listens.
+     *
+     * @param loops one event loop
+     * @param address IP number and port
+     * @param limits limits in force when a connection is accepted
+     * @param handler serves each request
+     * @return the server
+     * @throws WireException with {@link ErrorCode#CONNECTION_FAILED} if the address cannot be bound
+     */
+    public static CallerServer open(
+            EventLoopGroup loops, String address, Supplier<CallerLimits> limits, Consumer<CallerExchange> handler) {
+        CallerServer server = new CallerServer(limits, handler);
+        var bound = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        server.accept(channel);
+                    }
+                })
+                .bind(WireTransport.parse(address))
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new WireException(ErrorCode.CONNECTION_FAILED, "cannot listen on " + address, bound.cause());
+        }
+        server.listener = bound.channel();
+        return server;
+    }
+
+    private void accept(SocketChannel channel) {
+        CallerLimits current = limits.get();
+        connections.add(channel);
+        HttpDecoderConfig decoder = new HttpDecoderConfig()
+                .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
+                .setMaxHeaderSize(current.maximumHeaderBytes());
+        channel.pipeline()
+                .addLast(new IdleStateHandler(0, 0, current.idleTimeout().toMillis(), TimeUnit.MILLISECONDS))
+                .addLast(new HttpServerCodec(decoder))
+                .addLast(new CallerConnection(this, current));
+    }
+
+    void dispatch(CallerExchange exchange) {
+        exchanges++;
+        handler.accept(exchange);
+    }
+
+    void answered() {
+        exchanges--;
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
+    /** Asks callers to leave: each further answer closes its connection. */
+    public void drain() {
+        draining = true;
+    }
+
+    /**
+     * Returns how many requests have no final answer.
+     *
+     * @return the number
+     */
+    public int exchanges() {
+        return exchanges;
+    }
+
+    /** Stops accepting and closes all connections. */
+    public void close() {
+        listener.close();
+        connections.close();
+    }
+}
--- /dev/null
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardMetrics.java
@@ -0,0 +1,42 @@
+package io.rosemarybeam.forward;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.rosemarybeam.common.metric.Metrics;
+
+/** Counts forwarded requests and their attempts. Safe for use by several threads. */
+public final class ForwardMetrics {
+    /** Bounds in seconds; the users' targets lie between 0.2 and 0.85 and their time limits between 0.8 and 12. */
+    private static final double[] LATENCY_BOUNDS = {0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3, 12};
+
+    private final Counter outcomes;
+    private final Counter attempts;
+    private final Histogram latency;
+
+    private ForwardMetrics(Metrics metrics) {
+        outcomes = metrics.counter(
+                "forwarded_requests", "Forwarded requests by kind of route and outcome.", "kind", "outcome");
+        attempts = metrics.counter("attempts", "Attempts at endpoints by outcome.", "outcome");
+        latency = metrics.histogram(
+                "forward_latency_seconds", "Time from a request to its final answer.", LATENCY_BOUNDS, "kind");
+    }
+
+    /**
+     * Registers the metrics.
+     *
+     * @param metrics metrics of the process
+     * @return the counters
+     */
+    public static ForwardMetrics of(Metrics metrics) {
+        return new ForwardMetrics(metrics);
+    }
+
+    void finished(String kind, String outcome, long milliseconds) {
+        outcomes.labelValues(kind, outcome).inc();
+        latency.labelValues(kind).observe(milliseconds / 1_000.0);
+    }
+
+    void attempted(String outcome) {
+        attempts.labelValues(outcome).inc();
+    }
+}
--- /dev/null
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HedgeBudget.java
@@ -0,0 +1,29 @@
+package io.rosemarybeam.forward;
+
+/**
+ * Bounds the second runs of slow requests to a share of all requests.
+ *
+ * <p>Load pattern: all endpoints of a service turn slow. Without a bound each request would run twice and the service would
+ * fall further behind. Confined to one thread.
+ */
+final class HedgeBudget {
+    /** Second runs for each request; a tenth more load leaves an overloaded service what it has. */
+    private static final double PER_REQUEST = 0.1;
+
+    /** Second runs that may follow each other after a quiet time. */
+    private static final double MOST = 10;
+
+    private double available = MOST;
+
+    void requestStarted() {
+        available = Math.min(MOST, available + PER_REQUEST);
+    }
+
+    boolean take() {
+        if (available < 1) {
+            return false;
+        }
+        available--;
+        return true;
+    }
+}
--- /dev/null
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -0,0 +1,432 @@
+package io.rosemarybeam.store;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.ItemId;
+import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.wire.EndpointAnnouncement;
+import io.rosemarybeam.common.wire.Submission;
+import io.rosemarybeam.decision.batch.GenerationEndpoint;
+import io.rosemarybeam.decision.batch.ItemOrder;
+import io.rosemarybeam.decision.batch.ItemPlacement;
+import io.rosemarybeam.decision.batch.ItemText;
+import io.rosemarybeam.decision.routing.EndpointLoads;
+import io.rosemarybeam.decision.routing.Route;
+import io.rosemarybeam.decision.routing.RoutingTable;
+import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.platform.EndpointClient;
+import io.rosemarybeam.platform.PlatformHeaders;
+
+/**
+ * Runs the items of all open submissions while this host leads.
+ *
+ * <p>Invariants: an item is at one endpoint at a time; an endpoint has at most as many runs as it has slots; a result is
+ * shown only after a majority holds it. A new leader starts from the listed results and runs the other items again.
+ * Confined to the thread of the log's driver.
+ */
+final class BatchRunner implements ItemStream.Owner {
+    /** Silence of a stream after which its connection counts as lost, in milliseconds; a load of weights takes 900. */
+    private static final long SILENCE_MILLISECONDS = 1_800;
+
+    /** Silence that is allowed while the endpoint loads weights, in milliseconds. */
+    private static final long LOADING_SILENCE_MILLISECONDS = 4_000;
+
+    /** Pause before an item that was not started is tried again, in milliseconds. */
+    private static final long RETRY_MILLISECONDS = 50;
+
+    /** Texts of ended submissions that are kept for groups that come again; a step has some hundred items. */
+    private static final int MAXIMUM_KEPT_TEXTS = 2_000;
+
+    /** Rank of items at endpoints, behind everything that customers wait for. */
+    private static final int ITEM_PRIORITY = 6;
+
+    private static final EventLog LOG = EventLog.of(BatchRunner.class);
+
+    private final StoreState state;
+    private final GenerationFleet fleet;
+    private final EndpointLoads loads;
+    private final EndpointClient client;
+    private final ItemScoring scoring;
+    private final Leading leading;
+    private final Map<SubmissionId, Map<ItemId, ItemTask>> tasks = new LinkedHashMap<>();
+    private final Map<String, EndpointId> promptPlaces = new HashMap<>();
+    private final Map<ItemId, ItemText> keptTexts = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<ItemId, ItemText> eldest) {
+            return size() > MAXIMUM_KEPT_TEXTS;
+        }
+    };
+
+    /** What the runner needs of the leader. */
+    interface Leading {
+        /** The configuration in force. */
+        Optional<RoutingTable> table();
+
+        /** Time of the leader, in milliseconds. */
+        long leaderTime();
+
+        /** Lists results. */
+        void list(SubmissionId submission, List<Submission.Result> results);
+    }
+
+    BatchRunner(
+            StoreState state,
+            GenerationFleet fleet,
+            EndpointLoads loads,
+            EndpointClient client,
+            ItemScoring scoring,
+            Leading leading) {
+        this.state = state;
+        this.fleet = fleet;
+        this.loads = loads;
+        this.client = client;
+        this.scoring = scoring;
+        this.leading = leading;
+        state.submissions().forEach(this::add);
+    }
+
+    /** Starts to work on a submission. */
+    void add(KeptSubmission kept) {
+        if (kept.isEnded() || kept.isWhole()) {
+            return;
+        }
+        boolean singleVersion = route(kept).map(Route::singleVersion).orElse(false);
+        Map<ItemId, ItemTask> added = new LinkedHashMap<>();
+        List<Submission.Item> items = kept.submission().items();
+        for (int position = 0; position < items.size(); position++) {
+            Submission.Item item = items.get(position);
+            if (!kept.isListed(item.id())) {
+                ItemTask task = new ItemTask(kept, item, position, model(kept, item), singleVersion);
+                added.put(item.id(), task);
+                reuse(task);
+            }
+        }
+        tasks.put(kept.submission().id(), added);
+        List.copyOf(added.values()).stream()
+                .filter(task -> task.text.isComplete())
+                .forEach(this::score);
+    }
+
+    private static ModelName model(KeptSubmission kept, Submission.Item item) {
+        String named = item.headers().entrySet().stream()
+                .filter(header -> header.getKey().equalsIgnoreCase(PlatformHeaders.MODEL))
+                .map(Map.Entry::getValue)
+                .findFirst()
+                .orElse("");
+        return named.isEmpty() ? kept.submission().model().orElse(ModelName.of("none")) : ModelName.of(named);
+    }
+
+    /** An item that comes again goes on from the text that an earlier submission left, if its versions fit. */
+    private void reuse(ItemTask task) {
+        ItemText left = keptTexts.remove(task.item.id());
+        if (left != null && left.fits(task.submission.submission().oldestVersion(), task.singleVersion)) {
+            task.text = left;
+        }
+    }
+
+    /** Stops the work on a submission that was ended, and keeps what its items have. */
+    void end(KeptSubmission kept) {
+        Map<ItemId, ItemTask> ended = tasks.remove(kept.submission().id());
+        if (ended != null) {
+            ended.values().forEach(task -> {
+                leave(task);
+                task.cancel();
+                if (task.text.lastEvent() > 0) {
+                    keptTexts.put(task.item.id(), task.text);
+                }
+            });
+        }
+    }
+
+    /** Drops the tasks whose results are listed. */
+    void listed(KeptSubmission kept) {
+        Map<ItemId, ItemTask> open = tasks.get(kept.submission().id());
+        if (open != null) {
+            open.keySet().removeIf(kept::isListed);
+            if (open.isEmpty()) {
+                tasks.remove(kept.submission().id());
+            }
+        }
+    }
+
+    /** Ends everything because another host leads from now on. */
+    void stop() {
+        tasks.values()
+                .forEach(open -> open.values().forEach(task -> {
+                    leave(task);
+                    task.cancel();
+                }));
+        tasks.clear();
+    }
+
+    int openItems() {
+        return tasks.values().stream().mapToInt(Map::size).sum();
+    }
+
+    // Time
+
+    /** Ends silent runs, gives up items that are too old, and starts items. */
+    void tick() {
+        long now = Forwarder.now();
+        for (Map<ItemId, ItemTask> open : List.copyOf(tasks.values())) {
+            for (ItemTask task : List.copyOf(open.values())) {
+                check(task, now);
+            }
+        }
+        start(now);
+    }
+
+    private void check(ItemTask task, long now) {
+        if (task.run.isPresent()) {
+            ItemTask.Run run = task.run.get();
+            long allowed = fleet.isLoading(run.endpoint) ? LOADING_SILENCE_MILLISECONDS : SILENCE_MILLISECONDS;
+            if (now - run.lastEventAt > allowed) {
+                run.attempt.cancel();
+                fleet.announcement(run.endpoint).ifPresent(endpoint -> client.closeIdle(endpoint.address()));
+                ended(task, run, ItemStream.Ending.BROKEN, "silent for " + (now - run.lastEventAt) + " ms");
+            }
+        }
+        long age = leading.leaderTime() - task.submission.acceptedAt();
+        boolean isOld = route(task.submission)
+                .map(route -> age > route.keep().toMillis())
+                .orElse(false);
+        if (isOld && task.stage != ItemTask.Stage.LISTING) {
+            giveUp(task, "kept for " + age + " ms");
+        }
+    }
+
+    private void start(long now) {
+        List<ItemTask> waiting = new ArrayList<>();
+        Map<ItemTask, ItemOrder.Waiting> keys = new HashMap<>();
+        for (Map<ItemId, ItemTask> open : tasks.values()) {
+            Map<String, long[]> groups = groups(open.values());
+            for (ItemTask task : open.values()) {
+                if (task.stage == ItemTask.Stage.WAITING && now >= task.notBefore) {
+                    waiting.add(task);
+                    keys.put(task, key(task, groups.get(task.item.group())));
+                }
+            }
+        }
+        waiting.sort(Comparator.comparing(keys::get, ItemOrder.order()));
+        Map<ServiceName, List<GenerationEndpoint>> endpoints = new HashMap<>();
+        for (ItemTask task : waiting) {
+            route(task.submission).ifPresent(route -> start(task, route, endpoints, now));
+        }
+    }
+
+    /** Tokens that are left and the first position, for each group. */
+    private static Map<String, long[]> groups(Iterable<ItemTask> open) {
+        Map<String, long[]> groups = new HashMap<>();
+        for (ItemTask task : open) {
+            long[] group = groups.computeIfAbsent(task.item.group(), ignored -> new long[] {0, task.position});
+            group[0] += task.item.tokens();
+            group[1] = Math.min(group[1], task.position);
+        }
+        return groups;
+    }
+
+    private ItemOrder.Waiting key(ItemTask task, long[] group) {
+        long target = route(task.submission)
+                .map(route -> route.runTarget().toMillis())
+                .orElse(0L);
+        return new ItemOrder.Waiting(
+                task.submission.acceptedAt() + target, group[0], (int) group[1], task.item.tokens(), task.position);
+    }
+
+    private void start(ItemTask task, Route route, Map<ServiceName, List<GenerationEndpoint>> cache, long now) {
+        ServiceName service = route.serviceAt((task.item.id().hashCode() & 0xffff) / 65_536.0);
+        List<GenerationEndpoint> endpoints = cache.computeIfAbsent(service, fleet::endpoints);
+        List<Long> versions = task.text.versions();
+        long exact = task.singleVersion && !versions.isEmpty() ? versions.getFirst() : -1;
+        String prompt = task.submission.submission().id() + " " + task.item.group();
+        ItemPlacement.Need need = new ItemPlacement.Need(
+                task.model,
+                task.submission.submission().oldestVersion(),
+                exact,
+                Optional.ofNullable(promptPlaces.get(prompt)));
+        Optional<GenerationEndpoint> chosen = ItemPlacement.choose(need, endpoints);
+        if (chosen.isPresent()) {
+            promptPlaces.put(prompt, chosen.get().id());
+            run(task, route, chosen.get().id(), now);
+            cache.remove(service);
+        }
+    }
+
+    // Runs
+
+    private void run(ItemTask task, Route route, EndpointId id, long now) {
+        EndpointAnnouncement endpoint = fleet.announcement(id).orElseThrow();
+        ItemTask.Run run = new ItemTask.Run(id, now);
+        task.stage = ItemTask.Stage.RUNNING;
+        task.run = Optional.of(run);
+        loads.sent(id);
+        HttpHeaders headers = new DefaultHttpHeaders();
+        task.item.headers().forEach(headers::set);
+        headers.set(HttpHeaderNames.HOST, route.host());
+        headers.set(PlatformHeaders.REQUEST_ID, task.item.id().value());
+        headers.set(PlatformHeaders.EXPECTED_ENDPOINT, id.value());
+        headers.set(PlatformHeaders.PRIORITY, ITEM_PRIORITY);
+        long left = task.submission.acceptedAt() + route.keep().toMillis() - leading.leaderTime();
+        headers.set(PlatformHeaders.DEADLINE, Math.max(1, left));
+        if (task.text.lastEvent() > 0) {
+            headers.set(PlatformHeaders.LAST_EVENT_ID, task.text.lastEvent());
+        }
+        run.attempt = client.send(
+                new EndpointClient.Request(endpoint.address(), "POST", task.item.path(), headers, task.item.body()),
+                new ItemStream(task, run, this));
+    }
+
+    private void leave(ItemTask task) {
+        task.run.ifPresent(run -> loads.ended(run.endpoint));
+    }
+
+    private void log(ItemTask task, ItemTask.Run run, String outcome, String detail) {
+        LOG.log(
+                Event.ITEM_RUN_ENDED,
+                "submission",
+                task.submission.submission().id(),
+                "request",
+                task.item.id(),
+                "endpoint",
+                run.endpoint,
+                "version",
+                run.version,
+                "oldest",
+                task.submission.submission().oldestVersion(),
+                "outcome",
+                outcome,
+                "detail",
+                detail,
+                "events",
+                task.text.lastEvent(),
+                "milliseconds",
+                Forwarder.now() - run.startedAt);
+    }
+
+    @Override
+    public void completed(ItemTask task, ItemTask.Run run) {
+        leave(task);
+        task.run = Optional.empty();
+        loads.answered(run.endpoint, Forwarder.now() - run.startedAt);
+        log(task, run, "completed", "");
+        score(task);
+        start(Forwarder.now());
+    }
+
+    @Override
+    public void ended(ItemTask task, ItemTask.Run run, ItemStream.Ending ending, String detail) {
+        if (task.run.filter(current -> current == run).isEmpty()) {
+            return;
+        }
+        leave(task);
+        task.run = Optional.empty();
+        task.stage = ItemTask.Stage.WAITING;
+        log(task, run, ending.name(), detail);
+        long now = Forwarder.now();
+        switch (ending) {
+            case NOT_EXECUTED, BROKEN -> {
+                loads.failed(run.endpoint, now);
+                task.notBefore = now + RETRY_MILLISECONDS;
+            }
+            case FAILED -> {
+                task.failedRuns++;
+                int most = route(task.submission).map(Route::maximumAttempts).orElse(1);
+                if (task.failedRuns >= most) {
+                    giveUp(task, task.failedRuns + " failed runs");
+                }
+            }
+            case IMPOSSIBLE -> giveUp(task, "the endpoint says that it can never be done");
+            case WRONG_VERSION -> task.notBefore = now;
+            default -> throw new IllegalStateException("ending " + ending);
+        }
+    }
+
+    @Override
+    public boolean versionSeen(ItemTask task, ItemTask.Run run, long version) {
+        fleet.seen(run.endpoint, task.model, version);
+        boolean isFresh = version >= task.submission.submission().oldestVersion();
+        List<Long> versions = task.text.versions();
+        boolean isOther = task.singleVersion && !versions.isEmpty() && versions.getFirst() != version;
+        if (isOther) {
+            task.text.clear();
+        }
+        return isFresh && !isOther;
+    }
+
+    @Override
+    public void paced(ItemTask.Run run, long milliseconds) {
+        fleet.paced(run.endpoint, milliseconds);
+    }
+
+    // Results
+
+    private void score(ItemTask task) {
+        task.stage = ItemTask.Stage.SCORING;
+        if (task.item.scorer().isEmpty()) {
+            list(task, true, Optional.empty(), "");
+            return;
+        }
+        scoring.score(task, leading.table(), new ItemScoring.Listener() {
+            @Override
+            public void scored(String score) {
+                list(task, true, Optional.of(score), "");
+            }
+
+            @Override
+            public void givenUp(String reason) {
+                list(task, false, Optional.empty(), reason);
+            }
+        });
+    }
+
+    private void giveUp(ItemTask task, String reason) {
+        leave(task);
+        task.cancel();
+        list(task, false, Optional.empty(), reason);
+    }
+
+    private void list(ItemTask task, boolean completed, Optional<String> score, String reason) {
+        task.stage = ItemTask.Stage.LISTING;
+        LOG.log(
+                Event.ITEM_LISTED,
+                "submission",
+                task.submission.submission().id(),
+                "request",
+                task.item.id(),
+                "completed",
+                completed,
+                "versions",
+                task.text.versions(),
+                "reason",
+                reason,
+                "age",
+                leading.leaderTime() - task.submission.acceptedAt());
+        byte[] text = completed ? task.text.bytes() : new byte[0];
+        List<Long> versions = completed ? task.text.versions() : List.of();
+        leading.list(
+                task.submission.submission().id(),
+                List.of(new Submission.Result(task.item.id(), completed, text, versions, score)));
+    }
+
+    private Optional<Route> route(KeptSubmission kept) {
+        return leading.table()
+                .flatMap(table ->
+                        table.find(kept.submission().host(), kept.submission().routePath()));
+    }
+}
--- /dev/null
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/GenerationFleet.java
@@ -0,0 +1,111 @@
+package io.rosemarybeam.store;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.wire.EndpointAnnouncement;
+import io.rosemarybeam.common.wire.EndpointAnnouncement.LoadedModel;
+import io.rosemarybeam.decision.batch.GenerationEndpoint;
+import io.rosemarybeam.decision.routing.EndpointDirectory;
+import io.rosemarybeam.decision.routing.EndpointLoads;
+import io.rosemarybeam.forward.Forwarder;
+
+/**
+ * What a leader knows of the endpoints that generate, beyond their announcements.
+ *
+ * <p>Invariant: a version that an endpoint stamped or reported to this leader counts more than a heartbeat that may be
+ * older. Confined to the thread of the log's driver.
+ */
+final class GenerationFleet {
+    /** Weight of a new pace in the moving average; about the last ten events count. */
+    private static final double PACE_WEIGHT = 0.1;
+
+    private final EndpointDirectory directory;
+    private final EndpointLoads loads;
+    private final Map<EndpointId, Known> known = new HashMap<>();
+
+    GenerationFleet(EndpointDirectory directory, EndpointLoads loads) {
+        this.directory = directory;
+        this.loads = loads;
+    }
+
+    /** The ready endpoints of a service. */
+    List<GenerationEndpoint> endpoints(ServiceName service) {
+        long now = Forwarder.now();
+        List<GenerationEndpoint> endpoints = new ArrayList<>();
+        for (EndpointAnnouncement announcement : directory.ready(service)) {
+            Known endpoint = known(announcement);
+            Map<ModelName, Long> versions = new HashMap<>();
+            for (LoadedModel model : announcement.models()) {
+                versions.put(model.model(), model.version());
+            }
+            versions.putAll(endpoint.versions);
+            endpoints.add(new GenerationEndpoint(
+                    announcement.id(),
+                    announcement.capacity(),
+                    loads.outstanding(announcement.id()),
+                    versions,
+                    endpoint.loading,
+                    loads.isAvoided(announcement.id(), now),
+                    endpoint.pace));
+        }
+        return endpoints;
+    }
+
+    Optional<EndpointAnnouncement> announcement(EndpointId id) {
+        return directory.find(id);
+    }
+
+    /** Notes the version that an endpoint stamped or reported. */
+    void seen(EndpointId id, ModelName model, long version) {
+        directory.find(id).map(this::known).ifPresent(endpoint -> endpoint.versions.put(model, version));
+    }
+
+    void loading(EndpointId id, boolean loading) {
+        directory.find(id).map(this::known).ifPresent(endpoint -> endpoint.loading = loading);
+    }
+
+    boolean isLoading(EndpointId id) {
+        return Optional.ofNullable(known.get(id))
+                .map(endpoint -> endpoint.loading)
+                .orElse(false);
+    }
+
+    /** Notes the time between two events of a stream. */
+    void paced(EndpointId id, long milliseconds) {
+        directory
+                .find(id)
+                .map(this::known)
+                .ifPresent(endpoint -> endpoint.pace = endpoint.pace == 0
+                        ? milliseconds
+                        : endpoint.pace + PACE_WEIGHT * (milliseconds - endpoint.pace));
+    }
+
+    /** What is known ends with the incarnation of the endpoint. */
+    private Known known(EndpointAnnouncement announcement) {
+        Known found = known.get(announcement.id());
+        if (found == null || found.started != announcement.startedMilliseconds()) {
+            found = new Known(announcement.startedMilliseconds());
+            known.put(announcement.id(), found);
+        }
+        return found;
+    }
+
+    /** One endpoint since its start. */
+    private static final class Known {
+        private final long started;
+        private final Map<ModelName, Long> versions = new HashMap<>();
+        private boolean loading;
+        private double pace;
+
+        Known(long started) {
+            this.started = started;
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/KeptSubmission.java
@@ -0,0 +1,116 @@
+package io.rosemarybeam.store;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.id.ItemId;
+import io.rosemarybeam.common.wire.StoreMessage.ResultPage;
+import io.rosemarybeam.common.wire.Submission;
+
+/**
+ * A submission with its results.
+ *
+ * <p>Invariant: a listed result never changes its position or content, and an item is listed once at most. Confined to the
+ * thread of the log's driver.
+ */
+final class KeptSubmission {
+    /** Largest page of results, in bytes of text; the platform reads one megabyte at most. */
+    private static final int MAXIMUM_PAGE_BYTES = 900_000;
+
+    private final Submission submission;
+    private final String routeName;
+    private final long acceptedAt;
+    private final List<Submission.Result> results = new ArrayList<>();
+    private final Map<ItemId, Integer> positions = new HashMap<>();
+    private boolean ended;
+
+    KeptSubmission(Submission submission, String routeName, long acceptedAt) {
+        this.submission = submission;
+        this.routeName = routeName;
+        this.acceptedAt = acceptedAt;
+    }
+
+    static KeptSubmission of(Stored stored) {
+        KeptSubmission kept = new KeptSubmission(stored.submission, stored.routeName, stored.acceptedAt);
+        stored.results.forEach(kept::list);
+        kept.ended = stored.ended;
+        return kept;
+    }
+
+    Stored store() {
+        return new Stored(submission, routeName, acceptedAt, List.copyOf(results), ended);
+    }
+
+    Submission submission() {
+        return submission;
+    }
+
+    String routeName() {
+        return routeName;
+    }
+
+    /** Time of the leader that accepted it, in milliseconds. */
+    long acceptedAt() {
+        return acceptedAt;
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    void end() {
+        ended = true;
+    }
+
+    boolean isWhole() {
+        return results.size() == submission.items().size();
+    }
+
+    int listed() {
+        return results.size();
+    }
+
+    boolean isListed(ItemId item) {
+        return positions.containsKey(item);
+    }
+
+    Optional<Submission.Result> result(ItemId item) {
+        return Optional.ofNullable(positions.get(item)).map(results::get);
+    }
+
+    Optional<Submission.Item> item(ItemId id) {
+        return submission.items().stream().filter(item -> item.id().equals(id)).findFirst();
+    }
+
+    boolean list(Submission.Result result) {
+        if (positions.containsKey(result.item()) || item(result.item()).isEmpty()) {
+            return false;
+        }
+        positions.put(result.item(), results.size());
+        results.add(result);
+        return true;
+    }
+
+    ResultPage page(int after) {
+        List<Submission.Result> page = new ArrayList<>();
+        int bytes = 0;
+        int next = Math.min(after, results.size());
+        while (next < results.size()) {
+            Submission.Result result = results.get(next);
+            bytes += result.text().length;
+            if (!page.isEmpty() && bytes > MAXIMUM_PAGE_BYTES) {
+                break;
+            }
+            page.add(result);
+            next++;
+        }
+        return new ResultPage(submission.items().size(), next, page);
+    }
+
+    /** Form in a snapshot. Immutable. */
+    record Stored(
+            Submission submission, String routeName, long acceptedAt, List<Submission.Result> results, boolean ended) {}
+}
--- /dev/null
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreMain.java
@@ -0,0 +1,65 @@
+package io.rosemarybeam.store;
+
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.rosemarybeam.common.error.SettingsException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.settings.ServerProgram;
+import io.rosemarybeam.common.settings.SettingsWatch;
+import io.rosemarybeam.common.settings.StoreSettings;
+
+/** Starts a store process. Confined to the main thread, apart from the stop hook. */
+public final class StoreMain {
+    private static final EventLog LOG = EventLog.of(StoreMain.class);
+
+    private StoreMain() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param arguments see {@code --help}
+     */
+    public static void main(String[] arguments) {
+        ServerProgram.run("rosemarybeam-store", arguments, StoreMain::load, StoreMain::serve);
+    }
+
+    private static Loaded load(Path file) {
+        return new Loaded(file, StoreSettings.load(file));
+    }
+
+    private static void serve(Loaded loaded) {
+        AtomicBoolean failed = new AtomicBoolean();
+        CountDownLatch stopped = new CountDownLatch(1);
+        StoreProcess process = StoreProcess.of(loaded.settings, failure -> {
+            failed.set(true);
+            stopped.countDown();
+        });
+        process.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (!failed.get()) {
+                process.stop();
+            }
+        }));
+        SettingsWatch.start(loaded.file, () -> reload(process, loaded.file));
+        try {
+            stopped.await();
+            Runtime.getRuntime().halt(ServerProgram.FAILED);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void reload(StoreProcess process, Path file) {
+        try {
+            process.reload(StoreSettings.load(file));
+        } catch (SettingsException refused) {
+            LOG.log(Event.SETTINGS_REFUSED, "reason", refused.getMessage());
+        }
+    }
+
+    /** Settings and where they came from. Immutable. */
+    private record Loaded(Path file, StoreSettings settings) {}
+}
--- /dev/null
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -0,0 +1,694 @@
+package io.rosemarybeam.store;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.admin.AdminServer;
+import io.rosemarybeam.common.error.ConfigurationException;
+import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.common.settings.StoreSettings;
+import io.rosemarybeam.common.wire.ControlTraffic.LogTraffic;
+import io.rosemarybeam.common.wire.Credentials;
+import io.rosemarybeam.common.wire.EndpointAnnouncement;
+import io.rosemarybeam.common.wire.HandshakeMessage.Role;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.MessageHandler;
+import io.rosemarybeam.common.wire.Secrets;
+import io.rosemarybeam.common.wire.StoreMessage;
+import io.rosemarybeam.common.wire.StoreMessage.EdgeStatus;
+import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
+import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
+import io.rosemarybeam.common.wire.StoreMessage.StoreStatus;
+import io.rosemarybeam.common.wire.WireConnection;
+import io.rosemarybeam.common.wire.WireSettings;
+import io.rosemarybeam.common.wire.WireTransport;
+import io.rosemarybeam.consensus.DurableState;
+import io.rosemarybeam.consensus.HardState;
+import io.rosemarybeam.consensus.LogMessage.Envelope;
+import io.rosemarybeam.consensus.LogMessageCodec;
+import io.rosemarybeam.consensus.LogOptions;
+import io.rosemarybeam.consensus.LogSnapshot;
+import io.rosemarybeam.consensus.Member;
+import io.rosemarybeam.consensus.MemberId;
+import io.rosemarybeam.consensus.Membership;
+import io.rosemarybeam.consensus.MembershipChange;
+import io.rosemarybeam.consensus.ReplicatedLog;
+import io.rosemarybeam.consensus.storage.FileSystem;
+import io.rosemarybeam.consensus.storage.LogStorage;
+import io.rosemarybeam.control.LeaderClock;
+import io.rosemarybeam.control.LogDriver;
+import io.rosemarybeam.control.MonotonicClock;
+import io.rosemarybeam.control.PeerLinks;
+import io.rosemarybeam.decision.routing.CallerLimits;
+import io.rosemarybeam.decision.routing.EndpointDirectory;
+import io.rosemarybeam.decision.routing.EndpointLoads;
+import io.rosemarybeam.decision.routing.RoutingTable;
+import io.rosemarybeam.forward.CallerServer;
+import io.rosemarybeam.forward.ForwardMetrics;
+import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.platform.ConfigurationFormat;
+import io.rosemarybeam.platform.EndpointClient;
+
+/**
+ * A store process: a member of the replicated log, and the place where endpoints, operators and trainers call.
+ *
+ * <p>Invariants: the first cluster is formed only by hosts that are told of the first start, have an empty disk and are named
+ * by the seeds; every other empty host joins as a learner under an incarnation of its own. All state is confined to one
+ * event loop; {@link #start}, {@link #stop} and {@link #reload} may be called from any thread.
+ */
+public final class StoreProcess {
+    /** Length of a tick of the log, in milliseconds. */
+    private static final long TICK_MILLISECONDS = 50;
+
+    /** Ticks between two rounds of upkeep; edges believe a status for 1,500 milliseconds. */
+    private static final long UPKEEP_TICKS = 5;
+
+    /** Upkeep rounds between two exchanges of what endpoints were heard of. */
+    private static final long HEARD_ROUNDS = 4;
+
+    /** Heartbeats that an endpoint may miss before it counts as silent; one in a row may be seconds late. */
+    private static final int MISSED_HEARTBEATS = 4;
+
+    /** Silence after which a voter is replaced by a learner, in milliseconds; two elections. */
+    private static final long VOTER_SILENCE_MILLISECONDS = 2_000;
+
+    /** Incarnation of the members of the first cluster, which all of them must know before they talk. */
+    private static final long FIRST_INCARNATION = 1;
+
+    /** Largest command, in bytes; a configuration with thousands of routes fits. */
+    private static final int MAXIMUM_COMMAND_BYTES = 6 * 1_048_576;
+
+    /** Longest wait for the leader's reply to an operator, in milliseconds; operators wait for one second. */
+    private static final Duration LEADER_REPLY = Duration.ofMillis(800);
+
+    private static final long STOP_MILLISECONDS = 1_500;
+    private static final byte[] INITIAL_STATE = {};
+    private static final EventLog LOG = EventLog.of(StoreProcess.class);
+
+    private final StoreSettings settings;
+    private final Consumer<Throwable> onFailure;
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final EventLoop loop = loops.next();
+    private final ExecutorService storageExecutor =
+            Executors.newSingleThreadExecutor(task -> new Thread(task, "storage"));
+    private final Metrics metrics = Metrics.ofProcess();
+    private final StoreState state = new StoreState();
+    private final EndpointDirectory directory = new EndpointDirectory();
+    private final EndpointLoads loads = new EndpointLoads();
+    private final EndpointClient client = EndpointClient.of(loop);
+    private final GenerationFleet fleet = new GenerationFleet(directory, loads);
+    private final Forwarder forwarder;
+    private final LogStorage storage;
+    private final MemberId self;
+    private final LogDriver driver;
+    private final PeerLinks links;
+    private final WireTransport transport;
+    private final Secrets secrets;
+    private final Map<WireConnection, EdgeStatus> edges = new LinkedHashMap<>();
+    private final Map<String, HeardPeer> peers = new HashMap<>();
+    private List<String> seeds;
+    private Optional<RoutingTable> table = Optional.empty();
+    private Optional<StoreLeader> leader = Optional.empty();
+    private Channel listener;
+    private AdminServer admin;
+    private CallerServer control;
+    private boolean empty;
+    private boolean failed;
+    private long ticks;
+
+    private StoreProcess(StoreSettings settings, FileSystem files, Consumer<Throwable> onFailure) {
+        this.settings = settings;
+        this.onFailure = onFailure;
+        this.seeds = settings.stores().hosts();
+        this.secrets = new Secrets(settings.stores().clusterSecret(), Optional.empty());
+        this.forwarder =
+                new Forwarder(loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics));
+        this.storage = LogStorage.open(files);
+        boolean isFounder = settings.firstStart() && seeds.contains(settings.host());
+        long incarnation = isFounder ? FIRST_INCARNATION : new SecureRandom().nextLong();
+        this.self = storage.identity(settings.host(), incarnation);
+        DurableState durable = storage.load();
+        this.empty = durable.isEmpty();
+        ReplicatedLog log = new ReplicatedLog(options(), self, durable);
+        this.driver =
+                new LogDriver(loop, storageExecutor, storage, log, durable.snapshot(), state, new DriverListener());
+        this.transport = WireTransport.of(loops, WireSettings.quick());
+        Credentials credentials =
+                new Credentials(Role.CONTROL, self.name(), self.incarnation(), secrets.clusterSecret());
+        this.links = new PeerLinks(transport, credentials, new Receiver(), loop);
+    }
+
+    /**
+     * Creates a process on the data folder of its settings.
+     *
+     * @param settings its settings
+     * @param onFailure called once if the process must stop because of a failure
+     * @return the process, to be started
+     * @throws io.rosemarybeam.common.error.RosemarybeamException if the data folder cannot be used
+     */
+    public static StoreProcess of(StoreSettings settings, Consumer<Throwable> onFailure) {
+        return new StoreProcess(settings, FileSystem.of(settings.dataFolder()), onFailure);
+    }
+
+    private static LogOptions options() {
+        LogOptions standard = LogOptions.standard(new SecureRandom().nextLong());
+        return new LogOptions(
+                standard.heartbeatTicks(),
+                standard.electionTicks(),
+                standard.maximumAppendBytes(),
+                standard.maximumEntriesInFlight(),
+                standard.maximumEntriesPerSync(),
+                standard.snapshotPartBytes(),
+                MAXIMUM_COMMAND_BYTES,
+                standard.seed());
+    }
+
+    private void registerMetrics() {
+        // Read on the event loop, because the admin server runs there too.
+        metrics.computedGauge(
+                "store_term", "Term of the replicated log.", () -> driver.log().term());
+        metrics.computedGauge("store_leads", "1 while this host leads, else 0.", () -> leader.isPresent() ? 1 : 0);
+        metrics.computedCounter("store_applied_entries", "Last applied entry of the log.", driver::applied);
+        metrics.computedGauge(
+                "configuration_version",
+                "Version of the configuration in use; -1 without one.",
+                () -> table.map(RoutingTable::version).orElse(-1L));
+        metrics.computedGauge(
+                "known_endpoints",
+                "Endpoints that were announced.",
+                () -> directory.all().size());
+        metrics.computedGauge(
+                "open_items",
+                "Items of submissions that the leader has not listed.",
+                () -> leader.map(StoreLeader::openItems).orElse(0));
+        metrics.computedCounter("endpoint_connections", "Connections opened to endpoints.", client::connectionsOpened);
+    }
+
+    /** Listens and starts to take part in the log. */
+    public void start() {
+        registerMetrics();
+        admin = AdminServer.start(loops, settings.adminAddress(), metrics, this::dump);
+        listener = transport.listen(settings.protocolAddress(), self.name(), secrets, new Receiver());
+        control = CallerServer.open(
+                loops,
+                settings.operatorAddress(),
+                CallerLimits::standard,
+                new ControlRequests(new RequestHosts())::serve);
+        if (empty && self.incarnation() == FIRST_INCARNATION) {
+            found();
+        }
+        // With a fixed delay a stall is not followed by a burst of ticks, which would look like the silence of others.
+        loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+        LOG.log(
+                Event.PROCESS_STARTED,
+                "name",
+                settings.name(),
+                "member",
+                self,
+                "empty",
+                empty,
+                "seeds",
+                seeds,
+                "term",
+                driver.log().term());
+    }
+
+    /** Writes the first membership, the same on all founders. */
+    private void found() {
+        List<Member> founders = seeds.stream()
+                .sorted()
+                .map(host -> new Member(new MemberId(host, FIRST_INCARNATION), addressOf(host)))
+                .toList();
+        LogSnapshot snapshot = new LogSnapshot(1, 1, new Membership(founders, List.of()), INITIAL_STATE);
+        HardState hardState = new HardState(1, Optional.empty());
+        storageExecutor.execute(() -> {
+            try {
+                storage.persist(Optional.of(hardState), Optional.of(snapshot), List.of());
+                loop.execute(() -> {
+                    DurableState first = new DurableState(hardState, Optional.of(snapshot), List.of());
+                    driver.replaceEmptyLog(new ReplicatedLog(options(), self, first), snapshot);
+                });
+            } catch (RuntimeException failure) {
+                loop.execute(() -> fail(failure));
+            }
+        });
+    }
+
+    private String addressOf(String host) {
+        return host + ":" + settings.stores().port();
+    }
+
+    /**
+     * Uses the seeds of changed settings.
+     *
+     * @param changed the settings that were read again
+     */
+    public void reload(StoreSettings changed) {
+        loop.execute(() -> {
+            seeds = changed.stores().hosts();
+            LOG.log(Event.SETTINGS_RELOADED, "seeds", seeds);
+        });
+    }
+
+    /** Hands leadership over if this host leads, and closes everything. Returns when the storage is closed. */
+    public void stop() {
+        LOG.log(Event.PROCESS_STOPPING, "name", settings.name());
+        CompletableFuture<Void> handedOver = new CompletableFuture<>();
+        loop.execute(() -> handOver(handedOver, Forwarder.now() + STOP_MILLISECONDS));
+        handedOver.join();
+        loop.submit(() -> {
+                    driver.stop();
+                    leader.ifPresent(StoreLeader::stop);
+                    leader = Optional.empty();
+                    control.close();
+                    links.closeAll();
+                    listener.close();
+                    admin.close();
+                })
+                .syncUninterruptibly();
+        storageExecutor.shutdown();
+        try {
+            storageExecutor.awaitTermination(STOP_MILLISECONDS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+        storage.close();
+        LOG.log(Event.PROCESS_STOPPED, "name", settings.name());
+    }
+
+    private void handOver(CompletableFuture<Void> done, long deadline) {
+        ReplicatedLog log = driver.log();
+        boolean leads = log.role() == ReplicatedLog.Role.LEADER;
+        Optional<MemberId> successor = successor(log);
+        if (!leads || successor.isEmpty() || Forwarder.now() >= deadline) {
+            done.complete(null);
+            return;
+        }
+        driver.transferLeadership(successor.get());
+        loop.schedule(() -> handOver(done, deadline), TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+    }
+
+    private Optional<MemberId> successor(ReplicatedLog log) {
+        Set<String> leaving = retiringHosts();
+        return log.membership().voters().stream()
+                .map(Member::id)
+                .filter(id -> !id.equals(self) && log.isActive(id) && !leaving.contains(id.name()))
+                .findFirst();
+    }
+
+    // Time
+
+    private void tick() {
+        try {
+            ticks++;
+            driver.tick();
+            leader.ifPresent(StoreLeader::tick);
+            if (ticks % UPKEEP_TICKS == 0) {
+                upkeep();
+            }
+        } catch (ControlException refusal) {
+            // The log refused a change of the members; the next round tries again.
+            LOG.log(Event.CONTROL_HOSTS_CHANGE_REFUSED, "reason", refusal.getMessage());
+        } catch (RuntimeException failure) {
+            fail(failure);
+        }
+    }
+
+    private void upkeep() {
+        long now = Forwarder.now();
+        client.tick();
+        directory.forget(now);
+        links.maintain(wantedPeers(now), now);
+        StoreStatus status = status(now);
+        links.names().forEach(name -> links.send(name, status));
+        edges.keySet().forEach(edge -> edge.send(status));
+        if (ticks % (UPKEEP_TICKS * HEARD_ROUNDS) == 0) {
+            long since = now - UPKEEP_TICKS * HEARD_ROUNDS * TICK_MILLISECONDS;
+            sendToPeers(new EndpointNews(directory.heardSince(since)));
+        }
+        if (leader.isPresent()) {
+            markSilent(now);
+            changeMembers(now);
+        }
+    }
+
+    private Map<String, String> wantedPeers(long now) {
+        Set<String> hosts = new HashSet<>(seeds);
+        driver.log()
+                .membership()
+                .members()
+                .forEach(member -> hosts.add(member.id().name()));
+        for (HeardPeer peer : peers.values()) {
+            if (now - peer.heard < VOTER_SILENCE_MILLISECONDS) {
+                hosts.add(peer.member.id().name());
+            }
+        }
+        return hosts.stream()
+                .filter(host -> !host.equals(self.name()))
+                .collect(Collectors.toMap(host -> host, this::addressOf));
+    }
+
+    private StoreStatus status(long now) {
+        List<String> stores = new ArrayList<>(wantedPeers(now).values());
+        stores.add(settings.protocolAddress());
+        return new StoreStatus(
+                settings.name().value(),
+                settings.protocolAddress(),
+                self.incarnation(),
+                driver.log().term(),
+                leader.isPresent(),
+                stores,
+                edges.values().stream()
+                        .filter(edge -> !edge.draining())
+                        .map(edge -> new StoreMessage.EdgeAddress(edge.callerAddress(), edge.failureDomain()))
+                        .toList());
+    }
+
+    private void markSilent(long now) {
+        long limit = MISSED_HEARTBEATS * settings.heartbeatInterval().toMillis();
+        directory.silentFor(limit, now).forEach(silent -> announced(silent.silent()));
+    }
+
+    private void changeMembers(long now) {
+        ReplicatedLog log = driver.log();
+        nameHosts();
+        Set<String> retiring = retiringHosts();
+        if (retiring.contains(self.name()) && log.hasCommittedInTerm()) {
+            successor(log).ifPresent(driver::transferLeadership);
+            return;
+        }
+        Map<String, MemberPlan.Seen> seen = new HashMap<>();
+        peers.forEach((host, peer) -> seen.put(host, new MemberPlan.Seen(peer.member, now - peer.heard)));
+        MemberPlan.Situation situation = new MemberPlan.Situation(
+                2 * settings.toleratedLosses() + 1, seen, retiring, VOTER_SILENCE_MILLISECONDS);
+        Optional<MembershipChange> change = MemberPlan.next(log, situation);
+        change.ifPresent(next -> {
+            LOG.log(Event.CONTROL_HOSTS_CHANGING, "change", next, "term", log.term());
+            driver.proposeChange(next);
+        });
+    }
+
+    /** Hosts are asked for by name, also when they are down, so the names are kept in the log. */
+    private void nameHosts() {
+        Map<String, String> names = new HashMap<>();
+        names.put(settings.name().value(), self.name());
+        peers.values().forEach(peer -> names.put(peer.name, peer.member.id().name()));
+        names.forEach((name, host) -> {
+            if (!host.equals(state.hostByName().get(name))) {
+                driver.propose(StoreCommand.encode(state.time(), new StoreCommand.NameHost(name, host)));
+            }
+        });
+    }
+
+    private Set<String> retiringHosts() {
+        return state.retiring().stream()
+                .map(name -> state.hostByName().getOrDefault(name, ""))
+                .collect(Collectors.toSet());
+    }
+
+    // Endpoints
+
+    private void announced(EndpointAnnouncement announcement) {
+        if (merge(announcement)) {
+            EndpointNews news = new EndpointNews(List.of(announcement));
+            sendToPeers(news);
+        }
+    }
+
+    /** Takes an announcement in and tells the edges if it matters to them. */
+    private boolean merge(EndpointAnnouncement announcement) {
+        EndpointDirectory.Change change = directory.merge(announcement, Forwarder.now());
+        if (change != EndpointDirectory.Change.CHANGED) {
+            return false;
+        }
+        LOG.log(
+                Event.ENDPOINT_CHANGED,
+                "endpoint",
+                announcement.id(),
+                "service",
+                announcement.service(),
+                "address",
+                announcement.address(),
+                "state",
+                announcement.state(),
+                "sequence",
+                announcement.sequence(),
+                "models",
+                announcement.models());
+        EndpointNews news = new EndpointNews(List.of(announcement));
+        edges.keySet().forEach(edge -> edge.send(news));
+        return true;
+    }
+
+    private void sendToPeers(EndpointNews news) {
+        if (!news.announcements().isEmpty()) {
+            links.names().forEach(name -> links.send(name, news));
+        }
+    }
+
+    // Requests
+
+    private void askLeader(StoreMessage request, Consumer<StoreReply> reply) {
+        if (leader.isPresent()) {
+            leader.get().serve(request, reply);
+            return;
+        }
+        Optional<WireConnection> connection = driver.log().leader().flatMap(member -> links.connection(member.name()));
+        if (connection.isEmpty()) {
+            reply.accept(StoreReply.of(Outcome.NOT_LEADER));
+            return;
+        }
+        connection
+                .get()
+                .request(request, LEADER_REPLY)
+                .whenCompleteAsync(
+                        (message, failure) -> reply.accept(
+                                message instanceof StoreReply answered ? answered : StoreReply.of(Outcome.UNCERTAIN)),
+                        loop);
+    }
+
+    private CompletableFuture<String> dump() {
+        String text =
+                "{\"member\": \"" + self + "\", \"role\": \"" + driver.log().role() + "\", \"term\": "
+                        + driver.log().term() + ", \"commit\": " + driver.log().commitIndex() + ", \"applied\": "
+                        + driver.applied() + ", \"voters\": "
+                        + driver.log().membership().voters().size() + ", \"learners\": "
+                        + driver.log().membership().learners().size() + ", \"configuration\": "
+                        + table.map(RoutingTable::version).orElse(-1L) + ", \"submissions\": "
+                        + state.submissions().size() + ", \"openItems\": "
+                        + leader.map(StoreLeader::openItems).orElse(0) + ", \"edges\": " + edges.size() + "}";
+        return CompletableFuture.completedFuture(text);
+    }
+
+    private void fail(Throwable failure) {
+        if (!failed) {
+            failed = true;
+            driver.stop();
+            LOG.log(Event.PROCESS_FAILED, failure, "name", settings.name());
+            onFailure.accept(failure);
+        }
+    }
+
+    private void useConfiguration() {
+        long used = table.map(RoutingTable::version).orElse(-1L);
+        state.configuration().filter(held -> held.version() > used).ifPresent(held -> {
+            try {
+                table = Optional.of(ConfigurationFormat.decode(held.text()));
+                LOG.log(Event.CONFIGURATION_IN_USE, "version", held.version(), "former", used);
+                edges.keySet().forEach(edge -> edge.send(held));
+            } catch (ConfigurationException failure) {
+                LOG.log(Event.HANDLER_FAILED, failure, "message", "configuration " + held.version());
+            }
+        });
+    }
+
+    /** A store host and when it was last heard. Immutable. */
+    private record HeardPeer(String name, Member member, long heard) {}
+
+    /** What operators and endpoints ask for. */
+    private final class RequestHosts implements ControlRequests.Hosts {
+        @Override
+        public void askLeader(StoreMessage request, Consumer<StoreReply> reply) {
+            StoreProcess.this.askLeader(request, reply);
+        }
+
+        @Override
+        public void announced(EndpointAnnouncement announcement) {
+            StoreProcess.this.announced(announcement);
+        }
+
+        @Override
+        public Optional<EndpointAnnouncement> find(EndpointId id) {
+            return directory.find(id);
+        }
+    }
+
+    /** Receives what other store hosts and edges send. */
+    private final class Receiver implements MessageHandler {
+        @Override
+        public void onOpen(WireConnection connection) {
+            connection.send(status(Forwarder.now()));
+            if (connection.remoteRole() == Role.ENTRY || !directory.all().isEmpty()) {
+                connection.send(new EndpointNews(List.copyOf(directory.all())));
+            }
+        }
+
+        @Override
+        public void onMessage(WireConnection connection, long correlation, Message message) {
+            switch (message) {
+                case LogTraffic traffic -> driver.receive(LogMessageCodec.decode(traffic.payload()));
+                case EdgeStatus edge -> edgeHeard(connection, edge);
+                case StoreStatus peer -> peerHeard(peer);
+                case EndpointNews news -> news.announcements().forEach(StoreProcess.this::merge);
+                case StoreMessage request -> serve(connection, correlation, request);
+                default ->
+                    LOG.log(
+                            Event.FRAME_REFUSED,
+                            "remote",
+                            connection.remoteName(),
+                            "reason",
+                            message.getClass().getSimpleName());
+            }
+        }
+
+        private void edgeHeard(WireConnection connection, EdgeStatus edge) {
+            edges.put(connection, edge);
+            state.configuration()
+                    .filter(held -> held.version() > edge.configurationVersion())
+                    .ifPresent(connection::send);
+        }
+
+        private void peerHeard(StoreStatus peer) {
+            String host = peer.address().substring(0, peer.address().lastIndexOf(':'));
+            Member member = new Member(new MemberId(host, peer.incarnation()), peer.address());
+            if (!member.id().equals(self)) {
+                peers.put(host, new HeardPeer(peer.host(), member, Forwarder.now()));
+            }
+        }
+
+        private void serve(WireConnection connection, long correlation, StoreMessage request) {
+            if (leader.isPresent()) {
+                leader.get().serve(request, reply -> connection.reply(correlation, reply));
+            } else {
+                connection.reply(correlation, StoreReply.of(Outcome.NOT_LEADER));
+            }
+        }
+
+        @Override
+        public void onClose(WireConnection connection) {
+            EdgeStatus edge = edges.remove(connection);
+            LOG.log(
+                    Event.STORE_LOST,
+                    "remote",
+                    connection.remoteName(),
+                    "address",
+                    edge == null ? "" : edge.callerAddress());
+        }
+    }
+
+    /** Acts on what the log does. */
+    private final class DriverListener implements LogDriver.Listener, StoreLeader.Retirements {
+        @Override
+        public void send(Envelope envelope) {
+            byte[] payload = LogMessageCodec.encode(envelope);
+            links.send(envelope.to().name(), new LogTraffic(self.name(), self.incarnation(), payload));
+        }
+
+        @Override
+        public void applied() {
+            useConfiguration();
+        }
+
+        @Override
+        public void leading() {
+            long term = driver.log().term();
+            LeaderClock clock = new LeaderClock(MonotonicClock.system(), state.time());
+            long wait =
+                    settings.endpointsCheckFencing() ? 0 : settings.orderLease().toMillis();
+            VersionOrders orders =
+                    new VersionOrders(state, fleet, client, settings.name().value(), term, Forwarder.now() + wait);
+            StoreLeader next = new StoreLeader(
+                    driver,
+                    state,
+                    clock,
+                    () -> table,
+                    this,
+                    orders,
+                    settings.resultsKept(),
+                    leading -> new BatchRunner(state, fleet, loads, client, new ItemScoring(loop, forwarder), leading));
+            leader = Optional.of(next);
+            LOG.log(Event.LEADER_ELECTED, "name", settings.name(), "term", term, "applied", driver.applied());
+            StoreStatus status = status(Forwarder.now());
+            edges.keySet().forEach(edge -> edge.send(status));
+        }
+
+        @Override
+        public void notLeading() {
+            leader.ifPresent(StoreLeader::stop);
+            leader = Optional.empty();
+            LOG.log(
+                    Event.LEADERSHIP_LOST,
+                    "name",
+                    settings.name(),
+                    "term",
+                    driver.log().term());
+        }
+
+        @Override
+        public void failed(Throwable failure) {
+            fail(failure);
+        }
+
+        @Override
+        public boolean isKnown(String name) {
+            return state.hostByName().containsKey(name);
+        }
+
+        @Override
+        public boolean isAllowed(String name) {
+            Set<String> leaving = retiringHosts();
+            leaving.add(state.hostByName().get(name));
+            long remaining = driver.log().membership().members().stream()
+                    .map(Member::id)
+                    .filter(id -> !leaving.contains(id.name()))
+                    .filter(id -> id.equals(self) || driver.log().isActive(id))
+                    .map(MemberId::name)
+                    .distinct()
+                    .count();
+            return remaining >= 2L * settings.toleratedLosses() + 1;
+        }
+
+        @Override
+        public boolean isEmptied(String name) {
+            String host = state.hostByName().get(name);
+            ReplicatedLog log = driver.log();
+            boolean isMember = log.membership().members().stream()
+                    .anyMatch(member -> member.id().name().equals(host));
+            boolean isWhole = log.membership().voters().size() >= 2 * settings.toleratedLosses() + 1
+                    && log.membership().voters().stream().allMatch(voter -> log.isCaughtUp(voter.id()));
+            return !isMember && !log.isChangePending() && isWhole;
+        }
+    }
+}
