--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -14,6 +14,11 @@
     SETTINGS_RELOADED(110, Severity.INFORMATION, "The settings file was read again."),
     /** A changed settings file cannot be used; the former settings stay. */
     SETTINGS_REFUSED(111, Severity.WARNING, "A changed settings file cannot be used; the former settings stay."),
+    /** The event loop did nothing for some time: the machine was suspended, or one task took long. */
+    LOOP_STALLED(
+            112,
+            Severity.WARNING,
+            "The event loop did nothing for some time: the machine was suspended, or one task took long."),
     /** A connection failed its handshake. */
     HANDSHAKE_REFUSED(200, Severity.WARNING, "A connection failed its handshake."),
     /** A connection was closed because it was silent. */
@@ -35,6 +40,8 @@
     CONFIGURATION_ACCEPTED(304, Severity.INFORMATION, "An operator's configuration was accepted."),
     /** A request was quarantined by the replicated state. */
     FINGERPRINT_QUARANTINED(305, Severity.WARNING, "A request was quarantined by the replicated state."),
+    /** A learner does not hold all entries yet. */
+    LEARNER_BEHIND(306, Severity.INFORMATION, "A learner does not hold all entries yet."),
     /** An entry lost its configuration lease and takes no new work. */
     LEASE_LAPSED(400, Severity.WARNING, "An entry lost its configuration lease and takes no new work."),
     /** An entry connected to a control host. */
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -58,6 +58,8 @@
     private int electionElapsed;
     private int electionTimeout;
     private int heartbeatElapsed;
+    private long commitAtHeartbeat;
+    private long commitBeforeHeartbeat;
 
     /**
      * Creates the log of a member.
@@ -252,6 +254,8 @@
         heartbeatElapsed++;
         if (heartbeatElapsed >= options.heartbeatTicks()) {
             heartbeatElapsed = 0;
+            commitBeforeHeartbeat = commitAtHeartbeat;
+            commitAtHeartbeat = commit;
             state.heartbeat();
         }
         if (electionElapsed >= options.electionTicks()) {
@@ -378,13 +382,14 @@
     }
 
     /**
-     * Returns whether a member holds every committed entry, as seen by the leader.
+     * Returns whether a member follows closely: whether it holds every entry that was committed before the last heartbeat.
+     * Under steady load a member never holds the newest entry at the moment that the leader looks.
      *
      * @param member the member
-     * @return true if it is caught up
+     * @return true if it is at most about one heartbeat behind
      */
     public boolean isCaughtUp(MemberId member) {
-        return matchOf(member).map(match -> match >= commit).orElse(false);
+        return matchOf(member).map(match -> match >= commitBeforeHeartbeat).orElse(false);
     }
 
     /**
@@ -610,6 +615,8 @@
         leader = Optional.of(self);
         electionElapsed = 0;
         heartbeatElapsed = 0;
+        commitAtHeartbeat = buffer.lastIndex();
+        commitBeforeHeartbeat = buffer.lastIndex();
         leadership = Optional.of(new Leadership(this, options));
         appendOwn(LogEntry.Kind.TERM_START, new byte[0]);
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -103,6 +103,9 @@
     /** Longest wait for the leader's reply to an operator, in milliseconds; operators wait for one second. */
     private static final Duration LEADER_REPLY = Duration.ofMillis(800);
 
+    /** Pause between two ticks that is worth a line in the log, in milliseconds; half of the shortest election. */
+    private static final long STALL_MILLISECONDS = 250;
+
     private static final long STOP_MILLISECONDS = 1_500;
     private static final byte[] INITIAL_STATE = {};
     private static final EventLog LOG = EventLog.of(StoreProcess.class);
@@ -137,6 +140,7 @@
     private boolean empty;
     private boolean failed;
     private long ticks;
+    private long lastTick;
 
     private StoreProcess(StoreSettings settings, FileSystem files, Consumer<Throwable> onFailure) {
         this.settings = settings;
@@ -323,6 +327,7 @@
     private void tick() {
         try {
             ticks++;
+            noticeStall();
             driver.tick();
             leader.ifPresent(StoreLeader::tick);
             if (ticks % UPKEEP_TICKS == 0) {
@@ -336,6 +341,14 @@
         }
     }
 
+    private void noticeStall() {
+        long now = Forwarder.now();
+        if (lastTick > 0 && now - lastTick > STALL_MILLISECONDS) {
+            LOG.log(Event.LOOP_STALLED, "milliseconds", now - lastTick, "term", driver.log().term());
+        }
+        lastTick = now;
+    }
+
     private void upkeep() {
         long now = Forwarder.now();
         client.tick();
@@ -404,12 +417,32 @@
         MemberPlan.Situation situation = new MemberPlan.Situation(
                 2 * settings.toleratedLosses() + 1, seen, retiring, VOTER_SILENCE_MILLISECONDS);
         Optional<MembershipChange> change = MemberPlan.next(log, situation);
+        logLearners(log);
         change.ifPresent(next -> {
             LOG.log(Event.CONTROL_HOSTS_CHANGING, "change", next, "term", log.term());
             driver.proposeChange(next);
         });
     }
 
+    private void logLearners(ReplicatedLog log) {
+        if (ticks % (UPKEEP_TICKS * HEARD_ROUNDS) != 0) {
+            return;
+        }
+        log.membership().learners().stream()
+                .map(Member::id)
+                .filter(id -> !log.isCaughtUp(id))
+                .forEach(id -> LOG.log(
+                        Event.LEARNER_BEHIND,
+                        "member",
+                        id,
+                        "holds",
+                        log.matchOf(id).orElse(0L),
+                        "committed",
+                        log.commitIndex(),
+                        "active",
+                        log.isActive(id)));
+    }
+
     /** Hosts are asked for by name, also when they are down, so the names are kept in the log. */
     private void nameHosts() {
         Map<String, String> names = new HashMap<>();
