Drop log messages to a store host that does not read

Cause: the leader wrote every message for a host that was dark or slow into the connection, up to a megabyte with each heartbeat while it probed, until the direct memory was used up; then each allocation slept for half a second in java.nio.Bits.reserveMemory and the leader stood still for seconds. A trial that printed the stacks during stalls showed it; processor time (0.09 of a core) and the disk were ruled out.

A connection now has a high-water mark of 4 MiB above which log messages are dropped, and a probe carries 64 KiB at most.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/NettyConnection.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/NettyConnection.java
@@ -97,6 +97,11 @@
         return channel.isActive();
     }
 
+    @Override
+    public boolean isWritable() {
+        return channel.isActive() && channel.isWritable();
+    }
+
     @Override
     public void close() {
         channel.close();
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireConnection.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireConnection.java
@@ -63,6 +63,16 @@
      */
     boolean isOpen();
 
+    /**
+     * Returns whether the remote process keeps up with what is sent. A sender that can repeat or leave out a message does so
+     * while this is false, because whatever is sent to a process that does not read stays in memory.
+     *
+     * @return false while too many bytes wait to be sent
+     */
+    default boolean isWritable() {
+        return isOpen();
+    }
+
     /** Closes the connection and fails its outstanding requests. */
     void close();
 }
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireTransport.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireTransport.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -25,6 +26,9 @@
  * <p>Invariant: the event loops belong to the caller, who shuts them down. Safe for use by several threads.
  */
 public final class WireTransport {
+    /** Bytes that may wait for a process that reads slowly; one append of the replicated log has one megabyte. */
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(1_048_576, 4_194_304);
+
     private final EventLoopGroup eventLoops;
     private final WireSettings settings;
 
@@ -77,6 +81,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .childHandler(initializer(() -> new HandshakeHandler.Server(name, secrets, handler, settings)));
         var bound = bootstrap.bind(parse(address)).awaitUninterruptibly();
         if (!bound.isSuccess()) {
@@ -101,6 +106,7 @@
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
                         settings.handshakeDeadline().toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .handler(initializer(() -> new HandshakeHandler.Client(credentials, opened, handler, settings)));
         bootstrap.connect(parse(address)).addListener(connected -> {
             if (!connected.isSuccess()) {
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
@@ -16,6 +16,9 @@
  * <p>Invariant: holds a progress for every other member of the current membership. Confined to the thread of the log.
  */
 final class Leadership {
+    /** Entries sent with a probe, which is repeated with each heartbeat until it is answered, in bytes. */
+    private static final int MAXIMUM_PROBE_BYTES = 65_536;
+
     private final ReplicatedLog log;
     private final LogOptions options;
     private final EntryBuffer buffer;
@@ -102,7 +105,8 @@
         }
         boolean windowOpen = progress.next - progress.match <= options.maximumEntriesInFlight();
         long last = windowOpen ? buffer.lastIndex() : previous;
-        List<LogEntry> entries = buffer.between(progress.next, last, options.maximumAppendBytes());
+        int maximumBytes = progress.probing ? MAXIMUM_PROBE_BYTES : options.maximumAppendBytes();
+        List<LogEntry> entries = buffer.between(progress.next, last, maximumBytes);
         log.send(to, new LogMessage.Append(log.term(), previous, previousTerm, entries, log.commitIndex(), readRound));
         if (progress.probing) {
             progress.probeSent = true;
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/PeerLinks.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/PeerLinks.java
@@ -93,14 +93,15 @@
     }
 
     /**
-     * Sends a message.
+     * Sends a message. It is dropped if there is no connection or the host does not keep up, because every sender repeats
+     * what still matters.
      *
      * @param name the host
      * @param message the message
      */
     public void send(String name, Message message) {
         Link link = links.get(name);
-        if (link != null && link.isOpen()) {
+        if (link != null && link.isOpen() && link.connection.isWritable()) {
             link.connection.send(message);
         }
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -344,7 +344,12 @@
     private void noticeStall() {
         long now = Forwarder.now();
         if (lastTick > 0 && now - lastTick > STALL_MILLISECONDS) {
-            LOG.log(Event.LOOP_STALLED, "milliseconds", now - lastTick, "term", driver.log().term());
+            LOG.log(
+                    Event.LOOP_STALLED,
+                    "milliseconds",
+                    now - lastTick,
+                    "term",
+                    driver.log().term());
         }
         lastTick = now;
     }
