Share endpoints among models by their work, and lend them to models whose items wait

Homes were shared out evenly (2, 1, 1), so the trainer with 44 items a step had 8 slots and its items waited 5 s at the median while the one with 24 items had 16 slots and waited 0.03 s. Homes now follow the slots that each model used lately, a model whose items wait is lent an endpoint with free slots, and a load blocks only the model that it concerns.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/GenerationEndpoint.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/GenerationEndpoint.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.decision.batch;
 
 import java.util.Map;
+import java.util.Set;
 
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.ModelName;
@@ -12,7 +13,7 @@
  * @param capacity requests that it runs at once
  * @param running runs of this leader at the endpoint
  * @param versions weight versions of its models
- * @param loading whether it loads a version now and starts nothing
+ * @param loading models that it loads a version of now, and starts nothing for; it takes one order at a time
  * @param avoided whether it failed lately
  * @param pace usual time between two events, in milliseconds; 0 if not known
  */
@@ -21,12 +22,13 @@
         int capacity,
         int running,
         Map<ModelName, Long> versions,
-        boolean loading,
+        Set<ModelName> loading,
         boolean avoided,
         double pace) {
-    /** Copies the map. */
+    /** Copies the collections. */
     public GenerationEndpoint {
         versions = Map.copyOf(versions);
+        loading = Set.copyOf(loading);
     }
 
     /**
@@ -38,4 +40,16 @@
     public long version(ModelName model) {
         return versions.getOrDefault(model, -1L);
     }
+
+    /**
+     * Returns whether an item of a model can start now.
+     *
+     * @param model the model
+     * @param oldestVersion oldest version that may generate
+     * @return true if a slot is free and the weights are fresh enough
+     */
+    public boolean canStart(ModelName model, long oldestVersion) {
+        boolean isFresh = version(model) >= oldestVersion && !loading.contains(model);
+        return isFresh && !avoided && running < capacity;
+    }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
@@ -46,9 +46,8 @@
     }
 
     private static boolean canRun(Need need, GenerationEndpoint endpoint) {
-        long version = endpoint.version(need.model());
-        boolean fits = version >= need.oldestVersion() && (need.exactVersion() < 0 || version == need.exactVersion());
-        return fits && !endpoint.loading() && !endpoint.avoided() && endpoint.running() < endpoint.capacity();
+        boolean isExact = need.exactVersion() < 0 || endpoint.version(need.model()) == need.exactVersion();
+        return isExact && endpoint.canStart(need.model(), need.oldestVersion());
     }
 
     /** Share of the endpoint that is taken after the item starts, longer the slower the endpoint is. */
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/VersionPlan.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/VersionPlan.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 import io.rosemarybeam.common.id.EndpointId;
@@ -14,10 +15,10 @@
 /**
  * Decides which endpoint loads which weight version next.
  *
- * <p>Load pattern: several trainers name a version every few seconds, and more loads at once slow each other down. Every
- * endpoint serves one model, so that a version is loaded as often as a trainer has endpoints and not as often as there are
- * endpoints. The oldest weights are replaced first. An endpoint keeps its model while the shares stay even. Confined to one
- * thread.
+ * <p>Load pattern: several trainers of unlike appetite name a version every few seconds, more loads at once slow each other
+ * down, and few endpoints are left. Every endpoint is the home of one model, whose versions it follows; homes are shared out
+ * by the work that each model had lately. A model whose items wait while all its endpoints are full also gets the endpoint
+ * with most free slots, which then loads a version only as long as items wait. Confined to one thread.
  */
 public final class VersionPlan {
     /** Part of the endpoints that load at once; the users' stores slow down beyond 2 of 6 and 9 of 31. */
@@ -26,6 +27,12 @@
     /** Loads that are always allowed at once. */
     private static final int LEAST_LOADING = 2;
 
+    /** Lag from which an endpoint cannot serve the next step of its model, in versions; steps allow a lag of one. */
+    private static final long USELESS_LAG = 2;
+
+    /** Work that a model counts with even if it had none, in slots, so that no model loses all its homes. */
+    private static final double LEAST_WORK = 0.5;
+
     private final Map<EndpointId, ModelName> homes = new HashMap<>();
 
     /**
@@ -41,81 +48,126 @@
      * Plans the next loads.
      *
      * @param endpoints ready endpoints of one service
-     * @param models models of the service
-     * @param named newest named version of each model
+     * @param demands the work for each model of the service
      * @return loads to order now
      */
-    public List<Load> next(
-            Collection<GenerationEndpoint> endpoints, Collection<ModelName> models, Map<ModelName, Long> named) {
-        assignHomes(endpoints, models);
-        int loading =
-                (int) endpoints.stream().filter(GenerationEndpoint::loading).count();
+    public List<Load> next(Collection<GenerationEndpoint> endpoints, Collection<ModelDemand> demands) {
+        if (demands.isEmpty() || endpoints.isEmpty()) {
+            return List.of();
+        }
+        Map<ModelName, ModelDemand> byModel = new TreeMap<>();
+        demands.forEach(demand -> byModel.put(demand.model(), demand));
+        assignHomes(endpoints, byModel);
+        long loading = endpoints.stream()
+                .filter(endpoint -> !endpoint.loading().isEmpty())
+                .count();
         int most = Math.max(LEAST_LOADING, (int) (LOADING_PART * endpoints.size()));
-        List<Load> loads = endpoints.stream()
-                .filter(endpoint -> !endpoint.loading() && !endpoint.avoided())
-                .filter(endpoint -> lag(endpoint, named) > 0)
-                .sorted(Comparator.<GenerationEndpoint>comparingLong(endpoint -> -lag(endpoint, named))
+        List<GenerationEndpoint> free = new ArrayList<>(endpoints.stream()
+                .filter(endpoint -> endpoint.loading().isEmpty() && !endpoint.avoided())
+                .toList());
+        List<Load> loads = new ArrayList<>();
+        addHomes(free, byModel, USELESS_LAG, loads);
+        addWaiting(free, endpoints, byModel, loads);
+        addHomes(free, byModel, 1, loads);
+        return loads.subList(0, Math.clamp(most - loading, 0, loads.size()));
+    }
+
+    /** Adds the loads of homes that lag by so many versions, the emptiest endpoints first. */
+    private void addHomes(
+            List<GenerationEndpoint> free, Map<ModelName, ModelDemand> demands, long leastLag, List<Load> loads) {
+        List<GenerationEndpoint> lagging = free.stream()
+                .filter(endpoint -> lag(endpoint, demands) >= leastLag)
+                .sorted(Comparator.<GenerationEndpoint>comparingLong(endpoint -> -lag(endpoint, demands))
                         .thenComparingInt(GenerationEndpoint::running)
                         .thenComparing(GenerationEndpoint::id))
-                .limit(Math.max(0, most - loading))
-                .map(endpoint -> load(endpoint, named))
                 .toList();
-        return loads;
+        for (GenerationEndpoint endpoint : lagging) {
+            ModelDemand demand = demands.get(homes.get(endpoint.id()));
+            loads.add(new Load(endpoint.id(), demand.model(), demand.named()));
+        }
+        free.removeAll(lagging);
     }
 
-    private Load load(GenerationEndpoint endpoint, Map<ModelName, Long> named) {
-        ModelName model = homes.get(endpoint.id());
-        return new Load(endpoint.id(), model, named.get(model));
+    private long lag(GenerationEndpoint endpoint, Map<ModelName, ModelDemand> demands) {
+        ModelDemand demand = demands.get(homes.get(endpoint.id()));
+        return demand == null ? 0 : demand.named() - endpoint.version(demand.model());
     }
 
-    private long lag(GenerationEndpoint endpoint, Map<ModelName, Long> named) {
-        ModelName model = homes.get(endpoint.id());
-        Long version = model == null ? null : named.get(model);
-        return version == null ? 0 : version - endpoint.version(model);
+    /** Gives the models whose items wait an endpoint with free slots that cannot run them yet. */
+    private void addWaiting(
+            List<GenerationEndpoint> free,
+            Collection<GenerationEndpoint> endpoints,
+            Map<ModelName, ModelDemand> demands,
+            List<Load> loads) {
+        List<ModelDemand> starved = demands.values().stream()
+                .filter(demand -> demand.waiting() > freeSlots(endpoints, demand))
+                .sorted(Comparator.comparingInt(demand -> -demand.waiting()))
+                .toList();
+        for (ModelDemand demand : starved) {
+            Optional<GenerationEndpoint> helper = free.stream()
+                    .filter(endpoint -> endpoint.version(demand.model()) < demand.oldestVersion())
+                    .filter(endpoint -> endpoint.running() < endpoint.capacity())
+                    .max(Comparator.<GenerationEndpoint>comparingInt(
+                                    endpoint -> endpoint.capacity() - endpoint.running())
+                            .thenComparing(GenerationEndpoint::id));
+            helper.ifPresent(endpoint -> {
+                loads.add(new Load(endpoint.id(), demand.model(), demand.named()));
+                free.remove(endpoint);
+            });
+        }
     }
 
-    /** Gives every endpoint the model that has fewest, and moves one at a time while the shares differ by two or more. */
-    private void assignHomes(Collection<GenerationEndpoint> endpoints, Collection<ModelName> models) {
+    private static int freeSlots(Collection<GenerationEndpoint> endpoints, ModelDemand demand) {
+        return endpoints.stream()
+                .filter(endpoint -> endpoint.canStart(demand.model(), demand.oldestVersion()))
+                .mapToInt(endpoint -> endpoint.capacity() - endpoint.running())
+                .sum();
+    }
+
+    // Homes
+
+    /** Gives new endpoints a home, and moves at most one endpoint whose model has more than its share. */
+    private void assignHomes(Collection<GenerationEndpoint> endpoints, Map<ModelName, ModelDemand> demands) {
         homes.keySet().retainAll(endpoints.stream().map(GenerationEndpoint::id).toList());
-        homes.values().removeIf(model -> !models.contains(model));
-        if (models.isEmpty()) {
-            return;
-        }
+        homes.values().removeIf(model -> !demands.containsKey(model));
         List<GenerationEndpoint> sorted = new ArrayList<>(endpoints);
         sorted.sort(Comparator.comparing(GenerationEndpoint::id));
         for (GenerationEndpoint endpoint : sorted) {
-            homes.computeIfAbsent(endpoint.id(), ignored -> rarest(endpoint, models));
+            homes.computeIfAbsent(endpoint.id(), ignored -> neediest(demands, endpoints.size()));
         }
-        Map<ModelName, List<EndpointId>> byModel = byModel(models);
-        List<EndpointId> largest = byModel.values().stream()
-                .max(Comparator.comparingInt(List::size))
-                .orElseThrow();
-        ModelName smallest = byModel.entrySet().stream()
-                .min(Comparator.comparingInt(entry -> entry.getValue().size()))
+        ModelName neediest = neediest(demands, endpoints.size());
+        Map<ModelName, Double> surplus = new TreeMap<>();
+        demands.keySet().forEach(model -> surplus.put(model, count(model) - share(model, demands, endpoints.size())));
+        ModelName richest = surplus.entrySet().stream()
+                .max(Map.Entry.comparingByValue())
                 .orElseThrow()
                 .getKey();
-        if (largest.size() - byModel.get(smallest).size() >= 2) {
-            homes.put(largest.getFirst(), smallest);
+        if (surplus.get(richest) >= 1 && surplus.get(neediest) <= -1 && count(richest) > 1) {
+            sorted.stream()
+                    .filter(endpoint -> homes.get(endpoint.id()).equals(richest))
+                    .max(Comparator.comparingLong(endpoint -> endpoint.version(neediest)))
+                    .ifPresent(endpoint -> homes.put(endpoint.id(), neediest));
         }
     }
 
-    /** Of the models with fewest endpoints, the one whose weights are newest at this endpoint. */
-    private ModelName rarest(GenerationEndpoint endpoint, Collection<ModelName> models) {
-        Map<ModelName, List<EndpointId>> byModel = byModel(models);
-        return models.stream()
-                .min(Comparator.<ModelName>comparingInt(
-                                model -> byModel.get(model).size())
-                        .thenComparingLong(model -> -endpoint.version(model))
-                        .thenComparing(model -> model))
+    /** The model that is furthest below its share of homes; a model without any comes first. */
+    private ModelName neediest(Map<ModelName, ModelDemand> demands, int endpoints) {
+        return demands.keySet().stream()
+                .min(Comparator.<ModelName>comparingInt(model -> count(model) == 0 ? 0 : 1)
+                        .thenComparingDouble(model -> count(model) - share(model, demands, endpoints)))
                 .orElseThrow();
     }
 
-    private Map<ModelName, List<EndpointId>> byModel(Collection<ModelName> models) {
-        Map<ModelName, List<EndpointId>> byModel = new TreeMap<>();
-        models.forEach(model -> byModel.put(model, new ArrayList<>()));
-        homes.entrySet().stream()
-                .sorted(Map.Entry.comparingByKey())
-                .forEach(entry -> byModel.get(entry.getValue()).add(entry.getKey()));
-        return byModel;
+    private static double share(ModelName model, Map<ModelName, ModelDemand> demands, int endpoints) {
+        double total = demands.values().stream().mapToDouble(VersionPlan::work).sum();
+        return endpoints * work(demands.get(model)) / total;
+    }
+
+    private static double work(ModelDemand demand) {
+        return LEAST_WORK + demand.load();
+    }
+
+    private int count(ModelName model) {
+        return (int) homes.values().stream().filter(model::equals).count();
     }
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -24,6 +24,7 @@
 import io.rosemarybeam.decision.batch.ItemOrder;
 import io.rosemarybeam.decision.batch.ItemPlacement;
 import io.rosemarybeam.decision.batch.ItemText;
+import io.rosemarybeam.decision.batch.ModelDemand;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.RoutingTable;
@@ -51,6 +52,9 @@
     /** Texts of ended submissions that are kept for groups that come again; a step has some hundred items. */
     private static final int MAXIMUM_KEPT_TEXTS = 2_000;
 
+    /** Weight of one tick in the moving average of slots; with 50 ms a tick, about the last two steps count. */
+    private static final double USAGE_WEIGHT = 0.006;
+
     /** Rank of items at endpoints, behind everything that customers wait for. */
     private static final int ITEM_PRIORITY = 6;
 
@@ -63,6 +67,7 @@
     private final ItemScoring scoring;
     private final Leading leading;
     private final Map<SubmissionId, Map<ItemId, ItemTask>> tasks = new LinkedHashMap<>();
+    private final Map<ModelName, Double> usage = new HashMap<>();
     private final Map<String, EndpointId> promptPlaces = new HashMap<>();
     private final Map<ItemId, ItemText> keptTexts = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
@@ -179,6 +184,34 @@
         return tasks.values().stream().mapToInt(Map::size).sum();
     }
 
+    /** The work that trainers have for a model. */
+    ModelDemand demand(ModelName model) {
+        int waiting = 0;
+        long oldest = 0;
+        for (Map<ItemId, ItemTask> open : tasks.values()) {
+            for (ItemTask task : open.values()) {
+                if (task.stage == ItemTask.Stage.WAITING && task.model.equals(model)) {
+                    waiting++;
+                    oldest = Math.max(oldest, task.submission.submission().oldestVersion());
+                }
+            }
+        }
+        long named = state.versions().getOrDefault(model, 0L);
+        return new ModelDemand(model, named, oldest, waiting, usage.getOrDefault(model, 0.0));
+    }
+
+    /** Follows how many slots, used or wanted, each model has, as a moving average. */
+    private void measureUsage() {
+        Map<ModelName, Integer> wanted = new HashMap<>();
+        tasks.values()
+                .forEach(open -> open.values().stream()
+                        .filter(task -> task.stage == ItemTask.Stage.WAITING || task.stage == ItemTask.Stage.RUNNING)
+                        .forEach(task -> wanted.merge(task.model, 1, Integer::sum)));
+        usage.keySet().forEach(model -> wanted.putIfAbsent(model, 0));
+        wanted.forEach((model, count) ->
+                usage.merge(model, (double) count, (former, next) -> former + USAGE_WEIGHT * (next - former)));
+    }
+
     // Time
 
     /** Ends silent runs, gives up items that are too old, and starts items. */
@@ -189,6 +222,7 @@
                 check(task, now);
             }
         }
+        measureUsage();
         start(now);
     }
 
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/GenerationFleet.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/GenerationFleet.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.ModelName;
@@ -51,7 +52,7 @@
                     announcement.capacity(),
                     loads.outstanding(announcement.id()),
                     versions,
-                    endpoint.loading,
+                    endpoint.loading.map(Set::of).orElse(Set.of()),
                     loads.isAvoided(announcement.id(), now),
                     endpoint.pace));
         }
@@ -67,14 +68,15 @@
         directory.find(id).map(this::known).ifPresent(endpoint -> endpoint.versions.put(model, version));
     }
 
-    void loading(EndpointId id, boolean loading) {
-        directory.find(id).map(this::known).ifPresent(endpoint -> endpoint.loading = loading);
+    /** Notes the model that an endpoint loads a version of, or that it loads none. */
+    void loading(EndpointId id, Optional<ModelName> model) {
+        directory.find(id).map(this::known).ifPresent(endpoint -> endpoint.loading = model);
     }
 
     boolean isLoading(EndpointId id) {
         return Optional.ofNullable(known.get(id))
-                .map(endpoint -> endpoint.loading)
-                .orElse(false);
+                .flatMap(endpoint -> endpoint.loading)
+                .isPresent();
     }
 
     /** Notes the time between two events of a stream. */
@@ -101,7 +103,7 @@
     private static final class Known {
         private final long started;
         private final Map<ModelName, Long> versions = new HashMap<>();
-        private boolean loading;
+        private Optional<ModelName> loading = Optional.empty();
         private double pace;
 
         Known(long started) {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -109,7 +109,7 @@
 
     void tick() {
         runner.tick();
-        orders.tick(table.get());
+        orders.tick(table.get(), runner::demand);
         answerExpiredReads();
         forgetOld();
         flush();
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -15,6 +16,7 @@
 import io.rosemarybeam.common.id.ModelName;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.EndpointAnnouncement.LoadedModel;
+import io.rosemarybeam.decision.batch.ModelDemand;
 import io.rosemarybeam.decision.batch.VersionPlan;
 import io.rosemarybeam.decision.routing.RoutingTable;
 import io.rosemarybeam.decision.routing.ServiceDefinition;
@@ -54,7 +56,6 @@
     private static final int OK = 200;
     private static final EventLog LOG = EventLog.of(VersionOrders.class);
 
-    private final StoreState state;
     private final GenerationFleet fleet;
     private final EndpointClient client;
     private final String holder;
@@ -66,7 +67,6 @@
     /**
      * Creates the orders of a leader.
      *
-     * @param state the named versions
      * @param fleet the endpoints
      * @param client sends the orders
      * @param holder name of this host
@@ -80,7 +80,6 @@
             String holder,
             long term,
             long firstOrderAt) {
-        this.state = state;
         this.fleet = fleet;
         this.client = client;
         this.holder = holder;
@@ -88,7 +87,7 @@
         this.firstOrderAt = firstOrderAt;
     }
 
-    void tick(Optional<RoutingTable> table) {
+    void tick(Optional<RoutingTable> table, Function<ModelName, ModelDemand> demand) {
         long now = Forwarder.now();
         if (now < firstOrderAt || table.isEmpty()) {
             return;
@@ -96,8 +95,9 @@
         for (ServiceDefinition service : table.get().services().values()) {
             if (!service.models().isEmpty()) {
                 VersionPlan plan = plans.computeIfAbsent(service.name().value(), ignored -> new VersionPlan());
-                plan.next(fleet.endpoints(service.name()), service.models(), state.versions())
-                        .forEach(load -> begin(load, now));
+                List<ModelDemand> demands =
+                        service.models().stream().map(demand).toList();
+                plan.next(fleet.endpoints(service.name()), demands).forEach(load -> begin(load, now));
             }
         }
         for (Order order : new ArrayList<>(orders.values())) {
@@ -107,7 +107,7 @@
 
     void stop() {
         orders.values().forEach(order -> {
-            fleet.loading(order.load.endpoint(), false);
+            fleet.loading(order.load.endpoint(), Optional.empty());
             order.call.ifPresent(Call::cancel);
         });
         orders.clear();
@@ -116,7 +116,7 @@
     private void begin(VersionPlan.Load load, long now) {
         Optional<EndpointAnnouncement> endpoint = fleet.announcement(load.endpoint());
         if (endpoint.isPresent() && !orders.containsKey(load.endpoint())) {
-            fleet.loading(load.endpoint(), true);
+            fleet.loading(load.endpoint(), Optional.of(load.model()));
             orders.put(load.endpoint(), new Order(load, endpoint.get(), now));
         }
     }
@@ -143,7 +143,7 @@
 
     private void finish(Order order) {
         orders.remove(order.load.endpoint());
-        fleet.loading(order.load.endpoint(), false);
+        fleet.loading(order.load.endpoint(), Optional.empty());
     }
 
     private void failed(Order order, String reason, long pause) {
