--- /dev/null
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemPlacementTest.java
@@ -0,0 +1,73 @@
+package io.rosemarybeam.decision.batch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.decision.batch.ItemPlacement.Need;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against items on endpoints with stale weights, without a slot or far slower than others. */
+class ItemPlacementTest {
+    private static final ModelName MODEL = ModelName.of("m");
+
+    private static GenerationEndpoint endpoint(String id, int running, long version, double pace) {
+        return new GenerationEndpoint(EndpointId.of(id), 8, running, Map.of(MODEL, version), Set.of(), false, pace);
+    }
+
+    private static Need need(long oldest, long exact) {
+        return new Need(MODEL, oldest, exact, Optional.empty());
+    }
+
+    @Test
+    void shouldWaitWhenAllFreshEndpointsAreFull() {
+        List<GenerationEndpoint> endpoints = List.of(endpoint("full", 8, 5, 0), endpoint("stale", 0, 3, 0));
+
+        assertTrue(ItemPlacement.choose(need(4, -1), endpoints).isEmpty());
+    }
+
+    @Test
+    void shouldWaitWhenEndpointLoadsTheModel() {
+        GenerationEndpoint loading =
+                new GenerationEndpoint(EndpointId.of("a"), 8, 0, Map.of(MODEL, 5L), Set.of(MODEL), false, 0);
+
+        assertTrue(ItemPlacement.choose(need(4, -1), List.of(loading)).isEmpty());
+    }
+
+    @Test
+    void shouldGoOnAtSameVersionWhenTextMustHaveOne() {
+        List<GenerationEndpoint> endpoints = List.of(endpoint("new", 0, 6, 0), endpoint("same", 5, 5, 0));
+
+        assertEquals(
+                "same",
+                ItemPlacement.choose(need(4, 5), endpoints).orElseThrow().id().value());
+    }
+
+    /** Load pattern: a step of 40 items on four endpoints, one of which is 3.5 times slower. */
+    @Test
+    void shouldKeepSlowEndpointNearlyEmptyWhenOthersHaveSlots() {
+        Map<String, Integer> running = new HashMap<>(Map.of("a", 0, "b", 0, "c", 0, "slow", 0));
+        for (int item = 0; item < 20; item++) {
+            List<GenerationEndpoint> endpoints = new ArrayList<>();
+            running.forEach((id, count) -> endpoints.add(endpoint(id, count, 5, id.equals("slow") ? 140 : 40)));
+            running.merge(
+                    ItemPlacement.choose(need(4, -1), endpoints)
+                            .orElseThrow()
+                            .id()
+                            .value(),
+                    1,
+                    Integer::sum);
+        }
+
+        assertEquals(0, running.get("slow"), running.toString());
+        assertTrue(running.get("a") >= 6 && running.get("a") <= 7, running.toString());
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointDirectoryTest.java
@@ -0,0 +1,118 @@
+package io.rosemarybeam.decision.routing;
+
+import java.util.List;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.wire.EndpointAnnouncement;
+import io.rosemarybeam.common.wire.EndpointAnnouncement.State;
+import io.rosemarybeam.decision.routing.EndpointDirectory.Change;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against late heartbeats that bring back endpoints which left, crashed or lost their address to another one. */
+class EndpointDirectoryTest {
+    private static final ServiceName DESK = ServiceName.of("desk");
+    private static final ServiceName MODEL = ServiceName.of("model");
+    private static final String ADDRESS = "10.1.0.9:8080";
+
+    private final EndpointDirectory directory = new EndpointDirectory();
+
+    private static EndpointAnnouncement announcement(
+            String id, long started, long sequence, ServiceName service, String address, State state) {
+        return new EndpointAnnouncement(
+                EndpointId.of(id), started, sequence, service, address, FailureDomain.of("fes"), 6, state, List.of());
+    }
+
+    private static EndpointAnnouncement ready(String id, long started, long sequence) {
+        return announcement(id, started, sequence, DESK, ADDRESS, State.READY);
+    }
+
+    @Test
+    void shouldStayDrainingWhenOlderHeartbeatArrivesLate() {
+        directory.merge(ready("a", 100, 1), 0);
+        directory.merge(announcement("a", 100, 3, DESK, ADDRESS, State.DRAINING), 1);
+
+        assertEquals(Change.OUTDATED, directory.merge(ready("a", 100, 2), 2));
+        assertTrue(directory.ready(DESK).isEmpty());
+    }
+
+    @Test
+    void shouldStayGoneWhenHeartbeatOfSameStartArrivesAfterDeregistration() {
+        directory.merge(ready("a", 100, 1), 0);
+        directory.merge(ready("a", 100, 1).left(), 1);
+
+        assertEquals(Change.OUTDATED, directory.merge(ready("a", 100, 99), 2));
+        assertTrue(directory.ready(DESK).isEmpty());
+    }
+
+    @Test
+    void shouldBeReadyAgainWhenEndpointRestartsUnderItsFormerId() {
+        directory.merge(ready("a", 100, 50).left(), 0);
+
+        assertEquals(Change.CHANGED, directory.merge(ready("a", 200, 1), 1));
+        assertEquals(1, directory.ready(DESK).size());
+    }
+
+    @Test
+    void shouldEndFormerEndpointWhenNewerOneOfAnotherServiceHasItsAddress() {
+        directory.merge(ready("a", 100, 5), 0);
+        directory.merge(announcement("b", 300, 1, MODEL, ADDRESS, State.READY), 1);
+
+        assertTrue(directory.ready(DESK).isEmpty());
+        assertEquals(Change.OUTDATED, directory.merge(ready("a", 100, 6), 2));
+        assertEquals(1, directory.ready(MODEL).size());
+    }
+
+    @Test
+    void shouldIgnoreHeartbeatOfCrashedEndpointWhenAnotherOneHasItsAddress() {
+        directory.merge(ready("b", 300, 1), 0);
+
+        assertEquals(Change.OUTDATED, directory.merge(ready("a", 100, 7), 1));
+        assertEquals(
+                List.of(EndpointId.of("b")),
+                directory.ready(DESK).stream().map(EndpointAnnouncement::id).toList());
+    }
+
+    @Test
+    void shouldPreferReadyEndpointsAndFallBackToSilentOnes() {
+        directory.merge(ready("a", 100, 1), 0);
+        directory.merge(announcement("b", 100, 1, DESK, "10.1.0.10:8080", State.READY), 0);
+        directory.merge(ready("a", 100, 1).silent(), 1);
+
+        assertEquals("b", directory.ready(DESK).getFirst().id().value());
+
+        directory.merge(directory.find(EndpointId.of("b")).orElseThrow().silent(), 2);
+
+        assertEquals(2, directory.ready(DESK).size());
+    }
+
+    @Test
+    void shouldBeReadyAgainWhenHeartbeatFollowsSilence() {
+        directory.merge(ready("a", 100, 1), 0);
+        directory.merge(ready("a", 100, 1).silent(), 1);
+
+        assertEquals(Change.CHANGED, directory.merge(ready("a", 100, 2), 2));
+        assertEquals(
+                State.READY, directory.find(EndpointId.of("a")).orElseThrow().state());
+    }
+
+    @Test
+    void shouldGiveSameResultWhateverTheOrderOfAnnouncements() {
+        List<EndpointAnnouncement> said = List.of(
+                ready("a", 100, 1),
+                announcement("a", 100, 2, DESK, ADDRESS, State.DRAINING),
+                ready("a", 100, 2).left());
+        for (int first = 0; first < 3; first++) {
+            EndpointDirectory other = new EndpointDirectory();
+            for (int step = 0; step < 3; step++) {
+                other.merge(said.get((first + step) % 3), step);
+            }
+            assertEquals(
+                    State.GONE, other.find(EndpointId.of("a")).orElseThrow().state(), "from " + first);
+        }
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointSelectionTest.java
@@ -0,0 +1,77 @@
+package io.rosemarybeam.decision.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.wire.EndpointAnnouncement;
+import io.rosemarybeam.common.wire.EndpointAnnouncement.State;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against endpoints that get more requests than their speed and their health allow. */
+class EndpointSelectionTest {
+    private static final FailureDomain HERE = FailureDomain.of("tanger");
+
+    private final EndpointLoads loads = new EndpointLoads();
+    private final List<EndpointAnnouncement> endpoints = List.of(endpoint("a"), endpoint("b"), endpoint("c"));
+
+    private static EndpointAnnouncement endpoint(String id) {
+        return new EndpointAnnouncement(
+                EndpointId.of(id), 1, 1, ServiceName.of("desk"), "10.0.0.1:80", HERE, 6, State.READY, List.of());
+    }
+
+    private String choose(Set<EndpointId> tried, long now) {
+        return EndpointSelection.choose(endpoints, tried, loads, HERE, now)
+                .orElseThrow()
+                .id()
+                .value();
+    }
+
+    /** Load pattern: one of three endpoints answers four times as slowly as the others. */
+    @Test
+    void shouldSendFewRequestsToSlowEndpointWhenLoadIsSteady() {
+        endpoints.forEach(
+                endpoint -> loads.answered(endpoint.id(), endpoint.id().value().equals("a") ? 120 : 30));
+        List<String> chosen = new ArrayList<>();
+        for (int request = 0; request < 12; request++) {
+            String id = choose(Set.of(), 0);
+            chosen.add(id);
+            loads.sent(EndpointId.of(id));
+        }
+
+        assertEquals(0, chosen.stream().filter("a"::equals).count(), chosen.toString());
+    }
+
+    /** Load pattern: an endpoint crashes and still announces itself as ready. */
+    @Test
+    void shouldAvoidFailedEndpointLongerWithEachFailure() {
+        EndpointId failing = EndpointId.of("a");
+        loads.failed(failing, 0);
+        assertTrue(loads.isAvoided(failing, 99));
+        assertTrue(!loads.isAvoided(failing, 101));
+        for (int failure = 0; failure < 10; failure++) {
+            loads.failed(failing, 1_000);
+        }
+
+        assertTrue(loads.isAvoided(failing, 3_999), "the delay grows");
+        assertTrue(!loads.isAvoided(failing, 4_001), "and is bounded");
+    }
+
+    @Test
+    void shouldUseAnotherEndpointWhenOneWasTried() {
+        assertEquals("b", choose(Set.of(EndpointId.of("a")), 0));
+    }
+
+    @Test
+    void shouldUseTriedEndpointWhenThereIsNoOther() {
+        Set<EndpointId> all = Set.of(EndpointId.of("a"), EndpointId.of("b"), EndpointId.of("c"));
+
+        assertEquals("a", choose(all, 0));
+    }
+}
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -55,6 +55,7 @@
     private final AnswerSink sink;
     private final long started = Forwarder.now();
     private final Set<EndpointId> tried = new HashSet<>();
+    private final Set<EndpointId> unavailable = new HashSet<>();
     private final List<Run> running = new ArrayList<>();
     private Optional<HeldAnswer> lastFailure = Optional.empty();
     private Future<?> deadlineTimer;
@@ -102,7 +103,9 @@
     }
 
     private Optional<EndpointAnnouncement> choose() {
-        List<EndpointAnnouncement> ready = forwarder.directory().ready(request.service());
+        List<EndpointAnnouncement> ready = forwarder.directory().ready(request.service()).stream()
+                .filter(endpoint -> !unavailable.contains(endpoint.id()))
+                .toList();
         return EndpointSelection.choose(ready, tried, forwarder.loads(), forwarder.ownDomain(), Forwarder.now());
     }
 
@@ -305,13 +308,19 @@
 
         /** The endpoint did not run the request, so another one may, whatever the route. */
         private void refused(long now) {
-            sends--;
-            refusals++;
+            didNotRun();
             forwarder.loads().failed(endpoint.id(), now);
             attempted("not executed", String.valueOf(head.status()));
             next();
         }
 
+        /** An endpoint that is full or cannot be reached will not be free for this request a moment later. */
+        private void didNotRun() {
+            sends--;
+            refusals++;
+            unavailable.add(endpoint.id());
+        }
+
         private void failed(long now) {
             boolean isForged = head.status() < 300;
             mayHaveRun = true;
@@ -335,8 +344,7 @@
                 close("broken in the answer", BAD_GATEWAY);
                 sink.breakOff();
             } else if (failure == Failure.NOT_SENT) {
-                sends--;
-                refusals++;
+                didNotRun();
                 next();
             } else {
                 mayHaveRun = true;
--- /dev/null
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -0,0 +1,286 @@
+package io.rosemarybeam.forward;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.common.wire.EndpointAnnouncement;
+import io.rosemarybeam.common.wire.EndpointAnnouncement.State;
+import io.rosemarybeam.decision.routing.EndpointDirectory;
+import io.rosemarybeam.decision.routing.EndpointLoads;
+import io.rosemarybeam.decision.routing.Route;
+import io.rosemarybeam.decision.routing.RouteKind;
+import io.rosemarybeam.platform.EndpointClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against requests that run twice although they may not, refusals of requests that have run, answers of other
+ * requests, and endpoints that go on working for callers who have left.
+ */
+class ForwarderTest {
+    private static final ServiceName SERVICE = ServiceName.of("desk");
+    private static final FailureDomain HERE = FailureDomain.of("fes");
+    private static final String OK = "HTTP/1.1 200 OK\r\nRosemarybeam-Request-Id: r1\r\n"
+            + "Rosemarybeam-Server-Stamp: d\r\nContent-Length: 4\r\n\r\nbody";
+    private static final String FOREIGN = "HTTP/1.1 200 OK\r\nRosemarybeam-Request-Id: other\r\n"
+            + "Rosemarybeam-Server-Stamp: d\r\nContent-Length: 5\r\n\r\nwrong";
+    private static final String FULL =
+            "HTTP/1.1 503 Service Unavailable\r\nRosemarybeam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    private static final String CLOSE = "";
+    private static final String SILENT = "silent";
+
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final EventLoop loop = loops.next();
+    private final EndpointDirectory directory = new EndpointDirectory();
+    private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
+    private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
+    private final Forwarder forwarder = new Forwarder(
+            loop,
+            EndpointClient.of(loop),
+            directory,
+            new EndpointLoads(),
+            HERE,
+            ForwardMetrics.of(Metrics.ofProcess()));
+
+    @AfterEach
+    void close() throws IOException {
+        for (ScriptedEndpoint endpoint : endpoints) {
+            endpoint.close();
+        }
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    private ScriptedEndpoint endpoint(String id, String answer) throws IOException {
+        ScriptedEndpoint endpoint = new ScriptedEndpoint(answer);
+        endpoints.add(endpoint);
+        EndpointAnnouncement announcement = new EndpointAnnouncement(
+                EndpointId.of(id), 1, 1, SERVICE, endpoint.address(), HERE, 6, State.READY, List.of());
+        loop.submit(() -> directory.merge(announcement, 0)).syncUninterruptibly();
+        return endpoint;
+    }
+
+    private ForwardCall forward(RouteKind kind, long milliseconds) throws InterruptedException {
+        Route route = Route.builder()
+                .at("r", "a", "/")
+                .kind(kind)
+                .times(Duration.ofSeconds(2), Duration.ofMillis(300))
+                .split(List.of(new Route.Share(SERVICE, 1)))
+                .maximumAttempts(2)
+                .build();
+        HttpHeaders headers =
+                new DefaultHttpHeaders().set("Rosemarybeam-Request-Id", "r1").set("Host", "a");
+        ForwardRequest request = new ForwardRequest(
+                "r1", route, SERVICE, "POST", "/x", headers, new byte[] {1}, Forwarder.now() + milliseconds, 1);
+        return loop.submit(() -> forwarder.forward(request, new RecordingSink()))
+                .sync()
+                .getNow();
+    }
+
+    private String outcome() throws InterruptedException {
+        String outcome = outcomes.poll(5, TimeUnit.SECONDS);
+        assertNotNull(outcome, "no outcome");
+        return outcome;
+    }
+
+    @Test
+    void shouldRepeatIdempotentRequestWhenEndpointBreaksOff() throws Exception {
+        endpoint("a", CLOSE);
+        endpoint("b", OK);
+
+        forward(RouteKind.IDEMPOTENT, 2_000);
+
+        assertEquals("200 body", outcome());
+    }
+
+    @Test
+    void shouldNeitherRepeatNorRefuseNonIdempotentRequestWhenEndpointBreaksOff() throws Exception {
+        endpoint("a", CLOSE);
+        ScriptedEndpoint other = endpoint("b", OK);
+
+        forward(RouteKind.NON_IDEMPOTENT, 2_000);
+
+        assertEquals("failed 502", outcome());
+        assertEquals(0, other.requests.size());
+    }
+
+    @Test
+    void shouldSendNonIdempotentRequestElsewhereWhenEndpointDidNotRunIt() throws Exception {
+        endpoint("a", FULL);
+        endpoint("b", OK);
+
+        forward(RouteKind.NON_IDEMPOTENT, 2_000);
+
+        assertEquals("200 body", outcome());
+    }
+
+    @Test
+    void shouldRefuseAtOnceWhenEveryEndpointIsFull() throws Exception {
+        endpoint("a", FULL);
+        endpoint("b", FULL);
+        long started = Forwarder.now();
+
+        forward(RouteKind.IDEMPOTENT, 2_000);
+
+        assertEquals("refused", outcome());
+        assertTrue(Forwarder.now() - started < 1_000, "a refusal does not wait for the deadline");
+    }
+
+    @Test
+    void shouldSkipLateAnswerOfAnotherRequest() throws Exception {
+        endpoint("a", FOREIGN + OK);
+
+        forward(RouteKind.NON_IDEMPOTENT, 2_000);
+
+        assertEquals("200 body", outcome());
+    }
+
+    @Test
+    void shouldAskSecondEndpointWhenFirstIsSilent() throws Exception {
+        endpoint("a", SILENT);
+        endpoint("b", OK);
+
+        forward(RouteKind.IDEMPOTENT, 2_000);
+
+        assertEquals("200 body", outcome());
+    }
+
+    @Test
+    void shouldAnswerWithTimeoutWhenNonIdempotentRequestHasNoAnswer() throws Exception {
+        endpoint("a", SILENT);
+
+        forward(RouteKind.NON_IDEMPOTENT, 300);
+
+        assertEquals("failed 504", outcome());
+    }
+
+    @Test
+    void shouldCloseConnectionToEndpointWhenCallerLeaves() throws Exception {
+        ScriptedEndpoint endpoint = endpoint("a", SILENT);
+        ForwardCall call = forward(RouteKind.NON_IDEMPOTENT, 2_000);
+        assertNotNull(endpoint.requests.poll(2, TimeUnit.SECONDS));
+
+        loop.execute(call::cancel);
+
+        assertNotNull(endpoint.closed.poll(1, TimeUnit.SECONDS), "the endpoint is not told");
+    }
+
+    /** Records the outcome as text. */
+    private final class RecordingSink implements AnswerSink {
+        @Override
+        public void whole(int status, HttpHeaders headers, byte[] body) {
+            outcomes.add(status + " " + new String(body, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void begin(int status, HttpHeaders headers) {
+            outcomes.add("begun");
+        }
+
+        @Override
+        public void part(byte[] bytes) {
+            outcomes.add("part");
+        }
+
+        @Override
+        public void end() {
+            outcomes.add("ended");
+        }
+
+        @Override
+        public void breakOff() {
+            outcomes.add("broken off");
+        }
+
+        @Override
+        public void refuse(double retryAfterSeconds) {
+            outcomes.add("refused");
+        }
+
+        @Override
+        public void fail(int status) {
+            outcomes.add("failed " + status);
+        }
+    }
+
+    /** Answers every request with the same bytes, or not at all. */
+    private static final class ScriptedEndpoint {
+        private final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+        private final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
+        private final String answer;
+
+        ScriptedEndpoint(String answer) throws IOException {
+            this.answer = answer;
+            Thread.ofVirtual().start(this::accept);
+        }
+
+        String address() {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+
+        void close() throws IOException {
+            socket.close();
+        }
+
+        private void accept() {
+            while (!socket.isClosed()) {
+                try {
+                    Socket connection = socket.accept();
+                    Thread.ofVirtual().start(() -> serve(connection));
+                } catch (IOException closing) {
+                    return;
+                }
+            }
+        }
+
+        private void serve(Socket connection) {
+            try (connection) {
+                InputStream in = connection.getInputStream();
+                byte[] buffer = new byte[4_096];
+                int count = in.read(buffer);
+                if (count < 0) {
+                    return;
+                }
+                requests.add(new String(buffer, 0, count, StandardCharsets.UTF_8));
+                if (answer.equals(SILENT)) {
+                    while (in.read(buffer) >= 0) {
+                        requests.add("more");
+                    }
+                    closed.add("closed");
+                } else {
+                    OutputStream out = connection.getOutputStream();
+                    out.write(answer.getBytes(StandardCharsets.UTF_8));
+                    out.flush();
+                    if (!answer.isEmpty()) {
+                        in.read(buffer);
+                    }
+                }
+            } catch (IOException broken) {
+                closed.add("broken");
+            }
+        }
+    }
+}
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -292,6 +292,7 @@
                     admin.close();
                 })
                 .syncUninterruptibly();
+        loops.shutdownGracefully(0, STOP_MILLISECONDS, TimeUnit.MILLISECONDS).syncUninterruptibly();
         storageExecutor.shutdown();
         try {
             storageExecutor.awaitTermination(STOP_MILLISECONDS, TimeUnit.MILLISECONDS);
@@ -725,7 +726,8 @@
             boolean isMember = log.membership().members().stream()
                     .anyMatch(member -> member.id().name().equals(host));
             boolean isWhole = log.membership().voters().size() >= 2 * settings.toleratedLosses() + 1
-                    && log.membership().voters().stream().allMatch(voter -> log.isCaughtUp(voter.id()));
+                    && log.membership().voters().stream()
+                            .allMatch(voter -> voter.id().equals(self) || log.isCaughtUp(voter.id()));
             return !isMember && !log.isChangePending() && isWhole;
         }
     }
--- /dev/null
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
@@ -0,0 +1,204 @@
+package io.rosemarybeam.store;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.settings.StoreSettings;
+import io.rosemarybeam.common.wire.Credentials;
+import io.rosemarybeam.common.wire.HandshakeMessage.Role;
+import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.MessageHandler;
+import io.rosemarybeam.common.wire.StoreMessage;
+import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
+import io.rosemarybeam.common.wire.WireConnection;
+import io.rosemarybeam.common.wire.WireSettings;
+import io.rosemarybeam.common.wire.WireTransport;
+
+/** Store processes on loopback addresses of their own, with a data folder each. Confined to the thread of a test. */
+final class StoreCluster implements AutoCloseable {
+    private static final long PATIENCE_MILLISECONDS = 15_000;
+    private static final MessageHandler IGNORE = (connection, correlation, message) -> {};
+
+    private final Path folder;
+    private final int protocolPort = freePort();
+    private final int operatorPort = freePort();
+    private final int adminPort = freePort();
+    private final Map<Integer, StoreProcess> running = new TreeMap<>();
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final HttpClient http =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
+
+    StoreCluster(Path folder) {
+        this.folder = folder;
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host(1)))) {
+            return socket.getLocalPort();
+        } catch (IOException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    static String host(int number) {
+        return "127.0.77." + number;
+    }
+
+    void start(int number, boolean firstStart) {
+        StoreProcess process = StoreProcess.of(settings(number, firstStart), failure -> {
+            throw new IllegalStateException(failure);
+        });
+        process.start();
+        running.put(number, process);
+    }
+
+    private StoreSettings settings(int number, boolean firstStart) {
+        String text = """
+                {"name": "store-%d", "failureDomain": "fes", "host": "%s", "operatorAddress": "%s:%d",
+                 "adminAddress": "%s:%d", "dataFolder": "data-%d",
+                 "seeds": ["%s:1", "%s:1", "%s:1"], "storePort": %d, "clusterSecret": "test", "firstStart": %s,
+                 "toleratedLosses": 1, "endpointsCheckFencing": true, "orderLeaseMilliseconds": 3000,
+                 "heartbeatMilliseconds": 1200, "resultsKeptSeconds": 120, "stopSeconds": 8}
+                """.formatted(
+                        number,
+                        host(number),
+                        host(number),
+                        operatorPort,
+                        host(number),
+                        adminPort,
+                        number,
+                        host(1),
+                        host(2),
+                        host(3),
+                        protocolPort,
+                        firstStart);
+        try {
+            Path file = folder.resolve("store-" + number + ".json");
+            Files.writeString(file, text);
+            return StoreSettings.load(file);
+        } catch (IOException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    void stop(int number) {
+        running.remove(number).stop();
+    }
+
+    void wipe(int number) {
+        try (Stream<Path> files = Files.walk(folder.resolve("data-" + number))) {
+            files.sorted(Comparator.reverseOrder())
+                    .forEach(file -> file.toFile().delete());
+        } catch (IOException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    int post(int number, String path, String body) {
+        return send(HttpRequest.newBuilder(uri(number, path))
+                        .POST(HttpRequest.BodyPublishers.ofString(body))
+                        .build())
+                .statusCode();
+    }
+
+    HttpResponse<String> get(int number, String path) {
+        return send(HttpRequest.newBuilder(uri(number, path)).build());
+    }
+
+    String dump(int number) {
+        return send(HttpRequest.newBuilder(URI.create("http://" + host(number) + ":" + adminPort + "/dump"))
+                        .build())
+                .body();
+    }
+
+    private URI uri(int number, String path) {
+        return URI.create("http://" + host(number) + ":" + operatorPort + path);
+    }
+
+    private HttpResponse<String> send(HttpRequest request) {
+        try {
+            return http.send(request, HttpResponse.BodyHandlers.ofString());
+        } catch (IOException failure) {
+            throw new IllegalStateException(failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
+    /** Asks every running host until one that leads gives a certain answer. */
+    StoreReply ask(StoreMessage request) {
+        return until("a leader answers", () -> {
+            for (int number : List.copyOf(running.keySet())) {
+                StoreReply reply = ask(number, request);
+                if (reply.outcome() != Outcome.NOT_LEADER && reply.outcome() != Outcome.UNCERTAIN) {
+                    return reply;
+                }
+            }
+            return null;
+        });
+    }
+
+    StoreReply ask(int number, StoreMessage request) {
+        WireConnection connection = null;
+        try {
+            connection = WireTransport.of(loops, WireSettings.quick())
+                    .connect(host(number) + ":" + protocolPort, new Credentials(Role.ENTRY, "test", 0, "test"), IGNORE)
+                    .get(2, TimeUnit.SECONDS);
+            Message reply = connection.request(request, Duration.ofSeconds(2)).get(3, TimeUnit.SECONDS);
+            return (StoreReply) reply;
+        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException failure) {
+            return StoreReply.of(Outcome.UNCERTAIN);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(interrupted);
+        } finally {
+            if (connection != null) {
+                connection.close();
+            }
+        }
+    }
+
+    static <T> T until(String what, Callable<T> attempt) {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLISECONDS);
+        while (System.nanoTime() < deadline) {
+            try {
+                T found = attempt.call();
+                if (found != null) {
+                    return found;
+                }
+                Thread.sleep(50);
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                throw new IllegalStateException(interrupted);
+            } catch (Exception notYet) {
+                // The host is not up yet; the loop ends with a failure if it never is.
+                Thread.onSpinWait();
+            }
+        }
+        throw new AssertionError("not within " + PATIENCE_MILLISECONDS + " ms: " + what);
+    }
+
+    @Override
+    public void close() {
+        running.values().forEach(StoreProcess::stop);
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
@@ -0,0 +1,187 @@
+package io.rosemarybeam.store;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.id.ItemId;
+import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.StoreMessage.ReadItem;
+import io.rosemarybeam.common.wire.StoreMessage.ReadResults;
+import io.rosemarybeam.common.wire.StoreMessage.SubmitBatch;
+import io.rosemarybeam.common.wire.Submission;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/**
+ * Guards against second clusters, lost acknowledgements after a lost disk or a restart of all hosts, and reads of older
+ * configurations.
+ */
+class StoreProcessTest {
+    private static final String REPLACE = "/api/config/replace";
+    private static final String GET = "/api/config/get";
+    private static final SubmissionId SUBMISSION = SubmissionId.of("s-1");
+    private static final ItemId ITEM = ItemId.of("i-1");
+
+    @TempDir
+    Path folder;
+
+    private StoreCluster cluster;
+
+    @BeforeEach
+    void create() {
+        cluster = new StoreCluster(folder);
+    }
+
+    @AfterEach
+    void close() {
+        cluster.close();
+    }
+
+    private static String configuration(int version) {
+        return "{\"Version\":" + version + ",\"Routes\":[],\"Services\":[]}";
+    }
+
+    private void accept(int host, int version) {
+        StoreCluster.until(
+                "configuration " + version + " is accepted",
+                () -> cluster.post(host, REPLACE, configuration(version)) == 200 ? true : null);
+    }
+
+    private String newest(int host) {
+        return StoreCluster.until("the configuration is read", () -> {
+            var answer = cluster.get(host, GET);
+            return answer.statusCode() == 200 ? answer.body() : null;
+        });
+    }
+
+    private static Submission submission() {
+        Submission.Item item = new Submission.Item(
+                ITEM, "/x/1", Map.of(), "body".getBytes(StandardCharsets.UTF_8), 10, "g", Optional.empty());
+        return new Submission(SUBMISSION, "a.example", "/x/", 0, Optional.empty(), 1, 1, List.of(item));
+    }
+
+    @Test
+    void shouldFormOneClusterWhenSeedsStartInAnyOrder() {
+        cluster.start(4, true);
+        cluster.start(3, true);
+        cluster.start(1, true);
+        cluster.start(2, true);
+
+        accept(4, 5);
+
+        for (int host = 1; host <= 4; host++) {
+            assertEquals(configuration(5), newest(host));
+        }
+    }
+
+    @Test
+    void shouldAnswerUnavailableWhenEmptyHostsAreNotToldOfFirstStart() throws InterruptedException {
+        cluster.start(1, false);
+        cluster.start(2, false);
+        cluster.start(3, false);
+        Thread.sleep(2_500);
+
+        assertEquals(503, cluster.post(1, REPLACE, configuration(1)));
+        assertEquals(503, cluster.get(2, GET).statusCode());
+    }
+
+    @Test
+    void shouldKeepConfigurationWhenEachHostLosesItsDiskInTurn() {
+        for (int host = 1; host <= 3; host++) {
+            cluster.start(host, true);
+        }
+        for (int host = 1; host <= 3; host++) {
+            int other = host % 3 + 1;
+            accept(other, 10 + host);
+            cluster.stop(host);
+            cluster.wipe(host);
+            cluster.start(host, false);
+            int replaced = host;
+            StoreCluster.until("the host is a voter again", () -> {
+                accept(other, 20 + replaced);
+                return newest(replaced).equals(configuration(20 + replaced))
+                                && cluster.dump(replaced).contains("\"voters\": 3, \"learners\": 0")
+                        ? true
+                        : null;
+            });
+        }
+    }
+
+    @Test
+    void shouldKeepSubmissionWhenAllHostsRestartAfterItsAcknowledgement() {
+        for (int host = 1; host <= 3; host++) {
+            cluster.start(host, true);
+        }
+        assertEquals(Outcome.DONE, cluster.ask(new SubmitBatch(submission())).outcome());
+        for (int host = 1; host <= 3; host++) {
+            cluster.stop(host);
+        }
+        for (int host = 1; host <= 3; host++) {
+            cluster.start(host, true);
+        }
+
+        assertEquals(
+                "body", new String(cluster.ask(new ReadItem(SUBMISSION, ITEM)).content(), StandardCharsets.UTF_8));
+        assertEquals(
+                1,
+                cluster.ask(new ReadResults(SUBMISSION, 0, 0))
+                        .page()
+                        .orElseThrow()
+                        .total());
+        assertEquals(
+                Outcome.UNKNOWN,
+                cluster.ask(new ReadResults(SubmissionId.of("other"), 0, 0)).outcome());
+    }
+
+    @Test
+    void shouldAcknowledgeOlderVersionWithoutUsingItAndRefuseInvalidText() {
+        for (int host = 1; host <= 3; host++) {
+            cluster.start(host, true);
+        }
+        accept(1, 9);
+        accept(2, 8);
+        accept(3, 9);
+
+        assertEquals(configuration(9), newest(2));
+        assertEquals(400, cluster.post(1, REPLACE, "{\"Version\":10"));
+        assertEquals(configuration(9), newest(1));
+    }
+
+    @Test
+    void shouldRefuseRetirementWhenTooFewHostsWouldRemain() {
+        for (int host = 1; host <= 3; host++) {
+            cluster.start(host, true);
+        }
+        accept(1, 1);
+
+        StoreCluster.until(
+                "the retirement is refused",
+                () -> cluster.post(1, "/api/retire/store-2/start", "{}") == 409 ? true : null);
+        assertEquals(404, cluster.post(1, "/api/retire/store-9/start", "{}"));
+    }
+
+    @Test
+    void shouldEmptyHostWhenAnotherOneTakesItsPlace() {
+        for (int host = 1; host <= 4; host++) {
+            cluster.start(host, true);
+        }
+        accept(1, 1);
+        StoreCluster.until(
+                "the retirement starts", () -> cluster.post(1, "/api/retire/store-2/start", "{}") == 200 ? true : null);
+
+        StoreCluster.until(
+                "the host is empty",
+                () -> cluster.get(1, "/api/retire/store-2/get").body().contains("completed") ? true : null);
+        cluster.stop(2);
+        accept(3, 2);
+        assertEquals(configuration(2), newest(4));
+    }
+}
