--- /dev/null
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/settings/PlatformSettingsTest.java
@@ -0,0 +1,86 @@
+package io.rosemarybeam.common.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import io.rosemarybeam.common.error.SettingsException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against settings templates that lack a field or have one that no program reads. */
+class PlatformSettingsTest {
+    private static final Path DEPLOY = Path.of("..", "deploy");
+
+    @TempDir
+    Path folder;
+
+    /** Fills a template in as the platform does, for one value of each placeholder. */
+    private Path filled(String template, String from, String to) throws IOException {
+        String text = Files.readString(DEPLOY.resolve(template))
+                .replaceAll("\\{\\{[#/]Listen.Directory}}", "")
+                .replace("{{.|json}}", "\"10.1.0.5:8003\"")
+                .replace("{{NodeName|json}}", "\"host-1\"")
+                .replace("{{Zone|json}}", "\"fes\"")
+                .replace("{{Ip|json}}", "\"10.1.0.5\"")
+                .replace("{{Ip}}", "10.1.0.5")
+                .replace("{{Listen.Front|json}}", "\"10.1.0.5:8001\"")
+                .replace("{{Listen.Ready|json}}", "\"10.1.0.5:8002\"")
+                .replace("{{Listen.Control|json}}", "\"10.1.0.5:8004\"")
+                .replace("{{DataDir|json}}", "\"/data/x\"")
+                .replace("{{Seeds|json}}", "[\"10.1.0.6:8004\",\"10.1.0.7:8004\"]")
+                .replace("{{InternalPorts.0}}", "7660")
+                .replace("{{Bootstrap|json}}", "true")
+                .replace("{{FaultTolerance.Machines}}", "1")
+                .replace("{{Bounds.FencingRequired|json}}", "true")
+                .replace("{{Bounds.LeaseMs}}", "3000")
+                .replace("{{HeartbeatMs}}", "1200")
+                .replace("{{Bounds.StatusS}}", "120")
+                .replace("{{Bounds.GraceS}}", "8")
+                .replace(from, to);
+        assertTrue(!text.contains("{{"), "a placeholder is not filled in: " + text);
+        return Files.writeString(folder.resolve(template), text);
+    }
+
+    @Test
+    void shouldLoadFilledTemplates() throws IOException {
+        EdgeSettings edge = EdgeSettings.load(filled("edge.json", "", ""));
+        StoreSettings store = StoreSettings.load(filled("store.json", "", ""));
+
+        assertEquals(List.of("10.1.0.6:7660", "10.1.0.7:7660"), edge.stores().addresses());
+        assertEquals("10.1.0.5:8003", edge.lookupAddress().orElseThrow());
+        assertEquals("10.1.0.5:7660", store.protocolAddress());
+        assertEquals(1, store.toleratedLosses());
+    }
+
+    @Test
+    void shouldNameMissingKey() throws IOException {
+        Path file = filled("store.json", "\"storePort\": 7660,", "");
+
+        SettingsException refusal = assertThrows(SettingsException.class, () -> StoreSettings.load(file));
+        assertTrue(refusal.getMessage().contains("storePort"), refusal.getMessage());
+    }
+
+    @Test
+    void shouldNameUnknownKey() throws IOException {
+        Path file = filled("edge.json", "\"stopSeconds\"", "\"graceSeconds\": 3, \"stopSeconds\"");
+
+        SettingsException refusal = assertThrows(SettingsException.class, () -> EdgeSettings.load(file));
+        assertTrue(refusal.getMessage().contains("graceSeconds"), refusal.getMessage());
+    }
+
+    @Test
+    void shouldLoadSettingsOfTheTrainingStart() {
+        assertEquals(
+                "training",
+                EdgeSettings.load(DEPLOY.resolve("training-edge.json")).name().value());
+        assertEquals(
+                "training",
+                StoreSettings.load(DEPLOY.resolve("training-store.json")).name().value());
+    }
+}
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/WireTransportTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/WireTransportTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 
@@ -20,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -119,4 +121,44 @@
             assertEquals(ErrorCode.HANDSHAKE_REFUSED, ((WireException) failure.getCause()).code());
         }
     }
+
+    /** Load pattern: a host that is dark or slow while its peer goes on sending; unsent messages filled the memory. */
+    @Test
+    void shouldNotBeWritableWhenTheOtherSideDoesNotRead() throws Exception {
+        NioEventLoopGroup blocked = new NioEventLoopGroup(1);
+        CountDownLatch done = new CountDownLatch(1);
+        WireSettings patient = new WireSettings(Duration.ofSeconds(5), Duration.ofSeconds(20), Duration.ofSeconds(5));
+        Channel slow = WireTransport.of(blocked, patient)
+                .listen(
+                        "127.0.0.1:0",
+                        "slow",
+                        new Secrets("cluster", Optional.empty()),
+                        (connection, correlation, message) -> awaitQuietly(done));
+        try {
+            String slowAddress = "127.0.0.1:" + ((InetSocketAddress) slow.localAddress()).getPort();
+            WireConnection connection = WireTransport.of(eventLoops, patient)
+                    .connect(slowAddress, new Credentials(Role.CONTROL, "a", 1, "cluster"), (a, b, c) -> {})
+                    .get(5, TimeUnit.SECONDS);
+            assertTrue(connection.isWritable());
+            for (int message = 0; message < 32; message++) {
+                connection.send(new ControlTraffic.LogTraffic("a", 1, new byte[1_048_576]));
+            }
+            eventLoops.submit(() -> {}).sync();
+
+            assertFalse(connection.isWritable());
+            connection.close();
+        } finally {
+            done.countDown();
+            slow.close();
+            blocked.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch done) {
+        try {
+            done.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -308,4 +308,23 @@
         log.receive(new Envelope(other, self, new LogMessage.Appended(3, true, 3, 0, 0)));
         assertEquals(3, log.commitIndex());
     }
+
+    /** Load pattern: entries are committed faster than a learner's answers arrive; it was never promoted. */
+    @Test
+    void shouldCountLearnerAsCaughtUpWhenItIsOneHeartbeatBehind() {
+        Node leader = leader();
+        Node learner = cluster.add("learner", 9);
+        leader.change(new MembershipChange.AddLearner(LogCluster.member("learner", 9)));
+        cluster.run(20);
+        cluster.isolated.add("learner");
+        cluster.propose();
+        cluster.run(1);
+
+        assertTrue(leader.log.matchOf(learner.id).orElseThrow() < leader.log.commitIndex());
+        assertTrue(leader.log.isCaughtUp(learner.id));
+
+        cluster.run(6);
+
+        assertFalse(leader.log.isCaughtUp(learner.id), "several heartbeats behind");
+    }
 }
--- /dev/null
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
@@ -0,0 +1,112 @@
+package io.rosemarybeam.store;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import io.rosemarybeam.common.id.ItemId;
+import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
+import io.rosemarybeam.common.wire.Submission;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against results that change their position, configurations that go back, and hosts whose states differ. */
+class StoreStateTest {
+    private static final SubmissionId ID = SubmissionId.of("s");
+
+    private final StoreState state = new StoreState();
+
+    private static Submission.Result result(String item, String text) {
+        return new Submission.Result(
+                ItemId.of(item), true, text.getBytes(StandardCharsets.UTF_8), List.of(3L), Optional.of("score"));
+    }
+
+    private static Submission submission(String... items) {
+        List<Submission.Item> all = java.util.Arrays.stream(items)
+                .map(item -> new Submission.Item(
+                        ItemId.of(item), "/x", Map.of("a", "b"), new byte[] {1}, 5, "g", Optional.empty()))
+                .toList();
+        return new Submission(ID, "h", "/x/", 2, Optional.of(ModelName.of("m")), 3, 1, all);
+    }
+
+    private StoreReply apply(StoreCommand command) {
+        return (StoreReply) state.apply(StoreCommand.encode(10, command));
+    }
+
+    private List<String> listed(StoreState of) {
+        return of.submission(ID).orElseThrow().page(0).results().stream()
+                .map(result -> result.item() + "=" + new String(result.text(), StandardCharsets.UTF_8))
+                .toList();
+    }
+
+    @Test
+    void shouldKeepFirstResultWhenItemIsListedTwice() {
+        apply(new StoreCommand.AcceptSubmission(submission("a", "b"), "r"));
+        apply(new StoreCommand.ListResults(ID, List.of(result("b", "one"))));
+        apply(new StoreCommand.ListResults(ID, List.of(result("b", "two"), result("a", "three"), result("z", "x"))));
+
+        assertEquals(List.of("b=one", "a=three"), listed(state));
+    }
+
+    @Test
+    void shouldAcceptSubmissionOnceWhenItIsResent() {
+        apply(new StoreCommand.AcceptSubmission(submission("a"), "r"));
+        apply(new StoreCommand.ListResults(ID, List.of(result("a", "one"))));
+
+        assertEquals(
+                Outcome.DONE,
+                apply(new StoreCommand.AcceptSubmission(submission("a"), "r")).outcome());
+        assertEquals(List.of("a=one"), listed(state));
+    }
+
+    @Test
+    void shouldKeepHighestConfigurationAndFirstContentOfItsNumber() {
+        apply(new StoreCommand.PutConfiguration(7, new byte[] {7}));
+        assertEquals(
+                Outcome.DONE,
+                apply(new StoreCommand.PutConfiguration(7, new byte[] {8})).outcome());
+        assertEquals(
+                Outcome.DONE,
+                apply(new StoreCommand.PutConfiguration(6, new byte[] {6})).outcome());
+
+        assertEquals(7, state.configuration().orElseThrow().version());
+        assertEquals(7, state.configuration().orElseThrow().text()[0]);
+    }
+
+    @Test
+    void shouldBeEqualWhenRestoredFromSnapshot() {
+        apply(new StoreCommand.PutConfiguration(7, new byte[] {7}));
+        apply(new StoreCommand.PutVersion(ModelName.of("m"), 4));
+        apply(new StoreCommand.AcceptSubmission(submission("a", "b"), "r"));
+        apply(new StoreCommand.ListResults(ID, List.of(result("b", "one"))));
+        apply(new StoreCommand.CloseSubmission(ID));
+        apply(new StoreCommand.NameHost("store-1", "10.0.0.1"));
+        apply(new StoreCommand.Retire("store-1"));
+        StoreState other = new StoreState();
+
+        other.restore(state.capture().get());
+
+        assertEquals(listed(state), listed(other));
+        assertEquals(state.versions(), other.versions());
+        assertEquals(state.hostByName(), other.hostByName());
+        assertEquals(state.retiring(), other.retiring());
+        assertEquals(10, other.time());
+        assertTrue(other.submission(ID).orElseThrow().isEnded());
+        assertEquals(7, other.configuration().orElseThrow().version());
+    }
+
+    @Test
+    void shouldAllowNewHostUnderNameOfRetiredOne() {
+        apply(new StoreCommand.NameHost("store-1", "10.0.0.1"));
+        apply(new StoreCommand.Retire("store-1"));
+        apply(new StoreCommand.NameHost("store-1", "10.0.0.2"));
+
+        assertTrue(state.retiring().isEmpty());
+    }
+}
