--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointLoads.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointLoads.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 
 import io.rosemarybeam.common.id.EndpointId;
 
@@ -134,7 +135,7 @@
      *
      * @param isKnown tells which ones stay
      */
-    public void retain(java.util.function.Predicate<EndpointId> isKnown) {
+    public void retain(Predicate<EndpointId> isKnown) {
         loads.entrySet().removeIf(entry -> entry.getValue().outstanding == 0 && !isKnown.test(entry.getKey()));
     }
 
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerExchange.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerExchange.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.forward;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.Optional;
 
 import io.netty.buffer.Unpooled;
@@ -157,7 +158,7 @@
      */
     public void refuse(double retryAfterSeconds) {
         HttpHeaders answerHeaders = new DefaultHttpHeaders();
-        answerHeaders.set(HttpHeaderNames.RETRY_AFTER, String.format(java.util.Locale.ROOT, "%.2f", retryAfterSeconds));
+        answerHeaders.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retryAfterSeconds));
         answer(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), answerHeaders, EMPTY);
     }
 
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -33,6 +33,7 @@
     private static final EventLog LOG = EventLog.of(ForwardCall.class);
     private static final int INTERNAL_ERROR = 500;
     private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
     /** Longest answer that is held until it is whole, in bytes; the users' answers have some kilobytes. */
@@ -124,7 +125,7 @@
     }
 
     private void finishRefused(String reason, double targetPart) {
-        close(reason, 503);
+        close(reason, UNAVAILABLE);
         sink.refuse(targetPart * request.route().target().toMillis() / 1_000.0);
     }
 
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -89,7 +90,7 @@
                     }
                 },
                 RETRY_MILLISECONDS,
-                java.util.concurrent.TimeUnit.MILLISECONDS);
+                TimeUnit.MILLISECONDS);
     }
 
     /** Takes the answer of a scorer. */
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.store;
 
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -298,7 +299,7 @@
         @Override
         public void onEnd() {
             order.call = Optional.empty();
-            java.io.ByteArrayOutputStream body = new java.io.ByteArrayOutputStream();
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
             parts.forEach(body::writeBytes);
             answered.answered(status, body.toByteArray());
         }
