Forget where prompts were read when a submission ends, and remove what nothing uses

The runner kept the endpoint of every group it had ever placed; the entries now go with their submission.

--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
@@ -138,10 +138,6 @@
         return edges;
     }
 
-    boolean isConnected() {
-        return !fresh().isEmpty();
-    }
-
     List<String> describe() {
         long now = Forwarder.now();
         return sessions.values().stream()
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -76,7 +76,7 @@
     void start() {
         long left = request.deadline() - Forwarder.now();
         if (left <= 0) {
-            finishRefused("deadline passed", RETRY_TARGET_PART);
+            finishRefused("deadline passed");
             return;
         }
         deadlineTimer = forwarder.loop().schedule(this::onDeadline, left, TimeUnit.MILLISECONDS);
@@ -120,13 +120,13 @@
             close("endpoints failed", BAD_GATEWAY);
             sink.fail(BAD_GATEWAY);
         } else {
-            finishRefused("no endpoint takes it", RETRY_TARGET_PART);
+            finishRefused("no endpoint takes it");
         }
     }
 
-    private void finishRefused(String reason, double targetPart) {
+    private void finishRefused(String reason) {
         close(reason, UNAVAILABLE);
-        sink.refuse(targetPart * request.route().target().toMillis() / 1_000.0);
+        sink.refuse(RETRY_TARGET_PART * request.route().target().toMillis() / 1_000.0);
     }
 
     private void onDeadline() {
@@ -142,7 +142,7 @@
             close("time over", GATEWAY_TIMEOUT);
             sink.fail(GATEWAY_TIMEOUT);
         } else {
-            finishRefused("time over before sending", RETRY_TARGET_PART);
+            finishRefused("time over before sending");
         }
     }
 
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -148,6 +148,7 @@
     /** Stops the work on a submission that was ended, and keeps what its items have. */
     void end(KeptSubmission kept) {
         Map<ItemId, ItemTask> ended = tasks.remove(kept.submission().id());
+        forgetPromptPlaces(kept);
         if (ended != null) {
             ended.values().forEach(task -> {
                 leave(task);
@@ -166,10 +167,16 @@
             open.keySet().removeIf(kept::isListed);
             if (open.isEmpty()) {
                 tasks.remove(kept.submission().id());
+                forgetPromptPlaces(kept);
             }
         }
     }
 
+    private void forgetPromptPlaces(KeptSubmission kept) {
+        String start = kept.submission().id() + " ";
+        promptPlaces.keySet().removeIf(prompt -> prompt.startsWith(start));
+    }
+
     /** Ends everything because another host leads from now on. */
     void stop() {
         tasks.values()
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -181,9 +181,7 @@
     }
 
     private void confirmed(Consumer<StoreReply> reply, Supplier<StoreReply> read) {
-        driver.confirm(false)
-                .whenComplete((nothing, failure) ->
-                        reply.accept(failure == null ? read.get() : StoreReply.of(Outcome.NOT_LEADER)));
+        confirmed(reply, read, () -> false);
     }
 
     private StoreReply newestConfiguration() {
