Follow a request, submission, item or configuration through logs: rosemarybeam explain

Cause: docs/OPERATIONS.md leads from an id to the cause by hand-made searches in the logs of nine processes. Change: the command reads any number of logs, with or without the prefix of a log collector, orders them by time and prints the decisions on the path of the id between what the processes on it believed meanwhile. ITEM_LISTED names the scorer's request, so that an item leads to it.

--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/Command.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/Command.java
@@ -3,7 +3,7 @@
 import org.kohsuke.args4j.Option;
 
 /** One command of the program. Filled by the command line; confined to the main thread. */
-abstract sealed class Command permits RemoteCommand, ValidateCommand {
+abstract sealed class Command permits ExplainCommand, RemoteCommand, ValidateCommand {
     @Option(name = "--json", usage = "print the result as JSON")
     private boolean json;
 
--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/CommandLine.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/CommandLine.java
@@ -31,7 +31,8 @@
             new ApplyCommand(),
             new StatusCommand(),
             new HistoryCommand(),
-            new DumpCommand());
+            new DumpCommand(),
+            new ExplainCommand());
 
     private CommandLine() {}
 
@@ -44,7 +45,8 @@
             @SubCommand(name = "apply", impl = ApplyCommand.class),
             @SubCommand(name = "status", impl = StatusCommand.class),
             @SubCommand(name = "history", impl = HistoryCommand.class),
-            @SubCommand(name = "dump", impl = DumpCommand.class)
+            @SubCommand(name = "dump", impl = DumpCommand.class),
+            @SubCommand(name = "explain", impl = ExplainCommand.class)
         })
         private Command command;
 
--- /dev/null
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/Explanation.java
@@ -0,0 +1,208 @@
+package io.rosemarybeam.cli;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+
+import io.rosemarybeam.common.event.Event;
+
+/**
+ * The path of one request, submission, item or configuration through the processes, out of their logs.
+ *
+ * <p>Lines of the path bear the identifier itself, or that of the submission or of the scorer that belongs to it. Lines
+ * of the context tell what the processes on the path believed meanwhile: the configuration that was used, the state of
+ * the endpoints that were tried, lost and found dependencies, stalls and starts. Immutable and safe for use by several
+ * threads.
+ *
+ * @param subject what is explained, for the heading
+ * @param lines the lines by their time
+ */
+record Explanation(String subject, List<Line> lines) {
+    /** Changes this long before the first line of a path can still be the reason for a decision on it. */
+    private static final Duration CONTEXT_BEFORE = Duration.ofSeconds(2);
+
+    private static final Set<Event> PROCESS_EVENTS = Set.of(
+            Event.PROCESS_STARTED,
+            Event.PROCESS_STOPPING,
+            Event.PROCESS_STOPPED,
+            Event.PROCESS_FAILED,
+            Event.SETTINGS_RELOADED,
+            Event.SETTINGS_REFUSED,
+            Event.LOOP_STALLED,
+            Event.LEADER_ELECTED,
+            Event.LEADERSHIP_LOST,
+            Event.STORE_CONNECTED,
+            Event.STORE_LOST,
+            Event.STORE_LEADER_CHANGED);
+    private static final Set<Event> ENDPOINT_EVENTS =
+            Set.of(Event.ENDPOINT_CHANGED, Event.ORDER_GIVEN, Event.ORDER_FAILED, Event.VERSION_LOADED);
+    private static final Set<Event> CONFIGURATION_EVENTS =
+            Set.of(Event.CONFIGURATION_IN_USE, Event.CONTROL_REQUEST_FINISHED);
+    private static final Set<String> IDENTIFIER_FIELDS = Set.of("request", "submission", "scorer");
+    private static final Pattern LIST_MARKS = Pattern.compile("[\\[\\], ]+");
+
+    /**
+     * One line of the explanation.
+     *
+     * @param record what was logged
+     * @param onPath whether it belongs to the path; otherwise it is context
+     */
+    record Line(LogRecord record, boolean onPath) {}
+
+    /**
+     * Explains a request, a submission or an item.
+     *
+     * @param identifier its id
+     * @param records the records of all logs by their time
+     * @return the explanation; without lines if no record bears the id
+     */
+    static Explanation ofRequest(String identifier, List<LogRecord> records) {
+        Set<String> identifiers = related(identifier, records);
+        return explain("request " + identifier, records, record -> bears(record, identifiers));
+    }
+
+    /**
+     * Explains what became of a configuration.
+     *
+     * @param version its version
+     * @param records the records of all logs by their time
+     * @return the explanation; without lines if no record tells of the version
+     */
+    static Explanation ofConfiguration(long version, List<LogRecord> records) {
+        return explain(
+                "configuration " + version,
+                records,
+                record -> isOneOf(record, CONFIGURATION_EVENTS)
+                        && record.number("version").equals(Optional.of(version)));
+    }
+
+    /** An item's path includes its own submission and its scorer, not the other items of the submission. */
+    private static Set<String> related(String identifier, List<LogRecord> records) {
+        Set<String> related = new LinkedHashSet<>();
+        related.add(identifier);
+        for (LogRecord record : records) {
+            if (record.field("request").equals(identifier)) {
+                related.add(record.field("scorer"));
+            }
+        }
+        related.remove("");
+        return related;
+    }
+
+    private static boolean bears(LogRecord record, Set<String> identifiers) {
+        return IDENTIFIER_FIELDS.stream().anyMatch(field -> identifiers.contains(record.field(field)));
+    }
+
+    private static boolean isOneOf(LogRecord record, Set<Event> events) {
+        return events.stream().anyMatch(record::is);
+    }
+
+    private static Explanation explain(String subject, List<LogRecord> records, Predicate<LogRecord> onPath) {
+        List<LogRecord> path = records.stream().filter(onPath).toList();
+        if (path.isEmpty()) {
+            return new Explanation(subject, List.of());
+        }
+        Set<LogRecord> context = context(path, records);
+        List<Line> lines = new ArrayList<>();
+        for (LogRecord record : records) {
+            boolean isOnPath = onPath.test(record);
+            if (isOnPath || context.contains(record)) {
+                lines.add(new Line(record, isOnPath));
+            }
+        }
+        return new Explanation(subject, List.copyOf(lines));
+    }
+
+    private static Set<LogRecord> context(List<LogRecord> path, List<LogRecord> records) {
+        Instant from = path.stream()
+                .map(Explanation::begin)
+                .min(Instant::compareTo)
+                .orElseThrow()
+                .minus(CONTEXT_BEFORE);
+        Instant until = path.getLast().time();
+        Set<LogRecord> context = new HashSet<>();
+        for (LogRecord record : records) {
+            boolean isMeanwhile =
+                    !record.time().isBefore(from) && !record.time().isAfter(until);
+            if (isMeanwhile && isOneOf(record, PROCESS_EVENTS) && isProcessOf(path, record)) {
+                context.add(record);
+            }
+            if (isMeanwhile
+                    && isOneOf(record, ENDPOINT_EVENTS)
+                    && endpoints(path).contains(record.field("endpoint"))) {
+                context.add(record);
+            }
+        }
+        for (LogRecord step : path) {
+            lastEndpointChange(step, records).ifPresent(context::add);
+            configurationInUse(step, records).ifPresent(context::add);
+        }
+        return context;
+    }
+
+    /** When the decision of a record began, as far as the record tells its duration. */
+    private static Instant begin(LogRecord record) {
+        return record.time().minusMillis(record.number("milliseconds").orElse(0L));
+    }
+
+    private static boolean isProcessOf(List<LogRecord> path, LogRecord record) {
+        return path.stream().anyMatch(step -> step.process().equals(record.process()));
+    }
+
+    private static Set<String> endpoints(List<LogRecord> path) {
+        Set<String> endpoints = new HashSet<>();
+        for (LogRecord step : path) {
+            endpoints.add(step.field("endpoint"));
+            endpoints.addAll(List.of(LIST_MARKS.split(step.field("endpoints"))));
+        }
+        endpoints.remove("");
+        return endpoints;
+    }
+
+    /** What an attempt rested on: the last change that its endpoint had announced until then. */
+    private static Optional<LogRecord> lastEndpointChange(LogRecord step, List<LogRecord> records) {
+        String endpoint = step.field("endpoint");
+        return endpoint.isEmpty()
+                ? Optional.empty()
+                : last(
+                        records,
+                        begin(step),
+                        record -> record.is(Event.ENDPOINT_CHANGED)
+                                && record.field("endpoint").equals(endpoint));
+    }
+
+    private static Optional<LogRecord> configurationInUse(LogRecord step, List<LogRecord> records) {
+        String version = step.field("configuration");
+        return version.isEmpty()
+                ? Optional.empty()
+                : last(
+                        records,
+                        step.time(),
+                        record -> record.is(Event.CONFIGURATION_IN_USE)
+                                && record.process().equals(step.process())
+                                && record.field("version").equals(version));
+    }
+
+    private static Optional<LogRecord> last(List<LogRecord> records, Instant until, Predicate<LogRecord> wanted) {
+        return records.stream()
+                .filter(record -> !record.time().isAfter(until))
+                .filter(wanted)
+                .reduce((former, latter) -> latter);
+    }
+
+    /**
+     * Returns the final decision of the path.
+     *
+     * @return its last line that is not context
+     */
+    Optional<LogRecord> outcome() {
+        return lines.stream().filter(Line::onPath).map(Line::record).reduce((former, latter) -> latter);
+    }
+}
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -450,6 +450,8 @@
                 task.submission.submission().id(),
                 "request",
                 task.item.id(),
+                "scorer",
+                task.item.scorer().map(Submission.Scorer::id).orElse(""),
                 "completed",
                 completed,
                 "versions",
