--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
@@ -19,6 +19,12 @@
     /** Entries sent with a probe, which is repeated with each heartbeat until it is answered, in bytes. */
     private static final int MAXIMUM_PROBE_BYTES = 65_536;
 
+    /**
+     * Heartbeats without progress after which a part of a snapshot counts as lost, as many as two shortest election
+     * timeouts. A part that is repeated sooner only queues behind the first one on a slow link.
+     */
+    private static final int HEARTBEATS_UNTIL_RESEND = 10;
+
     private final ReplicatedLog log;
     private final LogOptions options;
     private final EntryBuffer buffer;
@@ -74,7 +80,7 @@
 
     void sendPending() {
         for (Map.Entry<MemberId, Progress> other : others.entrySet()) {
-            if (readsToAnnounce) {
+            if (readsToAnnounce && !other.getValue().isSendingSnapshot()) {
                 sendAppend(other.getKey(), other.getValue());
             }
             while (canSend(other.getValue())) {
@@ -92,10 +98,27 @@
         }
         others.forEach((id, progress) -> {
             progress.probeSent = false;
-            sendAppend(id, progress);
+            if (progress.isSendingSnapshot()) {
+                continueSnapshot(id, progress);
+            } else {
+                sendAppend(id, progress);
+            }
         });
     }
 
+    /** Repeats a part that seems to be lost; otherwise only tells the member that this leader lives. */
+    private void continueSnapshot(MemberId to, Progress progress) {
+        progress.heartbeatsSincePart++;
+        boolean isLost = progress.heartbeatsSincePart >= HEARTBEATS_UNTIL_RESEND;
+        boolean isReplaced =
+                progress.snapshotIndex != log.snapshot().map(LogSnapshot::index).orElse(progress.snapshotIndex);
+        if (isLost || isReplaced) {
+            sendSnapshotPart(to, progress);
+        } else {
+            sendSnapshotPart(to, progress, 0);
+        }
+    }
+
     private void sendAppend(MemberId to, Progress progress) {
         long previous = progress.next - 1;
         long previousTerm = buffer.term(previous);
@@ -116,12 +139,17 @@
     }
 
     private void sendSnapshotPart(MemberId to, Progress progress) {
+        progress.heartbeatsSincePart = 0;
+        sendSnapshotPart(to, progress, options.snapshotPartBytes());
+    }
+
+    private void sendSnapshotPart(MemberId to, Progress progress, int maximumBytes) {
         LogSnapshot snapshot = log.snapshot().orElseThrow();
         progress.startSnapshot(snapshot.index());
         progress.probeSent = true;
         byte[] state = snapshot.state();
         int start = Math.min(progress.snapshotOffset, state.length);
-        int end = Math.min(start + options.snapshotPartBytes(), state.length);
+        int end = Math.min(start + maximumBytes, state.length);
         log.send(
                 to,
                 new LogMessage.SnapshotPart(
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Progress.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Progress.java
@@ -12,6 +12,7 @@
     long readRound;
     long snapshotIndex = NO_SNAPSHOT;
     int snapshotOffset;
+    int heartbeatsSincePart;
 
     Progress(long next) {
         this.next = next;
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -141,6 +141,60 @@
         assertTrue(behind.applied > 500, "the snapshot was not durable");
     }
 
+    /** Parts of a snapshot with content that are on their way to a member. */
+    private long partsFor(Node member) {
+        return cluster.network.stream()
+                .filter(envelope -> envelope.to().equals(member.id))
+                .filter(envelope ->
+                        envelope.message() instanceof LogMessage.SnapshotPart part && part.data().length > 0)
+                .count();
+    }
+
+    /** Duplicates filled the connection of a member that was to be caught up, so that it was not done for 20 s. */
+    @Test
+    void shouldSendPartOfSnapshotOnceWhenReadsAndHeartbeatsOvertakeIt() {
+        Node behind = follower();
+        cluster.isolated.add(behind.id.name());
+        propose(500);
+        cluster.nodes.values().stream().filter(node -> node != behind).forEach(Node::compact);
+        propose(5);
+        cluster.isolated.clear();
+        Node leader = leader();
+        while (partsFor(behind) == 0) {
+            leader.log.tick();
+            leader.process();
+            for (int message = 0; partsFor(behind) == 0 && !cluster.network.isEmpty(); message++) {
+                cluster.deliver(0, false);
+            }
+        }
+        for (int round = 0; round < 8; round++) {
+            leader.log.tick();
+            leader.process();
+            cluster.read(leader);
+        }
+
+        assertEquals(1, partsFor(behind));
+    }
+
+    @Test
+    void shouldRepeatPartOfSnapshotWhenItWasLost() {
+        Node behind = follower();
+        cluster.isolated.add(behind.id.name());
+        propose(500);
+        cluster.nodes.values().stream().filter(node -> node != behind).forEach(Node::compact);
+        cluster.isolated.clear();
+        for (int round = 0; round < 400 && behind.applied < 500; round++) {
+            if (round % 3 == 0) {
+                cluster.isolated.add(behind.id.name());
+            } else {
+                cluster.isolated.clear();
+            }
+            cluster.run(1);
+        }
+
+        assertTrue(behind.applied > 500, "holds " + behind.applied);
+    }
+
     @Test
     void shouldApplyEverythingAgainWhenAllRestartAfterHundredsOfChanges() {
         propose(300);
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
@@ -129,6 +129,33 @@
         }
     }
 
+    /** A submission with a body of half a mebibyte. */
+    private static Submission large(int number) {
+        Submission.Item item = new Submission.Item(
+                ItemId.of("i-" + number), "/x/1", Map.of(), new byte[524_288], 10, "g", Optional.empty());
+        return new Submission(
+                SubmissionId.of("large-" + number), "a.example", "/x/", 0, Optional.empty(), 1, 1, List.of(item));
+    }
+
+    @Test
+    void shouldCatchUpEmptyHostWhenStateIsLargeAndGrows() {
+        for (int host = 1; host <= 3; host++) {
+            cluster.start(host, true);
+        }
+        for (int number = 0; number < 24; number++) {
+            assertEquals(
+                    Outcome.DONE, cluster.ask(new SubmitBatch(large(number))).outcome());
+        }
+        cluster.stop(1);
+        cluster.wipe(1);
+        cluster.start(1, false);
+        int[] next = {24};
+        StoreCluster.until("the host is a voter again", () -> {
+            cluster.ask(new SubmitBatch(large(next[0]++)));
+            return isVoter(1, 2) ? true : null;
+        });
+    }
+
     @Test
     void shouldKeepSubmissionWhenAllHostsRestartAfterItsAcknowledgement() {
         for (int host = 1; host <= 3; host++) {
