Start items by their latest start, and by the work of their group when there is too much

Items were ordered group by group, by their largest possible length, so a long item often started last; the trainers' length hints were not read. Ruled out: too few slots (24 of 24 were in use for most of the time, but 100 items in 4 s fit), slow endpoints (39 to 41 ms an event on all of them). Change: hints are read, run times are learned from finished runs, the item with the earliest latest start goes first; groups that the trainer can do without go last, groups of an earlier step count as awaited; when the awaited groups cannot all be in time the group with least work goes first. A replay of three trainers on 24 and 16 slots stands beside it as a test (StepReplay).

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/Submission.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/Submission.java
@@ -48,6 +48,7 @@
      * @param headers headers of its request
      * @param body body of its request
      * @param tokens prompt tokens and the most output tokens together
+     * @param expectedTokens output tokens that the trainer expects, right at the median; 0 if it does not say
      * @param group items of a group share their prompt; empty if it belongs to none
      * @param scorer the request that scores the text
      */
@@ -57,6 +58,7 @@
             Map<String, String> headers,
             byte[] body,
             long tokens,
+            long expectedTokens,
             String group,
             Optional<Scorer> scorer) {
         /** Copies the map. */
--- /dev/null
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/StepSchedule.java
@@ -0,0 +1,152 @@
+package io.rosemarybeam.decision.batch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Orders the items that wait for a slot.
+ *
+ * <p>Load pattern: trainers wait for a number of complete groups of their step by a due time, a few items are many times
+ * longer than the rest, and after a failure there is more work than the slots can do in time.
+ *
+ * <ul>
+ *   <li>Groups that the trainer can do without go last: those with most work beyond the number that it waits for. Groups
+ *       of an earlier step are always waited for.
+ *   <li>While all awaited groups can be done in time, the item that has to start first goes first: due time less expected
+ *       run time. So a long item starts early instead of holding up its step at the end.
+ *   <li>When they cannot, the group with least work goes first, so that some groups complete instead of none.
+ *   <li>A group that cannot be in time any more yields to those that can, but not for ever.
+ * </ul>
+ *
+ * <p>Stateless and safe for use by several threads.
+ */
+public final class StepSchedule {
+    /** Part of the time from request to due time by which an item of a late group is postponed. */
+    private static final double LATE_PART = 0.5;
+
+    private StepSchedule() {}
+
+    /**
+     * An item that is not done. Immutable.
+     *
+     * @param <T> what the caller knows the item by
+     * @param task the item
+     * @param expected expected time that it still runs, in milliseconds; 0 once its text is whole
+     * @param waits whether it waits for a slot
+     */
+    public record Item<T>(T task, long expected, boolean waits) {}
+
+    /**
+     * A group that is not complete. Immutable.
+     *
+     * @param <T> what the caller knows items by
+     * @param isCarriedOver whether it belonged to an earlier step, so that the trainer waits for it in any case
+     * @param items its items that are not done, by position
+     */
+    public record Group<T>(boolean isCarriedOver, List<Item<T>> items) {
+        /** Copies the list. */
+        public Group {
+            items = List.copyOf(items);
+        }
+
+        private long work() {
+            return items.stream().mapToLong(Item::expected).sum();
+        }
+
+        private long longest() {
+            return items.stream().mapToLong(Item::expected).max().orElse(0);
+        }
+    }
+
+    /**
+     * A step of a trainer. Immutable.
+     *
+     * @param <T> what the caller knows items by
+     * @param accepted when it was accepted, in milliseconds
+     * @param due when its groups are to be complete, in milliseconds
+     * @param missingGroups groups that the trainer still waits for
+     * @param groups its groups that are not complete, by position
+     */
+    public record Step<T>(long accepted, long due, int missingGroups, List<Group<T>> groups) {
+        /** Copies the list. */
+        public Step {
+            groups = List.copyOf(groups);
+        }
+    }
+
+    /** A group with its place in the order. Immutable. */
+    private record Placed<T>(Step<T> step, Group<T> group, boolean isAwaited) {
+        private boolean canBeInTime(long now) {
+            return now + group.longest() <= step.due();
+        }
+
+        private long latestStart(Item<T> item, long now) {
+            long postponed = canBeInTime(now) ? 0 : (long) (LATE_PART * (step.due() - step.accepted()));
+            return step.due() + postponed - item.expected();
+        }
+    }
+
+    /** An item that waits, with its group. Immutable. */
+    private record Waiting<T>(Placed<T> place, Item<T> item) {}
+
+    /**
+     * Returns the items that wait.
+     *
+     * @param <T> what the caller knows items by
+     * @param steps the open steps
+     * @param slots items that may run at once
+     * @param now the present time, in milliseconds
+     * @return the items, the one to start first at the front
+     */
+    public static <T> List<T> order(Collection<Step<T>> steps, int slots, long now) {
+        List<Placed<T>> groups = new ArrayList<>();
+        steps.forEach(step -> place(step, groups));
+        List<Waiting<T>> waiting = new ArrayList<>();
+        for (Placed<T> place : groups) {
+            place.group().items().stream().filter(Item::waits).forEach(item -> waiting.add(new Waiting<>(place, item)));
+        }
+        waiting.sort(isOverloaded(groups, slots, now) ? byGroupWork() : byLatestStart(now));
+        return waiting.stream().map(entry -> entry.item().task()).toList();
+    }
+
+    private static <T> void place(Step<T> step, List<Placed<T>> groups) {
+        List<Group<T>> sorted = new ArrayList<>(step.groups());
+        sorted.sort(Comparator.<Group<T>, Boolean>comparing(group -> !group.isCarriedOver())
+                .thenComparingLong(Group::work));
+        for (int position = 0; position < sorted.size(); position++) {
+            boolean isAwaited = position < step.missingGroups();
+            groups.add(new Placed<>(step, sorted.get(position), isAwaited));
+        }
+    }
+
+    /** Whether the awaited groups, first due first, need more time than there is until one of them is due. */
+    private static <T> boolean isOverloaded(List<Placed<T>> groups, int slots, long now) {
+        List<Placed<T>> awaited = groups.stream()
+                .filter(Placed::isAwaited)
+                .sorted(Comparator.comparingLong(place -> place.step().due()))
+                .toList();
+        long work = 0;
+        for (Placed<T> place : awaited) {
+            work += place.group().work();
+            long left = Math.max(0, place.step().due() - now);
+            if (work > left * Math.max(1, slots)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static <T> Comparator<Waiting<T>> byLatestStart(long now) {
+        return Comparator.<Waiting<T>, Boolean>comparing(entry -> !entry.place().isAwaited())
+                .thenComparingLong(entry -> entry.place().latestStart(entry.item(), now));
+    }
+
+    private static <T> Comparator<Waiting<T>> byGroupWork() {
+        return Comparator.<Waiting<T>, Boolean>comparing(entry -> !entry.place().isAwaited())
+                .thenComparingLong(entry -> entry.place().group().work())
+                .thenComparingLong(entry -> entry.place().step().due())
+                .thenComparingLong(entry -> -entry.item().expected());
+    }
+}
--- /dev/null
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/StepScheduleTest.java
@@ -0,0 +1,102 @@
+package io.rosemarybeam.decision.batch;
+
+import java.util.List;
+
+import io.rosemarybeam.decision.batch.StepSchedule.Group;
+import io.rosemarybeam.decision.batch.StepSchedule.Item;
+import io.rosemarybeam.decision.batch.StepSchedule.Step;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against steps that wait for a long item which started last, and against overload in which no group completes. */
+class StepScheduleTest {
+    private static final int NEVER = Integer.MAX_VALUE;
+
+    /** Slots of which the trainers of {@link StepReplay} use about nine in ten. */
+    private static final int BUSY_SLOTS = 24;
+
+    /** Slots that are a third too few for the trainers of {@link StepReplay}. */
+    private static final int SCARCE_SLOTS = 16;
+
+    private static Item<String> waits(String name, long expected) {
+        return new Item<>(name, expected, true);
+    }
+
+    private static Group<String> group(Item<String> one) {
+        return new Group<>(false, List.of(one));
+    }
+
+    private static Group<String> group(Item<String> one, Item<String> other) {
+        return new Group<>(false, List.of(one, other));
+    }
+
+    @Test
+    void shouldStartLongItemFirstWhenAllCanBeInTime() {
+        Step<String> first = new Step<>(0, 7_500, 2, List.of(group(waits("short", 500)), group(waits("long", 6_000))));
+        Step<String> second = new Step<>(400, 7_900, 1, List.of(group(waits("medium", 2_000))));
+
+        assertEquals(List.of("long", "medium", "short"), StepSchedule.order(List.of(first, second), 2, 500));
+    }
+
+    @Test
+    void shouldStartLastWhatTrainerCanDoWithout() {
+        Step<String> step = new Step<>(
+                0, 7_500, 1, List.of(group(waits("long", 6_000)), group(waits("one", 500), waits("two", 600))));
+
+        assertEquals(List.of("two", "one", "long"), StepSchedule.order(List.of(step), 2, 0));
+    }
+
+    @Test
+    void shouldWaitForGroupOfEarlierStepEvenIfItHasMostWork() {
+        Group<String> former = new Group<>(true, List.of(waits("former", 6_000)));
+        Step<String> step = new Step<>(0, 7_500, 1, List.of(group(waits("short", 500)), former));
+
+        assertEquals(List.of("former", "short"), StepSchedule.order(List.of(step), 2, 0));
+    }
+
+    @Test
+    void shouldCompleteSmallestGroupFirstWhenNotAllCanBeInTime() {
+        Step<String> step = new Step<>(
+                0, 1_000, 2, List.of(group(waits("a", 900), waits("b", 800)), group(waits("c", 500), waits("d", 600))));
+
+        assertEquals(List.of("d", "c", "a", "b"), StepSchedule.order(List.of(step), 1, 0));
+    }
+
+    @Test
+    void shouldOrderNothingThatRunsOrIsScored() {
+        Group<String> group = new Group<>(
+                false, List.of(new Item<>("runs", 800, false), new Item<>("scored", 0, false), waits("waits", 10)));
+
+        assertEquals(List.of("waits"), StepSchedule.order(List.of(new Step<>(0, 7_500, 1, List.of(group))), 8, 0));
+    }
+
+    /** The users' trainers are to be in time on a usual day: nineteen in twenty of what they ask for. */
+    @Test
+    void shouldServeTrainersInTimeWhenSlotsAreBusy() {
+        double earned = StepReplay.earnedPart(BUSY_SLOTS, NEVER, NEVER, StepReplay::bySchedule);
+
+        assertTrue(earned >= 0.95, "earned " + earned);
+    }
+
+    /** All hosts are killed in the middle of the day and are back three seconds later. */
+    @Test
+    void shouldServeTrainersInTimeWhenAllRunsAreLostOnce() {
+        double earned = StepReplay.earnedPart(BUSY_SLOTS, 20_000, 23_000, StepReplay::bySchedule);
+        double byArrival = StepReplay.earnedPart(BUSY_SLOTS, 20_000, 23_000, StepReplay::byArrival);
+
+        assertTrue(earned >= 0.95, "earned " + earned);
+        assertTrue(earned > byArrival, "earned " + earned + ", in order of arrival " + byArrival);
+    }
+
+    /** A third of the endpoints was taken away: most of what fits must still complete, and more than in order of arrival. */
+    @Test
+    void shouldCompleteGroupsWhenSlotsAreTooFew() {
+        double earned = StepReplay.earnedPart(SCARCE_SLOTS, NEVER, NEVER, StepReplay::bySchedule);
+        double byArrival = StepReplay.earnedPart(SCARCE_SLOTS, NEVER, NEVER, StepReplay::byArrival);
+
+        assertTrue(earned >= 0.66, "earned " + earned);
+        assertTrue(earned > byArrival, "earned " + earned + ", in order of arrival " + byArrival);
+    }
+}
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -1,12 +1,11 @@
 package io.rosemarybeam.store;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -21,7 +20,6 @@
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.Submission;
 import io.rosemarybeam.decision.batch.GenerationEndpoint;
-import io.rosemarybeam.decision.batch.ItemOrder;
 import io.rosemarybeam.decision.batch.ItemPlacement;
 import io.rosemarybeam.decision.batch.ItemText;
 import io.rosemarybeam.decision.batch.ModelDemand;
@@ -66,6 +64,7 @@
     private final EndpointClient client;
     private final ItemScoring scoring;
     private final Leading leading;
+    private final ItemQueue queue = new ItemQueue();
     private final Map<SubmissionId, Map<ItemId, ItemTask>> tasks = new LinkedHashMap<>();
     private final Map<ModelName, Double> usage = new HashMap<>();
     private final Map<String, EndpointId> promptPlaces = new HashMap<>();
@@ -108,6 +107,7 @@
 
     /** Starts to work on a submission. */
     void add(KeptSubmission kept) {
+        Set<String> carriedOver = queue.carriedOver(kept.submission());
         if (kept.isEnded() || kept.isWhole()) {
             return;
         }
@@ -117,7 +117,8 @@
         for (int position = 0; position < items.size(); position++) {
             Submission.Item item = items.get(position);
             if (!kept.isListed(item.id())) {
-                ItemTask task = new ItemTask(kept, item, position, model(kept, item), singleVersion);
+                ItemTask task = new ItemTask(
+                        kept, item, position, model(kept, item), singleVersion, carriedOver.contains(item.group()));
                 added.put(item.id(), task);
                 reuse(task);
             }
@@ -253,41 +254,24 @@
     }
 
     private void start(long now) {
-        List<ItemTask> waiting = new ArrayList<>();
-        Map<ItemTask, ItemOrder.Waiting> keys = new HashMap<>();
-        for (Map<ItemId, ItemTask> open : tasks.values()) {
-            Map<String, long[]> groups = groups(open.values());
-            for (ItemTask task : open.values()) {
-                if (task.stage == ItemTask.Stage.WAITING && now >= task.notBefore) {
-                    waiting.add(task);
-                    keys.put(task, key(task, groups.get(task.item.group())));
-                }
-            }
-        }
-        waiting.sort(Comparator.comparing(keys::get, ItemOrder.order()));
         Map<ServiceName, List<GenerationEndpoint>> endpoints = new HashMap<>();
+        tasks.values().stream()
+                .flatMap(open -> open.values().stream().limit(1))
+                .flatMap(task -> route(task.submission).stream())
+                .forEach(route -> endpoints.computeIfAbsent(route.serviceAt(0), fleet::endpoints));
+        int slots = endpoints.values().stream()
+                .flatMap(List::stream)
+                .filter(endpoint -> !endpoint.avoided())
+                .mapToInt(GenerationEndpoint::capacity)
+                .sum();
+        List<ItemTask> waiting = queue.order(tasks.values(), this::runTarget, slots, leading.leaderTime(), now);
         for (ItemTask task : waiting) {
             route(task.submission).ifPresent(route -> start(task, route, endpoints, now));
         }
     }
 
-    /** Tokens that are left and the first position, for each group. */
-    private static Map<String, long[]> groups(Iterable<ItemTask> open) {
-        Map<String, long[]> groups = new HashMap<>();
-        for (ItemTask task : open) {
-            long[] group = groups.computeIfAbsent(task.item.group(), ignored -> new long[] {0, task.position});
-            group[0] += task.item.tokens();
-            group[1] = Math.min(group[1], task.position);
-        }
-        return groups;
-    }
-
-    private ItemOrder.Waiting key(ItemTask task, long[] group) {
-        long target = route(task.submission)
-                .map(route -> route.runTarget().toMillis())
-                .orElse(0L);
-        return new ItemOrder.Waiting(
-                task.submission.acceptedAt() + target, group[0], (int) group[1], task.item.tokens(), task.position);
+    private long runTarget(KeptSubmission kept) {
+        return route(kept).map(route -> route.runTarget().toMillis()).orElse(0L);
     }
 
     private void start(ItemTask task, Route route, Map<ServiceName, List<GenerationEndpoint>> cache, long now) {
@@ -313,7 +297,7 @@
 
     private void run(ItemTask task, Route route, EndpointId id, long now) {
         EndpointAnnouncement endpoint = fleet.announcement(id).orElseThrow();
-        ItemTask.Run run = new ItemTask.Run(id, now);
+        ItemTask.Run run = new ItemTask.Run(id, now, task.text.lastEvent());
         task.stage = ItemTask.Stage.RUNNING;
         task.run = Optional.of(run);
         loads.sent(id);
@@ -364,7 +348,11 @@
     public void completed(ItemTask task, ItemTask.Run run) {
         leave(task);
         task.run = Optional.empty();
-        loads.answered(run.endpoint, Forwarder.now() - run.startedAt);
+        long milliseconds = Forwarder.now() - run.startedAt;
+        loads.answered(run.endpoint, milliseconds);
+        if (run.startedAfterEvent == 0) {
+            queue.finished(task, milliseconds);
+        }
         log(task, run, "completed", "");
         score(task);
         start(Forwarder.now());
--- /dev/null
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
@@ -0,0 +1,118 @@
+package io.rosemarybeam.store;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.ToLongFunction;
+
+import io.rosemarybeam.common.id.ItemId;
+import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.wire.Submission;
+import io.rosemarybeam.decision.batch.RunTimeEstimate;
+import io.rosemarybeam.decision.batch.StepSchedule;
+
+/**
+ * The order in which the items of all open submissions start, with what it rests on: how long runs take, and which groups
+ * an earlier submission had already.
+ *
+ * <p>Confined to the thread of the log's driver.
+ */
+final class ItemQueue {
+    /** Groups of earlier submissions that are remembered; a step has some ten groups, and a group comes again soon. */
+    private static final int MAXIMUM_GROUPS = 4_096;
+
+    private final Map<ModelName, RunTimeEstimate> estimates = new HashMap<>();
+    private final Map<String, Boolean> formerGroups = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MAXIMUM_GROUPS;
+        }
+    };
+
+    /**
+     * Notes the groups of a submission.
+     *
+     * @return those that an earlier submission had
+     */
+    Set<String> carriedOver(Submission submission) {
+        Set<String> groups = new HashSet<>();
+        submission.items().forEach(item -> groups.add(item.group()));
+        groups.remove("");
+        Set<String> carriedOver = new HashSet<>(groups);
+        carriedOver.retainAll(formerGroups.keySet());
+        groups.forEach(group -> formerGroups.put(group, true));
+        return carriedOver;
+    }
+
+    /** Learns from a run that generated the whole text of an item. */
+    void finished(ItemTask task, long milliseconds) {
+        estimates
+                .computeIfAbsent(task.model, ignored -> new RunTimeEstimate())
+                .finished(task.item.expectedTokens(), task.text.lastEvent(), milliseconds);
+    }
+
+    /**
+     * The items that wait, the one to start first at the front.
+     *
+     * @param submissions the open items of each submission, by position
+     * @param targets time that each submission may take, in milliseconds
+     * @param slots items that may run at once
+     * @param leaderTime time of the leader, in milliseconds
+     * @param now steady time, in milliseconds
+     */
+    List<ItemTask> order(
+            Collection<Map<ItemId, ItemTask>> submissions,
+            ToLongFunction<KeptSubmission> targets,
+            int slots,
+            long leaderTime,
+            long now) {
+        List<StepSchedule.Step<ItemTask>> steps = new ArrayList<>();
+        for (Map<ItemId, ItemTask> open : submissions) {
+            open.values().stream().findFirst().ifPresent(first -> {
+                long target = targets.applyAsLong(first.submission);
+                steps.add(step(first.submission, open.values(), target, now));
+            });
+        }
+        return StepSchedule.order(steps, slots, leaderTime);
+    }
+
+    private StepSchedule.Step<ItemTask> step(KeptSubmission kept, Collection<ItemTask> open, long target, long now) {
+        Map<String, List<StepSchedule.Item<ItemTask>>> items = new LinkedHashMap<>();
+        Set<String> carriedOver = new HashSet<>();
+        for (ItemTask task : open) {
+            String group = group(task.item);
+            items.computeIfAbsent(group, ignored -> new ArrayList<>()).add(item(task, now));
+            if (task.isCarriedOver) {
+                carriedOver.add(group);
+            }
+        }
+        long all = kept.submission().items().stream()
+                .map(ItemQueue::group)
+                .distinct()
+                .count();
+        int missing = kept.submission().wantedGroups() - (int) (all - items.size());
+        List<StepSchedule.Group<ItemTask>> groups = new ArrayList<>();
+        items.forEach((group, left) -> groups.add(new StepSchedule.Group<>(carriedOver.contains(group), left)));
+        return new StepSchedule.Step<>(kept.acceptedAt(), kept.acceptedAt() + target, missing, groups);
+    }
+
+    /** An item without a group is a group of its own. */
+    private static String group(Submission.Item item) {
+        return item.group().isEmpty() ? item.id().value() : item.group();
+    }
+
+    private StepSchedule.Item<ItemTask> item(ItemTask task, long now) {
+        boolean isGenerated = task.stage == ItemTask.Stage.SCORING || task.stage == ItemTask.Stage.LISTING;
+        RunTimeEstimate estimate = estimates.computeIfAbsent(task.model, ignored -> new RunTimeEstimate());
+        long left = isGenerated ? 0 : estimate.left(task.item.expectedTokens(), task.text.lastEvent());
+        boolean waits = task.stage == ItemTask.Stage.WAITING && now >= task.notBefore;
+        return new StepSchedule.Item<>(task, left, waits);
+    }
+}
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
@@ -20,6 +20,7 @@
     final int position;
     final ModelName model;
     final boolean singleVersion;
+    final boolean isCarriedOver;
     ItemText text = new ItemText();
     Stage stage = Stage.WAITING;
     int failedRuns;
@@ -40,12 +41,19 @@
         LISTING
     }
 
-    ItemTask(KeptSubmission submission, Submission.Item item, int position, ModelName model, boolean singleVersion) {
+    ItemTask(
+            KeptSubmission submission,
+            Submission.Item item,
+            int position,
+            ModelName model,
+            boolean singleVersion,
+            boolean isCarriedOver) {
         this.submission = submission;
         this.item = item;
         this.position = position;
         this.model = model;
         this.singleVersion = singleVersion;
+        this.isCarriedOver = isCarriedOver;
     }
 
     /** Ends whatever is under way. */
@@ -60,12 +68,14 @@
     static final class Run {
         final EndpointId endpoint;
         final long startedAt;
+        final long startedAfterEvent;
         EndpointClient.Attempt attempt;
         long lastEventAt;
         long version = -1;
 
-        Run(EndpointId endpoint, long now) {
+        Run(EndpointId endpoint, long now, long startedAfterEvent) {
             this.endpoint = endpoint;
+            this.startedAfterEvent = startedAfterEvent;
             this.startedAt = now;
             this.lastEventAt = now;
         }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
@@ -23,16 +23,16 @@
 /** Guards against texts that are joined wrongly after a broken stream, and against runs that are counted wrongly. */
 class ItemStreamTest {
     private static final Submission.Item ITEM =
-            new Submission.Item(ItemId.of("i"), "/x", Map.of(), new byte[0], 5, "g", Optional.empty());
+            new Submission.Item(ItemId.of("i"), "/x", Map.of(), new byte[0], 5, 0, "g", Optional.empty());
     private static final Submission SUBMISSION =
             new Submission(SubmissionId.of("s"), "h", "/x/", 0, Optional.empty(), 3, 1, List.of(ITEM));
 
     private final List<String> told = new ArrayList<>();
     private final ItemTask task =
-            new ItemTask(new KeptSubmission(SUBMISSION, "r", 0), ITEM, 0, ModelName.of("m"), false);
+            new ItemTask(new KeptSubmission(SUBMISSION, "r", 0), ITEM, 0, ModelName.of("m"), false, false);
 
     private ItemStream stream() {
-        return new ItemStream(task, new ItemTask.Run(EndpointId.of("e"), 0), new RecordingOwner());
+        return new ItemStream(task, new ItemTask.Run(EndpointId.of("e"), 0, 0), new RecordingOwner());
     }
 
     private static EndpointAnswer answer(int status) {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
@@ -68,7 +68,7 @@
 
     private static Submission submission() {
         Submission.Item item = new Submission.Item(
-                ITEM, "/x/1", Map.of(), "body".getBytes(StandardCharsets.UTF_8), 10, "g", Optional.empty());
+                ITEM, "/x/1", Map.of(), "body".getBytes(StandardCharsets.UTF_8), 10, 0, "g", Optional.empty());
         return new Submission(SUBMISSION, "a.example", "/x/", 0, Optional.empty(), 1, 1, List.of(item));
     }
 
@@ -132,7 +132,7 @@
     /** A submission with a body of half a mebibyte. */
     private static Submission large(int number) {
         Submission.Item item = new Submission.Item(
-                ItemId.of("i-" + number), "/x/1", Map.of(), new byte[524_288], 10, "g", Optional.empty());
+                ItemId.of("i-" + number), "/x/1", Map.of(), new byte[524_288], 10, 0, "g", Optional.empty());
         return new Submission(
                 SubmissionId.of("large-" + number), "a.example", "/x/", 0, Optional.empty(), 1, 1, List.of(item));
     }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
@@ -30,7 +30,7 @@
     private static Submission submission(String... items) {
         List<Submission.Item> all = java.util.Arrays.stream(items)
                 .map(item -> new Submission.Item(
-                        ItemId.of(item), "/x", Map.of("a", "b"), new byte[] {1}, 5, "g", Optional.empty()))
+                        ItemId.of(item), "/x", Map.of("a", "b"), new byte[] {1}, 5, 0, "g", Optional.empty()))
                 .toList();
         return new Submission(ID, "h", "/x/", 2, Optional.of(ModelName.of("m")), 3, 1, all);
     }
