Keep the texts of long items in the log, so that a new leader goes on with them

Cause: a change of leader loses all texts in progress. Ruled out: keeping every text (two thirds of the items have fewer than 25 events and are cheaper to generate again), texts in memory of the followers only (all processes may be killed at once). Change: every 25 new events of an unlisted item go into the log, a new leader starts from them, also for groups that come again with a later submission. A text that was started anew replaces the kept one. Tests: BatchRecoveryTest ends the leader in the middle of a run and finds equal positions and a run that goes on after 25 events or more; without the change it starts after event 0. It also holds that an order carried out late is not repeated.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemText.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemText.java
@@ -14,9 +14,59 @@
  */
 public final class ItemText {
     private final List<String> data = new ArrayList<>();
+    private final List<Long> madeBy = new ArrayList<>();
     private final TreeSet<Long> versions = new TreeSet<>();
     private boolean complete;
 
+    /**
+     * Consecutive events of a text. Immutable.
+     *
+     * @param firstEvent id of the first event
+     * @param data data of the events
+     * @param versions the weight version that made each event
+     * @param complete whether no event follows the last one
+     */
+    public record Part(int firstEvent, List<String> data, List<Long> versions, boolean complete) {
+        /** Copies the lists. */
+        public Part {
+            data = List.copyOf(data);
+            versions = List.copyOf(versions);
+            if (data.size() != versions.size()) {
+                throw new IllegalArgumentException(data.size() + " events with " + versions.size() + " versions");
+            }
+        }
+    }
+
+    /**
+     * Returns the events after one.
+     *
+     * @param after id of the event before them; 0 for all
+     * @return the events
+     */
+    public Part partAfter(int after) {
+        return new Part(after + 1, data.subList(after, data.size()), madeBy.subList(after, data.size()), complete);
+    }
+
+    /**
+     * Appends a part. A part that begins with the first event replaces the text, because the item was started anew.
+     *
+     * @param part the part
+     * @return false if the part does not follow the last event, which leaves the text as it was
+     */
+    public boolean append(Part part) {
+        if (part.firstEvent() == 1) {
+            clear();
+        }
+        if (complete || part.firstEvent() != data.size() + 1) {
+            return false;
+        }
+        for (int index = 0; index < part.data().size(); index++) {
+            append(data.size() + 1L, part.data().get(index), part.versions().get(index));
+        }
+        complete = part.complete();
+        return true;
+    }
+
     /**
      * Appends an event.
      *
@@ -30,6 +80,7 @@
             return false;
         }
         data.add(text);
+        madeBy.add(version);
         versions.add(version);
         return true;
     }
@@ -42,6 +93,7 @@
     /** Drops everything, so that the item runs from its start. */
     public void clear() {
         data.clear();
+        madeBy.clear();
         versions.clear();
         complete = false;
     }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemTextTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemTextTest.java
@@ -32,4 +32,30 @@
         assertFalse(text.fits(5, false), "one event is too old");
         assertFalse(text.fits(4, true), "two versions");
     }
+
+    @Test
+    void shouldGoOnWithPartWhenItFollows() {
+        ItemText source = new ItemText();
+        source.append(1, "a", 4);
+        source.append(2, "b", 5);
+        source.append(3, "c", 5);
+        source.finish();
+
+        assertTrue(text.append(new ItemText.Part(1, List.of("a"), List.of(4L), false)));
+        assertFalse(text.append(source.partAfter(2)), "event 2 is missing");
+        assertTrue(text.append(source.partAfter(1)));
+        assertEquals("a\nb\nc", new String(text.bytes(), StandardCharsets.UTF_8));
+        assertEquals(List.of(4L, 5L), text.versions());
+        assertTrue(text.isComplete());
+    }
+
+    @Test
+    void shouldStartAnewWhenPartBeginsWithFirstEvent() {
+        text.append(1, "a", 4);
+        text.append(2, "b", 4);
+
+        assertTrue(text.append(new ItemText.Part(1, List.of("x"), List.of(6L), false)));
+        assertEquals("x", new String(text.bytes(), StandardCharsets.UTF_8));
+        assertEquals(List.of(6L), text.versions());
+    }
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -21,7 +21,6 @@
 import io.rosemarybeam.common.wire.Submission;
 import io.rosemarybeam.decision.batch.GenerationEndpoint;
 import io.rosemarybeam.decision.batch.ItemPlacement;
-import io.rosemarybeam.decision.batch.ItemText;
 import io.rosemarybeam.decision.batch.ModelDemand;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.Route;
@@ -34,7 +33,7 @@
  * Runs the items of all open submissions while this host leads.
  *
  * <p>Invariants: an item is at one endpoint at a time; an endpoint has at most as many runs as it has slots; a result is
- * shown only after a majority holds it. A new leader starts from the listed results and runs the other items again.
+ * shown only after a majority holds it. A new leader goes on from the listed results and kept texts.
  * Confined to the thread of the log's driver.
  */
 final class BatchRunner implements ItemStream.Owner {
@@ -47,9 +46,6 @@
     /** Pause before an item that was not started is tried again, in milliseconds. */
     private static final long RETRY_MILLISECONDS = 50;
 
-    /** Texts of ended submissions that are kept for groups that come again; a step has some hundred items. */
-    private static final int MAXIMUM_KEPT_TEXTS = 2_000;
-
     /** Weight of one tick in the moving average of slots; with 50 ms a tick, about the last two steps count. */
     private static final double USAGE_WEIGHT = 0.006;
 
@@ -68,14 +64,7 @@
     private final Map<SubmissionId, Map<ItemId, ItemTask>> tasks = new LinkedHashMap<>();
     private final Map<ModelName, Double> usage = new HashMap<>();
     private final Map<String, EndpointId> promptPlaces = new HashMap<>();
-    private final Map<ItemId, ItemText> keptTexts = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<ItemId, ItemText> eldest) {
-            return size() > MAXIMUM_KEPT_TEXTS;
-        }
-    };
+    private final TextKeeper texts;
 
     /** What the runner needs of the leader. */
     interface Leading {
@@ -85,6 +74,9 @@
         /** Time of the leader, in milliseconds. */
         long leaderTime();
 
+        /** Keeps what items have generated so far. */
+        void keep(SubmissionId submission, List<KeptSubmission.StoredText> texts);
+
         /** Lists results. */
         void list(SubmissionId submission, List<Submission.Result> results);
     }
@@ -102,6 +94,7 @@
         this.client = client;
         this.scoring = scoring;
         this.leading = leading;
+        this.texts = new TextKeeper(state, leading);
         state.submissions().forEach(this::add);
     }
 
@@ -120,7 +113,7 @@
                 ItemTask task = new ItemTask(
                         kept, item, position, model(kept, item), singleVersion, carriedOver.contains(item.group()));
                 added.put(item.id(), task);
-                reuse(task);
+                texts.restore(task);
             }
         }
         tasks.put(kept.submission().id(), added);
@@ -138,14 +131,6 @@
         return named.isEmpty() ? kept.submission().model().orElse(ModelName.of("none")) : ModelName.of(named);
     }
 
-    /** An item that comes again goes on from the text that an earlier submission left, if its versions fit. */
-    private void reuse(ItemTask task) {
-        ItemText left = keptTexts.remove(task.item.id());
-        if (left != null && left.fits(task.submission.submission().oldestVersion(), task.singleVersion)) {
-            task.text = left;
-        }
-    }
-
     /** Stops the work on a submission that was ended, and keeps what its items have. */
     void end(KeptSubmission kept) {
         Map<ItemId, ItemTask> ended = tasks.remove(kept.submission().id());
@@ -154,9 +139,7 @@
             ended.values().forEach(task -> {
                 leave(task);
                 task.cancel();
-                if (task.text.lastEvent() > 0) {
-                    keptTexts.put(task.item.id(), task.text);
-                }
+                texts.ended(task);
             });
         }
     }
@@ -230,6 +213,7 @@
                 check(task, now);
             }
         }
+        tasks.forEach((submission, open) -> texts.keep(submission, open.values()));
         measureUsage();
         start(now);
     }
@@ -338,6 +322,8 @@
                 outcome,
                 "detail",
                 detail,
+                "after",
+                run.startedAfterEvent,
                 "events",
                 task.text.lastEvent(),
                 "milliseconds",
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
@@ -22,6 +22,7 @@
     final boolean singleVersion;
     final boolean isCarriedOver;
     ItemText text = new ItemText();
+    int keptEvents;
     Stage stage = Stage.WAITING;
     int failedRuns;
     int failedScores;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/KeptSubmission.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/KeptSubmission.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,9 +10,10 @@
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.wire.StoreMessage.ResultPage;
 import io.rosemarybeam.common.wire.Submission;
+import io.rosemarybeam.decision.batch.ItemText;
 
 /**
- * A submission with its results.
+ * A submission with its results and the texts of items that are not listed yet.
  *
  * <p>Invariant: a listed result never changes its position or content, and an item is listed once at most. Confined to the
  * thread of the log's driver.
@@ -25,6 +27,7 @@
     private final long acceptedAt;
     private final List<Submission.Result> results = new ArrayList<>();
     private final Map<ItemId, Integer> positions = new HashMap<>();
+    private final Map<ItemId, ItemText> texts = new LinkedHashMap<>();
     private boolean ended;
 
     KeptSubmission(Submission submission, String routeName, long acceptedAt) {
@@ -36,12 +39,15 @@
     static KeptSubmission of(Stored stored) {
         KeptSubmission kept = new KeptSubmission(stored.submission, stored.routeName, stored.acceptedAt);
         stored.results.forEach(kept::list);
+        stored.texts.forEach(text -> kept.keep(text.item, text.part));
         kept.ended = stored.ended;
         return kept;
     }
 
     Stored store() {
-        return new Stored(submission, routeName, acceptedAt, List.copyOf(results), ended);
+        List<StoredText> unlisted = new ArrayList<>();
+        texts.forEach((item, text) -> unlisted.add(new StoredText(item, text.partAfter(0))));
+        return new Stored(submission, routeName, acceptedAt, List.copyOf(results), unlisted, ended);
     }
 
     Submission submission() {
@@ -85,10 +91,25 @@
         return submission.items().stream().filter(item -> item.id().equals(id)).findFirst();
     }
 
+    /** Keeps what an item has generated so far, so that another leader goes on from there. */
+    void keep(ItemId item, ItemText.Part part) {
+        if (!positions.containsKey(item) && item(item).isPresent()) {
+            texts.computeIfAbsent(item, ignored -> new ItemText()).append(part);
+        }
+    }
+
+    /** What an item that is not listed had generated when it was last kept. */
+    Optional<ItemText.Part> keptText(ItemId item) {
+        return Optional.ofNullable(texts.get(item))
+                .filter(text -> text.lastEvent() > 0)
+                .map(text -> text.partAfter(0));
+    }
+
     boolean list(Submission.Result result) {
         if (positions.containsKey(result.item()) || item(result.item()).isEmpty()) {
             return false;
         }
+        texts.remove(result.item());
         positions.put(result.item(), results.size());
         results.add(result);
         return true;
@@ -112,5 +133,13 @@
 
     /** Form in a snapshot. Immutable. */
     record Stored(
-            Submission submission, String routeName, long acceptedAt, List<Submission.Result> results, boolean ended) {}
+            Submission submission,
+            String routeName,
+            long acceptedAt,
+            List<Submission.Result> results,
+            List<StoredText> texts,
+            boolean ended) {}
+
+    /** Form of an unlisted text in a snapshot. Immutable. */
+    record StoredText(ItemId item, ItemText.Part part) {}
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreCommand.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreCommand.java
@@ -24,7 +24,8 @@
             CloseSubmission.class,
             ForgetSubmissions.class,
             NameHost.class,
-            Retire.class);
+            Retire.class,
+            KeepTexts.class);
 
     /** Replaces the configuration if the version is higher. */
     record PutConfiguration(long version, byte[] text) implements StoreCommand {}
@@ -38,6 +39,9 @@
     /** Lists results of a submission; those of items that are listed already are dropped. */
     record ListResults(SubmissionId submission, List<Submission.Result> results) implements StoreCommand {}
 
+    /** Keeps what items of a submission have generated so far. */
+    record KeepTexts(SubmissionId submission, List<KeptSubmission.StoredText> texts) implements StoreCommand {}
+
     /** Ends a submission. */
     record CloseSubmission(SubmissionId submission) implements StoreCommand {}
 
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -325,6 +325,11 @@
         return clock.leaderTime();
     }
 
+    @Override
+    public void keep(SubmissionId submission, List<KeptSubmission.StoredText> texts) {
+        propose(new StoreCommand.KeepTexts(submission, texts), reply -> {});
+    }
+
     @Override
     public void list(SubmissionId submission, List<Submission.Result> results) {
         unlisted.computeIfAbsent(submission, ignored -> new ArrayList<>()).addAll(results);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreState.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreState.java
@@ -93,6 +93,7 @@
             }
             case StoreCommand.AcceptSubmission accept -> accept(accept);
             case StoreCommand.ListResults list -> listResults(list);
+            case StoreCommand.KeepTexts keep -> keepTexts(keep);
             case StoreCommand.CloseSubmission close -> close(close);
             case StoreCommand.ForgetSubmissions forget -> {
                 forget.submissions().forEach(submissions::remove);
@@ -135,6 +136,15 @@
         return StoreReply.of(Outcome.DONE);
     }
 
+    private StoreReply keepTexts(StoreCommand.KeepTexts keep) {
+        KeptSubmission kept = submissions.get(keep.submission());
+        if (kept == null) {
+            return StoreReply.of(Outcome.UNKNOWN);
+        }
+        keep.texts().forEach(text -> kept.keep(text.item(), text.part()));
+        return StoreReply.of(Outcome.DONE);
+    }
+
     private StoreReply close(StoreCommand.CloseSubmission close) {
         KeptSubmission kept = submissions.get(close.submission());
         if (kept == null) {
--- /dev/null
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
@@ -0,0 +1,160 @@
+package io.rosemarybeam.store;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.rosemarybeam.common.id.ItemId;
+import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.StoreMessage.ReadResults;
+import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
+import io.rosemarybeam.common.wire.StoreMessage.SubmitBatch;
+import io.rosemarybeam.common.wire.Submission;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Guards against work that is lost or results that move when the leader fails, and against orders that are given twice
+ * because the first was carried out late.
+ */
+class BatchRecoveryTest {
+    private static final String SERVICE = "engines";
+    private static final SubmissionId SUBMISSION = SubmissionId.of("step-1");
+    private static final String LONG_ITEM = "long";
+    private static final int LONG_EVENTS = 300;
+    private static final int HOSTS = 3;
+
+    @TempDir
+    Path folder;
+
+    private StoreCluster cluster;
+    private FakeEngine engine;
+
+    @BeforeEach
+    void start() throws IOException {
+        cluster = new StoreCluster(folder);
+        engine = new FakeEngine("127.0.77.100");
+        for (int host = 1; host <= HOSTS; host++) {
+            cluster.start(host, true);
+        }
+        String configuration = """
+                {"Version":1,"Routes":[{"Name":"r","Hostname":"a.example","PathPrefix":"/x/","RouteType":"rollout",
+                "TimeoutMs":10000,"TargetLatencyMs":400,"RunAimMs":7500,"KeepS":40,"Backend":"engines","MaxAttempts":3}],
+                "Services":[{"Name":"engines","HealthPath":"/healthz","MaxConnections":50,"Protocol":"h1","Tls":false,
+                "Engine":{"Capacity":4,"Models":[{"Name":"quotes"}]}}]}
+                """;
+        StoreCluster.until(
+                "the configuration is accepted",
+                () -> cluster.post(1, "/api/config/replace", configuration) == 200 ? true : null);
+        announce(1);
+    }
+
+    @AfterEach
+    void close() {
+        cluster.close();
+        engine.close();
+    }
+
+    private void announce(long sequence) {
+        for (int host : cluster.running()) {
+            assertEquals(200, cluster.post(host, "/api/replicas/e-1/heartbeat", engine.heartbeat(SERVICE, sequence)));
+        }
+    }
+
+    private static Submission submission(int shortItems) {
+        List<Submission.Item> items = new ArrayList<>();
+        items.add(item(LONG_ITEM));
+        for (int number = 0; number < shortItems; number++) {
+            items.add(item("short-" + number));
+        }
+        ModelName model = ModelName.of(FakeEngine.MODEL);
+        return new Submission(SUBMISSION, "a.example", "/x/1", 0, Optional.of(model), 1, items.size(), items);
+    }
+
+    private static Submission.Item item(String id) {
+        return new Submission.Item(
+                ItemId.of(id), "/generate/" + id, Map.of(), new byte[] {1}, 400, 0, "g-" + id, Optional.empty());
+    }
+
+    private List<Submission.Result> results() {
+        StoreReply reply = cluster.ask(new ReadResults(SUBMISSION, 0, 0));
+        return reply.page().orElseThrow().results();
+    }
+
+    private List<Submission.Result> results(int count) {
+        return StoreCluster.until(count + " results are listed", () -> {
+            List<Submission.Result> listed = results();
+            return listed.size() >= count ? listed : null;
+        });
+    }
+
+    private int leader() {
+        return StoreCluster.until("a host leads", () -> {
+            for (int host : cluster.running()) {
+                JsonNode dump = new ObjectMapper().readTree(cluster.dump(host));
+                if (dump.path("role").asText().equals("LEADER")) {
+                    return host;
+                }
+            }
+            return null;
+        });
+    }
+
+    private static List<String> ids(List<Submission.Result> results) {
+        return results.stream().map(result -> result.item().value()).toList();
+    }
+
+    @Test
+    void shouldKeepPositionsAndGoOnWithLongTextWhenLeaderFails() throws InterruptedException {
+        engine.lengthen(LONG_ITEM, LONG_EVENTS);
+        assertEquals(Outcome.DONE, cluster.ask(new SubmitBatch(submission(3))).outcome());
+        List<Submission.Result> before = results(3);
+        Thread.sleep(1_500);
+
+        cluster.stop(leader());
+        announce(2);
+        List<Submission.Result> after = results(4);
+
+        assertEquals(ids(before), ids(after).subList(0, 3));
+        String text = new String(after.get(3).text(), StandardCharsets.UTF_8);
+        assertEquals(LONG_EVENTS, text.lines().count());
+        assertTrue(text.endsWith(LONG_ITEM + "-" + LONG_EVENTS), "the text ends early");
+        List<String> runs =
+                engine.runs.stream().filter(run -> run.startsWith(LONG_ITEM)).toList();
+        assertEquals("long after 0", runs.getFirst());
+        int resumedAfter = Integer.parseInt(runs.getLast().substring("long after ".length()));
+        assertTrue(resumedAfter >= 25, "the text was generated again from its start: " + runs);
+        assertEquals(ids(after), ids(results()));
+    }
+
+    /** The order is answered by a closed connection and carried out seconds later: the report is believed. */
+    @Test
+    void shouldNotOrderAgainWhenOrderWasCarriedOutLate() throws InterruptedException {
+        engine.holdOrders();
+        StoreCluster.until(
+                "the version is named",
+                () -> cluster.post(1, "/api/version-put", "{\"Model\":\"quotes\",\"Version\":2}") == 200 ? true : null);
+        StoreCluster.until("an order is given", () -> engine.orders.isEmpty() ? null : true);
+        engine.carryOut(2);
+        Thread.sleep(1_500);
+
+        int given = engine.orders.size();
+        Thread.sleep(2_500);
+        assertEquals(given, engine.orders.size(), engine.orders.toString());
+        assertEquals(2, engine.version());
+        engine.orders.forEach(order -> assertTrue(order.contains("\"Expected\":0"), order));
+    }
+}
--- /dev/null
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
@@ -0,0 +1,139 @@
+package io.rosemarybeam.store;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+
+/**
+ * An endpoint that streams events for items, scores texts and takes orders, and notes what it was asked.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class FakeEngine implements AutoCloseable {
+    static final String MODEL = "quotes";
+    private static final int PAUSE_MILLISECONDS = 10;
+
+    private final HttpServer server;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final Map<String, Integer> eventsByItem = new ConcurrentHashMap<>();
+    private volatile long version = 1;
+    private volatile long ordersAccepted;
+    private volatile boolean answersOrders = true;
+
+    /** For each run, the item and the last event that the caller had. */
+    final List<String> runs = new CopyOnWriteArrayList<>();
+
+    /** Bodies of the orders. */
+    final List<String> orders = new CopyOnWriteArrayList<>();
+
+    FakeEngine(String host) throws IOException {
+        server = HttpServer.create(new InetSocketAddress(host, 0), 50);
+        server.setExecutor(threads);
+        server.createContext("/generate", this::generate);
+        server.createContext("/api/report", this::report);
+        server.createContext("/api/order", this::order);
+        server.start();
+    }
+
+    String address() {
+        return server.getAddress().getAddress().getHostAddress() + ":"
+                + server.getAddress().getPort();
+    }
+
+    /** The heartbeat that announces this engine. */
+    String heartbeat(String service, long sequence) {
+        return "{\"Backend\":\"" + service + "\",\"Address\":\"" + address() + "\",\"Zone\":\"fes\",\"Version\":\"v1\","
+                + "\"Capacity\":4,\"State\":\"ready\",\"WarmupLeftMs\":0,\"Stage\":\"both\",\"Models\":[{\"Name\":\""
+                + MODEL + "\",\"Version\":" + version + ",\"Adapters\":[]}],\"born\":1000,\"Sequence\":" + sequence
+                + "}";
+    }
+
+    /** Sets how many events an item's text has. */
+    void lengthen(String item, int events) {
+        eventsByItem.put(item, events);
+    }
+
+    /** From now on, orders are noted and neither answered nor carried out until {@link #carryOut}. */
+    void holdOrders() {
+        answersOrders = false;
+    }
+
+    /** Carries a held order out. */
+    void carryOut(long ordered) {
+        ordersAccepted++;
+        version = ordered;
+        answersOrders = true;
+    }
+
+    long version() {
+        return version;
+    }
+
+    private void generate(HttpExchange exchange) throws IOException {
+        String item = exchange.getRequestHeaders().getFirst("Rosemarybeam-Request-Id");
+        String last = exchange.getRequestHeaders().getFirst("Last-Event-Id");
+        int first = last == null ? 1 : Integer.parseInt(last) + 1;
+        runs.add(item + " after " + (first - 1));
+        exchange.getResponseHeaders().set("Rosemarybeam-Server-Stamp", "stamp");
+        exchange.getResponseHeaders().set("Rosemarybeam-Request-Id", item);
+        exchange.getResponseHeaders().set("Rosemarybeam-Weight-Versions", Long.toString(version));
+        exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+        exchange.sendResponseHeaders(200, 0);
+        try (OutputStream body = exchange.getResponseBody()) {
+            for (int event = first; event <= eventsByItem.getOrDefault(item, 1); event++) {
+                body.write(
+                        ("id: " + event + "\ndata: " + item + "-" + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+                body.flush();
+                Thread.sleep(PAUSE_MILLISECONDS);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void report(HttpExchange exchange) throws IOException {
+        answer(
+                exchange,
+                200,
+                "{\"Stage\":\"both\",\"Models\":[{\"Name\":\"" + MODEL + "\",\"Version\":" + version
+                        + ",\"Adapters\":[]}],\"Busy\":false,\"Sequence\":" + ordersAccepted
+                        + ",\"Waiting\":0,\"Running\":0,\"KvUsed\":0,\"KvTotal\":1000,\"Handles\":0}");
+    }
+
+    private void order(HttpExchange exchange) throws IOException {
+        String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+        orders.add(body);
+        if (!answersOrders) {
+            exchange.close();
+            return;
+        }
+        ordersAccepted++;
+        version = Long.parseLong(body.replaceAll(".*\"Version\":(\\d+).*", "$1"));
+        answer(exchange, 202, "");
+    }
+
+    private static void answer(HttpExchange exchange, int status, String text) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        exchange.getResponseHeaders().set("Content-Type", "application/json");
+        exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
+        try (OutputStream body = exchange.getResponseBody()) {
+            body.write(bytes);
+        }
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+}
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
@@ -98,6 +98,11 @@
         }
     }
 
+    /** Numbers of the hosts that run. */
+    List<Integer> running() {
+        return List.copyOf(running.keySet());
+    }
+
     void stop(int number) {
         running.remove(number).stop();
     }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
@@ -11,6 +11,7 @@
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
 import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
 import io.rosemarybeam.common.wire.Submission;
+import io.rosemarybeam.decision.batch.ItemText;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -109,4 +110,23 @@
 
         assertTrue(state.retiring().isEmpty());
     }
+
+    /** Guards against a long item that starts from its beginning after a change of leader. */
+    @Test
+    void shouldKeepTextOfUnlistedItemAcrossSnapshotAndForgetItOnceListed() {
+        apply(new StoreCommand.AcceptSubmission(submission("i-1", "i-2"), "r"));
+        ItemText.Part part = new ItemText.Part(1, List.of("a", "b"), List.of(3L, 4L), false);
+        apply(new StoreCommand.KeepTexts(ID, List.of(new KeptSubmission.StoredText(ItemId.of("i-1"), part))));
+        StoreState other = new StoreState();
+        other.restore(state.capture().get());
+
+        assertEquals(
+                part,
+                other.submission(ID).orElseThrow().keptText(ItemId.of("i-1")).orElseThrow());
+
+        Submission.Result result =
+                new Submission.Result(ItemId.of("i-1"), true, new byte[] {1}, List.of(3L), Optional.empty());
+        apply(new StoreCommand.ListResults(ID, List.of(result)));
+        assertTrue(state.submission(ID).orElseThrow().keptText(ItemId.of("i-1")).isEmpty());
+    }
 }
