--- /dev/null
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/event/EventLogProcessTest.java
@@ -0,0 +1,40 @@
+package io.rosemarybeam.common.event;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against requests that wait because nobody reads the standard output of their process. */
+class EventLogProcessTest {
+    private static final int PATIENCE_SECONDS = 30;
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void shouldNeverBlockWhenReaderOfStandardOutputStops() throws IOException, InterruptedException {
+        Path marker = folder.resolve("marker");
+        Process process = new ProcessBuilder(List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Drosemarybeam.log.target=SYSTEM_OUT",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        ChattyProgram.class.getName(),
+                        marker.toString()))
+                .redirectError(folder.resolve("error").toFile())
+                .start();
+        try {
+            boolean hasEnded = process.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            assertTrue(hasEnded && Files.exists(marker), "the program waits for a reader of its output");
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+}
