Log where items start and why their runs are cancelled; report metrics and dump in a class of their own

Change: ITEM_RUN_STARTED (745) with endpoint, its load, versions, kept events and the expected run time; cancelled runs have their ITEM_RUN_ENDED line; requests to control tell how long the leader took. New gauges: waiting items, commit and last index, members behind, age of the oldest view of an endpoint.

The test that one restarting member does not disturb the leader stays.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -103,6 +103,8 @@
     ITEM_LISTED(743, Severity.INFORMATION, "The result of an item is listed."),
     /** The scorer of an item did not answer with success. */
     SCORER_FAILED(744, Severity.WARNING, "The scorer of an item did not answer with success."),
+    /** An item was sent to an endpoint. */
+    ITEM_RUN_STARTED(745, Severity.INFORMATION, "An item was sent to an endpoint."),
     /** A trainer named a weight version. */
     VERSION_NAMED(750, Severity.INFORMATION, "A trainer named a weight version."),
     /** An endpoint was ordered to load a weight version. */
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -381,4 +381,15 @@
 
         assertFalse(leader.log.isCaughtUp(learner.id), "several heartbeats behind");
     }
+
+    @Test
+    void shouldNotDisturbLeaderWhenOneMemberRestarts() {
+        Node leader = leader();
+        long term = leader.log.term();
+        follower().crash();
+        cluster.run(50);
+
+        assertEquals(leader, leader());
+        assertEquals(term, leader.log.term());
+    }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
@@ -132,6 +132,20 @@
                 .toList();
     }
 
+    /**
+     * Returns how old the oldest news of a ready endpoint is.
+     *
+     * @param now steady time, in milliseconds
+     * @return time since its last announcement, in milliseconds; 0 without ready endpoints
+     */
+    public long longestSilence(long now) {
+        return byId.values().stream()
+                .filter(known -> known.announcement.state() == State.READY)
+                .mapToLong(known -> now - known.heard)
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Forgets the endpoints that left or fell silent long ago.
      *
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -137,8 +137,7 @@
         forgetPromptPlaces(kept);
         if (ended != null) {
             ended.values().forEach(task -> {
-                leave(task);
-                task.cancel();
+                cancel(task, "the submission ended");
                 texts.ended(task);
             });
         }
@@ -163,11 +162,7 @@
 
     /** Ends everything because another host leads from now on. */
     void stop() {
-        tasks.values()
-                .forEach(open -> open.values().forEach(task -> {
-                    leave(task);
-                    task.cancel();
-                }));
+        tasks.values().forEach(open -> open.values().forEach(task -> cancel(task, "another host leads")));
         tasks.clear();
     }
 
@@ -175,6 +170,13 @@
         return tasks.values().stream().mapToInt(Map::size).sum();
     }
 
+    int waitingItems() {
+        return (int) tasks.values().stream()
+                .flatMap(open -> open.values().stream())
+                .filter(task -> task.stage == ItemTask.Stage.WAITING)
+                .count();
+    }
+
     /** The work that trainers have for a model. */
     ModelDemand demand(ModelName model) {
         int waiting = 0;
@@ -272,6 +274,7 @@
         Optional<GenerationEndpoint> chosen = ItemPlacement.choose(need, endpoints);
         if (chosen.isPresent()) {
             promptPlaces.put(prompt, chosen.get().id());
+            logStart(task, chosen.get());
             run(task, route, chosen.get().id(), now);
             cache.remove(service);
         }
@@ -301,10 +304,41 @@
                 new ItemStream(task, run, this));
     }
 
+    private void cancel(ItemTask task, String reason) {
+        task.run.ifPresent(run -> log(task, run, "cancelled", reason));
+        leave(task);
+        task.cancel();
+    }
+
     private void leave(ItemTask task) {
         task.run.ifPresent(run -> loads.ended(run.endpoint));
     }
 
+    private void logStart(ItemTask task, GenerationEndpoint endpoint) {
+        LOG.log(
+                Event.ITEM_RUN_STARTED,
+                "submission",
+                task.submission.submission().id(),
+                "request",
+                task.item.id(),
+                "endpoint",
+                endpoint.id(),
+                "running",
+                endpoint.running(),
+                "capacity",
+                endpoint.capacity(),
+                "version",
+                endpoint.version(task.model),
+                "oldest",
+                task.submission.submission().oldestVersion(),
+                "after",
+                task.text.lastEvent(),
+                "expected",
+                queue.expected(task),
+                "age",
+                leading.leaderTime() - task.submission.acceptedAt());
+    }
+
     private void log(ItemTask task, ItemTask.Run run, String outcome, String detail) {
         LOG.log(
                 Event.ITEM_RUN_ENDED,
@@ -411,8 +445,7 @@
     }
 
     private void giveUp(ItemTask task, String reason) {
-        leave(task);
-        task.cancel();
+        cancel(task, reason);
         list(task, false, Optional.empty(), reason);
     }
 
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ControlRequests.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ControlRequests.java
@@ -18,6 +18,7 @@
 import io.rosemarybeam.common.wire.StoreMessage.RetireHost;
 import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
 import io.rosemarybeam.forward.CallerExchange;
+import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.platform.ConfigurationFormat;
 import io.rosemarybeam.platform.EndpointFormat;
 import io.rosemarybeam.platform.PlatformPaths;
@@ -142,6 +143,7 @@
     }
 
     private void ask(CallerExchange exchange, StoreMessage request, Consumer<StoreReply> onDone) {
+        long since = Forwarder.now();
         hosts.askLeader(request, reply -> {
             LOG.log(
                     Event.CONTROL_REQUEST_FINISHED,
@@ -150,7 +152,9 @@
                     "outcome",
                     reply.outcome(),
                     "version",
-                    request instanceof ReplaceConfiguration replace ? replace.version() : -1);
+                    request instanceof ReplaceConfiguration replace ? replace.version() : -1,
+                    "milliseconds",
+                    Forwarder.now() - since);
             switch (reply.outcome()) {
                 case DONE, IN_PROGRESS -> onDone.accept(reply);
                 case UNKNOWN -> {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
@@ -108,10 +108,16 @@
         return item.group().isEmpty() ? item.id().value() : item.group();
     }
 
+    /** How long an item is expected to run from now on, in milliseconds. */
+    long expected(ItemTask task) {
+        return estimates
+                .computeIfAbsent(task.model, ignored -> new RunTimeEstimate())
+                .left(task.item.expectedTokens(), task.text.lastEvent());
+    }
+
     private StepSchedule.Item<ItemTask> item(ItemTask task, long now) {
         boolean isGenerated = task.stage == ItemTask.Stage.SCORING || task.stage == ItemTask.Stage.LISTING;
-        RunTimeEstimate estimate = estimates.computeIfAbsent(task.model, ignored -> new RunTimeEstimate());
-        long left = isGenerated ? 0 : estimate.left(task.item.expectedTokens(), task.text.lastEvent());
+        long left = isGenerated ? 0 : expected(task);
         boolean waits = task.stage == ItemTask.Stage.WAITING && now >= task.notBefore;
         return new StepSchedule.Item<>(task, left, waits);
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -105,6 +105,10 @@
         return runner.openItems();
     }
 
+    int waitingItems() {
+        return runner.waitingItems();
+    }
+
     // Time
 
     void tick() {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -182,31 +181,11 @@
                 standard.seed());
     }
 
-    private void registerMetrics() {
-        // Read on the event loop, because the admin server runs there too.
-        metrics.computedGauge(
-                "store_term", "Term of the replicated log.", () -> driver.log().term());
-        metrics.computedGauge("store_leads", "1 while this host leads, else 0.", () -> leader.isPresent() ? 1 : 0);
-        metrics.computedCounter("store_applied_entries", "Last applied entry of the log.", driver::applied);
-        metrics.computedGauge(
-                "configuration_version",
-                "Version of the configuration in use; -1 without one.",
-                () -> table.map(RoutingTable::version).orElse(-1L));
-        metrics.computedGauge(
-                "known_endpoints",
-                "Endpoints that were announced.",
-                () -> directory.all().size());
-        metrics.computedGauge(
-                "open_items",
-                "Items of submissions that the leader has not listed.",
-                () -> leader.map(StoreLeader::openItems).orElse(0));
-        metrics.computedCounter("endpoint_connections", "Connections opened to endpoints.", client::connectionsOpened);
-    }
-
     /** Listens and starts to take part in the log. */
     public void start() {
-        registerMetrics();
-        admin = AdminServer.start(loops, settings.adminAddress(), metrics, this::dump);
+        StoreReport report = new StoreReport(driver, state, directory, new ReportedProcess());
+        report.register(metrics);
+        admin = AdminServer.start(loops, settings.adminAddress(), metrics, report::dump);
         listener = transport.listen(settings.protocolAddress(), self.name(), secrets, new Receiver());
         control = CallerServer.open(
                 loops,
@@ -379,22 +358,6 @@
                         loop);
     }
 
-    private CompletableFuture<String> dump() {
-        ReplicatedLog log = driver.log();
-        String text = "{\"member\": \"" + self + "\", \"role\": \"" + log.role() + "\", \"term\": " + log.term()
-                + ", \"commit\": " + log.commitIndex() + ", \"applied\": " + driver.applied() + ", \"voters\": "
-                + identities(log.membership().voters()) + ", \"learners\": "
-                + identities(log.membership().learners()) + ", \"configuration\": "
-                + table.map(RoutingTable::version).orElse(-1L) + ", \"submissions\": "
-                + state.submissions().size() + ", \"openItems\": "
-                + leader.map(StoreLeader::openItems).orElse(0) + ", \"edges\": " + edges.size() + "}";
-        return CompletableFuture.completedFuture(text);
-    }
-
-    private static String identities(List<Member> members) {
-        return members.stream().map(member -> "\"" + member.id() + "\"").collect(Collectors.joining(", ", "[", "]"));
-    }
-
     private void fail(Throwable failure) {
         if (!failed) {
             failed = true;
@@ -417,6 +380,29 @@
         });
     }
 
+    /** What the report tells of this process. */
+    private final class ReportedProcess implements StoreReport.Reported {
+        @Override
+        public long configurationVersion() {
+            return table.map(RoutingTable::version).orElse(-1L);
+        }
+
+        @Override
+        public Optional<StoreLeader> leader() {
+            return leader;
+        }
+
+        @Override
+        public int edges() {
+            return edges.size();
+        }
+
+        @Override
+        public long endpointConnections() {
+            return client.connectionsOpened();
+        }
+    }
+
     /** What operators and endpoints ask for. */
     private final class RequestHosts implements ControlRequests.Hosts {
         @Override
--- /dev/null
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreReport.java
@@ -0,0 +1,117 @@
+package io.rosemarybeam.store;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+
+import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.consensus.Member;
+import io.rosemarybeam.consensus.ReplicatedLog;
+import io.rosemarybeam.control.LogDriver;
+import io.rosemarybeam.decision.routing.EndpointDirectory;
+import io.rosemarybeam.forward.Forwarder;
+
+/**
+ * The metrics and the state dump of a store process.
+ *
+ * <p>Confined to the event loop of the process, on which the admin server reads them.
+ */
+final class StoreReport {
+    private static final double MILLISECONDS_PER_SECOND = 1_000;
+
+    private final LogDriver driver;
+    private final StoreState state;
+    private final EndpointDirectory directory;
+    private final Reported process;
+
+    /** What the process knows itself. */
+    interface Reported {
+        /** Version of the configuration in use; -1 without one. */
+        long configurationVersion();
+
+        /** The leader's work, while this host leads. */
+        Optional<StoreLeader> leader();
+
+        /** Connected edges. */
+        int edges();
+
+        /** Connections that were opened to endpoints. */
+        long endpointConnections();
+    }
+
+    StoreReport(LogDriver driver, StoreState state, EndpointDirectory directory, Reported process) {
+        this.driver = driver;
+        this.state = state;
+        this.directory = directory;
+        this.process = process;
+    }
+
+    void register(Metrics metrics) {
+        metrics.computedGauge(
+                "store_term", "Term of the replicated log.", () -> driver.log().term());
+        metrics.computedGauge(
+                "store_leads",
+                "1 while this host leads, else 0.",
+                () -> process.leader().map(leading -> 1).orElse(0));
+        metrics.computedCounter("store_applied_entries", "Last applied entry of the log.", driver::applied);
+        metrics.computedGauge(
+                "store_commit_index",
+                "Last entry that this host knows to be committed.",
+                () -> driver.log().commitIndex());
+        metrics.computedGauge(
+                "store_log_index",
+                "Last entry that this host holds.",
+                () -> driver.log().lastIndex());
+        metrics.computedGauge(
+                "store_members_behind", "Members that lack committed entries, as the leader sees it.", this::behind);
+        metrics.computedGauge(
+                "configuration_version",
+                "Version of the configuration in use; -1 without one.",
+                process::configurationVersion);
+        metrics.computedGauge(
+                "known_endpoints",
+                "Endpoints that were announced.",
+                () -> directory.all().size());
+        metrics.computedGauge(
+                "endpoint_view_age_seconds",
+                "Time since the last heartbeat of the ready endpoint that was heard longest ago.",
+                () -> directory.longestSilence(Forwarder.now()) / MILLISECONDS_PER_SECOND);
+        metrics.computedGauge(
+                "open_items",
+                "Items of submissions that the leader has not listed.",
+                () -> process.leader().map(StoreLeader::openItems).orElse(0));
+        metrics.computedGauge(
+                "waiting_items",
+                "Items that wait for a slot, as the leader sees it.",
+                () -> process.leader().map(StoreLeader::waitingItems).orElse(0));
+        metrics.computedCounter(
+                "endpoint_connections", "Connections opened to endpoints.", process::endpointConnections);
+    }
+
+    private long behind() {
+        ReplicatedLog log = driver.log();
+        return process.leader().isEmpty()
+                ? 0
+                : log.membership().members().stream()
+                        .map(Member::id)
+                        .filter(id -> !id.equals(log.self()) && !log.isCaughtUp(id))
+                        .count();
+    }
+
+    CompletableFuture<String> dump() {
+        ReplicatedLog log = driver.log();
+        String text = "{\"member\": \"" + log.self() + "\", \"role\": \"" + log.role() + "\", \"term\": " + log.term()
+                + ", \"commit\": " + log.commitIndex() + ", \"applied\": " + driver.applied() + ", \"voters\": "
+                + identities(log.membership().voters()) + ", \"learners\": "
+                + identities(log.membership().learners()) + ", \"configuration\": "
+                + process.configurationVersion() + ", \"submissions\": "
+                + state.submissions().size() + ", \"openItems\": "
+                + process.leader().map(StoreLeader::openItems).orElse(0) + ", \"edges\": " + process.edges() + "}";
+        return CompletableFuture.completedFuture(text);
+    }
+
+    private static String identities(List<Member> members) {
+        return members.stream().map(member -> "\"" + member.id() + "\"").collect(Collectors.joining(", ", "[", "]"));
+    }
+}
