Forget a learner that is silent for ten seconds

Change: the leader removes a learner that it has heard of and that is silent for ten seconds; it joins again when it is heard. Before: the learner stayed.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/MemberPlan.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/MemberPlan.java
@@ -17,7 +17,8 @@
  *
  * <p>Load pattern: hosts that lose their disk, are replaced by others, are retired, or fall silent, one after the other. The
  * number of voters is 2f + 1 for f hosts that may be lost at once; all other hosts are learners. A voter that is silent, has
- * a new disk or is retired gives way once a learner holds everything. Stateless.
+ * a new disk or is retired gives way once a learner holds everything. A learner that is silent for long is forgotten, because
+ * all hosts would go on trying to reach it; it joins again when it is heard. Stateless.
  */
 final class MemberPlan {
     private MemberPlan() {}
@@ -37,8 +38,10 @@
      * @param seen hosts by name, as they last identified themselves
      * @param retiring names, that is IP numbers, of hosts that are to be emptied
      * @param silenceLimit time after which a silent voter is replaced, in milliseconds
+     * @param forgetLimit time after which a silent learner is forgotten, in milliseconds
      */
-    record Situation(int wantedVoters, Map<String, Seen> seen, Set<String> retiring, long silenceLimit) {}
+    record Situation(
+            int wantedVoters, Map<String, Seen> seen, Set<String> retiring, long silenceLimit, long forgetLimit) {}
 
     /**
      * Plans the next change.
@@ -60,11 +63,19 @@
     private static Optional<MembershipChange> staleLearner(ReplicatedLog log, Situation situation) {
         return log.membership().learners().stream()
                 .map(Member::id)
-                .filter(id -> isReplaced(id, situation) || situation.retiring().contains(id.name()))
+                .filter(id -> isReplaced(id, situation)
+                        || situation.retiring().contains(id.name())
+                        || isForgotten(log, id, situation))
                 .findFirst()
                 .map(MembershipChange.Remove::new);
     }
 
+    /** A leader that has never heard of a host cannot tell since when it is silent. */
+    private static boolean isForgotten(ReplicatedLog log, MemberId id, Situation situation) {
+        Seen seen = situation.seen().get(id.name());
+        return !log.isActive(id) && seen != null && seen.silentMilliseconds() > situation.forgetLimit();
+    }
+
     private static Optional<MembershipChange> addition(ReplicatedLog log, Situation situation) {
         Membership membership = log.membership();
         return situation.seen().values().stream()
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreMembers.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreMembers.java
@@ -28,6 +28,9 @@
     /** Silence after which a voter is replaced by a learner, in milliseconds; two elections. */
     private static final long SILENCE_MILLISECONDS = 2_000;
 
+    /** Silence after which a learner is forgotten, in milliseconds; longer than machines are usually suspended. */
+    private static final long FORGET_MILLISECONDS = 10_000;
+
     private static final EventLog LOG = EventLog.of(StoreMembers.class);
 
     private final StoreSettings settings;
@@ -94,7 +97,8 @@
         }
         Map<String, MemberPlan.Seen> seen = new HashMap<>();
         heard.forEach((host, peer) -> seen.put(host, new MemberPlan.Seen(peer.member, now - peer.at)));
-        MemberPlan.Situation situation = new MemberPlan.Situation(wantedVoters(), seen, retiring, SILENCE_MILLISECONDS);
+        MemberPlan.Situation situation =
+                new MemberPlan.Situation(wantedVoters(), seen, retiring, SILENCE_MILLISECONDS, FORGET_MILLISECONDS);
         Optional<MembershipChange> change = MemberPlan.next(log, situation);
         if (logsLearners) {
             logLearners(log);
