Estimate run times of a new leader from what trainers expect on average

Before any run has finished a token was taken for 20 ms, but an event of these engines holds dozens of tokens. All steps then looked overloaded, so that a new leader started the shortest groups first and long items last. Change: until runs have finished, an item with the mean expectation counts as one second. Test: RunTimeEstimateTest replays an engine with 63 tokens an event.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/RunTimeEstimate.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/RunTimeEstimate.java
@@ -13,18 +13,32 @@
     /** Weight that former runs keep when another one is added; about the last fifty count. */
     private static final double KEPT_PART = 0.98;
 
-    /** Assumed until runs have finished; engines make 25 to 100 tokens per second for one request. */
-    private static final double FIRST_MILLISECONDS_PER_TOKEN = 20;
-
-    /** Assumed for an item without expectation until runs have finished. */
+    /**
+     * Assumed for an item of usual length until runs have finished. What a token takes differs too much between engines to
+     * be assumed: one event may hold dozens of tokens.
+     */
     private static final double FIRST_RUN_MILLISECONDS = 1_000;
 
+    private double askedItems;
+    private double askedTokens;
     private double runs;
     private double runMilliseconds;
     private double hintedMilliseconds;
     private double hintedTokens;
     private double events;
 
+    /**
+     * Learns what trainers expect of an item that is to run.
+     *
+     * @param expectedTokens output tokens that the trainer expects; 0 if it does not say
+     */
+    public void asked(long expectedTokens) {
+        if (expectedTokens > 0) {
+            askedItems = KEPT_PART * askedItems + 1;
+            askedTokens = KEPT_PART * askedTokens + expectedTokens;
+        }
+    }
+
     /**
      * Learns from a run that generated a whole text.
      *
@@ -56,7 +70,10 @@
     }
 
     private double millisecondsPerToken() {
-        return hintedTokens > 0 ? hintedMilliseconds / hintedTokens : FIRST_MILLISECONDS_PER_TOKEN;
+        if (hintedTokens > 0) {
+            return hintedMilliseconds / hintedTokens;
+        }
+        return askedTokens > 0 ? FIRST_RUN_MILLISECONDS * askedItems / askedTokens : 1;
     }
 
     private double usualRun() {
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/RunTimeEstimateTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/RunTimeEstimateTest.java
@@ -33,6 +33,17 @@
         assertTrue(estimate.left(50, 60) > 0);
     }
 
+    /** Load pattern: a new leader has seen no run yet, and an event of this engine holds 63 tokens. */
+    @Test
+    void shouldTakeMeanExpectationForUsualRunWhenNoRunHasFinished() {
+        estimate.asked(63 * 10);
+        estimate.asked(63 * 40);
+
+        assertTrue(estimate.left(63 * 10, 0) < 1_000, "shorter than usual");
+        assertTrue(estimate.left(63 * 40, 0) < 3_000, "not many times longer than usual");
+        assertTrue(estimate.left(63 * 40, 0) > 1_000, "longer than usual");
+    }
+
     @Test
     void shouldPreferLongExpectationWhenNothingIsKnown() {
         assertTrue(estimate.left(500, 0) > estimate.left(100, 0));
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -114,6 +114,7 @@
                         kept, item, position, model(kept, item), singleVersion, carriedOver.contains(item.group()));
                 added.put(item.id(), task);
                 texts.restore(task);
+                queue.asked(task);
             }
         }
         tasks.put(kept.submission().id(), added);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
@@ -51,11 +51,14 @@
         return carriedOver;
     }
 
+    /** Learns what the trainer expects of an item that is to run. */
+    void asked(ItemTask task) {
+        estimate(task).asked(task.item.expectedTokens());
+    }
+
     /** Learns from a run that generated the whole text of an item. */
     void finished(ItemTask task, long milliseconds) {
-        estimates
-                .computeIfAbsent(task.model, ignored -> new RunTimeEstimate())
-                .finished(task.item.expectedTokens(), task.text.lastEvent(), milliseconds);
+        estimate(task).finished(task.item.expectedTokens(), task.text.lastEvent(), milliseconds);
     }
 
     /**
@@ -110,9 +113,11 @@
 
     /** How long an item is expected to run from now on, in milliseconds. */
     long expected(ItemTask task) {
-        return estimates
-                .computeIfAbsent(task.model, ignored -> new RunTimeEstimate())
-                .left(task.item.expectedTokens(), task.text.lastEvent());
+        return estimate(task).left(task.item.expectedTokens(), task.text.lastEvent());
+    }
+
+    private RunTimeEstimate estimate(ItemTask task) {
+        return estimates.computeIfAbsent(task.model, ignored -> new RunTimeEstimate());
     }
 
     private StepSchedule.Item<ItemTask> item(ItemTask task, long now) {
