--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RecentMap.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/collection/RecentMap.java
@@ -1,4 +1,4 @@
-package io.rosemarybeam.entry;
+package io.rosemarybeam.common.collection;
 
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -9,14 +9,19 @@
  * @param <K> type of the keys
  * @param <V> type of the values
  */
-final class RecentMap<K, V> extends LinkedHashMap<K, V> {
+public final class RecentMap<K, V> extends LinkedHashMap<K, V> {
     private static final long serialVersionUID = 1L;
     private static final int INITIAL_CAPACITY = 16;
     private static final float LOAD_FACTOR = 0.75f;
 
     private final int maximumSize;
 
-    RecentMap(int maximumSize) {
+    /**
+     * Creates an empty map.
+     *
+     * @param maximumSize entries that it holds at most
+     */
+    public RecentMap(int maximumSize) {
         super(INITIAL_CAPACITY, LOAD_FACTOR, true);
         this.maximumSize = maximumSize;
     }
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/LogOptions.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/LogOptions.java
@@ -66,4 +66,22 @@
                 maximumProposalBytes,
                 seed);
     }
+
+    /**
+     * Returns a copy with another bound on proposals.
+     *
+     * @param bytes the largest proposal
+     * @return the copy
+     */
+    public LogOptions withMaximumProposalBytes(int bytes) {
+        return new LogOptions(
+                heartbeatTicks,
+                electionTicks,
+                maximumAppendBytes,
+                maximumEntriesInFlight,
+                maximumEntriesPerSync,
+                snapshotPartBytes,
+                bytes,
+                seed);
+    }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/Route.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/Route.java
@@ -37,6 +37,9 @@
         int maximumAttempts,
         Duration runTarget,
         Duration keep) {
+    /** Bits of a hash that place an id among the weights. */
+    private static final int HASH_MASK = 0xffff;
+
     /**
      * The part of a service in the requests of a route.
      *
@@ -78,6 +81,16 @@
         return split.getLast().service();
     }
 
+    /**
+     * Returns the service that runs a request, the same one each time it is sent.
+     *
+     * @param id the id of the request
+     * @return one of the services, chosen by their weights
+     */
+    public ServiceName serviceFor(String id) {
+        return serviceAt((id.hashCode() & HASH_MASK) / (HASH_MASK + 1.0));
+    }
+
     /**
      * Returns a builder.
      *
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -99,18 +99,14 @@
 
     private void registerMetrics() {
         // Read on the event loop, because the admin server runs there too.
-        metrics.computedGauge(
-                "configuration_version",
-                "Version of the configuration in use; -1 without one.",
-                () -> requests.table().map(RoutingTable::version).orElse(-1L));
-        metrics.computedGauge(
-                "known_endpoints",
-                "Endpoints that were announced.",
-                () -> directory.all().size());
-        metrics.computedCounter("endpoint_connections", "Connections opened to endpoints.", client::connectionsOpened);
+        ForwardMetrics.registerViews(metrics, directory, client, this::configurationVersion);
         metrics.computedGauge("open_requests", "Requests without a final answer.", this::openRequests);
     }
 
+    private long configurationVersion() {
+        return requests.table().map(RoutingTable::version).orElse(-1L);
+    }
+
     private int openRequests() {
         return servers.isEmpty() ? 0 : servers.getFirst().exchanges();
     }
@@ -156,7 +152,7 @@
                 settings.callerAddress(),
                 settings.failureDomain().value(),
                 draining || requests.table().isEmpty(),
-                requests.table().map(RoutingTable::version).orElse(-1L));
+                configurationVersion());
     }
 
     private void news(Message message) {
@@ -168,7 +164,7 @@
     }
 
     private void useConfiguration(PushConfiguration push) {
-        boolean isNewer = requests.table().map(RoutingTable::version).orElse(-1L) < push.version();
+        boolean isNewer = configurationVersion() < push.version();
         if (!isNewer) {
             return;
         }
@@ -265,7 +261,7 @@
 
     private CompletableFuture<String> dump() {
         StringBuilder text = new StringBuilder("{\"configuration\": ")
-                .append(requests.table().map(RoutingTable::version).orElse(-1L))
+                .append(configurationVersion())
                 .append(", \"draining\": ")
                 .append(draining)
                 .append(", \"openRequests\": ")
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Quarantine.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Quarantine.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.rosemarybeam.common.collection.RecentMap;
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.decision.request.RequestInput;
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/RequestDriver.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
+import io.rosemarybeam.common.collection.RecentMap;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.collection.RecentMap;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.RosemarybeamException;
 import io.rosemarybeam.common.event.Event;
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/TrainerRoutes.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/TrainerRoutes.java
@@ -12,6 +12,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.rosemarybeam.common.collection.RecentMap;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.RequestException;
 import io.rosemarybeam.common.error.RosemarybeamException;
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardMetrics.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardMetrics.java
@@ -1,8 +1,12 @@
 package io.rosemarybeam.forward;
 
+import java.util.function.LongSupplier;
+
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.decision.routing.EndpointDirectory;
+import io.rosemarybeam.platform.EndpointClient;
 
 /** Counts forwarded requests and their attempts. Safe for use by several threads. */
 public final class ForwardMetrics {
@@ -31,6 +35,28 @@
         return new ForwardMetrics(metrics);
     }
 
+    /**
+     * Registers what a process that forwards knows of its surroundings. Read on the event loop, because the admin server
+     * runs there too.
+     *
+     * @param metrics metrics of the process
+     * @param directory the endpoints
+     * @param client opens connections to them
+     * @param configurationVersion version of the configuration in use; -1 without one
+     */
+    public static void registerViews(
+            Metrics metrics, EndpointDirectory directory, EndpointClient client, LongSupplier configurationVersion) {
+        metrics.computedGauge(
+                "configuration_version",
+                "Version of the configuration in use; -1 without one.",
+                configurationVersion::getAsLong);
+        metrics.computedGauge(
+                "known_endpoints",
+                "Endpoints that were announced.",
+                () -> directory.all().size());
+        metrics.computedCounter("endpoint_connections", "Connections opened to endpoints.", client::connectionsOpened);
+    }
+
     void finished(String kind, String outcome, long milliseconds) {
         outcomes.labelValues(kind, outcome).inc();
         latency.labelValues(kind).observe(milliseconds / 1_000.0);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -106,12 +107,10 @@
         }
         boolean singleVersion = route(kept).map(Route::singleVersion).orElse(false);
         Map<ItemId, ItemTask> added = new LinkedHashMap<>();
-        List<Submission.Item> items = kept.submission().items();
-        for (int position = 0; position < items.size(); position++) {
-            Submission.Item item = items.get(position);
+        for (Submission.Item item : kept.submission().items()) {
             if (!kept.isListed(item.id())) {
-                ItemTask task = new ItemTask(
-                        kept, item, position, model(kept, item), singleVersion, carriedOver.contains(item.group()));
+                ItemTask task =
+                        new ItemTask(kept, item, model(kept, item), singleVersion, carriedOver.contains(item.group()));
                 added.put(item.id(), task);
                 texts.restore(task);
                 queue.asked(task);
@@ -124,11 +123,8 @@
     }
 
     private static ModelName model(KeptSubmission kept, Submission.Item item) {
-        String named = item.headers().entrySet().stream()
-                .filter(header -> header.getKey().equalsIgnoreCase(PlatformHeaders.MODEL))
-                .map(Map.Entry::getValue)
-                .findFirst()
-                .orElse("");
+        String named =
+                PlatformHeaders.find(item.headers(), PlatformHeaders.MODEL).orElse("");
         return named.isEmpty() ? kept.submission().model().orElse(ModelName.of("none")) : ModelName.of(named);
     }
 
@@ -163,7 +159,7 @@
 
     /** Ends everything because another host leads from now on. */
     void stop() {
-        tasks.values().forEach(open -> open.values().forEach(task -> cancel(task, "another host leads")));
+        openTasks().forEach(task -> cancel(task, "another host leads"));
         tasks.clear();
     }
 
@@ -172,35 +168,33 @@
     }
 
     int waitingItems() {
-        return (int) tasks.values().stream()
-                .flatMap(open -> open.values().stream())
-                .filter(task -> task.stage == ItemTask.Stage.WAITING)
-                .count();
+        return (int)
+                openTasks().filter(task -> task.stage == ItemTask.Stage.WAITING).count();
+    }
+
+    private Stream<ItemTask> openTasks() {
+        return tasks.values().stream().flatMap(open -> open.values().stream());
     }
 
     /** The work that trainers have for a model. */
     ModelDemand demand(ModelName model) {
-        int waiting = 0;
-        long oldest = 0;
-        for (Map<ItemId, ItemTask> open : tasks.values()) {
-            for (ItemTask task : open.values()) {
-                if (task.stage == ItemTask.Stage.WAITING && task.model.equals(model)) {
-                    waiting++;
-                    oldest = Math.max(oldest, task.submission.submission().oldestVersion());
-                }
-            }
-        }
+        List<ItemTask> waiting = openTasks()
+                .filter(task -> task.stage == ItemTask.Stage.WAITING && task.model.equals(model))
+                .toList();
+        long oldest = waiting.stream()
+                .mapToLong(task -> task.submission.submission().oldestVersion())
+                .max()
+                .orElse(0);
         long named = state.versions().getOrDefault(model, 0L);
-        return new ModelDemand(model, named, oldest, waiting, usage.getOrDefault(model, 0.0));
+        return new ModelDemand(model, named, oldest, waiting.size(), usage.getOrDefault(model, 0.0));
     }
 
     /** Follows how many slots, used or wanted, each model has, as a moving average. */
     private void measureUsage() {
         Map<ModelName, Integer> wanted = new HashMap<>();
-        tasks.values()
-                .forEach(open -> open.values().stream()
-                        .filter(task -> task.stage == ItemTask.Stage.WAITING || task.stage == ItemTask.Stage.RUNNING)
-                        .forEach(task -> wanted.merge(task.model, 1, Integer::sum)));
+        openTasks()
+                .filter(task -> task.stage == ItemTask.Stage.WAITING || task.stage == ItemTask.Stage.RUNNING)
+                .forEach(task -> wanted.merge(task.model, 1, Integer::sum));
         usage.keySet().forEach(model -> wanted.putIfAbsent(model, 0));
         wanted.forEach((model, count) ->
                 usage.merge(model, (double) count, (former, next) -> former + USAGE_WEIGHT * (next - former)));
@@ -211,11 +205,7 @@
     /** Ends silent runs, gives up items that are too old, and starts items. */
     void tick() {
         long now = Forwarder.now();
-        for (Map<ItemId, ItemTask> open : List.copyOf(tasks.values())) {
-            for (ItemTask task : List.copyOf(open.values())) {
-                check(task, now);
-            }
-        }
+        openTasks().toList().forEach(task -> check(task, now));
         tasks.forEach((submission, open) -> texts.keep(submission, open.values()));
         measureUsage();
         start(now);
@@ -262,7 +252,7 @@
     }
 
     private void start(ItemTask task, Route route, Map<ServiceName, List<GenerationEndpoint>> cache, long now) {
-        ServiceName service = route.serviceAt((task.item.id().hashCode() & 0xffff) / 65_536.0);
+        ServiceName service = route.serviceFor(task.item.id().value());
         List<GenerationEndpoint> endpoints = cache.computeIfAbsent(service, fleet::endpoints);
         List<Long> versions = task.text.versions();
         long exact = task.singleVersion && !versions.isEmpty() ? versions.getFirst() : -1;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
@@ -61,7 +61,7 @@
         ForwardRequest request = new ForwardRequest(
                 scorer.id(),
                 route.get(),
-                route.get().serviceAt((scorer.id().hashCode() & 0xffff) / 65_536.0),
+                route.get().serviceFor(scorer.id()),
                 "POST",
                 scorer.path(),
                 headers,
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
@@ -17,7 +17,6 @@
 final class ItemTask {
     final KeptSubmission submission;
     final Submission.Item item;
-    final int position;
     final ModelName model;
     final boolean singleVersion;
     final boolean isCarriedOver;
@@ -45,13 +44,11 @@
     ItemTask(
             KeptSubmission submission,
             Submission.Item item,
-            int position,
             ModelName model,
             boolean singleVersion,
             boolean isCarriedOver) {
         this.submission = submission;
         this.item = item;
-        this.position = position;
         this.model = model;
         this.singleVersion = singleVersion;
         this.isCarriedOver = isCarriedOver;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -169,22 +169,14 @@
     }
 
     private static LogOptions options() {
-        LogOptions standard = LogOptions.standard(new SecureRandom().nextLong());
-        return new LogOptions(
-                standard.heartbeatTicks(),
-                standard.electionTicks(),
-                standard.maximumAppendBytes(),
-                standard.maximumEntriesInFlight(),
-                standard.maximumEntriesPerSync(),
-                standard.snapshotPartBytes(),
-                MAXIMUM_COMMAND_BYTES,
-                standard.seed());
+        return LogOptions.standard(new SecureRandom().nextLong()).withMaximumProposalBytes(MAXIMUM_COMMAND_BYTES);
     }
 
     /** Listens and starts to take part in the log. */
     public void start() {
         StoreReport report = new StoreReport(driver, state, directory, new ReportedProcess());
         report.register(metrics);
+        ForwardMetrics.registerViews(metrics, directory, client, this::configurationVersion);
         admin = AdminServer.start(loops, settings.adminAddress(), metrics, report::dump);
         listener = transport.listen(settings.protocolAddress(), self.name(), secrets, new Receiver());
         control = CallerServer.open(
@@ -367,8 +359,12 @@
         }
     }
 
+    private long configurationVersion() {
+        return table.map(RoutingTable::version).orElse(-1L);
+    }
+
     private void useConfiguration() {
-        long used = table.map(RoutingTable::version).orElse(-1L);
+        long used = configurationVersion();
         state.configuration().filter(held -> held.version() > used).ifPresent(held -> {
             try {
                 table = Optional.of(ConfigurationFormat.decode(held.text()));
@@ -384,7 +380,7 @@
     private final class ReportedProcess implements StoreReport.Reported {
         @Override
         public long configurationVersion() {
-            return table.map(RoutingTable::version).orElse(-1L);
+            return StoreProcess.this.configurationVersion();
         }
 
         @Override
@@ -396,11 +392,6 @@
         public int edges() {
             return edges.size();
         }
-
-        @Override
-        public long endpointConnections() {
-            return client.connectionsOpened();
-        }
     }
 
     /** What operators and endpoints ask for. */
@@ -496,7 +487,7 @@
             long wait =
                     settings.endpointsCheckFencing() ? 0 : settings.orderLease().toMillis();
             VersionOrders orders =
-                    new VersionOrders(state, fleet, client, settings.name().value(), term, Forwarder.now() + wait);
+                    new VersionOrders(fleet, client, settings.name().value(), term, Forwarder.now() + wait);
             StoreLeader next = new StoreLeader(
                     driver,
                     state,
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreReport.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreReport.java
@@ -35,9 +35,6 @@
 
         /** Connected edges. */
         int edges();
-
-        /** Connections that were opened to endpoints. */
-        long endpointConnections();
     }
 
     StoreReport(LogDriver driver, StoreState state, EndpointDirectory directory, Reported process) {
@@ -65,14 +62,6 @@
                 () -> driver.log().lastIndex());
         metrics.computedGauge(
                 "store_members_behind", "Members that lack committed entries, as the leader sees it.", this::behind);
-        metrics.computedGauge(
-                "configuration_version",
-                "Version of the configuration in use; -1 without one.",
-                process::configurationVersion);
-        metrics.computedGauge(
-                "known_endpoints",
-                "Endpoints that were announced.",
-                () -> directory.all().size());
         metrics.computedGauge(
                 "endpoint_view_age_seconds",
                 "Time since the last heartbeat of the ready endpoint that was heard longest ago.",
@@ -85,8 +74,6 @@
                 "waiting_items",
                 "Items that wait for a slot, as the leader sees it.",
                 () -> process.leader().map(StoreLeader::waitingItems).orElse(0));
-        metrics.computedCounter(
-                "endpoint_connections", "Connections opened to endpoints.", process::endpointConnections);
     }
 
     private long behind() {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/TextKeeper.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/TextKeeper.java
@@ -1,11 +1,11 @@
 package io.rosemarybeam.store;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
+import io.rosemarybeam.common.collection.RecentMap;
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.id.SubmissionId;
 import io.rosemarybeam.decision.batch.ItemText;
@@ -26,14 +26,7 @@
 
     private final StoreState state;
     private final BatchRunner.Leading leading;
-    private final Map<ItemId, ItemText> ended = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<ItemId, ItemText> eldest) {
-            return size() > MAXIMUM_ENDED_TEXTS;
-        }
-    };
+    private final Map<ItemId, ItemText> ended = new RecentMap<>(MAXIMUM_ENDED_TEXTS);
 
     TextKeeper(StoreState state, BatchRunner.Leading leading) {
         this.state = state;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
@@ -74,13 +74,7 @@
      * @param term term of this leader
      * @param firstOrderAt steady time before which a former leader's orders may still count, in milliseconds
      */
-    VersionOrders(
-            StoreState state,
-            GenerationFleet fleet,
-            EndpointClient client,
-            String holder,
-            long term,
-            long firstOrderAt) {
+    VersionOrders(GenerationFleet fleet, EndpointClient client, String holder, long term, long firstOrderAt) {
         this.fleet = fleet;
         this.client = client;
         this.holder = holder;
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
@@ -29,7 +29,7 @@
 
     private final List<String> told = new ArrayList<>();
     private final ItemTask task =
-            new ItemTask(new KeptSubmission(SUBMISSION, "r", 0), ITEM, 0, ModelName.of("m"), false, false);
+            new ItemTask(new KeptSubmission(SUBMISSION, "r", 0), ITEM, ModelName.of("m"), false, false);
 
     private ItemStream stream() {
         return new ItemStream(task, new ItemTask.Run(EndpointId.of("e"), 0, 0), new RecordingOwner());
