Derive once what the order of items compares often

Cause: each start of an item counted the groups of every open submission anew, and each comparison of two items added up the work of their groups. Explaining a request collected its endpoints once for each line of all logs. Change: KeptSubmission counts its groups when it is created, StepSchedule measures a group once, Explanation collects before its loop. Two getters of KeptSubmission that nothing called are gone, and three tests of the log share how they isolate a follower.

--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/Explanation.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/Explanation.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
 import io.rosemarybeam.common.event.Event;
 
@@ -127,16 +128,16 @@
                 .orElseThrow()
                 .minus(CONTEXT_BEFORE);
         Instant until = path.getLast().time();
+        Set<String> processes = path.stream().map(LogRecord::process).collect(Collectors.toSet());
+        Set<String> endpoints = endpoints(path);
         Set<LogRecord> context = new HashSet<>();
         for (LogRecord record : records) {
             boolean isMeanwhile =
                     !record.time().isBefore(from) && !record.time().isAfter(until);
-            if (isMeanwhile && isOneOf(record, PROCESS_EVENTS) && isProcessOf(path, record)) {
+            if (isMeanwhile && isOneOf(record, PROCESS_EVENTS) && processes.contains(record.process())) {
                 context.add(record);
             }
-            if (isMeanwhile
-                    && isOneOf(record, ENDPOINT_EVENTS)
-                    && endpoints(path).contains(record.field("endpoint"))) {
+            if (isMeanwhile && isOneOf(record, ENDPOINT_EVENTS) && endpoints.contains(record.field("endpoint"))) {
                 context.add(record);
             }
         }
@@ -152,10 +153,6 @@
         return record.time().minusMillis(record.number("milliseconds").orElse(0L));
     }
 
-    private static boolean isProcessOf(List<LogRecord> path, LogRecord record) {
-        return path.stream().anyMatch(step -> step.process().equals(record.process()));
-    }
-
     private static Set<String> endpoints(List<LogRecord> path) {
         Set<String> endpoints = new HashSet<>();
         for (LogRecord step : path) {
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -49,6 +49,15 @@
         cluster.run(5);
     }
 
+    /** Isolates a follower until the others have forgotten entries that it lacks. */
+    private Node isolateBeyondKeptEntries() {
+        Node behind = follower();
+        cluster.isolated.add(behind.id.name());
+        propose(500);
+        cluster.nodes.values().stream().filter(node -> node != behind).forEach(Node::compact);
+        return behind;
+    }
+
     @Test
     void shouldNotDisturbLeaderWhenFollowerReturnsFromLongIsolation() {
         Node leader = leader();
@@ -127,10 +136,7 @@
 
     @Test
     void shouldCatchUpFromSnapshotWhenLeaderForgotTheEntries() {
-        Node behind = follower();
-        cluster.isolated.add(behind.id.name());
-        propose(500);
-        cluster.nodes.values().stream().filter(node -> node != behind).forEach(Node::compact);
+        Node behind = isolateBeyondKeptEntries();
         propose(5);
         cluster.isolated.clear();
         cluster.run(40);
@@ -153,10 +159,7 @@
     /** Duplicates filled the connection of a member that was to be caught up, so that it was not done for 20 s. */
     @Test
     void shouldSendPartOfSnapshotOnceWhenReadsAndHeartbeatsOvertakeIt() {
-        Node behind = follower();
-        cluster.isolated.add(behind.id.name());
-        propose(500);
-        cluster.nodes.values().stream().filter(node -> node != behind).forEach(Node::compact);
+        Node behind = isolateBeyondKeptEntries();
         propose(5);
         cluster.isolated.clear();
         Node leader = leader();
@@ -178,10 +181,7 @@
 
     @Test
     void shouldRepeatPartOfSnapshotWhenItWasLost() {
-        Node behind = follower();
-        cluster.isolated.add(behind.id.name());
-        propose(500);
-        cluster.nodes.values().stream().filter(node -> node != behind).forEach(Node::compact);
+        Node behind = isolateBeyondKeptEntries();
         cluster.isolated.clear();
         for (int round = 0; round < 400 && behind.applied < 500; round++) {
             if (round % 3 == 0) {
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/StepSchedule.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/StepSchedule.java
@@ -76,10 +76,10 @@
         }
     }
 
-    /** A group with its place in the order. Immutable. */
-    private record Placed<T>(Step<T> step, Group<T> group, boolean isAwaited) {
+    /** A group with its place in the order, and what is compared often. Immutable. */
+    private record Placed<T>(Step<T> step, Group<T> group, long work, long longest, boolean isAwaited) {
         private boolean canBeInTime(long now) {
-            return now + group.longest() <= step.due();
+            return now + longest <= step.due();
         }
 
         private long latestStart(Item<T> item, long now) {
@@ -116,8 +116,9 @@
         sorted.sort(Comparator.<Group<T>, Boolean>comparing(group -> !group.isCarriedOver())
                 .thenComparingLong(Group::work));
         for (int position = 0; position < sorted.size(); position++) {
+            Group<T> group = sorted.get(position);
             boolean isAwaited = position < step.missingGroups();
-            groups.add(new Placed<>(step, sorted.get(position), isAwaited));
+            groups.add(new Placed<>(step, group, group.work(), group.longest(), isAwaited));
         }
     }
 
@@ -129,7 +130,7 @@
                 .toList();
         long work = 0;
         for (Placed<T> place : awaited) {
-            work += place.group().work();
+            work += place.work();
             long left = Math.max(0, place.step().due() - now);
             if (work > left * Math.max(1, slots)) {
                 return true;
@@ -145,7 +146,7 @@
 
     private static <T> Comparator<Waiting<T>> byGroupWork() {
         return Comparator.<Waiting<T>, Boolean>comparing(entry -> !entry.place().isAwaited())
-                .thenComparingLong(entry -> entry.place().group().work())
+                .thenComparingLong(entry -> entry.place().work())
                 .thenComparingLong(entry -> entry.place().step().due())
                 .thenComparingLong(entry -> -entry.item().expected());
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.ToLongFunction;
 
+import io.rosemarybeam.common.collection.RecentMap;
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.id.ModelName;
 import io.rosemarybeam.common.wire.Submission;
@@ -27,14 +28,7 @@
     private static final int MAXIMUM_GROUPS = 4_096;
 
     private final Map<ModelName, RunTimeEstimate> estimates = new HashMap<>();
-    private final Map<String, Boolean> formerGroups = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
-            return size() > MAXIMUM_GROUPS;
-        }
-    };
+    private final Map<String, Boolean> formerGroups = new RecentMap<>(MAXIMUM_GROUPS);
 
     /**
      * Notes the groups of a submission.
@@ -90,27 +84,18 @@
         Map<String, List<StepSchedule.Item<ItemTask>>> items = new LinkedHashMap<>();
         Set<String> carriedOver = new HashSet<>();
         for (ItemTask task : open) {
-            String group = group(task.item);
+            String group = KeptSubmission.group(task.item);
             items.computeIfAbsent(group, ignored -> new ArrayList<>()).add(item(task, now));
             if (task.isCarriedOver) {
                 carriedOver.add(group);
             }
         }
-        long all = kept.submission().items().stream()
-                .map(ItemQueue::group)
-                .distinct()
-                .count();
-        int missing = kept.submission().wantedGroups() - (int) (all - items.size());
+        int missing = kept.submission().wantedGroups() - (kept.groups() - items.size());
         List<StepSchedule.Group<ItemTask>> groups = new ArrayList<>();
         items.forEach((group, left) -> groups.add(new StepSchedule.Group<>(carriedOver.contains(group), left)));
         return new StepSchedule.Step<>(kept.acceptedAt(), kept.acceptedAt() + target, missing, groups);
     }
 
-    /** An item without a group is a group of its own. */
-    private static String group(Submission.Item item) {
-        return item.group().isEmpty() ? item.id().value() : item.group();
-    }
-
     /** How long an item is expected to run from now on, in milliseconds. */
     long expected(ItemTask task) {
         return estimate(task).left(task.item.expectedTokens(), task.text.lastEvent());
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/KeptSubmission.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/KeptSubmission.java
@@ -25,6 +25,7 @@
     private final Submission submission;
     private final String routeName;
     private final long acceptedAt;
+    private final int groups;
     private final List<Submission.Result> results = new ArrayList<>();
     private final Map<ItemId, Integer> positions = new HashMap<>();
     private final Map<ItemId, ItemText> texts = new LinkedHashMap<>();
@@ -34,6 +35,10 @@
         this.submission = submission;
         this.routeName = routeName;
         this.acceptedAt = acceptedAt;
+        this.groups = (int) submission.items().stream()
+                .map(KeptSubmission::group)
+                .distinct()
+                .count();
     }
 
     static KeptSubmission of(Stored stored) {
@@ -54,15 +59,20 @@
         return submission;
     }
 
-    String routeName() {
-        return routeName;
-    }
-
     /** Time of the leader that accepted it, in milliseconds. */
     long acceptedAt() {
         return acceptedAt;
     }
 
+    int groups() {
+        return groups;
+    }
+
+    /** The name of an item's group; an item without one is a group of its own. */
+    static String group(Submission.Item item) {
+        return item.group().isEmpty() ? item.id().value() : item.group();
+    }
+
     boolean isEnded() {
         return ended;
     }
@@ -83,10 +93,6 @@
         return positions.containsKey(item);
     }
 
-    Optional<Submission.Result> result(ItemId item) {
-        return Optional.ofNullable(positions.get(item)).map(results::get);
-    }
-
     Optional<Submission.Item> item(ItemId id) {
         return submission.items().stream().filter(item -> item.id().equals(id)).findFirst();
     }
