Move the fingerprint of a request to the common module

The forwarder needs the same digest as the entry. The digest of a service, a call and a body is unchanged, so fingerprints of stored quarantines stay valid.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/id/Fingerprint.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/id/Fingerprint.java
@@ -1,11 +1,16 @@
 package io.rosemarybeam.common.id;
 
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonValue;
+import org.apache.commons.codec.binary.Hex;
+import org.apache.commons.codec.digest.DigestUtils;
 
 /**
- * Digest of a service name and a request body, equal for every resend of that request.
+ * Digest of the target and the body of a request, equal for every resend of that request.
  *
  * <p>Invariant: the value is not blank and has at most {@value TextIdentifier#MAXIMUM_LENGTH} characters. Immutable and
  * safe for use by several threads.
@@ -24,6 +29,23 @@
         return new Fingerprint(value);
     }
 
+    /**
+     * Computes the fingerprint of a request.
+     *
+     * @param target the service or host that the request is for
+     * @param call method and path, as far as they distinguish requests with the same body
+     * @param body body of the request
+     * @return the fingerprint
+     */
+    public static Fingerprint ofRequest(String target, String call, byte[] body) {
+        MessageDigest digest = DigestUtils.getSha256Digest();
+        digest.update(target.getBytes(StandardCharsets.UTF_8));
+        digest.update((byte) 0);
+        digest.update(call.getBytes(StandardCharsets.UTF_8));
+        digest.update((byte) 0);
+        return of(Hex.encodeHexString(digest.digest(body)));
+    }
+
     @Override
     public int compareTo(Fingerprint other) {
         return value.compareTo(other.value);
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerRoutes.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerRoutes.java
@@ -117,7 +117,7 @@
                 headers,
                 true,
                 requestFactory.completion(body, receiver));
-        Fingerprint fingerprint = Digests.fingerprint(service.name(), "", call.body());
+        Fingerprint fingerprint = Fingerprint.ofRequest(service.name().value(), "", call.body());
         List<Long> prefixes = Digests.prefixHashes(body.path("prompt").textValue());
         submit(call, pendingRequest, service, fingerprint, prefixes, maximumTokens);
     }
@@ -148,7 +148,7 @@
                 idempotent,
                 key,
                 requestFactory.proxy(PlainReceiver.of(call), head.method(), call.body()));
-        Fingerprint fingerprint = Digests.fingerprint(name, head.method() + " " + uri, call.body());
+        Fingerprint fingerprint = Fingerprint.ofRequest(name.value(), head.method() + " " + uri, call.body());
         submit(call, pendingRequest, service, fingerprint, List.of(), 1);
     }
 
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Digests.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/Digests.java
@@ -1,42 +1,20 @@
 package io.rosemarybeam.entry;
 
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.List;
 
-import io.rosemarybeam.common.id.Fingerprint;
-import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.decision.step.StepInput.StepKey;
-import org.apache.commons.codec.binary.Hex;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.apache.commons.codec.digest.MurmurHash3;
 
-/** Computes digests of requests and texts. Stateless and safe for use by several threads. */
+/** Computes digests of texts and prompts. Stateless and safe for use by several threads. */
 final class Digests {
     private static final int MINIMUM_PREFIX_CHARACTERS = 64;
     private static final int MAXIMUM_PREFIXES = 12;
 
     private Digests() {}
 
-    /**
-     * Returns the fingerprint of a request.
-     *
-     * @param service the service
-     * @param call method and path of a call of a plain service, because calls without a body differ only there; empty
-     *     for models
-     * @param body body of the request
-     * @return the fingerprint
-     */
-    static Fingerprint fingerprint(ServiceName service, String call, byte[] body) {
-        MessageDigest digest = DigestUtils.getSha256Digest();
-        digest.update(service.value().getBytes(StandardCharsets.UTF_8));
-        digest.update((byte) 0);
-        digest.update(call.getBytes(StandardCharsets.UTF_8));
-        digest.update((byte) 0);
-        return Fingerprint.of(Hex.encodeHexString(digest.digest(body)));
-    }
-
     static String text(String text) {
         return DigestUtils.sha256Hex(text);
     }
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/StepDriver.java
@@ -17,6 +17,7 @@
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.HostName;
 import io.rosemarybeam.common.id.RequestId;
 import io.rosemarybeam.common.wire.EntryHostRecord;
@@ -240,7 +241,7 @@
                         Optional.of(submit.trainer()),
                         true,
                         Optional.empty(),
-                        Digests.fingerprint(submit.service(), "", text),
+                        Fingerprint.ofRequest(submit.service().value(), "", text),
                         Digests.prefixHashes(submit.prompt()),
                         submit.expectedTokens(),
                         submit.deadlineMilliseconds(),
@@ -286,7 +287,7 @@
                         Optional.of(score.step().trainer()),
                         true,
                         Optional.empty(),
-                        Digests.fingerprint(score.scoringService(), "/score", text),
+                        Fingerprint.ofRequest(score.scoringService().value(), "/score", text),
                         List.of(),
                         1 + score.text().length() / CHARACTERS_PER_TOKEN,
                         loop.now() + SCORE_TIMEOUT_MILLISECONDS,
