Log whether an endpoint crashed when an attempt broke

Callers see 502 in both cases, and the logs could not tell them apart: ATTEMPT_FAILED says "the connection closed" for a crash and for a broken connection alike, and a resend has a new id, so that nobody could see that the same request came back.

The forwarder now opens one connection to an endpoint after an attempt at it broke and logs ENDPOINT_CHECKED: REFUSED (no process listens any more), REACHABLE or UNKNOWN, with the fingerprint, which is the same for every resend. REQUEST_FINISHED carries the fingerprint once an attempt has broken, explain follows it, and endpoint_checks_total counts the results.

--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/Explanation.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/Explanation.java
@@ -17,10 +17,11 @@
 /**
  * The path of one request, submission, item or configuration through the processes, reconstructed from their logs.
  *
- * <p>Lines on the path contain the identifier as request, submission or scorer, or the identifier of the scorer of the
- * item. Lines of the context show the state on which the processes on the path based their decisions: the configuration
- * in use, the state of the endpoints that were tried, lost and restored connections to store hosts, changes of the leader,
- * reloaded settings, stalls of an event loop, and starts and stops. Immutable and safe for use by several threads.
+ * <p>Lines on the path contain the identifier as request, submission or scorer, the identifier of the scorer of the item,
+ * or the fingerprint of the request. Lines of the context show the state on which the processes on the path based their
+ * decisions: the configuration in use, the state of the endpoints that were tried, lost and restored connections to store
+ * hosts, changes of the leader, reloaded settings, stalls of an event loop, and starts and stops. Immutable and safe for use
+ * by several threads.
  *
  * @param subject what is explained, for the heading
  * @param lines the lines in order of time
@@ -46,7 +47,7 @@
             Set.of(Event.ENDPOINT_CHANGED, Event.ORDER_GIVEN, Event.ORDER_FAILED, Event.VERSION_LOADED);
     private static final Set<Event> CONFIGURATION_EVENTS =
             Set.of(Event.CONFIGURATION_IN_USE, Event.CONTROL_REQUEST_FINISHED);
-    private static final Set<String> IDENTIFIER_FIELDS = Set.of("request", "submission", "scorer");
+    private static final Set<String> IDENTIFIER_FIELDS = Set.of("request", "submission", "scorer", "fingerprint");
     private static final Pattern LIST_SEPARATORS = Pattern.compile("[\\[\\], ]+");
 
     /**
@@ -84,13 +85,17 @@
                         && record.number("version").equals(Optional.of(version)));
     }
 
-    /** Returns the identifier and that of its scorer, if any; other items of the same submission are not included. */
+    /**
+     * Returns the identifier, that of its scorer, and the fingerprint under which resends are recognised, if any; other
+     * items of the same submission are not included.
+     */
     private static Set<String> relatedIdentifiers(String identifier, List<LogRecord> records) {
         Set<String> related = new LinkedHashSet<>();
         related.add(identifier);
         for (LogRecord record : records) {
             if (record.field("request").equals(identifier)) {
                 related.add(record.field("scorer"));
+                related.add(record.field("fingerprint"));
             }
         }
         related.remove("");
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -81,6 +81,9 @@
     ATTEMPT_FAILED(702, Severity.WARNING, "An endpoint did not answer a forwarded request with success."),
     /** A request was refused before it was sent to an endpoint. */
     REQUEST_REFUSED(703, Severity.WARNING, "A request was refused before it was sent to an endpoint."),
+    /** An endpoint was checked because the connection of an attempt broke. */
+    ENDPOINT_CHECKED(
+            704, Severity.WARNING, "An endpoint was checked because an attempt broke; REFUSED means that it crashed."),
     /** A host uses a newer configuration. */
     CONFIGURATION_IN_USE(710, Severity.INFORMATION, "A host uses a newer configuration."),
     /** A store host can be reached. */
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -14,6 +14,7 @@
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.decision.routing.EndpointSelection;
 import io.rosemarybeam.decision.routing.RouteKind;
@@ -62,6 +63,7 @@
     private final Set<EndpointId> tried = new HashSet<>();
     private final Set<EndpointId> unavailable = new HashSet<>();
     private final List<EndpointAttempt> running = new ArrayList<>();
+    private Optional<Fingerprint> fingerprint = Optional.empty();
     private Optional<BufferedAnswer> lastErrorAnswer = Optional.empty();
     private Future<?> deadlineTimer;
     private Future<?> hedgeTimer;
@@ -116,6 +118,14 @@
         }
     }
 
+    /** Returns the fingerprint; it is computed only when it is needed, because bodies may be long. */
+    private Fingerprint fingerprint() {
+        if (fingerprint.isEmpty()) {
+            fingerprint = Optional.of(request.fingerprint());
+        }
+        return fingerprint.get();
+    }
+
     private Optional<EndpointAnnouncement> selectEndpoint() {
         List<EndpointAnnouncement> ready = forwarder.directory().ready(request.service()).stream()
                 .filter(endpoint -> !unavailable.contains(endpoint.id()))
@@ -191,6 +201,8 @@
                 refusals,
                 "endpoints",
                 tried,
+                "fingerprint",
+                fingerprint.map(Fingerprint::value).orElse(""),
                 "milliseconds",
                 elapsed);
     }
@@ -372,6 +384,9 @@
                 tryNextEndpoint();
             } else {
                 mayHaveRun = true;
+                forwarder
+                        .crashMonitor()
+                        .attemptBroke(endpoint, new CrashMonitor.BrokenAttempt(request.id(), fingerprint()));
                 retryIfRepeatable();
             }
         }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardMetrics.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardMetrics.java
@@ -17,12 +17,15 @@
 
     private final Counter outcomes;
     private final Counter attempts;
+    private final Counter endpointChecks;
     private final Histogram latency;
 
     private ForwardMetrics(Metrics metrics) {
         outcomes = metrics.counter(
                 "forwarded_requests", "Forwarded requests by kind of route and outcome.", "kind", "outcome");
         attempts = metrics.counter("attempts", "Attempts at endpoints by outcome.", "outcome");
+        endpointChecks = metrics.counter(
+                "endpoint_checks", "Connections opened to check an endpoint after an attempt broke.", "result");
         latency = metrics.histogram(
                 "forward_latency_seconds", "Time from a request to its final answer.", LATENCY_BOUNDS, "kind");
     }
@@ -64,6 +67,10 @@
         latency.labelValues(kind).observe(milliseconds / 1_000.0);
     }
 
+    void endpointChecked(String result) {
+        endpointChecks.labelValues(result).inc();
+    }
+
     void attemptFinished(String outcome) {
         attempts.labelValues(outcome).inc();
     }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.forward;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.decision.routing.Route;
 
@@ -26,4 +27,9 @@
         HttpHeaders headers,
         byte[] body,
         long deadline,
-        long configurationVersion) {}
+        long configurationVersion) {
+    /** Computes the fingerprint, which is the same for every resend; the id and the deadline differ. */
+    Fingerprint fingerprint() {
+        return Fingerprint.ofRequest(route.host(), method + " " + uri, body);
+    }
+}
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
@@ -20,6 +20,7 @@
     private final FailureDomain ownDomain;
     private final ForwardMetrics metrics;
     private final HedgeBudget hedgeBudget = new HedgeBudget();
+    private final CrashMonitor crashMonitor;
 
     /**
      * Creates a forwarder.
@@ -44,6 +45,7 @@
         this.loads = loads;
         this.ownDomain = ownDomain;
         this.metrics = metrics;
+        this.crashMonitor = new CrashMonitor(client, metrics);
     }
 
     /**
@@ -93,6 +95,10 @@
         return metrics;
     }
 
+    CrashMonitor crashMonitor() {
+        return crashMonitor;
+    }
+
     HedgeBudget hedgeBudget() {
         return hedgeBudget;
     }
