Show by a test that a crashing request crashes two endpoints for each resend

CrashingRequestTest runs a store and three edges; a caller sends the same request twelve times, to one edge after the other, and every endpoint that runs it ends.

--- /dev/null
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingRequestTest.java
@@ -0,0 +1,84 @@
+package io.rosemarybeam.edge;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a request that crashes every endpoint that runs it, because its caller sends it again and again. */
+class CrashingRequestTest {
+    private static final int EDGES = 3;
+    private static final int ENDPOINTS = 8;
+    private static final int RESENDS = 12;
+
+    /** The users allow three endpoints to crash before the request must not run any more. */
+    private static final int ALLOWED_CRASHES = 3;
+
+    @TempDir
+    Path folder;
+
+    private final AtomicInteger crashes = new AtomicInteger();
+    private final List<CrashingEndpoint> endpoints = new ArrayList<>();
+    private PlatformCluster cluster;
+
+    @BeforeEach
+    void start() {
+        cluster = new PlatformCluster(folder);
+        cluster.startStore();
+        cluster.configure("""
+                {"Version":1,"Routes":[{"Name":"r","Hostname":"%s","PathPrefix":"/x/","RouteType":"idempotent",
+                "TimeoutMs":2000,"TargetLatencyMs":300,"Priority":0,"Backend":"desk","MaxAttempts":2}],
+                "Services":[{"Name":"desk","HealthPath":"/healthz","MaxConnections":50,"Protocol":"h1","Tls":false}]}
+                """.formatted(PlatformCluster.STORE_HOST));
+        for (int number = 0; number < ENDPOINTS; number++) {
+            endpoints.add(new CrashingEndpoint(crashes));
+            cluster.announce("e-" + number, endpoints.get(number).address(), 1);
+        }
+        for (int edge = 0; edge < EDGES; edge++) {
+            cluster.startEdge(edge);
+            awaitServed(edge);
+        }
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        cluster.close();
+        for (CrashingEndpoint endpoint : endpoints) {
+            endpoint.close();
+        }
+    }
+
+    private void awaitServed(int edge) {
+        PlatformCluster.await(
+                "the edge serves", () -> cluster.request(edge, "ready-" + edge, "sound") == 200 ? true : null);
+    }
+
+    private void restartCrashedEndpoints(long started) {
+        for (int number = 0; number < ENDPOINTS; number++) {
+            if (!endpoints.get(number).isRunning()) {
+                endpoints.get(number).restart();
+                cluster.announce("e-" + number, endpoints.get(number).address(), started);
+            }
+        }
+    }
+
+    @Test
+    void shouldNotCrashMoreEndpointsWhenACrashingRequestIsSentAgainAtEveryEdge() {
+        for (int resend = 0; resend < RESENDS; resend++) {
+            cluster.request(resend % EDGES, "poison-" + resend, CrashingEndpoint.POISON);
+            restartCrashedEndpoints(resend + 2L);
+        }
+
+        assertTrue(crashes.get() <= ALLOWED_CRASHES, crashes + " endpoints crashed");
+        assertEquals(200, cluster.request(0, "sound", "sound"));
+    }
+}
--- /dev/null
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -0,0 +1,159 @@
+package io.rosemarybeam.edge;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+
+import io.rosemarybeam.common.settings.EdgeSettings;
+import io.rosemarybeam.common.settings.StoreSettings;
+import io.rosemarybeam.store.StoreProcess;
+
+/** One store process and several edge processes on loopback addresses. Confined to the test thread. */
+final class PlatformCluster implements AutoCloseable {
+    private static final long TIMEOUT_MILLISECONDS = 15_000;
+    static final String STORE_HOST = "127.0.78.1";
+    private static final int STOP_SECONDS = 1;
+
+    private final Path folder;
+    private final int protocolPort = freePort();
+    private final int operatorPort = freePort();
+    private final Map<Integer, EdgeProcess> edges = new TreeMap<>();
+    private final Map<Integer, Integer> callerPorts = new TreeMap<>();
+    private final HttpClient http = HttpClient.newBuilder()
+            .connectTimeout(Duration.ofSeconds(1))
+            .version(HttpClient.Version.HTTP_1_1)
+            .build();
+    private StoreProcess store;
+
+    PlatformCluster(Path folder) {
+        this.folder = folder;
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(STORE_HOST))) {
+            return socket.getLocalPort();
+        } catch (IOException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    void startStore() {
+        String text =
+                """
+                {"name": "store-1", "failureDomain": "fes", "host": "%s", "operatorAddress": "%s:%d",
+                 "adminAddress": "%s:%d", "dataFolder": "data", "seeds": ["%s:1"], "storePort": %d,
+                 "clusterSecret": "test", "firstStart": true, "toleratedLosses": 0, "endpointsCheckFencing": true,
+                 "orderLeaseMilliseconds": 3000, "heartbeatMilliseconds": 1200, "resultsKeptSeconds": 120,
+                 "stopSeconds": 8}
+                """.formatted(STORE_HOST, STORE_HOST, operatorPort, STORE_HOST, freePort(), STORE_HOST, protocolPort);
+        store = StoreProcess.of(StoreSettings.load(write("store.json", text)), failure -> {
+            throw new IllegalStateException(failure);
+        });
+        store.start();
+    }
+
+    void stopStore() {
+        store.stop();
+    }
+
+    void startEdge(int number) {
+        int callerPort = freePort();
+        String host = STORE_HOST;
+        String text = """
+                {"name": "edge-%d", "failureDomain": "fes", "callerAddress": "%s:%d", "readyAddress": "%s:%d",
+                 "adminAddress": "%s:%d", "seeds": ["%s:1"], "storePort": %d, "clusterSecret": "test", "stopSeconds": %d}
+                """.formatted(
+                        number, host, callerPort, host, freePort(), host, freePort(), host, protocolPort, STOP_SECONDS);
+        EdgeProcess edge = new EdgeProcess(EdgeSettings.load(write("edge-" + number + ".json", text)));
+        edge.start();
+        edges.put(number, edge);
+        callerPorts.put(number, callerPort);
+    }
+
+    void stopEdge(int number) {
+        edges.remove(number).stop();
+        callerPorts.remove(number);
+    }
+
+    private Path write(String name, String text) {
+        try {
+            return Files.writeString(folder.resolve(name), text);
+        } catch (IOException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    void configure(String text) {
+        await(
+                "the configuration is accepted",
+                () -> post(operatorPort, "/api/config/replace", "", text) == 200 ? true : null);
+    }
+
+    void announce(String id, String address, long started) {
+        String heartbeat = "{\"Backend\":\"desk\",\"Address\":\"" + address + "\",\"Zone\":\"fes\",\"Version\":\"v1\","
+                + "\"Capacity\":4,\"State\":\"ready\",\"WarmupLeftMs\":0,\"born\":" + started + ",\"Sequence\":1}";
+        await(
+                "the heartbeat is accepted",
+                () -> post(operatorPort, "/api/replicas/" + id + "/heartbeat", "", heartbeat) == 200 ? true : null);
+    }
+
+    /** Sends a request to an edge and returns the status of the answer. */
+    int request(int edge, String id, String body) {
+        return post(callerPorts.get(edge), "/x/1", id, body);
+    }
+
+    private int post(int port, String path, String id, String body) {
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + STORE_HOST + ":" + port + path))
+                .timeout(Duration.ofSeconds(3))
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+        if (!id.isEmpty()) {
+            request.header("Rosemarybeam-Request-Id", id);
+        }
+        try {
+            return http.send(request.build(), HttpResponse.BodyHandlers.ofString())
+                    .statusCode();
+        } catch (IOException failure) {
+            throw new IllegalStateException(failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
+    static <T> T await(String condition, Callable<T> attempt) {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLISECONDS);
+        while (System.nanoTime() < deadline) {
+            try {
+                T result = attempt.call();
+                if (result != null) {
+                    return result;
+                }
+                Thread.sleep(20);
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                throw new IllegalStateException(interrupted);
+            } catch (Exception notYet) {
+                // The process has not started yet; the loop fails at its deadline if it never does.
+                Thread.onSpinWait();
+            }
+        }
+        throw new AssertionError("not within " + TIMEOUT_MILLISECONDS + " ms: " + condition);
+    }
+
+    @Override
+    public void close() {
+        edges.values().forEach(EdgeProcess::stop);
+        store.stop();
+    }
+}
