Quarantine a request under which three endpoints have crashed

Callers saw one endpoint after another end: a request that crashes every endpoint that runs it was sent on for as long as its caller returned, MaxAttempts endpoints for each resend and at every edge (BUDGET).

Cause: nothing on the platform path remembers a crash. The forwarder was written beside the request core of the product's own interface, whose quarantine it does not use, and each resend has a new id. Class of fault: unbounded retries of a poison message, because the retry budget is kept for one attempt instead of for the request.

Change: a refused connection after a broken attempt counts as a crash of the fingerprint. Edges send crashes to all store hosts, which merge them without agreement and pass them on; a process that connects gets all. After three crashes every edge refuses the request as not run, with the rest of the quarantine in Retry-After. A full answer clears the crashes, a suspect is retried apart from others and only once its last crash is judged. Items and scorer requests are never refused.

Ruled out: quarantine after any broken connection.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointSelection.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointSelection.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.FailureDomain;
@@ -14,7 +15,8 @@
  *
  * <p>Load pattern: uneven load and one endpoint several times slower than its peers. The expected latency is the measured
  * latency of the endpoint, scaled up with its utilization, plus the network round trip to its failure domain. Endpoints that
- * this request has tried are used again only if there is no other. Stateless and safe for use by several threads.
+ * this request has tried are used again only if there is no other, and those that run a suspect, which may crash them, only if
+ * the others are avoided. Stateless and safe for use by several threads.
  */
 public final class EndpointSelection {
     /**
@@ -28,11 +30,19 @@
 
     private EndpointSelection() {}
 
+    /**
+     * What is known of a request and of those beside which it would run. Immutable, provided that the set is not changed.
+     *
+     * @param tried endpoints to which the request was already sent
+     * @param runsSuspect whether an endpoint runs a request that may crash it
+     */
+    public record RequestState(Set<EndpointId> tried, Predicate<EndpointId> runsSuspect) {}
+
     /**
      * Chooses an endpoint.
      *
      * @param candidates ready endpoints of the service
-     * @param tried endpoints to which this request was already sent
+     * @param state what is known of the request
      * @param loads load and health of the endpoints
      * @param ownDomain failure domain of this process
      * @param now monotonic time, in milliseconds
@@ -40,22 +50,23 @@
      */
     public static Optional<EndpointAnnouncement> choose(
             List<EndpointAnnouncement> candidates,
-            Set<EndpointId> tried,
+            RequestState state,
             EndpointLoads loads,
             FailureDomain ownDomain,
             long now) {
         double defaultLatency = medianLatency(candidates, loads);
         return candidates.stream()
-                .min(Comparator.<EndpointAnnouncement>comparingInt(candidate -> rank(candidate, tried, loads, now))
+                .min(Comparator.<EndpointAnnouncement>comparingInt(candidate -> rank(candidate, state, loads, now))
                         .thenComparingDouble(
                                 candidate -> expectedLatency(candidate, loads, ownDomain, defaultLatency, now))
                         .thenComparing(EndpointAnnouncement::id));
     }
 
-    private static int rank(EndpointAnnouncement candidate, Set<EndpointId> tried, EndpointLoads loads, long now) {
+    private static int rank(EndpointAnnouncement candidate, RequestState state, EndpointLoads loads, long now) {
         int avoided = loads.isAvoided(candidate.id(), now) ? 1 : 0;
-        int repeated = tried.contains(candidate.id()) ? 2 : 0;
-        return avoided + repeated;
+        int endangered = state.runsSuspect().test(candidate.id()) ? 1 : 0;
+        int repeated = state.tried().contains(candidate.id()) ? 2 : 0;
+        return avoided + endangered + repeated;
     }
 
     private static double expectedLatency(
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointSelectionTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointSelectionTest.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.decision.routing;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 
@@ -19,6 +20,7 @@
     private static final FailureDomain HERE = FailureDomain.of("tanger");
 
     private final EndpointLoads loads = new EndpointLoads();
+    private final Set<EndpointId> suspectEndpoints = new HashSet<>();
     private final List<EndpointAnnouncement> endpoints = List.of(endpoint("a"), endpoint("b"), endpoint("c"));
 
     private static EndpointAnnouncement endpoint(String id) {
@@ -27,7 +29,12 @@
     }
 
     private String choose(Set<EndpointId> tried, long now) {
-        return EndpointSelection.choose(endpoints, tried, loads, HERE, now)
+        return EndpointSelection.choose(
+                        endpoints,
+                        new EndpointSelection.RequestState(tried, suspectEndpoints::contains),
+                        loads,
+                        HERE,
+                        now)
                 .orElseThrow()
                 .id()
                 .value();
@@ -74,4 +81,12 @@
 
         assertEquals("a", choose(all, 0));
     }
+
+    /** Load pattern: requests that broke together with a crashing one are retried at the same moment. */
+    @Test
+    void shouldAvoidEndpointThatRunsASuspect() {
+        suspectEndpoints.add(EndpointId.of("a"));
+
+        assertEquals("b", choose(Set.of(), 0));
+    }
 }
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -18,6 +18,7 @@
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.HandshakeMessage.Role;
 import io.rosemarybeam.common.wire.Message;
+import io.rosemarybeam.common.wire.StoreMessage.CrashNews;
 import io.rosemarybeam.common.wire.StoreMessage.EdgeAddress;
 import io.rosemarybeam.common.wire.StoreMessage.EdgeStatus;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
@@ -30,6 +31,7 @@
 import io.rosemarybeam.decision.routing.RoutingTable;
 import io.rosemarybeam.forward.CallerExchange;
 import io.rosemarybeam.forward.CallerServer;
+import io.rosemarybeam.forward.CrashRegistry;
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.platform.ConfigurationFormat;
@@ -78,6 +80,7 @@
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointClient client = EndpointClient.of(loop);
     private final StoreSessions stores;
+    private final CrashRegistry crashes;
     private final EdgeRequests requests;
     private final List<CallerServer> servers = new ArrayList<>();
     private AdminServer admin;
@@ -97,10 +100,11 @@
                 WireTransport.of(loops, WireSettings.shortTimeouts()),
                 credentials,
                 settings.stores().addresses(),
-                this::status,
+                this::messagesOnConnect,
                 this::onStoreMessage);
-        Forwarder forwarder =
-                new Forwarder(loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics));
+        this.crashes = new CrashRegistry(stores::broadcast);
+        Forwarder forwarder = new Forwarder(
+                loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics), crashes);
         this.requests = new EdgeRequests(forwarder, new BatchRequests(new StoreRequests(loop, stores)));
         registerMetrics();
     }
@@ -108,6 +112,8 @@
     private void registerMetrics() {
         // Metrics are read on the event loop, because the admin server runs there too.
         ForwardMetrics.registerComputedMetrics(metrics, directory, client, this::configurationVersion);
+        metrics.computedGauge(
+                "quarantined_requests", "Requests that must not run, by fingerprint.", crashes::quarantined);
         metrics.computedGauge("open_requests", "Requests without a final answer.", this::openRequests);
     }
 
@@ -140,8 +146,9 @@
 
     private void tick() {
         try {
-            stores.tick();
+            stores.tick(status());
             client.tick();
+            crashes.tick();
             long now = Forwarder.now();
             directory.evictExpired(now);
             loads.retain(id -> directory.find(id).isPresent());
@@ -168,9 +175,17 @@
             useConfiguration(push);
         } else if (message instanceof EndpointNews update) {
             update.announcements().forEach(this::merge);
+        } else if (message instanceof CrashNews news) {
+            crashes.merge(news);
         }
     }
 
+    private List<Message> messagesOnConnect() {
+        List<Message> messages = new ArrayList<>(List.of(status()));
+        crashes.all().ifPresent(messages::add);
+        return messages;
+    }
+
     private void useConfiguration(PushConfiguration push) {
         boolean isNewer = configurationVersion() < push.version();
         if (!isNewer) {
@@ -178,7 +193,7 @@
         }
         try {
             if (requests.useIfNewer(ConfigurationFormat.decode(push.text()))) {
-                stores.broadcastStatus();
+                stores.broadcast(status());
             }
         } catch (ConfigurationException failure) {
             LOG.log(Event.HANDLER_FAILED, failure, "message", "configuration " + push.version());
@@ -252,7 +267,7 @@
         loop.execute(() -> {
             draining = true;
             servers.getFirst().drain();
-            stores.broadcastStatus();
+            stores.broadcast(status());
             LOG.log(Event.PROCESS_STOPPING, "name", settings.name(), "open", openRequests());
             awaitDrained(drained, Forwarder.now(), maximumDrain);
         });
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
@@ -105,7 +105,8 @@
                 exchange.headers(),
                 exchange.body(),
                 now + Math.min(timeout, callerTimeout),
-                table.orElseThrow().version());
+                table.orElseThrow().version(),
+                false);
         ForwardCall call = forwarder.forward(request, new ExchangeSink(exchange));
         exchange.onDisconnect(call::cancel);
     }
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
@@ -43,7 +43,7 @@
     private final EventLoop loop;
     private final WireTransport transport;
     private final Credentials credentials;
-    private final Supplier<EdgeStatus> ownStatus;
+    private final Supplier<List<Message>> messagesOnConnect;
     private final Consumer<Message> onUpdate;
     private final Map<String, Session> sessions = new HashMap<>();
     private List<String> seeds;
@@ -54,13 +54,13 @@
             WireTransport transport,
             Credentials credentials,
             List<String> seeds,
-            Supplier<EdgeStatus> ownStatus,
+            Supplier<List<Message>> messagesOnConnect,
             Consumer<Message> onUpdate) {
         this.loop = loop;
         this.transport = transport;
         this.credentials = credentials;
         this.seeds = seeds;
-        this.ownStatus = ownStatus;
+        this.messagesOnConnect = messagesOnConnect;
         this.onUpdate = onUpdate;
     }
 
@@ -69,7 +69,7 @@
     }
 
     /** Opens missing connections and sends the status of this edge to every connected host. */
-    void tick() {
+    void tick(EdgeStatus ownStatus) {
         long now = Forwarder.now();
         Set<String> required = requiredAddresses();
         required.forEach(address -> sessions.computeIfAbsent(address, Session::new));
@@ -77,7 +77,7 @@
                 .removeIf(session -> !session.isOpen() && !session.connecting && !required.contains(session.address));
         for (Session session : sessions.values()) {
             if (session.isOpen()) {
-                session.connection.send(ownStatus.get());
+                session.connection.send(ownStatus);
             } else if (!session.connecting && now >= session.nextAttempt) {
                 connect(session, now);
             }
@@ -104,7 +104,7 @@
                             session.connecting = false;
                             if (connection != null) {
                                 session.connection = connection;
-                                connection.send(ownStatus.get());
+                                messagesOnConnect.get().forEach(connection::send);
                                 LOG.log(Event.STORE_CONNECTED, "store", session.address);
                             }
                         },
@@ -164,9 +164,9 @@
         return recent;
     }
 
-    /** Sends the status of this edge to every connected host at once, for example when it starts to drain. */
-    void broadcastStatus() {
-        sessions.values().stream().filter(Session::isOpen).forEach(session -> session.connection.send(ownStatus.get()));
+    /** Sends a message to every connected host. */
+    void broadcast(Message message) {
+        sessions.values().stream().filter(Session::isOpen).forEach(session -> session.connection.send(message));
     }
 
     /** Connection to one host, and the last status of this host. Confined to the event loop. */
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingEndpoint.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingEndpoint.java
@@ -109,17 +109,21 @@
         return head.toString(StandardCharsets.ISO_8859_1);
     }
 
-    private void crash() throws IOException {
+    private void crash() {
         crashes.incrementAndGet();
         close();
     }
 
     @Override
-    public void close() throws IOException {
-        listener.close();
-        for (Socket connection : connections) {
-            connection.close();
+    public void close() {
+        try {
+            listener.close();
+            for (Socket connection : connections) {
+                connection.close();
+            }
+            connections.clear();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
         }
-        connections.clear();
     }
 }
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingRequestTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingRequestTest.java
@@ -1,6 +1,5 @@
 package io.rosemarybeam.edge;
 
-import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -50,11 +49,9 @@
     }
 
     @AfterEach
-    void close() throws IOException {
+    void close() {
         cluster.close();
-        for (CrashingEndpoint endpoint : endpoints) {
-            endpoint.close();
-        }
+        endpoints.forEach(CrashingEndpoint::close);
     }
 
     private void awaitServed(int edge) {
@@ -71,6 +68,12 @@
         }
     }
 
+    private void announceAll() {
+        for (int number = 0; number < ENDPOINTS; number++) {
+            cluster.announce("e-" + number, endpoints.get(number).address(), RESENDS + 2L);
+        }
+    }
+
     @Test
     void shouldNotCrashMoreEndpointsWhenACrashingRequestIsSentAgainAtEveryEdge() {
         for (int resend = 0; resend < RESENDS; resend++) {
@@ -81,4 +84,23 @@
         assertTrue(crashes.get() <= ALLOWED_CRASHES, crashes + " endpoints crashed");
         assertEquals(200, cluster.request(0, "sound", "sound"));
     }
+
+    @Test
+    void shouldRefuseACrashingRequestWhenEdgeAndStoreStartAfterItsQuarantine() {
+        for (int resend = 0; resend < ALLOWED_CRASHES; resend++) {
+            cluster.request(0, "poison-" + resend, CrashingEndpoint.POISON);
+            restartCrashedEndpoints(resend + 2L);
+        }
+        assertEquals(ALLOWED_CRASHES, crashes.get());
+
+        cluster.stopStore();
+        cluster.startStore();
+        announceAll();
+        cluster.stopEdge(1);
+        cluster.startEdge(1);
+        awaitServed(1);
+
+        assertEquals(503, cluster.request(1, "poison-again", CrashingEndpoint.POISON));
+        assertEquals(ALLOWED_CRASHES, crashes.get());
+    }
 }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -77,6 +77,11 @@
     /** Answers with status 500. */
     private int internalErrors;
 
+    /** Whether the connection of an attempt broke. */
+    private boolean hasBroken;
+
+    private boolean answeredInFull;
+
     /** Whether a failed attempt may have run, so that the request must not be refused any more. */
     private boolean mayHaveRun;
 
@@ -91,7 +96,7 @@
     void start() {
         long remaining = request.deadline() - Forwarder.now();
         if (remaining <= 0) {
-            finishRefused("deadline passed");
+            finishRefused("deadline passed", usualRetryDelay());
             return;
         }
         deadlineTimer = forwarder.loop().schedule(this::onDeadline, remaining, TimeUnit.MILLISECONDS);
@@ -109,7 +114,9 @@
         if (finished) {
             return;
         }
-        boolean isExhausted = sends >= request.route().maximumAttempts() || refusals >= MAXIMUM_REFUSALS_BY_ENDPOINTS;
+        boolean isExhausted = sends >= request.route().maximumAttempts()
+                || refusals >= MAXIMUM_REFUSALS_BY_ENDPOINTS
+                || remainingQuarantine() > 0;
         Optional<EndpointAnnouncement> chosen = isExhausted ? Optional.empty() : selectEndpoint();
         if (chosen.isPresent()) {
             new EndpointAttempt(chosen.get()).send();
@@ -126,11 +133,25 @@
         return fingerprint.get();
     }
 
+    /** Returns for how long the request must not run, in milliseconds; 0 if it may run. */
+    private long remainingQuarantine() {
+        boolean mayRun = request.mustRun() || forwarder.crashes().isEmpty();
+        return mayRun ? 0 : forwarder.crashes().remainingQuarantine(fingerprint());
+    }
+
+    /** Returns whether the request was running when an endpoint crashed, or when a connection of this call broke. */
+    private boolean isSuspect() {
+        boolean isKnown = !forwarder.crashes().isEmpty() && forwarder.crashes().crashes(fingerprint()) > 0;
+        return hasBroken || isKnown;
+    }
+
     private Optional<EndpointAnnouncement> selectEndpoint() {
         List<EndpointAnnouncement> ready = forwarder.directory().ready(request.service()).stream()
                 .filter(endpoint -> !unavailable.contains(endpoint.id()))
                 .toList();
-        return EndpointSelection.choose(ready, tried, forwarder.loads(), forwarder.ownDomain(), Forwarder.now());
+        EndpointSelection.RequestState state =
+                new EndpointSelection.RequestState(tried, forwarder.crashMonitor()::runsSuspect);
+        return EndpointSelection.choose(ready, state, forwarder.loads(), forwarder.ownDomain(), Forwarder.now());
     }
 
     private void finishWithoutAnswer() {
@@ -142,14 +163,20 @@
         } else if (mayHaveRun) {
             finish("endpoints failed", BAD_GATEWAY);
             sink.fail(BAD_GATEWAY);
+        } else if (remainingQuarantine() > 0) {
+            finishRefused("quarantined", remainingQuarantine());
         } else {
-            finishRefused("no endpoint takes it");
+            finishRefused("no endpoint takes it", usualRetryDelay());
         }
     }
 
-    private void finishRefused(String reason) {
+    private double usualRetryDelay() {
+        return RETRY_TARGET_FRACTION * request.route().latencyTarget().toMillis();
+    }
+
+    private void finishRefused(String reason, double retryMilliseconds) {
         finish(reason, UNAVAILABLE);
-        sink.refuse(RETRY_TARGET_FRACTION * request.route().latencyTarget().toMillis() / 1_000.0);
+        sink.refuse(retryMilliseconds / 1_000.0);
     }
 
     private void onDeadline() {
@@ -165,7 +192,7 @@
             finish("time over", GATEWAY_TIMEOUT);
             sink.fail(GATEWAY_TIMEOUT);
         } else {
-            finishRefused("time over before sending");
+            finishRefused("time over before sending", usualRetryDelay());
         }
     }
 
@@ -217,7 +244,8 @@
     private void scheduleHedge(EndpointAnnouncement endpoint) {
         cancel(hedgeTimer);
         boolean isAllowed = request.route().kind() == RouteKind.IDEMPOTENT
-                && sends < request.route().maximumAttempts();
+                && sends < request.route().maximumAttempts()
+                && !isSuspect();
         if (!isAllowed) {
             return;
         }
@@ -245,6 +273,7 @@
         private EndpointClient.Attempt attempt;
         private EndpointAnswer head;
         private boolean answerStarted;
+        private boolean ofSuspect;
 
         private EndpointAttempt(EndpointAnnouncement endpoint) {
             this.endpoint = endpoint;
@@ -255,6 +284,10 @@
             tried.add(endpoint.id());
             running.add(this);
             forwarder.loads().recordRequest(endpoint.id());
+            ofSuspect = isSuspect();
+            if (ofSuspect) {
+                forwarder.crashMonitor().suspectStarted(endpoint.id());
+            }
             HttpHeaders headers = ForwardedHeaders.copy(request.headers());
             headers.set(PlatformHeaders.DEADLINE, Math.max(1, request.deadline() - sentAt));
             headers.set(PlatformHeaders.EXPECTED_ENDPOINT, endpoint.id().value());
@@ -278,6 +311,9 @@
         private void removeFromRunning() {
             if (running.remove(this)) {
                 forwarder.loads().recordEnd(endpoint.id());
+                if (ofSuspect) {
+                    forwarder.crashMonitor().suspectEnded(endpoint.id());
+                }
             }
         }
 
@@ -331,6 +367,10 @@
         }
 
         private void deliver() {
+            if (!request.mustRun() && !forwarder.crashes().isEmpty()) {
+                forwarder.crashes().recordAnswer(fingerprint());
+            }
+            answeredInFull = true;
             finish("answered", head.status());
             if (answerStarted) {
                 sink.end();
@@ -377,21 +417,49 @@
             forwarder.loads().recordFailure(endpoint.id(), Forwarder.now());
             recordOutcome(failure == Failure.NOT_SENT ? "not sent" : "broken", reason);
             if (answerStarted) {
+                checkForCrash(() -> {});
                 finish("broken in the answer", BAD_GATEWAY);
                 sink.abort();
             } else if (failure == Failure.NOT_SENT) {
                 markUnavailable();
                 tryNextEndpoint();
             } else {
-                mayHaveRun = true;
-                forwarder
-                        .crashMonitor()
-                        .attemptBroke(endpoint, new CrashMonitor.BrokenAttempt(request.id(), fingerprint()));
+                retryAfterCheck();
+            }
+        }
+
+        /**
+         * Checks whether the endpoint crashed. A suspect is retried only when the result is known, because this crash may be
+         * the one that quarantines it; other requests are retried at once.
+         */
+        private void retryAfterCheck() {
+            boolean awaitsResult = isSuspect();
+            mayHaveRun = true;
+            hasBroken = true;
+            checkForCrash(awaitsResult ? this::retryIfRepeatable : () -> {});
+            if (!awaitsResult) {
                 retryIfRepeatable();
             }
         }
 
+        /** An answer in full shows that the crash had another cause, also if it arrives before the result of the check. */
+        private boolean countsCrashes() {
+            return !request.mustRun() && !answeredInFull;
+        }
+
+        private void checkForCrash(Runnable onChecked) {
+            forwarder
+                    .crashMonitor()
+                    .attemptBroke(
+                            endpoint,
+                            new CrashMonitor.BrokenAttempt(
+                                    request.id(), fingerprint(), this::countsCrashes, onChecked));
+        }
+
         private void retryIfRepeatable() {
+            if (finished) {
+                return;
+            }
             if (request.route().isRepeatable()) {
                 tryNextEndpoint();
             } else if (running.isEmpty()) {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
@@ -17,6 +17,7 @@
  * @param body the complete body; may be empty
  * @param deadline monotonic time at which the request times out, in milliseconds, see {@link Forwarder#now}
  * @param configurationVersion version of the configuration that has the route; written to the log
+ * @param mustRun whether the request is never quarantined, because the system has promised to run it
  */
 public record ForwardRequest(
         String id,
@@ -27,7 +28,8 @@
         HttpHeaders headers,
         byte[] body,
         long deadline,
-        long configurationVersion) {
+        long configurationVersion,
+        boolean mustRun) {
     /** Computes the fingerprint, which is the same for every resend; the id and the deadline differ. */
     Fingerprint fingerprint() {
         return Fingerprint.ofRequest(route.host(), method + " " + uri, body);
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
@@ -21,6 +21,7 @@
     private final ForwardMetrics metrics;
     private final HedgeBudget hedgeBudget = new HedgeBudget();
     private final CrashMonitor crashMonitor;
+    private final CrashRegistry crashes;
 
     /**
      * Creates a forwarder.
@@ -31,6 +32,7 @@
      * @param loads load and latency of the endpoints; updated by each attempt
      * @param ownDomain failure domain of this process, preferred in the selection of endpoints
      * @param metrics counts requests and attempts
+     * @param crashes the known crashes of endpoints; updated by each attempt
      */
     public Forwarder(
             EventLoop loop,
@@ -38,14 +40,16 @@
             EndpointDirectory directory,
             EndpointLoads loads,
             FailureDomain ownDomain,
-            ForwardMetrics metrics) {
+            ForwardMetrics metrics,
+            CrashRegistry crashes) {
         this.loop = loop;
         this.client = client;
         this.directory = directory;
         this.loads = loads;
         this.ownDomain = ownDomain;
         this.metrics = metrics;
-        this.crashMonitor = new CrashMonitor(client, metrics);
+        this.crashMonitor = new CrashMonitor(client, metrics, crashes);
+        this.crashes = crashes;
     }
 
     /**
@@ -95,6 +99,10 @@
         return metrics;
     }
 
+    CrashRegistry crashes() {
+        return crashes;
+    }
+
     CrashMonitor crashMonitor() {
         return crashMonitor;
     }
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -24,6 +25,8 @@
 import io.rosemarybeam.common.metric.Metrics;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.EndpointAnnouncement.State;
+import io.rosemarybeam.common.wire.EndpointCrash;
+import io.rosemarybeam.common.wire.StoreMessage.CrashNews;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.Route;
@@ -38,7 +41,8 @@
 
 /**
  * Guards against non-idempotent requests that run twice, refusals of requests that may have run, answers that belong to
- * other requests, and endpoints that continue to work for callers that have disconnected.
+ * other requests, endpoints that continue to work for callers that have disconnected, crashing requests that run again, and
+ * sound requests that pass for crashing ones.
  */
 class ForwarderTest {
     private static final ServiceName SERVICE = ServiceName.of("desk");
@@ -53,6 +57,9 @@
     /** The endpoint closes the connection without an answer. */
     private static final String CLOSE = "";
 
+    /** The process of the endpoint ends without an answer, so that its port is closed too. */
+    private static final String CRASH = "crash";
+
     /** The endpoint keeps the connection open and never answers. */
     private static final String SILENT = "silent";
 
@@ -61,13 +68,16 @@
     private final EndpointDirectory directory = new EndpointDirectory();
     private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
+    private final BlockingQueue<CrashNews> published = new LinkedBlockingQueue<>();
+    private final CrashRegistry crashes = new CrashRegistry(published::add);
     private final Forwarder forwarder = new Forwarder(
             loop,
             EndpointClient.of(loop),
             directory,
             new EndpointLoads(),
             OWN_DOMAIN,
-            ForwardMetrics.of(Metrics.ofProcess()));
+            ForwardMetrics.of(Metrics.ofProcess()),
+            crashes);
 
     @AfterEach
     void close() throws IOException {
@@ -87,6 +97,16 @@
     }
 
     private ForwardCall forward(RouteKind kind, long milliseconds) throws InterruptedException {
+        return forward(request(kind, milliseconds, false));
+    }
+
+    private ForwardCall forward(ForwardRequest request) throws InterruptedException {
+        return loop.submit(() -> forwarder.forward(request, new RecordingSink()))
+                .sync()
+                .getNow();
+    }
+
+    private static ForwardRequest request(RouteKind kind, long milliseconds, boolean mustRun) {
         Route route = Route.builder()
                 .matching("r", "a", "/")
                 .kind(kind)
@@ -96,11 +116,17 @@
                 .build();
         HttpHeaders headers =
                 new DefaultHttpHeaders().set("Rosemarybeam-Request-Id", "r1").set("Host", "a");
-        ForwardRequest request = new ForwardRequest(
-                "r1", route, SERVICE, "POST", "/x", headers, new byte[] {1}, Forwarder.now() + milliseconds, 1);
-        return loop.submit(() -> forwarder.forward(request, new RecordingSink()))
-                .sync()
-                .getNow();
+        return new ForwardRequest(
+                "r1",
+                route,
+                SERVICE,
+                "POST",
+                "/x",
+                headers,
+                new byte[] {1},
+                Forwarder.now() + milliseconds,
+                1,
+                mustRun);
     }
 
     private String outcome() throws InterruptedException {
@@ -191,6 +217,60 @@
         assertNotNull(endpoint.closed.poll(1, TimeUnit.SECONDS), "the connection to the endpoint stays open");
     }
 
+    private void quarantine(ForwardRequest request) {
+        List<EndpointCrash> three = Stream.of("x", "y", "z")
+                .map(id -> new EndpointCrash(request.fingerprint(), EndpointId.of(id), 1, 0))
+                .toList();
+        loop.submit(() -> crashes.merge(new CrashNews(three, List.of()))).syncUninterruptibly();
+    }
+
+    @Test
+    void shouldPublishTheCrashWhenTheEndpointRefusesConnections() throws Exception {
+        endpoint("a", CRASH);
+
+        forward(RouteKind.IDEMPOTENT, 2_000);
+
+        assertEquals("failed 502", outcome());
+        CrashNews news = published.poll(5, TimeUnit.SECONDS);
+        assertNotNull(news, "no crash was published");
+        assertEquals(EndpointId.of("a"), news.crashes().getFirst().endpoint());
+    }
+
+    @Test
+    void shouldCountNoCrashWhenTheNextEndpointAnswersInFull() throws Exception {
+        endpoint("a", CRASH);
+        endpoint("b", OK);
+
+        forward(RouteKind.IDEMPOTENT, 2_000);
+
+        assertEquals("200 body", outcome());
+        Thread.sleep(200);
+        assertTrue(loop.submit(crashes::isEmpty).sync().getNow(), "the request is still a suspect");
+    }
+
+    @Test
+    void shouldRefuseAsNotRunWhenRequestIsQuarantined() throws Exception {
+        ScriptedEndpoint endpoint = endpoint("a", OK);
+        ForwardRequest request = request(RouteKind.IDEMPOTENT, 2_000, false);
+        quarantine(request);
+
+        forward(request);
+
+        assertEquals("refused", outcome());
+        assertEquals(0, endpoint.requests.size());
+    }
+
+    @Test
+    void shouldRunWhenRequestWasPromisedToRun() throws Exception {
+        endpoint("a", OK);
+        ForwardRequest request = request(RouteKind.IDEMPOTENT, 2_000, true);
+        quarantine(request);
+
+        forward(request);
+
+        assertEquals("200 body", outcome());
+    }
+
     /** Records the outcome as text. */
     private final class RecordingSink implements AnswerSink {
         @Override
@@ -269,6 +349,10 @@
                     return;
                 }
                 requests.add(new String(buffer, 0, count, StandardCharsets.UTF_8));
+                if (answer.equals(CRASH)) {
+                    socket.close();
+                    return;
+                }
                 if (answer.equals(SILENT)) {
                     while (in.read(buffer) >= 0) {
                         requests.add("more");
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
@@ -66,7 +66,8 @@
                 headers,
                 scorer.body(),
                 Forwarder.now() + timeout.toMillis(),
-                table.orElseThrow().version());
+                table.orElseThrow().version(),
+                true);
         task.scoring = Optional.of(forwarder.forward(request, new ScoreSink(task, table, route.get(), listener)));
     }
 
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -32,6 +32,7 @@
 import io.rosemarybeam.common.wire.MessageHandler;
 import io.rosemarybeam.common.wire.Secrets;
 import io.rosemarybeam.common.wire.StoreMessage;
+import io.rosemarybeam.common.wire.StoreMessage.CrashNews;
 import io.rosemarybeam.common.wire.StoreMessage.EdgeStatus;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
@@ -59,6 +60,7 @@
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.RoutingTable;
 import io.rosemarybeam.forward.CallerServer;
+import io.rosemarybeam.forward.CrashRegistry;
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.platform.ConfigurationFormat;
@@ -113,6 +115,7 @@
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointClient client = EndpointClient.of(loop);
     private final GenerationFleet fleet = new GenerationFleet(directory, loads);
+    private final CrashRegistry crashes;
     private final Forwarder forwarder;
     private final LogStorage storage;
     private final MemberId self;
@@ -139,8 +142,9 @@
         this.onFailure = onFailure;
         this.seeds = settings.stores().hosts();
         this.secrets = new Secrets(settings.stores().clusterSecret(), Optional.empty());
-        this.forwarder =
-                new Forwarder(loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics));
+        this.crashes = new CrashRegistry(this::sendCrashes);
+        this.forwarder = new Forwarder(
+                loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics), crashes);
         this.storage = LogStorage.open(files);
         boolean isBootstrapMember = settings.firstStart() && seeds.contains(settings.host());
         long incarnation = isBootstrapMember ? FIRST_INCARNATION : new SecureRandom().nextLong();
@@ -300,6 +304,7 @@
         long now = Forwarder.now();
         client.tick();
         directory.evictExpired(now);
+        crashes.tick();
         links.maintain(members.peers(seeds, now), now);
         StoreStatus status = status(now);
         links.names().forEach(name -> links.send(name, status));
@@ -330,6 +335,11 @@
                         .toList());
     }
 
+    private void sendCrashes(CrashNews news) {
+        edges.keySet().forEach(edge -> edge.send(news));
+        links.names().forEach(name -> links.send(name, news));
+    }
+
     private void askLeader(StoreMessage request, Consumer<StoreReply> reply) {
         if (leader.isPresent()) {
             leader.get().serve(request, reply);
@@ -419,6 +429,7 @@
             if (connection.remoteRole() == Role.ENTRY || !directory.all().isEmpty()) {
                 connection.send(new EndpointNews(List.copyOf(directory.all())));
             }
+            crashes.all().ifPresent(connection::send);
         }
 
         @Override
@@ -428,6 +439,7 @@
                 case EdgeStatus edge -> receiveEdgeStatus(connection, edge);
                 case StoreStatus peer -> members.receive(peer, Forwarder.now());
                 case EndpointNews update -> update.announcements().forEach(registry::merge);
+                case CrashNews news -> crashes.merge(news).ifPresent(StoreProcess.this::sendCrashes);
                 case StoreMessage request -> serve(connection, correlation, request);
                 default ->
                     LOG.log(
