Keep a cleared crash known, so that hosts do not exchange it for ever

Cause: hosts pass on every change. A clearing removed the crash, so that a copy of the crash that was still on its way counted as new, was passed on, met a copy of the clearing, and so on: the merge did not converge. Now a crash only goes from unknown to counted to cleared, whatever the order of the messages.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -84,11 +84,11 @@
     /** An endpoint was checked because the connection of an attempt broke. */
     ENDPOINT_CHECKED(
             704, Severity.WARNING, "An endpoint was checked because an attempt broke; REFUSED means that it crashed."),
-    /** A request that had been running when endpoints crashed was answered in full. */
-    CRASHES_CLEARED(
+    /** A request that had been running when an endpoint crashed was answered in full. */
+    CRASH_CLEARED(
             705,
             Severity.INFORMATION,
-            "A request that ran on crashed endpoints was answered, so that its crashes no longer count."),
+            "A request that ran on a crashed endpoint was answered, so that the crash no longer counts."),
     /** A host uses a newer configuration. */
     CONFIGURATION_IN_USE(710, Severity.INFORMATION, "A host uses a newer configuration."),
     /** A store host can be reached. */
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EndpointCrash.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EndpointCrash.java
@@ -12,9 +12,10 @@
  * @param endpoint the endpoint that crashed
  * @param startedMilliseconds start time of the endpoint by its own clock; with its id it identifies the incarnation
  * @param ageMilliseconds time since the crash when the message was sent, so that hosts need no common clock
+ * @param cleared whether the request was answered in full later, so that the crash had another cause
  */
 public record EndpointCrash(
-        Fingerprint fingerprint, EndpointId endpoint, long startedMilliseconds, long ageMilliseconds) {
+        Fingerprint fingerprint, EndpointId endpoint, long startedMilliseconds, long ageMilliseconds, boolean cleared) {
     public EndpointCrash {
         Objects.requireNonNull(fingerprint, "fingerprint");
         Objects.requireNonNull(endpoint, "endpoint");
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 
-import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.id.ModelName;
 import io.rosemarybeam.common.id.SubmissionId;
@@ -80,12 +79,10 @@
      * Publishes which requests ran on endpoints that crashed. Idempotent; the order of messages does not matter.
      *
      * @param crashes the crashes
-     * @param answered requests that were answered in full, so that their earlier crashes had another cause
      */
-    record CrashNews(List<EndpointCrash> crashes, List<Fingerprint> answered) implements StoreMessage {
+    record CrashNews(List<EndpointCrash> crashes) implements StoreMessage {
         public CrashNews {
             crashes = List.copyOf(crashes);
-            answered = List.copyOf(answered);
         }
     }
 
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/CrashTable.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/CrashTable.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.decision.routing;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,9 +18,10 @@
  * merely ran beside it, or on endpoints that crashed for another reason, are answered in full by the next endpoint, which
  * clears them.
  *
- * <p>Invariants: a crash counts once, however often it is reported, so tables that received the same reports in any order
- * agree; only consecutive crashes count, that is, those since the last full answer. Times are monotonic times in
- * milliseconds. Confined to one thread.
+ * <p>Invariants: a crash counts once, however often it is reported, and a cleared crash never counts again, so tables that
+ * received the same reports in any order agree. A cleared crash is retained, because a late report of it would otherwise
+ * count, and processes that pass on what is new to them would do so for ever. Times are monotonic times in milliseconds.
+ * Confined to one thread.
  */
 public final class CrashTable {
     /** Number of consecutive crashes after which a request is quarantined. */
@@ -46,65 +48,93 @@
     /** A time before all others whose distance from any other is still a valid number. */
     private static final long NEVER = Long.MIN_VALUE / 2;
 
-    private final Map<Fingerprint, Map<Incarnation, Long>> crashTimes = new LeastRecentlyUsedMap<>(MAXIMUM_REQUESTS);
+    private final Map<Fingerprint, Map<Incarnation, Crash>> requests = new LeastRecentlyUsedMap<>(MAXIMUM_REQUESTS);
 
     /** One life of an endpoint. Immutable. */
     private record Incarnation(EndpointId endpoint, long startedMilliseconds) {}
 
+    /** A crash of an endpoint. Immutable. */
+    private record Crash(long crashedAt, boolean cleared) {}
+
     /** Returns whether no request has crashed an endpoint, so that callers need not compute fingerprints. */
     public boolean isEmpty() {
-        return crashTimes.isEmpty();
+        return requests.isEmpty();
     }
 
     /**
-     * Records a crash.
+     * Records a crash, or that a crash was cleared.
      *
      * @param crash the crash
      * @param now monotonic time, in milliseconds
-     * @return whether it was not recorded yet
+     * @return whether it changed the table
      */
     public boolean add(EndpointCrash crash, long now) {
-        Map<Incarnation, Long> crashes = crashTimes.computeIfAbsent(crash.fingerprint(), ignored -> new HashMap<>());
+        Map<Incarnation, Crash> crashes = requests.computeIfAbsent(crash.fingerprint(), ignored -> new HashMap<>());
         Incarnation incarnation = new Incarnation(crash.endpoint(), crash.startedMilliseconds());
-        long crashedAt = now - crash.ageMilliseconds();
-        if (crashes.containsKey(incarnation)) {
-            return false;
+        Crash known = crashes.get(incarnation);
+        if (known != null) {
+            boolean clears = crash.cleared() && !known.cleared;
+            if (clears) {
+                crashes.put(incarnation, new Crash(known.crashedAt, true));
+            }
+            return clears;
         }
+        long crashedAt = now - crash.ageMilliseconds();
         if (crashes.size() >= MAXIMUM_CRASHES) {
             if (crashedAt <= lastCrash(crashes)) {
                 return false;
             }
             removeFirstCrash(crashes);
         }
-        crashes.put(incarnation, crashedAt);
+        crashes.put(incarnation, new Crash(crashedAt, crash.cleared()));
         return true;
     }
 
-    private static void removeFirstCrash(Map<Incarnation, Long> crashes) {
+    private static void removeFirstCrash(Map<Incarnation, Crash> crashes) {
         crashes.entrySet().stream()
-                .min(Map.Entry.comparingByValue())
+                .min(Comparator.comparingLong(entry -> entry.getValue().crashedAt))
                 .map(Map.Entry::getKey)
                 .ifPresent(crashes::remove);
     }
 
     /**
-     * Removes the crashes of a request that was answered in full.
+     * Returns the crashes of a request that count.
      *
      * @param fingerprint the request
-     * @return whether it had any
+     * @return the number of crashes since its last full answer; 0 if it is not known
      */
-    public boolean clear(Fingerprint fingerprint) {
-        return crashTimes.remove(fingerprint) != null;
+    public int crashes(Fingerprint fingerprint) {
+        return counting(requests.getOrDefault(fingerprint, Map.of()));
+    }
+
+    private static int counting(Map<Incarnation, Crash> crashes) {
+        return (int) crashes.values().stream().filter(crash -> !crash.cleared).count();
     }
 
     /**
-     * Returns the number of consecutive crashes of a request.
+     * Returns the crashes of a request that count, as cleared ones, for a request that was answered in full.
      *
      * @param fingerprint the request
-     * @return the number; 0 if it is not known
+     * @param now monotonic time, in milliseconds
+     * @return what to record; empty if no crash of the request counts
      */
-    public int crashes(Fingerprint fingerprint) {
-        return crashTimes.getOrDefault(fingerprint, Map.of()).size();
+    public List<EndpointCrash> clearing(Fingerprint fingerprint, long now) {
+        List<EndpointCrash> cleared = new ArrayList<>();
+        requests.getOrDefault(fingerprint, Map.of()).forEach((incarnation, crash) -> {
+            if (!crash.cleared) {
+                cleared.add(message(fingerprint, incarnation, new Crash(crash.crashedAt, true), now));
+            }
+        });
+        return cleared;
+    }
+
+    private static EndpointCrash message(Fingerprint fingerprint, Incarnation incarnation, Crash crash, long now) {
+        return new EndpointCrash(
+                fingerprint,
+                incarnation.endpoint,
+                incarnation.startedMilliseconds,
+                now - crash.crashedAt,
+                crash.cleared);
     }
 
     /**
@@ -115,12 +145,12 @@
      * @return the remaining time of its quarantine, in milliseconds; 0 if it may run
      */
     public long remainingQuarantine(Fingerprint fingerprint, long now) {
-        return Math.max(0, quarantineEnd(crashTimes.getOrDefault(fingerprint, Map.of())) - now);
+        return Math.max(0, quarantineEnd(requests.getOrDefault(fingerprint, Map.of())) - now);
     }
 
-    /** Returns the end of the quarantine; a time long past if the request was never quarantined. */
-    private static long quarantineEnd(Map<Incarnation, Long> crashes) {
-        int further = crashes.size() - CRASHES_BEFORE_QUARANTINE;
+    /** Returns the end of the quarantine; a time long past if the request is not quarantined. */
+    private static long quarantineEnd(Map<Incarnation, Crash> crashes) {
+        int further = counting(crashes) - CRASHES_BEFORE_QUARANTINE;
         if (further < 0) {
             return NEVER;
         }
@@ -128,8 +158,8 @@
         return lastCrash(crashes) + duration;
     }
 
-    private static long lastCrash(Map<Incarnation, Long> crashes) {
-        return crashes.values().stream().mapToLong(Long::longValue).max().orElse(NEVER);
+    private static long lastCrash(Map<Incarnation, Crash> crashes) {
+        return crashes.values().stream().mapToLong(Crash::crashedAt).max().orElse(NEVER);
     }
 
     /**
@@ -139,22 +169,21 @@
      * @return the number of quarantined requests
      */
     public int quarantined(long now) {
-        return (int) crashTimes.values().stream()
+        return (int) requests.values().stream()
                 .filter(crashes -> quarantineEnd(crashes) > now)
                 .count();
     }
 
     /**
-     * Returns all recorded crashes, for a process that does not know them yet.
+     * Returns all recorded crashes, cleared ones included, for a process that does not know them yet.
      *
      * @param now monotonic time, in milliseconds
      * @return the crashes with their ages
      */
     public List<EndpointCrash> all(long now) {
         List<EndpointCrash> all = new ArrayList<>();
-        crashTimes.forEach(
-                (fingerprint, crashes) -> crashes.forEach((incarnation, crashedAt) -> all.add(new EndpointCrash(
-                        fingerprint, incarnation.endpoint, incarnation.startedMilliseconds, now - crashedAt))));
+        requests.forEach((fingerprint, crashes) ->
+                crashes.forEach((incarnation, crash) -> all.add(message(fingerprint, incarnation, crash, now))));
         return all;
     }
 
@@ -164,7 +193,7 @@
      * @param now monotonic time, in milliseconds
      */
     public void expire(long now) {
-        crashTimes.values().removeIf(crashes -> {
+        requests.values().removeIf(crashes -> {
             long retainedFrom = Math.max(lastCrash(crashes), quarantineEnd(crashes));
             return now - retainedFrom > RETENTION_MILLISECONDS;
         });
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/CrashTableTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/CrashTableTest.java
@@ -1,5 +1,10 @@
 package io.rosemarybeam.decision.routing;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.wire.EndpointCrash;
@@ -18,7 +23,7 @@
     private final CrashTable table = new CrashTable();
 
     private boolean crash(String endpoint, long started, long age, long now) {
-        return table.add(new EndpointCrash(REQUEST, EndpointId.of(endpoint), started, age), now);
+        return table.add(new EndpointCrash(REQUEST, EndpointId.of(endpoint), started, age, false), now);
     }
 
     private void crashThreeEndpoints(long now) {
@@ -54,14 +59,45 @@
         assertTrue(crash("a", 2, 0, 10));
     }
 
+    private void answer(long now) {
+        table.clearing(REQUEST, now).forEach(crash -> table.add(crash, now));
+    }
+
     @Test
-    void shouldClearWhenTheRequestIsAnswered() {
+    void shouldReleaseWhenTheRequestIsAnswered() {
         crashThreeEndpoints(0);
 
-        assertTrue(table.clear(REQUEST));
+        answer(1);
 
         assertEquals(0, table.remainingQuarantine(REQUEST, 1));
-        assertTrue(table.isEmpty());
+        assertEquals(0, table.crashes(REQUEST));
+    }
+
+    /** Hosts pass on every change, so a crash and its clearing must not undo each other for ever. */
+    @Test
+    void shouldNotChangeWhenAClearedCrashIsReportedAgain() {
+        crash("a", 1, 0, 0);
+        answer(1);
+
+        assertFalse(crash("a", 1, 2, 2));
+
+        assertEquals(0, table.crashes(REQUEST));
+        assertEquals(List.of(), table.clearing(REQUEST, 2));
+    }
+
+    @Test
+    void shouldAgreeInAnyOrderWhenCrashesAndTheirClearingAreReported() {
+        crashThreeEndpoints(0);
+        List<EndpointCrash> reports = new ArrayList<>(table.all(0));
+        reports.addAll(table.clearing(REQUEST, 0).subList(0, 2));
+        for (long seed = 0; seed < 100; seed++) {
+            Collections.shuffle(reports, new Random(seed));
+            CrashTable other = new CrashTable();
+
+            reports.forEach(report -> other.add(report, 0));
+
+            assertEquals(1, other.crashes(REQUEST), "seed " + seed);
+        }
     }
 
     @Test
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashRegistry.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashRegistry.java
@@ -49,38 +49,43 @@
 
     /** Records that an endpoint crashed while it ran a request. */
     void recordCrash(Fingerprint fingerprint, EndpointAnnouncement endpoint) {
-        EndpointCrash crash = new EndpointCrash(fingerprint, endpoint.id(), endpoint.startedMilliseconds(), 0);
-        publish(merge(new CrashNews(List.of(crash), List.of())));
+        EndpointCrash crash = new EndpointCrash(fingerprint, endpoint.id(), endpoint.startedMilliseconds(), 0, false);
+        merge(new CrashNews(List.of(crash))).ifPresent(publisher);
     }
 
     /** Records that a request was answered in full, so that its earlier crashes had another cause. */
     void recordAnswer(Fingerprint fingerprint) {
-        publish(merge(new CrashNews(List.of(), List.of(fingerprint))));
-    }
-
-    private void publish(Optional<CrashNews> changes) {
-        changes.ifPresent(publisher);
+        List<EndpointCrash> cleared = table.clearing(fingerprint, Forwarder.now());
+        if (!cleared.isEmpty()) {
+            merge(new CrashNews(cleared)).ifPresent(publisher);
+        }
     }
 
     /**
-     * Merges crashes and answers that another process has observed.
+     * Merges crashes that another process has observed.
      *
-     * @param news the crashes and answers
-     * @return those that were not known yet; empty if there are none
+     * @param news the crashes
+     * @return those that were new; empty if there are none
      */
     public Optional<CrashNews> merge(CrashNews news) {
-        List<EndpointCrash> added = news.crashes().stream().filter(this::add).toList();
-        List<Fingerprint> cleared = news.answered().stream().filter(this::clear).toList();
-        return added.isEmpty() && cleared.isEmpty() ? Optional.empty() : Optional.of(new CrashNews(added, cleared));
+        List<EndpointCrash> changes = news.crashes().stream().filter(this::add).toList();
+        return changes.isEmpty() ? Optional.empty() : Optional.of(new CrashNews(changes));
     }
 
     private boolean add(EndpointCrash crash) {
         long now = Forwarder.now();
-        if (!table.add(crash, now)) {
-            return false;
-        }
+        boolean isNew = table.add(crash, now);
         int crashes = table.crashes(crash.fingerprint());
-        if (crashes >= CrashTable.CRASHES_BEFORE_QUARANTINE) {
+        if (isNew && crash.cleared()) {
+            LOG.log(
+                    Event.CRASH_CLEARED,
+                    "fingerprint",
+                    crash.fingerprint(),
+                    "endpoint",
+                    crash.endpoint(),
+                    "crashes",
+                    crashes);
+        } else if (isNew && crashes >= CrashTable.CRASHES_BEFORE_QUARANTINE) {
             LOG.log(
                     Event.REQUEST_QUARANTINED,
                     "fingerprint",
@@ -92,16 +97,7 @@
                     "remaining",
                     table.remainingQuarantine(crash.fingerprint(), now));
         }
-        return true;
-    }
-
-    private boolean clear(Fingerprint fingerprint) {
-        int crashes = table.crashes(fingerprint);
-        if (!table.clear(fingerprint)) {
-            return false;
-        }
-        LOG.log(Event.CRASHES_CLEARED, "fingerprint", fingerprint, "crashes", crashes);
-        return true;
+        return isNew;
     }
 
     /**
@@ -110,7 +106,7 @@
      * @return the crashes; empty if there are none
      */
     public Optional<CrashNews> all() {
-        return table.isEmpty() ? Optional.empty() : Optional.of(new CrashNews(table.all(Forwarder.now()), List.of()));
+        return table.isEmpty() ? Optional.empty() : Optional.of(new CrashNews(table.all(Forwarder.now())));
     }
 
     /**
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.metric.Metrics;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
@@ -219,9 +220,9 @@
 
     private void quarantine(ForwardRequest request) {
         List<EndpointCrash> three = Stream.of("x", "y", "z")
-                .map(id -> new EndpointCrash(request.fingerprint(), EndpointId.of(id), 1, 0))
+                .map(id -> new EndpointCrash(request.fingerprint(), EndpointId.of(id), 1, 0, false))
                 .toList();
-        loop.submit(() -> crashes.merge(new CrashNews(three, List.of()))).syncUninterruptibly();
+        loop.submit(() -> crashes.merge(new CrashNews(three))).syncUninterruptibly();
     }
 
     @Test
@@ -245,7 +246,8 @@
 
         assertEquals("200 body", outcome());
         Thread.sleep(200);
-        assertTrue(loop.submit(crashes::isEmpty).sync().getNow(), "the request is still a suspect");
+        Fingerprint fingerprint = request(RouteKind.IDEMPOTENT, 2_000, false).fingerprint();
+        assertEquals(0, loop.submit(() -> crashes.crashes(fingerprint)).sync().getNow());
     }
 
     @Test
