Run a sample again although several endpoints crashed under it

Cause: the quarantine did not distinguish requests that their callers may lose from work that the system owes.

Before: RequestPolicyTest.shouldRunASampleAgainWhenSeveralEndpointsCrashedUnderIt and shouldRunAQuarantinedSampleApartFromOtherCandidates failed with REQUEST_QUARANTINED. After: both pass.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/AdmissionSystem.java
@@ -58,7 +58,7 @@
             completion.refuseArrival(arrival, ErrorCode.DEADLINE_UNREACHABLE, 0);
             return;
         }
-        if (crashes.isQuarantined(arrival.service(), arrival.fingerprint())) {
+        if (crashes.mustRefuse(arrival)) {
             completion.refuseArrival(arrival, ErrorCode.REQUEST_QUARANTINED, 0);
             return;
         }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
@@ -77,7 +77,16 @@
         this.completion = completion;
     }
 
-    boolean isQuarantined(ServiceName service, Fingerprint fingerprint) {
+    /**
+     * Returns whether a request must not run. Samples and scores are never refused, because the system owes them to a
+     * trainer: a quarantined one runs apart from all other candidates.
+     */
+    boolean mustRefuse(RequestInput.RequestArrived arrival) {
+        return arrival.precedence() != RequestInput.Precedence.TRAINING
+                && isQuarantined(arrival.service(), arrival.fingerprint());
+    }
+
+    private boolean isQuarantined(ServiceName service, Fingerprint fingerprint) {
         if (isPublishedAsQuarantined(service, fingerprint)) {
             return true;
         }
@@ -91,15 +100,15 @@
 
     /**
      * Removes a queued request from the queue if it has been quarantined in the meantime, and refuses it as in
-     * {@link #refuseAfterAgreement}; returns whether it is quarantined.
+     * {@link #refuseAfterAgreement}; returns whether it was removed.
      */
     boolean deferIfQuarantined(RequestRow row) {
-        boolean quarantined = isQuarantined(row.service.name, row.arrival.fingerprint());
-        if (quarantined) {
+        boolean refused = mustRefuse(row.arrival);
+        if (refused) {
             row.service.queue.remove(row);
             refuseAfterAgreement(row);
         }
-        return quarantined;
+        return refused;
     }
 
     /** Refuses a quarantined request as soon as the quarantine is published or the wait for that has timed out. */
@@ -119,7 +128,8 @@
 
     /** Returns whether a request may run only on an endpoint that runs no other candidate. */
     boolean isQuarantineCandidate(RequestRow row) {
-        return !candidates.isEmpty() && findCandidate(key(row)) != null;
+        boolean isKnown = !candidates.isEmpty() && findCandidate(key(row)) != null;
+        return isKnown || isPublishedAsQuarantined(row.service.name, row.arrival.fingerprint());
     }
 
     boolean runsQuarantineCandidate(EndpointRow endpoint) {
@@ -299,7 +309,8 @@
     private void refuseAll(ServiceName service, Fingerprint fingerprint) {
         // Quarantine is rare, so scanning all requests is cheaper than maintaining an index.
         tables.requests.values().stream()
-                .filter(row -> row.service.name.equals(service)
+                .filter(row -> !row.isTraining()
+                        && row.service.name.equals(service)
                         && row.arrival.fingerprint().equals(fingerprint))
                 .toList()
                 .forEach(this::refuse);
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/RetrySystem.java
@@ -63,7 +63,7 @@
             completion.refuse(row, ErrorCode.LEASE_LAPSED, RETRY_AFTER_MILLISECONDS);
             return;
         }
-        if (crashes.isQuarantined(row.service.name, row.arrival.fingerprint())) {
+        if (crashes.mustRefuse(row.arrival)) {
             crashes.refuseAfterAgreement(row);
             return;
         }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestPolicyTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestPolicyTest.java
@@ -445,6 +445,37 @@
         assertEquals(RunState.NOT_RUN, refused.runState());
     }
 
+    // Guards against a step that never finishes because endpoints crashed under one of its samples: the sample is owed.
+    @Test
+    void shouldRunASampleAgainWhenSeveralEndpointsCrashedUnderIt() {
+        fixture.updateEndpoints(endpoint("e1", MODEL, 8), endpoint("e2", MODEL, 8), endpoint("e3", MODEL, 8));
+        StartAttempt first = start(new RequestBuilder("r1").training("t").fingerprint("sample"));
+        fixture.fail(first.attempt(), AttemptFailure.BROKEN);
+        StartAttempt second = single(StartAttempt.class, fixture.advance(500));
+        List<RequestCommand> commands = new ArrayList<>(fixture.fail(second.attempt(), AttemptFailure.BROKEN));
+        commands.addAll(fixture.advance(1_000));
+
+        assertTrue(
+                allOf(RefuseRequest.class, commands).stream()
+                        .noneMatch(refused -> refused.code() == ErrorCode.REQUEST_QUARANTINED),
+                commands.toString());
+        start(new RequestBuilder("r2").training("t").fingerprint("sample"));
+    }
+
+    @Test
+    void shouldRunAQuarantinedSampleApartFromOtherCandidates() {
+        fixture.updateEndpoints(endpoint("e1", MODEL, 8));
+        Fingerprint sample = Fingerprint.of("sample");
+        Fingerprint other = Fingerprint.of("other");
+        fixture.handle(new RequestInput.QuarantineChanged(Map.of(MODEL, Set.of(sample)), Set.of(other)));
+        start(new RequestBuilder("r1").fingerprint("other"));
+
+        List<RequestCommand> commands =
+                fixture.arrive(new RequestBuilder("r2").training("t").fingerprint("sample"));
+
+        assertTrue(commands.isEmpty(), commands.toString());
+    }
+
     @Test
     void shouldStayInTheFailureDomainWhileItHasCapacity() {
         assertEquals(0, countRemote(4), "few requests stay in the failure domain");
