Start an item again when no endpoint has the only version of its text

Cause: a partial text narrowed where its item may run, and nothing widened it again. After a second without a responsive endpoint of that version the text is discarded, logged as ITEM_RESTARTED, and the item runs elsewhere from its start.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -115,6 +115,11 @@
     SCORER_FAILED(744, Severity.WARNING, "The scorer of an item did not answer with success."),
     /** An item was sent to an endpoint. */
     ITEM_RUN_STARTED(745, Severity.INFORMATION, "An item was sent to an endpoint."),
+    /** The partial text of an item was discarded. */
+    ITEM_RESTARTED(
+            746,
+            Severity.INFORMATION,
+            "An item starts again, because no endpoint has the only weight version that may continue its text."),
     /** A trainer published a weight version. */
     VERSION_NAMED(750, Severity.INFORMATION, "A trainer named a weight version."),
     /** An endpoint was ordered to load a weight version. */
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
@@ -52,6 +52,21 @@
                         .thenComparing(GenerationEndpoint::id));
     }
 
+    /**
+     * Returns whether an endpoint may continue the partial text of an item, now or when it has a free slot.
+     *
+     * @param requirements requirements of the item
+     * @param endpoints all ready endpoints of the service
+     * @return false if the text must have a single weight version that no responsive endpoint has loaded
+     */
+    public static boolean canContinue(Requirements requirements, Collection<GenerationEndpoint> endpoints) {
+        return requirements.exactVersion() < 0
+                || endpoints.stream()
+                        .filter(endpoint ->
+                                !endpoint.avoided() && !endpoint.loadingModels().contains(requirements.model()))
+                        .anyMatch(endpoint -> endpoint.version(requirements.model()) == requirements.exactVersion());
+    }
+
     private static boolean canRun(Requirements requirements, GenerationEndpoint endpoint) {
         boolean isExact = requirements.exactVersion() < 0
                 || endpoint.version(requirements.model()) == requirements.exactVersion();
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemPlacementTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemPlacementTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against placing items on endpoints with stale weights, without a free slot, or far slower than the others. */
@@ -55,6 +56,18 @@
                         .value());
     }
 
+    @Test
+    void shouldContinueOnlyWhenAResponsiveEndpointHasTheVersionOfTheText() {
+        GenerationEndpoint crashed =
+                new GenerationEndpoint(EndpointId.of("crashed"), 8, 0, Map.of(MODEL, 5L), Set.of(), true, 0);
+        GenerationEndpoint newer = endpoint("newer", 0, 6, 0);
+        GenerationEndpoint full = endpoint("full", 8, 5, 0);
+
+        assertFalse(ItemPlacement.canContinue(requirements(4, 5), List.of(crashed, newer)));
+        assertTrue(ItemPlacement.canContinue(requirements(4, 5), List.of(full, newer)));
+        assertTrue(ItemPlacement.canContinue(requirements(4, -1), List.of(newer)));
+    }
+
     /** Load pattern: a step of 40 items on four endpoints, one of which is 3.5 times slower. */
     @Test
     void shouldPlaceNothingOnSlowEndpointWhenOthersHaveSlots() {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -47,6 +47,12 @@
     /** Delay before an item whose run was not started or broke is run again, in milliseconds. */
     private static final long RETRY_DELAY_MILLISECONDS = 50;
 
+    /**
+     * Time for which an item whose text must have a single weight version waits for an endpoint with that version, in
+     * milliseconds; an endpoint that could not be reached for a moment still has it.
+     */
+    private static final long SAME_VERSION_WAIT_MILLISECONDS = 1_000;
+
     /** Weight of one tick in the moving average of slot demand; at 50 ms a tick it covers about two steps of a trainer. */
     private static final double SLOT_DEMAND_WEIGHT = 0.006;
 
@@ -257,23 +263,49 @@
             ItemTask task, Route route, Map<ServiceName, List<GenerationEndpoint>> endpointsByService, long now) {
         ServiceName service = route.serviceFor(task.item.id().value());
         List<GenerationEndpoint> available = endpointsByService.computeIfAbsent(service, fleet::endpoints);
-        List<Long> versions = task.text.versions();
-        long requiredVersion = task.singleVersion && !versions.isEmpty() ? versions.getFirst() : -1;
-        String prompt = task.submission.submission().id() + " " + task.item.group();
-        ItemPlacement.Requirements need = new ItemPlacement.Requirements(
-                task.model,
-                task.submission.submission().oldestVersion(),
-                requiredVersion,
-                Optional.ofNullable(endpointByPrompt.get(prompt)));
+        if (now - task.waitingSince > SAME_VERSION_WAIT_MILLISECONDS
+                && !ItemPlacement.canContinue(requirements(task), available)) {
+            restartText(task);
+        }
+        ItemPlacement.Requirements need = requirements(task);
         Optional<GenerationEndpoint> chosen = ItemPlacement.choose(need, available);
         if (chosen.isPresent()) {
-            endpointByPrompt.put(prompt, chosen.get().id());
+            endpointByPrompt.put(prompt(task), chosen.get().id());
             logRunStarted(task, chosen.get());
             startRun(task, route, chosen.get().id(), now);
             endpointsByService.remove(service);
         }
     }
 
+    private ItemPlacement.Requirements requirements(ItemTask task) {
+        List<Long> versions = task.text.versions();
+        long exactVersion = task.singleVersion && !versions.isEmpty() ? versions.getFirst() : -1;
+        return new ItemPlacement.Requirements(
+                task.model,
+                task.submission.submission().oldestVersion(),
+                exactVersion,
+                Optional.ofNullable(endpointByPrompt.get(prompt(task))));
+    }
+
+    private static String prompt(ItemTask task) {
+        return task.submission.submission().id() + " " + task.item.group();
+    }
+
+    /** Discards a partial text that no endpoint can continue, so that the item can run elsewhere from its start. */
+    private static void restartText(ItemTask task) {
+        LOG.log(
+                Event.ITEM_RESTARTED,
+                "submission",
+                task.submission.submission().id(),
+                "request",
+                task.item.id(),
+                "events",
+                task.text.lastEvent(),
+                "versions",
+                task.text.versions());
+        task.text.clear();
+    }
+
     private void startRun(ItemTask task, Route route, EndpointId id, long now) {
         EndpointAnnouncement endpoint = fleet.announcement(id).orElseThrow();
         ItemTask.Run run = new ItemTask.Run(id, now, task.text.lastEvent());
@@ -380,6 +412,7 @@
         task.stage = ItemTask.Stage.WAITING;
         logRunEnded(task, run, termination.name(), detail);
         long now = Forwarder.now();
+        task.waitingSince = now;
         switch (termination) {
             case NOT_EXECUTED, BROKEN -> {
                 loads.recordFailure(run.endpoint, now);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
@@ -7,6 +7,7 @@
 import io.rosemarybeam.common.wire.Submission;
 import io.rosemarybeam.decision.batch.ItemText;
 import io.rosemarybeam.forward.ForwardCall;
+import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.platform.EndpointClient;
 
 /**
@@ -29,6 +30,9 @@
     int failedRuns;
     int failedScores;
 
+    /** Monotonic time since when the item has not been running, in milliseconds. */
+    long waitingSince = Forwarder.now();
+
     /** Monotonic time before which the item is not started again, in milliseconds. */
     long notBefore;
 
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
@@ -50,16 +50,21 @@
         for (int host = 1; host <= HOSTS; host++) {
             cluster.start(host, true);
         }
+        configure(1, false);
+        announce(1);
+    }
+
+    private void configure(int version, boolean singleVersion) {
         String configuration = """
-                {"Version":1,"Routes":[{"Name":"r","Hostname":"a.example","PathPrefix":"/x/","RouteType":"rollout",
-                "TimeoutMs":10000,"TargetLatencyMs":400,"RunAimMs":7500,"KeepS":40,"Backend":"engines","MaxAttempts":3}],
+                {"Version":%d,"Routes":[{"Name":"r","Hostname":"a.example","PathPrefix":"/x/","RouteType":"rollout",
+                "TimeoutMs":10000,"TargetLatencyMs":400,"RunAimMs":7500,"KeepS":40,"Backend":"engines","MaxAttempts":3,
+                "SingleVersion":%s}],
                 "Services":[{"Name":"engines","HealthPath":"/healthz","MaxConnections":50,"Protocol":"h1","Tls":false,
                 "Engine":{"Capacity":4,"Models":[{"Name":"quotes"}]}}]}
-                """;
+                """.formatted(version, singleVersion);
         StoreCluster.await(
                 "the configuration is accepted",
                 () -> cluster.post(1, "/api/config/replace", configuration) == 200 ? true : null);
-        announce(1);
     }
 
     @AfterEach
@@ -140,6 +145,28 @@
         assertEquals(ids(after), ids(results()));
     }
 
+    /** The engine that generated the start of a text crashes, and the others have loaded newer weights. */
+    @Test
+    void shouldStartItemAgainWhenNoEngineHasTheOnlyVersionOfItsText() throws IOException, InterruptedException {
+        configure(2, true);
+        engine.setEventCount(LONG_ITEM, LONG_EVENTS);
+        assertEquals(Outcome.DONE, cluster.ask(new SubmitBatch(submission(0))).outcome());
+        StoreCluster.await("the item runs", () -> engine.runs.isEmpty() ? null : true);
+        Thread.sleep(500);
+
+        engine.close();
+        engine = new FakeEngine("127.0.77.100");
+        engine.executeOrder(2);
+        for (int host : cluster.running()) {
+            assertEquals(200, cluster.post(host, "/api/replicas/e-2/heartbeat", engine.heartbeat(SERVICE, 1)));
+        }
+
+        Submission.Result result = results(1).getFirst();
+        assertTrue(result.completed());
+        assertEquals(List.of(2L), result.versions());
+        assertEquals("long after 0", engine.runs.getFirst());
+    }
+
     /** The connection closes without a response and the order is executed later: the endpoint's report decides. */
     @Test
     void shouldNotOrderAgainWhenOrderWasExecutedLate() throws InterruptedException {
