Bound what an endpoint may send without an answer

Endpoints in trouble may send bytes without end, in a head or a body, until the caller closes.

Cause: only the length of a head and of one event loop read had a limit. Reading from an endpoint pauses while the caller is slower, as it does in the product's own interface, whose limits were checked and stay.

An endless head and endless empty lines were refused before.

--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
@@ -136,6 +136,16 @@
             exchange.send(bytes);
         }
 
+        @Override
+        public boolean isWritable() {
+            return exchange.isWritable();
+        }
+
+        @Override
+        public void onWritable(Runnable action) {
+            exchange.onWritable(action);
+        }
+
         @Override
         public void end() {
             exchange.end();
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/AnswerSink.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/AnswerSink.java
@@ -39,6 +39,22 @@
      */
     void part(byte[] bytes);
 
+    /**
+     * Returns whether the receiver reads fast enough. While it does not, no further parts are sent.
+     *
+     * @return false while too many bytes are waiting for the receiver
+     */
+    default boolean isWritable() {
+        return true;
+    }
+
+    /**
+     * Sets the action for a receiver that reads fast enough again.
+     *
+     * @param action called on the event loop when {@link #isWritable} has become true; replaces the former action
+     */
+    default void onWritable(Runnable action) {}
+
     /** The started answer is complete. */
     void end();
 
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
@@ -184,6 +184,13 @@
         pending.clear();
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (exchange != null && context.channel().isWritable()) {
+            exchange.writable();
+        }
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event instanceof IdleStateEvent && exchange == null) {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerExchange.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerExchange.java
@@ -36,6 +36,7 @@
     private final boolean keepAlive;
     private final Runnable onFinished;
     private Runnable onDisconnect = () -> {};
+    private Runnable onWritable = () -> {};
     private boolean started;
     private boolean finished;
 
@@ -204,6 +205,28 @@
         }
     }
 
+    /**
+     * Returns whether the caller reads fast enough.
+     *
+     * @return false while too many bytes are waiting to be sent
+     */
+    public boolean isWritable() {
+        return channel.isWritable();
+    }
+
+    /**
+     * Sets the action for a caller that reads fast enough again.
+     *
+     * @param action called on the event loop of the connection; replaces the former action
+     */
+    public void onWritable(Runnable action) {
+        onWritable = action;
+    }
+
+    void writable() {
+        onWritable.run();
+    }
+
     /** Finishes a started answer. */
     public void end() {
         if (!finished && started) {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -334,20 +334,48 @@
             cancel(hedgeTimer);
             sink.begin(head.status(), ForwardedHeaders.copy(head.headers()));
             if (buffered.size() > 0) {
-                sink.part(buffered.toByteArray());
+                byte[] bytes = buffered.toByteArray();
                 buffered.reset();
+                pass(bytes);
             }
         }
 
         @Override
         public void onContent(byte[] bytes) {
             if (answerStarted) {
-                sink.part(bytes);
+                pass(bytes);
                 return;
             }
             buffered.write(bytes, 0, bytes.length);
-            if (buffered.size() > MAXIMUM_BUFFERED_BYTES && head.isSuccess()) {
-                startAnswer();
+            if (buffered.size() > MAXIMUM_BUFFERED_BYTES) {
+                if (head.isSuccess()) {
+                    startAnswer();
+                } else {
+                    handleTooLongFailure();
+                }
+            }
+        }
+
+        /** Passes a part on, and reads no more while the caller is slower than the endpoint. */
+        private void pass(byte[] bytes) {
+            sink.part(bytes);
+            if (!sink.isWritable()) {
+                attempt.setReading(false);
+                sink.onWritable(() -> attempt.setReading(true));
+            }
+        }
+
+        private void handleTooLongFailure() {
+            attempt.cancel();
+            removeFromRunning();
+            forwarder.loads().recordFailure(endpoint.id(), Forwarder.now());
+            recordOutcome("failed", head.status() + " with more than " + MAXIMUM_BUFFERED_BYTES + " bytes");
+            if (head.isNotExecuted()) {
+                markUnavailable();
+                tryNextEndpoint();
+            } else {
+                mayHaveRun = true;
+                retryIfRepeatable();
             }
         }
 
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
@@ -61,6 +62,15 @@
     /** The process of the endpoint ends without an answer, so that its port is closed too. */
     private static final String CRASH = "crash";
 
+    /** An endpoint that sends this and then goes on with the same bytes until the connection closes. */
+    private static final String ENDLESS = "endless ";
+
+    private static final String FAILURE_HEAD = "HTTP/1.1 500 Internal Server Error\r\n\r\n";
+    private static final String SUCCESS_HEAD = "HTTP/1.1 200 OK\r\nRosemarybeam-Server-Stamp: d\r\n\r\n";
+
+    /** Bytes that may be on their way or in buffers of the system when the connection is closed. */
+    private static final long MAXIMUM_ENDLESS_BYTES = 32 * 1_048_576;
+
     /** The endpoint keeps the connection open and never answers. */
     private static final String SILENT = "silent";
 
@@ -69,6 +79,7 @@
     private final EndpointDirectory directory = new EndpointDirectory();
     private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
+    private volatile boolean callerReads = true;
     private final BlockingQueue<CrashNews> published = new LinkedBlockingQueue<>();
     private final CrashRegistry crashes = new CrashRegistry(published::add);
     private final Forwarder forwarder = new Forwarder(
@@ -273,6 +284,47 @@
         assertEquals("200 body", outcome());
     }
 
+    private void checkEndless(String start, String expectedOutcome) throws Exception {
+        ScriptedEndpoint endpoint = endpoint("a", ENDLESS + start);
+
+        forward(RouteKind.NON_IDEMPOTENT, 500);
+
+        assertEquals(expectedOutcome, outcome());
+        assertNotNull(endpoint.closed.poll(5, TimeUnit.SECONDS), "the connection to the endpoint stays open");
+        assertTrue(endpoint.written.get() < MAXIMUM_ENDLESS_BYTES, endpoint.written + " bytes were read");
+    }
+
+    @Test
+    void shouldFailWhenTheHeadNeverEnds() throws Exception {
+        checkEndless("HTTP/1.1 200 OK\r\nName: value", "failed 502");
+    }
+
+    @Test
+    void shouldFailWhenEmptyLinesNeverEnd() throws Exception {
+        checkEndless("\r\n", "failed 502");
+    }
+
+    @Test
+    void shouldFailWhenInformationalResponsesNeverEnd() throws Exception {
+        checkEndless("HTTP/1.1 100 Continue\r\n\r\n", "failed 502");
+    }
+
+    @Test
+    void shouldFailWhenAnswersToOtherRequestsNeverEnd() throws Exception {
+        checkEndless(OTHER_REQUEST_OK, "failed 502");
+    }
+
+    @Test
+    void shouldFailWhenTheBodyOfAFailureNeverEnds() throws Exception {
+        checkEndless(FAILURE_HEAD, "failed 502");
+    }
+
+    @Test
+    void shouldStopReadingWhenTheBodyOfASuccessNeverEndsAndTheCallerDoesNotRead() throws Exception {
+        callerReads = false;
+        checkEndless(SUCCESS_HEAD, "begun");
+    }
+
     /** Records the outcome as text. */
     private final class RecordingSink implements AnswerSink {
         @Override
@@ -290,6 +342,11 @@
             outcomes.add("part");
         }
 
+        @Override
+        public boolean isWritable() {
+            return callerReads;
+        }
+
         @Override
         public void end() {
             outcomes.add("ended");
@@ -316,6 +373,7 @@
         private final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
         private final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
+        private final AtomicLong written = new AtomicLong();
         private final String answer;
 
         ScriptedEndpoint(String answer) throws IOException {
@@ -342,6 +400,15 @@
             }
         }
 
+        private void writeUntilClosed(OutputStream out, String start) throws IOException {
+            byte[] bytes = start.repeat(8_192 / start.length()).getBytes(StandardCharsets.UTF_8);
+            out.write(start.getBytes(StandardCharsets.UTF_8));
+            while (true) {
+                out.write(bytes);
+                written.addAndGet(bytes.length);
+            }
+        }
+
         private void serve(Socket connection) {
             try (connection) {
                 InputStream in = connection.getInputStream();
@@ -351,6 +418,9 @@
                     return;
                 }
                 requests.add(new String(buffer, 0, count, StandardCharsets.UTF_8));
+                if (answer.startsWith(ENDLESS)) {
+                    writeUntilClosed(connection.getOutputStream(), answer.substring(ENDLESS.length()));
+                }
                 if (answer.equals(CRASH)) {
                     socket.close();
                     return;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
@@ -13,12 +13,16 @@
  * the last of them. Confined to the thread of the log driver.
  */
 final class ItemStream implements EndpointClient.Listener {
+    /** Maximum number of bytes without a new event; an event has some hundred bytes. */
+    private static final long MAXIMUM_BYTES_BETWEEN_EVENTS = 1_048_576;
+
     private final ItemTask task;
     private final ItemTask.Run run;
     private final Owner owner;
     private final EventStreamDecoder decoder = new EventStreamDecoder();
     private EndpointAnswer head;
     private boolean finished;
+    private long bytesSinceEvent;
 
     /** Is notified of the progress and the outcome of a run; at most one of the first two methods is called, once. */
     interface Owner {
@@ -76,7 +80,18 @@
 
     @Override
     public void onContent(byte[] bytes) {
-        if (finished || head == null || !head.isSuccess()) {
+        if (finished) {
+            return;
+        }
+        bytesSinceEvent += bytes.length;
+        if (bytesSinceEvent > MAXIMUM_BYTES_BETWEEN_EVENTS) {
+            run.attempt.cancel();
+            String detail =
+                    head.status() + " with more than " + MAXIMUM_BYTES_BETWEEN_EVENTS + " bytes without an event";
+            end(head.isSuccess() ? Termination.BROKEN : failure(), detail);
+            return;
+        }
+        if (!head.isSuccess()) {
             return;
         }
         for (StreamEvent event : decoder.decode(bytes)) {
@@ -101,6 +116,7 @@
             end(Termination.BROKEN, "event " + id + " after event " + task.text.lastEvent());
             return;
         }
+        bytesSinceEvent = 0;
         long now = Forwarder.now();
         if (run.lastEventAt != run.startedAt) {
             owner.eventIntervalMeasured(run, now - run.lastEventAt);
@@ -113,12 +129,8 @@
         if (finished) {
             return;
         }
-        if (head.isNotExecuted()) {
-            end(Termination.NOT_EXECUTED, String.valueOf(head.status()));
-        } else if (head.status() == 422) {
-            end(Termination.IMPOSSIBLE, "422");
-        } else if (!head.isSuccess()) {
-            end(head.status() == 500 ? Termination.FAILED : Termination.BROKEN, String.valueOf(head.status()));
+        if (!head.isSuccess() || head.isNotExecuted()) {
+            end(failure(), String.valueOf(head.status()));
         } else if (!decoder.isBetweenEvents() || task.text.lastEvent() == 0) {
             end(Termination.BROKEN, "the stream ended inside an event");
         } else {
@@ -128,6 +140,18 @@
         }
     }
 
+    /** Returns why a run terminated whose answer is no success. */
+    private Termination failure() {
+        if (head.isNotExecuted()) {
+            return Termination.NOT_EXECUTED;
+        }
+        return switch (head.status()) {
+            case 500 -> Termination.FAILED;
+            case 422 -> Termination.IMPOSSIBLE;
+            default -> Termination.BROKEN;
+        };
+    }
+
     @Override
     public void onFailure(EndpointClient.Failure failure, String reason) {
         end(failure == EndpointClient.Failure.NOT_SENT ? Termination.NOT_EXECUTED : Termination.BROKEN, reason);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
@@ -56,6 +56,9 @@
 
     private static final int STATUS_ACCEPTED = 202;
     private static final int STATUS_OK = 200;
+    /** Maximum length of a response; a report of a full endpoint has a few kilobytes. */
+    private static final int MAXIMUM_RESPONSE_BYTES = 1_048_576;
+
     private static final EventLog LOG = EventLog.of(VersionOrders.class);
 
     private final GenerationFleet fleet;
@@ -267,7 +270,7 @@
     private final class Call implements EndpointClient.Listener {
         private final Order order;
         private final ResponseHandler handler;
-        private final List<byte[]> parts = new ArrayList<>();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private EndpointClient.Attempt attempt;
         private int status;
 
@@ -287,14 +290,16 @@
 
         @Override
         public void onContent(byte[] bytes) {
-            parts.add(bytes);
+            body.writeBytes(bytes);
+            if (body.size() > MAXIMUM_RESPONSE_BYTES) {
+                attempt.cancel();
+                scheduleRetry(order, "more than " + MAXIMUM_RESPONSE_BYTES + " bytes", RETRY_DELAY_MILLISECONDS);
+            }
         }
 
         @Override
         public void onEnd() {
             order.call = Optional.empty();
-            ByteArrayOutputStream body = new ByteArrayOutputStream();
-            parts.forEach(body::writeBytes);
             handler.handle(status, body.toByteArray());
         }
 
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
@@ -145,6 +145,16 @@
         assertEquals(ids(after), ids(results()));
     }
 
+    /** Bytes without end would fill the memory of the leader, because no complete event arrives. */
+    @Test
+    void shouldRunItemAgainWhenItsStreamSendsBytesWithoutEnd() {
+        engine.startEndlessRun();
+        assertEquals(Outcome.DONE, cluster.ask(new SubmitBatch(submission(0))).outcome());
+
+        assertTrue(results(1).getFirst().completed());
+        assertTrue(engine.bytesWithoutEvent() < 32 * 1_048_576, engine.bytesWithoutEvent() + " bytes were read");
+    }
+
     /** The engine that generated the start of a text crashes, and the others have loaded newer weights. */
     @Test
     void shouldStartItemAgainWhenNoEngineHasTheOnlyVersionOfItsText() throws IOException, InterruptedException {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -30,6 +31,8 @@
     private volatile long ordersAccepted;
     private volatile boolean answersOrders = true;
 
+    private final AtomicLong bytesWithoutEvent = new AtomicLong(-1);
+
     /** The item of each run and the last event that the caller had received. */
     final List<String> runs = new CopyOnWriteArrayList<>();
 
@@ -63,6 +66,16 @@
         eventsByItem.put(item, events);
     }
 
+    /** Makes the engine answer the next run with bytes that are no event until the connection closes. */
+    void startEndlessRun() {
+        bytesWithoutEvent.set(0);
+    }
+
+    /** Returns the number of bytes of the endless run. */
+    long bytesWithoutEvent() {
+        return bytesWithoutEvent.get();
+    }
+
     /** Makes the engine record orders without response or execution, until {@link #executeOrder} is called. */
     void deferOrders() {
         answersOrders = false;
@@ -90,6 +103,11 @@
         exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
         exchange.sendResponseHeaders(200, 0);
         try (OutputStream body = exchange.getResponseBody()) {
+            byte[] noEvent = new byte[8_192];
+            while (bytesWithoutEvent.get() >= 0 && runs.size() == 1) {
+                body.write(noEvent);
+                bytesWithoutEvent.addAndGet(noEvent.length);
+            }
             for (int event = first; event <= eventsByItem.getOrDefault(item, 1); event++) {
                 body.write(
                         ("id: " + event + "\ndata: " + item + "-" + event + "\n\n").getBytes(StandardCharsets.UTF_8));
