Add a soak of edge and store processes under overlapping faults

The soak starts real processes and, from outside, stops, kills, freezes and restarts them, changes configurations and crashes endpoints, in series and at the same time. Callers keep their open connections until the process is gone. It checks from what callers and endpoints saw: late runs of crashing requests, orders that ran twice or ran after a refusal, answers, items, and service once all is calm.

ProcessGroup is taken out of Deployment, which shares it.

--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/Deployment.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/Deployment.java
@@ -117,7 +117,7 @@
 
     private final Path folder;
     private final List<String> controlAddresses = new ArrayList<>();
-    private final Map<String, Process> processes = new LinkedHashMap<>();
+    private final ProcessGroup processes;
     private final Map<String, String> callerAddresses = new LinkedHashMap<>();
     private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(2);
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
@@ -140,6 +140,7 @@
      */
     public Deployment(Path folder, int controlProcesses) {
         this.folder = folder;
+        this.processes = new ProcessGroup(folder);
         for (int index = 0; index < controlProcesses; index++) {
             controlAddresses.add("127.0.0.1:" + freePort());
         }
@@ -204,62 +205,26 @@
     }
 
     private void start(String name, String mainClass) {
-        List<String> command = new ArrayList<>();
-        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(mainClass.equals(CONTROL_MAIN) ? CONTROL_FLAGS : ENTRY_FLAGS);
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
-        command.addAll(List.of("--settings", folder.resolve(name + ".json").toString()));
-        File log = folder.resolve(name + ".log").toFile();
-        try {
-            ProcessBuilder builder = new ProcessBuilder(command)
-                    .redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
-            builder.environment().put("MALLOC_ARENA_MAX", "1");
-            processes.put(name, builder.start());
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        }
+        processes.start(name, mainClass.equals(CONTROL_MAIN) ? CONTROL_FLAGS : ENTRY_FLAGS, mainClass);
     }
 
     /** Sends a signal to a process; the name has no SIG prefix, as in {@code STOP}. */
     void signal(String name, String signal) {
-        try {
-            new ProcessBuilder(
-                            "kill",
-                            "-" + signal,
-                            Long.toString(processes.get(name).pid()))
-                    .start()
-                    .waitFor();
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
+        processes.signal(name, signal);
     }
 
     /** Kills a process without a graceful stop and waits until it has exited. */
     void kill(String name) {
-        processes.get(name).destroyForcibly().onExit().join();
+        processes.kill(name);
     }
 
     /** Requests a graceful stop and returns whether the process exited within the timeout. */
     boolean stop(String name, Duration timeout) {
-        Process process = processes.get(name);
-        process.destroy();
-        try {
-            return process.waitFor(timeout.toMillis(), TimeUnit.MILLISECONDS);
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            return false;
-        }
+        return processes.stop(name, timeout);
     }
 
     String readLog(String name) {
-        try {
-            return Files.readString(folder.resolve(name + ".log"));
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        }
+        return processes.readLog(name);
     }
 
     /** Deletes all files in the data folder of a control process, as the loss of its disk does. */
@@ -290,7 +255,7 @@
      */
     public double processorSeconds(String name) {
         return processes
-                .get(name)
+                .process(name)
                 .info()
                 .totalCpuDuration()
                 .map(duration -> duration.toNanos() / 1e9)
@@ -305,7 +270,7 @@
      */
     public long residentBytes(String name) {
         try {
-            Path status = Path.of("/proc", Long.toString(processes.get(name).pid()), "status");
+            Path status = Path.of("/proc", Long.toString(processes.process(name).pid()), "status");
             return Files.readAllLines(status).stream()
                     .filter(line -> line.startsWith("VmRSS:"))
                     .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")) * 1_024)
@@ -602,7 +567,7 @@
     }
 
     /** Returns a port that no process listens on at the time of the call. */
-    private static int freePort() {
+    static int freePort() {
         while (true) {
             int port = FIRST_PORT + NEXT_PORT.getAndIncrement() % PORT_COUNT;
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
@@ -637,7 +602,7 @@
     @Override
     public void close() {
         timer.shutdownNow();
-        processes.values().forEach(Process::destroyForcibly);
+        processes.close();
         engines.forEach(ModelEngine::close);
         plainEndpoints.forEach(PlainEndpoint::close);
         try {
--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/ProcessGroup.java
@@ -0,0 +1,104 @@
+package io.rosemarybeam.testbed;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Java processes that run programs of the class path of this one, each with a settings file and a log of its name.
+ *
+ * <p>Invariant: signals go only to processes that this object started. Safe for use by several threads, except that one
+ * process is started or stopped by one thread at a time.
+ */
+final class ProcessGroup implements AutoCloseable {
+    private final Path folder;
+    private final Map<String, Process> processes = new ConcurrentHashMap<>();
+
+    /**
+     * Creates an empty group.
+     *
+     * @param folder holds the settings NAME.json, and receives the logs NAME.log
+     */
+    ProcessGroup(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Starts a process; a log of an earlier process of the same name is continued. */
+    void start(String name, List<String> flags, String mainClass) {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(flags);
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
+        command.addAll(List.of("--settings", folder.resolve(name + ".json").toString()));
+        File log = folder.resolve(name + ".log").toFile();
+        try {
+            ProcessBuilder builder = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
+            builder.environment().put("MALLOC_ARENA_MAX", "1");
+            processes.put(name, builder.start());
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    Process process(String name) {
+        return processes.get(name);
+    }
+
+    /** Sends a signal to a process; the name has no SIG prefix, as in {@code STOP}. */
+    void signal(String name, String signal) {
+        try {
+            new ProcessBuilder(
+                            "kill",
+                            "-" + signal,
+                            Long.toString(processes.get(name).pid()))
+                    .start()
+                    .waitFor();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Kills a process without a graceful stop and waits until it has exited. */
+    void kill(String name) {
+        processes.get(name).destroyForcibly().onExit().join();
+    }
+
+    /** Requests a graceful stop and returns whether the process exited within the timeout. */
+    boolean stop(String name, Duration timeout) {
+        Process process = processes.get(name);
+        process.destroy();
+        try {
+            return process.waitFor(timeout.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    String readLog(String name) {
+        try {
+            return Files.readString(folder.resolve(name + ".log"));
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    /** Kills all processes and waits until they have exited. */
+    @Override
+    public void close() {
+        processes.values().forEach(Process::destroyForcibly);
+        processes.values().forEach(process -> process.onExit().join());
+    }
+}
--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -0,0 +1,158 @@
+package io.rosemarybeam.testbed;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.netty.channel.EventLoopGroup;
+
+/**
+ * An endpoint of a soak: a plain service or a model engine that crashes, restarts and misbehaves on demand.
+ *
+ * <p>Invariant: each start is a new incarnation at the same address. Safe for use by several threads.
+ */
+final class SoakEndpoint implements AutoCloseable {
+    /** A request whose body starts with this text crashes every endpoint that runs it. */
+    static final String POISON = "poison";
+
+    static final String ANSWER_PREFIX = "answer to ";
+    static final String DIGEST_HEADER = "Rosemarybeam-Server-Stamp";
+    static final String REQUEST_ID_HEADER = "Rosemarybeam-Request-Id";
+    static final int TEXT_EVENTS = 10;
+
+    private static final int MINIMUM_WORK_MILLISECONDS = 5;
+    private static final int MAXIMUM_WORK_MILLISECONDS = 60;
+    private static final String REPORT =
+            "{\"Stage\":\"both\",\"Models\":[],\"Busy\":false,\"Sequence\":0,\"Waiting\":0,"
+                    + "\"Running\":0,\"KvUsed\":0,\"KvTotal\":1000,\"Handles\":0}";
+
+    private final EventLoopGroup eventLoops;
+    private final SoakReport report;
+    private final String service;
+    private final String name;
+    private final AtomicReference<Fault> nextFault = new AtomicReference<>(Fault.NONE);
+    private volatile StandInHttpServer server;
+    private volatile int port;
+    private volatile String id;
+    private volatile long started;
+    private volatile long sequence;
+    private int incarnation;
+
+    /** What an endpoint does instead of answering its next request. */
+    enum Fault {
+        /** It answers. */
+        NONE,
+        /** It runs the request and closes the connection. */
+        LOST_ANSWER,
+        /** It answers without its digest, so that the answer must not be passed on as a success. */
+        NO_DIGEST
+    }
+
+    SoakEndpoint(EventLoopGroup eventLoops, SoakReport report, String service, String name) {
+        this.eventLoops = eventLoops;
+        this.report = report;
+        this.service = service;
+        this.name = name;
+        start(true);
+    }
+
+    /** Starts a new incarnation, under a new id or the former one. */
+    synchronized void start(boolean newId) {
+        if (server != null) {
+            return;
+        }
+        incarnation++;
+        id = newId || id == null ? name + "-" + incarnation : id;
+        started = System.currentTimeMillis();
+        sequence = 0;
+        server = new StandInHttpServer(eventLoops, port, this::serve);
+        port = server.port();
+    }
+
+    synchronized boolean isRunning() {
+        return server != null;
+    }
+
+    /** Ends without finishing any request, as a crash does. */
+    synchronized void crash() {
+        if (server != null) {
+            server.close();
+            server = null;
+        }
+    }
+
+    void misbehaveOnce(Fault fault) {
+        nextFault.set(fault);
+    }
+
+    String id() {
+        return id;
+    }
+
+    /** Returns the body of the next heartbeat. */
+    String heartbeat() {
+        sequence++;
+        String models = service.equals(SoakDeployment.ENGINES)
+                ? ",\"Stage\":\"both\",\"Models\":[{\"Name\":\"model\",\"Version\":1,\"Adapters\":[]}]"
+                : "";
+        return "{\"Backend\":\"" + service + "\",\"Address\":\"127.0.0.1:" + port
+                + "\",\"Zone\":\"a\",\"Version\":\"v1\",\"Capacity\":6,\"State\":\"ready\",\"WarmupLeftMs\":0" + models
+                + ",\"born\":" + started + ",\"Sequence\":" + sequence + "}";
+    }
+
+    private void serve(HttpExchange exchange) {
+        if (exchange.uri().equals("/api/report")) {
+            exchange.respondJson(200, REPORT);
+            return;
+        }
+        String body = new String(exchange.body(), StandardCharsets.UTF_8);
+        if (body.startsWith(POISON)) {
+            report.crashed(body);
+            crash();
+            return;
+        }
+        if (exchange.uri().startsWith(SoakDeployment.ORDER_PATH)) {
+            report.orderRan(exchange.header(REQUEST_ID_HEADER));
+        }
+        int work = ThreadLocalRandom.current().nextInt(MINIMUM_WORK_MILLISECONDS, MAXIMUM_WORK_MILLISECONDS);
+        Fault fault = nextFault.getAndSet(Fault.NONE);
+        exchange.schedule(work, () -> answer(exchange, body, fault));
+    }
+
+    private void answer(HttpExchange exchange, String body, Fault fault) {
+        switch (fault) {
+            case LOST_ANSWER -> exchange.abort();
+            case NO_DIGEST -> exchange.respond(200, "text/plain", "spoiled".getBytes(StandardCharsets.UTF_8));
+            case NONE -> answer(exchange, body);
+            default -> throw new IllegalStateException("unexpected fault " + fault);
+        }
+    }
+
+    private void answer(HttpExchange exchange, String body) {
+        boolean isText = service.equals(SoakDeployment.ENGINES);
+        String content = isText ? events(exchange.header("Last-Event-Id"), body) : ANSWER_PREFIX + body;
+        exchange.respond(
+                200,
+                isText ? "text/event-stream" : "text/plain",
+                content.getBytes(StandardCharsets.UTF_8),
+                REQUEST_ID_HEADER,
+                exchange.header(REQUEST_ID_HEADER),
+                DIGEST_HEADER,
+                "d-" + body,
+                "Rosemarybeam-Weight-Versions",
+                "1");
+    }
+
+    private static String events(String lastEvent, String body) {
+        StringBuilder text = new StringBuilder();
+        for (int event = lastEvent == null ? 1 : Integer.parseInt(lastEvent) + 1; event <= TEXT_EVENTS; event++) {
+            text.append("id: ").append(event).append("\ndata: ").append(body).append("\n\n");
+        }
+        return text.toString();
+    }
+
+    @Override
+    public void close() {
+        crash();
+    }
+}
--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakFaults.java
@@ -0,0 +1,159 @@
+package io.rosemarybeam.testbed;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Phaser;
+
+/**
+ * Injects faults from outside the processes: signals, restarts, configurations, and endpoints that crash or misbehave. Faults
+ * come in series and overlap.
+ *
+ * <p>Invariant: at most a minority of the store hosts and at most half of the edges are affected at a time. The seed decides
+ * which faults are started when; how they meet the traffic differs from run to run. {@link #run} is confined to one thread.
+ */
+final class SoakFaults {
+    private static final int MAXIMUM_GAP_MILLISECONDS = 900;
+    private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
+
+    private final SoakDeployment deployment;
+    private final SoakReport report;
+    private final Random random;
+    private final Set<String> affected = ConcurrentHashMap.newKeySet();
+
+    /** Has one party for each fault in progress, and one for the thread that waits for their end. */
+    private final Phaser inProgress = new Phaser(1);
+
+    private int configuration = 1;
+
+    SoakFaults(SoakDeployment deployment, SoakReport report, long seed) {
+        this.deployment = deployment;
+        this.report = report;
+        this.random = new Random(seed);
+    }
+
+    /** Starts faults for the given time and waits until all of them are over. */
+    void run(long milliseconds) {
+        long end = SoakReport.now() + milliseconds;
+        while (SoakReport.now() < end) {
+            startOne();
+            SoakTraffic.pause(random.nextInt(MAXIMUM_GAP_MILLISECONDS));
+        }
+        inProgress.arriveAndAwaitAdvance();
+    }
+
+    private void startOne() {
+        int edge = random.nextInt(deployment.edges());
+        int store = random.nextInt(deployment.stores());
+        int pause = 200 + random.nextInt(2_000);
+        switch (random.nextInt(10)) {
+            case 0 -> affectEdge(edge, "edge stopped", () -> terminate(SoakDeployment.edge(edge)), true);
+            case 1 -> affectEdge(edge, "edge killed", () -> kill(SoakDeployment.edge(edge), pause), true);
+            case 2 -> affectEdge(edge, "edge frozen", () -> freeze(SoakDeployment.edge(edge), pause), false);
+            case 3 -> affectStore(store, "store stopped", () -> terminate(SoakDeployment.store(store)), true);
+            case 4 -> affectStore(store, "store killed", () -> kill(SoakDeployment.store(store), pause), true);
+            case 5 -> affectStore(store, "store frozen", () -> freeze(SoakDeployment.store(store), pause), false);
+            case 6 -> changeConfiguration();
+            case 7 -> misbehave();
+            default -> crashEndpoints(pause);
+        }
+    }
+
+    private void affectEdge(int edge, String fault, Runnable action, boolean restart) {
+        affect(SoakDeployment.edge(edge), "edge-", deployment.edges() / 2, fault, () -> {
+            action.run();
+            if (restart) {
+                deployment.startEdge(edge);
+                SoakTraffic.pause(1_500);
+            }
+        });
+    }
+
+    private void affectStore(int store, String fault, Runnable action, boolean restart) {
+        affect(SoakDeployment.store(store), "store-", (Math.min(deployment.stores(), 3) - 1) / 2, fault, () -> {
+            action.run();
+            if (restart) {
+                deployment.startStore(store, false);
+            }
+            // The next store host is affected only when this one has caught up.
+            SoakTraffic.pause(3_000);
+        });
+    }
+
+    private void affect(String name, String kind, int maximum, String fault, Runnable action) {
+        long sameKind =
+                affected.stream().filter(other -> other.startsWith(kind)).count();
+        if (sameKind >= maximum || !affected.add(name)) {
+            return;
+        }
+        report.count("faults: " + fault);
+        start(() -> {
+            action.run();
+            affected.remove(name);
+        });
+    }
+
+    private void start(Runnable action) {
+        inProgress.register();
+        Thread.ofVirtual().start(() -> {
+            try {
+                action.run();
+            } catch (RuntimeException failure) {
+                report.violation("a fault could not be ended: " + failure);
+            } finally {
+                inProgress.arriveAndDeregister();
+            }
+        });
+    }
+
+    private void terminate(String name) {
+        if (!deployment.processes().stop(name, STOP_TIMEOUT)) {
+            report.violation(name + " did not stop within " + STOP_TIMEOUT);
+            deployment.processes().kill(name);
+        }
+    }
+
+    private void kill(String name, int pause) {
+        deployment.processes().kill(name);
+        SoakTraffic.pause(pause);
+    }
+
+    private void freeze(String name, int pause) {
+        deployment.processes().signal(name, "STOP");
+        SoakTraffic.pause(pause);
+        deployment.processes().signal(name, "CONT");
+    }
+
+    private void changeConfiguration() {
+        configuration++;
+        int version = configuration;
+        int timeout = 700 + random.nextInt(500);
+        report.count("faults: configuration changed");
+        start(() -> deployment.configure(version, timeout));
+    }
+
+    private void misbehave() {
+        List<SoakEndpoint> endpoints = deployment.endpoints();
+        SoakEndpoint.Fault fault = random.nextBoolean() ? SoakEndpoint.Fault.LOST_ANSWER : SoakEndpoint.Fault.NO_DIGEST;
+        for (int count = 0; count < 4; count++) {
+            endpoints.get(random.nextInt(endpoints.size())).misbehaveOnce(fault);
+        }
+        report.count("faults: endpoints misbehaved");
+    }
+
+    /** Crashes up to three endpoints in a row, a burst that hits the same items several times. */
+    private void crashEndpoints(int pause) {
+        List<SoakEndpoint> endpoints = deployment.endpoints();
+        int first = random.nextInt(endpoints.size());
+        int count = 1 + random.nextInt(3);
+        report.count("faults: endpoints crashed");
+        start(() -> {
+            for (int index = 0; index < count; index++) {
+                endpoints.get((first + index) % endpoints.size()).crash();
+                SoakTraffic.pause(pause / 4);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakReport.java
@@ -0,0 +1,101 @@
+package io.rosemarybeam.testbed;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * What callers and endpoints saw during a soak, and which promises were broken. Safe for use by several threads.
+ */
+final class SoakReport {
+    /** Time from the third crash after which a crashing request may reach few endpoints; the platform's ContactMs. */
+    private static final long CONTACT_MILLISECONDS = 3_000;
+
+    /** Number of endpoints that a crashing request may reach after that time. */
+    private static final int ALLOWED_LATE_RUNS = 3;
+
+    /** Crashes after which a request must be recognised. */
+    private static final int ALLOWED_CRASHES = 3;
+
+    private final Map<String, AtomicInteger> counts = new ConcurrentSkipListMap<>();
+    private final Map<String, List<Long>> crashTimes = new ConcurrentHashMap<>();
+    private final Map<String, AtomicInteger> orderRuns = new ConcurrentHashMap<>();
+    private final Map<String, Integer> orderAnswers = new ConcurrentHashMap<>();
+    private final List<String> violations = new CopyOnWriteArrayList<>();
+
+    static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
+    void count(String outcome) {
+        counts.computeIfAbsent(outcome, ignored -> new AtomicInteger()).incrementAndGet();
+    }
+
+    int countOf(String outcome) {
+        AtomicInteger count = counts.get(outcome);
+        return count == null ? 0 : count.get();
+    }
+
+    void violation(String text) {
+        violations.add(text);
+    }
+
+    /** Records that a request with this body crashed an endpoint. */
+    void crashed(String body) {
+        crashTimes
+                .computeIfAbsent(body, ignored -> new CopyOnWriteArrayList<>())
+                .add(now());
+    }
+
+    /** Records that an endpoint ran a non-idempotent request. */
+    void orderRan(String id) {
+        orderRuns.computeIfAbsent(id, ignored -> new AtomicInteger()).incrementAndGet();
+    }
+
+    void orderAnswered(String id, int status) {
+        orderAnswers.put(id, status);
+    }
+
+    /** Checks the promises that need the whole run, and returns everything that was broken. */
+    List<String> violations() {
+        List<String> all = new ArrayList<>(violations);
+        crashTimes.forEach((body, times) -> {
+            long late = times.size() <= ALLOWED_CRASHES
+                    ? 0
+                    : times.stream()
+                            .filter(time -> time > times.get(ALLOWED_CRASHES - 1) + CONTACT_MILLISECONDS)
+                            .count();
+            if (late > ALLOWED_LATE_RUNS) {
+                all.add(body + " crashed " + late + " endpoints later than 3 s after the third one");
+            }
+        });
+        orderRuns.forEach((id, runs) -> {
+            if (runs.get() > 1) {
+                all.add("order " + id + " ran " + runs + " times");
+            }
+            if (orderAnswers.getOrDefault(id, 0) == 503) {
+                all.add("order " + id + " was refused as not run, but ran");
+            }
+        });
+        return all;
+    }
+
+    String render() {
+        StringBuilder text = new StringBuilder();
+        counts.forEach((outcome, count) ->
+                text.append("  ").append(outcome).append(": ").append(count).append('\n'));
+        crashTimes.forEach((body, times) -> text.append("  endpoints crashed by ")
+                .append(body)
+                .append(": ")
+                .append(times.size())
+                .append('\n'));
+        violations()
+                .forEach(violation ->
+                        text.append("VIOLATION: ").append(violation).append('\n'));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTraffic.java
@@ -0,0 +1,193 @@
+package io.rosemarybeam.testbed;
+
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.Response;
+
+/**
+ * Callers and a trainer of a soak. They stay on their edge, over the open connection, until it fails them.
+ *
+ * <p>Each thread uses a random generator of its own. Safe for use by several threads.
+ */
+final class SoakTraffic {
+    private static final int ITEMS = 8;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final SoakDeployment deployment;
+    private final SoakReport report;
+    private final long seed;
+    private final AtomicInteger nextId = new AtomicInteger();
+    private final Set<String> openSubmissions = ConcurrentHashMap.newKeySet();
+    private volatile boolean running = true;
+
+    /** Whether all faults are over and a sound request must succeed. */
+    private volatile boolean calm;
+
+    SoakTraffic(SoakDeployment deployment, SoakReport report, long seed) {
+        this.deployment = deployment;
+        this.report = report;
+        this.seed = seed;
+    }
+
+    void setCalm() {
+        calm = true;
+    }
+
+    void stop() {
+        running = false;
+    }
+
+    Set<String> openSubmissions() {
+        return openSubmissions;
+    }
+
+    private String newId(String kind) {
+        return kind + "-" + nextId.incrementAndGet();
+    }
+
+    /** Sends requests that may be repeated and orders that may not, until the traffic is stopped. */
+    void runCaller(int number) {
+        Random random = new Random(seed * 31 + number);
+        int edge = random.nextInt(deployment.edges());
+        while (running) {
+            boolean isOrder = random.nextInt(3) == 0;
+            String id = newId(isOrder ? "order" : "lookup");
+            boolean mustSucceed = calm;
+            Response response = deployment.call(request(edge, isOrder, id, "body of " + id));
+            int status = SoakDeployment.status(response);
+            report.count((isOrder ? "orders answered " : "lookups answered ") + status);
+            if (isOrder) {
+                report.orderAnswered(id, status);
+            }
+            if (status == 200) {
+                checkAnswer(id, response);
+            } else {
+                edge = random.nextInt(deployment.edges());
+                if (mustSucceed) {
+                    report.violation(id + " was answered " + status + " although all was calm");
+                }
+            }
+            pause(random.nextInt(40));
+        }
+    }
+
+    private RequestBuilder request(int edge, boolean isOrder, String id, String body) {
+        String path = (isOrder ? SoakDeployment.ORDER_PATH : SoakDeployment.LOOKUP_PATH) + "x";
+        return deployment
+                .toEdge(edge, "POST", path)
+                .setHeader(SoakEndpoint.REQUEST_ID_HEADER, id)
+                .setHeader("Rosemarybeam-Deadline-Ms", "1500")
+                .setBody(body);
+    }
+
+    private void checkAnswer(String id, Response response) {
+        boolean isOwn = response.getResponseBody().equals(SoakEndpoint.ANSWER_PREFIX + "body of " + id)
+                && ("d-body of " + id).equals(response.getHeader(SoakEndpoint.DIGEST_HEADER));
+        if (!isOwn) {
+            report.violation(id + " got the answer " + response.getResponseBody());
+        }
+    }
+
+    /** Sends the same crashing request again and again, to any edge. */
+    void runCrashingCaller(int number) {
+        Random random = new Random(seed * 37 + number);
+        while (running) {
+            int edge = random.nextInt(deployment.edges());
+            String body = SoakEndpoint.POISON + "-" + number;
+            int status = SoakDeployment.status(deployment.call(request(edge, false, newId("poison"), body)));
+            report.count("crashing requests answered " + status);
+            pause(200 + random.nextInt(300));
+        }
+    }
+
+    /** Submits batches of items and reads their results. */
+    void runTrainer() {
+        Random random = new Random(seed * 41);
+        while (running && !calm) {
+            String id = newId("step");
+            openSubmissions.add(id);
+            while (running && !submit(id, random)) {
+                pause(200);
+            }
+            for (int read = 0; read < 6 && running; read++) {
+                pause(300);
+                openSubmissions.forEach(open -> read(open, random));
+            }
+        }
+    }
+
+    private boolean submit(String id, Random random) {
+        String items = IntStream.range(0, ITEMS)
+                .mapToObj(item -> "{\"Id\":\"" + id + "-" + item + "\",\"Path\":\"" + SoakDeployment.TRAINING_PATH
+                        + "x\",\"Headers\":{\"Rosemarybeam-Model\":\"model\"},\"Body\":\"" + encoded(id + "-" + item)
+                        + "\",\"TokenCount\":100,\"Group\":\"g\",\"Scorer\":{\"Id\":\"" + id + "-score-" + item
+                        + "\",\"Hostname\":\"" + SoakDeployment.HOST + "\",\"Path\":\"" + SoakDeployment.LOOKUP_PATH
+                        + "score\",\"Body\":\"" + encoded("score " + id + "-" + item) + "\"}}")
+                .collect(Collectors.joining(","));
+        String body = "{\"Step\":0,\"Model\":\"model\",\"OldestVersion\":1,\"GroupCount\":1,\"Items\":[" + items + "]}";
+        RequestBuilder request = deployment
+                .toEdge(random.nextInt(deployment.edges()), "POST", SoakDeployment.TRAINING_PATH + "x")
+                .setHeader(SoakEndpoint.REQUEST_ID_HEADER, id)
+                .setBody(body);
+        int status = SoakDeployment.status(deployment.call(request));
+        report.count("submissions answered " + status);
+        return status == 202;
+    }
+
+    private static String encoded(String text) {
+        return Base64.getEncoder().encodeToString(text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    /** Reads the results of a submission, and closes it when all of them are listed. */
+    void read(String id, Random random) {
+        Response response = deployment.call(
+                deployment.toEdge(random.nextInt(deployment.edges()), "GET", "/api/lots/" + id + "?After=0"));
+        if (SoakDeployment.status(response) != 200) {
+            return;
+        }
+        try {
+            JsonNode page = JSON.readTree(response.getResponseBody());
+            if (page.path("Results").size() == ITEMS) {
+                checkResults(id, page.path("Results"));
+                openSubmissions.remove(id);
+            }
+        } catch (JsonProcessingException malformed) {
+            report.violation(id + " got the results " + response.getResponseBody());
+        }
+    }
+
+    private void checkResults(String id, JsonNode results) {
+        for (JsonNode result : results) {
+            String item = result.path("Id").asText();
+            List<String> lines = new ArrayList<>();
+            IntStream.range(0, SoakEndpoint.TEXT_EVENTS).forEach(event -> lines.add(item));
+            boolean isWhole = result.path("State").asText().equals("completed")
+                    && result.path("Text").asText().equals(String.join("\n", lines))
+                    && result.path("Score").asText().equals("d-score " + item);
+            report.count(isWhole ? "items completed" : "items not completed");
+            if (!isWhole) {
+                report.violation(id + " has the result " + result);
+            }
+        }
+    }
+
+    static void pause(long milliseconds) {
+        try {
+            Thread.sleep(milliseconds);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
