--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/AnswerSink.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/AnswerSink.java
@@ -71,7 +71,7 @@
     /**
      * The request has no answer, but may have run.
      *
-     * @param status 502 if the endpoints failed, 504 if the deadline passed
+     * @param status 502 if the endpoints failed, 504 if the deadline passed, 400 if HTTP cannot express the request
      */
     void fail(int status);
 }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -33,6 +33,7 @@
  */
 public final class ForwardCall {
     private static final EventLog LOG = EventLog.of(ForwardCall.class);
+    private static final int BAD_REQUEST = 400;
     private static final int INTERNAL_ERROR = 500;
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
@@ -293,12 +294,15 @@
             headers.set(PlatformHeaders.EXPECTED_ENDPOINT, endpoint.id().value());
             headers.remove(HttpHeaderNames.ACCEPT_ENCODING);
             scheduleHedge(endpoint);
-            attempt = forwarder
-                    .client()
-                    .send(
-                            new EndpointClient.Request(
-                                    endpoint.address(), request.method(), request.uri(), headers, request.body()),
-                            this);
+            EndpointClient.Request sent = new EndpointClient.Request(
+                    endpoint.address(), request.method(), request.uri(), headers, request.body());
+            try {
+                attempt = forwarder.client().send(sent, this);
+            } catch (IllegalArgumentException failure) {
+                recordOutcome("not sent", failure.getMessage());
+                finish("cannot be sent", BAD_REQUEST);
+                sink.fail(BAD_REQUEST);
+            }
         }
 
         private void abandon() {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -53,6 +53,9 @@
      */
     private static final long SAME_VERSION_WAIT_MILLISECONDS = 1_000;
 
+    /** Delay before an item is considered again after an unexpected failure of this host, in milliseconds. */
+    private static final long FAILED_ACTION_DELAY_MILLISECONDS = 1_000;
+
     /** Weight of one tick in the moving average of slot demand; at 50 ms a tick it covers about two steps of a trainer. */
     private static final double SLOT_DEMAND_WEIGHT = 0.006;
 
@@ -212,7 +215,7 @@
     /** Cancels runs whose stream is silent, abandons expired items, stores partial texts, and starts waiting items. */
     void tick() {
         long now = Forwarder.now();
-        openTasks().toList().forEach(task -> checkTimeouts(task, now));
+        openTasks().toList().forEach(task -> contain(task, now, () -> checkTimeouts(task, now)));
         tasks.forEach((submission, open) -> partialTexts.checkpoint(submission, open.values()));
         updateSlotDemand();
         start(now);
@@ -251,7 +254,26 @@
                 .sum();
         List<ItemTask> waiting = queue.order(tasks.values(), this::runTarget, slots, leader.leaderTime(), now);
         for (ItemTask task : waiting) {
-            route(task.submission).ifPresent(route -> start(task, route, available, now));
+            contain(task, now, () -> route(task.submission).ifPresent(route -> start(task, route, available, now)));
+        }
+    }
+
+    /**
+     * Runs an action for an item and contains its failure. An item that ended the leader would be resumed by the next one
+     * and end all store hosts in turn.
+     */
+    private static void contain(ItemTask task, long now, Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException failure) {
+            task.notBefore = now + FAILED_ACTION_DELAY_MILLISECONDS;
+            LOG.log(
+                    Event.HANDLER_FAILED,
+                    failure,
+                    "submission",
+                    task.submission.submission().id(),
+                    "request",
+                    task.item.id());
         }
     }
 
@@ -271,8 +293,7 @@
         Optional<GenerationEndpoint> chosen = ItemPlacement.choose(need, available);
         if (chosen.isPresent()) {
             endpointByPrompt.put(prompt(task), chosen.get().id());
-            logRunStarted(task, chosen.get());
-            startRun(task, route, chosen.get().id(), now);
+            startRun(task, route, chosen.get(), now);
             endpointsByService.remove(service);
         }
     }
@@ -306,26 +327,35 @@
         task.text.clear();
     }
 
-    private void startRun(ItemTask task, Route route, EndpointId id, long now) {
+    private void startRun(ItemTask task, Route route, GenerationEndpoint chosen, long now) {
+        EndpointId id = chosen.id();
         EndpointAnnouncement endpoint = fleet.announcement(id).orElseThrow();
         ItemTask.Run run = new ItemTask.Run(id, now, task.text.lastEvent());
+        try {
+            run.attempt = client.send(request(task, route, endpoint), new ItemStream(task, run, this));
+        } catch (IllegalArgumentException failure) {
+            abandon(task, "the item cannot be sent: " + failure.getMessage());
+            return;
+        }
+        logRunStarted(task, chosen);
         task.stage = ItemTask.Stage.RUNNING;
         task.run = Optional.of(run);
         loads.recordRequest(id);
+    }
+
+    private EndpointClient.Request request(ItemTask task, Route route, EndpointAnnouncement endpoint) {
         HttpHeaders headers = new DefaultHttpHeaders();
         task.item.headers().forEach(headers::set);
         headers.set(HttpHeaderNames.HOST, route.host());
         headers.set(PlatformHeaders.REQUEST_ID, task.item.id().value());
-        headers.set(PlatformHeaders.EXPECTED_ENDPOINT, id.value());
+        headers.set(PlatformHeaders.EXPECTED_ENDPOINT, endpoint.id().value());
         headers.set(PlatformHeaders.PRIORITY, ITEM_PRIORITY);
         long remaining = task.submission.acceptedAt() + route.itemTimeout().toMillis() - leader.leaderTime();
         headers.set(PlatformHeaders.DEADLINE, Math.max(1, remaining));
         if (task.text.lastEvent() > 0) {
             headers.set(PlatformHeaders.LAST_EVENT_ID, task.text.lastEvent());
         }
-        run.attempt = client.send(
-                new EndpointClient.Request(endpoint.address(), "POST", task.item.path(), headers, task.item.body()),
-                new ItemStream(task, run, this));
+        return new EndpointClient.Request(endpoint.address(), "POST", task.item.path(), headers, task.item.body());
     }
 
     private void cancel(ItemTask task, String reason) {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.wire.Submission;
@@ -54,8 +55,13 @@
             return;
         }
         HttpHeaders headers = new DefaultHttpHeaders();
-        headers.set(HttpHeaderNames.HOST, scorer.host());
-        headers.set(PlatformHeaders.REQUEST_ID, scorer.id());
+        try {
+            headers.set(HttpHeaderNames.HOST, scorer.host());
+            headers.set(PlatformHeaders.REQUEST_ID, scorer.id());
+        } catch (IllegalArgumentException failure) {
+            listener.abandoned("the scorer cannot be asked: " + failure.getMessage());
+            return;
+        }
         Duration timeout = route.get().timeout();
         ForwardRequest request = new ForwardRequest(
                 scorer.id(),
@@ -154,6 +160,11 @@
 
         @Override
         public void fail(int status) {
+            if (status == HttpResponseStatus.BAD_REQUEST.code()) {
+                task.scoring = Optional.empty();
+                listener.abandoned("the scorer cannot be asked: HTTP cannot express the request");
+                return;
+            }
             scheduleRetry(task, table, listener, "status " + status);
         }
     }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -40,12 +41,13 @@
     @TempDir
     Path folder;
 
+    private final List<Throwable> failures = new CopyOnWriteArrayList<>();
     private StoreCluster cluster;
     private FakeEngine engine;
 
     @BeforeEach
     void start() throws IOException {
-        cluster = new StoreCluster(folder);
+        cluster = new StoreCluster(folder, failures::add);
         engine = new FakeEngine("127.0.77.100");
         for (int host = 1; host <= HOSTS; host++) {
             cluster.start(host, true);
@@ -145,6 +147,30 @@
         assertEquals(ids(after), ids(results()));
     }
 
+    /** A leader that ends because of one item would take its successors with it, one after the other. */
+    @Test
+    void shouldNotEndTheLeaderWhenAnItemCannotBeSent() {
+        List<Submission.Item> items = List.of(
+                unsendable("bad-header", "/generate/x", Map.of("not a name", "value")),
+                unsendable("bad-value", "/generate/x", Map.of("Name", "first\r\nsecond: line")),
+                unsendable("bad-path", "/generate/a b\r\n", Map.of()),
+                item("sound"));
+        Submission submission = new Submission(
+                SUBMISSION, "a.example", "/x/1", 0, Optional.of(ModelName.of(FakeEngine.MODEL)), 1, 1, items);
+
+        assertEquals(Outcome.DONE, cluster.ask(new SubmitBatch(submission)).outcome());
+
+        List<Submission.Result> results = results(items.size());
+        List<String> completed =
+                ids(results.stream().filter(Submission.Result::completed).toList());
+        assertEquals(List.of("sound"), completed);
+        assertEquals(List.of(), failures, "store processes have failed");
+    }
+
+    private static Submission.Item unsendable(String id, String path, Map<String, String> headers) {
+        return new Submission.Item(ItemId.of(id), path, headers, new byte[] {1}, 400, 0, "g", Optional.empty());
+    }
+
     /** Bytes without end would fill the memory of the leader, because no complete event arrives. */
     @Test
     void shouldRunItemAgainWhenItsStreamSendsBytesWithoutEnd() {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -37,6 +38,7 @@
     private static final MessageHandler IGNORE = (connection, correlation, message) -> {};
 
     private final Path folder;
+    private final Consumer<Throwable> onFailure;
     private final int protocolPort = freePort();
     private final int operatorPort = freePort();
     private final int adminPort = freePort();
@@ -46,7 +48,20 @@
             HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build();
 
     StoreCluster(Path folder) {
+        this(folder, failure -> {
+            throw new IllegalStateException(failure);
+        });
+    }
+
+    /**
+     * Creates a cluster without processes.
+     *
+     * @param folder holds settings and data
+     * @param onFailure called when a process has failed and must stop
+     */
+    StoreCluster(Path folder, Consumer<Throwable> onFailure) {
         this.folder = folder;
+        this.onFailure = onFailure;
     }
 
     private static int freePort() {
@@ -62,9 +77,7 @@
     }
 
     void start(int number, boolean firstStart) {
-        StoreProcess process = StoreProcess.of(settings(number, firstStart), failure -> {
-            throw new IllegalStateException(failure);
-        });
+        StoreProcess process = StoreProcess.of(settings(number, firstStart), onFailure);
         process.start();
         running.put(number, process);
     }
