Repeat a score request that was refused at once

Trainers waited for an item until it was given up, although its text was complete and the scorers were back: when no scorer was known at the moment the text was complete, its score was never requested again.

Cause: the forwarder refuses such a request before forward() returns. The refusal scheduled the repetition and marked the item as free, then the caller stored the finished call as the one in progress, and the repetition found the item busy. The call now tells whether it is finished already.

The repetition itself retried every 100 ms for as long as the item lived, by the configuration of the first request. It now doubles its delay up to 800 ms and uses the current configuration, since the mended path would otherwise repeat at that rate for every waiting item.

Before: ItemScoringTest counts one request within a second and waits 15 s in vain for the new configuration. After: the request is repeated after 100, 200 and 400 ms, by the new configuration.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -111,6 +111,15 @@
         }
     }
 
+    /**
+     * Returns whether the outcome was passed on.
+     *
+     * @return true also for a call that was refused before {@link Forwarder#forward} returned
+     */
+    public boolean isFinished() {
+        return finished;
+    }
+
     private void tryNextEndpoint() {
         if (finished) {
             return;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -485,7 +485,7 @@
             listResult(task, true, Optional.empty(), "");
             return;
         }
-        scoring.score(task, leader.table(), new ItemScoring.Listener() {
+        scoring.score(task, leader::table, new ItemScoring.Listener() {
             @Override
             public void scored(String score) {
                 listResult(task, true, Optional.of(score), "");
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -15,6 +16,7 @@
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.RoutingTable;
 import io.rosemarybeam.forward.AnswerSink;
+import io.rosemarybeam.forward.ForwardCall;
 import io.rosemarybeam.forward.ForwardRequest;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.platform.PlatformHeaders;
@@ -26,8 +28,13 @@
  * Confined to the thread of the log driver.
  */
 final class ItemScoring {
-    /** Delay before a score request is repeated, in milliseconds. */
-    private static final long RETRY_DELAY_MILLISECONDS = 100;
+    /** Delay before a score request is repeated for the first time, in milliseconds; doubles with each repetition. */
+    private static final long FIRST_RETRY_DELAY_MILLISECONDS = 100;
+
+    private static final long MAXIMUM_RETRY_DELAY_MILLISECONDS = 800;
+
+    /** Bounds the shift; the maximum delay is reached before. */
+    private static final int MAXIMUM_DOUBLINGS = 10;
 
     private static final EventLog LOG = EventLog.of(ItemScoring.class);
 
@@ -47,7 +54,15 @@
         void abandoned(String reason);
     }
 
-    void score(ItemTask task, Optional<RoutingTable> table, Listener listener) {
+    /**
+     * Requests the score of an item, and repeats the request until it succeeds or is hopeless.
+     *
+     * @param task the item, whose text is complete
+     * @param currentTable supplies the configuration in use, which may change between repetitions
+     * @param listener is notified of the outcome
+     */
+    void score(ItemTask task, Supplier<Optional<RoutingTable>> currentTable, Listener listener) {
+        Optional<RoutingTable> table = currentTable.get();
         Submission.Scorer scorer = task.item.scorer().orElseThrow();
         Optional<Route> route = table.flatMap(current -> current.find(scorer.host(), scorer.path()));
         if (route.isEmpty()) {
@@ -74,10 +89,17 @@
                 Forwarder.now() + timeout.toMillis(),
                 table.orElseThrow().version(),
                 true);
-        task.scoring = Optional.of(forwarder.forward(request, new ScoreSink(task, table, route.get(), listener)));
+        ForwardCall call = forwarder.forward(request, new ScoreSink(task, currentTable, route.get(), listener));
+        // A call that was refused at once has scheduled its repetition already.
+        task.scoring = call.isFinished() ? Optional.empty() : Optional.of(call);
     }
 
-    private void scheduleRetry(ItemTask task, Optional<RoutingTable> table, Listener listener, String reason) {
+    private void scheduleRetry(
+            ItemTask task, Supplier<Optional<RoutingTable>> currentTable, Listener listener, String reason) {
+        long delay = Math.min(
+                FIRST_RETRY_DELAY_MILLISECONDS << Math.min(task.scoreRetries, MAXIMUM_DOUBLINGS),
+                MAXIMUM_RETRY_DELAY_MILLISECONDS);
+        task.scoreRetries++;
         LOG.log(
                 Event.SCORER_FAILED,
                 "request",
@@ -87,28 +109,30 @@
                 "reason",
                 reason,
                 "failures",
-                task.failedScores);
+                task.failedScores,
+                "delay",
+                delay);
         task.scoring = Optional.empty();
         loop.schedule(
                 () -> {
                     if (task.stage == ItemTask.Stage.SCORING && task.scoring.isEmpty() && !task.submission.isEnded()) {
-                        score(task, table, listener);
+                        score(task, currentTable, listener);
                     }
                 },
-                RETRY_DELAY_MILLISECONDS,
+                delay,
                 TimeUnit.MILLISECONDS);
     }
 
     /** Receives the response of a scorer. */
     private final class ScoreSink implements AnswerSink {
         private final ItemTask task;
-        private final Optional<RoutingTable> table;
+        private final Supplier<Optional<RoutingTable>> currentTable;
         private final Route route;
         private final Listener listener;
 
-        ScoreSink(ItemTask task, Optional<RoutingTable> table, Route route, Listener listener) {
+        ScoreSink(ItemTask task, Supplier<Optional<RoutingTable>> currentTable, Route route, Listener listener) {
             this.task = task;
-            this.table = table;
+            this.currentTable = currentTable;
             this.route = route;
             this.listener = listener;
         }
@@ -128,7 +152,7 @@
                 task.scoring = Optional.empty();
                 listener.abandoned("the scorer failed " + task.failedScores + " times");
             } else {
-                scheduleRetry(task, table, listener, "status " + status);
+                scheduleRetry(task, currentTable, listener, "status " + status);
             }
         }
 
@@ -155,7 +179,7 @@
 
         @Override
         public void refuse(double retryAfterSeconds) {
-            scheduleRetry(task, table, listener, "no endpoint accepts the request");
+            scheduleRetry(task, currentTable, listener, "no endpoint accepts the request");
         }
 
         @Override
@@ -165,7 +189,7 @@
                 listener.abandoned("the scorer cannot be asked: HTTP cannot express the request");
                 return;
             }
-            scheduleRetry(task, table, listener, "status " + status);
+            scheduleRetry(task, currentTable, listener, "status " + status);
         }
     }
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
@@ -29,6 +29,7 @@
     Stage stage = Stage.WAITING;
     int failedRuns;
     int failedScores;
+    int scoreRetries;
 
     /** Monotonic time since when the item has not been running, in milliseconds. */
     long waitingSince = Forwarder.now();
--- /dev/null
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
@@ -0,0 +1,119 @@
+package io.rosemarybeam.store;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.ItemId;
+import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.common.wire.Submission;
+import io.rosemarybeam.decision.routing.CallerLimits;
+import io.rosemarybeam.decision.routing.EndpointDirectory;
+import io.rosemarybeam.decision.routing.EndpointLoads;
+import io.rosemarybeam.decision.routing.Route;
+import io.rosemarybeam.decision.routing.RoutingTable;
+import io.rosemarybeam.forward.CrashRegistry;
+import io.rosemarybeam.forward.ForwardMetrics;
+import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.platform.EndpointClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against scores that are requested without a pause while no scorer can answer, or by an old configuration. */
+class ItemScoringTest {
+    private static final Submission.Item ITEM = new Submission.Item(
+            ItemId.of("i"),
+            "/x",
+            Map.of(),
+            new byte[0],
+            5,
+            0,
+            "g",
+            Optional.of(new Submission.Scorer("s", "a.example", "/score/1", new byte[0])));
+    private static final Submission SUBMISSION =
+            new Submission(SubmissionId.of("s"), "h", "/x/", 0, Optional.empty(), 3, 1, List.of(ITEM));
+
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final EventLoop loop = loops.next();
+    private final AtomicInteger requests = new AtomicInteger();
+    private final AtomicReference<String> abandoned = new AtomicReference<>();
+    private final ItemTask task =
+            new ItemTask(new StoredSubmission(SUBMISSION, "r", 0), ITEM, ModelName.of("m"), false, false);
+    private final ItemScoring scoring = new ItemScoring(
+            loop,
+            new Forwarder(
+                    loop,
+                    EndpointClient.of(loop),
+                    new EndpointDirectory(),
+                    new EndpointLoads(),
+                    FailureDomain.of("fes"),
+                    ForwardMetrics.of(Metrics.ofProcess()),
+                    new CrashRegistry(news -> {})));
+
+    @AfterEach
+    void close() {
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    private static RoutingTable table(String pathPrefix) {
+        Route route = Route.builder()
+                .matching("r", "a.example", pathPrefix)
+                .requestTimes(Duration.ofSeconds(2), Duration.ofMillis(300))
+                .split(List.of(new Route.Share(ServiceName.of("desk"), 1)))
+                .maximumAttempts(2)
+                .build();
+        return RoutingTable.of(1, List.of(route), List.of(), CallerLimits.defaults());
+    }
+
+    private Optional<RoutingTable> scorerTable() {
+        requests.incrementAndGet();
+        return Optional.of(table("/score/"));
+    }
+
+    private void score(Supplier<Optional<RoutingTable>> table) throws InterruptedException {
+        task.stage = ItemTask.Stage.SCORING;
+        loop.submit(() -> scoring.score(task, table, new ItemScoring.Listener() {
+                    @Override
+                    public void scored(String score) {
+                        abandoned.set("scored");
+                    }
+
+                    @Override
+                    public void abandoned(String reason) {
+                        abandoned.set(reason);
+                    }
+                }))
+                .sync();
+    }
+
+    /** Load pattern: all scorers are down while hundreds of items wait for their scores. */
+    @Test
+    void shouldRepeatLessOftenWhileNoScorerAcceptsTheRequest() throws InterruptedException {
+        score(this::scorerTable);
+
+        Thread.sleep(1_000);
+        assertTrue(requests.get() >= 2 && requests.get() <= 5, requests + " requests within a second");
+    }
+
+    @Test
+    void shouldUseTheCurrentConfigurationWhenTheRequestIsRepeated() throws InterruptedException {
+        score(() -> requests.get() == 0 ? scorerTable() : Optional.of(table("/other/")));
+
+        StoreCluster.await("the new configuration is used", abandoned::get);
+        assertEquals("no route matches the scorer", abandoned.get());
+    }
+}
