Carry crashes in the news of endpoints, which earlier releases can read

A process of the release before closes a connection on an unknown message type. In a rolling upgrade each crash would have cut edges from store hosts, and again at each reconnect for as long as a crash was remembered. Crashes are now an appended component of EndpointNews, which decoders of earlier releases ignore and whose absence reads as none. Checked by MessageCodecTest with a record of the earlier shape, both ways.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/MessageType.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/MessageType.java
@@ -126,9 +126,7 @@
     /** {@link StoreMessage.ReadRetirement}. */
     READ_RETIREMENT(162, StoreMessage.ReadRetirement.class),
     /** {@link StoreMessage.StoreReply}. */
-    STORE_REPLY(163, StoreMessage.StoreReply.class),
-    /** {@link StoreMessage.CrashNews}. */
-    CRASH_NEWS(164, StoreMessage.CrashNews.class);
+    STORE_REPLY(163, StoreMessage.StoreReply.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<? extends Message>, MessageType> BY_CLASS = new HashMap<>();
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.common.wire;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 
@@ -65,24 +66,24 @@
     record PushConfiguration(long version, byte[] text) implements StoreMessage {}
 
     /**
-     * Publishes endpoint updates.
+     * Publishes endpoint updates. Idempotent; the order of messages does not matter.
      *
      * @param announcements the newest announcement of each updated endpoint
+     * @param crashes crashes of endpoints, by the requests that they ran; empty if an older sender omits them
      */
-    record EndpointNews(List<EndpointAnnouncement> announcements) implements StoreMessage {
+    record EndpointNews(List<EndpointAnnouncement> announcements, List<EndpointCrash> crashes) implements StoreMessage {
+        /** Copies the lists. */
         public EndpointNews {
             announcements = List.copyOf(announcements);
+            crashes = crashes == null ? List.of() : List.copyOf(crashes);
         }
-    }
 
-    /**
-     * Publishes which requests ran on endpoints that crashed. Idempotent; the order of messages does not matter.
-     *
-     * @param crashes the crashes
-     */
-    record CrashNews(List<EndpointCrash> crashes) implements StoreMessage {
-        public CrashNews {
-            crashes = List.copyOf(crashes);
+        public static EndpointNews ofAnnouncements(Collection<EndpointAnnouncement> announcements) {
+            return new EndpointNews(List.copyOf(announcements), List.of());
+        }
+
+        public static EndpointNews ofCrashes(Collection<EndpointCrash> crashes) {
+            return new EndpointNews(List.of(), List.copyOf(crashes));
         }
     }
 
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
@@ -8,6 +8,7 @@
 import io.rosemarybeam.common.error.WireException;
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.FailureDomain;
+import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.HostName;
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.id.WeightVersion;
@@ -15,6 +16,7 @@
 import io.rosemarybeam.common.wire.ControlReply.EntryState;
 import io.rosemarybeam.common.wire.EntryRequest.EndpointRenewal;
 import io.rosemarybeam.common.wire.EntryRequest.RenewEntryLease;
+import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -74,4 +76,22 @@
 
         assertEquals(ErrorCode.FRAME_INVALID, failure.code());
     }
+
+    /** The endpoint news of an earlier release, which had no crashes. */
+    private record EarlierEndpointNews(List<EndpointAnnouncement> announcements) {}
+
+    /** In a rolling upgrade a frame that cannot be decoded would close the connection each time. */
+    @Test
+    void shouldExchangeEndpointNewsWithAnEarlierRelease() {
+        EndpointCrash crash = new EndpointCrash(Fingerprint.of("f"), EndpointId.of("e"), 1, 2, false);
+        EndpointNews newer = EndpointNews.ofCrashes(List.of(crash));
+
+        assertEquals(newer, MessageCodec.decode(MessageCodec.encode(newer), EndpointNews.class));
+        assertEquals(
+                new EarlierEndpointNews(List.of()),
+                MessageCodec.decode(MessageCodec.encode(newer), EarlierEndpointNews.class));
+        assertEquals(
+                EndpointNews.ofCrashes(List.of()),
+                MessageCodec.decode(MessageCodec.encode(new EarlierEndpointNews(List.of())), EndpointNews.class));
+    }
 }
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -18,7 +18,6 @@
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.HandshakeMessage.Role;
 import io.rosemarybeam.common.wire.Message;
-import io.rosemarybeam.common.wire.StoreMessage.CrashNews;
 import io.rosemarybeam.common.wire.StoreMessage.EdgeAddress;
 import io.rosemarybeam.common.wire.StoreMessage.EdgeStatus;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
@@ -102,7 +101,7 @@
                 settings.stores().addresses(),
                 this::messagesOnConnect,
                 this::onStoreMessage);
-        this.crashes = new CrashRegistry(stores::broadcast);
+        this.crashes = new CrashRegistry(observed -> stores.broadcast(EndpointNews.ofCrashes(observed)));
         Forwarder forwarder = new Forwarder(
                 loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics), crashes);
         this.requests = new EdgeRequests(forwarder, new BatchRequests(new StoreRequests(loop, stores)));
@@ -175,15 +174,12 @@
             useConfiguration(push);
         } else if (message instanceof EndpointNews update) {
             update.announcements().forEach(this::merge);
-        } else if (message instanceof CrashNews news) {
-            crashes.merge(news);
+            crashes.merge(update.crashes());
         }
     }
 
     private List<Message> messagesOnConnect() {
-        List<Message> messages = new ArrayList<>(List.of(status()));
-        crashes.all().ifPresent(messages::add);
-        return messages;
+        return List.of(status(), EndpointNews.ofCrashes(crashes.all()));
     }
 
     private void useConfiguration(PushConfiguration push) {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashRegistry.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashRegistry.java
@@ -1,7 +1,6 @@
 package io.rosemarybeam.forward;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.function.Consumer;
 
 import io.rosemarybeam.common.event.Event;
@@ -9,7 +8,6 @@
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.EndpointCrash;
-import io.rosemarybeam.common.wire.StoreMessage.CrashNews;
 import io.rosemarybeam.decision.routing.CrashTable;
 
 /**
@@ -22,14 +20,14 @@
     private static final EventLog LOG = EventLog.of(CrashRegistry.class);
 
     private final CrashTable table = new CrashTable();
-    private final Consumer<CrashNews> publisher;
+    private final Consumer<List<EndpointCrash>> publisher;
 
     /**
      * Creates an empty registry.
      *
      * @param publisher sends what this process has observed to other processes
      */
-    public CrashRegistry(Consumer<CrashNews> publisher) {
+    public CrashRegistry(Consumer<List<EndpointCrash>> publisher) {
         this.publisher = publisher;
     }
 
@@ -50,26 +48,29 @@
     /** Records that an endpoint crashed while it ran a request. */
     void recordCrash(Fingerprint fingerprint, EndpointAnnouncement endpoint) {
         EndpointCrash crash = new EndpointCrash(fingerprint, endpoint.id(), endpoint.startedMilliseconds(), 0, false);
-        merge(new CrashNews(List.of(crash))).ifPresent(publisher);
+        mergeAndPublish(List.of(crash));
     }
 
     /** Records that a request was answered in full, so that its earlier crashes had another cause. */
     void recordAnswer(Fingerprint fingerprint) {
-        List<EndpointCrash> cleared = table.clearing(fingerprint, Forwarder.now());
-        if (!cleared.isEmpty()) {
-            merge(new CrashNews(cleared)).ifPresent(publisher);
+        mergeAndPublish(table.clearing(fingerprint, Forwarder.now()));
+    }
+
+    private void mergeAndPublish(List<EndpointCrash> observed) {
+        List<EndpointCrash> changes = merge(observed);
+        if (!changes.isEmpty()) {
+            publisher.accept(changes);
         }
     }
 
     /**
      * Merges crashes that another process has observed.
      *
-     * @param news the crashes
-     * @return those that were new; empty if there are none
+     * @param crashes the crashes
+     * @return those that were new
      */
-    public Optional<CrashNews> merge(CrashNews news) {
-        List<EndpointCrash> changes = news.crashes().stream().filter(this::add).toList();
-        return changes.isEmpty() ? Optional.empty() : Optional.of(new CrashNews(changes));
+    public List<EndpointCrash> merge(List<EndpointCrash> crashes) {
+        return crashes.stream().filter(this::add).toList();
     }
 
     private boolean add(EndpointCrash crash) {
@@ -105,8 +106,8 @@
      *
      * @return the crashes; empty if there are none
      */
-    public Optional<CrashNews> all() {
-        return table.isEmpty() ? Optional.empty() : Optional.of(new CrashNews(table.all(Forwarder.now())));
+    public List<EndpointCrash> all() {
+        return table.all(Forwarder.now());
     }
 
     /**
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/CrashRegistryTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/CrashRegistryTest.java
@@ -10,7 +10,7 @@
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.EndpointAnnouncement.State;
-import io.rosemarybeam.common.wire.StoreMessage.CrashNews;
+import io.rosemarybeam.common.wire.EndpointCrash;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -27,7 +27,7 @@
     private static final int MAXIMUM_MESSAGES = 2 * CRASHES * HOSTS * (HOSTS - 1);
 
     /** A message on its way to a host. */
-    private record Delivery(int host, CrashNews news) {}
+    private record Delivery(int host, List<EndpointCrash> crashes) {}
 
     private final List<Delivery> network = new ArrayList<>();
     private final List<CrashRegistry> hosts = new ArrayList<>();
@@ -36,14 +36,14 @@
     private void createHosts() {
         for (int host = 0; host < HOSTS; host++) {
             int sender = host;
-            hosts.add(new CrashRegistry(news -> sendToOthers(sender, news)));
+            hosts.add(new CrashRegistry(crashes -> sendToOthers(sender, crashes)));
         }
     }
 
-    private void sendToOthers(int sender, CrashNews news) {
+    private void sendToOthers(int sender, List<EndpointCrash> crashes) {
         for (int host = 0; host < HOSTS; host++) {
             if (host != sender) {
-                network.add(new Delivery(host, news));
+                network.add(new Delivery(host, crashes));
                 sent++;
             }
         }
@@ -51,7 +51,10 @@
 
     private void deliverOne(Random random) {
         Delivery delivery = network.remove(random.nextInt(network.size()));
-        hosts.get(delivery.host()).merge(delivery.news()).ifPresent(news -> sendToOthers(delivery.host(), news));
+        List<EndpointCrash> changes = hosts.get(delivery.host()).merge(delivery.crashes());
+        if (!changes.isEmpty()) {
+            sendToOthers(delivery.host(), changes);
+        }
     }
 
     private static EndpointAnnouncement endpoint(int number) {
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -28,7 +28,6 @@
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.EndpointAnnouncement.State;
 import io.rosemarybeam.common.wire.EndpointCrash;
-import io.rosemarybeam.common.wire.StoreMessage.CrashNews;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.Route;
@@ -80,7 +79,7 @@
     private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
     private volatile boolean callerReads = true;
-    private final BlockingQueue<CrashNews> published = new LinkedBlockingQueue<>();
+    private final BlockingQueue<List<EndpointCrash>> published = new LinkedBlockingQueue<>();
     private final CrashRegistry crashes = new CrashRegistry(published::add);
     private final Forwarder forwarder = new Forwarder(
             loop,
@@ -233,7 +232,7 @@
         List<EndpointCrash> three = Stream.of("x", "y", "z")
                 .map(id -> new EndpointCrash(request.fingerprint(), EndpointId.of(id), 1, 0, false))
                 .toList();
-        loop.submit(() -> crashes.merge(new CrashNews(three))).syncUninterruptibly();
+        loop.submit(() -> crashes.merge(three)).syncUninterruptibly();
     }
 
     @Test
@@ -243,9 +242,9 @@
         forward(RouteKind.IDEMPOTENT, 2_000);
 
         assertEquals("failed 502", outcome());
-        CrashNews news = published.poll(5, TimeUnit.SECONDS);
+        List<EndpointCrash> news = published.poll(5, TimeUnit.SECONDS);
         assertNotNull(news, "no crash was published");
-        assertEquals(EndpointId.of("a"), news.crashes().getFirst().endpoint());
+        assertEquals(EndpointId.of("a"), news.getFirst().endpoint());
     }
 
     @Test
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
@@ -41,7 +41,7 @@
     /** Merges an announcement that this host received directly, and sends a change to the edges and other store hosts. */
     void receive(EndpointAnnouncement announcement) {
         if (merge(announcement)) {
-            sendToPeers(new EndpointNews(List.of(announcement)));
+            sendToPeers(EndpointNews.ofAnnouncements(List.of(announcement)));
         }
     }
 
@@ -65,14 +65,14 @@
                 announcement.sequence(),
                 "models",
                 announcement.models());
-        EndpointNews update = new EndpointNews(List.of(announcement));
+        EndpointNews update = EndpointNews.ofAnnouncements(List.of(announcement));
         edges.forEach(edge -> edge.send(update));
         return true;
     }
 
     /** Sends the announcements of endpoints with recent contact to the other store hosts, so that they do not time out there. */
     void sendRecentContacts(long since) {
-        sendToPeers(new EndpointNews(directory.updatedSince(since)));
+        sendToPeers(EndpointNews.ofAnnouncements(directory.updatedSince(since)));
     }
 
     /** Announces endpoints without a heartbeat for the given time, in milliseconds, as silent. */
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -27,12 +27,12 @@
 import io.rosemarybeam.common.wire.ControlTraffic.LogTraffic;
 import io.rosemarybeam.common.wire.Credentials;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
+import io.rosemarybeam.common.wire.EndpointCrash;
 import io.rosemarybeam.common.wire.HandshakeMessage.Role;
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.common.wire.MessageHandler;
 import io.rosemarybeam.common.wire.Secrets;
 import io.rosemarybeam.common.wire.StoreMessage;
-import io.rosemarybeam.common.wire.StoreMessage.CrashNews;
 import io.rosemarybeam.common.wire.StoreMessage.EdgeStatus;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
@@ -335,7 +335,8 @@
                         .toList());
     }
 
-    private void sendCrashes(CrashNews news) {
+    private void sendCrashes(List<EndpointCrash> changes) {
+        EndpointNews news = EndpointNews.ofCrashes(changes);
         edges.keySet().forEach(edge -> edge.send(news));
         links.names().forEach(name -> links.send(name, news));
     }
@@ -427,9 +428,8 @@
         public void onOpen(WireConnection connection) {
             connection.send(status(Forwarder.now()));
             if (connection.remoteRole() == Role.ENTRY || !directory.all().isEmpty()) {
-                connection.send(new EndpointNews(List.copyOf(directory.all())));
+                connection.send(new EndpointNews(List.copyOf(directory.all()), crashes.all()));
             }
-            crashes.all().ifPresent(connection::send);
         }
 
         @Override
@@ -438,8 +438,7 @@
                 case LogTraffic traffic -> driver.receive(LogMessageCodec.decode(traffic.payload()));
                 case EdgeStatus edge -> receiveEdgeStatus(connection, edge);
                 case StoreStatus peer -> members.receive(peer, Forwarder.now());
-                case EndpointNews update -> update.announcements().forEach(registry::merge);
-                case CrashNews news -> crashes.merge(news).ifPresent(StoreProcess.this::sendCrashes);
+                case EndpointNews update -> receiveNews(update);
                 case StoreMessage request -> serve(connection, correlation, request);
                 default ->
                     LOG.log(
@@ -451,6 +450,14 @@
             }
         }
 
+        private void receiveNews(EndpointNews update) {
+            update.announcements().forEach(registry::merge);
+            List<EndpointCrash> changes = crashes.merge(update.crashes());
+            if (!changes.isEmpty()) {
+                sendCrashes(changes);
+            }
+        }
+
         private void receiveEdgeStatus(WireConnection connection, EdgeStatus edge) {
             edges.put(connection, edge);
             state.configuration()
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
@@ -62,7 +62,7 @@
                     new EndpointLoads(),
                     FailureDomain.of("fes"),
                     ForwardMetrics.of(Metrics.ofProcess()),
-                    new CrashRegistry(news -> {})));
+                    new CrashRegistry(crashes -> {})));
 
     @AfterEach
     void close() {
