Soak: let all endpoints of a service be down for six seconds

Items whose text is complete then meet a scorer that no host knows any more, the case that ItemScoringTest found.

--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -38,6 +38,9 @@
     private volatile long sequence;
     private int incarnation;
 
+    /** Monotonic time before which it is not started, in milliseconds. */
+    private long downUntil = Long.MIN_VALUE;
+
     /** What an endpoint does instead of answering its next request. */
     enum Fault {
         /** It answers. */
@@ -58,7 +61,7 @@
 
     /** Starts a new incarnation, under a new id or the former one. */
     synchronized void start(boolean newId) {
-        if (server != null) {
+        if (server != null || SoakReport.now() < downUntil) {
             return;
         }
         incarnation++;
@@ -73,6 +76,12 @@
         return server != null;
     }
 
+    /** Ends like {@link #crash} and cannot be started again for some time. */
+    synchronized void crashFor(long milliseconds) {
+        downUntil = SoakReport.now() + milliseconds;
+        crash();
+    }
+
     /** Ends without finishing any request, as a crash does. */
     synchronized void crash() {
         if (server != null) {
@@ -85,6 +94,10 @@
         nextFault.set(fault);
     }
 
+    String service() {
+        return service;
+    }
+
     String id() {
         return id;
     }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakFaults.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakFaults.java
@@ -16,6 +16,9 @@
  */
 final class SoakFaults {
     private static final int MAXIMUM_GAP_MILLISECONDS = 900;
+    /** Longer than four heartbeat intervals, after which a store host takes an endpoint for silent. */
+    private static final long OUTAGE_MILLISECONDS = 6_000;
+
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
 
     private final SoakDeployment deployment;
@@ -48,7 +51,7 @@
         int edge = random.nextInt(deployment.edges());
         int store = random.nextInt(deployment.stores());
         int pause = 200 + random.nextInt(2_000);
-        switch (random.nextInt(10)) {
+        switch (random.nextInt(11)) {
             case 0 -> affectEdge(edge, "edge stopped", () -> terminate(SoakDeployment.edge(edge)), true);
             case 1 -> affectEdge(edge, "edge killed", () -> kill(SoakDeployment.edge(edge), pause), true);
             case 2 -> affectEdge(edge, "edge frozen", () -> freeze(SoakDeployment.edge(edge), pause), false);
@@ -57,6 +60,7 @@
             case 5 -> affectStore(store, "store frozen", () -> freeze(SoakDeployment.store(store), pause), false);
             case 6 -> changeConfiguration();
             case 7 -> misbehave();
+            case 8 -> loseService();
             default -> crashEndpoints(pause);
         }
     }
@@ -143,6 +147,22 @@
         report.count("faults: endpoints misbehaved");
     }
 
+    /** Crashes all endpoints of one service, mostly for so long that no endpoint of it is known any more. */
+    private void loseService() {
+        String service = random.nextBoolean() ? SoakDeployment.DESK : SoakDeployment.ENGINES;
+        if (!affected.add("service-outage")) {
+            return;
+        }
+        report.count("faults: all endpoints of a service crashed");
+        start(() -> {
+            deployment.endpoints().stream()
+                    .filter(endpoint -> endpoint.service().equals(service))
+                    .forEach(endpoint -> endpoint.crashFor(OUTAGE_MILLISECONDS));
+            SoakTraffic.pause(OUTAGE_MILLISECONDS);
+            affected.remove("service-outage");
+        });
+    }
+
     /** Crashes up to three endpoints in a row, a burst that hits the same items several times. */
     private void crashEndpoints(int pause) {
         List<SoakEndpoint> endpoints = deployment.endpoints();
