Release a quarantined request an hour after its last crash

A caller of the product's own interface whose sound request was quarantined by mistake was refused for as long as it came back within the hour: each refusal counted as a new sighting of the request and renewed the quarantine. Only crashes count now; a request that does crash endpoints is quarantined again after two more of them.

Before: RequestPolicyTest.shouldReleaseAQuarantinedRequestAnHourAfterItsLastCrash- AlthoughItIsSentAgain got REQUEST_QUARANTINED 61 minutes after the last crash, having been refused every ten minutes. After: it runs.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/request/CrashSystem.java
@@ -45,7 +45,10 @@
      */
     private static final long AGREEMENT_TIMEOUT_MILLISECONDS = 500;
 
-    /** How long a candidate that is not seen again is retained. */
+    /**
+     * How long a candidate is retained after its last crash. Refusals do not extend it, so that a request which was
+     * quarantined by mistake is released although its caller returns.
+     */
     private static final long CANDIDATE_RETENTION_MILLISECONDS = 3_600_000;
 
     /** Bounds the memory; the least recently used candidate is evicted first. */
@@ -91,11 +94,7 @@
             return true;
         }
         QuarantineCandidate candidate = findCandidate(new Key(service, fingerprint));
-        if (candidate == null || !candidate.quarantined) {
-            return false;
-        }
-        candidate.lastSeen = tables.now;
-        return true;
+        return candidate != null && candidate.quarantined;
     }
 
     /**
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestPolicyTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/request/RequestPolicyTest.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.decision.request;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -445,6 +446,28 @@
         assertEquals(RunState.NOT_RUN, refused.runState());
     }
 
+    // Guards against a sound request that is refused for as long as its caller returns, because refusals renew the
+    // quarantine.
+    @Test
+    void shouldReleaseAQuarantinedRequestAnHourAfterItsLastCrashAlthoughItIsSentAgain() {
+        fixture.updateEndpoints(endpoint("e1", MODEL, 8), endpoint("e2", MODEL, 8), endpoint("e3", MODEL, 8));
+        fixture.fail(starts(1, "r").getFirst().attempt(), AttemptFailure.BROKEN);
+        StartAttempt again = single(StartAttempt.class, fixture.advance(500));
+        fixture.fail(again.attempt(), AttemptFailure.BROKEN);
+        fixture.advance(1_000);
+        for (int minute = 10; minute <= 50; minute += 10) {
+            fixture.now += Duration.ofMinutes(10).toMillis();
+            single(RefuseRequest.class, fixture.arrive(resend("m" + minute)));
+        }
+        fixture.now += Duration.ofMinutes(11).toMillis();
+
+        start(resend("later"));
+    }
+
+    private RequestBuilder resend(String id) {
+        return new RequestBuilder(id).fingerprint("fingerprint-r0").deadline(fixture.now + 30_000);
+    }
+
     // Guards against a step that never finishes because endpoints crashed under one of its samples: the sample is owed.
     @Test
     void shouldRunASampleAgainWhenSeveralEndpointsCrashedUnderIt() {
