Log the rate limit that an endpoint names

The logs could not tell whether a host had seen a limit, so the hypotheses could not be told apart: the rate at an endpoint could not be compared with anything. Each host now decodes Server-Limit and logs RATE_LIMIT_CHANGED (722) with the former limit when an answer shows another one. Requests are placed as before.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -103,6 +103,8 @@
     ENDPOINT_CHANGED(720, Severity.INFORMATION, "An endpoint announced a change."),
     /** A heartbeat cannot be read or does not describe a usable endpoint. */
     HEARTBEAT_REFUSED(721, Severity.WARNING, "A heartbeat cannot be read or names no usable endpoint."),
+    /** The rate limit of an endpoint changed. */
+    RATE_LIMIT_CHANGED(722, Severity.WARNING, "The rate limit of an endpoint changed, as one of its answers shows."),
     /** A batch submission was accepted and stored. */
     SUBMISSION_ACCEPTED(740, Severity.INFORMATION, "A batch submission is kept from now on."),
     /** A batch submission was ended by its trainer. */
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -33,6 +33,7 @@
 import io.rosemarybeam.forward.CrashRegistry;
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.forward.RateLimits;
 import io.rosemarybeam.platform.ConfigurationFormat;
 import io.rosemarybeam.platform.EndpointClient;
 import io.rosemarybeam.platform.PlatformPaths;
@@ -80,6 +81,7 @@
     private final EndpointClient client = EndpointClient.of(loop);
     private final StoreSessions stores;
     private final CrashRegistry crashes;
+    private final RateLimits limits = new RateLimits();
     private final EdgeRequests requests;
     private final List<CallerServer> servers = new ArrayList<>();
     private AdminServer admin;
@@ -103,7 +105,7 @@
                 this::onStoreMessage);
         this.crashes = new CrashRegistry(observed -> stores.broadcast(EndpointNews.ofCrashes(observed)));
         Forwarder forwarder = new Forwarder(
-                loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics), crashes);
+                loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics), crashes, limits);
         this.requests = new EdgeRequests(forwarder, new BatchRequests(new StoreRequests(loop, stores)));
         registerMetrics();
     }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -333,6 +333,7 @@
         @Override
         public void onHead(EndpointAnswer answer) {
             head = answer;
+            forwarder.limits().observe(endpoint.id(), answer);
             answer.requestCount()
                     .ifPresent(count -> forwarder.loads().recordReport(endpoint.id(), count, Forwarder.now()));
             boolean streams = request.route().kind() == RouteKind.STREAMING && answer.isSuccess();
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
@@ -22,6 +22,7 @@
     private final HedgeBudget hedgeBudget = new HedgeBudget();
     private final CrashMonitor crashMonitor;
     private final CrashRegistry crashes;
+    private final RateLimits limits;
 
     /**
      * Creates a forwarder.
@@ -33,6 +34,7 @@
      * @param ownDomain failure domain of this process, preferred in the selection of endpoints
      * @param metrics counts requests and attempts
      * @param crashes the known crashes of endpoints; updated by each attempt
+     * @param limits the rate limits of endpoints; updated by each answer
      */
     public Forwarder(
             EventLoop loop,
@@ -41,7 +43,8 @@
             EndpointLoads loads,
             FailureDomain ownDomain,
             ForwardMetrics metrics,
-            CrashRegistry crashes) {
+            CrashRegistry crashes,
+            RateLimits limits) {
         this.loop = loop;
         this.client = client;
         this.directory = directory;
@@ -50,6 +53,7 @@
         this.metrics = metrics;
         this.crashMonitor = new CrashMonitor(client, metrics, crashes);
         this.crashes = crashes;
+        this.limits = limits;
     }
 
     /**
@@ -103,6 +107,10 @@
         return crashes;
     }
 
+    RateLimits limits() {
+        return limits;
+    }
+
     CrashMonitor crashMonitor() {
         return crashMonitor;
     }
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -88,7 +88,8 @@
             new EndpointLoads(),
             OWN_DOMAIN,
             ForwardMetrics.of(Metrics.ofProcess()),
-            crashes);
+            crashes,
+            new RateLimits());
 
     @AfterEach
     void close() throws IOException {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -27,6 +27,8 @@
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.RoutingTable;
 import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.forward.RateLimits;
+import io.rosemarybeam.platform.EndpointAnswer;
 import io.rosemarybeam.platform.EndpointClient;
 import io.rosemarybeam.platform.PlatformHeaders;
 
@@ -67,6 +69,7 @@
     private final StoreState state;
     private final GenerationFleet fleet;
     private final EndpointLoads loads;
+    private final RateLimits limits;
     private final EndpointClient client;
     private final ItemScoring scoring;
     private final LeaderContext leader;
@@ -98,12 +101,14 @@
             StoreState state,
             GenerationFleet fleet,
             EndpointLoads loads,
+            RateLimits limits,
             EndpointClient client,
             ItemScoring scoring,
             LeaderContext leader) {
         this.state = state;
         this.fleet = fleet;
         this.loads = loads;
+        this.limits = limits;
         this.client = client;
         this.scoring = scoring;
         this.leader = leader;
@@ -462,6 +467,11 @@
         }
     }
 
+    @Override
+    public void answered(ItemTask.Run run, EndpointAnswer answer) {
+        limits.observe(run.endpoint, answer);
+    }
+
     @Override
     public boolean acceptVersion(ItemTask task, ItemTask.Run run, long version) {
         fleet.recordVersion(run.endpoint, task.model, version);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
@@ -24,8 +24,11 @@
     private boolean finished;
     private long bytesSinceEvent;
 
-    /** Is notified of the progress and the outcome of a run; at most one of the first two methods is called, once. */
+    /** Is notified of the progress and the outcome of a run; at most one of completed and ended is called, once. */
     interface Owner {
+        /** Called with status and headers of the endpoint's answer, before any other method. */
+        void answered(ItemTask.Run run, EndpointAnswer answer);
+
         /** Called when the text is complete. */
         void completed(ItemTask task, ItemTask.Run run);
 
@@ -65,6 +68,7 @@
     @Override
     public void onHead(EndpointAnswer answer) {
         head = answer;
+        owner.answered(run, answer);
         if (answer.isSuccess()) {
             answer.weightVersion().ifPresent(this::useVersion);
         }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -63,6 +63,7 @@
 import io.rosemarybeam.forward.CrashRegistry;
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.forward.RateLimits;
 import io.rosemarybeam.platform.ConfigurationFormat;
 import io.rosemarybeam.platform.EndpointClient;
 
@@ -116,6 +117,7 @@
     private final EndpointClient client = EndpointClient.of(loop);
     private final GenerationFleet fleet = new GenerationFleet(directory, loads);
     private final CrashRegistry crashes;
+    private final RateLimits limits = new RateLimits();
     private final Forwarder forwarder;
     private final LogStorage storage;
     private final MemberId self;
@@ -144,7 +146,7 @@
         this.secrets = new Secrets(settings.stores().clusterSecret(), Optional.empty());
         this.crashes = new CrashRegistry(this::sendCrashes);
         this.forwarder = new Forwarder(
-                loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics), crashes);
+                loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics), crashes, limits);
         this.storage = LogStorage.open(files);
         boolean isBootstrapMember = settings.firstStart() && seeds.contains(settings.host());
         long incarnation = isBootstrapMember ? FIRST_INCARNATION : new SecureRandom().nextLong();
@@ -514,7 +516,8 @@
                     members,
                     orders,
                     settings.resultRetention(),
-                    context -> new BatchRunner(state, fleet, loads, client, new ItemScoring(loop, forwarder), context));
+                    context -> new BatchRunner(
+                            state, fleet, loads, limits, client, new ItemScoring(loop, forwarder), context));
             leader = Optional.of(next);
             LOG.log(Event.LEADER_ELECTED, "name", settings.name(), "term", term, "applied", driver.applied());
             StoreStatus status = status(Forwarder.now());
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
@@ -26,6 +26,7 @@
 import io.rosemarybeam.forward.CrashRegistry;
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.forward.RateLimits;
 import io.rosemarybeam.platform.EndpointClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -62,7 +63,8 @@
                     new EndpointLoads(),
                     FailureDomain.of("fes"),
                     ForwardMetrics.of(Metrics.ofProcess()),
-                    new CrashRegistry(crashes -> {})));
+                    new CrashRegistry(crashes -> {}),
+                    new RateLimits()));
 
     @AfterEach
     void close() {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
@@ -103,6 +103,11 @@
 
     /** Records the notifications of the stream. */
     private final class RecordingOwner implements ItemStream.Owner {
+        @Override
+        public void answered(ItemTask.Run run, EndpointAnswer answer) {
+            // The tests look at what becomes of the text.
+        }
+
         @Override
         public void completed(ItemTask completed, ItemTask.Run run) {
             notifications.add("completed");
