Keep to the rate limit of an endpoint with all hosts together

Callers saw nothing of it; endpoints in need did: an endpoint with a limit of 1.7 a second got 23 requests in 4 s.

Cause: no host read the limit, and nothing in the system could have kept it. Endpoints are chosen by latency and load, and a limited endpoint is as fast as before. The class of fault is a limit on a sum that nobody adds up.

Ruled out: that hosts keep the limit each for itself (the store leader alone sent 393 of 687 requests to endpoints that take 6.1 a second together); that hedges and retries alone are to blame.

Now a host that reads another limit passes it on through the store hosts, and each request to a limited endpoint needs a permit of the store leader: requests of callers, hedges, retries, score requests and items. Orders and reports are not delayed, but delay what follows. A request waits for a permit only if it will get one in time; otherwise another endpoint takes it or it is refused at once with a Retry-After. Without a leader nothing is sent to limited endpoints.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -105,6 +105,10 @@
     HEARTBEAT_REFUSED(721, Severity.WARNING, "A heartbeat cannot be read or names no usable endpoint."),
     /** The rate limit of an endpoint changed. */
     RATE_LIMIT_CHANGED(722, Severity.WARNING, "The rate limit of an endpoint changed, as one of its answers shows."),
+    /** A permit for a request to a rate-limited endpoint was denied by the store leader. */
+    PERMIT_DENIED(723, Severity.WARNING, "The endpoints of a request have no room within the time that it can wait."),
+    /** No store leader answered a request for a permit. */
+    PERMIT_UNAVAILABLE(724, Severity.WARNING, "A permit was not granted, because no leader answered in time."),
     /** A batch submission was accepted and stored. */
     SUBMISSION_ACCEPTED(740, Severity.INFORMATION, "A batch submission is kept from now on."),
     /** A batch submission was ended by its trainer. */
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/MessageType.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/MessageType.java
@@ -126,7 +126,11 @@
     /** {@link StoreMessage.ReadRetirement}. */
     READ_RETIREMENT(162, StoreMessage.ReadRetirement.class),
     /** {@link StoreMessage.StoreReply}. */
-    STORE_REPLY(163, StoreMessage.StoreReply.class);
+    STORE_REPLY(163, StoreMessage.StoreReply.class),
+    /** {@link StoreMessage.AcquirePermit}. */
+    ACQUIRE_PERMIT(164, StoreMessage.AcquirePermit.class),
+    /** {@link StoreMessage.PermitReply}. */
+    PERMIT_REPLY(165, StoreMessage.PermitReply.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<? extends Message>, MessageType> BY_CLASS = new HashMap<>();
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.id.ModelName;
 import io.rosemarybeam.common.id.SubmissionId;
@@ -41,6 +42,7 @@
      * @param leading whether it is the leader of that term and has applied all earlier entries
      * @param stores addresses of all store hosts that it knows
      * @param edges the edges that are connected to it and not draining
+     * @param grantsPermits whether it answers {@link AcquirePermit} as a leader; false if an older sender omits it
      */
     record StoreStatus(
             String host,
@@ -49,7 +51,8 @@
             long term,
             boolean leading,
             List<String> stores,
-            List<EdgeAddress> edges)
+            List<EdgeAddress> edges,
+            boolean grantsPermits)
             implements StoreMessage {
         public StoreStatus {
             stores = List.copyOf(stores);
@@ -70,20 +73,28 @@
      *
      * @param announcements the newest announcement of each updated endpoint
      * @param crashes crashes of endpoints, by the requests that they ran; empty if an older sender omits them
+     * @param rateLimits rate limits that endpoints name; empty if an older sender omits them
      */
-    record EndpointNews(List<EndpointAnnouncement> announcements, List<EndpointCrash> crashes) implements StoreMessage {
+    record EndpointNews(
+            List<EndpointAnnouncement> announcements, List<EndpointCrash> crashes, List<EndpointRateLimit> rateLimits)
+            implements StoreMessage {
         /** Copies the lists. */
         public EndpointNews {
             announcements = List.copyOf(announcements);
             crashes = crashes == null ? List.of() : List.copyOf(crashes);
+            rateLimits = rateLimits == null ? List.of() : List.copyOf(rateLimits);
         }
 
         public static EndpointNews ofAnnouncements(Collection<EndpointAnnouncement> announcements) {
-            return new EndpointNews(List.copyOf(announcements), List.of());
+            return new EndpointNews(List.copyOf(announcements), List.of(), List.of());
         }
 
         public static EndpointNews ofCrashes(Collection<EndpointCrash> crashes) {
-            return new EndpointNews(List.of(), List.copyOf(crashes));
+            return new EndpointNews(List.of(), List.copyOf(crashes), List.of());
+        }
+
+        public static EndpointNews ofRateLimits(Collection<EndpointRateLimit> rateLimits) {
+            return new EndpointNews(List.of(), List.of(), List.copyOf(rateLimits));
         }
     }
 
@@ -151,6 +162,31 @@
      */
     record ReadRetirement(String host) implements StoreMessage {}
 
+    /**
+     * Asks the leader for a permit to send a request to an endpoint with a rate limit. Answered with {@link PermitReply}.
+     *
+     * @param request id of the request, for the log
+     * @param candidates the endpoints that may run it, the preferred one first
+     * @param priority priority of its route; 0 is the most urgent
+     * @param maximumWaitMilliseconds how long the request can wait
+     */
+    record AcquirePermit(String request, List<EndpointId> candidates, int priority, long maximumWaitMilliseconds)
+            implements StoreMessage {
+        public AcquirePermit {
+            candidates = List.copyOf(candidates);
+        }
+    }
+
+    /**
+     * Answers {@link AcquirePermit}.
+     *
+     * @param endpoint the endpoint to which the request may be sent now; empty if it was denied
+     * @param waitMilliseconds the time that a denied request would have to wait; 0 if it was granted
+     * @param retryMilliseconds when a new request has a chance; 0 if it was granted
+     */
+    record PermitReply(Optional<EndpointId> endpoint, long waitMilliseconds, long retryMilliseconds)
+            implements StoreMessage {}
+
     /** The outcome of a store request. */
     enum Outcome {
         /** It was executed by this request or an earlier one. */
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/GenerationEndpoint.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/GenerationEndpoint.java
@@ -16,6 +16,7 @@
  * @param loadingModels models whose next version is being loaded; no item of these models is started meanwhile. An endpoint
  *     accepts one load order at a time
  * @param avoided whether a recent request to it failed, so that it gets no new ones for now
+ * @param withinRateLimit whether its rate limit, if it has one, allows a request now
  * @param eventIntervalMilliseconds moving average of the time between two events of a stream; 0 if not measured yet
  */
 public record GenerationEndpoint(
@@ -25,6 +26,7 @@
         Map<ModelName, Long> versions,
         Set<ModelName> loadingModels,
         boolean avoided,
+        boolean withinRateLimit,
         double eventIntervalMilliseconds) {
     public GenerationEndpoint {
         versions = Map.copyOf(versions);
@@ -46,10 +48,11 @@
      *
      * @param model the model
      * @param oldestVersion oldest weight version that may generate the item
-     * @return true if a slot is free, the endpoint is not avoided, and the model is loaded in a sufficient version
+     * @return true if a slot is free, the endpoint is not avoided, its rate limit has room, and the model is loaded in a
+     *     sufficient version
      */
     public boolean canStart(ModelName model, long oldestVersion) {
         boolean isFresh = version(model) >= oldestVersion && !loadingModels.contains(model);
-        return isFresh && !avoided && running < capacity;
+        return isFresh && !avoided && withinRateLimit && running < capacity;
     }
 }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemPlacementTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemPlacementTest.java
@@ -22,7 +22,7 @@
 
     private static GenerationEndpoint endpoint(String id, int running, long version, double eventInterval) {
         return new GenerationEndpoint(
-                EndpointId.of(id), 8, running, Map.of(MODEL, version), Set.of(), false, eventInterval);
+                EndpointId.of(id), 8, running, Map.of(MODEL, version), Set.of(), false, true, eventInterval);
     }
 
     private static Requirements requirements(long oldestVersion, long exactVersion) {
@@ -39,7 +39,7 @@
     @Test
     void shouldWaitWhenEndpointLoadsTheModel() {
         GenerationEndpoint loading =
-                new GenerationEndpoint(EndpointId.of("a"), 8, 0, Map.of(MODEL, 5L), Set.of(MODEL), false, 0);
+                new GenerationEndpoint(EndpointId.of("a"), 8, 0, Map.of(MODEL, 5L), Set.of(MODEL), false, true, 0);
 
         assertTrue(ItemPlacement.choose(requirements(4, -1), List.of(loading)).isEmpty());
     }
@@ -59,7 +59,7 @@
     @Test
     void shouldContinueOnlyWhenAResponsiveEndpointHasTheVersionOfTheText() {
         GenerationEndpoint crashed =
-                new GenerationEndpoint(EndpointId.of("crashed"), 8, 0, Map.of(MODEL, 5L), Set.of(), true, 0);
+                new GenerationEndpoint(EndpointId.of("crashed"), 8, 0, Map.of(MODEL, 5L), Set.of(), true, true, 0);
         GenerationEndpoint newer = endpoint("newer", 0, 6, 0);
         GenerationEndpoint full = endpoint("full", 8, 5, 0);
 
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -81,7 +81,7 @@
     private final EndpointClient client = EndpointClient.of(loop);
     private final StoreSessions stores;
     private final CrashRegistry crashes;
-    private final RateLimits limits = new RateLimits();
+    private final RateLimits rateLimits;
     private final EdgeRequests requests;
     private final List<CallerServer> servers = new ArrayList<>();
     private AdminServer admin;
@@ -104,8 +104,17 @@
                 this::messagesOnConnect,
                 this::onStoreMessage);
         this.crashes = new CrashRegistry(observed -> stores.broadcast(EndpointNews.ofCrashes(observed)));
+        this.rateLimits = new RateLimits(
+                observed -> stores.broadcast(EndpointNews.ofRateLimits(observed)), new LeaderPermits(loop, stores));
         Forwarder forwarder = new Forwarder(
-                loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics), crashes, limits);
+                loop,
+                client,
+                directory,
+                loads,
+                settings.failureDomain(),
+                ForwardMetrics.of(metrics),
+                crashes,
+                rateLimits);
         this.requests = new EdgeRequests(forwarder, new BatchRequests(new StoreRequests(loop, stores)));
         registerMetrics();
     }
@@ -115,6 +124,8 @@
         ForwardMetrics.registerComputedMetrics(metrics, directory, client, this::configurationVersion);
         metrics.computedGauge(
                 "quarantined_requests", "Requests that must not run, by fingerprint.", crashes::quarantined);
+        metrics.computedGauge(
+                "rate_limited_endpoints", "Endpoints that name a rate limit.", rateLimits::limitedEndpoints);
         metrics.computedGauge("open_requests", "Requests without a final answer.", this::openRequests);
     }
 
@@ -153,6 +164,7 @@
             long now = Forwarder.now();
             directory.evictExpired(now);
             loads.retain(id -> directory.find(id).isPresent());
+            rateLimits.retain(id -> directory.find(id).isPresent());
         } catch (RuntimeException failure) {
             LOG.log(Event.HANDLER_FAILED, failure, "message", "tick");
         }
@@ -177,11 +189,12 @@
         } else if (message instanceof EndpointNews update) {
             update.announcements().forEach(this::merge);
             crashes.merge(update.crashes());
+            rateLimits.merge(update.rateLimits());
         }
     }
 
     private List<Message> messagesOnConnect() {
-        return List.of(status(), EndpointNews.ofCrashes(crashes.all()));
+        return List.of(status(), new EndpointNews(List.of(), crashes.all(), rateLimits.all()));
     }
 
     private void useConfiguration(PushConfiguration push) {
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
@@ -131,6 +131,12 @@
         return found.map(session -> session.connection);
     }
 
+    /** Returns the connection to the leader if it grants permits, which earlier releases do not. */
+    Optional<WireConnection> permitGranter() {
+        return leader().filter(connection -> sessions.values().stream()
+                .anyMatch(session -> session.connection == connection && session.status.grantsPermits()));
+    }
+
     /** Returns the edges that any host lists in its recent status. */
     Collection<EdgeAddress> edges() {
         Set<EdgeAddress> edges = new HashSet<>();
--- /dev/null
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/LimitedEndpoint.java
@@ -0,0 +1,76 @@
+package io.rosemarybeam.edge;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+
+/** An endpoint that names a rate limit while it is told to, and records when requests arrive. Safe for use by several threads. */
+final class LimitedEndpoint implements AutoCloseable {
+    private final HttpServer server;
+    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+    private volatile String limit = "";
+
+    /** Monotonic times of the requests, in milliseconds. */
+    final List<Long> requests = new CopyOnWriteArrayList<>();
+
+    LimitedEndpoint() {
+        try {
+            server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        server.setExecutor(threads);
+        server.createContext("/", this::serve);
+        server.start();
+    }
+
+    /** Sets the limit that answers name; empty for none. */
+    void nameLimit(String requestsPerSecond) {
+        limit = requestsPerSecond;
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    /** Returns the largest number of requests that arrived in a window of the given length after a time. */
+    long mostRequestsWithin(long milliseconds, long since) {
+        List<Long> arrivals =
+                requests.stream().filter(arrival -> arrival >= since).toList();
+        return arrivals.stream()
+                .mapToLong(start -> arrivals.stream()
+                        .filter(arrival -> arrival >= start && arrival < start + milliseconds)
+                        .count())
+                .max()
+                .orElse(0);
+    }
+
+    private void serve(HttpExchange exchange) throws IOException {
+        requests.add(System.nanoTime() / 1_000_000);
+        exchange.getRequestBody().readAllBytes();
+        exchange.getResponseHeaders()
+                .set("Rosemarybeam-Request-Id", exchange.getRequestHeaders().getFirst("Rosemarybeam-Request-Id"));
+        exchange.getResponseHeaders().set("Rosemarybeam-Server-Stamp", "d");
+        if (!limit.isEmpty()) {
+            exchange.getResponseHeaders().set("Server-Limit", limit);
+        }
+        byte[] body = {'o', 'k'};
+        exchange.sendResponseHeaders(200, body.length);
+        exchange.getResponseBody().write(body);
+        exchange.close();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+}
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -17,6 +17,8 @@
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.decision.routing.EndpointSelection;
+import io.rosemarybeam.decision.routing.PermitDecision;
+import io.rosemarybeam.decision.routing.PermitRequest;
 import io.rosemarybeam.decision.routing.RouteKind;
 import io.rosemarybeam.platform.EndpointAnswer;
 import io.rosemarybeam.platform.EndpointClient;
@@ -57,6 +59,14 @@
     /** Fraction of the route's target latency that callers are asked to wait before they retry a refused request. */
     private static final double RETRY_TARGET_FRACTION = 0.5;
 
+    /**
+     * Fraction of the route's target latency that a request waits for a permit at most; the rest is left for the answer.
+     */
+    private static final double PERMIT_WAIT_TARGET_FRACTION = 0.5;
+
+    /** Minimum time that callers are asked to wait if no permit was granted, in milliseconds. */
+    private static final long MINIMUM_RETRY_MILLISECONDS = 50;
+
     private final Forwarder forwarder;
     private final ForwardRequest request;
     private final AnswerSink sink;
@@ -83,11 +93,26 @@
 
     private boolean answeredInFull;
 
+    /** Whether a permit was requested and not decided yet. */
+    private boolean awaitsPermit;
+
+    /** Whether the last permit was denied and no endpoint without a rate limit was left. */
+    private boolean deniedByLimit;
+
+    /** Total time spent waiting for permits, in milliseconds. */
+    private long permitWait;
+
+    /** Time until a permit is expected, by the last denial, in milliseconds. */
+    private long permitRetryDelay;
+
     /** Whether a failed attempt may have run, so that the request must not be refused any more. */
     private boolean mayHaveRun;
 
     private boolean finished;
 
+    /** Time after which a refused caller was asked to return, in milliseconds; 0 if it was not refused. */
+    private long retryAfter;
+
     ForwardCall(Forwarder forwarder, ForwardRequest request, AnswerSink sink) {
         this.forwarder = forwarder;
         this.request = request;
@@ -121,20 +146,140 @@
     }
 
     private void tryNextEndpoint() {
-        if (finished) {
+        if (finished || awaitsPermit) {
             return;
         }
         boolean isExhausted = sends >= request.route().maximumAttempts()
                 || refusals >= MAXIMUM_REFUSALS_BY_ENDPOINTS
                 || remainingQuarantine() > 0;
-        Optional<EndpointAnnouncement> chosen = isExhausted ? Optional.empty() : selectEndpoint();
-        if (chosen.isPresent()) {
+        List<EndpointAnnouncement> candidates = isExhausted ? List.of() : candidates();
+        Optional<EndpointAnnouncement> chosen = choose(candidates);
+        if (chosen.isEmpty()) {
+            finishIfNoneRuns();
+        } else if (isLimited(chosen.get())) {
+            acquirePermit(candidates);
+        } else {
             new EndpointAttempt(chosen.get()).send();
-        } else if (running.isEmpty()) {
+        }
+    }
+
+    private void finishIfNoneRuns() {
+        if (running.isEmpty()) {
             finishWithoutAnswer();
         }
     }
 
+    /**
+     * Returns the endpoints to choose from. Those whose rate limit is used up are left out while there are others. If some
+     * endpoints are limited, a request that was promised to run waits for a free slot at the others, so that it does not fill
+     * the queues that more urgent requests then depend on.
+     */
+    private List<EndpointAnnouncement> candidates() {
+        long now = Forwarder.now();
+        List<EndpointAnnouncement> ready = forwarder.directory().ready(request.service()).stream()
+                .filter(endpoint -> !unavailable.contains(endpoint.id()))
+                .toList();
+        if (ready.stream().noneMatch(this::isLimited)) {
+            return ready;
+        }
+        List<EndpointAnnouncement> unlimited = ready.stream()
+                .filter(endpoint -> !isLimited(endpoint))
+                .filter(endpoint -> !request.mustRun() || hasFreeSlot(endpoint))
+                .toList();
+        return ready.stream()
+                .filter(endpoint -> isLimited(endpoint)
+                        ? unlimited.isEmpty() || !forwarder.limits().isExhausted(endpoint.id(), now)
+                        : unlimited.contains(endpoint))
+                .toList();
+    }
+
+    private boolean isLimited(EndpointAnnouncement endpoint) {
+        return forwarder.limits().isLimited(endpoint.id());
+    }
+
+    private Optional<EndpointAnnouncement> choose(List<EndpointAnnouncement> candidates) {
+        EndpointSelection.RequestState state =
+                new EndpointSelection.RequestState(tried, forwarder.crashMonitor()::runsSuspect);
+        return EndpointSelection.choose(candidates, state, forwarder.loads(), forwarder.ownDomain(), Forwarder.now());
+    }
+
+    /**
+     * Requests a permit for the endpoints with a rate limit. The request waits for it only if no other endpoint has a free
+     * slot, and not beside an attempt in progress.
+     */
+    private void acquirePermit(List<EndpointAnnouncement> candidates) {
+        List<EndpointAnnouncement> limited =
+                candidates.stream().filter(this::isLimited).toList();
+        List<EndpointAnnouncement> unlimited = candidates.stream()
+                .filter(endpoint -> !limited.contains(endpoint))
+                .toList();
+        boolean mayWait = running.isEmpty() && unlimited.stream().noneMatch(this::hasFreeSlot);
+        PermitRequest wanted = new PermitRequest(
+                request.id(), inOrderOfPreference(limited), request.route().priority(), mayWait ? maximumWait() : 0);
+        long askedAt = Forwarder.now();
+        awaitsPermit = true;
+        forwarder.limits().acquire(wanted, decision -> {
+            awaitsPermit = false;
+            permitWait += Forwarder.now() - askedAt;
+            if (!finished) {
+                onPermitDecision(decision, limited, unlimited);
+            }
+        });
+    }
+
+    private boolean hasFreeSlot(EndpointAnnouncement endpoint) {
+        return forwarder.loads().estimatedRequests(endpoint.id(), Forwarder.now()) < endpoint.capacity();
+    }
+
+    private List<EndpointId> inOrderOfPreference(List<EndpointAnnouncement> endpoints) {
+        List<EndpointAnnouncement> remaining = new ArrayList<>(endpoints);
+        List<EndpointId> ordered = new ArrayList<>();
+        while (!remaining.isEmpty()) {
+            EndpointAnnouncement next = choose(remaining).orElseThrow();
+            remaining.remove(next);
+            ordered.add(next.id());
+        }
+        return ordered;
+    }
+
+    /** Returns how long the request can wait for a permit and still be answered in time, in milliseconds. */
+    private long maximumWait() {
+        long remaining = request.deadline() - Forwarder.now();
+        if (request.mustRun()) {
+            return Math.max(0, remaining / 2);
+        }
+        double elapsed = Forwarder.now() - startedAt;
+        double target =
+                PERMIT_WAIT_TARGET_FRACTION * request.route().latencyTarget().toMillis();
+        return (long) Math.max(0, Math.min(target - elapsed, remaining));
+    }
+
+    private void onPermitDecision(
+            PermitDecision decision, List<EndpointAnnouncement> limited, List<EndpointAnnouncement> unlimited) {
+        switch (decision) {
+            case PermitDecision.Granted granted -> {
+                Optional<EndpointAnnouncement> endpoint = limited.stream()
+                        .filter(candidate -> candidate.id().equals(granted.endpoint()))
+                        .findFirst();
+                if (endpoint.isPresent()) {
+                    new EndpointAttempt(endpoint.get()).send();
+                } else {
+                    finishIfNoneRuns();
+                }
+            }
+            case PermitDecision.Denied denied -> {
+                permitRetryDelay = denied.retryMilliseconds();
+                Optional<EndpointAnnouncement> other = choose(unlimited);
+                if (other.isPresent()) {
+                    new EndpointAttempt(other.get()).send();
+                } else {
+                    deniedByLimit = true;
+                    finishIfNoneRuns();
+                }
+            }
+        }
+    }
+
     /** Returns the fingerprint; it is computed only when it is needed, because bodies may be long. */
     private Fingerprint fingerprint() {
         if (fingerprint.isEmpty()) {
@@ -155,15 +300,6 @@
         return hasBroken || isKnown;
     }
 
-    private Optional<EndpointAnnouncement> selectEndpoint() {
-        List<EndpointAnnouncement> ready = forwarder.directory().ready(request.service()).stream()
-                .filter(endpoint -> !unavailable.contains(endpoint.id()))
-                .toList();
-        EndpointSelection.RequestState state =
-                new EndpointSelection.RequestState(tried, forwarder.crashMonitor()::runsSuspect);
-        return EndpointSelection.choose(ready, state, forwarder.loads(), forwarder.ownDomain(), Forwarder.now());
-    }
-
     private void finishWithoutAnswer() {
         if (lastErrorAnswer.isPresent()) {
             BufferedAnswer answer = lastErrorAnswer.get();
@@ -175,6 +311,8 @@
             sink.fail(BAD_GATEWAY);
         } else if (remainingQuarantine() > 0) {
             finishRefused("quarantined", remainingQuarantine());
+        } else if (deniedByLimit) {
+            finishRefused("rate limited", Math.max(permitRetryDelay, MINIMUM_RETRY_MILLISECONDS));
         } else {
             finishRefused("no endpoint takes it", usualRetryDelay());
         }
@@ -185,6 +323,7 @@
     }
 
     private void finishRefused(String reason, double retryMilliseconds) {
+        retryAfter = Math.round(retryMilliseconds);
         finish(reason, UNAVAILABLE);
         sink.refuse(retryMilliseconds / 1_000.0);
     }
@@ -236,6 +375,10 @@
                 sends,
                 "refusals",
                 refusals,
+                "permitWait",
+                permitWait,
+                "retryAfter",
+                retryAfter,
                 "endpoints",
                 tried,
                 "fingerprint",
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -30,6 +30,7 @@
 import io.rosemarybeam.common.wire.EndpointCrash;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
+import io.rosemarybeam.decision.routing.PermitDecision;
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.RouteKind;
 import io.rosemarybeam.platform.EndpointClient;
@@ -89,7 +90,7 @@
             OWN_DOMAIN,
             ForwardMetrics.of(Metrics.ofProcess()),
             crashes,
-            new RateLimits());
+            new RateLimits(changes -> {}, (request, onDecision) -> onDecision.accept(new PermitDecision.Denied(0, 0))));
 
     @AfterEach
     void close() throws IOException {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -70,6 +71,7 @@
     private final GenerationFleet fleet;
     private final EndpointLoads loads;
     private final RateLimits limits;
+    private final Consumer<EndpointId> recordSent;
     private final EndpointClient client;
     private final ItemScoring scoring;
     private final LeaderContext leader;
@@ -102,6 +104,7 @@
             GenerationFleet fleet,
             EndpointLoads loads,
             RateLimits limits,
+            Consumer<EndpointId> recordSent,
             EndpointClient client,
             ItemScoring scoring,
             LeaderContext leader) {
@@ -109,6 +112,7 @@
         this.fleet = fleet;
         this.loads = loads;
         this.limits = limits;
+        this.recordSent = recordSent;
         this.client = client;
         this.scoring = scoring;
         this.leader = leader;
@@ -342,6 +346,7 @@
             abandon(task, "the item cannot be sent: " + failure.getMessage());
             return;
         }
+        recordSent.accept(id);
         logRunStarted(task, chosen);
         task.stage = ItemTask.Stage.RUNNING;
         task.run = Optional.of(run);
@@ -390,6 +395,8 @@
                 endpoint.version(task.model),
                 "oldest",
                 task.submission.submission().oldestVersion(),
+                "perSecond",
+                limits.find(endpoint.id()).requestsPerSecond(),
                 "after",
                 task.text.lastEvent(),
                 "expected",
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/GenerationFleet.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/GenerationFleet.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.ModelName;
@@ -29,11 +30,20 @@
 
     private final EndpointDirectory directory;
     private final EndpointLoads loads;
+    private final Predicate<EndpointId> hasRoom;
     private final Map<EndpointId, EndpointState> stateById = new HashMap<>();
 
-    GenerationFleet(EndpointDirectory directory, EndpointLoads loads) {
+    /**
+     * Creates an instance.
+     *
+     * @param directory the announced endpoints
+     * @param loads load and health of the endpoints
+     * @param hasRoom whether the rate limit of an endpoint, if it has one, allows a request now
+     */
+    GenerationFleet(EndpointDirectory directory, EndpointLoads loads, Predicate<EndpointId> hasRoom) {
         this.directory = directory;
         this.loads = loads;
+        this.hasRoom = hasRoom;
     }
 
     /** Returns the ready endpoints of a service. */
@@ -54,6 +64,7 @@
                     versions,
                     endpoint.loading.map(Set::of).orElse(Set.of()),
                     loads.isAvoided(announcement.id(), now),
+                    hasRoom.test(announcement.id()),
                     endpoint.eventInterval));
         }
         return endpoints;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -28,14 +28,17 @@
 import io.rosemarybeam.common.wire.Credentials;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.EndpointCrash;
+import io.rosemarybeam.common.wire.EndpointRateLimit;
 import io.rosemarybeam.common.wire.HandshakeMessage.Role;
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.common.wire.MessageHandler;
 import io.rosemarybeam.common.wire.Secrets;
 import io.rosemarybeam.common.wire.StoreMessage;
+import io.rosemarybeam.common.wire.StoreMessage.AcquirePermit;
 import io.rosemarybeam.common.wire.StoreMessage.EdgeStatus;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.StoreMessage.PermitReply;
 import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
 import io.rosemarybeam.common.wire.StoreMessage.StoreStatus;
 import io.rosemarybeam.common.wire.WireConnection;
@@ -58,6 +61,8 @@
 import io.rosemarybeam.decision.routing.CallerLimits;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
+import io.rosemarybeam.decision.routing.PermitDecision;
+import io.rosemarybeam.decision.routing.PermitRequest;
 import io.rosemarybeam.decision.routing.RoutingTable;
 import io.rosemarybeam.forward.CallerServer;
 import io.rosemarybeam.forward.CrashRegistry;
@@ -115,9 +120,10 @@
     private final EndpointDirectory directory = new EndpointDirectory();
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointClient client = EndpointClient.of(loop);
-    private final GenerationFleet fleet = new GenerationFleet(directory, loads);
+    private final PermitGranter permits = new PermitGranter(loop);
+    private final GenerationFleet fleet = new GenerationFleet(directory, loads, permits::isAvailable);
     private final CrashRegistry crashes;
-    private final RateLimits limits = new RateLimits();
+    private final RateLimits rateLimits;
     private final Forwarder forwarder;
     private final LogStorage storage;
     private final MemberId self;
@@ -145,8 +151,16 @@
         this.seeds = settings.stores().hosts();
         this.secrets = new Secrets(settings.stores().clusterSecret(), Optional.empty());
         this.crashes = new CrashRegistry(this::sendCrashes);
+        this.rateLimits = new RateLimits(this::useRateLimits, permits::acquire);
         this.forwarder = new Forwarder(
-                loop, client, directory, loads, settings.failureDomain(), ForwardMetrics.of(metrics), crashes, limits);
+                loop,
+                client,
+                directory,
+                loads,
+                settings.failureDomain(),
+                ForwardMetrics.of(metrics),
+                crashes,
+                rateLimits);
         this.storage = LogStorage.open(files);
         boolean isBootstrapMember = settings.firstStart() && seeds.contains(settings.host());
         long incarnation = isBootstrapMember ? FIRST_INCARNATION : new SecureRandom().nextLong();
@@ -307,6 +321,7 @@
         client.tick();
         directory.evictExpired(now);
         crashes.tick();
+        rateLimits.retain(id -> directory.find(id).isPresent());
         links.maintain(members.peers(seeds, now), now);
         StoreStatus status = status(now);
         links.names().forEach(name -> links.send(name, status));
@@ -334,7 +349,8 @@
                 edges.values().stream()
                         .filter(edge -> !edge.draining())
                         .map(edge -> new StoreMessage.EdgeAddress(edge.callerAddress(), edge.failureDomain()))
-                        .toList());
+                        .toList(),
+                true);
     }
 
     private void sendCrashes(List<EndpointCrash> changes) {
@@ -343,6 +359,13 @@
         links.names().forEach(name -> links.send(name, news));
     }
 
+    private void useRateLimits(List<EndpointRateLimit> changes) {
+        changes.forEach(permits::setLimit);
+        EndpointNews news = EndpointNews.ofRateLimits(changes);
+        edges.keySet().forEach(edge -> edge.send(news));
+        links.names().forEach(name -> links.send(name, news));
+    }
+
     private void askLeader(StoreMessage request, Consumer<StoreReply> reply) {
         if (leader.isPresent()) {
             leader.get().serve(request, reply);
@@ -430,7 +453,7 @@
         public void onOpen(WireConnection connection) {
             connection.send(status(Forwarder.now()));
             if (connection.remoteRole() == Role.ENTRY || !directory.all().isEmpty()) {
-                connection.send(new EndpointNews(List.copyOf(directory.all()), crashes.all()));
+                connection.send(new EndpointNews(List.copyOf(directory.all()), crashes.all(), rateLimits.all()));
             }
         }
 
@@ -441,6 +464,7 @@
                 case EdgeStatus edge -> receiveEdgeStatus(connection, edge);
                 case StoreStatus peer -> members.receive(peer, Forwarder.now());
                 case EndpointNews update -> receiveNews(update);
+                case AcquirePermit wanted -> grant(connection, correlation, wanted);
                 case StoreMessage request -> serve(connection, correlation, request);
                 default ->
                     LOG.log(
@@ -458,6 +482,10 @@
             if (!changes.isEmpty()) {
                 sendCrashes(changes);
             }
+            List<EndpointRateLimit> changedLimits = rateLimits.merge(update.rateLimits());
+            if (!changedLimits.isEmpty()) {
+                useRateLimits(changedLimits);
+            }
         }
 
         private void receiveEdgeStatus(WireConnection connection, EdgeStatus edge) {
@@ -467,6 +495,20 @@
                     .ifPresent(connection::send);
         }
 
+        private void grant(WireConnection connection, long correlation, AcquirePermit wanted) {
+            PermitRequest request = new PermitRequest(
+                    wanted.request(), wanted.candidates(), wanted.priority(), wanted.maximumWaitMilliseconds());
+            permits.acquire(request, decision -> connection.reply(correlation, reply(decision)));
+        }
+
+        private static PermitReply reply(PermitDecision decision) {
+            return switch (decision) {
+                case PermitDecision.Granted granted -> new PermitReply(Optional.of(granted.endpoint()), 0, 0);
+                case PermitDecision.Denied denied ->
+                    new PermitReply(Optional.empty(), denied.waitMilliseconds(), denied.retryMilliseconds());
+            };
+        }
+
         private void serve(WireConnection connection, long correlation, StoreMessage request) {
             if (leader.isPresent()) {
                 leader.get().serve(request, reply -> connection.reply(correlation, reply));
@@ -506,8 +548,13 @@
             LeaderClock clock = new LeaderClock(MonotonicClock.system(), state.lastLeaderTime());
             long firstOrderDelay =
                     settings.endpointsCheckFencing() ? 0 : settings.orderLease().toMillis();
-            VersionOrders orders =
-                    new VersionOrders(fleet, client, settings.name().value(), term, Forwarder.now() + firstOrderDelay);
+            VersionOrders orders = new VersionOrders(
+                    fleet,
+                    client,
+                    permits::recordSent,
+                    settings.name().value(),
+                    term,
+                    Forwarder.now() + firstOrderDelay);
             StoreLeader next = new StoreLeader(
                     driver,
                     state,
@@ -517,8 +564,16 @@
                     orders,
                     settings.resultRetention(),
                     context -> new BatchRunner(
-                            state, fleet, loads, limits, client, new ItemScoring(loop, forwarder), context));
+                            state,
+                            fleet,
+                            loads,
+                            rateLimits,
+                            permits::recordSent,
+                            client,
+                            new ItemScoring(loop, forwarder),
+                            context));
             leader = Optional.of(next);
+            permits.start(rateLimits.all());
             LOG.log(Event.LEADER_ELECTED, "name", settings.name(), "term", term, "applied", driver.applied());
             StoreStatus status = status(Forwarder.now());
             edges.keySet().forEach(edge -> edge.send(status));
@@ -526,6 +581,7 @@
 
         @Override
         public void onLeadershipLost() {
+            permits.stop();
             leader.ifPresent(StoreLeader::stop);
             leader = Optional.empty();
             LOG.log(
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -63,6 +64,7 @@
 
     private final GenerationFleet fleet;
     private final EndpointClient client;
+    private final Consumer<EndpointId> recordSent;
     private final String leaderName;
     private final long term;
     private final long firstOrderAt;
@@ -74,14 +76,22 @@
      *
      * @param fleet the endpoints
      * @param client sends the orders
+     * @param recordSent is told the endpoint of each call, which counts towards its rate limit but is not delayed by it
      * @param leaderName name of this host
      * @param term term of this leader
      * @param firstOrderAt monotonic time, in milliseconds, until which no orders are sent, because endpoints may still
      *     execute those of the former leader
      */
-    VersionOrders(GenerationFleet fleet, EndpointClient client, String leaderName, long term, long firstOrderAt) {
+    VersionOrders(
+            GenerationFleet fleet,
+            EndpointClient client,
+            Consumer<EndpointId> recordSent,
+            String leaderName,
+            long term,
+            long firstOrderAt) {
         this.fleet = fleet;
         this.client = client;
+        this.recordSent = recordSent;
         this.leaderName = leaderName;
         this.term = term;
         this.firstOrderAt = firstOrderAt;
@@ -239,6 +249,7 @@
         Call call = new Call(order, handler);
         order.call = Optional.of(call);
         order.calledAt = now;
+        recordSent.accept(order.load.endpoint());
         call.attempt =
                 client.send(new EndpointClient.Request(order.endpoint.address(), method, path, headers, body), call);
     }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
@@ -21,6 +21,7 @@
 import io.rosemarybeam.decision.routing.CallerLimits;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
+import io.rosemarybeam.decision.routing.PermitDecision;
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.RoutingTable;
 import io.rosemarybeam.forward.CrashRegistry;
@@ -64,7 +65,9 @@
                     FailureDomain.of("fes"),
                     ForwardMetrics.of(Metrics.ofProcess()),
                     new CrashRegistry(crashes -> {}),
-                    new RateLimits()));
+                    new RateLimits(
+                            changes -> {},
+                            (request, onDecision) -> onDecision.accept(new PermitDecision.Denied(0, 0)))));
 
     @AfterEach
     void close() {
