Do not hedge to the endpoint that runs the request

A second attempt is now sent only to an endpoint that has not been tried; a retry after a failure may use the same one as before. The new test failed before with 2 requests instead of 1.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -178,6 +178,7 @@
         long now = Forwarder.now();
         List<EndpointAnnouncement> ready = forwarder.directory().ready(request.service()).stream()
                 .filter(endpoint -> !unavailable.contains(endpoint.id()))
+                .filter(endpoint -> running.isEmpty() || !tried.contains(endpoint.id()))
                 .toList();
         if (ready.stream().noneMatch(this::isLimited)) {
             return ready;
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -327,6 +327,17 @@
     }
 
     /** Records the outcome as text. */
+    /** Load pattern: one endpoint is left and slow; a hedge there would double its load. */
+    @Test
+    void shouldNotHedgeToTheEndpointThatRunsTheRequest() throws Exception {
+        ScriptedEndpoint only = endpoint("a", SILENT);
+
+        forward(RouteKind.IDEMPOTENT, 700);
+
+        assertEquals("failed 504", outcome());
+        assertEquals(1, only.requests.size());
+    }
+
     private final class RecordingSink implements AnswerSink {
         @Override
         public void complete(int status, HttpHeaders headers, byte[] body) {
