Soak: let endpoints name rate limits beside all other faults

Most endpoints of a service name limits of 1 to 4 a second for 8 to 11 s. The headers' names now come from platform/.

--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -1,10 +1,14 @@
 package io.rosemarybeam.testbed;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalDouble;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicReference;
 
 import io.netty.channel.EventLoopGroup;
+import io.rosemarybeam.platform.PlatformHeaders;
 
 /**
  * An endpoint of a soak: a plain service or a model engine that crashes, restarts and misbehaves on demand.
@@ -16,8 +20,6 @@
     static final String POISON = "poison";
 
     static final String ANSWER_PREFIX = "answer to ";
-    static final String DIGEST_HEADER = "Rosemarybeam-Server-Stamp";
-    static final String REQUEST_ID_HEADER = "Rosemarybeam-Request-Id";
     static final int TEXT_EVENTS = 10;
 
     private static final int MINIMUM_WORK_MILLISECONDS = 5;
@@ -36,6 +38,7 @@
     private volatile String id;
     private volatile long started;
     private volatile long sequence;
+    private volatile OptionalDouble limit = OptionalDouble.empty();
     private int incarnation;
 
     /** Monotonic time before which it is not started, in milliseconds. */
@@ -90,6 +93,12 @@
         }
     }
 
+    /** Sets the rate limit that all answers name, also after a restart; empty for none. */
+    void nameLimit(OptionalDouble requestsPerSecond) {
+        limit = requestsPerSecond;
+        report.limitNamed(name, requestsPerSecond);
+    }
+
     void misbehaveOnce(Fault fault) {
         nextFault.set(fault);
     }
@@ -118,6 +127,7 @@
             exchange.respondJson(200, REPORT);
             return;
         }
+        report.requestArrived(name);
         String body = new String(exchange.body(), StandardCharsets.UTF_8);
         if (body.startsWith(POISON)) {
             report.crashed(body);
@@ -125,7 +135,7 @@
             return;
         }
         if (exchange.uri().startsWith(SoakDeployment.ORDER_PATH)) {
-            report.orderRan(exchange.header(REQUEST_ID_HEADER));
+            report.orderRan(exchange.header(PlatformHeaders.REQUEST_ID));
         }
         int work = ThreadLocalRandom.current().nextInt(MINIMUM_WORK_MILLISECONDS, MAXIMUM_WORK_MILLISECONDS);
         Fault fault = nextFault.getAndSet(Fault.NONE);
@@ -143,17 +153,20 @@
 
     private void answer(HttpExchange exchange, String body) {
         boolean isText = service.equals(SoakDeployment.ENGINES);
-        String content = isText ? events(exchange.header("Last-Event-Id"), body) : ANSWER_PREFIX + body;
+        String content = isText ? events(exchange.header(PlatformHeaders.LAST_EVENT_ID), body) : ANSWER_PREFIX + body;
+        List<String> headers = new ArrayList<>(List.of(
+                PlatformHeaders.REQUEST_ID,
+                exchange.header(PlatformHeaders.REQUEST_ID),
+                PlatformHeaders.DIGEST,
+                "d-" + body,
+                PlatformHeaders.WEIGHT_VERSION,
+                "1"));
+        limit.ifPresent(named -> headers.addAll(List.of(PlatformHeaders.RATE_LIMIT, String.valueOf(named))));
         exchange.respond(
                 200,
                 isText ? "text/event-stream" : "text/plain",
                 content.getBytes(StandardCharsets.UTF_8),
-                REQUEST_ID_HEADER,
-                exchange.header(REQUEST_ID_HEADER),
-                DIGEST_HEADER,
-                "d-" + body,
-                "Rosemarybeam-Weight-Versions",
-                "1");
+                headers.toArray(String[]::new));
     }
 
     private static String events(String lastEvent, String body) {
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakFaults.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakFaults.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -19,10 +20,16 @@
     /** Longer than four heartbeat intervals, after which a store host takes an endpoint for silent. */
     private static final long OUTAGE_MILLISECONDS = 6_000;
 
+    /** Longer than the 3 s from which a limit holds and the 4 s in which requests are counted. */
+    private static final int MINIMUM_LIMIT_MILLISECONDS = 8_000;
+
+    private static final int MAXIMUM_LIMIT_EXTENSION_MILLISECONDS = 3_000;
+
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
 
     private final SoakDeployment deployment;
     private final SoakReport report;
+    private final long seed;
     private final Random random;
     private final Set<String> affected = ConcurrentHashMap.newKeySet();
 
@@ -34,12 +41,14 @@
     SoakFaults(SoakDeployment deployment, SoakReport report, long seed) {
         this.deployment = deployment;
         this.report = report;
+        this.seed = seed;
         this.random = new Random(seed);
     }
 
     /** Starts faults for the given time and waits until all of them are over. */
     void run(long milliseconds) {
         long end = SoakReport.now() + milliseconds;
+        start(() -> nameLimits(end));
         while (SoakReport.now() < end) {
             startOne();
             SoakTraffic.pause(random.nextInt(MAXIMUM_GAP_MILLISECONDS));
@@ -138,6 +147,22 @@
         start(() -> deployment.configure(version, timeout));
     }
 
+    /** Lets most endpoints of a service name rate limits, beside all other faults, and withdraw them. */
+    private void nameLimits(long end) {
+        Random limits = new Random(seed * 59);
+        while (SoakReport.now() < end) {
+            String service = limits.nextBoolean() ? SoakDeployment.DESK : SoakDeployment.ENGINES;
+            List<SoakEndpoint> limited = deployment.endpoints().stream()
+                    .filter(endpoint -> endpoint.service().equals(service) && limits.nextInt(4) > 0)
+                    .toList();
+            report.count("faults: endpoints named rate limits");
+            limited.forEach(endpoint -> endpoint.nameLimit(OptionalDouble.of(1 + limits.nextInt(30) / 10.0)));
+            SoakTraffic.pause(MINIMUM_LIMIT_MILLISECONDS + limits.nextInt(MAXIMUM_LIMIT_EXTENSION_MILLISECONDS));
+            limited.forEach(endpoint -> endpoint.nameLimit(OptionalDouble.empty()));
+            SoakTraffic.pause(limits.nextInt(MAXIMUM_LIMIT_EXTENSION_MILLISECONDS));
+        }
+    }
+
     private void misbehave() {
         List<SoakEndpoint> endpoints = deployment.endpoints();
         SoakEndpoint.Fault fault = random.nextBoolean() ? SoakEndpoint.Fault.LOST_ANSWER : SoakEndpoint.Fault.NO_DIGEST;
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakReport.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakReport.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -28,6 +29,7 @@
     private final List<String> violations = new CopyOnWriteArrayList<>();
 
     private final StallMonitor stalls = new StallMonitor();
+    private final SoakLimits limits = new SoakLimits();
 
     StallMonitor stalls() {
         return stalls;
@@ -57,6 +59,15 @@
                 .add(now());
     }
 
+    /** Records that an endpoint names a rate limit from now on; empty for none. */
+    void limitNamed(String endpoint, OptionalDouble limit) {
+        limits.named(endpoint, limit);
+    }
+
+    void requestArrived(String endpoint) {
+        limits.requestArrived(endpoint);
+    }
+
     /** Records that an endpoint ran a non-idempotent request. */
     void orderRan(String id) {
         orderRuns.computeIfAbsent(id, ignored -> new AtomicInteger()).incrementAndGet();
@@ -69,6 +80,7 @@
     /** Checks the promises that need the whole run, and returns everything that was broken. */
     List<String> violations() {
         List<String> all = new ArrayList<>(violations);
+        all.addAll(limits.violations());
         crashTimes.forEach((body, times) -> {
             long late = times.size() <= ALLOWED_CRASHES
                     ? 0
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTraffic.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTraffic.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.rosemarybeam.platform.PlatformHeaders;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
 
@@ -101,14 +102,14 @@
         String path = (isOrder ? SoakDeployment.ORDER_PATH : SoakDeployment.LOOKUP_PATH) + "x";
         return deployment
                 .toEdge(edge, "POST", path)
-                .setHeader(SoakEndpoint.REQUEST_ID_HEADER, id)
-                .setHeader("Rosemarybeam-Deadline-Ms", "1500")
+                .setHeader(PlatformHeaders.REQUEST_ID, id)
+                .setHeader(PlatformHeaders.DEADLINE, "1500")
                 .setBody(body);
     }
 
     private void checkAnswer(String id, Response response) {
         boolean isOwn = response.getResponseBody().equals(SoakEndpoint.ANSWER_PREFIX + "body of " + id)
-                && ("d-body of " + id).equals(response.getHeader(SoakEndpoint.DIGEST_HEADER));
+                && ("d-body of " + id).equals(response.getHeader(PlatformHeaders.DIGEST));
         if (!isOwn) {
             report.violation(id + " got the answer " + response.getResponseBody());
         }
@@ -153,7 +154,7 @@
         String body = "{\"Step\":0,\"Model\":\"model\",\"OldestVersion\":1,\"GroupCount\":1,\"Items\":[" + items + "]}";
         RequestBuilder request = deployment
                 .toEdge(random.nextInt(deployment.edges()), "POST", SoakDeployment.TRAINING_PATH + "x")
-                .setHeader(SoakEndpoint.REQUEST_ID_HEADER, id)
+                .setHeader(PlatformHeaders.REQUEST_ID, id)
                 .setBody(body);
         int status = SoakDeployment.status(deployment.call(request));
         report.count("submissions answered " + status);
