--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -326,7 +326,6 @@
         checkEndless(SUCCESS_HEAD, "begun");
     }
 
-    /** Records the outcome as text. */
     /** Load pattern: one endpoint is left and slow; a hedge there would double its load. */
     @Test
     void shouldNotHedgeToTheEndpointThatRunsTheRequest() throws Exception {
@@ -338,6 +337,7 @@
         assertEquals(1, only.requests.size());
     }
 
+    /** Records the outcome as text. */
     private final class RecordingSink implements AnswerSink {
         @Override
         public void complete(int status, HttpHeaders headers, byte[] body) {
