Log the software version of endpoints

The logs could not tell which software version wrote a part of a text: Version of a heartbeat was not decoded. It now travels in announcements, an appended component that earlier releases ignore, and is logged as software in ENDPOINT_CHANGED and ITEM_RUN_STARTED. Requests are placed as before.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EndpointAnnouncement.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EndpointAnnouncement.java
@@ -23,6 +23,8 @@
  * @param capacity maximum number of concurrent requests
  * @param state whether it takes new requests
  * @param models the loaded models; empty for plain services
+ * @param softwareVersion version of its program, not of its weights; empty if it is not known. What two versions generate does
+ *     not fit together
  */
 public record EndpointAnnouncement(
         EndpointId id,
@@ -33,7 +35,8 @@
         FailureDomain failureDomain,
         int capacity,
         State state,
-        List<LoadedModel> models) {
+        List<LoadedModel> models,
+        String softwareVersion) {
     /** Sequence number of the final announcement of an endpoint; no heartbeat of the same start has a larger one. */
     public static final long LAST_SEQUENCE = Long.MAX_VALUE;
 
@@ -61,6 +64,7 @@
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(state, "state");
         models = models == null ? List.of() : List.copyOf(models);
+        softwareVersion = softwareVersion == null ? "" : softwareVersion;
     }
 
     /**
@@ -96,7 +100,16 @@
      */
     public EndpointAnnouncement asDeparted() {
         return new EndpointAnnouncement(
-                id, startedMilliseconds, LAST_SEQUENCE, service, address, failureDomain, capacity, State.GONE, models);
+                id,
+                startedMilliseconds,
+                LAST_SEQUENCE,
+                service,
+                address,
+                failureDomain,
+                capacity,
+                State.GONE,
+                models,
+                softwareVersion);
     }
 
     /**
@@ -106,11 +119,29 @@
      */
     public EndpointAnnouncement asSilent() {
         return new EndpointAnnouncement(
-                id, startedMilliseconds, sequence, service, address, failureDomain, capacity, State.SILENT, models);
+                id,
+                startedMilliseconds,
+                sequence,
+                service,
+                address,
+                failureDomain,
+                capacity,
+                State.SILENT,
+                models,
+                softwareVersion);
     }
 
     private EndpointAnnouncement withSequence(long newSequence) {
         return new EndpointAnnouncement(
-                id, startedMilliseconds, newSequence, service, address, failureDomain, capacity, state, models);
+                id,
+                startedMilliseconds,
+                newSequence,
+                service,
+                address,
+                failureDomain,
+                capacity,
+                state,
+                models,
+                softwareVersion);
     }
 }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointDirectoryTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointDirectoryTest.java
@@ -24,7 +24,16 @@
     private static EndpointAnnouncement announcement(
             String id, long started, long sequence, ServiceName service, String address, State state) {
         return new EndpointAnnouncement(
-                EndpointId.of(id), started, sequence, service, address, FailureDomain.of("fes"), 6, state, List.of());
+                EndpointId.of(id),
+                started,
+                sequence,
+                service,
+                address,
+                FailureDomain.of("fes"),
+                6,
+                state,
+                List.of(),
+                "v1");
     }
 
     private static EndpointAnnouncement ready(String id, long started, long sequence) {
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointSelectionTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointSelectionTest.java
@@ -25,7 +25,7 @@
 
     private static EndpointAnnouncement endpoint(String id) {
         return new EndpointAnnouncement(
-                EndpointId.of(id), 1, 1, ServiceName.of("desk"), "10.0.0.1:80", HERE, 6, State.READY, List.of());
+                EndpointId.of(id), 1, 1, ServiceName.of("desk"), "10.0.0.1:80", HERE, 6, State.READY, List.of(), "v1");
     }
 
     private String choose(Set<EndpointId> tried, long now) {
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -223,6 +223,8 @@
                     announcement.address(),
                     "state",
                     announcement.state(),
+                    "software",
+                    announcement.softwareVersion(),
                     "sequence",
                     announcement.sequence());
         }
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/CrashRegistryTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/CrashRegistryTest.java
@@ -67,7 +67,8 @@
                 FailureDomain.of("fes"),
                 6,
                 State.READY,
-                List.of());
+                List.of(),
+                "v1");
     }
 
     @Test
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -104,7 +104,7 @@
         ScriptedEndpoint endpoint = new ScriptedEndpoint(answer);
         endpoints.add(endpoint);
         EndpointAnnouncement announcement = new EndpointAnnouncement(
-                EndpointId.of(id), 1, 1, SERVICE, endpoint.address(), OWN_DOMAIN, 6, State.READY, List.of());
+                EndpointId.of(id), 1, 1, SERVICE, endpoint.address(), OWN_DOMAIN, 6, State.READY, List.of(), "v1");
         loop.submit(() -> directory.merge(announcement, 0)).syncUninterruptibly();
         return endpoint;
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -347,7 +347,7 @@
             return;
         }
         recordSent.accept(id);
-        logRunStarted(task, chosen);
+        logRunStarted(task, chosen, endpoint.softwareVersion());
         task.stage = ItemTask.Stage.RUNNING;
         task.run = Optional.of(run);
         loads.recordRequest(id);
@@ -378,7 +378,7 @@
         task.run.ifPresent(run -> loads.recordEnd(run.endpoint));
     }
 
-    private void logRunStarted(ItemTask task, GenerationEndpoint endpoint) {
+    private void logRunStarted(ItemTask task, GenerationEndpoint endpoint, String softwareVersion) {
         LOG.log(
                 Event.ITEM_RUN_STARTED,
                 "submission",
@@ -395,6 +395,8 @@
                 endpoint.version(task.model),
                 "oldest",
                 task.submission.submission().oldestVersion(),
+                "software",
+                softwareVersion,
                 "perSecond",
                 limits.find(endpoint.id()).requestsPerSecond(),
                 "after",
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
@@ -61,6 +61,8 @@
                 announcement.address(),
                 "state",
                 announcement.state(),
+                "software",
+                announcement.softwareVersion(),
                 "sequence",
                 announcement.sequence(),
                 "models",
