Continue the text of an item only at the software version that began it

Callers could get a text whose parts two software versions wrote; such parts do not fit together.

The class of fault is joining parts of different producers by their position alone.

An item continues at its version or waits for it for a second; if no endpoint runs that version any more, it starts again at once (ITEM_RESTARTED).

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -125,7 +125,7 @@
     ITEM_RESTARTED(
             746,
             Severity.INFORMATION,
-            "An item starts again, because no endpoint has the only weight version that may continue its text."),
+            "An item starts again, because no endpoint has the version of weights or software that may continue its text."),
     /** A trainer published a weight version. */
     VERSION_NAMED(750, Severity.INFORMATION, "A trainer named a weight version."),
     /** An endpoint was ordered to load a weight version. */
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/GenerationEndpoint.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/GenerationEndpoint.java
@@ -10,6 +10,7 @@
  * State of an endpoint that generates, as the store leader sees it. Immutable.
  *
  * @param id the endpoint
+ * @param softwareVersion version of its program
  * @param capacity maximum number of concurrent requests
  * @param running requests of this leader that the endpoint is running
  * @param versions loaded weight version of each model
@@ -21,6 +22,7 @@
  */
 public record GenerationEndpoint(
         EndpointId id,
+        String softwareVersion,
         int capacity,
         int running,
         Map<ModelName, Long> versions,
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
@@ -29,10 +29,23 @@
      * @param model the model that generates
      * @param oldestVersion oldest weight version that may generate the item
      * @param exactVersion the only weight version that may continue a partial text; -1 if any sufficiently new one may
+     * @param softwareVersion the only software version that may continue a partial text; empty without a text
      * @param preferred endpoint that has already processed the item's prompt for another item of its group
      */
     public record Requirements(
-            ModelName model, long oldestVersion, long exactVersion, Optional<EndpointId> preferred) {}
+            ModelName model,
+            long oldestVersion,
+            long exactVersion,
+            Optional<String> softwareVersion,
+            Optional<EndpointId> preferred) {
+        private boolean allowsSoftwareOf(GenerationEndpoint endpoint) {
+            return softwareVersion.isEmpty() || softwareVersion.get().equals(endpoint.softwareVersion());
+        }
+
+        private boolean allowsWeightsOf(GenerationEndpoint endpoint) {
+            return exactVersion < 0 || endpoint.version(model) == exactVersion;
+        }
+    }
 
     /**
      * Chooses an endpoint.
@@ -57,20 +70,35 @@
      *
      * @param requirements requirements of the item
      * @param endpoints all ready endpoints of the service
-     * @return false if the text must have a single weight version that no responsive endpoint has loaded
+     * @return false if no responsive endpoint has the software version of the text and, if it must have a single weight
+     *     version, loaded that one
      */
     public static boolean canContinue(Requirements requirements, Collection<GenerationEndpoint> endpoints) {
-        return requirements.exactVersion() < 0
+        boolean isFree = requirements.exactVersion() < 0
+                && requirements.softwareVersion().isEmpty();
+        return isFree
                 || endpoints.stream()
                         .filter(endpoint ->
                                 !endpoint.avoided() && !endpoint.loadingModels().contains(requirements.model()))
-                        .anyMatch(endpoint -> endpoint.version(requirements.model()) == requirements.exactVersion());
+                        .anyMatch(endpoint ->
+                                requirements.allowsWeightsOf(endpoint) && requirements.allowsSoftwareOf(endpoint));
+    }
+
+    /**
+     * Returns whether the partial text of an item is lost: no endpoint runs the software version that generated it.
+     *
+     * @param requirements requirements of the item
+     * @param endpoints all ready endpoints of the service, those that are avoided included
+     * @return true if waiting does not help, because a released version does not come back
+     */
+    public static boolean isSoftwareGone(Requirements requirements, Collection<GenerationEndpoint> endpoints) {
+        return !endpoints.isEmpty() && endpoints.stream().noneMatch(requirements::allowsSoftwareOf);
     }
 
     private static boolean canRun(Requirements requirements, GenerationEndpoint endpoint) {
-        boolean isExact = requirements.exactVersion() < 0
-                || endpoint.version(requirements.model()) == requirements.exactVersion();
-        return isExact && endpoint.canStart(requirements.model(), requirements.oldestVersion());
+        return requirements.allowsWeightsOf(endpoint)
+                && requirements.allowsSoftwareOf(endpoint)
+                && endpoint.canStart(requirements.model(), requirements.oldestVersion());
     }
 
     /** Utilization of the endpoint after the item starts, times the square of its slowness relative to the median. */
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemPlacementTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemPlacementTest.java
@@ -22,11 +22,11 @@
 
     private static GenerationEndpoint endpoint(String id, int running, long version, double eventInterval) {
         return new GenerationEndpoint(
-                EndpointId.of(id), 8, running, Map.of(MODEL, version), Set.of(), false, true, eventInterval);
+                EndpointId.of(id), "v1", 8, running, Map.of(MODEL, version), Set.of(), false, true, eventInterval);
     }
 
     private static Requirements requirements(long oldestVersion, long exactVersion) {
-        return new Requirements(MODEL, oldestVersion, exactVersion, Optional.empty());
+        return new Requirements(MODEL, oldestVersion, exactVersion, Optional.empty(), Optional.empty());
     }
 
     @Test
@@ -38,8 +38,8 @@
 
     @Test
     void shouldWaitWhenEndpointLoadsTheModel() {
-        GenerationEndpoint loading =
-                new GenerationEndpoint(EndpointId.of("a"), 8, 0, Map.of(MODEL, 5L), Set.of(MODEL), false, true, 0);
+        GenerationEndpoint loading = new GenerationEndpoint(
+                EndpointId.of("a"), "v1", 8, 0, Map.of(MODEL, 5L), Set.of(MODEL), false, true, 0);
 
         assertTrue(ItemPlacement.choose(requirements(4, -1), List.of(loading)).isEmpty());
     }
@@ -58,8 +58,8 @@
 
     @Test
     void shouldContinueOnlyWhenAResponsiveEndpointHasTheVersionOfTheText() {
-        GenerationEndpoint crashed =
-                new GenerationEndpoint(EndpointId.of("crashed"), 8, 0, Map.of(MODEL, 5L), Set.of(), true, true, 0);
+        GenerationEndpoint crashed = new GenerationEndpoint(
+                EndpointId.of("crashed"), "v1", 8, 0, Map.of(MODEL, 5L), Set.of(), true, true, 0);
         GenerationEndpoint newer = endpoint("newer", 0, 6, 0);
         GenerationEndpoint full = endpoint("full", 8, 5, 0);
 
@@ -87,4 +87,19 @@
         assertEquals(0, running.get("slow"), running.toString());
         assertTrue(running.get("a") >= 6 && running.get("a") <= 7, running.toString());
     }
+
+    @Test
+    void shouldContinueATextOnlyAtTheSoftwareVersionThatBeganIt() {
+        Requirements ofNewer = new Requirements(MODEL, 0, -1, Optional.of("v2"), Optional.empty());
+        List<GenerationEndpoint> olderOnly = List.of(endpoint("a", 0, 5, 0));
+        GenerationEndpoint newer =
+                new GenerationEndpoint(EndpointId.of("busy"), "v2", 8, 7, Map.of(MODEL, 5L), Set.of(), false, true, 0);
+
+        assertTrue(ItemPlacement.choose(ofNewer, olderOnly).isEmpty());
+        assertTrue(ItemPlacement.isSoftwareGone(ofNewer, olderOnly));
+        assertEquals(
+                newer,
+                ItemPlacement.choose(ofNewer, List.of(endpoint("a", 0, 5, 0), newer))
+                        .orElseThrow());
+    }
 }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemTextTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemTextTest.java
@@ -15,16 +15,16 @@
 
     @Test
     void shouldRefuseEventThatDoesNotFollow() {
-        assertTrue(text.append(1, "a", 4));
-        assertFalse(text.append(3, "c", 4));
-        assertFalse(text.append(1, "a", 4));
+        assertTrue(text.append(1, "a", 4, "v1"));
+        assertFalse(text.append(3, "c", 4, "v1"));
+        assertFalse(text.append(1, "a", 4, "v1"));
         assertEquals(1, text.lastEvent());
     }
 
     @Test
     void shouldListExactlyTheVersionsOfItsEvents() {
-        text.append(1, "a", 4);
-        text.append(2, "b", 5);
+        text.append(1, "a", 4, "v1");
+        text.append(2, "b", 5, "v1");
 
         assertEquals(List.of(4L, 5L), text.versions());
         assertEquals("a\nb", new String(text.bytes(), StandardCharsets.UTF_8));
@@ -36,12 +36,12 @@
     @Test
     void shouldAppendPartWhenItFollows() {
         ItemText source = new ItemText();
-        source.append(1, "a", 4);
-        source.append(2, "b", 5);
-        source.append(3, "c", 5);
+        source.append(1, "a", 4, "v1");
+        source.append(2, "b", 5, "v1");
+        source.append(3, "c", 5, "v1");
         source.markComplete();
 
-        assertTrue(text.append(new ItemText.Part(1, List.of("a"), List.of(4L), false)));
+        assertTrue(text.append(new ItemText.Part(1, List.of("a"), List.of(4L), false, "v1")));
         assertFalse(text.append(source.partAfter(2)), "event 2 is missing");
         assertTrue(text.append(source.partAfter(1)));
         assertEquals("a\nb\nc", new String(text.bytes(), StandardCharsets.UTF_8));
@@ -51,11 +51,23 @@
 
     @Test
     void shouldReplaceTextWhenPartBeginsWithFirstEvent() {
-        text.append(1, "a", 4);
-        text.append(2, "b", 4);
+        text.append(1, "a", 4, "v1");
+        text.append(2, "b", 4, "v1");
 
-        assertTrue(text.append(new ItemText.Part(1, List.of("x"), List.of(6L), false)));
+        assertTrue(text.append(new ItemText.Part(1, List.of("x"), List.of(6L), false, "v1")));
         assertEquals("x", new String(text.bytes(), StandardCharsets.UTF_8));
         assertEquals(List.of(6L), text.versions());
     }
+
+    /** What two software versions generate does not fit together. */
+    @Test
+    void shouldRefuseEventsOfAnotherSoftwareVersion() {
+        text.append(1, "a", 4, "v1");
+
+        assertFalse(text.append(2, "b", 4, "v2"));
+        assertFalse(text.append(new ItemText.Part(2, List.of("b"), List.of(4L), false, "v2")));
+        assertTrue(text.append(2, "b", 4, "v1"));
+        text.clear();
+        assertTrue(text.append(1, "a", 4, "v2"), "a new text may have another version");
+    }
 }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/VersionPlanTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/VersionPlanTest.java
@@ -23,7 +23,7 @@
     private final VersionPlan plan = new VersionPlan();
 
     private static GenerationEndpoint endpoint(String id, int running, Map<ModelName, Long> versions) {
-        return new GenerationEndpoint(EndpointId.of(id), 8, running, versions, Set.of(), false, true, 0);
+        return new GenerationEndpoint(EndpointId.of(id), "v1", 8, running, versions, Set.of(), false, true, 0);
     }
 
     private static List<GenerationEndpoint> fresh(int count) {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -51,7 +51,7 @@
     private static final long RETRY_DELAY_MILLISECONDS = 50;
 
     /**
-     * Time for which an item whose text must have a single weight version waits for an endpoint with that version, in
+     * Time for which an item waits for an endpoint with the weight or software version that may continue its text, in
      * milliseconds; an endpoint that could not be reached for a moment still has it.
      */
     private static final long SAME_VERSION_WAIT_MILLISECONDS = 1_000;
@@ -294,8 +294,9 @@
             ItemTask task, Route route, Map<ServiceName, List<GenerationEndpoint>> endpointsByService, long now) {
         ServiceName service = route.serviceFor(task.item.id().value());
         List<GenerationEndpoint> available = endpointsByService.computeIfAbsent(service, fleet::endpoints);
-        if (now - task.waitingSince > SAME_VERSION_WAIT_MILLISECONDS
-                && !ItemPlacement.canContinue(requirements(task), available)) {
+        boolean hasWaited = now - task.waitingSince > SAME_VERSION_WAIT_MILLISECONDS;
+        if (ItemPlacement.isSoftwareGone(requirements(task), available)
+                || hasWaited && !ItemPlacement.canContinue(requirements(task), available)) {
             restartText(task);
         }
         ItemPlacement.Requirements need = requirements(task);
@@ -314,6 +315,7 @@
                 task.model,
                 task.submission.submission().oldestVersion(),
                 exactVersion,
+                task.text.softwareVersion(),
                 Optional.ofNullable(endpointByPrompt.get(prompt(task))));
     }
 
@@ -332,14 +334,16 @@
                 "events",
                 task.text.lastEvent(),
                 "versions",
-                task.text.versions());
+                task.text.versions(),
+                "software",
+                task.text.softwareVersion().orElse(""));
         task.text.clear();
     }
 
     private void startRun(ItemTask task, Route route, GenerationEndpoint chosen, long now) {
         EndpointId id = chosen.id();
         EndpointAnnouncement endpoint = fleet.announcement(id).orElseThrow();
-        ItemTask.Run run = new ItemTask.Run(id, now, task.text.lastEvent());
+        ItemTask.Run run = new ItemTask.Run(id, endpoint.softwareVersion(), now, task.text.lastEvent());
         try {
             run.attempt = client.send(request(task, route, endpoint), new ItemStream(task, run, this));
         } catch (IllegalArgumentException failure) {
@@ -347,7 +351,7 @@
             return;
         }
         recordSent.accept(id);
-        logRunStarted(task, chosen, endpoint.softwareVersion());
+        logRunStarted(task, chosen);
         task.stage = ItemTask.Stage.RUNNING;
         task.run = Optional.of(run);
         loads.recordRequest(id);
@@ -378,7 +382,7 @@
         task.run.ifPresent(run -> loads.recordEnd(run.endpoint));
     }
 
-    private void logRunStarted(ItemTask task, GenerationEndpoint endpoint, String softwareVersion) {
+    private void logRunStarted(ItemTask task, GenerationEndpoint endpoint) {
         LOG.log(
                 Event.ITEM_RUN_STARTED,
                 "submission",
@@ -396,7 +400,7 @@
                 "oldest",
                 task.submission.submission().oldestVersion(),
                 "software",
-                softwareVersion,
+                endpoint.softwareVersion(),
                 "perSecond",
                 limits.find(endpoint.id()).requestsPerSecond(),
                 "after",
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/GenerationFleet.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/GenerationFleet.java
@@ -59,6 +59,7 @@
             versions.putAll(endpoint.versions);
             endpoints.add(new GenerationEndpoint(
                     announcement.id(),
+                    announcement.softwareVersion(),
                     announcement.capacity(),
                     loads.outstanding(announcement.id()),
                     versions,
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
@@ -115,7 +115,7 @@
         if (id <= task.text.lastEvent()) {
             return;
         }
-        if (!task.text.append(id, event.data(), run.version)) {
+        if (!task.text.append(id, event.data(), run.version, run.softwareVersion)) {
             run.attempt.cancel();
             end(Termination.BROKEN, "event " + id + " after event " + task.text.lastEvent());
             return;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
@@ -76,6 +76,7 @@
     /** One run of an item at an endpoint. Times are monotonic times in milliseconds. */
     static final class Run {
         final EndpointId endpoint;
+        final String softwareVersion;
         final long startedAt;
         final long startedAfterEvent;
         EndpointClient.Attempt attempt;
@@ -84,8 +85,9 @@
         /** Weight version that generates the events; -1 until the endpoint has returned one. */
         long version = -1;
 
-        Run(EndpointId endpoint, long now, long startedAfterEvent) {
+        Run(EndpointId endpoint, String softwareVersion, long now, long startedAfterEvent) {
             this.endpoint = endpoint;
+            this.softwareVersion = softwareVersion;
             this.startedAfterEvent = startedAfterEvent;
             this.startedAt = now;
             this.lastEventAt = now;
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
@@ -203,6 +204,61 @@
         assertEquals("long after 0", engine.runs.getFirst());
     }
 
+    private FakeEngine startEngine(String id, String softwareVersion) throws IOException {
+        FakeEngine started = new FakeEngine("127.0.77.100", softwareVersion);
+        started.setEventCount(LONG_ITEM, LONG_EVENTS);
+        for (int host : cluster.running()) {
+            assertEquals(200, cluster.post(host, "/api/replicas/" + id + "/heartbeat", started.heartbeat(SERVICE, 1)));
+        }
+        return started;
+    }
+
+    private void startLongItem() throws InterruptedException {
+        engine.setEventCount(LONG_ITEM, LONG_EVENTS);
+        assertEquals(Outcome.DONE, cluster.ask(new SubmitBatch(submission(0))).outcome());
+        StoreCluster.await("the item runs", () -> engine.runs.isEmpty() ? null : true);
+        Thread.sleep(500);
+    }
+
+    /** What two software versions generate does not fit together, and endpoints do not check it. */
+    @Test
+    void shouldStartItemAgainWhenOnlyEnginesOfAnotherSoftwareVersionAreLeft() throws Exception {
+        startLongItem();
+
+        engine.close();
+        engine = startEngine("e-2", "v2");
+
+        assertTrue(results(1).getFirst().completed());
+        assertEquals("long after 0", engine.runs.getFirst());
+    }
+
+    @Test
+    void shouldContinueItemAtItsSoftwareVersionWhenEnginesOfAnotherOneAreFree() throws Exception {
+        startLongItem();
+        try (FakeEngine newer = startEngine("e-0", "v2");
+                FakeEngine same = startEngine("e-2", "v1")) {
+            engine.close();
+
+            assertTrue(results(1).getFirst().completed());
+            assertEquals(List.of(), newer.runs);
+            assertFalse(same.runs.getFirst().endsWith(" after 0"), same.runs.toString());
+        }
+    }
+
+    /** The successor of a leader learns the software version of a stored text from the log. */
+    @Test
+    void shouldNotContinueAStoredTextAtAnotherSoftwareVersionWhenLeaderFails() throws Exception {
+        startLongItem();
+        Thread.sleep(1_000);
+        try (FakeEngine newer = startEngine("e-0", "v2")) {
+            cluster.stop(leader());
+            engine.close();
+
+            assertTrue(results(1).getFirst().completed());
+            assertEquals(List.of("long after 0"), newer.runs);
+        }
+    }
+
     /** The connection closes without a response and the order is executed later: the endpoint's report decides. */
     @Test
     void shouldNotOrderAgainWhenOrderWasExecutedLate() throws InterruptedException {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
@@ -39,7 +39,14 @@
     /** The bodies of the received orders. */
     final List<String> orders = new CopyOnWriteArrayList<>();
 
+    private final String softwareVersion;
+
     FakeEngine(String host) throws IOException {
+        this(host, "v1");
+    }
+
+    FakeEngine(String host, String softwareVersion) throws IOException {
+        this.softwareVersion = softwareVersion;
         server = HttpServer.create(new InetSocketAddress(host, 0), 50);
         server.setExecutor(threads);
         server.createContext("/generate", this::generate);
@@ -55,7 +62,8 @@
 
     /** Returns the body of a heartbeat that announces this engine. */
     String heartbeat(String service, long sequence) {
-        return "{\"Backend\":\"" + service + "\",\"Address\":\"" + address() + "\",\"Zone\":\"fes\",\"Version\":\"v1\","
+        return "{\"Backend\":\"" + service + "\",\"Address\":\"" + address() + "\",\"Zone\":\"fes\",\"Version\":\""
+                + softwareVersion + "\","
                 + "\"Capacity\":4,\"State\":\"ready\",\"WarmupLeftMs\":0,\"Stage\":\"both\",\"Models\":[{\"Name\":\""
                 + MODEL + "\",\"Version\":" + version + ",\"Adapters\":[]}],\"born\":1000,\"Sequence\":" + sequence
                 + "}";
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
@@ -35,7 +35,7 @@
             new ItemTask(new StoredSubmission(SUBMISSION, "r", 0), ITEM, ModelName.of("m"), false, false);
 
     private ItemStream stream() {
-        return new ItemStream(task, new ItemTask.Run(EndpointId.of("e"), 0, 0), new RecordingOwner());
+        return new ItemStream(task, new ItemTask.Run(EndpointId.of("e"), "v1", 0, 0), new RecordingOwner());
     }
 
     private static EndpointAnswer answer(int status) {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
@@ -115,7 +115,7 @@
     @Test
     void shouldRestoreTextOfUnlistedItemFromSnapshotAndDropItOnceListed() {
         apply(new StoreCommand.AcceptSubmission(submission("i-1", "i-2"), "r"));
-        ItemText.Part part = new ItemText.Part(1, List.of("a", "b"), List.of(3L, 4L), false);
+        ItemText.Part part = new ItemText.Part(1, List.of("a", "b"), List.of(3L, 4L), false, "v1");
         apply(new StoreCommand.KeepTexts(ID, List.of(new StoredSubmission.StoredText(ItemId.of("i-1"), part))));
         StoreState other = new StoreState();
         other.restore(state.capture().get());
