Resume a caller's stream only at the software version that began it

Callers that took a stream up at another edge could get events of two software versions in one stream.

Cause: as for items, the same fault at another place: a resumed stream is a new request to any endpoint. Nobody knew which version began it once the edge that did was gone, and Resumes was not read.

Ruled out: that one edge's memory is enough (callers come back to any edge), and a record for every edge (hundreds of hosts for a stream that lives for seconds).

An edge now sends the origin of each resumable stream to all store hosts before its first byte; a resumed stream goes to the recorded service and version. Without a record it goes on only if the edge knows all endpoints and the service has had one version for two minutes; otherwise it is refused at once.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -89,6 +89,11 @@
             705,
             Severity.INFORMATION,
             "A request that ran on a crashed endpoint was answered, so that the crash no longer counts."),
+    /** A resumed stream continues at the software version that began it. */
+    STREAM_RESUMED(706, Severity.INFORMATION, "A resumed stream goes on at the software version that began it."),
+    /** A resumed stream must not go on. */
+    STREAM_NOT_RESUMED(
+            707, Severity.WARNING, "A stream was not resumed, because the version that began it is unknown or gone."),
     /** A host uses a newer configuration. */
     CONFIGURATION_IN_USE(710, Severity.INFORMATION, "A host uses a newer configuration."),
     /** A store host can be reached. */
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/MessageType.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/MessageType.java
@@ -130,7 +130,11 @@
     /** {@link StoreMessage.AcquirePermit}. */
     ACQUIRE_PERMIT(164, StoreMessage.AcquirePermit.class),
     /** {@link StoreMessage.PermitReply}. */
-    PERMIT_REPLY(165, StoreMessage.PermitReply.class);
+    PERMIT_REPLY(165, StoreMessage.PermitReply.class),
+    /** {@link StoreMessage.FindStream}. */
+    FIND_STREAM(166, StoreMessage.FindStream.class),
+    /** {@link StoreMessage.StreamReply}. */
+    STREAM_REPLY(167, StoreMessage.StreamReply.class);
 
     private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
     private static final Map<Class<? extends Message>, MessageType> BY_CLASS = new HashMap<>();
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -43,6 +43,7 @@
      * @param stores addresses of all store hosts that it knows
      * @param edges the edges that are connected to it and not draining
      * @param grantsPermits whether it answers {@link AcquirePermit} as a leader; false if an older sender omits it
+     * @param findsStreams whether it answers {@link FindStream}; false if an older sender omits it
      */
     record StoreStatus(
             String host,
@@ -52,7 +53,8 @@
             boolean leading,
             List<String> stores,
             List<EdgeAddress> edges,
-            boolean grantsPermits)
+            boolean grantsPermits,
+            boolean findsStreams)
             implements StoreMessage {
         public StoreStatus {
             stores = List.copyOf(stores);
@@ -74,27 +76,36 @@
      * @param announcements the newest announcement of each updated endpoint
      * @param crashes crashes of endpoints, by the requests that they ran; empty if an older sender omits them
      * @param rateLimits rate limits that endpoints name; empty if an older sender omits them
+     * @param streams origins of streams that have begun; empty if an older sender omits them
      */
     record EndpointNews(
-            List<EndpointAnnouncement> announcements, List<EndpointCrash> crashes, List<EndpointRateLimit> rateLimits)
+            List<EndpointAnnouncement> announcements,
+            List<EndpointCrash> crashes,
+            List<EndpointRateLimit> rateLimits,
+            List<StreamOrigin> streams)
             implements StoreMessage {
         /** Copies the lists. */
         public EndpointNews {
             announcements = List.copyOf(announcements);
             crashes = crashes == null ? List.of() : List.copyOf(crashes);
             rateLimits = rateLimits == null ? List.of() : List.copyOf(rateLimits);
+            streams = streams == null ? List.of() : List.copyOf(streams);
         }
 
         public static EndpointNews ofAnnouncements(Collection<EndpointAnnouncement> announcements) {
-            return new EndpointNews(List.copyOf(announcements), List.of(), List.of());
+            return new EndpointNews(List.copyOf(announcements), List.of(), List.of(), List.of());
         }
 
         public static EndpointNews ofCrashes(Collection<EndpointCrash> crashes) {
-            return new EndpointNews(List.of(), List.copyOf(crashes), List.of());
+            return new EndpointNews(List.of(), List.copyOf(crashes), List.of(), List.of());
         }
 
         public static EndpointNews ofRateLimits(Collection<EndpointRateLimit> rateLimits) {
-            return new EndpointNews(List.of(), List.of(), List.copyOf(rateLimits));
+            return new EndpointNews(List.of(), List.of(), List.copyOf(rateLimits), List.of());
+        }
+
+        public static EndpointNews ofStream(StreamOrigin stream) {
+            return new EndpointNews(List.of(), List.of(), List.of(), List.of(stream));
         }
     }
 
@@ -187,6 +198,20 @@
     record PermitReply(Optional<EndpointId> endpoint, long waitMilliseconds, long retryMilliseconds)
             implements StoreMessage {}
 
+    /**
+     * Asks any store host what began a stream. Answered with {@link StreamReply}.
+     *
+     * @param request id of the caller's attempt that brought the first event
+     */
+    record FindStream(String request) implements StoreMessage {}
+
+    /**
+     * Answers {@link FindStream}.
+     *
+     * @param origin the origin of the stream; empty if the host does not know it
+     */
+    record StreamReply(Optional<StreamOrigin> origin) implements StoreMessage {}
+
     /** The outcome of a store request. */
     enum Outcome {
         /** It was executed by this request or an earlier one. */
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.ServiceName;
@@ -91,6 +93,20 @@
         return ready.isEmpty() ? inState(service, State.SILENT) : ready;
     }
 
+    /**
+     * Returns the software versions that endpoints of a service run, or ran within {@link #RETENTION_MILLISECONDS}.
+     *
+     * @param service the service
+     * @return the versions
+     */
+    public Set<String> softwareVersions(ServiceName service) {
+        return byId.values().stream()
+                .map(entry -> entry.announcement)
+                .filter(announcement -> announcement.service().equals(service))
+                .map(EndpointAnnouncement::softwareVersion)
+                .collect(Collectors.toSet());
+    }
+
     private List<EndpointAnnouncement> inState(ServiceName service, State state) {
         List<EndpointAnnouncement> found = new ArrayList<>();
         for (Entry entry : byId.values()) {
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -34,6 +34,7 @@
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.forward.RateLimits;
+import io.rosemarybeam.forward.StreamOrigins;
 import io.rosemarybeam.platform.ConfigurationFormat;
 import io.rosemarybeam.platform.EndpointClient;
 import io.rosemarybeam.platform.PlatformPaths;
@@ -114,7 +115,8 @@
                 settings.failureDomain(),
                 ForwardMetrics.of(metrics),
                 crashes,
-                rateLimits);
+                rateLimits,
+                new StreamOrigins(directory, new StoreStreams(loop, stores)));
         this.requests = new EdgeRequests(forwarder, new BatchRequests(new StoreRequests(loop, stores)));
         registerMetrics();
     }
@@ -194,7 +196,7 @@
     }
 
     private List<Message> messagesOnConnect() {
-        return List.of(status(), new EndpointNews(List.of(), crashes.all(), rateLimits.all()));
+        return List.of(status(), new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of()));
     }
 
     private void useConfiguration(PushConfiguration push) {
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
@@ -137,6 +137,20 @@
                 .anyMatch(session -> session.connection == connection && session.status.grantsPermits()));
     }
 
+    /** Returns the connections to the hosts that find the origins of streams, which earlier releases do not. */
+    List<WireConnection> streamFinders() {
+        return sessionsWithRecentStatus().stream()
+                .filter(session -> session.status.findsStreams())
+                .map(session -> session.connection)
+                .toList();
+    }
+
+    /** Returns whether every known host has sent its status lately, so that this edge knows all endpoints. */
+    boolean isInTouchWithAll() {
+        return !sessions.isEmpty()
+                && sessionsWithRecentStatus().size() == requiredAddresses().size();
+    }
+
     /** Returns the edges that any host lists in its recent status. */
     Collection<EdgeAddress> edges() {
         Set<EdgeAddress> edges = new HashSet<>();
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.edge;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -10,6 +11,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
@@ -101,7 +104,12 @@
     }
 
     void announce(String id, String address, long started) {
-        String heartbeat = "{\"Backend\":\"desk\",\"Address\":\"" + address + "\",\"Zone\":\"fes\",\"Version\":\"v1\","
+        announce(id, address, started, "v1");
+    }
+
+    void announce(String id, String address, long started, String softwareVersion) {
+        String heartbeat = "{\"Backend\":\"desk\",\"Address\":\"" + address + "\",\"Zone\":\"fes\",\"Version\":\""
+                + softwareVersion + "\","
                 + "\"Capacity\":4,\"State\":\"ready\",\"WarmupLeftMs\":0,\"born\":" + started + ",\"Sequence\":1}";
         await(
                 "the heartbeat is accepted",
@@ -113,6 +121,36 @@
         return post(callerPorts.get(edge), "/x/1", id, body);
     }
 
+    /** The status of an answer and the data of the events that arrived before its end. */
+    record Stream(int status, List<String> events) {}
+
+    /** Begins a stream at an edge, or resumes one after an event. */
+    Stream stream(int edge, String id, String resumes, int lastEvent) {
+        URI uri = URI.create("http://" + STORE_HOST + ":" + callerPorts.get(edge) + "/x/1");
+        HttpRequest.Builder request = HttpRequest.newBuilder(uri)
+                .timeout(Duration.ofSeconds(3))
+                .header("Rosemarybeam-Request-Id", id)
+                .POST(HttpRequest.BodyPublishers.ofString("x"));
+        if (lastEvent > 0) {
+            request.header("Resumes", resumes).header("Last-Event-Id", String.valueOf(lastEvent));
+        }
+        List<String> events = new ArrayList<>();
+        int status = 0;
+        try {
+            HttpResponse<java.util.stream.Stream<String>> response =
+                    http.send(request.build(), HttpResponse.BodyHandlers.ofLines());
+            status = response.statusCode();
+            response.body().filter(line -> line.startsWith("data: ")).forEach(events::add);
+        } catch (IOException | UncheckedIOException brokenOff) {
+            // The events that arrived before count.
+            return new Stream(status, events);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(interrupted);
+        }
+        return new Stream(status, events);
+    }
+
     private int post(int port, String path, String id, String body) {
         HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + STORE_HOST + ":" + port + path))
                 .timeout(Duration.ofSeconds(3))
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -15,7 +15,9 @@
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.Fingerprint;
+import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
+import io.rosemarybeam.common.wire.StreamOrigin;
 import io.rosemarybeam.decision.routing.EndpointSelection;
 import io.rosemarybeam.decision.routing.PermitDecision;
 import io.rosemarybeam.decision.routing.PermitRequest;
@@ -75,6 +77,9 @@
     private final Set<EndpointId> unavailable = new HashSet<>();
     private final List<EndpointAttempt> running = new ArrayList<>();
     private Optional<Fingerprint> fingerprint = Optional.empty();
+    /** What began the stream that this request resumes; empty if it begins one. */
+    private Optional<StreamOrigin> resumed = Optional.empty();
+
     private Optional<BufferedAnswer> lastErrorAnswer = Optional.empty();
     private Future<?> deadlineTimer;
     private Future<?> hedgeTimer;
@@ -126,7 +131,55 @@
             return;
         }
         deadlineTimer = forwarder.loop().schedule(this::onDeadline, remaining, TimeUnit.MILLISECONDS);
-        tryNextEndpoint();
+        if (resumesStream()) {
+            forwarder.streams().find(request.resumedRequest(), request.service(), origin -> onOriginFound(origin));
+        } else {
+            tryNextEndpoint();
+        }
+    }
+
+    private boolean resumesStream() {
+        return request.route().kind() == RouteKind.STREAMING
+                && request.route().resumable()
+                && request.headers().contains(PlatformHeaders.LAST_EVENT_ID);
+    }
+
+    /** Continues the stream at the software version that began it; refuses the request at once if that cannot be done. */
+    private void onOriginFound(Optional<StreamOrigin> found) {
+        if (finished) {
+            return;
+        }
+        boolean mayContinue = found.isPresent()
+                && request.route().split().stream()
+                        .anyMatch(share -> share.service().equals(found.get().service()))
+                && forwarder.directory().ready(found.get().service()).stream()
+                        .anyMatch(endpoint -> isOfVersion(found.get(), endpoint));
+        LOG.log(
+                mayContinue ? Event.STREAM_RESUMED : Event.STREAM_NOT_RESUMED,
+                "request",
+                request.id(),
+                "resumes",
+                request.resumedRequest(),
+                "after",
+                request.headers().get(PlatformHeaders.LAST_EVENT_ID),
+                "service",
+                found.map(StreamOrigin::service).orElse(request.service()),
+                "software",
+                found.map(StreamOrigin::softwareVersion).orElse("unknown"));
+        if (mayContinue) {
+            resumed = found;
+            tryNextEndpoint();
+        } else {
+            finishRefused("stream cannot be continued", usualRetryDelay());
+        }
+    }
+
+    private static boolean isOfVersion(StreamOrigin origin, EndpointAnnouncement endpoint) {
+        return origin.softwareVersion().equals(endpoint.softwareVersion());
+    }
+
+    private ServiceName service() {
+        return resumed.map(StreamOrigin::service).orElse(request.service());
     }
 
     /** Cancels the request because its caller has disconnected; closing the connections stops the work of the endpoints. */
@@ -176,7 +229,8 @@
      */
     private List<EndpointAnnouncement> candidates() {
         long now = Forwarder.now();
-        List<EndpointAnnouncement> ready = forwarder.directory().ready(request.service()).stream()
+        List<EndpointAnnouncement> ready = forwarder.directory().ready(service()).stream()
+                .filter(endpoint -> resumed.isEmpty() || isOfVersion(resumed.get(), endpoint))
                 .filter(endpoint -> !unavailable.contains(endpoint.id()))
                 .filter(endpoint -> running.isEmpty() || !tried.contains(endpoint.id()))
                 .toList();
@@ -490,6 +544,7 @@
             answerStarted = true;
             List.copyOf(running).stream().filter(other -> other != this).forEach(EndpointAttempt::abandon);
             cancel(hedgeTimer);
+            recordOrigin();
             sink.begin(head.status(), ForwardedHeaders.copy(head.headers()));
             if (buffered.size() > 0) {
                 byte[] bytes = buffered.toByteArray();
@@ -498,6 +553,16 @@
             }
         }
 
+        /** Recorded before the caller gets the first event, because it may resume at another host right after it. */
+        private void recordOrigin() {
+            if (request.route().kind() == RouteKind.STREAMING && request.route().resumable()) {
+                forwarder
+                        .streams()
+                        .record(resumed.orElseGet(
+                                () -> new StreamOrigin(request.id(), endpoint.service(), endpoint.softwareVersion())));
+            }
+        }
+
         @Override
         public void onContent(byte[] bytes) {
             if (answerStarted) {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
@@ -4,6 +4,7 @@
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.decision.routing.Route;
+import io.rosemarybeam.platform.PlatformHeaders;
 
 /**
  * A request to forward to an endpoint. Immutable, provided that headers and array are not changed.
@@ -30,6 +31,12 @@
         long deadline,
         long configurationVersion,
         boolean mustRun) {
+    /** Returns the id of the attempt that brought the first event of the stream to resume; empty if none is named. */
+    String resumedRequest() {
+        String id = headers.get(PlatformHeaders.RESUMED_REQUEST);
+        return id == null ? "" : id.trim();
+    }
+
     /** Computes the fingerprint, which is the same for every resend; the id and the deadline differ. */
     Fingerprint fingerprint() {
         return Fingerprint.ofRequest(route.host(), method + " " + uri, body);
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
@@ -23,6 +23,7 @@
     private final CrashMonitor crashMonitor;
     private final CrashRegistry crashes;
     private final RateLimits limits;
+    private final StreamOrigins streams;
 
     /**
      * Creates a forwarder.
@@ -35,6 +36,7 @@
      * @param metrics counts requests and attempts
      * @param crashes the known crashes of endpoints; updated by each attempt
      * @param limits the rate limits of endpoints; updated by each answer
+     * @param streams finds out what began a stream; updated by each stream
      */
     public Forwarder(
             EventLoop loop,
@@ -44,7 +46,8 @@
             FailureDomain ownDomain,
             ForwardMetrics metrics,
             CrashRegistry crashes,
-            RateLimits limits) {
+            RateLimits limits,
+            StreamOrigins streams) {
         this.loop = loop;
         this.client = client;
         this.directory = directory;
@@ -54,6 +57,7 @@
         this.crashMonitor = new CrashMonitor(client, metrics, crashes);
         this.crashes = crashes;
         this.limits = limits;
+        this.streams = streams;
     }
 
     /**
@@ -107,6 +111,10 @@
         return crashes;
     }
 
+    StreamOrigins streams() {
+        return streams;
+    }
+
     RateLimits limits() {
         return limits;
     }
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -90,7 +90,8 @@
             OWN_DOMAIN,
             ForwardMetrics.of(Metrics.ofProcess()),
             crashes,
-            new RateLimits(changes -> {}, (request, onDecision) -> onDecision.accept(new PermitDecision.Denied(0, 0))));
+            new RateLimits(changes -> {}, (request, onDecision) -> onDecision.accept(new PermitDecision.Denied(0, 0))),
+            StreamOrigins.local(directory, () -> true));
 
     @AfterEach
     void close() throws IOException {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -37,10 +37,12 @@
 import io.rosemarybeam.common.wire.StoreMessage.AcquirePermit;
 import io.rosemarybeam.common.wire.StoreMessage.EdgeStatus;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
+import io.rosemarybeam.common.wire.StoreMessage.FindStream;
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
 import io.rosemarybeam.common.wire.StoreMessage.PermitReply;
 import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
 import io.rosemarybeam.common.wire.StoreMessage.StoreStatus;
+import io.rosemarybeam.common.wire.StoreMessage.StreamReply;
 import io.rosemarybeam.common.wire.WireConnection;
 import io.rosemarybeam.common.wire.WireSettings;
 import io.rosemarybeam.common.wire.WireTransport;
@@ -64,11 +66,13 @@
 import io.rosemarybeam.decision.routing.PermitDecision;
 import io.rosemarybeam.decision.routing.PermitRequest;
 import io.rosemarybeam.decision.routing.RoutingTable;
+import io.rosemarybeam.decision.routing.StreamOriginTable;
 import io.rosemarybeam.forward.CallerServer;
 import io.rosemarybeam.forward.CrashRegistry;
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.forward.RateLimits;
+import io.rosemarybeam.forward.StreamOrigins;
 import io.rosemarybeam.platform.ConfigurationFormat;
 import io.rosemarybeam.platform.EndpointClient;
 
@@ -120,6 +124,7 @@
     private final EndpointDirectory directory = new EndpointDirectory();
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointClient client = EndpointClient.of(loop);
+    private final StreamOriginTable streams = new StreamOriginTable();
     private final PermitGranter permits = new PermitGranter(loop);
     private final GenerationFleet fleet = new GenerationFleet(directory, loads, permits::isAvailable);
     private final CrashRegistry crashes;
@@ -160,7 +165,8 @@
                 settings.failureDomain(),
                 ForwardMetrics.of(metrics),
                 crashes,
-                rateLimits);
+                rateLimits,
+                StreamOrigins.local(directory, () -> false));
         this.storage = LogStorage.open(files);
         boolean isBootstrapMember = settings.firstStart() && seeds.contains(settings.host());
         long incarnation = isBootstrapMember ? FIRST_INCARNATION : new SecureRandom().nextLong();
@@ -350,6 +356,7 @@
                         .filter(edge -> !edge.draining())
                         .map(edge -> new StoreMessage.EdgeAddress(edge.callerAddress(), edge.failureDomain()))
                         .toList(),
+                true,
                 true);
     }
 
@@ -453,7 +460,8 @@
         public void onOpen(WireConnection connection) {
             connection.send(status(Forwarder.now()));
             if (connection.remoteRole() == Role.ENTRY || !directory.all().isEmpty()) {
-                connection.send(new EndpointNews(List.copyOf(directory.all()), crashes.all(), rateLimits.all()));
+                connection.send(
+                        new EndpointNews(List.copyOf(directory.all()), crashes.all(), rateLimits.all(), List.of()));
             }
         }
 
@@ -465,6 +473,8 @@
                 case StoreStatus peer -> members.receive(peer, Forwarder.now());
                 case EndpointNews update -> receiveNews(update);
                 case AcquirePermit wanted -> grant(connection, correlation, wanted);
+                case FindStream wanted ->
+                    connection.reply(correlation, new StreamReply(streams.find(wanted.request())));
                 case StoreMessage request -> serve(connection, correlation, request);
                 default ->
                     LOG.log(
@@ -477,6 +487,7 @@
         }
 
         private void receiveNews(EndpointNews update) {
+            update.streams().forEach(streams::add);
             update.announcements().forEach(registry::merge);
             List<EndpointCrash> changes = crashes.merge(update.crashes());
             if (!changes.isEmpty()) {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
@@ -28,6 +28,7 @@
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.forward.RateLimits;
+import io.rosemarybeam.forward.StreamOrigins;
 import io.rosemarybeam.platform.EndpointClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -66,8 +67,8 @@
                     ForwardMetrics.of(Metrics.ofProcess()),
                     new CrashRegistry(crashes -> {}),
                     new RateLimits(
-                            changes -> {},
-                            (request, onDecision) -> onDecision.accept(new PermitDecision.Denied(0, 0)))));
+                            changes -> {}, (request, onDecision) -> onDecision.accept(new PermitDecision.Denied(0, 0))),
+                    StreamOrigins.local(new EndpointDirectory(), () -> true)));
 
     @AfterEach
     void close() {
