Soak: read streams and items from two software versions, and break answers off

Each new endpoint runs one of two versions and writes it into its events. Callers resume streams that break off at any edge; the report checks that a stream or an item has all events of one version.

--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/HttpExchange.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/HttpExchange.java
@@ -24,6 +24,9 @@
  * runs these writes on the event loop of the connection.
  */
 final class HttpExchange {
+    /** Time that the first part of an answer has to pass through a forwarder, in milliseconds. */
+    private static final long DELIVERY_MILLISECONDS = 30;
+
     private final ChannelHandlerContext context;
     private final String method;
     private final String uri;
@@ -75,6 +78,19 @@
         }
     }
 
+    /** Sends the first bytes of an answer and closes the connection when they have had time to arrive. */
+    void respondInPart(int status, String contentType, byte[] content, int sentBytes, String... extraHeaders) {
+        var response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
+        for (int index = 0; index + 1 < extraHeaders.length; index += 2) {
+            response.headers().set(extraHeaders[index], extraHeaders[index + 1]);
+        }
+        context.write(response);
+        context.writeAndFlush(new DefaultHttpContent(Unpooled.copiedBuffer(content, 0, sentBytes)));
+        schedule(DELIVERY_MILLISECONDS, this::abort);
+    }
+
     void respondJson(int status, String json, String... extraHeaders) {
         respond(status, "application/json", json.getBytes(StandardCharsets.UTF_8), extraHeaders);
     }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakDeployment.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakDeployment.java
@@ -1,18 +1,24 @@
 package io.rosemarybeam.testbed;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import org.asynchttpclient.AsyncCompletionHandler;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.Dsl;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.Response;
 
@@ -29,6 +35,7 @@
     static final String LOOKUP_PATH = "/lookup/";
     static final String ORDER_PATH = "/order/";
     static final String TRAINING_PATH = "/train/";
+    static final String STREAM_PATH = "/stream/";
 
     private static final List<String> FLAGS = List.of(
             "--sun-misc-unsafe-memory-access=allow",
@@ -177,6 +184,8 @@
                  "TargetLatencyMs":300,"Priority":0,"Backend":"%s","MaxAttempts":2},
                 {"Name":"order","Hostname":"%s","PathPrefix":"%s","RouteType":"non_idempotent","TimeoutMs":%d,
                  "TargetLatencyMs":300,"Priority":0,"Backend":"%s","MaxAttempts":2},
+                {"Name":"stream","Hostname":"%s","PathPrefix":"%s","RouteType":"streaming","Resumable":true,
+                 "TimeoutMs":%d,"TargetLatencyMs":300,"Priority":0,"Backend":"%s","MaxAttempts":2},
                 {"Name":"train","Hostname":"%s","PathPrefix":"%s","RouteType":"rollout","TimeoutMs":10000,
                  "TargetLatencyMs":400,"RunAimMs":7500,"KeepS":90,"Backend":"%s","MaxAttempts":3}],
                 "Services":[{"Name":"%s","HealthPath":"/healthz","MaxConnections":90,"Protocol":"h1","Tls":false},
@@ -193,6 +202,10 @@
                         timeoutMilliseconds,
                         DESK,
                         HOST,
+                        STREAM_PATH,
+                        timeoutMilliseconds,
+                        DESK,
+                        HOST,
                         TRAINING_PATH,
                         ENGINES,
                         DESK,
@@ -240,6 +253,41 @@
         }
     }
 
+    /** Status and text of an answer, as far as it arrived. */
+    record PartialAnswer(int status, String text) {}
+
+    /** Calls a process and returns what arrived before the end of the answer or of its connection. */
+    PartialAnswer callForPart(RequestBuilder request) {
+        AtomicInteger status = new AtomicInteger();
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        AsyncCompletionHandler<Integer> collector = new AsyncCompletionHandler<>() {
+            @Override
+            public State onStatusReceived(HttpResponseStatus received) throws Exception {
+                status.set(received.getStatusCode());
+                return super.onStatusReceived(received);
+            }
+
+            @Override
+            public State onBodyPartReceived(HttpResponseBodyPart part) {
+                body.writeBytes(part.getBodyPartBytes());
+                return State.CONTINUE;
+            }
+
+            @Override
+            public Integer onCompleted(Response response) {
+                return status.get();
+            }
+        };
+        try {
+            client.executeRequest(request, collector).get(CALL_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException brokenOff) {
+            return new PartialAnswer(status.get(), body.toString(StandardCharsets.UTF_8));
+        }
+        return new PartialAnswer(status.get(), body.toString(StandardCharsets.UTF_8));
+    }
+
     /** Returns the status of an answer; 0 if there is none. */
     static int status(Response response) {
         return response == null ? 0 : response.getStatusCode();
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -22,6 +22,10 @@
     static final String ANSWER_PREFIX = "answer to ";
     static final int TEXT_EVENTS = 10;
 
+    /** Each new endpoint runs one of these versions, so that two serve side by side at all times. */
+    private static final int SOFTWARE_VERSIONS = 2;
+
+    private static final int MISDIRECTED_REQUEST = 421;
     private static final int MINIMUM_WORK_MILLISECONDS = 5;
     private static final int MAXIMUM_WORK_MILLISECONDS = 60;
     private static final String REPORT =
@@ -36,6 +40,7 @@
     private volatile StandInHttpServer server;
     private volatile int port;
     private volatile String id;
+    private volatile String softwareVersion;
     private volatile long started;
     private volatile long sequence;
     private volatile OptionalDouble limit = OptionalDouble.empty();
@@ -51,7 +56,9 @@
         /** It runs the request and closes the connection. */
         LOST_ANSWER,
         /** It answers without its digest, so that the answer must not be passed on as a success. */
-        NO_DIGEST
+        NO_DIGEST,
+        /** It breaks off its answer in the middle, as a stream that is interrupted. */
+        BROKEN_OFF
     }
 
     SoakEndpoint(EventLoopGroup eventLoops, SoakReport report, String service, String name) {
@@ -68,7 +75,10 @@
             return;
         }
         incarnation++;
-        id = newId || id == null ? name + "-" + incarnation : id;
+        if (newId || id == null) {
+            id = name + "-" + incarnation;
+            softwareVersion = "v" + (1 + Math.floorMod(name.hashCode() + incarnation, SOFTWARE_VERSIONS));
+        }
         started = System.currentTimeMillis();
         sequence = 0;
         server = new StandInHttpServer(eventLoops, port, this::serve);
@@ -118,7 +128,8 @@
                 ? ",\"Stage\":\"both\",\"Models\":[{\"Name\":\"model\",\"Version\":1,\"Adapters\":[]}]"
                 : "";
         return "{\"Backend\":\"" + service + "\",\"Address\":\"127.0.0.1:" + port
-                + "\",\"Zone\":\"a\",\"Version\":\"v1\",\"Capacity\":6,\"State\":\"ready\",\"WarmupLeftMs\":0" + models
+                + "\",\"Zone\":\"a\",\"Version\":\"" + softwareVersion
+                + "\",\"Capacity\":6,\"State\":\"ready\",\"WarmupLeftMs\":0" + models
                 + ",\"born\":" + started + ",\"Sequence\":" + sequence + "}";
     }
 
@@ -127,6 +138,11 @@
             exchange.respondJson(200, REPORT);
             return;
         }
+        String expected = exchange.header(PlatformHeaders.EXPECTED_ENDPOINT);
+        if (expected != null && !expected.equals(id)) {
+            exchange.respond(MISDIRECTED_REQUEST, "text/plain", new byte[0], PlatformHeaders.NOT_EXECUTED, "1");
+            return;
+        }
         report.requestArrived(name);
         String body = new String(exchange.body(), StandardCharsets.UTF_8);
         if (body.startsWith(POISON)) {
@@ -146,14 +162,19 @@
         switch (fault) {
             case LOST_ANSWER -> exchange.abort();
             case NO_DIGEST -> exchange.respond(200, "text/plain", "spoiled".getBytes(StandardCharsets.UTF_8));
-            case NONE -> answer(exchange, body);
+            case NONE -> answer(exchange, body, false);
+            case BROKEN_OFF -> answer(exchange, body, true);
             default -> throw new IllegalStateException("unexpected fault " + fault);
         }
     }
 
-    private void answer(HttpExchange exchange, String body) {
-        boolean isText = service.equals(SoakDeployment.ENGINES);
-        String content = isText ? events(exchange.header(PlatformHeaders.LAST_EVENT_ID), body) : ANSWER_PREFIX + body;
+    private void answer(HttpExchange exchange, String body, boolean breaksOff) {
+        boolean isText =
+                service.equals(SoakDeployment.ENGINES) || exchange.uri().startsWith(SoakDeployment.STREAM_PATH);
+        byte[] content = (isText
+                        ? events(exchange.header(PlatformHeaders.LAST_EVENT_ID), body + "@" + softwareVersion)
+                        : ANSWER_PREFIX + body)
+                .getBytes(StandardCharsets.UTF_8);
         List<String> headers = new ArrayList<>(List.of(
                 PlatformHeaders.REQUEST_ID,
                 exchange.header(PlatformHeaders.REQUEST_ID),
@@ -162,11 +183,12 @@
                 PlatformHeaders.WEIGHT_VERSION,
                 "1"));
         limit.ifPresent(named -> headers.addAll(List.of(PlatformHeaders.RATE_LIMIT, String.valueOf(named))));
-        exchange.respond(
-                200,
-                isText ? "text/event-stream" : "text/plain",
-                content.getBytes(StandardCharsets.UTF_8),
-                headers.toArray(String[]::new));
+        String contentType = isText ? "text/event-stream" : "text/plain";
+        if (breaksOff) {
+            exchange.respondInPart(200, contentType, content, content.length / 2, headers.toArray(String[]::new));
+        } else {
+            exchange.respond(200, contentType, content, headers.toArray(String[]::new));
+        }
     }
 
     private static String events(String lastEvent, String body) {
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakFaults.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakFaults.java
@@ -25,6 +25,15 @@
 
     private static final int MAXIMUM_LIMIT_EXTENSION_MILLISECONDS = 3_000;
 
+    private static final List<SoakEndpoint.Fault> MISBEHAVIOURS = List.of(
+            SoakEndpoint.Fault.LOST_ANSWER,
+            SoakEndpoint.Fault.NO_DIGEST,
+            SoakEndpoint.Fault.BROKEN_OFF,
+            SoakEndpoint.Fault.BROKEN_OFF);
+
+    /** Interval at which single answers break off beside all other faults, in milliseconds. */
+    private static final long BREAK_INTERVAL_MILLISECONDS = 60;
+
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
 
     private final SoakDeployment deployment;
@@ -49,6 +58,7 @@
     void run(long milliseconds) {
         long end = SoakReport.now() + milliseconds;
         start(() -> nameLimits(end));
+        start(() -> breakAnswersOff(end));
         while (SoakReport.now() < end) {
             startOne();
             SoakTraffic.pause(random.nextInt(MAXIMUM_GAP_MILLISECONDS));
@@ -163,9 +173,18 @@
         }
     }
 
+    private void breakAnswersOff(long end) {
+        Random breaks = new Random(seed * 67);
+        List<SoakEndpoint> endpoints = deployment.endpoints();
+        while (SoakReport.now() < end) {
+            endpoints.get(breaks.nextInt(endpoints.size())).misbehaveOnce(SoakEndpoint.Fault.BROKEN_OFF);
+            SoakTraffic.pause(BREAK_INTERVAL_MILLISECONDS);
+        }
+    }
+
     private void misbehave() {
         List<SoakEndpoint> endpoints = deployment.endpoints();
-        SoakEndpoint.Fault fault = random.nextBoolean() ? SoakEndpoint.Fault.LOST_ANSWER : SoakEndpoint.Fault.NO_DIGEST;
+        SoakEndpoint.Fault fault = MISBEHAVIOURS.get(random.nextInt(MISBEHAVIOURS.size()));
         for (int count = 0; count < 4; count++) {
             endpoints.get(random.nextInt(endpoints.size())).misbehaveOnce(fault);
         }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTool.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTool.java
@@ -44,6 +44,9 @@
     @Option(name = "--callers", usage = "callers of sound requests")
     private int callers = 8;
 
+    @Option(name = "--stream-callers", usage = "callers that read streams and resume them")
+    private int streamCallers = 4;
+
     @Option(name = "--crashing", usage = "requests that crash endpoints")
     private int crashing = 2;
 
@@ -98,7 +101,7 @@
             Thread.ofVirtual().start(() -> announce(deployment));
             Thread.ofVirtual().start(() -> restartEndpoints(deployment));
             SoakTraffic.pause(2_000);
-            List<Thread> threads = startTraffic(traffic);
+            List<Thread> threads = startTraffic(deployment, traffic);
             new SoakFaults(deployment, report, seed).run(seconds * 1_000L);
             SoakTraffic.pause(SETTLE_MILLISECONDS);
             traffic.setCalm();
@@ -114,7 +117,7 @@
         }
     }
 
-    private List<Thread> startTraffic(SoakTraffic traffic) {
+    private List<Thread> startTraffic(SoakDeployment deployment, SoakTraffic traffic) {
         List<Thread> threads = new ArrayList<>();
         for (int caller = 0; caller < callers; caller++) {
             int number = caller;
@@ -124,6 +127,11 @@
             int number = caller;
             threads.add(Thread.ofVirtual().start(() -> traffic.runCrashingCaller(number)));
         }
+        SoakStreams streams = new SoakStreams(deployment, report, seed, traffic::isRunning);
+        for (int caller = 0; caller < streamCallers; caller++) {
+            int number = caller;
+            threads.add(Thread.ofVirtual().start(() -> streams.run(number)));
+        }
         threads.add(Thread.ofVirtual().start(traffic::runTrainer));
         return threads;
     }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTraffic.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTraffic.java
@@ -1,6 +1,5 @@
 package io.rosemarybeam.testbed;
 
-import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
 import java.util.Random;
@@ -54,6 +53,10 @@
         running = false;
     }
 
+    boolean isRunning() {
+        return running;
+    }
+
     Set<String> openSubmissions() {
         return openSubmissions;
     }
@@ -186,10 +189,11 @@
     private void checkResults(String id, JsonNode results) {
         for (JsonNode result : results) {
             String item = result.path("Id").asText();
-            List<String> lines = new ArrayList<>();
-            IntStream.range(0, SoakEndpoint.TEXT_EVENTS).forEach(event -> lines.add(item));
+            List<String> lines = List.of(result.path("Text").asText().split("\n"));
             boolean isWhole = result.path("State").asText().equals("completed")
-                    && result.path("Text").asText().equals(String.join("\n", lines))
+                    && lines.size() == SoakEndpoint.TEXT_EVENTS
+                    && lines.getFirst().startsWith(item + "@")
+                    && lines.stream().distinct().count() == 1
                     && result.path("Score").asText().equals("d-score " + item);
             report.count(isWhole ? "items completed" : "items not completed");
             if (!isWhole) {
