Keep a rate limit that a starting store host learns before its endpoint

A store host that starts gets the limits from the edges when they connect, but the endpoints only with their next heartbeats. Found by reading; it needs an election that is later than the first connection of an edge, which LimitedEndpointTest does not force (its new test with a restart of the store passes on the former code too). Limits are now kept for the time for which departed endpoints are known.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/RateLimitTable.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/RateLimitTable.java
@@ -20,23 +20,27 @@
  * <p>Invariant: tables that merged the same limits in any order agree. Confined to one thread.
  */
 public final class RateLimitTable {
-    private final Map<EndpointId, EndpointRateLimit> limits = new HashMap<>();
+    private final Map<EndpointId, Entry> limits = new HashMap<>();
+
+    /** A limit and the monotonic time at which it was learned, in milliseconds. Immutable. */
+    private record Entry(EndpointRateLimit limit, long learnedAt) {}
 
     /**
      * Records what an answer of an endpoint shows.
      *
      * @param endpoint the endpoint
      * @param requestsPerSecond the limit that the answer names; empty if it names none
+     * @param now monotonic time, in milliseconds
      * @return the changed limit, or empty if it was known
      */
-    public Optional<EndpointRateLimit> observe(EndpointId endpoint, OptionalDouble requestsPerSecond) {
+    public Optional<EndpointRateLimit> observe(EndpointId endpoint, OptionalDouble requestsPerSecond, long now) {
         double observed = requestsPerSecond.orElse(EndpointRateLimit.UNLIMITED);
         EndpointRateLimit known = find(endpoint);
         if (observed == known.requestsPerSecond()) {
             return Optional.empty();
         }
         EndpointRateLimit changed = new EndpointRateLimit(endpoint, known.revision() + 1, observed);
-        limits.put(endpoint, changed);
+        limits.put(endpoint, new Entry(changed, now));
         return Optional.of(changed);
     }
 
@@ -44,12 +48,13 @@
      * Merges a limit that another host knows.
      *
      * @param limit the limit
+     * @param now monotonic time, in milliseconds
      * @return whether it changed the table
      */
-    public boolean merge(EndpointRateLimit limit) {
+    public boolean merge(EndpointRateLimit limit, long now) {
         boolean isNewer = limit.replaces(find(limit.endpoint()));
         if (isNewer) {
-            limits.put(limit.endpoint(), limit);
+            limits.put(limit.endpoint(), new Entry(limit, now));
         }
         return isNewer;
     }
@@ -61,8 +66,8 @@
      * @return its limit; unlimited with revision 0 if none was ever known
      */
     public EndpointRateLimit find(EndpointId endpoint) {
-        EndpointRateLimit known = limits.get(endpoint);
-        return known == null ? new EndpointRateLimit(endpoint, 0, EndpointRateLimit.UNLIMITED) : known;
+        Entry known = limits.get(endpoint);
+        return known == null ? new EndpointRateLimit(endpoint, 0, EndpointRateLimit.UNLIMITED) : known.limit;
     }
 
     /**
@@ -71,15 +76,19 @@
      * @return the limits, withdrawn ones included
      */
     public List<EndpointRateLimit> all() {
-        return List.copyOf(limits.values());
+        return limits.values().stream().map(entry -> entry.limit).toList();
     }
 
     /**
-     * Removes the limits of endpoints that are no longer known.
+     * Removes the limits of endpoints that are no longer known. A limit that was learned lately is retained: a host that has
+     * just started may hear of it before it hears of the endpoint.
      *
      * @param isKnown whether an endpoint is still known
+     * @param now monotonic time, in milliseconds
      */
-    public void retain(Predicate<EndpointId> isKnown) {
-        limits.keySet().removeIf(endpoint -> !isKnown.test(endpoint));
+    public void retain(Predicate<EndpointId> isKnown, long now) {
+        limits.entrySet()
+                .removeIf(entry -> !isKnown.test(entry.getKey())
+                        && now - entry.getValue().learnedAt > EndpointDirectory.RETENTION_MILLISECONDS);
     }
 }
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/LimitedEndpointTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/LimitedEndpointTest.java
@@ -131,6 +131,23 @@
         assertEquals(List.of(200), List.copyOf(press(GRACE_MILLISECONDS).keySet()));
     }
 
+    /** A store host that starts hears of the limits from the edges before it hears of the endpoints. */
+    @Test
+    void shouldKeepTheLimitWhenTheStoreRestarts() throws InterruptedException {
+        first.nameLimit("1.0");
+        second.nameLimit("1.0");
+        press(GRACE_MILLISECONDS);
+        long since = System.nanoTime() / 1_000_000;
+        cluster.stopStore();
+        cluster.startStore();
+
+        press(WINDOW_MILLISECONDS);
+
+        assertTrue(
+                first.mostRequestsWithin(WINDOW_MILLISECONDS, since) <= allowed(1),
+                first.mostRequestsWithin(WINDOW_MILLISECONDS, since) + " requests in 4 s at a limit of 1");
+    }
+
     @Test
     void shouldRefuseAtOnceWhenNoStoreLeaderGrantsPermits() throws InterruptedException {
         first.nameLimit("1.0");
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/RateLimits.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/RateLimits.java
@@ -57,7 +57,7 @@
             return;
         }
         EndpointRateLimit former = table.find(endpoint);
-        table.observe(endpoint, named).ifPresent(changed -> {
+        table.observe(endpoint, named, Forwarder.now()).ifPresent(changed -> {
             log(changed, former, "answer");
             publisher.accept(List.of(changed));
         });
@@ -75,7 +75,7 @@
 
     private boolean merge(EndpointRateLimit limit) {
         EndpointRateLimit former = table.find(limit.endpoint());
-        boolean isNew = table.merge(limit);
+        boolean isNew = table.merge(limit, Forwarder.now());
         if (isNew) {
             log(limit, former, "other host");
         }
@@ -157,7 +157,7 @@
      * @param isKnown whether an endpoint is still known
      */
     public void retain(Predicate<EndpointId> isKnown) {
-        table.retain(isKnown);
+        table.retain(isKnown, Forwarder.now());
         deniedUntil.keySet().removeIf(endpoint -> !isKnown.test(endpoint));
     }
 }
