Ignore the rate limit in an answer of another endpoint

An endpoint that got the address of another one refuses requests for that one with 421 and names its own limit, which was recorded for the endpoint that is gone. The new test of ForwarderTest failed before (a limit of 1 for endpoint a).

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/RateLimits.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/RateLimits.java
@@ -44,13 +44,16 @@
     }
 
     /**
-     * Records the limit that an answer names. Only a success without a limit withdraws a known one, because other answers
-     * may come from something else than the request handler of the endpoint.
+     * Records the limit that an answer of the endpoint names. Only a success without a limit withdraws a known one, because
+     * other answers may come from something else than the request handler of the endpoint.
      *
      * @param endpoint the endpoint
      * @param answer its answer
      */
     public void observe(EndpointId endpoint, EndpointAnswer answer) {
+        if (answer.isMisdirected()) {
+            return;
+        }
         OptionalDouble named = answer.rateLimit();
         boolean withdraws = named.isEmpty() && isLimited(endpoint) && answer.isSuccess();
         if (named.isEmpty() && !withdraws) {
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -82,6 +82,8 @@
     private volatile boolean callerReads = true;
     private final BlockingQueue<List<EndpointCrash>> published = new LinkedBlockingQueue<>();
     private final CrashRegistry crashes = new CrashRegistry(published::add);
+    private final RateLimits limits =
+            new RateLimits(changes -> {}, (request, onDecision) -> onDecision.accept(new PermitDecision.Denied(0, 0)));
     private final Forwarder forwarder = new Forwarder(
             loop,
             EndpointClient.of(loop),
@@ -90,7 +92,7 @@
             OWN_DOMAIN,
             ForwardMetrics.of(Metrics.ofProcess()),
             crashes,
-            new RateLimits(changes -> {}, (request, onDecision) -> onDecision.accept(new PermitDecision.Denied(0, 0))),
+            limits,
             StreamOrigins.local(directory, () -> true));
 
     @AfterEach
@@ -327,6 +329,20 @@
         checkEndless(SUCCESS_HEAD, "begun");
     }
 
+    /** The endpoint that got the address of another one names its own limit when it refuses a request for that one. */
+    @Test
+    void shouldNotTakeTheLimitOfAnotherEndpointAtTheSameAddress() throws Exception {
+        endpoint(
+                "a",
+                "HTTP/1.1 421 Misdirected Request\r\nRosemarybeam-Not-Executed: 1\r\nServer-Limit: 1\r\n"
+                        + "Content-Length: 0\r\n\r\n");
+
+        forward(RouteKind.IDEMPOTENT, 300);
+
+        assertEquals("refused", outcome());
+        assertEquals(List.of(), loop.submit(limits::all).get());
+    }
+
     /** Load pattern: one endpoint is left and slow; a hedge there would double its load. */
     @Test
     void shouldNotHedgeToTheEndpointThatRunsTheRequest() throws Exception {
