Do not guess the service of a resumed stream whose route has several

An origin that no host knows was derived from the service that a new request would use, drawn by weight, and so could join events of two services. It is now derived only if the route has one. Found by reading; the new StreamOriginsTest was not run on the former code, whose method has other parameters.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -21,6 +21,7 @@
 import io.rosemarybeam.decision.routing.EndpointSelection;
 import io.rosemarybeam.decision.routing.PermitDecision;
 import io.rosemarybeam.decision.routing.PermitRequest;
+import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.RouteKind;
 import io.rosemarybeam.platform.EndpointAnswer;
 import io.rosemarybeam.platform.EndpointClient;
@@ -132,7 +133,7 @@
         }
         deadlineTimer = forwarder.loop().schedule(this::onDeadline, remaining, TimeUnit.MILLISECONDS);
         if (resumesStream()) {
-            forwarder.streams().find(request.resumedRequest(), request.service(), origin -> onOriginFound(origin));
+            forwarder.streams().find(request.resumedRequest(), routeServices(), this::onOriginFound);
         } else {
             tryNextEndpoint();
         }
@@ -150,8 +151,7 @@
             return;
         }
         boolean mayContinue = found.isPresent()
-                && request.route().split().stream()
-                        .anyMatch(share -> share.service().equals(found.get().service()))
+                && routeServices().contains(found.get().service())
                 && forwarder.directory().ready(found.get().service()).stream()
                         .anyMatch(endpoint -> isOfVersion(found.get(), endpoint));
         LOG.log(
@@ -174,6 +174,13 @@
         }
     }
 
+    private List<ServiceName> routeServices() {
+        return request.route().split().stream()
+                .map(Route.Share::service)
+                .distinct()
+                .toList();
+    }
+
     private static boolean isOfVersion(StreamOrigin origin, EndpointAnnouncement endpoint) {
         return origin.softwareVersion().equals(endpoint.softwareVersion());
     }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/StreamOrigins.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/StreamOrigins.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.forward;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
@@ -14,8 +15,8 @@
  * Finds out what began a stream that a caller resumes, here or at another host.
  *
  * <p>Invariant: the origin of a stream that begins here is published at once, so that it survives this process. An origin
- * that no host knows is derived only if the service has had a single software version, as far as a host in touch with all store
- * hosts can tell; otherwise it is unknown. Confined to one event loop.
+ * that no host knows is derived only if the route has one service with a single software version, as far as a host in touch with
+ * all store hosts can tell; otherwise it is unknown. Confined to one event loop.
  */
 public final class StreamOrigins {
     private final StreamOriginTable table = new StreamOriginTable();
@@ -90,23 +91,27 @@
      * Finds the origin of a stream.
      *
      * @param request id of the attempt that brought the first event; empty if the caller did not name it
-     * @param service the service that would run a new request
+     * @param services the services of the route
      * @param onResult called once, possibly before this method returns; empty if the stream must not go on
      */
-    void find(String request, ServiceName service, Consumer<Optional<StreamOrigin>> onResult) {
+    void find(String request, List<ServiceName> services, Consumer<Optional<StreamOrigin>> onResult) {
         Optional<StreamOrigin> known = table.find(request);
         if (known.isPresent()) {
             onResult.accept(known);
         } else if (request.isEmpty()) {
-            onResult.accept(onlyVersion(request, service));
+            onResult.accept(onlyVersion(request, services));
         } else {
-            remote.find(request, found -> onResult.accept(found.or(() -> onlyVersion(request, service))));
+            remote.find(request, found -> onResult.accept(found.or(() -> onlyVersion(request, services))));
         }
     }
 
-    private Optional<StreamOrigin> onlyVersion(String request, ServiceName service) {
+    private Optional<StreamOrigin> onlyVersion(String request, List<ServiceName> services) {
+        if (services.size() != 1 || !remote.knowsAllEndpoints()) {
+            return Optional.empty();
+        }
+        ServiceName service = services.getFirst();
         Set<String> versions = directory.softwareVersions(service);
-        return versions.size() == 1 && remote.knowsAllEndpoints()
+        return versions.size() == 1
                 ? Optional.of(
                         new StreamOrigin(request, service, versions.iterator().next()))
                 : Optional.empty();
