Split the choice of endpoints from the course of a forwarded request

EndpointCandidates now knows which endpoints may run the request and in which order they are preferred; behaviour is unchanged.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -2,10 +2,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -13,12 +11,10 @@
 import io.netty.util.concurrent.Future;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
-import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.StreamOrigin;
-import io.rosemarybeam.decision.routing.EndpointSelection;
 import io.rosemarybeam.decision.routing.PermitDecision;
 import io.rosemarybeam.decision.routing.PermitRequest;
 import io.rosemarybeam.decision.routing.Route;
@@ -74,13 +70,9 @@
     private final ForwardRequest request;
     private final AnswerSink sink;
     private final long startedAt = Forwarder.now();
-    private final Set<EndpointId> tried = new HashSet<>();
-    private final Set<EndpointId> unavailable = new HashSet<>();
+    private final EndpointCandidates candidates;
     private final List<EndpointAttempt> running = new ArrayList<>();
     private Optional<Fingerprint> fingerprint = Optional.empty();
-    /** What began the stream that this request resumes; empty if it begins one. */
-    private Optional<StreamOrigin> resumed = Optional.empty();
-
     private Optional<BufferedAnswer> lastErrorAnswer = Optional.empty();
     private Future<?> deadlineTimer;
     private Future<?> hedgeTimer;
@@ -123,6 +115,7 @@
         this.forwarder = forwarder;
         this.request = request;
         this.sink = sink;
+        this.candidates = new EndpointCandidates(forwarder, request);
     }
 
     void start() {
@@ -152,8 +145,7 @@
         }
         boolean mayContinue = found.isPresent()
                 && routeServices().contains(found.get().service())
-                && forwarder.directory().ready(found.get().service()).stream()
-                        .anyMatch(endpoint -> isOfVersion(found.get(), endpoint));
+                && candidates.canContinue(found.get());
         LOG.log(
                 mayContinue ? Event.STREAM_RESUMED : Event.STREAM_NOT_RESUMED,
                 "request",
@@ -167,7 +159,7 @@
                 "software",
                 found.map(StreamOrigin::softwareVersion).orElse("unknown"));
         if (mayContinue) {
-            resumed = found;
+            candidates.restrictTo(found.get());
             tryNextEndpoint();
         } else {
             finishRefused("stream cannot be continued", usualRetryDelay());
@@ -181,14 +173,6 @@
                 .toList();
     }
 
-    private static boolean isOfVersion(StreamOrigin origin, EndpointAnnouncement endpoint) {
-        return origin.softwareVersion().equals(endpoint.softwareVersion());
-    }
-
-    private ServiceName service() {
-        return resumed.map(StreamOrigin::service).orElse(request.service());
-    }
-
     /** Cancels the request because its caller has disconnected; closing the connections stops the work of the endpoints. */
     public void cancel() {
         if (!finished) {
@@ -212,12 +196,12 @@
         boolean isExhausted = sends >= request.route().maximumAttempts()
                 || refusals >= MAXIMUM_REFUSALS_BY_ENDPOINTS
                 || remainingQuarantine() > 0;
-        List<EndpointAnnouncement> candidates = isExhausted ? List.of() : candidates();
-        Optional<EndpointAnnouncement> chosen = choose(candidates);
+        List<EndpointAnnouncement> usable = isExhausted ? List.of() : candidates.usable(!running.isEmpty());
+        Optional<EndpointAnnouncement> chosen = candidates.choose(usable);
         if (chosen.isEmpty()) {
             finishIfNoneRuns();
-        } else if (isLimited(chosen.get())) {
-            acquirePermit(candidates);
+        } else if (candidates.isLimited(chosen.get())) {
+            acquirePermit(usable);
         } else {
             new EndpointAttempt(chosen.get()).send();
         }
@@ -229,55 +213,21 @@
         }
     }
 
-    /**
-     * Returns the endpoints to choose from. Those whose rate limit is used up are left out while there are others. If some
-     * endpoints are limited, a request that was promised to run waits for a free slot at the others, so that it does not fill
-     * the queues that more urgent requests then depend on.
-     */
-    private List<EndpointAnnouncement> candidates() {
-        long now = Forwarder.now();
-        List<EndpointAnnouncement> ready = forwarder.directory().ready(service()).stream()
-                .filter(endpoint -> resumed.isEmpty() || isOfVersion(resumed.get(), endpoint))
-                .filter(endpoint -> !unavailable.contains(endpoint.id()))
-                .filter(endpoint -> running.isEmpty() || !tried.contains(endpoint.id()))
-                .toList();
-        if (ready.stream().noneMatch(this::isLimited)) {
-            return ready;
-        }
-        List<EndpointAnnouncement> unlimited = ready.stream()
-                .filter(endpoint -> !isLimited(endpoint))
-                .filter(endpoint -> !request.mustRun() || hasFreeSlot(endpoint))
-                .toList();
-        return ready.stream()
-                .filter(endpoint -> isLimited(endpoint)
-                        ? unlimited.isEmpty() || !forwarder.limits().isExhausted(endpoint.id(), now)
-                        : unlimited.contains(endpoint))
-                .toList();
-    }
-
-    private boolean isLimited(EndpointAnnouncement endpoint) {
-        return forwarder.limits().isLimited(endpoint.id());
-    }
-
-    private Optional<EndpointAnnouncement> choose(List<EndpointAnnouncement> candidates) {
-        EndpointSelection.RequestState state =
-                new EndpointSelection.RequestState(tried, forwarder.crashMonitor()::runsSuspect);
-        return EndpointSelection.choose(candidates, state, forwarder.loads(), forwarder.ownDomain(), Forwarder.now());
-    }
-
     /**
      * Requests a permit for the endpoints with a rate limit. The request waits for it only if no other endpoint has a free
      * slot, and not beside an attempt in progress.
      */
-    private void acquirePermit(List<EndpointAnnouncement> candidates) {
+    private void acquirePermit(List<EndpointAnnouncement> usable) {
         List<EndpointAnnouncement> limited =
-                candidates.stream().filter(this::isLimited).toList();
-        List<EndpointAnnouncement> unlimited = candidates.stream()
-                .filter(endpoint -> !limited.contains(endpoint))
-                .toList();
-        boolean mayWait = running.isEmpty() && unlimited.stream().noneMatch(this::hasFreeSlot);
+                usable.stream().filter(candidates::isLimited).toList();
+        List<EndpointAnnouncement> unlimited =
+                usable.stream().filter(endpoint -> !limited.contains(endpoint)).toList();
+        boolean mayWait = running.isEmpty() && unlimited.stream().noneMatch(candidates::hasFreeSlot);
         PermitRequest wanted = new PermitRequest(
-                request.id(), inOrderOfPreference(limited), request.route().priority(), mayWait ? maximumWait() : 0);
+                request.id(),
+                candidates.inOrderOfPreference(limited),
+                request.route().priority(),
+                mayWait ? maximumWait() : 0);
         long askedAt = Forwarder.now();
         awaitsPermit = true;
         forwarder.limits().acquire(wanted, decision -> {
@@ -289,21 +239,6 @@
         });
     }
 
-    private boolean hasFreeSlot(EndpointAnnouncement endpoint) {
-        return forwarder.loads().estimatedRequests(endpoint.id(), Forwarder.now()) < endpoint.capacity();
-    }
-
-    private List<EndpointId> inOrderOfPreference(List<EndpointAnnouncement> endpoints) {
-        List<EndpointAnnouncement> remaining = new ArrayList<>(endpoints);
-        List<EndpointId> ordered = new ArrayList<>();
-        while (!remaining.isEmpty()) {
-            EndpointAnnouncement next = choose(remaining).orElseThrow();
-            remaining.remove(next);
-            ordered.add(next.id());
-        }
-        return ordered;
-    }
-
     /** Returns how long the request can wait for a permit and still be answered in time, in milliseconds. */
     private long maximumWait() {
         long remaining = request.deadline() - Forwarder.now();
@@ -331,7 +266,7 @@
             }
             case PermitDecision.Denied denied -> {
                 permitRetryDelay = denied.retryMilliseconds();
-                Optional<EndpointAnnouncement> other = choose(unlimited);
+                Optional<EndpointAnnouncement> other = candidates.choose(unlimited);
                 if (other.isPresent()) {
                     new EndpointAttempt(other.get()).send();
                 } else {
@@ -442,7 +377,7 @@
                 "retryAfter",
                 retryAfter,
                 "endpoints",
-                tried,
+                candidates.tried(),
                 "fingerprint",
                 fingerprint.map(Fingerprint::value).orElse(""),
                 "milliseconds",
@@ -496,7 +431,7 @@
 
         private void send() {
             sends++;
-            tried.add(endpoint.id());
+            candidates.recordTried(endpoint.id());
             running.add(this);
             forwarder.loads().recordRequest(endpoint.id());
             ofSuspect = isSuspect();
@@ -565,8 +500,10 @@
             if (request.route().kind() == RouteKind.STREAMING && request.route().resumable()) {
                 forwarder
                         .streams()
-                        .record(resumed.orElseGet(
-                                () -> new StreamOrigin(request.id(), endpoint.service(), endpoint.softwareVersion())));
+                        .record(candidates
+                                .restriction()
+                                .orElseGet(() -> new StreamOrigin(
+                                        request.id(), endpoint.service(), endpoint.softwareVersion())));
             }
         }
 
@@ -652,7 +589,7 @@
         private void markUnavailable() {
             sends--;
             refusals++;
-            unavailable.add(endpoint.id());
+            candidates.recordUnavailable(endpoint.id());
         }
 
         private void handleErrorAnswer(long now) {
