Close the port of a crashing stand-in before its connections

ForwarderTest#shouldPublishTheCrashWhenTheEndpointRefusesConnections failed once, at a load of 28 on 8 cores: no crash was published. Trace: a listener that is closed while a thread waits in accept stays open until that thread has woken up. The port of a process that ends has no such delay.

--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingEndpoint.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingEndpoint.java
@@ -109,6 +109,18 @@
         return head.toString(StandardCharsets.ISO_8859_1);
     }
 
+    /** Waits for the end of the listener, which the system defers until the thread that accepts has woken up. */
+    private void awaitRefused() {
+        try {
+            while (true) {
+                new Socket(InetAddress.getLoopbackAddress(), port).close();
+            }
+        } catch (IOException refused) {
+            // The port is closed now, as after the end of a process.
+            Thread.onSpinWait();
+        }
+    }
+
     private void crash() {
         crashes.incrementAndGet();
         close();
@@ -118,6 +130,7 @@
     public void close() {
         try {
             listener.close();
+            awaitRefused();
             for (Socket connection : connections) {
                 connection.close();
             }
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -418,6 +418,18 @@
             socket.close();
         }
 
+        /** Waits for the end of the listener, which the system defers until the thread that accepts has woken up. */
+        private static void awaitRefused(int port) {
+            try {
+                while (true) {
+                    new Socket(InetAddress.getLoopbackAddress(), port).close();
+                }
+            } catch (IOException refused) {
+                // The port is closed now, as after the end of a process.
+                Thread.onSpinWait();
+            }
+        }
+
         private void accept() {
             while (!socket.isClosed()) {
                 try {
@@ -451,7 +463,9 @@
                     writeUntilClosed(connection.getOutputStream(), answer.substring(ENDLESS.length()));
                 }
                 if (answer.equals(CRASH)) {
+                    int port = socket.getLocalPort();
                     socket.close();
+                    awaitRefused(port);
                     return;
                 }
                 if (answer.equals(SILENT)) {
