Do not add up parts of a token when the wait for a permit is estimated

A request that no endpoint had a token for was queued and denied a millisecond later if the parts of tokens at several endpoints added up to one, and its edge asked again at once (PERMIT_DENIED with wait 0). The wait is now at least the time until one endpoint has a whole token; the new test of PermitQueue failed before. A hedge that is denied no longer lets a later refusal look like one by the rate limit.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/PermitQueue.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/PermitQueue.java
@@ -73,6 +73,11 @@
         private boolean hasToken() {
             return tokens >= 1 - EPSILON;
         }
+
+        /** Returns the time until the bucket has a token, in milliseconds. */
+        private double untilNextToken() {
+            return Math.max(0, 1 - tokens) / rate * MILLISECONDS_PER_SECOND;
+        }
     }
 
     /** A request that waits for a token. Immutable. */
@@ -132,16 +137,18 @@
     private double expectedWait(Waiting entry, long now) {
         double tokens = 0;
         double rate = 0;
+        double nextToken = Double.POSITIVE_INFINITY;
         for (EndpointId candidate : entry.request.candidates()) {
             Bucket bucket = buckets.get(candidate);
             bucket.refill(now);
             tokens += bucket.tokens;
             rate += bucket.rate;
+            nextToken = Math.min(nextToken, bucket.untilNextToken());
         }
         long ahead = waiting.headSet(entry).stream()
                 .filter(other -> other.request.candidates().stream().anyMatch(entry.request.candidates()::contains))
                 .count();
-        return Math.max(0, (ahead + 1 - tokens) / rate * MILLISECONDS_PER_SECOND);
+        return Math.max(nextToken, (ahead + 1 - tokens) / rate * MILLISECONDS_PER_SECOND);
     }
 
     private Denied denied(PermitRequest request, double expectedWait, long now) {
@@ -254,8 +261,7 @@
                 return now;
             }
             bucket.refill(now);
-            double missing = Math.max(0, 1 - bucket.tokens);
-            next = Math.min(next, now + (long) Math.ceil(missing / bucket.rate * MILLISECONDS_PER_SECOND));
+            next = Math.min(next, now + (long) Math.ceil(bucket.untilNextToken()));
         }
         return next;
     }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/PermitQueueTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/PermitQueueTest.java
@@ -117,6 +117,16 @@
         assertEquals(List.of("second denied"), decisions);
     }
 
+    /** Parts of a token at several endpoints are not a token. */
+    @Test
+    void shouldDenyAtOnceWhenNoEndpointHasAWholeToken() {
+        limit(ENDPOINT, 1, 0);
+        limit(OTHER, 1, 0);
+        request("r", List.of(ENDPOINT, OTHER), 0, 100, 800);
+
+        assertEquals(List.of("r denied"), decisions);
+    }
+
     @Test
     void shouldDenyAWaitingRequestWhenAMoreUrgentOneTakesItsToken() {
         limit(ENDPOINT, 1, 0);
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -270,7 +270,7 @@
                 if (other.isPresent()) {
                     new EndpointAttempt(other.get()).send();
                 } else {
-                    deniedByLimit = true;
+                    deniedByLimit = running.isEmpty();
                     finishIfNoneRuns();
                 }
             }
