Do not count reports of endpoints towards their rate limit

A load of weights asks an endpoint for several reports, and each took a token from the items of a limited endpoint. Reports need no slot of an endpoint, and their answers never name the limit. Only the order counts now.

VersionOrdersTest failed before (3 calls counted for a load instead of 1).

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
@@ -76,7 +76,8 @@
      *
      * @param fleet the endpoints
      * @param client sends the orders
-     * @param recordSent is told the endpoint of each call, which counts towards its rate limit but is not delayed by it
+     * @param recordSent is told the endpoint of each order, which counts towards its rate limit but is not delayed by it; reports
+     *     do not count, because they take no work of the endpoint
      * @param leaderName name of this host
      * @param term term of this leader
      * @param firstOrderAt monotonic time, in milliseconds, until which no orders are sent, because endpoints may still
@@ -219,6 +220,7 @@
         ModelName model = order.load.model();
         LoadOrder content = new LoadOrder(model, order.load.version(), true, leaderName, term, order.ordersBefore);
         LOG.log(Event.ORDER_GIVEN, fields(order, "load"));
+        recordSent.accept(order.load.endpoint());
         call(
                 order,
                 Forwarder.now(),
@@ -249,7 +251,6 @@
         Call call = new Call(order, handler);
         order.call = Optional.of(call);
         order.calledAt = now;
-        recordSent.accept(order.load.endpoint());
         call.attempt =
                 client.send(new EndpointClient.Request(order.endpoint.address(), method, path, headers, body), call);
     }
