Soak: count requests at a limit from the first answer that names it

Trace: the endpoint was told to name the limit seconds before it gave its first answer with it (15.2 s), and named it until 16.6 s; the users' rule counts from 3 s after the first such answer. The bound is unchanged.

--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -182,7 +182,10 @@
                 "d-" + body,
                 PlatformHeaders.WEIGHT_VERSION,
                 "1"));
-        limit.ifPresent(named -> headers.addAll(List.of(PlatformHeaders.RATE_LIMIT, String.valueOf(named))));
+        limit.ifPresent(named -> {
+            headers.addAll(List.of(PlatformHeaders.RATE_LIMIT, String.valueOf(named)));
+            report.limitAnswered(name);
+        });
         String contentType = isText ? "text/event-stream" : "text/plain";
         if (breaksOff) {
             exchange.respondInPart(200, contentType, content, content.length / 2, headers.toArray(String[]::new));
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakLimits.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakLimits.java
@@ -25,7 +25,10 @@
     /** The time for which an endpoint names one limit, and the requests that it gets. */
     private static final class Phase {
         private final double limit;
-        private final long firstAnswer = SoakReport.now();
+
+        /** Monotonic time of the first answer that named the limit, in milliseconds. */
+        private long firstAnswer = Long.MAX_VALUE - GRACE_MILLISECONDS;
+
         private final List<Long> arrivals = new ArrayList<>();
 
         Phase(double limit) {
@@ -58,6 +61,12 @@
         }
     }
 
+    /** Records that an endpoint sends an answer that names its limit. */
+    synchronized void answered(String endpoint) {
+        Phase current = phases.get(endpoint).getLast();
+        current.firstAnswer = Math.min(current.firstAnswer, SoakReport.now());
+    }
+
     /** Returns a line for each phase in which the limit was exceeded. */
     synchronized List<String> violations() {
         List<String> violations = new ArrayList<>();
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakReport.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakReport.java
@@ -64,6 +64,11 @@
         limits.named(endpoint, limit);
     }
 
+    /** Records that an endpoint sends an answer that names its limit. */
+    void limitAnswered(String endpoint) {
+        limits.answered(endpoint);
+    }
+
     void requestArrived(String endpoint) {
         limits.requestArrived(endpoint);
     }
