Soak: tell endpoints that name limits apart by their ids

Trace: the stand-in started twice under a new id meanwhile, and each of the three endpoints got 12 to 14 requests before its first answer named the limit, and 3 a second or fewer afterwards. The users' rule counts for each endpoint from 3 s after it first names its limit; an endpoint that starts under its former id is still counted on. The bound is unchanged.

--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -77,6 +77,8 @@
         incarnation++;
         if (newId || id == null) {
             id = name + "-" + incarnation;
+            // Under a new id it is another endpoint, which names its limit for the first time.
+            limit.ifPresent(named -> report.limitNamed(id, OptionalDouble.of(named)));
             softwareVersion = "v" + (1 + Math.floorMod(name.hashCode() + incarnation, SOFTWARE_VERSIONS));
         }
         started = System.currentTimeMillis();
@@ -106,7 +108,7 @@
     /** Sets the rate limit that all answers name, also after a restart; empty for none. */
     void nameLimit(OptionalDouble requestsPerSecond) {
         limit = requestsPerSecond;
-        report.limitNamed(name, requestsPerSecond);
+        report.limitNamed(id, requestsPerSecond);
     }
 
     void misbehaveOnce(Fault fault) {
@@ -143,7 +145,7 @@
             exchange.respond(MISDIRECTED_REQUEST, "text/plain", new byte[0], PlatformHeaders.NOT_EXECUTED, "1");
             return;
         }
-        report.requestArrived(name);
+        report.requestArrived(id);
         String body = new String(exchange.body(), StandardCharsets.UTF_8);
         if (body.startsWith(POISON)) {
             report.crashed(body);
@@ -184,7 +186,7 @@
                 "1"));
         limit.ifPresent(named -> {
             headers.addAll(List.of(PlatformHeaders.RATE_LIMIT, String.valueOf(named)));
-            report.limitAnswered(name);
+            report.limitAnswered(id);
         });
         String contentType = isText ? "text/event-stream" : "text/plain";
         if (breaksOff) {
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakLimits.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakLimits.java
@@ -63,8 +63,11 @@
 
     /** Records that an endpoint sends an answer that names its limit. */
     synchronized void answered(String endpoint) {
-        Phase current = phases.get(endpoint).getLast();
-        current.firstAnswer = Math.min(current.firstAnswer, SoakReport.now());
+        List<Phase> ofEndpoint = phases.getOrDefault(endpoint, List.of());
+        if (!ofEndpoint.isEmpty()) {
+            Phase current = ofEndpoint.getLast();
+            current.firstAnswer = Math.min(current.firstAnswer, SoakReport.now());
+        }
     }
 
     /** Returns a line for each phase in which the limit was exceeded. */
