--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingEndpoint.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingEndpoint.java
@@ -16,27 +16,45 @@
 import java.util.regex.Pattern;
 
 /**
- * An endpoint whose process ends when it runs a request with the body {@value #POISON}: it closes its port and all
- * connections. {@link #restart} starts it again at the same address as a new incarnation. Safe for use by several threads.
+ * An endpoint whose process ends when it runs a request with the body {@value #POISON}, in one of the ways of {@link End}.
+ * {@link #restart} starts it again at the same address as a new incarnation. Safe for use by several threads.
  */
 final class CrashingEndpoint implements AutoCloseable {
     static final String POISON = "poison";
 
+    /** What others see of the end of the process. */
+    enum End {
+        /** Its port and all connections close. */
+        CLOSED,
+        /** Neither its open connections nor new ones are answered any more. */
+        SILENT,
+        /** Its connections close, and another process accepts connections at its port at once. */
+        REPLACED
+    }
+
+    /** Connections that fill the queue of a listener with a backlog of one, so that it does not answer further ones. */
+    private static final int CONNECTIONS_THAT_FILL_THE_QUEUE = 2;
+
     private static final Pattern LENGTH = Pattern.compile("(?i)content-length: (\\d+)");
     private static final Pattern REQUEST_ID = Pattern.compile("(?i)rosemarybeam-request-id: (\\S+)");
 
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private final Set<Socket> queued = ConcurrentHashMap.newKeySet();
     private final AtomicInteger crashes;
+    private final End end;
     private final int port;
     private volatile ServerSocket listener;
+    private volatile boolean ended;
 
     /**
      * Starts an endpoint on a free loopback port.
      *
      * @param crashes counts the crashes of all endpoints
+     * @param end how its process ends
      */
-    CrashingEndpoint(AtomicInteger crashes) {
+    CrashingEndpoint(AtomicInteger crashes, End end) {
         this.crashes = crashes;
+        this.end = end;
         this.port = listen(0);
     }
 
@@ -44,8 +62,10 @@
         try {
             ServerSocket socket = new ServerSocket();
             socket.setReuseAddress(true);
-            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), wantedPort));
+            int backlog = end == End.SILENT ? 1 : 0;
+            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), wantedPort), backlog);
             listener = socket;
+            ended = false;
             Thread.ofVirtual().start(() -> accept(socket));
             return socket.getLocalPort();
         } catch (IOException failure) {
@@ -58,10 +78,11 @@
     }
 
     boolean isRunning() {
-        return !listener.isClosed();
+        return !ended;
     }
 
     void restart() {
+        close();
         listen(port);
     }
 
@@ -69,6 +90,10 @@
         while (!socket.isClosed()) {
             try {
                 Socket connection = socket.accept();
+                if (ended && end == End.SILENT) {
+                    queued.add(connection);
+                    return;
+                }
                 connections.add(connection);
                 Thread.ofVirtual().start(() -> serve(connection));
             } catch (IOException closed) {
@@ -85,6 +110,7 @@
                 byte[] body = in.readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
                 if (new String(body, StandardCharsets.UTF_8).equals(POISON)) {
                     crash();
+                    awaitClosed(connection);
                     return;
                 }
                 Matcher id = REQUEST_ID.matcher(head);
@@ -121,20 +147,49 @@
         }
     }
 
-    private void crash() {
+    /** Keeps a connection of a silent endpoint open until the endpoint is restarted or closed. */
+    private static void awaitClosed(Socket connection) throws IOException {
+        while (!connection.isClosed() && connection.getInputStream().read() >= 0) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private synchronized void crash() throws IOException {
         crashes.incrementAndGet();
-        close();
+        ended = true;
+        switch (end) {
+            case CLOSED -> close();
+            case SILENT -> fillQueue();
+            case REPLACED -> closeConnections();
+            default -> throw new IllegalStateException("unexpected end " + end);
+        }
+    }
+
+    /** One connection wakes the thread that accepts, which then stops, and the others fill the queue. */
+    private void fillQueue() throws IOException {
+        for (int connection = 0; connection <= CONNECTIONS_THAT_FILL_THE_QUEUE; connection++) {
+            queued.add(new Socket(InetAddress.getLoopbackAddress(), port));
+        }
+    }
+
+    private void closeConnections() throws IOException {
+        for (Socket connection : connections) {
+            connection.close();
+        }
+        connections.clear();
     }
 
     @Override
     public void close() {
+        ended = true;
         try {
             listener.close();
-            awaitRefused();
-            for (Socket connection : connections) {
+            for (Socket connection : queued) {
                 connection.close();
             }
-            connections.clear();
+            queued.clear();
+            awaitRefused();
+            closeConnections();
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
         }
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingRequestTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingRequestTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
+import io.rosemarybeam.edge.CrashingEndpoint.End;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,6 +23,9 @@
     /** The users allow three endpoints to crash before the request must not run any more. */
     private static final int ALLOWED_CRASHES = 3;
 
+    /** The request that silences the third endpoint may have been hedged to a fourth one before. */
+    private static final int ALLOWED_CRASHES_WITH_HEDGE = 4;
+
     @TempDir
     Path folder;
 
@@ -30,7 +34,7 @@
     private PlatformCluster cluster;
 
     @BeforeEach
-    void start() {
+    void startCluster() {
         cluster = new PlatformCluster(folder);
         cluster.startStore();
         cluster.configure("""
@@ -38,8 +42,11 @@
                 "TimeoutMs":2000,"TargetLatencyMs":300,"Priority":0,"Backend":"desk","MaxAttempts":2}],
                 "Services":[{"Name":"desk","HealthPath":"/healthz","MaxConnections":50,"Protocol":"h1","Tls":false}]}
                 """.formatted(PlatformCluster.STORE_HOST));
+    }
+
+    private void startEndpointsAndEdges(End end) {
         for (int number = 0; number < ENDPOINTS; number++) {
-            endpoints.add(new CrashingEndpoint(crashes));
+            endpoints.add(new CrashingEndpoint(crashes, end));
             cluster.announce("e-" + number, endpoints.get(number).address(), 1);
         }
         for (int edge = 0; edge < EDGES; edge++) {
@@ -48,6 +55,13 @@
         }
     }
 
+    private void sendAgainAndAgain() {
+        for (int resend = 0; resend < RESENDS; resend++) {
+            cluster.request(resend % EDGES, "poison-" + resend, CrashingEndpoint.POISON);
+            restartCrashedEndpoints(resend + 2L);
+        }
+    }
+
     @AfterEach
     void close() {
         cluster.close();
@@ -76,10 +90,29 @@
 
     @Test
     void shouldNotCrashMoreEndpointsWhenACrashingRequestIsSentAgainAtEveryEdge() {
-        for (int resend = 0; resend < RESENDS; resend++) {
-            cluster.request(resend % EDGES, "poison-" + resend, CrashingEndpoint.POISON);
-            restartCrashedEndpoints(resend + 2L);
-        }
+        startEndpointsAndEdges(End.CLOSED);
+
+        sendAgainAndAgain();
+
+        assertTrue(crashes.get() <= ALLOWED_CRASHES, crashes + " endpoints crashed");
+        assertEquals(200, cluster.request(0, "sound", "sound"));
+    }
+
+    @Test
+    void shouldNotCrashMoreEndpointsWhenTheyFallSilentInsteadOfClosingTheirPorts() {
+        startEndpointsAndEdges(End.SILENT);
+
+        sendAgainAndAgain();
+
+        assertTrue(crashes.get() <= ALLOWED_CRASHES_WITH_HEDGE, crashes + " endpoints crashed");
+        assertEquals(200, cluster.request(0, "sound", "sound"));
+    }
+
+    @Test
+    void shouldNotCrashMoreEndpointsWhenAnotherProcessAcceptsAtTheirAddressesAtOnce() {
+        startEndpointsAndEdges(End.REPLACED);
+
+        sendAgainAndAgain();
 
         assertTrue(crashes.get() <= ALLOWED_CRASHES, crashes + " endpoints crashed");
         assertEquals(200, cluster.request(0, "sound", "sound"));
@@ -87,6 +120,7 @@
 
     @Test
     void shouldRefuseACrashingRequestWhenEdgeAndStoreStartAfterItsQuarantine() {
+        startEndpointsAndEdges(End.CLOSED);
         for (int resend = 0; resend < ALLOWED_CRASHES; resend++) {
             cluster.request(0, "poison-" + resend, CrashingEndpoint.POISON);
             restartCrashedEndpoints(resend + 2L);
