Count a crash whose endpoint does not refuse the next connection

What callers saw: a request that crashes endpoints went on crashing them, 24 endpoints for 12 resends, if an endpoint fell silent or another process took its address at once.

Cause: a crash counted only if the port refused the connection of a single check. Every other end was taken for a lost answer, and an attempt that ended with its caller's deadline was not checked at all. A bound that rests on one signal fails open when the signal is missed.

An attempt without an answer now counts as a suspected crash until a store host receives a later heartbeat of the same start of the endpoint. Suspected, disproved, confirmed and cleared are states that only ever advance, so reports in any order still agree; earlier releases read them as counted and cleared.

Ruled out for these tests: different fingerprints (one in all ENDPOINT_CHECKED lines) and clearing (no CRASH_CLEARED).

A request whose endpoints go on sending heartbeats is released again.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -83,12 +83,14 @@
     REQUEST_REFUSED(703, Severity.WARNING, "A request was refused before it was sent to an endpoint."),
     /** An endpoint was checked because the connection of an attempt broke. */
     ENDPOINT_CHECKED(
-            704, Severity.WARNING, "An endpoint was checked because an attempt broke; REFUSED means that it crashed."),
+            704,
+            Severity.WARNING,
+            "An endpoint was checked after an attempt without an answer; REFUSED is a crash, else it is suspected."),
     /** A request that had been running when an endpoint crashed was answered in full. */
     CRASH_CLEARED(
             705,
             Severity.INFORMATION,
-            "A request that ran on a crashed endpoint was answered, so that the crash no longer counts."),
+            "A crash no longer counts for a request, because the request was answered or the endpoint is alive."),
     /** A resumed stream continues at the software version that began it. */
     STREAM_RESUMED(706, Severity.INFORMATION, "A resumed stream goes on at the software version that began it."),
     /** A resumed stream must not go on. */
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
@@ -80,10 +80,28 @@
     /** The endpoint news of an earlier release, which had no crashes. */
     private record EarlierEndpointNews(List<EndpointAnnouncement> announcements) {}
 
+    /** A crash as an earlier release reports it, which knows no suspected crashes. */
+    private record EarlierCrash(
+            Fingerprint fingerprint,
+            EndpointId endpoint,
+            long startedMilliseconds,
+            long ageMilliseconds,
+            boolean cleared) {}
+
+    @Test
+    void shouldTakeCrashesOfAnEarlierReleaseForConfirmedOnes() {
+        byte[] earlier = MessageCodec.encode(new EarlierCrash(Fingerprint.of("f"), EndpointId.of("e"), 1, 2, false));
+
+        assertEquals(
+                EndpointCrash.of(Fingerprint.of("f"), EndpointId.of("e"), 1, 2, EndpointCrash.State.CONFIRMED),
+                MessageCodec.decode(earlier, EndpointCrash.class));
+    }
+
     /** In a rolling upgrade a frame that cannot be decoded would close the connection each time. */
     @Test
     void shouldExchangeEndpointNewsWithAnEarlierRelease() {
-        EndpointCrash crash = new EndpointCrash(Fingerprint.of("f"), EndpointId.of("e"), 1, 2, false);
+        EndpointCrash crash =
+                EndpointCrash.of(Fingerprint.of("f"), EndpointId.of("e"), 1, 2, EndpointCrash.State.DISPROVED);
         EndpointNews newer = EndpointNews.ofCrashes(List.of(crash));
 
         assertEquals(newer, MessageCodec.decode(MessageCodec.encode(newer), EndpointNews.class));
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/CrashTable.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/CrashTable.java
@@ -3,23 +3,27 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.rosemarybeam.common.collection.LeastRecentlyUsedMap;
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.wire.EndpointCrash;
+import io.rosemarybeam.common.wire.EndpointCrash.State;
 
 /**
  * Requests that ran on endpoints that crashed, and the quarantine of those that crash one endpoint after another.
  *
  * <p>Load pattern: one request crashes every endpoint that runs it, and its caller sends it again to any edge. Requests that
  * merely ran beside it, or on endpoints that crashed for another reason, are answered in full by the next endpoint, which
- * clears them.
+ * clears them. A process can end without a sign that the sender of the request recognizes, so an attempt that ends without an
+ * answer counts as a suspected crash until a heartbeat of the endpoint disproves it.
  *
- * <p>Invariants: a crash counts once, however often it is reported, and a cleared crash never counts again, so tables that
- * received the same reports in any order agree. A cleared crash is retained, because a late report of it would otherwise
+ * <p>Invariants: a crash counts once, however often it is reported, and its state only ever changes to a later one, so tables
+ * that received the same reports in any order agree. A cleared crash is retained, because a late report of it would otherwise
  * count, and processes that pass on what is new to them would do so for ever. Times are monotonic times in milliseconds.
  * Confined to one thread.
  */
@@ -33,6 +37,15 @@
      */
     private static final long FIRST_QUARANTINE_MILLISECONDS = 10 * 60_000L;
 
+    /**
+     * Time after which a suspected crash that no heartbeat has disproved is taken for a crash. Endpoints send a heartbeat
+     * about every second, and one may be lost.
+     */
+    private static final long DECISION_MILLISECONDS = 3_000;
+
+    /** A heartbeat that arrives sooner after a suspected crash may have been sent before it. */
+    private static final long HEARTBEAT_DELAY_MILLISECONDS = 500;
+
     /** Maximum duration of a quarantine, which bounds the doubling. */
     private static final long MAXIMUM_QUARANTINE_MILLISECONDS = 24 * 3_600_000L;
 
@@ -50,11 +63,22 @@
 
     private final Map<Fingerprint, Map<Incarnation, Crash>> requests = new LeastRecentlyUsedMap<>(MAXIMUM_REQUESTS);
 
+    /** Incarnations that may have a suspected crash, so that a heartbeat of any other one costs nothing. */
+    private final Set<Incarnation> suspected = new HashSet<>();
+
     /** One life of an endpoint. Immutable. */
     private record Incarnation(EndpointId endpoint, long startedMilliseconds) {}
 
     /** A crash of an endpoint. Immutable. */
-    private record Crash(long crashedAt, boolean cleared) {}
+    private record Crash(long crashedAt, State state) {
+        private boolean counts() {
+            return state.counts();
+        }
+
+        private boolean isDecided(long now) {
+            return state == State.CONFIRMED || state == State.SUSPECTED && now - crashedAt >= DECISION_MILLISECONDS;
+        }
+    }
 
     /** Returns whether no request has crashed an endpoint, so that callers need not compute fingerprints. */
     public boolean isEmpty() {
@@ -62,7 +86,7 @@
     }
 
     /**
-     * Records a crash, or that a crash was cleared.
+     * Records a crash, or a change of its state.
      *
      * @param crash the crash
      * @param now monotonic time, in milliseconds
@@ -73,11 +97,11 @@
         Incarnation incarnation = new Incarnation(crash.endpoint(), crash.startedMilliseconds());
         Crash known = crashes.get(incarnation);
         if (known != null) {
-            boolean clears = crash.cleared() && !known.cleared;
-            if (clears) {
-                crashes.put(incarnation, new Crash(known.crashedAt, true));
+            boolean changes = crash.state().compareTo(known.state) > 0;
+            if (changes) {
+                crashes.put(incarnation, new Crash(known.crashedAt, crash.state()));
             }
-            return clears;
+            return changes;
         }
         long crashedAt = now - crash.ageMilliseconds();
         if (crashes.size() >= MAXIMUM_CRASHES) {
@@ -86,7 +110,10 @@
             }
             removeFirstCrash(crashes);
         }
-        crashes.put(incarnation, new Crash(crashedAt, crash.cleared()));
+        crashes.put(incarnation, new Crash(crashedAt, crash.state()));
+        if (crash.state() == State.SUSPECTED) {
+            suspected.add(incarnation);
+        }
         return true;
     }
 
@@ -108,7 +135,7 @@
     }
 
     private static int counting(Map<Incarnation, Crash> crashes) {
-        return (int) crashes.values().stream().filter(crash -> !crash.cleared).count();
+        return (int) crashes.values().stream().filter(Crash::counts).count();
     }
 
     /**
@@ -121,39 +148,64 @@
     public List<EndpointCrash> clearing(Fingerprint fingerprint, long now) {
         List<EndpointCrash> cleared = new ArrayList<>();
         requests.getOrDefault(fingerprint, Map.of()).forEach((incarnation, crash) -> {
-            if (!crash.cleared) {
-                cleared.add(message(fingerprint, incarnation, new Crash(crash.crashedAt, true), now));
+            if (crash.counts()) {
+                cleared.add(message(fingerprint, incarnation, new Crash(crash.crashedAt, State.CLEARED), now));
             }
         });
         return cleared;
     }
 
+    /**
+     * Returns the suspected crashes of an endpoint, as disproved ones, for a heartbeat that it has sent.
+     *
+     * @param endpoint the endpoint
+     * @param startedMilliseconds start time of its incarnation
+     * @param now monotonic time at which the heartbeat arrived, in milliseconds
+     * @return what to record; empty if it is not suspected, or so recently that the heartbeat may be older
+     */
+    public List<EndpointCrash> disproving(EndpointId endpoint, long startedMilliseconds, long now) {
+        Incarnation incarnation = new Incarnation(endpoint, startedMilliseconds);
+        if (!suspected.contains(incarnation)) {
+            return List.of();
+        }
+        List<EndpointCrash> disproved = new ArrayList<>();
+        requests.forEach((fingerprint, crashes) -> {
+            Crash crash = crashes.get(incarnation);
+            boolean isSuspected = crash != null && crash.state == State.SUSPECTED;
+            if (isSuspected && now - crash.crashedAt >= HEARTBEAT_DELAY_MILLISECONDS) {
+                disproved.add(message(fingerprint, incarnation, new Crash(crash.crashedAt, State.DISPROVED), now));
+            }
+        });
+        return disproved;
+    }
+
     private static EndpointCrash message(Fingerprint fingerprint, Incarnation incarnation, Crash crash, long now) {
-        return new EndpointCrash(
-                fingerprint,
-                incarnation.endpoint,
-                incarnation.startedMilliseconds,
-                now - crash.crashedAt,
-                crash.cleared);
+        return EndpointCrash.of(
+                fingerprint, incarnation.endpoint, incarnation.startedMilliseconds, now - crash.crashedAt, crash.state);
     }
 
     /**
-     * Returns for how long a request must not run.
+     * Returns for how long a request must not run. While suspected crashes decide, that is until they are decided.
      *
      * @param fingerprint the request
      * @param now monotonic time, in milliseconds
      * @return the remaining time of its quarantine, in milliseconds; 0 if it may run
      */
     public long remainingQuarantine(Fingerprint fingerprint, long now) {
-        return Math.max(0, quarantineEnd(requests.getOrDefault(fingerprint, Map.of())) - now);
+        return Math.max(0, quarantineEnd(requests.getOrDefault(fingerprint, Map.of()), now) - now);
     }
 
     /** Returns the end of the quarantine; a time long past if the request is not quarantined. */
-    private static long quarantineEnd(Map<Incarnation, Crash> crashes) {
-        int further = counting(crashes) - CRASHES_BEFORE_QUARANTINE;
-        if (further < 0) {
+    private static long quarantineEnd(Map<Incarnation, Crash> crashes, long now) {
+        if (counting(crashes) < CRASHES_BEFORE_QUARANTINE) {
             return NEVER;
         }
+        long decided =
+                crashes.values().stream().filter(crash -> crash.isDecided(now)).count();
+        long further = decided - CRASHES_BEFORE_QUARANTINE;
+        if (further < 0) {
+            return lastCrash(crashes) + DECISION_MILLISECONDS;
+        }
         long duration = Math.min(FIRST_QUARANTINE_MILLISECONDS << further, MAXIMUM_QUARANTINE_MILLISECONDS);
         return lastCrash(crashes) + duration;
     }
@@ -170,7 +222,7 @@
      */
     public int quarantined(long now) {
         return (int) requests.values().stream()
-                .filter(crashes -> quarantineEnd(crashes) > now)
+                .filter(crashes -> quarantineEnd(crashes, now) > now)
                 .count();
     }
 
@@ -194,8 +246,11 @@
      */
     public void expire(long now) {
         requests.values().removeIf(crashes -> {
-            long retainedFrom = Math.max(lastCrash(crashes), quarantineEnd(crashes));
+            long retainedFrom = Math.max(lastCrash(crashes), quarantineEnd(crashes, now));
             return now - retainedFrom > RETENTION_MILLISECONDS;
         });
+        suspected.removeIf(incarnation -> requests.values().stream()
+                .map(crashes -> crashes.get(incarnation))
+                .noneMatch(crash -> crash != null && crash.state == State.SUSPECTED));
     }
 }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/CrashTableTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/CrashTableTest.java
@@ -8,6 +8,7 @@
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.wire.EndpointCrash;
+import io.rosemarybeam.common.wire.EndpointCrash.State;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -23,7 +24,15 @@
     private final CrashTable table = new CrashTable();
 
     private boolean crash(String endpoint, long started, long age, long now) {
-        return table.add(new EndpointCrash(REQUEST, EndpointId.of(endpoint), started, age, false), now);
+        return table.add(EndpointCrash.of(REQUEST, EndpointId.of(endpoint), started, age, State.CONFIRMED), now);
+    }
+
+    private boolean suspect(String endpoint, long now) {
+        return table.add(EndpointCrash.of(REQUEST, EndpointId.of(endpoint), 1, 0, State.SUSPECTED), now);
+    }
+
+    private void heartbeat(String endpoint, long started, long now) {
+        table.disproving(EndpointId.of(endpoint), started, now).forEach(crash -> table.add(crash, now));
     }
 
     private void crashThreeEndpoints(long now) {
@@ -73,6 +82,50 @@
         assertEquals(0, table.crashes(REQUEST));
     }
 
+    /** One signal of a crash can be missed, and a third of the crashes may have none but the missing answer. */
+    @Test
+    void shouldQuarantineWhenOneOfThreeCrashesIsOnlySuspected() {
+        crash("a", 1, 0, 0);
+        suspect("b", 0);
+        crash("c", 1, 0, 0);
+
+        assertEquals(2_999, table.remainingQuarantine(REQUEST, 1));
+        assertEquals(TEN_MINUTES - 3_000, table.remainingQuarantine(REQUEST, 3_000));
+    }
+
+    @Test
+    void shouldReleaseWhenASuspectedEndpointSendsAHeartbeat() {
+        crash("a", 1, 0, 0);
+        suspect("b", 0);
+        crash("c", 1, 0, 0);
+
+        heartbeat("b", 1, 1_200);
+
+        assertEquals(2, table.crashes(REQUEST));
+        assertEquals(0, table.remainingQuarantine(REQUEST, 1_200));
+    }
+
+    /** A heartbeat on its way when the endpoint ended, or one of the next incarnation, is no sign of life. */
+    @Test
+    void shouldKeepTheSuspicionWhenAHeartbeatIsEarlierOrOfAnotherIncarnation() {
+        suspect("a", 0);
+
+        heartbeat("a", 1, 100);
+        heartbeat("a", 2, 1_200);
+
+        assertEquals(1, table.crashes(REQUEST));
+    }
+
+    @Test
+    void shouldCountADisprovedCrashWhenItIsConfirmed() {
+        suspect("a", 0);
+        heartbeat("a", 1, 1_200);
+
+        assertTrue(crash("a", 1, 0, 2_000));
+
+        assertEquals(1, table.crashes(REQUEST));
+    }
+
     /** Hosts pass on every change, so a crash and its clearing must not undo each other for ever. */
     @Test
     void shouldNotChangeWhenAClearedCrashIsReportedAgain() {
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingRequestTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingRequestTest.java
@@ -32,6 +32,7 @@
     private final AtomicInteger crashes = new AtomicInteger();
     private final List<CrashingEndpoint> endpoints = new ArrayList<>();
     private PlatformCluster cluster;
+    private int nextSequence = 2;
 
     @BeforeEach
     void startCluster() {
@@ -118,6 +119,24 @@
         assertEquals(200, cluster.request(0, "sound", "sound"));
     }
 
+    /** Connections of sound requests break too, and their endpoints go on sending heartbeats. */
+    @Test
+    void shouldRunARequestAgainWhenTheSuspectedEndpointsSendHeartbeats() {
+        startEndpointsAndEdges(End.REPLACED);
+        PlatformCluster.await("the request is refused", () -> {
+            int status = cluster.request(0, "broken-" + nextSequence, CrashingEndpoint.POISON);
+            return status == 503 ? true : null;
+        });
+
+        PlatformCluster.await("the request runs again", () -> {
+            int sequence = nextSequence++;
+            for (int number = 0; number < ENDPOINTS; number++) {
+                cluster.announce("e-" + number, endpoints.get(number).address(), 1, "v1", sequence);
+            }
+            return cluster.request(0, "again-" + sequence, CrashingEndpoint.POISON) == 502 ? true : null;
+        });
+    }
+
     @Test
     void shouldRefuseACrashingRequestWhenEdgeAndStoreStartAfterItsQuarantine() {
         startEndpointsAndEdges(End.CLOSED);
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -108,9 +108,14 @@
     }
 
     void announce(String id, String address, long started, String softwareVersion) {
+        announce(id, address, started, softwareVersion, 1);
+    }
+
+    void announce(String id, String address, long started, String softwareVersion, int sequence) {
         String heartbeat = "{\"Backend\":\"desk\",\"Address\":\"" + address + "\",\"Zone\":\"fes\",\"Version\":\""
                 + softwareVersion + "\","
-                + "\"Capacity\":4,\"State\":\"ready\",\"WarmupLeftMs\":0,\"born\":" + started + ",\"Sequence\":1}";
+                + "\"Capacity\":4,\"State\":\"ready\",\"WarmupLeftMs\":0,\"born\":" + started + ",\"Sequence\":"
+                + sequence + "}";
         await(
                 "the heartbeat is accepted",
                 () -> post(operatorPort, "/api/replicas/" + id + "/heartbeat", "", heartbeat) == 200 ? true : null);
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashRegistry.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashRegistry.java
@@ -8,6 +8,7 @@
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.EndpointCrash;
+import io.rosemarybeam.common.wire.EndpointCrash.State;
 import io.rosemarybeam.decision.routing.CrashTable;
 
 /**
@@ -47,8 +48,26 @@
 
     /** Records that an endpoint crashed while it ran a request. */
     void recordCrash(Fingerprint fingerprint, EndpointAnnouncement endpoint) {
-        EndpointCrash crash = new EndpointCrash(fingerprint, endpoint.id(), endpoint.startedMilliseconds(), 0, false);
-        mergeAndPublish(List.of(crash));
+        record(fingerprint, endpoint, State.CONFIRMED);
+    }
+
+    /** Records that an endpoint may have crashed while it ran a request. */
+    void recordSuspicion(Fingerprint fingerprint, EndpointAnnouncement endpoint) {
+        record(fingerprint, endpoint, State.SUSPECTED);
+    }
+
+    private void record(Fingerprint fingerprint, EndpointAnnouncement endpoint, State state) {
+        mergeAndPublish(
+                List.of(EndpointCrash.of(fingerprint, endpoint.id(), endpoint.startedMilliseconds(), 0, state)));
+    }
+
+    /**
+     * Records that an endpoint has sent a heartbeat, which disproves that it crashed before.
+     *
+     * @param endpoint the content of the heartbeat
+     */
+    public void recordHeartbeat(EndpointAnnouncement endpoint) {
+        mergeAndPublish(table.disproving(endpoint.id(), endpoint.startedMilliseconds(), Forwarder.now()));
     }
 
     /** Records that a request was answered in full, so that its earlier crashes had another cause. */
@@ -84,6 +103,8 @@
                     crash.fingerprint(),
                     "endpoint",
                     crash.endpoint(),
+                    "state",
+                    crash.state(),
                     "crashes",
                     crashes);
         } else if (isNew && crashes >= CrashTable.CRASHES_BEFORE_QUARANTINE) {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -352,7 +352,7 @@
         finished = true;
         cancel(deadlineTimer);
         cancel(hedgeTimer);
-        List.copyOf(running).forEach(EndpointAttempt::abandon);
+        List.copyOf(running).forEach(EndpointAttempt::endUnanswered);
         long elapsed = Forwarder.now() - startedAt;
         String kind = request.route().kind().name();
         forwarder.metrics().requestFinished(kind, outcome, elapsed);
@@ -461,6 +461,15 @@
             }
         }
 
+        /** Ends the attempt with the call. Unless another attempt was answered, an endpoint that is silent is checked. */
+        private void endUnanswered() {
+            abandon();
+            boolean mayRunThere = !answeredInFull && attempt != null && attempt.isSent();
+            if (mayRunThere && forwarder.crashMonitor().isSilentSince(endpoint.id(), sentAt)) {
+                checkForCrash(CrashMonitor.End.UNANSWERED, () -> {});
+            }
+        }
+
         private void removeFromRunning() {
             if (running.remove(this)) {
                 forwarder.loads().recordEnd(endpoint.id());
@@ -473,6 +482,7 @@
         @Override
         public void onHead(EndpointAnswer answer) {
             head = answer;
+            forwarder.crashMonitor().endpointAnswered(endpoint.id());
             forwarder.limits().observe(endpoint.id(), answer);
             answer.requestCount()
                     .ifPresent(count -> forwarder.loads().recordReport(endpoint.id(), count, Forwarder.now()));
@@ -509,6 +519,7 @@
 
         @Override
         public void onContent(byte[] bytes) {
+            forwarder.crashMonitor().endpointAnswered(endpoint.id());
             if (answerStarted) {
                 pass(bytes);
                 return;
@@ -612,7 +623,7 @@
             forwarder.loads().recordFailure(endpoint.id(), Forwarder.now());
             recordOutcome(failure == Failure.NOT_SENT ? "not sent" : "broken", reason);
             if (answerStarted) {
-                checkForCrash(() -> {});
+                checkForCrash(CrashMonitor.End.BROKEN, () -> {});
                 finish("broken in the answer", BAD_GATEWAY);
                 sink.abort();
             } else if (failure == Failure.NOT_SENT) {
@@ -631,7 +642,7 @@
             boolean awaitsResult = isSuspect();
             mayHaveRun = true;
             hasBroken = true;
-            checkForCrash(awaitsResult ? this::retryIfRepeatable : () -> {});
+            checkForCrash(CrashMonitor.End.BROKEN, awaitsResult ? this::retryIfRepeatable : () -> {});
             if (!awaitsResult) {
                 retryIfRepeatable();
             }
@@ -642,13 +653,13 @@
             return !request.mustRun() && !answeredInFull;
         }
 
-        private void checkForCrash(Runnable onChecked) {
+        private void checkForCrash(CrashMonitor.End end, Runnable onChecked) {
             forwarder
                     .crashMonitor()
-                    .attemptBroke(
+                    .attemptEnded(
                             endpoint,
                             new CrashMonitor.BrokenAttempt(
-                                    request.id(), fingerprint(), this::countsCrashes, onChecked));
+                                    request.id(), fingerprint(), end, this::countsCrashes, onChecked));
         }
 
         private void retryIfRepeatable() {
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -235,7 +235,8 @@
 
     private void quarantine(ForwardRequest request) {
         List<EndpointCrash> three = Stream.of("x", "y", "z")
-                .map(id -> new EndpointCrash(request.fingerprint(), EndpointId.of(id), 1, 0, false))
+                .map(id ->
+                        EndpointCrash.of(request.fingerprint(), EndpointId.of(id), 1, 0, EndpointCrash.State.CONFIRMED))
                 .toList();
         loop.submit(() -> crashes.merge(three)).syncUninterruptibly();
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -446,6 +446,7 @@
         @Override
         public void receive(EndpointAnnouncement announcement) {
             registry.receive(announcement);
+            crashes.recordHeartbeat(announcement);
         }
 
         @Override
