Soak: let crashing requests end endpoints in three ways

The stand-in closed its port at every crash, the one way that the quarantine recognized. It now also starts again at its address at once, or falls silent and closes later.

--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakDeployment.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakDeployment.java
@@ -216,7 +216,7 @@
     /** Sends the heartbeats of all running endpoints. */
     void announceEndpoints() {
         for (SoakEndpoint endpoint : endpoints) {
-            if (endpoint.isRunning()) {
+            if (endpoint.isAlive()) {
                 anyStoreAccepts("/api/replicas/" + endpoint.id() + "/heartbeat", endpoint.heartbeat());
             }
         }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -25,6 +25,9 @@
     /** Each new endpoint runs one of these versions, so that two serve side by side at all times. */
     private static final int SOFTWARE_VERSIONS = 2;
 
+    /** Time after which the port of an endpoint that has fallen silent closes, in milliseconds. */
+    private static final int SILENT_MILLISECONDS = 2_500;
+
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int MINIMUM_WORK_MILLISECONDS = 5;
     private static final int MAXIMUM_WORK_MILLISECONDS = 60;
@@ -42,6 +45,10 @@
     private volatile String id;
     private volatile String softwareVersion;
     private volatile long started;
+
+    /** Whether its process has ended although its connections are still open. */
+    private volatile boolean isSilent;
+
     private volatile long sequence;
     private volatile OptionalDouble limit = OptionalDouble.empty();
     private int incarnation;
@@ -82,6 +89,7 @@
             softwareVersion = "v" + (1 + Math.floorMod(name.hashCode() + incarnation, SOFTWARE_VERSIONS));
         }
         started = System.currentTimeMillis();
+        isSilent = false;
         sequence = 0;
         server = new StandInHttpServer(eventLoops, port, this::serve);
         port = server.port();
@@ -91,6 +99,11 @@
         return server != null;
     }
 
+    /** Returns whether it sends heartbeats. */
+    boolean isAlive() {
+        return isRunning() && !isSilent;
+    }
+
     /** Ends like {@link #crash} and cannot be started again for some time. */
     synchronized void crashFor(long milliseconds) {
         downUntil = SoakReport.now() + milliseconds;
@@ -105,6 +118,24 @@
         }
     }
 
+    /**
+     * Ends in one of the ways in which a process can end: its port closes; another process listens at its address at once; or
+     * it falls silent, and its port closes later.
+     */
+    private void crashUnder(HttpExchange exchange) {
+        switch (ThreadLocalRandom.current().nextInt(3)) {
+            case 0 -> crash();
+            case 1 -> {
+                crash();
+                start(true);
+            }
+            default -> {
+                isSilent = true;
+                exchange.schedule(SILENT_MILLISECONDS, this::crash);
+            }
+        }
+    }
+
     /** Sets the rate limit that all answers name, also after a restart; empty for none. */
     void nameLimit(OptionalDouble requestsPerSecond) {
         limit = requestsPerSecond;
@@ -145,11 +176,14 @@
             exchange.respond(MISDIRECTED_REQUEST, "text/plain", new byte[0], PlatformHeaders.NOT_EXECUTED, "1");
             return;
         }
+        if (isSilent) {
+            return;
+        }
         report.requestArrived(id);
         String body = new String(exchange.body(), StandardCharsets.UTF_8);
         if (body.startsWith(POISON)) {
             report.crashed(body);
-            crash();
+            crashUnder(exchange);
             return;
         }
         if (exchange.uri().startsWith(SoakDeployment.ORDER_PATH)) {
