--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -16,7 +16,7 @@
  * <p>Invariant: each start is a new incarnation at the same address. Safe for use by several threads.
  */
 final class SoakEndpoint implements AutoCloseable {
-    /** A request whose body starts with this text crashes every endpoint that runs it. */
+    /** A request whose body is this text, a hyphen and a number crashes every endpoint that runs it. */
     static final String POISON = "poison";
 
     static final String ANSWER_PREFIX = "answer to ";
@@ -28,6 +28,7 @@
     /** Time after which the port of an endpoint that has fallen silent closes, in milliseconds. */
     private static final int SILENT_MILLISECONDS = 2_500;
 
+    private static final int WAYS_TO_END = 3;
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int MINIMUM_WORK_MILLISECONDS = 5;
     private static final int MAXIMUM_WORK_MILLISECONDS = 60;
@@ -119,11 +120,11 @@
     }
 
     /**
-     * Ends in one of the ways in which a process can end: its port closes; another process listens at its address at once; or
-     * it falls silent, and its port closes later.
+     * Ends in one of the ways in which a process can end, the same one for each crashing request: its port closes; another
+     * process listens at its address at once; or it falls silent, and its port closes later.
      */
-    private void crashUnder(HttpExchange exchange) {
-        switch (ThreadLocalRandom.current().nextInt(3)) {
+    private void crashUnder(HttpExchange exchange, int crashingRequest) {
+        switch (crashingRequest % WAYS_TO_END) {
             case 0 -> crash();
             case 1 -> {
                 crash();
@@ -183,7 +184,7 @@
         String body = new String(exchange.body(), StandardCharsets.UTF_8);
         if (body.startsWith(POISON)) {
             report.crashed(body);
-            crashUnder(exchange);
+            crashUnder(exchange, Integer.parseInt(body.substring(POISON.length() + 1)));
             return;
         }
         if (exchange.uri().startsWith(SoakDeployment.ORDER_PATH)) {
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTool.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTool.java
@@ -48,7 +48,7 @@
     private int streamCallers = 4;
 
     @Option(name = "--crashing", usage = "requests that crash endpoints")
-    private int crashing = 2;
+    private int crashing = 3;
 
     @Option(name = "--folder", usage = "folder for settings, logs and data, which are kept; default a temporary one")
     private String folder = "";
