--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -79,7 +80,7 @@
     private final Metrics metrics = Metrics.ofProcess();
     private final EndpointDirectory directory = new EndpointDirectory();
     private final EndpointLoads loads = new EndpointLoads();
-    private final EndpointClient client = EndpointClient.of(loop);
+    private final EndpointClient client;
     private final StoreSessions stores;
     private final CrashRegistry crashes;
     private final RateLimits rateLimits;
@@ -94,7 +95,13 @@
      * @param settings settings of the process
      */
     public EdgeProcess(EdgeSettings settings) {
+        this(settings, UnaryOperator.identity());
+    }
+
+    /** Creates a process whose connections to endpoints can be made to fail, for tests. */
+    EdgeProcess(EdgeSettings settings, UnaryOperator<String> endpointDestinations) {
         this.settings = settings;
+        this.client = EndpointClient.of(loop, endpointDestinations);
         Credentials credentials = new Credentials(
                 Role.ENTRY, settings.name().value(), 0, settings.stores().clusterSecret());
         this.stores = new StoreSessions(
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -17,6 +17,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 
 import io.rosemarybeam.common.settings.EdgeSettings;
 import io.rosemarybeam.common.settings.StoreSettings;
@@ -71,6 +72,11 @@
     }
 
     void startEdge(int number) {
+        startEdge(number, UnaryOperator.identity());
+    }
+
+    /** Starts an edge whose connections to endpoints go to other addresses. */
+    void startEdge(int number, UnaryOperator<String> endpointDestinations) {
         int callerPort = freePort();
         String host = STORE_HOST;
         String text = """
@@ -78,7 +84,8 @@
                  "adminAddress": "%s:%d", "seeds": ["%s:1"], "storePort": %d, "clusterSecret": "test", "stopSeconds": %d}
                 """.formatted(
                         number, host, callerPort, host, freePort(), host, freePort(), host, protocolPort, STOP_SECONDS);
-        EdgeProcess edge = new EdgeProcess(EdgeSettings.load(write("edge-" + number + ".json", text)));
+        EdgeProcess edge =
+                new EdgeProcess(EdgeSettings.load(write("edge-" + number + ".json", text)), endpointDestinations);
         edge.start();
         edges.put(number, edge);
         callerPorts.put(number, callerPort);
@@ -123,7 +130,11 @@
 
     /** Sends a request to an edge and returns the status of the answer. */
     int request(int edge, String id, String body) {
-        return post(callerPorts.get(edge), "/x/1", id, body);
+        return request(edge, "/x/1", id, body);
+    }
+
+    int request(int edge, String path, String id, String body) {
+        return post(callerPorts.get(edge), path, id, body);
     }
 
     /** The status of an answer and the data of the events that arrived before its end. */
