Hand requests on to another edge while no endpoint can be reached from here

What callers saw: an edge that had lost its links to all endpoints refused or timed out every request, while other edges served all of theirs.

Cause: nothing carried a request from one host to another, and an edge did not know that it was cut off: each request found it out anew, with 300 ms for each new connection.

An edge now verifies its reach when an attempt is silent for 35% of its target, or cannot be sent: it connects to two endpoints of the service, and if none accepts within 60 ms the service is cut off there. Its requests then go to an edge that does not report the same, over an address of their own, with the attempts that were used; a request that was handed on is never handed on again. While the cut lasts the verification is repeated every 250 ms, and its first success ends the hand-over. Edges report what they cannot reach, so that others verify their own links at once and callers are given other addresses. Nothing is sent while attempts are answered.

Ruled out: withdrawing the address alone; callers keep it for one to three lifetimes.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -96,6 +96,11 @@
     /** A resumed stream must not go on. */
     STREAM_NOT_RESUMED(
             707, Severity.WARNING, "A stream was not resumed, because the version that began it is unknown or gone."),
+    /** A request goes to another host, because its endpoints cannot be reached from here. */
+    REQUEST_HANDED_ON(
+            708, Severity.INFORMATION, "A request was handed on, because no endpoint can be reached from here."),
+    /** The other host did not answer a request that was handed on. */
+    HAND_OVER_FAILED(709, Severity.WARNING, "Another host did not answer a request that was handed on to it."),
     /** A host uses a newer configuration. */
     CONFIGURATION_IN_USE(710, Severity.INFORMATION, "A host uses a newer configuration."),
     /** A store host can be reached. */
@@ -116,6 +121,10 @@
     PERMIT_DENIED(723, Severity.WARNING, "The endpoints of a request have no room within the time that it can wait."),
     /** No store leader answered a request for a permit. */
     PERMIT_UNAVAILABLE(724, Severity.WARNING, "A permit was not granted, because no leader answered in time."),
+    /** No endpoint of a service accepts connections from here. */
+    SERVICE_CUT_OFF(725, Severity.WARNING, "No endpoint of a service accepts connections from here."),
+    /** An endpoint of a service accepts connections from here again. */
+    SERVICE_REACHED(726, Severity.INFORMATION, "An endpoint of a service accepts connections from here again."),
     /** A batch submission was accepted and stored. */
     SUBMISSION_ACCEPTED(740, Severity.INFORMATION, "A batch submission is kept from now on."),
     /** A batch submission was ended by its trainer. */
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/EdgeSettings.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/EdgeSettings.java
@@ -16,6 +16,7 @@
  * @param callerAddress IP address and port for callers
  * @param readyAddress IP address and port of the readiness check, which reports whether callers are served
  * @param lookupAddress IP address and port where callers look up which addresses to use; empty if not served
+ * @param peerAddress IP address and port for requests that other edges hand on; empty if they hand none on to this one
  * @param adminAddress IP address and port of metrics and dump
  * @param stores addresses and secret for connections to the store hosts
  * @param stopTimeout time that the platform allows between SIGTERM and SIGKILL
@@ -26,6 +27,7 @@
         String callerAddress,
         String readyAddress,
         Optional<String> lookupAddress,
+        Optional<String> peerAddress,
         String adminAddress,
         StoreSeeds stores,
         Duration stopTimeout) {
@@ -47,6 +49,7 @@
         Optional<String> callers = keys.listenAddress("callerAddress");
         Optional<String> ready = keys.listenAddress("readyAddress");
         Optional<String> lookup = reader.has("lookupAddress") ? keys.listenAddress("lookupAddress") : Optional.empty();
+        Optional<String> peer = reader.has("peerAddress") ? keys.listenAddress("peerAddress") : Optional.empty();
         Optional<String> admin = keys.listenAddress("adminAddress");
         Optional<StoreSeeds> stores = StoreSeeds.read(reader);
         Duration stopTimeout = Duration.ofMillis((long) (1_000 * reader.number("stopSeconds", 0.5, 600)));
@@ -60,6 +63,7 @@
                         callers.get(),
                         ready.get(),
                         lookup,
+                        peer,
                         admin.get(),
                         stores.get(),
                         stopTimeout))
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -19,18 +19,40 @@
      * @param failureDomain failure domain of the edge
      * @param draining whether callers should move to other edges
      * @param configurationVersion version of the configuration in use; -1 if there is none
+     * @param peerAddress IP address and port for requests that other edges hand on; empty if an older sender omits it
+     * @param cutOffServices services whose endpoints it cannot reach; empty if an older sender omits them
      */
     record EdgeStatus(
-            String host, String callerAddress, String failureDomain, boolean draining, long configurationVersion)
-            implements StoreMessage {}
+            String host,
+            String callerAddress,
+            String failureDomain,
+            boolean draining,
+            long configurationVersion,
+            String peerAddress,
+            List<String> cutOffServices)
+            implements StoreMessage {
+        /** Sets components that an older sender omits to empty ones. */
+        public EdgeStatus {
+            peerAddress = peerAddress == null ? "" : peerAddress;
+            cutOffServices = cutOffServices == null ? List.of() : List.copyOf(cutOffServices);
+        }
+    }
 
     /**
      * The address of an edge.
      *
      * @param callerAddress IP address and port for callers
      * @param failureDomain failure domain of the edge
+     * @param peerAddress IP address and port for requests that other edges hand on; empty if it takes none
+     * @param cutOffServices services whose endpoints it cannot reach
      */
-    record EdgeAddress(String callerAddress, String failureDomain) {}
+    record EdgeAddress(String callerAddress, String failureDomain, String peerAddress, List<String> cutOffServices) {
+        /** Sets components that an older sender omits to empty ones. */
+        public EdgeAddress {
+            peerAddress = peerAddress == null ? "" : peerAddress;
+            cutOffServices = cutOffServices == null ? List.of() : List.copyOf(cutOffServices);
+        }
+    }
 
     /**
      * Status of a store host, sent on each new connection and then periodically.
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -13,13 +13,13 @@
 import io.rosemarybeam.common.error.ConfigurationException;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.metric.Metrics;
 import io.rosemarybeam.common.settings.EdgeSettings;
 import io.rosemarybeam.common.wire.Credentials;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.HandshakeMessage.Role;
 import io.rosemarybeam.common.wire.Message;
-import io.rosemarybeam.common.wire.StoreMessage.EdgeAddress;
 import io.rosemarybeam.common.wire.StoreMessage.EdgeStatus;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
 import io.rosemarybeam.common.wire.StoreMessage.PushConfiguration;
@@ -34,7 +34,9 @@
 import io.rosemarybeam.forward.CrashRegistry;
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.forward.HandOver;
 import io.rosemarybeam.forward.RateLimits;
+import io.rosemarybeam.forward.ServiceReach;
 import io.rosemarybeam.forward.StreamOrigins;
 import io.rosemarybeam.platform.ConfigurationFormat;
 import io.rosemarybeam.platform.EndpointClient;
@@ -81,7 +83,9 @@
     private final EndpointDirectory directory = new EndpointDirectory();
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointClient client;
+    private final ServiceReach reach;
     private final StoreSessions stores;
+    private final ReportedEdges peers;
     private final CrashRegistry crashes;
     private final RateLimits rateLimits;
     private final EdgeRequests requests;
@@ -104,6 +108,7 @@
         this.client = EndpointClient.of(loop, endpointDestinations);
         Credentials credentials = new Credentials(
                 Role.ENTRY, settings.name().value(), 0, settings.stores().clusterSecret());
+        this.reach = new ServiceReach(loop, client, directory);
         this.stores = new StoreSessions(
                 loop,
                 WireTransport.of(loops, WireSettings.shortTimeouts()),
@@ -114,6 +119,7 @@
         this.crashes = new CrashRegistry(observed -> stores.broadcast(EndpointNews.ofCrashes(observed)));
         this.rateLimits = new RateLimits(
                 observed -> stores.broadcast(EndpointNews.ofRateLimits(observed)), new LeaderPermits(loop, stores));
+        this.peers = new ReportedEdges(stores, settings.callerAddress());
         Forwarder forwarder = new Forwarder(
                 loop,
                 client,
@@ -123,7 +129,8 @@
                 ForwardMetrics.of(metrics),
                 crashes,
                 rateLimits,
-                new StreamOrigins(directory, new StoreStreams(loop, stores)));
+                new StreamOrigins(directory, new StoreStreams(loop, stores)),
+                new HandOver(reach, peers, settings.name().value()));
         this.requests = new EdgeRequests(forwarder, new BatchRequests(new StoreRequests(loop, stores)));
         registerMetrics();
     }
@@ -143,7 +150,7 @@
     }
 
     private int openRequests() {
-        return servers.isEmpty() ? 0 : servers.getFirst().openExchanges();
+        return servers.stream().mapToInt(CallerServer::openExchanges).sum();
     }
 
     /** Opens the ports and starts to connect to the store hosts. Returns when the ports are open. */
@@ -153,6 +160,9 @@
         settings.lookupAddress()
                 .ifPresent(address ->
                         servers.add(CallerServer.open(loops, address, CallerLimits::defaults, this::answerLookup)));
+        settings.peerAddress()
+                .ifPresent(address ->
+                        servers.add(CallerServer.open(loops, address, this::limits, requests::serveHandedOn)));
         admin = AdminServer.start(loops, settings.adminAddress(), metrics, this::dump);
         loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
         LOG.log(
@@ -170,6 +180,7 @@
             stores.tick(status());
             client.tick();
             crashes.tick();
+            verifyReach();
             long now = Forwarder.now();
             directory.evictExpired(now);
             loads.retain(id -> directory.find(id).isPresent());
@@ -179,6 +190,12 @@
         }
     }
 
+    /** Links are often lost by several hosts at once, so what another edge reports is verified here before a request fails. */
+    private void verifyReach() {
+        reach.tick();
+        peers.newlyCutOffServices().forEach(reach::verify);
+    }
+
     private CallerLimits limits() {
         return requests.table().map(RoutingTable::limits).orElse(CallerLimits.defaults());
     }
@@ -189,7 +206,9 @@
                 settings.callerAddress(),
                 settings.failureDomain().value(),
                 draining || requests.table().isEmpty(),
-                configurationVersion());
+                configurationVersion(),
+                settings.peerAddress().orElse(""),
+                reach.cutOffServices().stream().map(ServiceName::value).sorted().toList());
     }
 
     private void onStoreMessage(Message message) {
@@ -251,8 +270,7 @@
             exchange.answer(404);
             return;
         }
-        List<String> addresses = new ArrayList<>(stores.edges().stream()
-                .map(EdgeAddress::callerAddress)
+        List<String> addresses = new ArrayList<>(peers.callerAddresses().stream()
                 .filter(address -> !draining || !address.equals(settings.callerAddress()))
                 .limit(MAXIMUM_ADDRESSES)
                 .toList());
@@ -288,7 +306,7 @@
         long maximumDrain = settings.stopTimeout().toMillis() - STOP_MARGIN_MILLISECONDS;
         loop.execute(() -> {
             draining = true;
-            servers.getFirst().drain();
+            servers.forEach(CallerServer::drain);
             stores.broadcast(status());
             LOG.log(Event.PROCESS_STOPPING, "name", settings.name(), "open", openRequests());
             awaitDrained(drained, Forwarder.now(), maximumDrain);
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
@@ -14,7 +14,9 @@
 import io.rosemarybeam.forward.CallerExchange;
 import io.rosemarybeam.forward.ForwardCall;
 import io.rosemarybeam.forward.ForwardRequest;
+import io.rosemarybeam.forward.ForwardRequest.HandedOn;
 import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.forward.HandedOnHeaders;
 import io.rosemarybeam.platform.PlatformHeaders;
 
 /**
@@ -86,11 +88,35 @@
         } else if (route.get().kind() == RouteKind.ROLLOUT) {
             batches.submit(exchange, route.get());
         } else {
-            forward(exchange, route.get(), id);
+            forward(exchange, route.get(), id, Optional.empty());
         }
     }
 
-    private void forward(CallerExchange exchange, Route route, String id) {
+    /** Serves a request that another edge has handed on, because it cannot reach its endpoints. */
+    void serveHandedOn(CallerExchange exchange) {
+        String id = exchange.header(PlatformHeaders.REQUEST_ID).orElse("");
+        String host = exchange.header(HttpHeaderNames.HOST.toString()).orElse("");
+        Optional<Route> route = table.flatMap(current -> current.find(host, exchange.uri()))
+                .filter(found -> found.kind() != RouteKind.ROLLOUT);
+        Optional<HandedOn> handedOn = HandedOnHeaders.take(exchange.headers());
+        if (route.isEmpty() || handedOn.isEmpty()) {
+            LOG.log(
+                    Event.REQUEST_REFUSED,
+                    "request",
+                    id,
+                    "reason",
+                    route.isEmpty() ? "no route for a request that was handed on" : "not handed on by an edge",
+                    "host",
+                    host,
+                    "path",
+                    exchange.path());
+            exchange.refuse(RETRY_AFTER_SECONDS);
+        } else {
+            forward(exchange, route.get(), id, handedOn);
+        }
+    }
+
+    private void forward(CallerExchange exchange, Route route, String id, Optional<HandedOn> handedOn) {
         long now = Forwarder.now();
         long timeout = route.timeout().toMillis();
         long callerTimeout = exchange.header(PlatformHeaders.DEADLINE)
@@ -106,7 +132,8 @@
                 exchange.body(),
                 now + Math.min(timeout, callerTimeout),
                 table.orElseThrow().version(),
-                false);
+                false,
+                handedOn);
         ForwardCall call = forwarder.forward(request, new ExchangeSink(exchange));
         exchange.onDisconnect(call::cancel);
     }
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -81,9 +81,21 @@
         String host = STORE_HOST;
         String text = """
                 {"name": "edge-%d", "failureDomain": "fes", "callerAddress": "%s:%d", "readyAddress": "%s:%d",
-                 "adminAddress": "%s:%d", "seeds": ["%s:1"], "storePort": %d, "clusterSecret": "test", "stopSeconds": %d}
+                 "peerAddress": "%s:%d", "adminAddress": "%s:%d", "seeds": ["%s:1"], "storePort": %d,
+                 "clusterSecret": "test", "stopSeconds": %d}
                 """.formatted(
-                        number, host, callerPort, host, freePort(), host, freePort(), host, protocolPort, STOP_SECONDS);
+                        number,
+                        host,
+                        callerPort,
+                        host,
+                        freePort(),
+                        host,
+                        freePort(),
+                        host,
+                        freePort(),
+                        host,
+                        protocolPort,
+                        STOP_SECONDS);
         EdgeProcess edge =
                 new EdgeProcess(EdgeSettings.load(write("edge-" + number + ".json", text)), endpointDestinations);
         edge.start();
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/UnreachableEndpointsTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/UnreachableEndpointsTest.java
@@ -30,6 +30,9 @@
     private static final int ENDPOINTS = 4;
     private static final int REQUESTS = 20;
 
+    /** Edges learn of each other from the status of the store host, which it sends every 250 ms. */
+    private static final long STATUS_MILLISECONDS = 1_000;
+
     @TempDir
     Path folder;
 
@@ -41,7 +44,7 @@
     private ServerSocket silentListener;
 
     @BeforeEach
-    void startCluster() {
+    void startCluster() throws InterruptedException {
         cluster = new PlatformCluster(folder);
         cluster.startStore();
         cluster.configure("""
@@ -58,10 +61,11 @@
         }
         for (int edge = 0; edge < EDGES; edge++) {
             int number = edge;
-            cluster.startEdge(edge, address -> cutOff.contains(number) ? deadAddress.orElse(address) : address);
+            cluster.startEdge(edge, address -> destination(number, address));
             PlatformCluster.await(
                     "the edge serves", () -> cluster.request(number, "ready-" + number, "sound") == 200 ? true : null);
         }
+        Thread.sleep(STATUS_MILLISECONDS);
     }
 
     @AfterEach
@@ -91,6 +95,12 @@
         }
     }
 
+    /** Edges are on other loopback addresses than endpoints, and reach each other all the time. */
+    private String destination(int edge, String address) {
+        boolean isOfEndpoint = address.startsWith("127.0.0.1:");
+        return isOfEndpoint && cutOff.contains(edge) ? deadAddress.orElse(address) : address;
+    }
+
     /** Cuts edges off. The connections that they hold are closed by the endpoints, which run on. */
     private void cutOff(Integer... edges) {
         cutOff.addAll(Set.of(edges));
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashMonitor.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashMonitor.java
@@ -12,6 +12,7 @@
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.Fingerprint;
+import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.platform.EndpointClient;
 import io.rosemarybeam.platform.EndpointClient.Reachability;
@@ -27,6 +28,9 @@
 final class CrashMonitor {
     private static final EventLog LOG = EventLog.of(CrashMonitor.class);
 
+    /** Maximum number of services whose last answers are retained, which bounds the memory. */
+    private static final int MAXIMUM_SERVICES = 1_024;
+
     /** Time without any answer after which an endpoint is checked when an attempt ends with its caller's deadline. */
     private static final long SILENCE_MILLISECONDS = 300;
 
@@ -43,6 +47,8 @@
     private final Map<String, List<BrokenAttempt>> checksByAddress = new HashMap<>();
 
     /** Monotonic times at which endpoints last sent a part of an answer, in milliseconds. */
+    private final Map<ServiceName, Long> lastServiceAnswers = new LeastRecentlyUsedMap<>(MAXIMUM_SERVICES);
+
     private final Map<EndpointId, Long> lastAnswers = new LeastRecentlyUsedMap<>(MAXIMUM_ENDPOINTS);
 
     CrashMonitor(EndpointClient client, ForwardMetrics metrics, CrashRegistry registry) {
@@ -72,8 +78,14 @@
     }
 
     /** Records that an endpoint has sent a part of an answer. */
-    void endpointAnswered(EndpointId endpoint) {
-        lastAnswers.put(endpoint, Forwarder.now());
+    void endpointAnswered(EndpointAnnouncement endpoint) {
+        lastAnswers.put(endpoint.id(), Forwarder.now());
+        lastServiceAnswers.put(endpoint.service(), Forwarder.now());
+    }
+
+    /** Returns whether any endpoint of a service has sent a part of an answer since a time. */
+    boolean hasAnsweredSince(ServiceName service, long since) {
+        return lastServiceAnswers.getOrDefault(service, Long.MIN_VALUE) > since;
     }
 
     /** Returns whether an endpoint has answered nothing for some time since an attempt was sent to it. */
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -55,6 +55,12 @@
     /** Fraction of the route's target latency after which a hedge is sent at the latest. */
     private static final double HEDGE_TARGET_FRACTION = 0.6;
 
+    /** Fraction of the route's target latency after which it is verified that a silent endpoint can be reached. */
+    private static final double SILENCE_TARGET_FRACTION = 0.35;
+
+    /** Attempts that did not reach an endpoint before the next one waits for a verification in progress. */
+    private static final int UNSENT_BEFORE_VERIFICATION = 2;
+
     /** Fraction of the route's target latency that callers are asked to wait before they retry a refused request. */
     private static final double RETRY_TARGET_FRACTION = 0.5;
 
@@ -71,11 +77,13 @@
     private final AnswerSink sink;
     private final long startedAt = Forwarder.now();
     private final EndpointCandidates candidates;
+    private final RequestHandOver handOver;
     private final List<EndpointAttempt> running = new ArrayList<>();
     private Optional<Fingerprint> fingerprint = Optional.empty();
     private Optional<BufferedAnswer> lastErrorAnswer = Optional.empty();
     private Future<?> deadlineTimer;
     private Future<?> hedgeTimer;
+    private Future<?> silenceTimer;
 
     /** Attempts that count towards the maximum of the route. */
     private int sends;
@@ -83,6 +91,9 @@
     /** Attempts that endpoints did not run. */
     private int refusals;
 
+    /** Attempts whose connection could not be opened. */
+    private int unsent;
+
     /** Answers with status 500. */
     private int internalErrors;
 
@@ -116,6 +127,7 @@
         this.request = request;
         this.sink = sink;
         this.candidates = new EndpointCandidates(forwarder, request);
+        this.handOver = new RequestHandOver(forwarder, request, sink, new HandOverListener());
     }
 
     void start() {
@@ -193,10 +205,15 @@
         if (finished || awaitsPermit) {
             return;
         }
-        boolean isExhausted = sends >= request.route().maximumAttempts()
-                || refusals >= MAXIMUM_REFUSALS_BY_ENDPOINTS
+        if (isHandOverDue()) {
+            handOn();
+            return;
+        }
+        boolean isExhausted = sends >= request.maximumAttempts()
+                || refusals >= (isCutOff() ? 1 : MAXIMUM_REFUSALS_BY_ENDPOINTS)
+                || !handOver.tried().isEmpty()
                 || remainingQuarantine() > 0;
-        List<EndpointAnnouncement> usable = isExhausted ? List.of() : candidates.usable(!running.isEmpty());
+        List<EndpointAnnouncement> usable = isExhausted ? List.of() : candidates.usable(!isIdle());
         Optional<EndpointAnnouncement> chosen = candidates.choose(usable);
         if (chosen.isEmpty()) {
             finishIfNoneRuns();
@@ -207,12 +224,66 @@
         }
     }
 
+    private void tryNextEndpointAfterVerification() {
+        if (unsent >= UNSENT_BEFORE_VERIFICATION) {
+            forwarder.handOver().reach().whenDecided(request.service(), this::tryNextEndpoint);
+        } else {
+            tryNextEndpoint();
+        }
+    }
+
     private void finishIfNoneRuns() {
-        if (running.isEmpty()) {
+        if (isIdle()) {
             finishWithoutAnswer();
         }
     }
 
+    private boolean isIdle() {
+        return running.isEmpty() && !handOver.isInProgress();
+    }
+
+    private boolean isCutOff() {
+        return forwarder.handOver().reach().isCutOff(request.service());
+    }
+
+    private boolean isHandOverDue() {
+        return sends < request.maximumAttempts() && remainingQuarantine() == 0 && handOver.isDue();
+    }
+
+    private void handOn() {
+        handOver.send(sends);
+        sends++;
+    }
+
+    /** Verifies that endpoints can be reached if none has answered for a while, so that the request can be handed on in time. */
+    private void scheduleSilenceCheck(EndpointAttempt attempt) {
+        cancel(silenceTimer);
+        long delay = (long)
+                (SILENCE_TARGET_FRACTION * request.route().latencyTarget().toMillis());
+        silenceTimer = forwarder.loop().schedule(() -> verifyReach(attempt), Math.max(delay, 1), TimeUnit.MILLISECONDS);
+    }
+
+    private void verifyReach(EndpointAttempt attempt) {
+        if (!finished && attempt.isSilent()) {
+            ServiceReach reach = forwarder.handOver().reach();
+            reach.verify(request.service());
+            reach.whenDecided(request.service(), () -> onReachDecided(attempt));
+        }
+    }
+
+    private void onReachDecided(EndpointAttempt attempt) {
+        if (finished || !isCutOff() || !attempt.isSilent()) {
+            return;
+        }
+        if (attempt.isUnsent()) {
+            attempt.abandon();
+            attempt.markUnavailable();
+            tryNextEndpoint();
+        } else if (request.route().isRepeatable() && isHandOverDue()) {
+            handOn();
+        }
+    }
+
     /**
      * Requests a permit for the endpoints with a rate limit. The request waits for it only if no other endpoint has a free
      * slot, and not beside an attempt in progress.
@@ -222,7 +293,7 @@
                 usable.stream().filter(candidates::isLimited).toList();
         List<EndpointAnnouncement> unlimited =
                 usable.stream().filter(endpoint -> !limited.contains(endpoint)).toList();
-        boolean mayWait = running.isEmpty() && unlimited.stream().noneMatch(candidates::hasFreeSlot);
+        boolean mayWait = isIdle() && unlimited.stream().noneMatch(candidates::hasFreeSlot);
         PermitRequest wanted = new PermitRequest(
                 request.id(),
                 candidates.inOrderOfPreference(limited),
@@ -270,7 +341,7 @@
                 if (other.isPresent()) {
                     new EndpointAttempt(other.get()).send();
                 } else {
-                    deniedByLimit = running.isEmpty();
+                    deniedByLimit = isIdle();
                     finishIfNoneRuns();
                 }
             }
@@ -329,8 +400,9 @@
         if (finished) {
             return;
         }
-        boolean answerStarted = running.stream().anyMatch(attempt -> attempt.answerStarted);
-        boolean mayRun = mayHaveRun || !running.isEmpty();
+        boolean answerStarted =
+                running.stream().anyMatch(attempt -> attempt.answerStarted) || handOver.isAnswerStarted();
+        boolean mayRun = mayHaveRun || !isIdle();
         if (answerStarted) {
             finish("time over in the answer", GATEWAY_TIMEOUT);
             sink.abort();
@@ -352,7 +424,9 @@
         finished = true;
         cancel(deadlineTimer);
         cancel(hedgeTimer);
+        cancel(silenceTimer);
         List.copyOf(running).forEach(EndpointAttempt::endUnanswered);
+        handOver.cancel();
         long elapsed = Forwarder.now() - startedAt;
         String kind = request.route().kind().name();
         forwarder.metrics().requestFinished(kind, outcome, elapsed);
@@ -378,6 +452,10 @@
                 retryAfter,
                 "endpoints",
                 candidates.tried(),
+                "handedOnBy",
+                request.handedOn().map(ForwardRequest.HandedOn::sender).orElse(""),
+                "handedOnTo",
+                handOver.tried(),
                 "fingerprint",
                 fingerprint.map(Fingerprint::value).orElse(""),
                 "milliseconds",
@@ -393,9 +471,8 @@
     /** Schedules a hedge: a second attempt at another endpoint if the first one takes much longer than usual. */
     private void scheduleHedge(EndpointAnnouncement endpoint) {
         cancel(hedgeTimer);
-        boolean isAllowed = request.route().kind() == RouteKind.IDEMPOTENT
-                && sends < request.route().maximumAttempts()
-                && !isSuspect();
+        boolean isAllowed =
+                request.route().kind() == RouteKind.IDEMPOTENT && sends < request.maximumAttempts() && !isSuspect();
         if (!isAllowed) {
             return;
         }
@@ -407,11 +484,53 @@
     }
 
     private void hedge() {
-        if (!finished && running.size() == 1 && forwarder.hedgeBudget().tryAcquire()) {
+        ServiceReach reach = forwarder.handOver().reach();
+        if (finished || running.size() != 1 || handOver.isInProgress()) {
+            return;
+        }
+        if (reach.isVerifying(request.service())) {
+            reach.whenDecided(request.service(), this::hedge);
+        } else if (isCutOff() || forwarder.hedgeBudget().tryAcquire()) {
             tryNextEndpoint();
         }
     }
 
+    /** Continues or finishes the call after the attempt of another host. Confined to the event loop. */
+    private final class HandOverListener implements RequestHandOver.Listener {
+        @Override
+        public void onAnswerStarted() {
+            List.copyOf(running).forEach(EndpointAttempt::abandon);
+        }
+
+        @Override
+        public void onAnswered(EndpointAnswer head) {
+            answeredInFull = head.isSuccess();
+            finish(answeredInFull ? "answered" : "endpoint answered " + head.status(), head.status());
+        }
+
+        @Override
+        public void onNotRun() {
+            sends--;
+            tryNextEndpoint();
+        }
+
+        @Override
+        public void onFailed() {
+            mayHaveRun = true;
+            if (request.route().isRepeatable()) {
+                tryNextEndpoint();
+            } else {
+                finishIfNoneRuns();
+            }
+        }
+
+        @Override
+        public void onBroken() {
+            finish("broken in the answer", BAD_GATEWAY);
+            sink.abort();
+        }
+    }
+
     /** A complete answer. Immutable, provided that headers and array are not changed. */
     private record BufferedAnswer(int status, HttpHeaders headers, byte[] body) {}
 
@@ -443,6 +562,7 @@
             headers.set(PlatformHeaders.EXPECTED_ENDPOINT, endpoint.id().value());
             headers.remove(HttpHeaderNames.ACCEPT_ENCODING);
             scheduleHedge(endpoint);
+            scheduleSilenceCheck(this);
             EndpointClient.Request sent = new EndpointClient.Request(
                     endpoint.address(), request.method(), request.uri(), headers, request.body());
             try {
@@ -454,6 +574,15 @@
             }
         }
 
+        /** Returns whether no endpoint of the service has answered this process since the attempt began. */
+        private boolean isSilent() {
+            return running.contains(this) && !forwarder.crashMonitor().hasAnsweredSince(endpoint.service(), sentAt);
+        }
+
+        private boolean isUnsent() {
+            return attempt == null || !attempt.isSent();
+        }
+
         private void abandon() {
             removeFromRunning();
             if (attempt != null) {
@@ -482,7 +611,7 @@
         @Override
         public void onHead(EndpointAnswer answer) {
             head = answer;
-            forwarder.crashMonitor().endpointAnswered(endpoint.id());
+            forwarder.crashMonitor().endpointAnswered(endpoint);
             forwarder.limits().observe(endpoint.id(), answer);
             answer.requestCount()
                     .ifPresent(count -> forwarder.loads().recordReport(endpoint.id(), count, Forwarder.now()));
@@ -519,7 +648,7 @@
 
         @Override
         public void onContent(byte[] bytes) {
-            forwarder.crashMonitor().endpointAnswered(endpoint.id());
+            forwarder.crashMonitor().endpointAnswered(endpoint);
             if (answerStarted) {
                 pass(bytes);
                 return;
@@ -628,7 +757,9 @@
                 sink.abort();
             } else if (failure == Failure.NOT_SENT) {
                 markUnavailable();
-                tryNextEndpoint();
+                unsent++;
+                forwarder.handOver().reach().verify(request.service());
+                tryNextEndpointAfterVerification();
             } else {
                 retryAfterCheck();
             }
@@ -668,8 +799,8 @@
             }
             if (request.route().isRepeatable()) {
                 tryNextEndpoint();
-            } else if (running.isEmpty()) {
-                finishWithoutAnswer();
+            } else {
+                finishIfNoneRuns();
             }
         }
 
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
@@ -1,5 +1,7 @@
 package io.rosemarybeam.forward;
 
+import java.util.Optional;
+
 import io.netty.handler.codec.http.HttpHeaders;
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.ServiceName;
@@ -19,6 +21,7 @@
  * @param deadline monotonic time at which the request times out, in milliseconds, see {@link Forwarder#now}
  * @param configurationVersion version of the configuration that has the route; written to the log
  * @param mustRun whether the request is never quarantined, because the system has promised to run it
+ * @param handedOn how another host handed it on; empty if it came from its caller
  */
 public record ForwardRequest(
         String id,
@@ -30,7 +33,27 @@
         byte[] body,
         long deadline,
         long configurationVersion,
-        boolean mustRun) {
+        boolean mustRun,
+        Optional<HandedOn> handedOn) {
+    /**
+     * How another host handed a request on.
+     *
+     * @param sender name of the other host
+     * @param attempts its attempts that count towards the maximum of the route
+     */
+    public record HandedOn(String sender, int attempts) {}
+
+    /** Returns how long the caller still waits, in milliseconds. */
+    long remaining() {
+        return deadline - Forwarder.now();
+    }
+
+    /** Returns the maximum number of attempts of this host; another host may have made some of those of the route. */
+    int maximumAttempts() {
+        int used = handedOn.map(HandedOn::attempts).orElse(0);
+        return Math.max(1, route.maximumAttempts() - used);
+    }
+
     /** Returns the id of the attempt that brought the first event of the stream to resume; empty if none is named. */
     String resumedRequest() {
         String id = headers.get(PlatformHeaders.RESUMED_REQUEST);
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
@@ -24,6 +24,7 @@
     private final CrashRegistry crashes;
     private final RateLimits limits;
     private final StreamOrigins streams;
+    private final HandOver handOver;
 
     /**
      * Creates a forwarder.
@@ -37,6 +38,7 @@
      * @param crashes the known crashes of endpoints; updated by each attempt
      * @param limits the rate limits of endpoints; updated by each answer
      * @param streams finds out what began a stream; updated by each stream
+     * @param handOver other hosts for requests whose endpoints cannot be reached from here
      */
     public Forwarder(
             EventLoop loop,
@@ -47,7 +49,8 @@
             ForwardMetrics metrics,
             CrashRegistry crashes,
             RateLimits limits,
-            StreamOrigins streams) {
+            StreamOrigins streams,
+            HandOver handOver) {
         this.loop = loop;
         this.client = client;
         this.directory = directory;
@@ -58,6 +61,7 @@
         this.crashes = crashes;
         this.limits = limits;
         this.streams = streams;
+        this.handOver = handOver;
     }
 
     /**
@@ -115,6 +119,10 @@
         return streams;
     }
 
+    HandOver handOver() {
+        return handOver;
+    }
+
     RateLimits limits() {
         return limits;
     }
--- /dev/null
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnAttempt.java
@@ -0,0 +1,128 @@
+package io.rosemarybeam.forward;
+
+import java.io.ByteArrayOutputStream;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.forward.ForwardRequest.HandedOn;
+import io.rosemarybeam.platform.EndpointAnswer;
+import io.rosemarybeam.platform.EndpointClient;
+import io.rosemarybeam.platform.EndpointClient.Failure;
+import io.rosemarybeam.platform.PlatformHeaders;
+
+/**
+ * One attempt to have another host forward a request whose endpoints this host cannot reach.
+ *
+ * <p>Invariant: the receiver gets exactly one outcome, unless the attempt is cancelled. An answer of an endpoint is known by its
+ * digest; any other answer is one of the other host itself. Confined to the event loop of the forwarder.
+ */
+final class HandedOnAttempt implements EndpointClient.Listener {
+    private static final int INTERNAL_ERROR = 500;
+    private static final int UNAVAILABLE = 503;
+
+    /** Longest answer that is buffered until it is complete, in bytes. */
+    private static final int MAXIMUM_BUFFERED_BYTES = 1_048_576;
+
+    /** Receives the outcome of the attempt. */
+    interface Receiver {
+        /** A complete answer of an endpoint. */
+        void onAnswer(EndpointAnswer head, byte[] body);
+
+        /** An answer of an endpoint begins, whose parts follow. */
+        void onAnswerStarted(EndpointAnswer head);
+
+        void onPart(byte[] bytes);
+
+        /** The started answer is complete. */
+        void onAnswerEnded();
+
+        /** The request has not run. */
+        void onNotRun(String reason);
+
+        /** The request may have run; if an answer was started, it cannot be completed. */
+        void onFailed(String reason);
+    }
+
+    private final boolean streams;
+    private final Receiver receiver;
+    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private EndpointClient.Attempt attempt;
+    private EndpointAnswer head;
+    private boolean started;
+
+    HandedOnAttempt(boolean streams, Receiver receiver) {
+        this.streams = streams;
+        this.receiver = receiver;
+    }
+
+    /** Sends the request to the other host with the remaining time. */
+    void send(EndpointClient client, String address, ForwardRequest request, HandedOn handedOn) {
+        HttpHeaders headers = ForwardedHeaders.copy(request.headers());
+        headers.set(PlatformHeaders.DEADLINE, Math.max(1, request.remaining()));
+        HandedOnHeaders.set(headers, handedOn);
+        attempt = client.send(
+                new EndpointClient.Request(address, request.method(), request.uri(), headers, request.body()), this);
+    }
+
+    void cancel() {
+        if (attempt != null) {
+            attempt.cancel();
+        }
+    }
+
+    void setReading(boolean reads) {
+        attempt.setReading(reads);
+    }
+
+    @Override
+    public void onHead(EndpointAnswer answer) {
+        head = answer;
+        if (streams && answer.isSuccess()) {
+            start();
+        }
+    }
+
+    private void start() {
+        started = true;
+        receiver.onAnswerStarted(head);
+        if (buffered.size() > 0) {
+            receiver.onPart(buffered.toByteArray());
+            buffered.reset();
+        }
+    }
+
+    @Override
+    public void onContent(byte[] bytes) {
+        if (started) {
+            receiver.onPart(bytes);
+            return;
+        }
+        buffered.write(bytes, 0, bytes.length);
+        if (buffered.size() > MAXIMUM_BUFFERED_BYTES) {
+            start();
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        boolean isOfEndpoint = head.digest().isPresent();
+        boolean isRefusal = head.status() < INTERNAL_ERROR || head.status() == UNAVAILABLE;
+        if (started) {
+            receiver.onAnswerEnded();
+        } else if (isOfEndpoint) {
+            receiver.onAnswer(head, buffered.toByteArray());
+        } else if (isRefusal) {
+            receiver.onNotRun("answered " + head.status());
+        } else {
+            receiver.onFailed("answered " + head.status());
+        }
+    }
+
+    @Override
+    public void onFailure(Failure failure, String reason) {
+        if (failure == Failure.NOT_SENT) {
+            receiver.onNotRun(reason);
+        } else {
+            receiver.onFailed(reason);
+        }
+    }
+}
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -93,7 +94,8 @@
             ForwardMetrics.of(Metrics.ofProcess()),
             crashes,
             limits,
-            StreamOrigins.local(directory, () -> true));
+            StreamOrigins.local(directory, () -> true),
+            HandOver.none(loop, EndpointClient.of(loop), directory));
 
     @AfterEach
     void close() throws IOException {
@@ -142,7 +144,8 @@
                 new byte[] {1},
                 Forwarder.now() + milliseconds,
                 1,
-                mustRun);
+                mustRun,
+                Optional.empty());
     }
 
     private String outcome() throws InterruptedException {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
@@ -88,7 +88,8 @@
                 scorer.body(),
                 Forwarder.now() + timeout.toMillis(),
                 table.orElseThrow().version(),
-                true);
+                true,
+                Optional.empty());
         ForwardCall call = forwarder.forward(request, new ScoreSink(task, currentTable, route.get(), listener));
         // A call that was refused at once has scheduled its repetition already.
         task.scoring = call.isFinished() ? Optional.empty() : Optional.of(call);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -71,6 +71,7 @@
 import io.rosemarybeam.forward.CrashRegistry;
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.forward.HandOver;
 import io.rosemarybeam.forward.RateLimits;
 import io.rosemarybeam.forward.StreamOrigins;
 import io.rosemarybeam.platform.ConfigurationFormat;
@@ -166,7 +167,8 @@
                 ForwardMetrics.of(metrics),
                 crashes,
                 rateLimits,
-                StreamOrigins.local(directory, () -> false));
+                StreamOrigins.local(directory, () -> false),
+                HandOver.none(loop, client, directory));
         this.storage = LogStorage.open(files);
         boolean isBootstrapMember = settings.firstStart() && seeds.contains(settings.host());
         long incarnation = isBootstrapMember ? FIRST_INCARNATION : new SecureRandom().nextLong();
@@ -354,7 +356,8 @@
                 stores,
                 edges.values().stream()
                         .filter(edge -> !edge.draining())
-                        .map(edge -> new StoreMessage.EdgeAddress(edge.callerAddress(), edge.failureDomain()))
+                        .map(edge -> new StoreMessage.EdgeAddress(
+                                edge.callerAddress(), edge.failureDomain(), edge.peerAddress(), edge.cutOffServices()))
                         .toList(),
                 true,
                 true);
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
@@ -27,6 +27,7 @@
 import io.rosemarybeam.forward.CrashRegistry;
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.forward.HandOver;
 import io.rosemarybeam.forward.RateLimits;
 import io.rosemarybeam.forward.StreamOrigins;
 import io.rosemarybeam.platform.EndpointClient;
@@ -68,7 +69,8 @@
                     new CrashRegistry(crashes -> {}),
                     new RateLimits(
                             changes -> {}, (request, onDecision) -> onDecision.accept(new PermitDecision.Denied(0, 0))),
-                    StreamOrigins.local(new EndpointDirectory(), () -> true)));
+                    StreamOrigins.local(new EndpointDirectory(), () -> true),
+                    HandOver.none(loop, EndpointClient.of(loop), new EndpointDirectory())));
 
     @AfterEach
     void close() {
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakDeployment.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakDeployment.java
@@ -64,6 +64,7 @@
     private final int operatorPort = Deployment.freePort();
     private final int callerPort = Deployment.freePort();
     private final int readyPort = Deployment.freePort();
+    private final int peerPort = Deployment.freePort();
     private final int adminPort = Deployment.freePort();
     private final ProcessGroup processes;
     private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(2);
@@ -156,9 +157,21 @@
         String host = edgeHost(index);
         write(edge(index), """
                 {"name": "%s", "failureDomain": "a", "callerAddress": "%s:%d", "readyAddress": "%s:%d",
-                 "adminAddress": "%s:%d", "seeds": [%s], "storePort": %d, "clusterSecret": "soak", "stopSeconds": %d}
+                 "peerAddress": "%s:%d", "adminAddress": "%s:%d", "seeds": [%s], "storePort": %d,
+                 "clusterSecret": "soak", "stopSeconds": %d}
                 """.formatted(
-                edge(index), host, callerPort, host, readyPort, host, adminPort, seeds(), storePort, STOP_SECONDS));
+                        edge(index),
+                        host,
+                        callerPort,
+                        host,
+                        readyPort,
+                        host,
+                        peerPort,
+                        host,
+                        adminPort,
+                        seeds(),
+                        storePort,
+                        STOP_SECONDS));
         processes.start(edge(index), FLAGS, "io.rosemarybeam.edge.EdgeMain");
     }
 
