Do not confirm crashes while no endpoint of the service can be reached

Callers of a host that had lost its links could have sound requests quarantined for ten minutes: its connections break, and refused new ones counted as confirmed crashes.

A refused connection is now followed by a verification of other endpoints; if none can be reached, the crash is only suspected, which the endpoint's next heartbeat disproves.

ForwarderTest.shouldOnlySuspectACrashWhenNoEndpointCanBeReached: before CONFIRMED, after SUSPECTED.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashMonitor.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashMonitor.java
@@ -18,9 +18,11 @@
 import io.rosemarybeam.platform.EndpointClient.Reachability;
 
 /**
- * Finds out whether an endpoint crashed when an attempt ended without an answer, and records its crash. An endpoint that refuses
- * the next connection has crashed. One that accepts it may have been replaced at its address, and one that does not answer may
- * be unreachable, so these are suspected until a store host receives a heartbeat of the endpoint.
+ * Finds out whether an endpoint crashed when an attempt ended without an answer, and records its crash.
+ *
+ * <p>An endpoint that refuses the next connection has crashed, unless no endpoint of its service can be reached from here. One
+ * that accepts it may have been replaced at its address, and one that does not answer may be unreachable, so these are
+ * suspected until a store host receives a heartbeat of the endpoint.
  *
  * <p>Invariant: at most one check of an endpoint is in progress; attempts that break meanwhile share its result. Confined to
  * the event loop of the forwarder.
@@ -40,6 +42,7 @@
     private final EndpointClient client;
     private final ForwardMetrics metrics;
     private final CrashRegistry registry;
+    private final ServiceReach reach;
 
     /** Number of attempts in progress of suspects, by endpoint. */
     private final Map<EndpointId, Integer> suspectAttempts = new HashMap<>();
@@ -51,10 +54,11 @@
 
     private final Map<EndpointId, Long> lastAnswers = new LeastRecentlyUsedMap<>(MAXIMUM_ENDPOINTS);
 
-    CrashMonitor(EndpointClient client, ForwardMetrics metrics, CrashRegistry registry) {
+    CrashMonitor(EndpointClient client, ForwardMetrics metrics, CrashRegistry registry, ServiceReach reach) {
         this.client = client;
         this.metrics = metrics;
         this.registry = registry;
+        this.reach = reach;
     }
 
     /**
@@ -127,7 +131,12 @@
         checksByAddress.put(endpoint.address(), attempts);
         client.check(endpoint.address(), result -> {
             checksByAddress.remove(endpoint.address());
-            checked(endpoint, attempts, result);
+            if (result == Reachability.REFUSED) {
+                reach.verify(endpoint.service());
+                reach.whenDecided(endpoint.service(), () -> checked(endpoint, attempts, result));
+            } else {
+                checked(endpoint, attempts, result);
+            }
         });
     }
 
@@ -135,7 +144,7 @@
         metrics.endpointChecked(result.name().toLowerCase(Locale.ROOT));
         for (BrokenAttempt attempt : attempts) {
             boolean isCounted = attempt.isCounted().getAsBoolean();
-            if (isCounted && result == Reachability.REFUSED) {
+            if (isCounted && result == Reachability.REFUSED && !reach.isCutOff(endpoint.service())) {
                 registry.recordCrash(attempt.fingerprint(), endpoint);
             } else if (isCounted) {
                 registry.recordSuspicion(attempt.fingerprint(), endpoint);
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
@@ -57,7 +57,7 @@
         this.loads = loads;
         this.ownDomain = ownDomain;
         this.metrics = metrics;
-        this.crashMonitor = new CrashMonitor(client, metrics, crashes);
+        this.crashMonitor = new CrashMonitor(client, metrics, crashes, handOver.reach());
         this.crashes = crashes;
         this.limits = limits;
         this.streams = streams;
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -256,6 +256,20 @@
         assertEquals(EndpointId.of("a"), news.getFirst().endpoint());
     }
 
+    /** A host that has lost its links sees refused connections too, and must not quarantine sound requests for it. */
+    @Test
+    void shouldOnlySuspectACrashWhenNoEndpointCanBeReached() throws Exception {
+        endpoint("a", CRASH);
+        endpoint("b", OK).close();
+
+        forward(RouteKind.IDEMPOTENT, 2_000);
+
+        assertEquals("failed 502", outcome());
+        List<EndpointCrash> news = published.poll(5, TimeUnit.SECONDS);
+        assertNotNull(news, "no crash was published");
+        assertEquals(EndpointCrash.State.SUSPECTED, news.getFirst().state());
+    }
+
     @Test
     void shouldCountNoCrashWhenTheNextEndpointAnswersInFull() throws Exception {
         endpoint("a", CRASH);
