--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -90,6 +91,7 @@
     private final RateLimits rateLimits;
     private final EdgeRequests requests;
     private final List<CallerServer> servers = new ArrayList<>();
+    private Optional<CallerServer> peerServer = Optional.empty();
     private AdminServer admin;
     private boolean draining;
 
@@ -150,7 +152,12 @@
     }
 
     private int openRequests() {
-        return servers.stream().mapToInt(CallerServer::openExchanges).sum();
+        return forwardingServers().mapToInt(CallerServer::openExchanges).sum();
+    }
+
+    /** Returns the servers for callers and for other edges, which are drained; empty before the start. */
+    private Stream<CallerServer> forwardingServers() {
+        return Stream.concat(servers.stream().limit(1), peerServer.stream());
     }
 
     /** Opens the ports and starts to connect to the store hosts. Returns when the ports are open. */
@@ -160,9 +167,8 @@
         settings.lookupAddress()
                 .ifPresent(address ->
                         servers.add(CallerServer.open(loops, address, CallerLimits::defaults, this::answerLookup)));
-        settings.peerAddress()
-                .ifPresent(address ->
-                        servers.add(CallerServer.open(loops, address, this::limits, requests::serveHandedOn)));
+        peerServer = settings.peerAddress()
+                .map(address -> CallerServer.open(loops, address, this::limits, requests::serveHandedOn));
         admin = AdminServer.start(loops, settings.adminAddress(), metrics, this::dump);
         loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
         LOG.log(
@@ -306,7 +312,7 @@
         long maximumDrain = settings.stopTimeout().toMillis() - STOP_MARGIN_MILLISECONDS;
         loop.execute(() -> {
             draining = true;
-            servers.forEach(CallerServer::drain);
+            forwardingServers().forEach(CallerServer::drain);
             stores.broadcast(status());
             LOG.log(Event.PROCESS_STOPPING, "name", settings.name(), "open", openRequests());
             awaitDrained(drained, Forwarder.now(), maximumDrain);
@@ -320,6 +326,7 @@
         boolean isIdle = elapsed >= Math.min(MINIMUM_DRAIN_MILLISECONDS, maximumDrain) && openRequests() == 0;
         if (isIdle || elapsed >= maximumDrain) {
             servers.forEach(CallerServer::close);
+            peerServer.ifPresent(CallerServer::close);
             drained.complete(null);
         } else {
             loop.schedule(
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnHeaders.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnHeaders.java
@@ -24,7 +24,7 @@
      * Reads and removes the headers, so that endpoints do not get them.
      *
      * @param headers headers of a request from another host
-     * @return how it was handed on; empty if a header is missing or malformed
+     * @return how it was handed on; empty if a header is missing, malformed or negative
      */
     public static Optional<HandedOn> take(HttpHeaders headers) {
         String sender = headers.get(SENDER);
@@ -34,7 +34,8 @@
         try {
             return sender == null || attempts == null
                     ? Optional.empty()
-                    : Optional.of(new HandedOn(sender, Integer.parseInt(attempts)));
+                    : Optional.of(new HandedOn(sender, Integer.parseInt(attempts)))
+                            .filter(handedOn -> handedOn.attempts() >= 0);
         } catch (NumberFormatException malformed) {
             return Optional.empty();
         }
