Cancel the attempt of another edge once an endpoint begins its answer, and reject what HTTP cannot express

Read in the diff: parts of two answers could have been joined on a resumable stream, and a request that HTTP cannot express ended with an internal error when it was handed on.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -390,6 +390,11 @@
         return RETRY_TARGET_FRACTION * request.route().latencyTarget().toMillis();
     }
 
+    private void finishInvalid() {
+        finish("cannot be sent", BAD_REQUEST);
+        sink.fail(BAD_REQUEST);
+    }
+
     private void finishRefused(String reason, double retryMilliseconds) {
         retryAfter = Math.round(retryMilliseconds);
         finish(reason, UNAVAILABLE);
@@ -524,6 +529,11 @@
             }
         }
 
+        @Override
+        public void onInvalid() {
+            finishInvalid();
+        }
+
         @Override
         public void onBroken() {
             finish("broken in the answer", BAD_GATEWAY);
@@ -569,8 +579,7 @@
                 attempt = forwarder.client().send(sent, this);
             } catch (IllegalArgumentException failure) {
                 recordOutcome("not sent", failure.getMessage());
-                finish("cannot be sent", BAD_REQUEST);
-                sink.fail(BAD_REQUEST);
+                finishInvalid();
             }
         }
 
@@ -624,6 +633,7 @@
         private void startAnswer() {
             answerStarted = true;
             List.copyOf(running).stream().filter(other -> other != this).forEach(EndpointAttempt::abandon);
+            handOver.cancel();
             cancel(hedgeTimer);
             recordOrigin();
             sink.begin(head.status(), ForwardedHeaders.copy(head.headers()));
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/RequestHandOver.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/RequestHandOver.java
@@ -47,6 +47,9 @@
         /** The request may have run at that host, and no answer was started. */
         void onFailed();
 
+        /** HTTP cannot express the request, so that it was not sent. */
+        void onInvalid();
+
         /** A started answer cannot be completed. */
         void onBroken();
     }
@@ -113,11 +116,14 @@
                 Forwarder.now() - startedAt);
         HandedOnAttempt started = new HandedOnAttempt(request.route().kind() == RouteKind.STREAMING, this);
         attempt = Optional.of(started);
-        started.send(
-                forwarder.client(),
-                peer,
-                request,
-                new HandedOn(forwarder.handOver().ownName(), attempts));
+        HandedOn handedOn = new HandedOn(forwarder.handOver().ownName(), attempts);
+        try {
+            started.send(forwarder.client(), peer, request, handedOn);
+        } catch (IllegalArgumentException failure) {
+            logFailure("not sent", failure.getMessage());
+            attempt = Optional.empty();
+            listener.onInvalid();
+        }
     }
 
     void cancel() {
