--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -147,6 +147,11 @@
         nextFault.set(fault);
     }
 
+    /** Drops a fault that no request has met yet. */
+    void endFaults() {
+        nextFault.set(Fault.NONE);
+    }
+
     String service() {
         return service;
     }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTool.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTool.java
@@ -104,6 +104,7 @@
             List<Thread> threads = startTraffic(deployment, traffic);
             new SoakFaults(deployment, report, seed).run(seconds * 1_000L);
             SoakTraffic.pause(SETTLE_MILLISECONDS);
+            deployment.endpoints().forEach(SoakEndpoint::endFaults);
             traffic.setCalm();
             SoakTraffic.pause(CALM_MILLISECONDS);
             readRemaining(traffic);
