--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/settings/PlatformSettingsTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/settings/PlatformSettingsTest.java
@@ -35,6 +35,7 @@
                 .replace("{{DataDir|json}}", "\"/data/x\"")
                 .replace("{{Seeds|json}}", "[\"10.1.0.6:8004\",\"10.1.0.7:8004\"]")
                 .replace("{{InternalPorts.0}}", "7660")
+                .replace("{{InternalPorts.1}}", "7675")
                 .replace("{{Bootstrap|json}}", "true")
                 .replace("{{FaultTolerance.Machines}}", "1")
                 .replace("{{Bounds.FencingRequired|json}}", "true")
@@ -54,6 +55,7 @@
 
         assertEquals(List.of("10.1.0.6:7660", "10.1.0.7:7660"), edge.stores().addresses());
         assertEquals("10.1.0.5:8003", edge.lookupAddress().orElseThrow());
+        assertEquals("10.1.0.5:7675", edge.peerAddress().orElseThrow());
         assertEquals("10.1.0.5:7660", store.protocolAddress());
         assertEquals(1, store.toleratedLosses());
     }
