Name what the event loop of a store host executes while it is stalled

A monitor now queues a probe every 100 ms, samples the stack of the loop while the probe is overdue, and puts the most frequent samples into the line. A histogram of all delays goes with it.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -16,11 +16,11 @@
     SETTINGS_RELOADED(110, Severity.INFORMATION, "The settings file was read again."),
     /** A changed settings file cannot be used; the former settings stay. */
     SETTINGS_REFUSED(111, Severity.WARNING, "A changed settings file cannot be used; the former settings stay."),
-    /** The event loop did nothing for some time: the machine was suspended, or one task took long. */
+    /** A task waited long for the event loop: the machine was suspended, or the tasks before it took long. */
     LOOP_STALLED(
             112,
             Severity.WARNING,
-            "The event loop did nothing for some time: the machine was suspended, or one task took long."),
+            "A task waited long for the event loop: the machine was suspended, or the tasks before it took long."),
     /** A connection failed its handshake. */
     HANDSHAKE_REFUSED(200, Severity.WARNING, "A connection failed its handshake."),
     /** A connection was closed because it was silent. */
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -16,11 +16,13 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.prometheus.metrics.core.metrics.Histogram;
 import io.rosemarybeam.common.admin.AdminServer;
 import io.rosemarybeam.common.error.ConfigurationException;
 import io.rosemarybeam.common.error.ControlException;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.event.LoopMonitor;
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.metric.Metrics;
 import io.rosemarybeam.common.settings.StoreSettings;
@@ -106,12 +108,20 @@
     /** Timeout for the leader's reply to an operator's request; operators wait for one second. */
     private static final Duration LEADER_REPLY_TIMEOUT = Duration.ofMillis(800);
 
-    /** Interval between two ticks above which a stall is logged, in milliseconds; half of the shortest election timeout. */
-    private static final long STALL_THRESHOLD_MILLISECONDS = 250;
+    /** Delay of a task of the event loop from which a stall is logged, in milliseconds; heartbeats are as far apart. */
+    private static final long STALL_THRESHOLD_MILLISECONDS = 100;
+
+    /** Maximum number of stacks in the log line of a stall. */
+    private static final int MAXIMUM_STALL_SAMPLES = 5;
+
+    /** Upper bounds of the histogram of delays of the event loop, in seconds. */
+    private static final double[] LOOP_DELAY_BOUNDS = {0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2};
 
     /** Timeout of each step of a shutdown, in milliseconds: the hand-over of leadership, the event loop, the storage. */
     private static final long STOP_TIMEOUT_MILLISECONDS = 1_500;
 
+    private static final double MILLISECONDS_PER_SECOND = 1_000;
+
     private static final EventLog LOG = EventLog.of(StoreProcess.class);
 
     private final StoreSettings settings;
@@ -145,11 +155,11 @@
     private Optional<StoreLeader> leader = Optional.empty();
     private Channel protocolChannel;
     private AdminServer admin;
+    private LoopMonitor loopMonitor;
     private CallerServer operatorServer;
     private boolean startedEmpty;
     private boolean failed;
     private long ticks;
-    private long lastTick;
 
     private StoreProcess(StoreSettings settings, FileSystem files, Consumer<Throwable> onFailure) {
         this.settings = settings;
@@ -219,6 +229,11 @@
         }
         // A fixed rate would follow a stall with a burst of ticks, in which all other hosts would seem to be silent.
         loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+        Histogram delays = metrics.histogram(
+                "event_loop_delay_seconds",
+                "Time that a task waited for the event loop in seconds.",
+                LOOP_DELAY_BOUNDS);
+        loopMonitor = LoopMonitor.start(loop, delay -> recordLoopDelay(delay, delays));
         LOG.log(
                 Event.PROCESS_STARTED,
                 "name",
@@ -260,6 +275,7 @@
         CompletableFuture<Void> handedOver = new CompletableFuture<>();
         loop.execute(() -> handOver(handedOver, Forwarder.now() + STOP_TIMEOUT_MILLISECONDS));
         handedOver.join();
+        loopMonitor.close();
         loop.submit(() -> {
                     driver.stop();
                     leader.ifPresent(StoreLeader::stop);
@@ -297,7 +313,6 @@
     private void tick() {
         try {
             ticks++;
-            detectStall();
             driver.tick();
             leader.ifPresent(StoreLeader::tick);
             if (ticks % MAINTENANCE_TICKS == 0) {
@@ -311,17 +326,16 @@
         }
     }
 
-    private void detectStall() {
-        long now = Forwarder.now();
-        if (lastTick > 0 && now - lastTick > STALL_THRESHOLD_MILLISECONDS) {
+    private static void recordLoopDelay(LoopMonitor.Delay delay, Histogram delays) {
+        delays.observe(delay.milliseconds() / MILLISECONDS_PER_SECOND);
+        if (delay.milliseconds() >= STALL_THRESHOLD_MILLISECONDS) {
             LOG.log(
                     Event.LOOP_STALLED,
                     "milliseconds",
-                    now - lastTick,
-                    "term",
-                    driver.log().term());
+                    delay.milliseconds(),
+                    "executed",
+                    delay.mostFrequent(MAXIMUM_STALL_SAMPLES));
         }
-        lastTick = now;
     }
 
     private void maintain() {
