Examine only free endpoints when items are placed, and order waiting items once per tick

What callers saw: on a grown deployment (45 edges, 10 store hosts, 31 engines) the store leader stalled for 0.3 to 1.2 s again and again, lost the leadership, and every item started again elsewhere.

Cause: every item that ended made the leader order all open items anew, build a view of all endpoints for each item that it started, and examine every endpoint, with a sorted median of their speeds, for each waiting item, also while no slot was free. The cost of one item grew with the number of waiting items times the number of endpoints. Routes were looked up once per item and tick.

Items now wait in the order of the last tick, at most 50 ms old; an endpoint is read again before an item is sent to it, so one that drains or loads weights meanwhile gets none.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/GenerationEndpoint.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/GenerationEndpoint.java
@@ -54,7 +54,11 @@
      *     sufficient version
      */
     public boolean canStart(ModelName model, long oldestVersion) {
-        boolean isFresh = version(model) >= oldestVersion && !loadingModels.contains(model);
-        return isFresh && !avoided && withinRateLimit && running < capacity;
+        return hasRoom() && version(model) >= oldestVersion && !loadingModels.contains(model);
+    }
+
+    /** Returns whether a slot is free, the endpoint is not avoided and its rate limit has room. */
+    public boolean hasRoom() {
+        return !avoided && withinRateLimit && running < capacity;
     }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
@@ -1,7 +1,6 @@
 package io.rosemarybeam.decision.batch;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.Optional;
 
 import io.rosemarybeam.common.id.EndpointId;
@@ -38,6 +37,18 @@
             long exactVersion,
             Optional<String> softwareVersion,
             Optional<EndpointId> preferred) {
+        /** Returns the same requirements without the preferred endpoint, which decides which endpoint but not whether one. */
+        Requirements withoutPreference() {
+            return preferred.isEmpty()
+                    ? this
+                    : new Requirements(model, oldestVersion, exactVersion, softwareVersion, Optional.empty());
+        }
+
+        /** Returns whether endpoints of any weight and software version may run the item. */
+        boolean isFree() {
+            return exactVersion < 0 && softwareVersion.isEmpty();
+        }
+
         private boolean allowsSoftwareOf(GenerationEndpoint endpoint) {
             return softwareVersion.isEmpty() || softwareVersion.get().equals(endpoint.softwareVersion());
         }
@@ -57,12 +68,27 @@
      */
     public static Optional<GenerationEndpoint> choose(
             Requirements requirements, Collection<GenerationEndpoint> endpoints) {
-        double medianInterval = medianEventInterval(endpoints);
-        return endpoints.stream()
-                .filter(endpoint -> canRun(requirements, endpoint))
-                .min(Comparator.<GenerationEndpoint>comparingDouble(
-                                endpoint -> cost(requirements, endpoint, medianInterval))
-                        .thenComparing(GenerationEndpoint::id));
+        return choose(requirements, endpoints, medianEventInterval(endpoints));
+    }
+
+    /** Chooses like {@link #choose(Requirements, Collection)}, relative to the given median time between two events. */
+    static Optional<GenerationEndpoint> choose(
+            Requirements requirements, Collection<GenerationEndpoint> endpoints, double medianInterval) {
+        GenerationEndpoint best = null;
+        double lowestCost = Double.MAX_VALUE;
+        for (GenerationEndpoint endpoint : endpoints) {
+            if (canRun(requirements, endpoint)) {
+                double cost = cost(requirements, endpoint, medianInterval);
+                boolean isBetter = best == null
+                        || cost < lowestCost
+                        || cost == lowestCost && endpoint.id().compareTo(best.id()) < 0;
+                if (isBetter) {
+                    best = endpoint;
+                    lowestCost = cost;
+                }
+            }
+        }
+        return Optional.ofNullable(best);
     }
 
     /**
@@ -74,9 +100,7 @@
      *     version, loaded that one
      */
     public static boolean canContinue(Requirements requirements, Collection<GenerationEndpoint> endpoints) {
-        boolean isFree = requirements.exactVersion() < 0
-                && requirements.softwareVersion().isEmpty();
-        return isFree
+        return requirements.isFree()
                 || endpoints.stream()
                         .filter(endpoint ->
                                 !endpoint.avoided() && !endpoint.loadingModels().contains(requirements.model()))
@@ -95,7 +119,13 @@
         return !endpoints.isEmpty() && endpoints.stream().noneMatch(requirements::allowsSoftwareOf);
     }
 
-    private static boolean canRun(Requirements requirements, GenerationEndpoint endpoint) {
+    /**
+     * Returns whether an endpoint can start an item now.
+     *
+     * @param requirements requirements of the item
+     * @param endpoint the endpoint
+     */
+    public static boolean canRun(Requirements requirements, GenerationEndpoint endpoint) {
         return requirements.allowsWeightsOf(endpoint)
                 && requirements.allowsSoftwareOf(endpoint)
                 && endpoint.canStart(requirements.model(), requirements.oldestVersion());
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -24,6 +24,7 @@
 import io.rosemarybeam.decision.batch.GenerationEndpoint;
 import io.rosemarybeam.decision.batch.ItemPlacement;
 import io.rosemarybeam.decision.batch.ModelDemand;
+import io.rosemarybeam.decision.batch.PlacementRound;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.RoutingTable;
@@ -82,6 +83,14 @@
     /** Endpoint that last ran an item of a group, by submission and group; it has processed the prompt of the group. */
     private final Map<String, EndpointId> endpointByPrompt = new HashMap<>();
 
+    /** The current placement of waiting items at the endpoints of each service; begun anew at each tick. */
+    private final Map<ServiceName, PlacementRound> rounds = new HashMap<>();
+
+    /** Routes of submissions in {@link #routedTable}. */
+    private final Map<SubmissionId, Optional<Route>> routes = new HashMap<>();
+
+    private Optional<RoutingTable> routedTable = Optional.empty();
+
     private final PartialTextStore partialTexts;
 
     /** The parts of the leader that the runner uses. */
@@ -174,6 +183,7 @@
     }
 
     private void removePromptEndpoints(StoredSubmission stored) {
+        routes.remove(stored.submission().id());
         String prefix = stored.submission().id() + " ";
         endpointByPrompt.keySet().removeIf(prompt -> prompt.startsWith(prefix));
     }
@@ -227,7 +237,7 @@
         openTasks().toList().forEach(task -> contain(task, now, () -> checkTimeouts(task, now)));
         tasks.forEach((submission, open) -> partialTexts.checkpoint(submission, open.values()));
         updateSlotDemand();
-        start(now);
+        startInNewOrder(now);
     }
 
     private void checkTimeouts(ItemTask task, long now) {
@@ -250,23 +260,36 @@
         }
     }
 
-    private void start(long now) {
-        Map<ServiceName, List<GenerationEndpoint>> available = new HashMap<>();
+    /** Orders the waiting items anew, with a new view of the endpoints, and starts those for which there is a slot. */
+    private void startInNewOrder(long now) {
+        rounds.clear();
         tasks.values().stream()
                 .flatMap(open -> open.values().stream().limit(1))
                 .flatMap(task -> route(task.submission).stream())
-                .forEach(route -> available.computeIfAbsent(route.serviceAt(0), fleet::endpoints));
-        int slots = available.values().stream()
-                .flatMap(List::stream)
-                .filter(endpoint -> !endpoint.avoided())
-                .mapToInt(GenerationEndpoint::capacity)
-                .sum();
-        List<ItemTask> waiting = queue.order(tasks.values(), this::runTarget, slots, leader.leaderTime(), now);
-        for (ItemTask task : waiting) {
-            contain(task, now, () -> route(task.submission).ifPresent(route -> start(task, route, available, now)));
+                .forEach(route -> round(route.serviceAt(0)));
+        long slots = rounds.values().stream().mapToLong(PlacementRound::slots).sum();
+        queue.order(tasks.values(), this::runTarget, slots, leader.leaderTime(), now)
+                .forEach(task -> startIfPossible(task, now));
+    }
+
+    /** Starts waiting items in the order of the last tick. */
+    private void startWhileThereIsRoom(long now) {
+        for (ItemTask task : queue.waiting(now)) {
+            if (rounds.values().stream().noneMatch(PlacementRound::hasRoom)) {
+                return;
+            }
+            startIfPossible(task, now);
         }
     }
 
+    private void startIfPossible(ItemTask task, long now) {
+        contain(task, now, () -> route(task.submission).ifPresent(route -> start(task, route, now)));
+    }
+
+    private PlacementRound round(ServiceName service) {
+        return rounds.computeIfAbsent(service, ignored -> PlacementRound.of(fleet.endpoints(service)));
+    }
+
     /**
      * Runs an action for an item and contains its failure. An item that ended the leader would be resumed by the next one
      * and end all store hosts in turn.
@@ -290,22 +313,39 @@
         return route(stored).map(route -> route.submissionTarget().toMillis()).orElse(0L);
     }
 
-    private void start(
-            ItemTask task, Route route, Map<ServiceName, List<GenerationEndpoint>> endpointsByService, long now) {
+    private void start(ItemTask task, Route route, long now) {
         ServiceName service = route.serviceFor(task.item.id().value());
-        List<GenerationEndpoint> available = endpointsByService.computeIfAbsent(service, fleet::endpoints);
-        boolean hasWaited = now - task.waitingSince > SAME_VERSION_WAIT_MILLISECONDS;
-        if (ItemPlacement.isSoftwareGone(requirements(task), available)
-                || hasWaited && !ItemPlacement.canContinue(requirements(task), available)) {
-            restartText(task);
+        PlacementRound round = round(service);
+        if (task.text.lastEvent() > 0) {
+            boolean hasWaited = now - task.waitingSince > SAME_VERSION_WAIT_MILLISECONDS;
+            if (round.isTextLost(requirements(task), hasWaited)) {
+                restartText(task);
+            }
         }
-        ItemPlacement.Requirements need = requirements(task);
-        Optional<GenerationEndpoint> chosen = ItemPlacement.choose(need, available);
-        if (chosen.isPresent()) {
-            endpointByPrompt.put(prompt(task), chosen.get().id());
-            startRun(task, route, chosen.get(), now);
-            endpointsByService.remove(service);
+        if (!round.hasRoom()) {
+            return;
+        }
+        choose(service, round, requirements(task)).ifPresent(chosen -> {
+            endpointByPrompt.put(task.prompt, chosen.id());
+            startRun(task, route, chosen, now);
+            fleet.endpoint(service, chosen.id()).ifPresent(round::recordStart);
+        });
+    }
+
+    /** Chooses an endpoint and verifies that its current state, which may be newer than the round, still allows it. */
+    private Optional<GenerationEndpoint> choose(
+            ServiceName service, PlacementRound round, ItemPlacement.Requirements need) {
+        Optional<GenerationEndpoint> chosen = round.choose(need);
+        while (chosen.isPresent()) {
+            EndpointId id = chosen.get().id();
+            Optional<GenerationEndpoint> current = fleet.endpoint(service, id);
+            if (current.filter(endpoint -> ItemPlacement.canRun(need, endpoint)).isPresent()) {
+                return current;
+            }
+            round.update(id, current);
+            chosen = round.choose(need);
         }
+        return Optional.empty();
     }
 
     private ItemPlacement.Requirements requirements(ItemTask task) {
@@ -316,11 +356,7 @@
                 task.submission.submission().oldestVersion(),
                 exactVersion,
                 task.text.softwareVersion(),
-                Optional.ofNullable(endpointByPrompt.get(prompt(task))));
-    }
-
-    private static String prompt(ItemTask task) {
-        return task.submission.submission().id() + " " + task.item.group();
+                Optional.ofNullable(endpointByPrompt.get(task.prompt)));
     }
 
     /** Discards a partial text that no endpoint can continue, so that the item can run elsewhere from its start. */
@@ -379,7 +415,10 @@
     }
 
     private void releaseEndpoint(ItemTask task) {
-        task.run.ifPresent(run -> loads.recordEnd(run.endpoint));
+        task.run.ifPresent(run -> {
+            loads.recordEnd(run.endpoint);
+            rounds.forEach((service, round) -> round.update(run.endpoint, fleet.endpoint(service, run.endpoint)));
+        });
     }
 
     private void logRunStarted(ItemTask task, GenerationEndpoint endpoint) {
@@ -447,7 +486,7 @@
         }
         logRunEnded(task, run, "completed", "");
         score(task);
-        start(Forwarder.now());
+        startWhileThereIsRoom(Forwarder.now());
     }
 
     @Override
@@ -552,8 +591,15 @@
     }
 
     private Optional<Route> route(StoredSubmission stored) {
-        return leader.table()
-                .flatMap(table -> table.find(
-                        stored.submission().host(), stored.submission().routePath()));
+        Optional<RoutingTable> table = leader.table();
+        if (!table.equals(routedTable)) {
+            routes.clear();
+            routedTable = table;
+        }
+        return routes.computeIfAbsent(stored.submission().id(), ignored -> findRoute(table, stored.submission()));
+    }
+
+    private static Optional<Route> findRoute(Optional<RoutingTable> table, Submission submission) {
+        return table.flatMap(current -> current.find(submission.host(), submission.routePath()));
     }
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/GenerationFleet.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/GenerationFleet.java
@@ -1,6 +1,5 @@
 package io.rosemarybeam.store;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,26 +48,36 @@
     /** Returns the ready endpoints of a service. */
     List<GenerationEndpoint> endpoints(ServiceName service) {
         long now = Forwarder.now();
-        List<GenerationEndpoint> endpoints = new ArrayList<>();
-        for (EndpointAnnouncement announcement : directory.ready(service)) {
-            EndpointState endpoint = stateOf(announcement);
-            Map<ModelName, Long> versions = new HashMap<>();
-            for (LoadedModel model : announcement.models()) {
-                versions.put(model.model(), model.version());
-            }
-            versions.putAll(endpoint.versions);
-            endpoints.add(new GenerationEndpoint(
-                    announcement.id(),
-                    announcement.softwareVersion(),
-                    announcement.capacity(),
-                    loads.outstanding(announcement.id()),
-                    versions,
-                    endpoint.loading.map(Set::of).orElse(Set.of()),
-                    loads.isAvoided(announcement.id(), now),
-                    hasRoom.test(announcement.id()),
-                    endpoint.eventInterval));
+        return directory.ready(service).stream()
+                .map(announcement -> endpoint(announcement, now))
+                .toList();
+    }
+
+    /** Returns the current state of an endpoint; empty if it is not ready or belongs to another service. */
+    Optional<GenerationEndpoint> endpoint(ServiceName service, EndpointId id) {
+        return directory.ready(service).stream()
+                .filter(announcement -> announcement.id().equals(id))
+                .findFirst()
+                .map(announcement -> endpoint(announcement, Forwarder.now()));
+    }
+
+    private GenerationEndpoint endpoint(EndpointAnnouncement announcement, long now) {
+        EndpointState endpoint = stateOf(announcement);
+        Map<ModelName, Long> versions = new HashMap<>();
+        for (LoadedModel model : announcement.models()) {
+            versions.put(model.model(), model.version());
         }
-        return endpoints;
+        versions.putAll(endpoint.versions);
+        return new GenerationEndpoint(
+                announcement.id(),
+                announcement.softwareVersion(),
+                announcement.capacity(),
+                loads.outstanding(announcement.id()),
+                versions,
+                endpoint.loading.map(Set::of).orElse(Set.of()),
+                loads.isAvoided(announcement.id(), now),
+                hasRoom.test(announcement.id()),
+                endpoint.eventInterval);
     }
 
     Optional<EndpointAnnouncement> announcement(EndpointId id) {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
@@ -29,6 +29,7 @@
 
     private final Map<ModelName, RunTimeEstimate> estimates = new HashMap<>();
     private final Map<String, Boolean> formerGroups = new LeastRecentlyUsedMap<>(MAXIMUM_GROUPS);
+    private List<ItemTask> ordered = List.of();
 
     /**
      * Records the groups of a submission.
@@ -56,7 +57,7 @@
     }
 
     /**
-     * Returns the waiting items in the order in which they should start.
+     * Orders the waiting items and returns them in the order in which they should start.
      *
      * @param submissions the open items of each submission, by item
      * @param targets target run time of each submission, in milliseconds
@@ -67,7 +68,7 @@
     List<ItemTask> order(
             Collection<Map<ItemId, ItemTask>> submissions,
             ToLongFunction<StoredSubmission> targets,
-            int slots,
+            long slots,
             long leaderTime,
             long now) {
         List<StepSchedule.Step<ItemTask>> steps = new ArrayList<>();
@@ -77,7 +78,22 @@
                 steps.add(step(first.submission, open.values(), target, now));
             });
         }
-        return StepSchedule.order(steps, slots, leaderTime);
+        ordered = StepSchedule.order(steps, slots, leaderTime);
+        return ordered;
+    }
+
+    /**
+     * Returns the items that still wait, in the order of the last call of {@link #order}. Ordering all items again whenever
+     * one ends would cost more the more items wait.
+     *
+     * @param now monotonic time, in milliseconds
+     */
+    Iterable<ItemTask> waiting(long now) {
+        return () -> ordered.stream().filter(task -> isStartable(task, now)).iterator();
+    }
+
+    private static boolean isStartable(ItemTask task, long now) {
+        return task.stage == ItemTask.Stage.WAITING && now >= task.notBefore;
     }
 
     private StepSchedule.Step<ItemTask> step(
@@ -110,7 +126,6 @@
     private StepSchedule.Item<ItemTask> item(ItemTask task, long now) {
         boolean isGenerated = task.stage == ItemTask.Stage.SCORING || task.stage == ItemTask.Stage.LISTING;
         long remaining = isGenerated ? 0 : remainingMilliseconds(task);
-        boolean isStartable = task.stage == ItemTask.Stage.WAITING && now >= task.notBefore;
-        return new StepSchedule.Item<>(task, remaining, isStartable);
+        return new StepSchedule.Item<>(task, remaining, isStartable(task, now));
     }
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
@@ -21,6 +21,10 @@
     final ModelName model;
     final boolean singleVersion;
     final boolean isCarriedOver;
+
+    /** Identifies the prompt, which the items of a group in one submission share. */
+    final String prompt;
+
     ItemText text = new ItemText();
 
     /** Number of events of the text that were proposed to the log. */
@@ -63,6 +67,7 @@
         this.model = model;
         this.singleVersion = singleVersion;
         this.isCarriedOver = isCarriedOver;
+        this.prompt = submission.submission().id() + " " + item.group();
     }
 
     /** Cancels the current run or score request, if any. */
