Write a submission to the log once when copies of it arrive

What callers saw: while the leader was busy no submission was acknowledged. An edge sends a submission again after 700 ms without a reply, and callers send it again after each failed try; the leader proposed every copy, which sends it to each of the other store hosts, and so delayed the first one further.

A copy that arrives while the first one is proposed gets the same outcome; one that arrives later is acknowledged by a confirmed read.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -51,6 +51,10 @@
     private final VersionOrders orders;
     private final long resultRetentionMilliseconds;
     private final Map<SubmissionId, List<PendingRead>> pendingReads = new HashMap<>();
+
+    /** Receivers of the outcome of each submission that is proposed and not applied yet. */
+    private final Map<SubmissionId, List<Consumer<StoreReply>>> pendingSubmissions = new HashMap<>();
+
     private final Map<SubmissionId, List<Submission.Result>> pendingResults = new HashMap<>();
     private final BatchRunner runner;
 
@@ -192,12 +196,31 @@
         propose(new StoreCommand.PutVersion(request.model(), request.version()), reply);
     }
 
+    /**
+     * Stores a submission. Callers resend a submission whose acknowledgement they miss, so a copy waits for the proposal of the
+     * first one, and a copy of a stored submission is acknowledged without a proposal; a submission may have several hundred
+     * kilobytes, which each proposal sends to every store host.
+     */
     private void submit(Submission submission, Consumer<StoreReply> reply) {
+        SubmissionId id = submission.id();
+        if (state.submission(id).isPresent()) {
+            readLinearizably(reply, () -> isStored(id));
+            return;
+        }
+        List<Consumer<StoreReply>> waiting = pendingSubmissions.get(id);
+        if (waiting != null) {
+            waiting.add(reply);
+            return;
+        }
+        pendingSubmissions.put(id, new ArrayList<>(List.of(reply)));
         Optional<Route> route = table.get().flatMap(current -> current.find(submission.host(), submission.routePath()));
-        propose(
-                new StoreCommand.AcceptSubmission(
-                        submission, route.map(Route::name).orElse("")),
-                reply);
+        StoreCommand command = new StoreCommand.AcceptSubmission(
+                submission, route.map(Route::name).orElse(""));
+        propose(command, outcome -> pendingSubmissions.remove(id).forEach(waiter -> waiter.accept(outcome)));
+    }
+
+    private StoreReply isStored(SubmissionId id) {
+        return StoreReply.of(state.submission(id).isPresent() ? Outcome.DONE : Outcome.UNCERTAIN);
     }
 
     private void read(ReadResults read, Consumer<StoreReply> reply) {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -194,6 +195,31 @@
         }
     }
 
+    /** Sends copies of a request to a host without waiting between them, and returns the replies. */
+    List<StoreReply> askAtOnce(int number, StoreMessage request, int copies) throws Exception {
+        WireConnection connection = WireTransport.of(loops, WireSettings.shortTimeouts())
+                .connect(host(number) + ":" + protocolPort, new Credentials(Role.ENTRY, "test", 0, "test"), IGNORE)
+                .get(2, TimeUnit.SECONDS);
+        try {
+            List<CompletableFuture<Message>> replies = Stream.generate(
+                            () -> connection.request(request, Duration.ofMillis(TIMEOUT_MILLISECONDS)))
+                    .limit(copies)
+                    .toList();
+            return replies.stream().map(reply -> (StoreReply) reply.join()).toList();
+        } finally {
+            connection.close();
+        }
+    }
+
+    /** Returns the size of all files of a host, in bytes. */
+    long dataBytes(int number) {
+        try (Stream<Path> files = Files.walk(folder.resolve("data-" + number))) {
+            return files.mapToLong(file -> file.toFile().length()).sum();
+        } catch (IOException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
     static <T> T await(String condition, Callable<T> attempt) {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLISECONDS);
         while (System.nanoTime() < deadline) {
