Format log records on the writing thread only

Each event was formatted twice: the asynchronous appender turns a record into text on the calling thread unless its class is annotated as formattable in the background, and the annotation of the library's class is not inherited. Nothing uses that text, because the layout writes JSON. EventLogTest failed before.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/EventLog.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/EventLog.java
@@ -7,6 +7,7 @@
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.AsynchronouslyFormattable;
 import org.apache.logging.log4j.message.MapMessage;
 
 /** Writes numbered events as structured log records. Implementations are safe for use by several threads. */
@@ -86,7 +87,11 @@
         }
     }
 
-    /** An event as a log record: its number, its name and a map of its fields. Confined to the thread that writes it. */
+    /**
+     * An event as a log record: its number, its name and a map of its fields, which do not change after it is written. Without
+     * the annotation, which subclasses do not inherit, the calling thread formats each record to a text that is never used.
+     */
+    @AsynchronouslyFormattable
     final class EventMessage extends MapMessage<EventMessage, Object> {
         private static final long serialVersionUID = 1L;
     }
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/event/EventLogTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/event/EventLogTest.java
@@ -8,6 +8,7 @@
 import org.apache.logging.log4j.core.config.DefaultConfiguration;
 import org.apache.logging.log4j.core.impl.Log4jLogEvent;
 import org.apache.logging.log4j.layout.template.json.JsonTemplateLayout;
+import org.apache.logging.log4j.message.AsynchronouslyFormattable;
 import org.apache.logging.log4j.message.Message;
 import org.apache.logging.log4j.message.SimpleMessage;
 import org.junit.jupiter.api.Test;
@@ -48,6 +49,13 @@
         assertTrue(json.get("failure").asText().contains("two\nlines"));
     }
 
+    @Test
+    void shouldNotFormatTheRecordOnTheCallingThreadWhenItIsQueued() {
+        // Guards against event loops that format each record to a text which the layout never uses.
+        Message message = EventLog.message(Event.PROCESS_STARTED, List.of());
+        assertTrue(message.getClass().isAnnotationPresent(AsynchronouslyFormattable.class));
+    }
+
     @Test
     void shouldLeaveOutTheFailureWhenThereIsNone() throws Exception {
         JsonNode json = new ObjectMapper()
