Log what the items of a step wait for

ITEMS_WAITING now says so once in two seconds for each submission with items that have waited that long, with the number of items in each stage.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -142,6 +142,9 @@
             746,
             Severity.INFORMATION,
             "An item starts again, because no endpoint has the version of weights or software that may continue its text."),
+    /** Items of a submission wait for long; the line tells how many and for what. */
+    ITEMS_WAITING(
+            747, Severity.INFORMATION, "Items of a submission wait for long; the line tells how many and for what."),
     /** A trainer published a weight version. */
     VERSION_NAMED(750, Severity.INFORMATION, "A trainer named a weight version."),
     /** An endpoint was ordered to load a weight version. */
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
@@ -49,11 +49,11 @@
             return exactVersion < 0 && softwareVersion.isEmpty();
         }
 
-        private boolean allowsSoftwareOf(GenerationEndpoint endpoint) {
+        boolean allowsSoftwareOf(GenerationEndpoint endpoint) {
             return softwareVersion.isEmpty() || softwareVersion.get().equals(endpoint.softwareVersion());
         }
 
-        private boolean allowsWeightsOf(GenerationEndpoint endpoint) {
+        boolean allowsWeightsOf(GenerationEndpoint endpoint) {
             return exactVersion < 0 || endpoint.version(model) == exactVersion;
         }
     }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/PlacementRound.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/PlacementRound.java
@@ -93,6 +93,15 @@
                                 withoutPreference, need -> !ItemPlacement.canContinue(need, endpoints.values()));
     }
 
+    /**
+     * Returns why an item waits.
+     *
+     * @param requirements requirements of the item
+     */
+    public WaitReason waitReason(Requirements requirements) {
+        return WaitReason.of(requirements, endpoints.values());
+    }
+
     /**
      * Records that an endpoint has one slot less after an item has started.
      *
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -1,5 +1,7 @@
 package io.rosemarybeam.store;
 
+import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -25,6 +27,7 @@
 import io.rosemarybeam.decision.batch.ItemPlacement;
 import io.rosemarybeam.decision.batch.ModelDemand;
 import io.rosemarybeam.decision.batch.PlacementRound;
+import io.rosemarybeam.decision.batch.WaitReason;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.RoutingTable;
@@ -63,6 +66,9 @@
     /** Weight of one tick in the moving average of slot demand; at 50 ms a tick it covers about two steps of a trainer. */
     private static final double SLOT_DEMAND_WEIGHT = 0.006;
 
+    /** Time after which the reason why an item waits is logged, and interval between two such lines, in milliseconds. */
+    private static final long WAIT_REPORT_MILLISECONDS = 2_000;
+
     /** Priority of items at endpoints, lower than that of all interactive requests. */
     private static final int ITEM_PRIORITY = 6;
 
@@ -90,6 +96,7 @@
     private final Map<SubmissionId, Optional<Route>> routes = new HashMap<>();
 
     private Optional<RoutingTable> routedTable = Optional.empty();
+    private long lastWaitReport;
 
     private final PartialTextStore partialTexts;
 
@@ -238,6 +245,56 @@
         tasks.forEach((submission, open) -> partialTexts.checkpoint(submission, open.values()));
         updateSlotDemand();
         startInNewOrder(now);
+        if (now - lastWaitReport >= WAIT_REPORT_MILLISECONDS) {
+            lastWaitReport = now;
+            tasks.values().forEach(open -> reportWaiting(open.values(), now));
+        }
+    }
+
+    /** Logs one line for a submission whose items have waited for long, with the number of items by reason and by stage. */
+    private void reportWaiting(Collection<ItemTask> open, long now) {
+        List<ItemTask> waiting = open.stream()
+                .filter(task ->
+                        task.stage == ItemTask.Stage.WAITING && now - task.waitingSince >= WAIT_REPORT_MILLISECONDS)
+                .toList();
+        if (waiting.isEmpty()) {
+            return;
+        }
+        Map<WaitReason, Integer> reasons = new EnumMap<>(WaitReason.class);
+        waiting.forEach(task -> reasons.merge(waitReason(task, now), 1, Integer::sum));
+        Map<ItemTask.Stage, Integer> stages = new EnumMap<>(ItemTask.Stage.class);
+        open.forEach(task -> stages.merge(task.stage, 1, Integer::sum));
+        ItemTask first = waiting.getFirst();
+        LOG.log(
+                Event.ITEMS_WAITING,
+                "submission",
+                first.submission.submission().id(),
+                "model",
+                first.model,
+                "reasons",
+                reasons,
+                "stages",
+                stages,
+                "longest",
+                waiting.stream()
+                        .mapToLong(task -> now - task.waitingSince)
+                        .max()
+                        .orElse(0),
+                "example",
+                first.item.id(),
+                "oldest",
+                first.submission.submission().oldestVersion(),
+                "age",
+                leader.leaderTime() - first.submission.acceptedAt());
+    }
+
+    private WaitReason waitReason(ItemTask task, long now) {
+        if (now < task.notBefore) {
+            return WaitReason.DELAYED;
+        }
+        return route(task.submission)
+                .map(route -> round(route.serviceFor(task.item.id().value())).waitReason(requirements(task)))
+                .orElse(WaitReason.NO_ROUTE);
     }
 
     private void checkTimeouts(ItemTask task, long now) {
