Encode a message once when many hosts get it

Each store host sends its status to every edge four times a second and every change of an endpoint as it happens, and encoded each copy anew: 45 times on a grown deployment. The same holds for a new configuration and for the messages of an edge to all store hosts.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/NettyConnection.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/NettyConnection.java
@@ -114,13 +114,27 @@
     }
 
     private void write(Message message, long correlation) {
+        channel.writeAndFlush(encode(message, correlation));
+    }
+
+    /** Sends an encoded message that has no reply. */
+    void send(Frame encoded) {
+        channel.writeAndFlush(encoded);
+    }
+
+    /**
+     * Encodes a message.
+     *
+     * @throws WireException with {@link ErrorCode#FRAME_INVALID} if it exceeds the maximum size of a frame
+     */
+    static Frame encode(Message message, long correlation) {
         byte[] payload = MessageCodec.encode((Record) message);
         if (payload.length > Frame.MAXIMUM_PAYLOAD_BYTES) {
             throw new WireException(
                     ErrorCode.FRAME_INVALID,
                     message.getClass().getSimpleName() + " of " + payload.length + " bytes exceeds the frame limit");
         }
-        channel.writeAndFlush(new Frame(MessageType.of(message).number(), correlation, payload));
+        return new Frame(MessageType.of(message).number(), correlation, payload);
     }
 
     private void fail(long correlation, ErrorCode code) {
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/PeerConnections.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/PeerConnections.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.Executor;
 
+import io.rosemarybeam.common.wire.Broadcast;
 import io.rosemarybeam.common.wire.Credentials;
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.common.wire.MessageHandler;
@@ -105,6 +106,16 @@
         }
     }
 
+    /** Sends a message to all hosts, like {@link #send}. */
+    public void sendToAll(Message message) {
+        Broadcast.send(
+                connections.values().stream()
+                        .filter(peer -> peer.isOpen() && peer.connection.isWritable())
+                        .map(peer -> peer.connection)
+                        .toList(),
+                message);
+    }
+
     /**
      * Returns the open connection to a host.
      *
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
@@ -15,6 +15,7 @@
 import io.netty.channel.EventLoop;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.wire.Broadcast;
 import io.rosemarybeam.common.wire.Credentials;
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.common.wire.MessageHandler;
@@ -75,13 +76,10 @@
         required.forEach(address -> sessions.computeIfAbsent(address, Session::new));
         sessions.values()
                 .removeIf(session -> !session.isOpen() && !session.connecting && !required.contains(session.address));
-        for (Session session : sessions.values()) {
-            if (session.isOpen()) {
-                session.connection.send(ownStatus);
-            } else if (!session.connecting && now >= session.nextAttempt) {
-                connect(session, now);
-            }
-        }
+        broadcast(ownStatus);
+        sessions.values().stream()
+                .filter(session -> !session.isOpen() && !session.connecting && now >= session.nextAttempt)
+                .forEach(session -> connect(session, now));
     }
 
     private Set<String> requiredAddresses() {
@@ -186,7 +184,12 @@
 
     /** Sends a message to every connected host. */
     void broadcast(Message message) {
-        sessions.values().stream().filter(Session::isOpen).forEach(session -> session.connection.send(message));
+        Broadcast.send(
+                sessions.values().stream()
+                        .filter(Session::isOpen)
+                        .map(session -> session.connection)
+                        .toList(),
+                message);
     }
 
     /** Connection to one host, and the last status of this host. Confined to the event loop. */
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
@@ -5,6 +5,7 @@
 
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.wire.Broadcast;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
 import io.rosemarybeam.common.wire.WireConnection;
@@ -67,8 +68,7 @@
                 announcement.sequence(),
                 "models",
                 announcement.models());
-        EndpointNews update = EndpointNews.ofAnnouncements(List.of(announcement));
-        edges.forEach(edge -> edge.send(update));
+        Broadcast.send(edges, EndpointNews.ofAnnouncements(List.of(announcement)));
         return true;
     }
 
@@ -84,7 +84,7 @@
 
     private void sendToPeers(EndpointNews update) {
         if (!update.announcements().isEmpty()) {
-            links.names().forEach(name -> links.send(name, update));
+            links.sendToAll(update);
         }
     }
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -26,6 +26,7 @@
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.metric.Metrics;
 import io.rosemarybeam.common.settings.StoreSettings;
+import io.rosemarybeam.common.wire.Broadcast;
 import io.rosemarybeam.common.wire.ControlTraffic.LogTraffic;
 import io.rosemarybeam.common.wire.Credentials;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
@@ -347,8 +348,8 @@
         rateLimits.retain(id -> directory.find(id).isPresent());
         links.maintain(members.peers(seeds, now), now);
         StoreStatus status = status(now);
-        links.names().forEach(name -> links.send(name, status));
-        edges.keySet().forEach(edge -> edge.send(status));
+        links.sendToAll(status);
+        Broadcast.send(edges.keySet(), status);
         boolean isContactRound = ticks % (MAINTENANCE_TICKS * CONTACT_ROUNDS) == 0;
         if (isContactRound) {
             registry.sendRecentContacts(now - MAINTENANCE_TICKS * CONTACT_ROUNDS * TICK_MILLISECONDS);
@@ -380,15 +381,15 @@
 
     private void sendCrashes(List<EndpointCrash> changes) {
         EndpointNews news = EndpointNews.ofCrashes(changes);
-        edges.keySet().forEach(edge -> edge.send(news));
-        links.names().forEach(name -> links.send(name, news));
+        Broadcast.send(edges.keySet(), news);
+        links.sendToAll(news);
     }
 
     private void useRateLimits(List<EndpointRateLimit> changes) {
         changes.forEach(permits::setLimit);
         EndpointNews news = EndpointNews.ofRateLimits(changes);
-        edges.keySet().forEach(edge -> edge.send(news));
-        links.names().forEach(name -> links.send(name, news));
+        Broadcast.send(edges.keySet(), news);
+        links.sendToAll(news);
     }
 
     private void askLeader(StoreMessage request, Consumer<StoreReply> reply) {
@@ -429,7 +430,7 @@
             try {
                 table = Optional.of(ConfigurationFormat.decode(newest.text()));
                 LOG.log(Event.CONFIGURATION_IN_USE, "version", newest.version(), "former", current);
-                edges.keySet().forEach(edge -> edge.send(newest));
+                Broadcast.send(edges.keySet(), newest);
             } catch (ConfigurationException failure) {
                 LOG.log(Event.HANDLER_FAILED, failure, "message", "configuration " + newest.version());
             }
@@ -608,7 +609,7 @@
             permits.start(rateLimits.all());
             LOG.log(Event.LEADER_ELECTED, "name", settings.name(), "term", term, "applied", driver.applied());
             StoreStatus status = status(Forwarder.now());
-            edges.keySet().forEach(edge -> edge.send(status));
+            Broadcast.send(edges.keySet(), status);
         }
 
         @Override
