Keep a request open until its answer is written

Callers that read a long answer slowly would see it break off when the edge stops, and a pipelined request behind an answer with Connection: close could run at an endpoint without ever being answered.

Cause: CallerExchange counted as finished when its answer was queued, not when the connection had taken it. EdgeProcess#awaitDrained closes all connections once no request is open, and closing a connection discards what is queued. CallerConnection dispatched the next pipelined request in the same span, although the connection was going to be closed after the write.

Ruled out: short answers. They fit the send buffer of the system, which delivers them after the process has exited.

The exchange is now finished by the completion of the last write, which also comes when the connection fails. A caller that does not read at all is still closed by the idle timeout.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
@@ -28,8 +28,8 @@
 /**
  * Reads the requests of one caller connection and dispatches them one at a time.
  *
- * <p>Invariant: a request is dispatched only when its body is complete and the previous answer is finished. Confined to the
- * event loop of the connection.
+ * <p>Invariant: a request is dispatched only when its body is complete, the previous answer is written and the connection
+ * stays open after it. Confined to the event loop of the connection.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     private static final EventLog LOG = EventLog.of(CallerConnection.class);
@@ -48,7 +48,7 @@
     /** Head of the request whose body is being read; null if there is none. */
     private HttpRequest head;
 
-    /** The request that waits for its answer; null if there is none. */
+    /** The request whose answer is not written yet; null if there is none. */
     private CallerExchange exchange;
 
     /** Whether a request was rejected; further messages are discarded and the connection closes. */
@@ -160,7 +160,7 @@
     }
 
     private void processPending(ChannelHandlerContext context) {
-        while (exchange == null && !pending.isEmpty()) {
+        while (exchange == null && !pending.isEmpty() && context.channel().isActive()) {
             process(context, pending.poll());
         }
     }
@@ -193,7 +193,8 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof IdleStateEvent && exchange == null) {
+        boolean awaitsAnswer = exchange != null && !exchange.isFinished();
+        if (event instanceof IdleStateEvent && !awaitsAnswer) {
             context.close();
         }
     }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerExchange.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerExchange.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -168,14 +169,12 @@
         }
         HttpHeaders sent = connectionHeaders(answerHeaders);
         sent.set(HttpHeaderNames.CONTENT_LENGTH, answerBody.length);
-        channel.writeAndFlush(new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(status),
-                        Unpooled.wrappedBuffer(answerBody),
-                        sent,
-                        EmptyHttpHeaders.INSTANCE))
-                .addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
-        finish();
+        writeLast(new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.wrappedBuffer(answerBody),
+                sent,
+                EmptyHttpHeaders.INSTANCE));
     }
 
     /**
@@ -230,9 +229,7 @@
     /** Finishes a started answer. */
     public void end() {
         if (!finished && started) {
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                    .addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
-            finish();
+            writeLast(LastHttpContent.EMPTY_LAST_CONTENT);
         }
     }
 
@@ -261,8 +258,11 @@
         return sent;
     }
 
-    private void finish() {
+    /** Writes the end of the answer; the exchange remains open until the connection has taken all of it. */
+    private void writeLast(HttpObject last) {
         finished = true;
-        onFinished.run();
+        channel.writeAndFlush(last)
+                .addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE)
+                .addListener(written -> onFinished.run());
     }
 }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerServer.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerServer.java
@@ -111,7 +111,7 @@
         draining = true;
     }
 
-    /** Returns the number of requests without a final answer. */
+    /** Returns the number of requests whose answer is not completely written. */
     public int openExchanges() {
         return openExchanges;
     }
