Stop reading a connection whose pipelined requests wait, instead of closing it

A caller that sent its next request before the first was answered would see both end without an answer, if the next one came in 1,024 parts or more: a chunked body in small chunks, or 8 MB with a length. The first had already been passed on to an endpoint.

Cause: CallerConnection closed the connection when the queue of messages behind the answer in progress was full.

Evidence: CallerServerTest sends a request, and behind it one with 3,000 chunks. Before: the connection closed and the second request never arrived (10 s). After: both are answered.

Reading stops at the same number and goes on when the answer is written, so the memory of a connection stays bounded by that number and one read.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
@@ -35,8 +35,8 @@
     private static final EventLog LOG = EventLog.of(CallerConnection.class);
 
     /**
-     * Maximum number of HTTP messages of later requests that wait for the answer in progress; callers normally do not
-     * pipeline requests. A connection that exceeds it is closed.
+     * Number of HTTP messages of later requests from which on a connection is not read until the answer in progress is
+     * written; callers normally do not pipeline requests.
      */
     private static final int MAXIMUM_PENDING_MESSAGES = 1_024;
 
@@ -63,11 +63,9 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (exchange == null && pending.isEmpty()) {
             process(context, message);
-        } else if (pending.size() < MAXIMUM_PENDING_MESSAGES) {
-            pending.add(message);
         } else {
-            ReferenceCountUtil.release(message);
-            context.close();
+            pending.add(message);
+            context.channel().config().setAutoRead(pending.size() < MAXIMUM_PENDING_MESSAGES);
         }
     }
 
@@ -163,6 +161,7 @@
         while (exchange == null && !pending.isEmpty() && context.channel().isActive()) {
             process(context, pending.poll());
         }
+        context.channel().config().setAutoRead(pending.size() < MAXIMUM_PENDING_MESSAGES);
     }
 
     private void refuse(ChannelHandlerContext context, HttpResponseStatus status) {
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/CallerServerTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/CallerServerTest.java
@@ -36,6 +36,7 @@
     private static final int MAXIMUM_BODY_BYTES = 33_554_432;
     private static final int RECEIVE_BUFFER_BYTES = 4_096;
     private static final int TIMEOUT_MILLISECONDS = 10_000;
+    private static final int CHUNKS = 3_000;
     private static final long SILENCE_MILLISECONDS = 300;
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
@@ -135,4 +136,26 @@
 
         assertNull(exchanges.poll(SILENCE_MILLISECONDS, TimeUnit.MILLISECONDS));
     }
+
+    /** A caller may send its next requests, with bodies in many parts, before it reads the first answer. */
+    @Test
+    void shouldAnswerEveryRequestWhenALaterOneArrivesInManyParts() throws Exception {
+        Socket caller = connect();
+        send(caller, get("/first", ""));
+        CallerExchange first = nextExchange();
+        send(
+                caller,
+                "POST /second HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(CHUNKS)
+                        + "0\r\n\r\n");
+        Thread.sleep(SILENCE_MILLISECONDS);
+
+        answer(first, new byte[0]);
+        String firstHead = readHead(caller.getInputStream());
+        CallerExchange second = nextExchange();
+        answer(second, new byte[0]);
+
+        assertTrue(firstHead.startsWith("HTTP/1.1 200 "), firstHead);
+        assertEquals(CHUNKS, second.body().length);
+        assertTrue(readHead(caller.getInputStream()).startsWith("HTTP/1.1 200 "));
+    }
 }
