Read on after the refusal of a request, so that its caller gets the answer

A caller that sent a body over MaxBodyBytes, or a head that is too long, could see a reset connection instead of 413 or 431, and send the request again.

Cause: CallerConnection closed the connection right after the refusal while the caller was sending. The system resets a connection that is closed with unread bytes.

Evidence: CallerServerTest sends a body of one byte too many after the refusal of its length.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
@@ -6,7 +6,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -171,7 +170,7 @@
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.writeAndFlush(response).addListener(new LingeringClose());
     }
 
     @Override
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/CallerServerTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/CallerServerTest.java
@@ -158,4 +158,17 @@
         assertEquals(CHUNKS, second.body().length);
         assertTrue(readHead(caller.getInputStream()).startsWith("HTTP/1.1 200 "));
     }
+
+    /** A connection that is closed while the caller sends is reset, which can discard the answer. */
+    @Test
+    void shouldDeliverTheRefusalWhenTheCallerGoesOnSendingABodyThatIsTooLong() throws Exception {
+        Socket caller = connect();
+        send(caller, "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + (MAXIMUM_BODY_BYTES + 1L) + "\r\n\r\n");
+        Thread.sleep(SILENCE_MILLISECONDS);
+
+        caller.getOutputStream().write(new byte[MAXIMUM_BODY_BYTES + 1]);
+
+        String head = readHead(caller.getInputStream());
+        assertTrue(head.startsWith("HTTP/1.1 413 "), head);
+    }
 }
