Answer the requests that are open when the stop time of an edge ends

Callers of an edge that stops would see their connection close without an answer, if their request was still open 0.9 s before SIGKILL: one at a slow endpoint, or a submission that waits for a store leader.

Cause: EdgeProcess#awaitDrained closed all connections at that time, whatever was open. The time of a request is bounded by its route, not by the process.

Ruled out: the margin alone. A shorter one only moves the moment at which open requests are cut.

Evidence: EdgeStopTest with a stop time of 1 s, a request at an endpoint that does not answer, and a submission while no store host runs. Before: both "header parser received no bytes". After: both 504.

At the end of the stop time each open request is ended as at its deadline: 504 if it may have run, 503 if it was never sent, and an answer that has begun is aborted as before. Up to 300 ms of the margin are left to write the answers.

--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -72,6 +72,9 @@
     /** A stopping process stops waiting for open requests this long before SIGKILL, in milliseconds. */
     private static final long STOP_MARGIN_MILLISECONDS = 900;
 
+    /** Maximum time in which a stopping process sends the last answers, in milliseconds; part of the margin before SIGKILL. */
+    private static final long LAST_ANSWERS_MILLISECONDS = 300;
+
     /** Interval at which a stopping process checks for open requests, in milliseconds. */
     private static final long DRAIN_POLL_MILLISECONDS = 50;
 
@@ -305,7 +308,8 @@
     /**
      * Drains the process: reports to the store hosts that it drains, so that callers get the addresses of other edges;
      * continues to serve until callers no longer use its address and no request is open; then closes the connections of
-     * callers. Returns when this is done or the stop time of the settings is nearly over.
+     * callers. Requests that are open when the stop time of the settings is nearly over are answered as at their deadline.
+     * Returns when this is done.
      */
     public void stop() {
         CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -323,8 +327,11 @@
 
     private void awaitDrained(CompletableFuture<Void> drained, long startedAt, long maximumDrain) {
         long elapsed = Forwarder.now() - startedAt;
+        if (elapsed >= maximumDrain) {
+            forwardingServers().forEach(CallerServer::expire);
+        }
         boolean isIdle = elapsed >= Math.min(MINIMUM_DRAIN_MILLISECONDS, maximumDrain) && openRequests() == 0;
-        if (isIdle || elapsed >= maximumDrain) {
+        if (isIdle || elapsed >= maximumDrain + LAST_ANSWERS_MILLISECONDS) {
             servers.forEach(CallerServer::close);
             peerServer.ifPresent(CallerServer::close);
             drained.complete(null);
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
@@ -136,6 +136,7 @@
                 handedOn);
         ForwardCall call = forwarder.forward(request, new ExchangeSink(exchange));
         exchange.onDisconnect(call::cancel);
+        exchange.onExpire(call::expire);
     }
 
     private static long parseMilliseconds(String text, long fallback) {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
@@ -151,8 +151,8 @@
     }
 
     private void onExchangeFinished(ChannelHandlerContext context) {
+        server.exchangeFinished(exchange);
         exchange = null;
-        server.exchangeFinished();
         context.executor().execute(() -> processPending(context));
     }
 
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerExchange.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerExchange.java
@@ -38,6 +38,7 @@
     private final Runnable onFinished;
     private Runnable onDisconnect = () -> {};
     private Runnable onWritable = () -> {};
+    private Runnable onExpire = () -> answer(HttpResponseStatus.GATEWAY_TIMEOUT.code());
     private boolean started;
     private boolean finished;
 
@@ -103,6 +104,23 @@
         onDisconnect = action;
     }
 
+    /**
+     * Sets the action for a process that cannot wait for the answer any longer.
+     *
+     * @param action answers or aborts; called at most once, on the event loop of the connection
+     */
+    public void onExpire(Runnable action) {
+        onExpire = action;
+    }
+
+    /** Ends the exchange unless its answer is finished. */
+    void expire() {
+        if (!finished) {
+            onExpire.run();
+            abort();
+        }
+    }
+
     /**
      * Returns whether nothing more can be sent.
      *
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerServer.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerServer.java
@@ -1,5 +1,8 @@
 package io.rosemarybeam.forward;
 
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -36,10 +39,10 @@
     private static final int BACKLOG = 1_024;
 
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Set<CallerExchange> openExchanges = new HashSet<>();
     private final Supplier<CallerLimits> limits;
     private final Consumer<CallerExchange> handler;
     private Channel listener;
-    private int openExchanges;
     private boolean draining;
 
     private CallerServer(Supplier<CallerLimits> limits, Consumer<CallerExchange> handler) {
@@ -94,12 +97,12 @@
     }
 
     void dispatch(CallerExchange exchange) {
-        openExchanges++;
+        openExchanges.add(exchange);
         handler.accept(exchange);
     }
 
-    void exchangeFinished() {
-        openExchanges--;
+    void exchangeFinished(CallerExchange exchange) {
+        openExchanges.remove(exchange);
     }
 
     boolean isDraining() {
@@ -113,7 +116,12 @@
 
     /** Returns the number of requests whose answer is not completely written. */
     public int openExchanges() {
-        return openExchanges;
+        return openExchanges.size();
+    }
+
+    /** Ends all requests that have no answer yet, as at their deadline. */
+    public void expire() {
+        List.copyOf(openExchanges).forEach(CallerExchange::expire);
     }
 
     /** Stops accepting and closes all connections. */
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -136,7 +136,7 @@
             finishRefused("deadline passed", usualRetryDelay());
             return;
         }
-        deadlineTimer = forwarder.loop().schedule(this::onDeadline, remaining, TimeUnit.MILLISECONDS);
+        deadlineTimer = forwarder.loop().schedule(this::expire, remaining, TimeUnit.MILLISECONDS);
         if (resumesStream()) {
             forwarder.streams().find(request.resumedRequest(), routeServices(), this::onOriginFound);
         } else {
@@ -401,7 +401,8 @@
         sink.refuse(retryMilliseconds / 1_000.0);
     }
 
-    private void onDeadline() {
+    /** Ends the request as at its deadline: with status 504 if it may have run, else as refused. */
+    public void expire() {
         if (finished) {
             return;
         }
