--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -185,7 +185,7 @@
         if (isSilent) {
             return;
         }
-        report.requestArrived(id);
+        report.requestArrived(id, exchange.header(PlatformHeaders.REQUEST_ID));
         String body = new String(exchange.body(), StandardCharsets.UTF_8);
         if (body.startsWith(POISON)) {
             report.crashed(body);
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakReport.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakReport.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -25,6 +26,7 @@
     private final Map<String, AtomicInteger> counts = new ConcurrentSkipListMap<>();
     private final Map<String, List<Long>> crashTimes = new ConcurrentHashMap<>();
     private final Map<String, AtomicInteger> orderRuns = new ConcurrentHashMap<>();
+    private final Set<String> reached = ConcurrentHashMap.newKeySet();
     private final Map<String, Integer> orderAnswers = new ConcurrentHashMap<>();
     private final List<String> violations = new CopyOnWriteArrayList<>();
 
@@ -69,8 +71,15 @@
         limits.answered(endpoint);
     }
 
-    void requestArrived(String endpoint) {
+    /** Records that a request arrived at an endpoint. */
+    void requestArrived(String endpoint, String id) {
         limits.requestArrived(endpoint);
+        reached.add(id);
+    }
+
+    /** Returns whether a request has reached any endpoint. */
+    boolean hasReached(String id) {
+        return reached.contains(id);
     }
 
     /** Records that an endpoint ran a non-idempotent request. */
