Refuse the requests that reach an edge after its drain time

Callers that still use the address of a stopping edge later than 4 s after SIGTERM would see requests answered 504 when the process ends, though another edge would have served them. An order that was answered 504 may not be sent again. Under constant traffic the edge also kept running until just before SIGKILL.

Cause: EdgeProcess#awaitDrained waited for a moment without open requests, and EdgeRequests accepted new ones all the while.

Evidence: PlannedWorkTest, whose callers never leave.

Once callers should no longer use the address, requests are refused as not run and their connections close, also those that other edges hand on. Requests in progress go on, and the process ends when the last one is answered.

--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -307,9 +307,9 @@
 
     /**
      * Drains the process: reports to the store hosts that it drains, so that callers get the addresses of other edges;
-     * continues to serve until callers no longer use its address and no request is open; then closes the connections of
-     * callers. Requests that are open when the stop time of the settings is nearly over are answered as at their deadline.
-     * Returns when this is done.
+     * continues to serve until callers no longer use its address, and refuses those that still do; closes the connections of
+     * callers once no request is open. Requests that are open when the stop time of the settings is nearly over are answered
+     * as at their deadline. Returns when this is done.
      */
     public void stop() {
         CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -330,7 +330,11 @@
         if (elapsed >= maximumDrain) {
             forwardingServers().forEach(CallerServer::expire);
         }
-        boolean isIdle = elapsed >= Math.min(MINIMUM_DRAIN_MILLISECONDS, maximumDrain) && openRequests() == 0;
+        boolean isExpectedIdle = elapsed >= Math.min(MINIMUM_DRAIN_MILLISECONDS, maximumDrain);
+        if (isExpectedIdle) {
+            requests.close();
+        }
+        boolean isIdle = isExpectedIdle && openRequests() == 0;
         if (isIdle || elapsed >= maximumDrain + LAST_ANSWERS_MILLISECONDS) {
             servers.forEach(CallerServer::close);
             peerServer.ifPresent(CallerServer::close);
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
@@ -34,6 +34,7 @@
     private final Forwarder forwarder;
     private final BatchRequests batches;
     private Optional<RoutingTable> table = Optional.empty();
+    private boolean closed;
 
     EdgeRequests(Forwarder forwarder, BatchRequests batches) {
         this.forwarder = forwarder;
@@ -59,11 +60,20 @@
         return true;
     }
 
+    /** Refuses all further requests as not run; those in progress go on. */
+    void close() {
+        closed = true;
+    }
+
     void serve(CallerExchange exchange) {
+        String id = exchange.header(PlatformHeaders.REQUEST_ID).orElse("");
+        if (closed) {
+            refuseClosed(exchange, id);
+            return;
+        }
         if (batches.serve(exchange)) {
             return;
         }
-        String id = exchange.header(PlatformHeaders.REQUEST_ID).orElse("");
         if (table.isEmpty()) {
             LOG.log(Event.REQUEST_REFUSED, "request", id, "reason", "no configuration yet");
             exchange.refuse(RETRY_AFTER_SECONDS);
@@ -99,7 +109,9 @@
         Optional<Route> route = table.flatMap(current -> current.find(host, exchange.uri()))
                 .filter(found -> found.kind() != RouteKind.ROLLOUT);
         Optional<HandedOn> handedOn = HandedOnHeaders.take(exchange.headers());
-        if (route.isEmpty() || handedOn.isEmpty()) {
+        if (closed) {
+            refuseClosed(exchange, id);
+        } else if (route.isEmpty() || handedOn.isEmpty()) {
             LOG.log(
                     Event.REQUEST_REFUSED,
                     "request",
@@ -116,6 +128,11 @@
         }
     }
 
+    private static void refuseClosed(CallerExchange exchange, String id) {
+        LOG.log(Event.REQUEST_REFUSED, "request", id, "reason", "process stops", "path", exchange.path());
+        exchange.refuse(RETRY_AFTER_SECONDS);
+    }
+
     private void forward(CallerExchange exchange, Route route, String id, Optional<HandedOn> handedOn) {
         long now = Forwarder.now();
         long timeout = route.timeout().toMillis();
--- a/rosemarybeam-testbed/src/test/java/io/rosemarybeam/testbed/PlannedWorkTest.java
+++ b/rosemarybeam-testbed/src/test/java/io/rosemarybeam/testbed/PlannedWorkTest.java
@@ -154,6 +154,9 @@
         running = false;
         System.out.println("planned work: " + outcomes);
         assertEquals(List.of(), lost);
+        // The endpoints answer within 60 ms, and a caller may not repeat an order that was answered 504.
+        assertEquals(
+                0, outcomes.getOrDefault("answered 504", new AtomicInteger()).get(), outcomes::toString);
         int served = outcomes.getOrDefault("answered 200", new AtomicInteger()).get();
         int all = outcomes.values().stream().mapToInt(AtomicInteger::get).sum();
         assertTrue(served > all / 2, () -> "few requests were served: " + outcomes);
