Test the answers of requests that share endpoints with a crashing one

A request that ends the endpoint that runs it is sent without a pause at three edges, while 18 callers send requests that are in progress at the same endpoints, some of which may not be repeated. Each must get a complete answer, however the endpoints end.

--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingEndpoint.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/CrashingEndpoint.java
@@ -22,6 +22,11 @@
 final class CrashingEndpoint implements AutoCloseable {
     static final String POISON = "poison";
 
+    /** The body of a request that is in progress for a while, so that others crash the endpoint meanwhile. */
+    static final String SLOW = "slow";
+
+    private static final long SLOW_MILLISECONDS = 80;
+
     /** What others see of the end of the process. */
     enum End {
         /** Its port and all connections close. */
@@ -113,6 +118,9 @@
                     awaitClosed(connection);
                     return;
                 }
+                if (new String(body, StandardCharsets.UTF_8).equals(SLOW)) {
+                    Thread.sleep(SLOW_MILLISECONDS);
+                }
                 Matcher id = REQUEST_ID.matcher(head);
                 String answer = "HTTP/1.1 200 OK\r\nRosemarybeam-Request-Id: " + (id.find() ? id.group(1) : "")
                         + "\r\nRosemarybeam-Server-Stamp: d\r\nContent-Length: 2\r\n\r\nok";
@@ -120,6 +128,8 @@
             }
         } catch (IOException broken) {
             connections.remove(connection);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
         }
     }
 
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -23,7 +23,10 @@
 import io.rosemarybeam.common.settings.StoreSettings;
 import io.rosemarybeam.store.StoreProcess;
 
-/** One store process and several edge processes on loopback addresses. Confined to the test thread. */
+/**
+ * One store process and several edge processes on loopback addresses. Confined to the test thread, apart from the requests to
+ * edges, which several threads may send while no edge is started or stopped.
+ */
 final class PlatformCluster implements AutoCloseable {
     private static final long TIMEOUT_MILLISECONDS = 15_000;
     static final String STORE_HOST = "127.0.78.1";
