Test requests that are handed on to an edge that stops

An edge that is cut off from the endpoints hands requests on to two others, of which one stops with a stop time of 1 s while eight callers send without a pause.

--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/UnreachableEndpointsTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/UnreachableEndpointsTest.java
@@ -11,7 +11,9 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
@@ -29,6 +31,7 @@
     private static final int EDGES = 3;
     private static final int ENDPOINTS = 4;
     private static final int REQUESTS = 20;
+    private static final int CALLERS = 8;
 
     /** Edges learn of each other from the status of the store host, which it sends every 250 ms. */
     private static final long STATUS_MILLISECONDS = 1_000;
@@ -170,4 +173,39 @@
 
         assertServed(0);
     }
+
+    /** A request that another edge serves depends on that edge too. */
+    @Test
+    void shouldAnswerEveryRequestWhenAnEdgeThatServesThoseOfAnotherOneStops() throws Exception {
+        letConnectionsBeRefused();
+        cutOff(0);
+        assertServed(0);
+        List<Integer> statuses = new CopyOnWriteArrayList<>();
+        List<String> missing = new CopyOnWriteArrayList<>();
+        AtomicBoolean running = new AtomicBoolean(true);
+        List<Thread> callers = IntStream.range(0, CALLERS)
+                .mapToObj(caller -> Thread.ofVirtual().start(() -> {
+                    for (int number = 0; running.get(); number++) {
+                        String id = "c-" + caller + "-" + number;
+                        try {
+                            statuses.add(cluster.request(0, caller % 2 == 0 ? "/x/1" : "/o/1", id, "slow"));
+                        } catch (IllegalStateException noAnswer) {
+                            missing.add(id + ": " + noAnswer.getMessage());
+                        }
+                    }
+                }))
+                .toList();
+
+        Thread.sleep(STATUS_MILLISECONDS);
+        cluster.stopEdge(1);
+        Thread.sleep(STATUS_MILLISECONDS);
+        running.set(false);
+        for (Thread caller : callers) {
+            caller.join();
+        }
+
+        assertEquals(List.of(), missing);
+        long served = statuses.stream().filter(status -> status == 200).count();
+        assertTrue(served > statuses.size() / 2, statuses::toString);
+    }
 }
