Reject a submission that no message to the store hosts can carry

A trainer whose submission is longer than a frame (8 MiB encoded, while bodies of up to 32 MiB are read) would see 500, or no answer at all if no leader was known when it arrived.

Cause: NettyConnection#request throws for a message over the frame limit. In the first attempt CallerConnection turned that into 500. In a later attempt it ended a scheduled task of StoreRequests, so that nothing answered the exchange.

The request now fails its future, as for any other reason, and is not left outstanding. An outcome of StoreRequests tells a request that cannot be sent from one without a reply, and no retry follows.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/NettyConnection.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/NettyConnection.java
@@ -73,7 +73,12 @@
                         timeout.toMillis(),
                         TimeUnit.MILLISECONDS);
         reply.whenComplete((ignored, failure) -> timeoutTask.cancel(false));
-        write(message, correlation);
+        try {
+            write(message, correlation);
+        } catch (WireException notSent) {
+            outstanding.remove(correlation);
+            reply.completeExceptionally(notSent);
+        }
         if (!channel.isActive()) {
             fail(correlation, closeReason);
         }
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireConnection.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireConnection.java
@@ -23,7 +23,7 @@
      * @param message the request
      * @param timeout maximum time to wait for the reply
      * @return completes with the reply, or with a {@link io.rosemarybeam.common.error.WireException} if the timeout
-     *     elapses or the connection closes
+     *     elapses, the connection closes, or no frame can carry the request ({@code FRAME_INVALID}), which is then not sent
      */
     CompletableFuture<Message> request(Message message, Duration timeout);
 
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/BatchRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/BatchRequests.java
@@ -101,6 +101,8 @@
         store.send(id, new SubmitBatch(submission), 0, SUBMIT_TIMEOUT_MILLISECONDS, requestOutcome -> {
             if (requestOutcome.reply().isPresent()) {
                 answerSubmission(exchange, requestOutcome.reply().get());
+            } else if (requestOutcome.tooLong()) {
+                exchange.answer(413);
             } else if (requestOutcome.mayHaveExecuted()) {
                 exchange.answer(504);
             } else {
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreRequests.java
@@ -6,6 +6,8 @@
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
+import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.WireException;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.wire.Message;
@@ -42,8 +44,9 @@
      *
      * @param reply the reply of the leader; empty if none arrived before the timeout
      * @param mayHaveExecuted whether the request may have been executed; always true if there is a reply
+     * @param tooLong whether no message can carry the request, so that it was not sent
      */
-    record RequestOutcome(Optional<StoreReply> reply, boolean mayHaveExecuted) {}
+    record RequestOutcome(Optional<StoreReply> reply, boolean mayHaveExecuted, boolean tooLong) {}
 
     /**
      * Sends a request and retries it until the leader replies or the timeout is over.
@@ -89,6 +92,10 @@
         }
 
         private void onReply(Message message, Throwable failure) {
+            if (failure instanceof WireException wire && wire.code() == ErrorCode.FRAME_INVALID) {
+                finish(String.valueOf(failure.getMessage()), true);
+                return;
+            }
             if (failure != null) {
                 mayHaveExecuted = true;
                 retry(String.valueOf(failure.getMessage()));
@@ -105,26 +112,30 @@
                 mayHaveExecuted = true;
                 retry("leader cannot confirm the outcome");
             } else {
-                onOutcome.accept(new RequestOutcome(Optional.of(reply), true));
+                onOutcome.accept(new RequestOutcome(Optional.of(reply), true, false));
             }
         }
 
         private void retry(String reason) {
             if (Forwarder.now() + RETRY_DELAY_MILLISECONDS >= deadline) {
-                LOG.log(
-                        Event.STORE_REQUEST_FAILED,
-                        "request",
-                        id,
-                        "kind",
-                        request.getClass().getSimpleName(),
-                        "reason",
-                        reason,
-                        "mayBeDone",
-                        mayHaveExecuted);
-                onOutcome.accept(new RequestOutcome(Optional.empty(), mayHaveExecuted));
-                return;
+                finish(reason, false);
+            } else {
+                loop.schedule(this::attempt, RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
             }
-            loop.schedule(this::attempt, RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
+        }
+
+        private void finish(String reason, boolean tooLong) {
+            LOG.log(
+                    Event.STORE_REQUEST_FAILED,
+                    "request",
+                    id,
+                    "kind",
+                    request.getClass().getSimpleName(),
+                    "reason",
+                    reason,
+                    "mayBeDone",
+                    mayHaveExecuted);
+            onOutcome.accept(new RequestOutcome(Optional.empty(), mayHaveExecuted, tooLong));
         }
     }
 }
