End every open request of a stopping edge, also when one of them fails

An exception while one request is ended would stop the poll of EdgeProcess#awaitDrained, so that the process runs until SIGKILL and all other requests end without an answer. Found by reading; no failing handler is known.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerServer.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerServer.java
@@ -22,6 +22,8 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.WireException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.wire.WireTransport;
 import io.rosemarybeam.decision.routing.CallerLimits;
 
@@ -32,6 +34,8 @@
  * from {@link #open}.
  */
 public final class CallerServer {
+    private static final EventLog LOG = EventLog.of(CallerServer.class);
+
     /** Maximum length of a request line in bytes, which bounds the length of a URI. */
     private static final int MAXIMUM_LINE_BYTES = 8_192;
 
@@ -119,9 +123,16 @@
         return openExchanges.size();
     }
 
-    /** Ends all requests that have no answer yet, as at their deadline. */
+    /** Ends all requests that have no answer yet, as at their deadline. The failure of one does not affect the others. */
     public void expire() {
-        List.copyOf(openExchanges).forEach(CallerExchange::expire);
+        for (CallerExchange exchange : List.copyOf(openExchanges)) {
+            try {
+                exchange.expire();
+            } catch (RuntimeException failure) {
+                LOG.log(Event.HANDLER_FAILED, failure, "path", exchange.path());
+                exchange.abort();
+            }
+        }
     }
 
     /** Stops accepting and closes all connections. */
