Give out each port once in the tests of edges

CrashingRequestTest failed once in a run of all tests of the module: the system offered a port a second time for the settings of the same edge (SETTINGS_INVALID, "is used already on line 1"). The socket that found the port is closed before the next port is looked for.

--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -14,8 +14,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
@@ -32,6 +34,9 @@
     static final String STORE_HOST = "127.0.78.1";
     private static final int STOP_SECONDS = 1;
 
+    /** Ports given out in this process; the system may offer a port again once its socket is closed. */
+    private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
+
     private final Path folder;
     private final int protocolPort = freePort();
     private final int operatorPort = freePort();
@@ -48,10 +53,14 @@
     }
 
     private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(STORE_HOST))) {
-            return socket.getLocalPort();
-        } catch (IOException failure) {
-            throw new IllegalStateException(failure);
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(STORE_HOST))) {
+                if (USED_PORTS.add(socket.getLocalPort())) {
+                    return socket.getLocalPort();
+                }
+            } catch (IOException failure) {
+                throw new IllegalStateException(failure);
+            }
         }
     }
 
