--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
@@ -6,7 +6,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -28,15 +27,15 @@
 /**
  * Reads the requests of one caller connection and dispatches them one at a time.
  *
- * <p>Invariant: a request is dispatched only when its body is complete and the previous answer is finished. Confined to the
- * event loop of the connection.
+ * <p>Invariant: a request is dispatched only when its body is complete, the previous answer is written and the connection
+ * stays open after it. Confined to the event loop of the connection.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     private static final EventLog LOG = EventLog.of(CallerConnection.class);
 
     /**
-     * Maximum number of HTTP messages of later requests that wait for the answer in progress; callers normally do not
-     * pipeline requests. A connection that exceeds it is closed.
+     * Number of HTTP messages of later requests from which on a connection is not read until the answer in progress is
+     * written; callers normally do not pipeline requests.
      */
     private static final int MAXIMUM_PENDING_MESSAGES = 1_024;
 
@@ -48,7 +47,7 @@
     /** Head of the request whose body is being read; null if there is none. */
     private HttpRequest head;
 
-    /** The request that waits for its answer; null if there is none. */
+    /** The request whose answer is not written yet; null if there is none. */
     private CallerExchange exchange;
 
     /** Whether a request was rejected; further messages are discarded and the connection closes. */
@@ -63,11 +62,9 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (exchange == null && pending.isEmpty()) {
             process(context, message);
-        } else if (pending.size() < MAXIMUM_PENDING_MESSAGES) {
-            pending.add(message);
         } else {
-            ReferenceCountUtil.release(message);
-            context.close();
+            pending.add(message);
+            context.channel().config().setAutoRead(pending.size() < MAXIMUM_PENDING_MESSAGES);
         }
     }
 
@@ -154,15 +151,16 @@
     }
 
     private void onExchangeFinished(ChannelHandlerContext context) {
+        server.exchangeFinished(exchange);
         exchange = null;
-        server.exchangeFinished();
         context.executor().execute(() -> processPending(context));
     }
 
     private void processPending(ChannelHandlerContext context) {
-        while (exchange == null && !pending.isEmpty()) {
+        while (exchange == null && !pending.isEmpty() && context.channel().isActive()) {
             process(context, pending.poll());
         }
+        context.channel().config().setAutoRead(pending.size() < MAXIMUM_PENDING_MESSAGES);
     }
 
     private void refuse(ChannelHandlerContext context, HttpResponseStatus status) {
@@ -172,7 +170,7 @@
                 new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        context.writeAndFlush(response).addListener(new LingeringClose());
     }
 
     @Override
@@ -193,7 +191,8 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (event instanceof IdleStateEvent && exchange == null) {
+        boolean awaitsAnswer = exchange != null && !exchange.isFinished();
+        if (event instanceof IdleStateEvent && !awaitsAnswer) {
             context.close();
         }
     }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerExchange.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerExchange.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -37,6 +38,7 @@
     private final Runnable onFinished;
     private Runnable onDisconnect = () -> {};
     private Runnable onWritable = () -> {};
+    private Runnable onExpire = () -> answer(HttpResponseStatus.GATEWAY_TIMEOUT.code());
     private boolean started;
     private boolean finished;
 
@@ -102,6 +104,23 @@
         onDisconnect = action;
     }
 
+    /**
+     * Sets the action for a process that cannot wait for the answer any longer.
+     *
+     * @param action answers or aborts; called at most once, on the event loop of the connection
+     */
+    public void onExpire(Runnable action) {
+        onExpire = action;
+    }
+
+    /** Ends the exchange unless its answer is finished. */
+    void expire() {
+        if (!finished) {
+            onExpire.run();
+            abort();
+        }
+    }
+
     /**
      * Returns whether nothing more can be sent.
      *
@@ -168,14 +187,12 @@
         }
         HttpHeaders sent = connectionHeaders(answerHeaders);
         sent.set(HttpHeaderNames.CONTENT_LENGTH, answerBody.length);
-        channel.writeAndFlush(new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(status),
-                        Unpooled.wrappedBuffer(answerBody),
-                        sent,
-                        EmptyHttpHeaders.INSTANCE))
-                .addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
-        finish();
+        writeLast(new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.wrappedBuffer(answerBody),
+                sent,
+                EmptyHttpHeaders.INSTANCE));
     }
 
     /**
@@ -230,9 +247,7 @@
     /** Finishes a started answer. */
     public void end() {
         if (!finished && started) {
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                    .addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE);
-            finish();
+            writeLast(LastHttpContent.EMPTY_LAST_CONTENT);
         }
     }
 
@@ -261,8 +276,11 @@
         return sent;
     }
 
-    private void finish() {
+    /** Writes the end of the answer; the exchange remains open until the connection has taken all of it. */
+    private void writeLast(HttpObject last) {
         finished = true;
-        onFinished.run();
+        channel.writeAndFlush(last)
+                .addListener(keepAlive ? ChannelFutureListener.CLOSE_ON_FAILURE : ChannelFutureListener.CLOSE)
+                .addListener(written -> onFinished.run());
     }
 }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerServer.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerServer.java
@@ -1,5 +1,8 @@
 package io.rosemarybeam.forward;
 
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -19,6 +22,8 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.WireException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.wire.WireTransport;
 import io.rosemarybeam.decision.routing.CallerLimits;
 
@@ -29,6 +34,8 @@
  * from {@link #open}.
  */
 public final class CallerServer {
+    private static final EventLog LOG = EventLog.of(CallerServer.class);
+
     /** Maximum length of a request line in bytes, which bounds the length of a URI. */
     private static final int MAXIMUM_LINE_BYTES = 8_192;
 
@@ -36,10 +43,10 @@
     private static final int BACKLOG = 1_024;
 
     private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Set<CallerExchange> openExchanges = new HashSet<>();
     private final Supplier<CallerLimits> limits;
     private final Consumer<CallerExchange> handler;
     private Channel listener;
-    private int openExchanges;
     private boolean draining;
 
     private CallerServer(Supplier<CallerLimits> limits, Consumer<CallerExchange> handler) {
@@ -94,12 +101,12 @@
     }
 
     void dispatch(CallerExchange exchange) {
-        openExchanges++;
+        openExchanges.add(exchange);
         handler.accept(exchange);
     }
 
-    void exchangeFinished() {
-        openExchanges--;
+    void exchangeFinished(CallerExchange exchange) {
+        openExchanges.remove(exchange);
     }
 
     boolean isDraining() {
@@ -111,9 +118,21 @@
         draining = true;
     }
 
-    /** Returns the number of requests without a final answer. */
+    /** Returns the number of requests whose answer is not completely written. */
     public int openExchanges() {
-        return openExchanges;
+        return openExchanges.size();
+    }
+
+    /** Ends all requests that have no answer yet, as at their deadline. The failure of one does not affect the others. */
+    public void expire() {
+        for (CallerExchange exchange : List.copyOf(openExchanges)) {
+            try {
+                exchange.expire();
+            } catch (RuntimeException failure) {
+                LOG.log(Event.HANDLER_FAILED, failure, "path", exchange.path());
+                exchange.abort();
+            }
+        }
     }
 
     /** Stops accepting and closes all connections. */
