Complete the text of an item only with an event stream

A truncated text would be listed as completed. When the stream of an item broke off after some events, and the next endpoint answered the resumed run with status 200 and something other than events, such as an error as JSON or text that ends in a line feed, or with an empty answer of another media type, the text was marked complete: the answer had ended, no event was incomplete, and the text had events of the former stream. A stream that stopped after the name of an event counted as complete as well.

An answer now counts as a stream only if it states no other media type. An empty stream still completes a text that has events, because the former stream may have broken between its last event and its end.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
@@ -1,5 +1,7 @@
 package io.rosemarybeam.store;
 
+import java.util.Optional;
+
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.platform.EndpointAnswer;
 import io.rosemarybeam.platform.EndpointClient;
@@ -24,6 +26,9 @@
     private boolean finished;
     private long bytesSinceEvent;
 
+    /** Id of the last event of this stream; 0 without events. */
+    private long lastEvent;
+
     /** Is notified of the progress and the outcome of a run; at most one of completed and ended is called, once. */
     interface Owner {
         /** Called with status and headers of the endpoint's answer, before any other method. */
@@ -69,7 +74,7 @@
     public void onHead(EndpointAnswer answer) {
         head = answer;
         owner.answered(run, answer);
-        if (answer.isSuccess()) {
+        if (isStream()) {
             answer.weightVersion().ifPresent(this::useVersion);
         }
     }
@@ -95,7 +100,7 @@
             end(head.isSuccess() ? Termination.BROKEN : failure(), detail);
             return;
         }
-        if (!head.isSuccess()) {
+        if (!isStream()) {
             return;
         }
         for (StreamEvent event : decoder.decode(bytes)) {
@@ -112,6 +117,7 @@
             return;
         }
         long id = event.id().getAsLong();
+        lastEvent = id;
         if (id <= task.text.lastEvent()) {
             return;
         }
@@ -133,10 +139,15 @@
         if (finished) {
             return;
         }
-        if (!head.isSuccess() || head.isNotExecuted()) {
-            end(failure(), String.valueOf(head.status()));
-        } else if (!decoder.isBetweenEvents() || task.text.lastEvent() == 0) {
-            end(Termination.BROKEN, "the stream ended inside an event");
+        if (!isStream() || head.isNotExecuted()) {
+            end(
+                    failure(),
+                    head.status() + head.mediaType().map(type -> " " + type).orElse(""));
+            return;
+        }
+        Optional<String> defect = findDefect();
+        if (defect.isPresent()) {
+            end(Termination.BROKEN, defect.get());
         } else {
             finished = true;
             task.text.markComplete();
@@ -144,6 +155,27 @@
         }
     }
 
+    private boolean isStream() {
+        return head.isSuccess() && head.mayBeEventStream();
+    }
+
+    /**
+     * Returns why the text is not complete although the answer is. An answer without events completes a text that already has
+     * some, because the former stream may have broken after its last event.
+     */
+    private Optional<String> findDefect() {
+        if (!decoder.isBetweenEvents()) {
+            return Optional.of("the stream ended inside an event");
+        }
+        if (task.text.lastEvent() == 0) {
+            return Optional.of("the stream has no events");
+        }
+        if (lastEvent == 0 && decoder.hasForeignLines()) {
+            return Optional.of("the answer is no event stream");
+        }
+        return Optional.empty();
+    }
+
     /** Returns why a run terminated whose answer is no success. */
     private Termination failure() {
         if (head.isNotExecuted()) {
