Do not drop events without a valid id from the text of an item

An event without an id, or with an id that is no number, was ignored. In the middle of a stream the gap in the ids showed it; at the end the text was listed as completed without the data of the event. Such a run is broken now and the item is resumed. Named events stay ignored, because they are not part of the text.

Before: the cases "an event without id" and "an event whose id is no number" of shouldCompleteOnlyWithTheRestOfTheEvents gave "completed" instead of "BROKEN".

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
@@ -113,7 +113,11 @@
 
     private void processEvent(StreamEvent event) {
         event.version().ifPresent(this::useVersion);
-        if (finished || event.id().isEmpty()) {
+        if (finished) {
+            return;
+        }
+        if (event.id().isEmpty()) {
+            refuseUnnumbered(event);
             return;
         }
         long id = event.id().getAsLong();
@@ -134,6 +138,14 @@
         run.lastEventAt = now;
     }
 
+    /** An event of the text without a valid id cannot be ordered, and the text would lack its data. */
+    private void refuseUnnumbered(StreamEvent event) {
+        if (event.name().isEmpty()) {
+            run.attempt.cancel();
+            end(Termination.BROKEN, "event without id after event " + task.text.lastEvent());
+        }
+    }
+
     @Override
     public void onEnd() {
         if (finished) {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
@@ -136,6 +136,8 @@
                 arguments("a gap within", stream, "id: 2\ndata: b\n\nid: 4\ndata: d\n\n", "BROKEN"),
                 arguments("half an event", stream, rest + "id: 4\n", "BROKEN"),
                 arguments("half an id", stream, rest + "id: ", "BROKEN"),
+                arguments("an event without id", stream, rest + "data: d\n\n", "BROKEN"),
+                arguments("an event whose id is no number", stream, rest + "id: 4x\ndata: d\n\n", "BROKEN"),
                 arguments("an event name only", stream, rest + "event: x\n", "BROKEN"),
                 arguments("error instead of events", stream, error, "BROKEN"),
                 arguments("line of error instead of events", stream, error + "\n", "BROKEN"),
