Resume an item whose stream starts again and ends early

The text of an item would be listed as completed although its last run ended before the events that the text already had: an endpoint that ignores the event to resume after, starts again from the first event and ends early, was taken for one that had nothing left to send. Such a run is broken now. An answer without any event still completes the text.

Before: shouldNotCompleteWhenStreamEndsBeforeTheLastEvent found the text complete after events 1 and 2 of a broken stream and event 1 of the next one.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
@@ -185,6 +185,9 @@
         if (lastEvent == 0 && decoder.hasForeignLines()) {
             return Optional.of("the answer is no event stream");
         }
+        if (lastEvent > 0 && lastEvent < task.text.lastEvent()) {
+            return Optional.of("the stream ended at event " + lastEvent + " before event " + task.text.lastEvent());
+        }
         return Optional.empty();
     }
 
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
@@ -172,6 +172,21 @@
         assertEquals(expected.equals("completed"), task.text.isComplete());
     }
 
+    /** An endpoint that lost the request and starts again must not shorten the text. */
+    @Test
+    void shouldNotCompleteWhenStreamEndsBeforeTheLastEvent() {
+        ItemStream first = stream();
+        first.onHead(answer(200));
+        first.onContent(bytes("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+        first.onFailure(EndpointClient.Failure.BROKEN, "reset");
+        ItemStream second = stream();
+        second.onHead(answer(200));
+        second.onContent(bytes("id: 1\ndata: a\n\n"));
+        second.onEnd();
+
+        assertFalse(task.text.isComplete());
+    }
+
     @Test
     void shouldDistinguishFailuresByWhetherTheyCount() {
         ItemStream failed = stream();
