Test what callers get after broken answers, through one edge and two

A caller must get the bytes of one endpoint's answer, and an answer that is not whole must not be framed as complete.

--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -1,6 +1,8 @@
 package io.rosemarybeam.edge;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -8,6 +10,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -179,6 +182,32 @@
         return new Stream(status, events);
     }
 
+    /** Sends a request to an edge; returns status, body and whether the answer was framed as complete. */
+    String exchange(int edge, String path, String id) {
+        URI uri = URI.create("http://" + STORE_HOST + ":" + callerPorts.get(edge) + path);
+        HttpRequest request = HttpRequest.newBuilder(uri)
+                .timeout(Duration.ofSeconds(5))
+                .header("Rosemarybeam-Request-Id", id)
+                .POST(HttpRequest.BodyPublishers.ofString(id))
+                .build();
+        try {
+            HttpResponse<InputStream> response = http.send(request, HttpResponse.BodyHandlers.ofInputStream());
+            ByteArrayOutputStream body = new ByteArrayOutputStream();
+            String end = "complete";
+            try (InputStream in = response.body()) {
+                in.transferTo(body);
+            } catch (IOException brokenOff) {
+                end = "broken";
+            }
+            return response.statusCode() + " [" + body.toString(StandardCharsets.UTF_8) + "] " + end;
+        } catch (IOException failure) {
+            return "no answer: " + failure;
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
     private int post(int port, String path, String id, String body) {
         HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + STORE_HOST + ":" + port + path))
                 .timeout(Duration.ofSeconds(3))
