Take only refusals of another host as a statement that nothing ran

A request that must not run twice could have run twice. A request that was handed on counted as not run after any answer without digest and below 500, so also after a 200, 204 or 302, which a host never sends for a request that it refused; the request then went to the next host. Such answers come from a process that took over the address of a host. They count as failures now; 4xx and 503 stay refusals.

Before: 4 of the 14 cases of HandedOnAttemptTest reported "not run" instead of "failed" (200 with and without streaming, 204, 302).

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnAttempt.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnAttempt.java
@@ -16,6 +16,7 @@
  * digest; any other answer is one of the other host itself. Confined to the event loop of the forwarder.
  */
 final class HandedOnAttempt implements EndpointClient.Listener {
+    private static final int BAD_REQUEST = 400;
     private static final int INTERNAL_ERROR = 500;
     private static final int UNAVAILABLE = 503;
 
@@ -105,7 +106,8 @@
     @Override
     public void onEnd() {
         boolean isOfEndpoint = head.digest().isPresent();
-        boolean isRefusal = head.status() < INTERNAL_ERROR || head.status() == UNAVAILABLE;
+        boolean isRefusal =
+                head.status() >= BAD_REQUEST && head.status() < INTERNAL_ERROR || head.status() == UNAVAILABLE;
         if (started) {
             receiver.onAnswerEnded();
         } else if (isOfEndpoint) {
