Begin a long answer of another host only if it is a success of an endpoint

The caller could get an error of another host, or a 200 of no endpoint, as the streamed answer to its request: an answer longer than the buffer (1 MiB) was passed on from there whatever its status and without a digest. It is now passed on early only if it is a success with digest; any other long answer fails the hand-over, as a long failure of an endpoint fails its attempt.

Before: 3 of the 4 cases of shouldStartALongAnswerOnlyIfItIsASuccessOfAnEndpoint began the answer (500, 502 without digest, 200 without digest).

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnAttempt.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnAttempt.java
@@ -98,8 +98,14 @@
             return;
         }
         buffered.write(bytes, 0, bytes.length);
-        if (buffered.size() > MAXIMUM_BUFFERED_BYTES) {
+        if (buffered.size() <= MAXIMUM_BUFFERED_BYTES) {
+            return;
+        }
+        if (head.isSuccess()) {
             start();
+        } else {
+            cancel();
+            receiver.onFailed("answered " + head.status() + " with more than " + MAXIMUM_BUFFERED_BYTES + " bytes");
         }
     }
 
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/HandedOnAttemptTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/HandedOnAttemptTest.java
@@ -55,6 +55,29 @@
         assertEquals(expected, String.join(", ", outcomes));
     }
 
+    private static Stream<Arguments> longAnswers() {
+        return Stream.of(
+                arguments(200, true, "started 200, part, part, ended"),
+                arguments(500, true, "failed"),
+                arguments(502, false, "failed"),
+                arguments(200, false, "failed"));
+    }
+
+    /** The caller would get the error of another host, or bytes of no endpoint, as the answer to its request. */
+    @ParameterizedTest
+    @MethodSource("longAnswers")
+    void shouldStartALongAnswerOnlyIfItIsASuccessOfAnEndpoint(int status, boolean hasDigest, String expected) {
+        HandedOnAttempt attempt = new HandedOnAttempt(false, new RecordingReceiver());
+        attempt.onHead(answer(status, hasDigest));
+        attempt.onContent(new byte[1_048_577]);
+        if (status == 200 && hasDigest) {
+            attempt.onContent(new byte[1]);
+            attempt.onEnd();
+        }
+
+        assertEquals(expected, String.join(", ", outcomes));
+    }
+
     /** Records the outcome as text. */
     private final class RecordingReceiver implements HandedOnAttempt.Receiver {
         @Override
