Do not answer a completion with a 2xx or 3xx other than 200 of an engine

A caller of the completions API would get a failure as a success. Only 4xx is a rejection now; any other status than 200 is an error answer, after which the request core tries another endpoint.

Before: the cases 201, 204 and 302 of shouldNotCompleteABrokenTextWithAnAnswerThatDoesNotContinueIt got these statuses. The other 18 answers of the next endpoint, with and without streaming, passed before too: empty 200, error as 200, 103, 500, 503 not run, a head that stops, no HTTP, no or half an end mark, half an event, tokens that are repeated, left out or of another attempt. A stream to a caller then breaks off without end mark and last chunk.

--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CompletionAnswer.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CompletionAnswer.java
@@ -25,6 +25,7 @@
     private static final int MAXIMUM_TEXT_CHARACTERS = 4_194_304;
     private static final int MAXIMUM_ERROR_BYTES = 65_536;
     private static final int OK = 200;
+    private static final int FIRST_CLIENT_ERROR = 400;
     private static final int FIRST_SERVER_ERROR = 500;
     private static final int UNAVAILABLE = 503;
 
@@ -87,7 +88,8 @@
         if (status == UNAVAILABLE && EndpointHeaders.NOT_RUN.equals(headers.get(EndpointHeaders.RUN))) {
             return Optional.of(AttemptFailure.REFUSED_NOT_RUN);
         }
-        if (status >= FIRST_SERVER_ERROR || status < OK) {
+        boolean isRejection = status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR;
+        if (status != OK && !isRejection) {
             return Optional.of(AttemptFailure.ERROR_ANSWER);
         }
         contentType = headers.get(HttpHeaderNames.CONTENT_TYPE, "application/json");
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/CompletionTest.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/CompletionTest.java
@@ -6,10 +6,14 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 /**
  * Guards against completions that are truncated, duplicated, taken from another attempt or spliced from two attempts
@@ -199,4 +203,74 @@
         assertEquals(400, answer.statusCode());
         assertEquals("{\"error\":\"temperature\"}", answer.body());
     }
+
+    private static Stream<Arguments> continuations() {
+        String ok = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n";
+        String stream = ok + "Content-Type: text/event-stream\r\n";
+        String token = "data: {\"id\":\"{id}\",\"index\":2,\"token_count\":2,\"text\":\"t2 t3 \"}\n\n";
+        String done = "data: [DONE]\n\n";
+        return Stream.of(
+                arguments("empty 200", stream + "Content-Length: 0\r\n\r\n"),
+                arguments("empty 200 without length", stream + "\r\n"),
+                arguments("error as 200", ok + "Content-Length: 14\r\n\r\n{\"error\":\"x\"}"),
+                arguments("201", "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\n{}"),
+                arguments("204", "HTTP/1.1 204 No Content\r\n\r\n"),
+                arguments("302", "HTTP/1.1 302 Found\r\nLocation: /\r\nContent-Length: 0\r\n\r\n"),
+                arguments("103", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+                arguments("500", "HTTP/1.1 500 Error\r\nContent-Length: 5\r\n\r\nerror"),
+                arguments("503 not run", "HTTP/1.1 503 Full\r\nX-Run: not-run\r\nContent-Length: 0\r\n\r\n"),
+                arguments("head that stops", stream),
+                arguments("half a status line", "HTTP/1.1 20"),
+                arguments("no HTTP", "error"),
+                arguments("nothing", ""),
+                arguments("no end mark", stream + "\r\n" + token),
+                arguments("half an end mark", stream + "\r\n" + token + "data: [DON"),
+                arguments("end mark without line feed", stream + "\r\n" + token + "data: [DONE]"),
+                arguments("half an event", stream + "\r\n" + token.substring(0, token.length() - 9)),
+                arguments("first tokens again", stream + "\r\n" + token.replace(":2,\"tok", ":0,\"tok") + done),
+                arguments("tokens left out", stream + "\r\n" + token.replace(":2,\"tok", ":4,\"tok") + done),
+                arguments("tokens of another attempt", stream + "\r\n" + token.replace("{id}", "x") + done),
+                arguments("data after the end mark", stream + "\r\n" + done + token));
+    }
+
+    private static void breakAfterTwoTokens(ScriptedEndpoint.Call call) throws java.io.IOException {
+        call.startStream();
+        call.tokens(call.attempt(), 0, 2, 7);
+        call.socket().close();
+    }
+
+    /** The answer of the next endpoint would end a text that it does not complete. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("continuations")
+    void shouldNotCompleteABrokenTextWithAnAnswerThatDoesNotContinueIt(String name, String next) {
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.firstThenLater(CompletionTest::breakAfterTwoTokens, call -> {
+            call.write(next.replace("{id}", call.attempt()));
+            call.socket().close();
+        });
+        endpoint("a", inTurn);
+        endpoint("b", inTurn);
+
+        int status = harness.post(entry, "/v1/completions", BODY + "}").statusCode();
+
+        assertTrue(status >= 400, "status " + status);
+    }
+
+    /** A caller would get bytes of the next endpoint's answer in its stream, or a stream that ends as if it were complete. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("continuations")
+    void shouldBreakOffTheStreamWhenNoEndpointContinuesIt(String name, String next) throws Exception {
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.firstThenLater(CompletionTest::breakAfterTwoTokens, call -> {
+            call.write(next.replace("{id}", call.attempt()));
+            call.socket().close();
+        });
+        endpoint("a", inTurn);
+        endpoint("b", inTurn);
+
+        String got = harness.readToEnd(entry, "/v1/completions", BODY + ",\"stream\":true}");
+
+        assertTrue(got.startsWith("HTTP/1.1 200 "), got);
+        assertFalse(got.contains("[DONE]"), got);
+        assertFalse(got.endsWith("0\r\n\r\n"), got);
+        assertFalse(got.indexOf("HTTP/1.1", 1) > 0, got);
+    }
 }
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/EntryHarness.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/EntryHarness.java
@@ -3,10 +3,12 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.PosixFilePermissions;
@@ -193,6 +195,18 @@
         }
     }
 
+    /** Posts a request on a connection of its own, and returns the bytes of the answer until the entry closes it. */
+    String readToEnd(Entry entry, String path, String body) throws IOException {
+        URI address = URI.create("http://" + entry.address());
+        try (Socket socket = new Socket(address.getHost(), address.getPort())) {
+            socket.setSoTimeout((int) AWAIT_TIMEOUT_MILLISECONDS);
+            String head = "POST " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: "
+                    + body.length() + "\r\n\r\n";
+            socket.getOutputStream().write((head + body).getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
     static void await(BooleanSupplier condition) throws InterruptedException {
         long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AWAIT_TIMEOUT_MILLISECONDS);
         while (!condition.getAsBoolean()) {
