Require chunks where an answer of a plain service has no length

A caller of a plain service would get a truncated answer framed as whole. An answer that only the close of its connection ends counts as broken, because truncation could not be detected, but any Transfer-Encoding header exempted an answer from that rule. With an encoding that does not end in chunks, such as identity, the body is read until the connection closes too. Only chunks count now.

Before: the case "unknown encoding" of shouldPassOnOnlyWholeAnswersWhenAnEndpointBreaksOff got "200 half complete"; it is repeated at the next endpoint now. The other 18 cases passed before: an answer that stops in its status line, its headers or its body, lengths that conflict, no HTTP, informational answers, broken chunks. An informational answer other than 100 is taken for the final one by the client library; the attempt fails and is repeated if it may be.

--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ProxyAnswer.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/ProxyAnswer.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.rosemarybeam.common.id.WeightVersion;
 import io.rosemarybeam.common.wire.RequestOutcome;
@@ -79,7 +80,8 @@
         }
         boolean lengthKnown = newHeaders.contains(HttpHeaderNames.CONTENT_LENGTH);
         boolean withoutBody = bodyless || newStatus == NO_CONTENT || newStatus == NOT_MODIFIED;
-        if (!withoutBody && !lengthKnown && !newHeaders.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+        boolean chunked = newHeaders.containsValue(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true);
+        if (!withoutBody && !lengthKnown && !chunked) {
             return Optional.of(AttemptFailure.BROKEN);
         }
         if (streaming) {
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ProxyTest.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ProxyTest.java
@@ -3,19 +3,26 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
 
 import io.rosemarybeam.common.wire.EntryRequest;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 /**
  * Guards against non-idempotent requests that run twice, truncated answers that pass as complete, and buffers that grow
@@ -306,4 +313,75 @@
         }
         EntryHarness.await(() -> closedAt.get() > 0);
     }
+
+    private static Stream<Arguments> brokenAnswers() {
+        String ok = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n";
+        String chunked = ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+        return Stream.of(
+                arguments("nothing", "", "200 whole complete"),
+                arguments("half a status line", "HTTP/1.1 2", "200 whole complete"),
+                arguments("status line", "HTTP/1.1 200 OK\r\n", "200 whole complete"),
+                arguments("half a header", ok + "Content-Le", "200 whole complete"),
+                arguments("headers", ok + "Content-Length: 0\r\n", "200 whole complete"),
+                arguments("no body", ok + "Content-Length: 9\r\n\r\n", "200 whole complete"),
+                arguments("half a body", ok + "Content-Length: 9\r\n\r\nhalf", "200 whole complete"),
+                arguments("no length", ok + "\r\nhalf", "200 whole complete"),
+                arguments("unknown encoding", ok + "Transfer-Encoding: identity\r\n\r\nhalf", "200 whole complete"),
+                arguments(
+                        "conflicting lengths",
+                        ok + "Content-Length: 4\r\nContent-Length: 2\r\n\r\nhalf",
+                        "200 whole complete"),
+                arguments("no HTTP", "half\r\n\r\n", "200 whole complete"),
+                arguments("informational", "HTTP/1.1 103 Early Hints\r\n\r\n", "200 whole complete"),
+                arguments("continue", "HTTP/1.1 100 Continue\r\n\r\n", "200 whole complete"),
+                // The client library takes 103 for the final answer, so the attempt fails and is repeated.
+                arguments(
+                        "informational before",
+                        "HTTP/1.1 103 Early Hints\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nfull",
+                        "200 whole complete"),
+                arguments(
+                        "continue before",
+                        "HTTP/1.1 100 Continue\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nfull",
+                        "200 full complete"),
+                arguments("no last chunk", chunked, "200 broken"),
+                arguments("half a last chunk", chunked + "0\r\n", "200 broken"),
+                arguments("broken chunk size", chunked + "zz\r\n", "200 broken"),
+                arguments("answer instead of a chunk", chunked + ok + "\r\n", "200 broken"));
+    }
+
+    /** A caller would get a part of an answer, or its head, framed as a complete one. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("brokenAnswers")
+    void shouldPassOnOnlyWholeAnswersWhenAnEndpointBreaksOff(String name, String first, String expected) {
+        ScriptedEndpoint.Script inTurn = ScriptedEndpoint.firstThenLater(
+                call -> {
+                    call.write(first.replace("{id}", call.attempt()));
+                    call.socket().close();
+                },
+                call -> call.respond(200, "whole"));
+        endpoint("a", inTurn);
+        endpoint("b", inTurn);
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + entry.address() + PATH + "/page"))
+                .timeout(Duration.ofSeconds(10))
+                .build();
+
+        assertEquals(expected, exchange(request));
+    }
+
+    private String exchange(HttpRequest request) {
+        try {
+            HttpResponse<InputStream> answer = harness.http.send(request, HttpResponse.BodyHandlers.ofInputStream());
+            try (InputStream body = answer.body()) {
+                return answer.statusCode() + " " + new String(body.readAllBytes(), StandardCharsets.UTF_8)
+                        + " complete";
+            } catch (IOException brokenOff) {
+                return answer.statusCode() + " broken";
+            }
+        } catch (IOException failure) {
+            return failure.toString();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(interrupted);
+        }
+    }
 }
