--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnAttempt.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnAttempt.java
@@ -16,6 +16,7 @@
  * digest; any other answer is one of the other host itself. Confined to the event loop of the forwarder.
  */
 final class HandedOnAttempt implements EndpointClient.Listener {
+    private static final int BAD_REQUEST = 400;
     private static final int INTERNAL_ERROR = 500;
     private static final int UNAVAILABLE = 503;
 
@@ -97,15 +98,22 @@
             return;
         }
         buffered.write(bytes, 0, bytes.length);
-        if (buffered.size() > MAXIMUM_BUFFERED_BYTES) {
+        if (buffered.size() <= MAXIMUM_BUFFERED_BYTES) {
+            return;
+        }
+        if (head.isSuccess()) {
             start();
+        } else {
+            cancel();
+            receiver.onFailed("answered " + head.status() + " with more than " + MAXIMUM_BUFFERED_BYTES + " bytes");
         }
     }
 
     @Override
     public void onEnd() {
         boolean isOfEndpoint = head.digest().isPresent();
-        boolean isRefusal = head.status() < INTERNAL_ERROR || head.status() == UNAVAILABLE;
+        boolean isRefusal =
+                head.status() >= BAD_REQUEST && head.status() < INTERNAL_ERROR || head.status() == UNAVAILABLE;
         if (started) {
             receiver.onAnswerEnded();
         } else if (isOfEndpoint) {
