Restart items whose software version is only on engines with old weights

What callers saw: an item with a partial text stayed at no endpoint until its submission ran out of time, while endpoints of the next release had free slots and new enough weights.

Cause: during a release, ItemPlacement.canContinue took an endpoint of the text's software version as able to continue the text, even if its weights are older than the submission allows. VersionPlan assigns each endpoint to one model, so the last endpoints of the old release may never load this model, and it sees no reason for a temporary load while others have free slots. choose() refuses such an endpoint, so the item neither ran nor restarted.

Evidence: before the fix ItemPlacementTest failed (expected false, was true). Both tests pass after it. Ruled out: a load in progress and an avoided endpoint, which the check already excluded.

Why it works: an endpoint counts only if its weights are allowed. A text is now discarded only if the item can start elsewhere at once, so that an item does not lose its text while all endpoints of its model are loading.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
@@ -38,12 +38,18 @@
             long exactVersion,
             Optional<String> softwareVersion,
             Optional<EndpointId> preferred) {
+        /** Returns the requirements of the item once its partial text is discarded. */
+        public Requirements withoutText() {
+            return new Requirements(model, oldestVersion, -1, Optional.empty(), preferred);
+        }
+
         private boolean allowsSoftwareOf(GenerationEndpoint endpoint) {
             return softwareVersion.isEmpty() || softwareVersion.get().equals(endpoint.softwareVersion());
         }
 
         private boolean allowsWeightsOf(GenerationEndpoint endpoint) {
-            return exactVersion < 0 || endpoint.version(model) == exactVersion;
+            long version = endpoint.version(model);
+            return version >= oldestVersion && (exactVersion < 0 || version == exactVersion);
         }
     }
 
@@ -70,8 +76,8 @@
      *
      * @param requirements requirements of the item
      * @param endpoints all ready endpoints of the service
-     * @return false if no responsive endpoint has the software version of the text and, if it must have a single weight
-     *     version, loaded that one
+     * @return false if no responsive endpoint has the software version of the text, weights that are new enough and, if the
+     *     text must have a single weight version, that one
      */
     public static boolean canContinue(Requirements requirements, Collection<GenerationEndpoint> endpoints) {
         boolean isFree = requirements.exactVersion() < 0
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemPlacementTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemPlacementTest.java
@@ -68,6 +68,19 @@
         assertTrue(ItemPlacement.canContinue(requirements(4, -1), List.of(newer)));
     }
 
+    /** An item must not wait for the last endpoint of an earlier release, which is assigned to another model. */
+    @Test
+    void shouldNotWaitForSoftwareVersionWhenItsEndpointsHaveWeightsThatAreTooOld() {
+        Requirements started = new Requirements(MODEL, 4, -1, Optional.of("v1"), Optional.empty());
+        GenerationEndpoint outdated = endpoint("outdated", 0, 3, 0);
+        GenerationEndpoint released =
+                new GenerationEndpoint(EndpointId.of("new"), "v2", 8, 0, Map.of(MODEL, 5L), Set.of(), false, true, 0);
+
+        assertTrue(ItemPlacement.choose(started, List.of(outdated, released)).isEmpty());
+        assertFalse(ItemPlacement.canContinue(started, List.of(outdated, released)));
+        assertTrue(ItemPlacement.canContinue(started, List.of(endpoint("full", 8, 4, 0), released)));
+    }
+
     /** Load pattern: a step of 40 items on four endpoints, one of which is 3.5 times slower. */
     @Test
     void shouldPlaceNothingOnSlowEndpointWhenOthersHaveSlots() {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -294,12 +294,15 @@
             ItemTask task, Route route, Map<ServiceName, List<GenerationEndpoint>> endpointsByService, long now) {
         ServiceName service = route.serviceFor(task.item.id().value());
         List<GenerationEndpoint> available = endpointsByService.computeIfAbsent(service, fleet::endpoints);
+        ItemPlacement.Requirements need = requirements(task);
         boolean hasWaited = now - task.waitingSince > SAME_VERSION_WAIT_MILLISECONDS;
-        if (ItemPlacement.isSoftwareGone(requirements(task), available)
-                || hasWaited && !ItemPlacement.canContinue(requirements(task), available)) {
+        boolean canOnlyRestart = hasWaited
+                && !ItemPlacement.canContinue(need, available)
+                && ItemPlacement.choose(need.withoutText(), available).isPresent();
+        if (canOnlyRestart || ItemPlacement.isSoftwareGone(need, available)) {
             restartText(task);
+            need = requirements(task);
         }
-        ItemPlacement.Requirements need = requirements(task);
         Optional<GenerationEndpoint> chosen = ItemPlacement.choose(need, available);
         if (chosen.isPresent()) {
             endpointByPrompt.put(prompt(task), chosen.get().id());
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
@@ -77,8 +77,13 @@
     }
 
     private void announce(long sequence) {
+        announce("e-1", engine, sequence);
+    }
+
+    private void announce(String id, FakeEngine announced, long sequence) {
         for (int host : cluster.running()) {
-            assertEquals(200, cluster.post(host, "/api/replicas/e-1/heartbeat", engine.heartbeat(SERVICE, sequence)));
+            String heartbeat = announced.heartbeat(SERVICE, sequence);
+            assertEquals(200, cluster.post(host, "/api/replicas/" + id + "/heartbeat", heartbeat));
         }
     }
 
@@ -205,11 +210,14 @@
     }
 
     private FakeEngine startEngine(String id, String softwareVersion) throws IOException {
+        return startEngine(id, softwareVersion, 1);
+    }
+
+    private FakeEngine startEngine(String id, String softwareVersion, long weightVersion) throws IOException {
         FakeEngine started = new FakeEngine("127.0.77.100", softwareVersion);
+        started.executeOrder(weightVersion);
         started.setEventCount(LONG_ITEM, LONG_EVENTS);
-        for (int host : cluster.running()) {
-            assertEquals(200, cluster.post(host, "/api/replicas/" + id + "/heartbeat", started.heartbeat(SERVICE, 1)));
-        }
+        announce(id, started, 1);
         return started;
     }
 
@@ -245,6 +253,42 @@
         }
     }
 
+    /** The last engines of an earlier release may be assigned to other models, and then load no newer weights of this one. */
+    @Test
+    void shouldStartItemAgainWhenEnginesOfItsSoftwareVersionHaveOldWeights() throws Exception {
+        engine.executeOrder(2);
+        announce(2);
+        engine.setEventCount(LONG_ITEM, LONG_EVENTS);
+        Submission fresh = new Submission(
+                SUBMISSION,
+                "a.example",
+                "/x/1",
+                0,
+                Optional.of(ModelName.of(FakeEngine.MODEL)),
+                2,
+                1,
+                List.of(item(LONG_ITEM)));
+        assertEquals(Outcome.DONE, cluster.ask(new SubmitBatch(fresh)).outcome());
+        StoreCluster.await("the item runs", () -> engine.runs.isEmpty() ? null : true);
+        Thread.sleep(500);
+
+        try (FakeEngine outdated = startEngine("e-2", "v1", 1);
+                FakeEngine released = startEngine("e-3", "v2", 2)) {
+            engine.close();
+
+            long[] sequence = {1};
+            StoreCluster.await("the item starts again", () -> {
+                sequence[0]++;
+                announce("e-2", outdated, sequence[0]);
+                announce("e-3", released, sequence[0]);
+                return released.runs.isEmpty() ? null : true;
+            });
+            assertTrue(results(1).getFirst().completed());
+            assertEquals(List.of(), outdated.runs);
+            assertEquals(List.of("long after 0"), released.runs);
+        }
+    }
+
     /** The successor of a leader learns the software version of a stored text from the log. */
     @Test
     void shouldNotContinueAStoredTextAtAnotherSoftwareVersionWhenLeaderFails() throws Exception {
