Promote the successor of a store host before removing the host

What callers would see: all accepted submissions and the configuration are unavailable for good after the loss of a single disk.

Cause: MemberPlan removed a silent or retiring voter first and promoted its successor one or more rounds later. With f = 1 the log has two voters in between, or for long if the successor fails after the removal. The removed host still holds its disk, but has no vote any more, so the loss of one of the two remaining disks leaves no majority.

Evidence: MemberPlanTest with three voters and a learner failed for a silent and for a retired voter (expected 3 voters, was 2); it passes now, as do StoreProcessTest and BatchRecoveryTest.

Why it works: a learner is promoted as soon as a voter must be removed, and voters are removed only above the target, so a majority of 2f + 1 or more voters remains after the loss of f disks. Both steps require that the reachable voters form a quorum. A voter that answers again between the two steps stays, which leaves one voter more than the target.

Elsewhere: MembershipReconciler of the control plane has the same order for a host that lost its disk. There the former voter is gone in either order, so the order makes no difference.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/MemberPlan.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/MemberPlan.java
@@ -1,10 +1,10 @@
 package io.rosemarybeam.store;
 
 import java.util.Comparator;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import io.rosemarybeam.consensus.Member;
 import io.rosemarybeam.consensus.MemberId;
@@ -17,8 +17,9 @@
  *
  * <p>Handles hosts that lose their disk, are replaced, are retired, or become unreachable, one after the other. The number of
  * voters is 2f + 1 for f hosts that may be lost at once; all other hosts are learners. A voter that is silent, has a new disk
- * or is retired is removed once a learner has caught up. A learner that is silent for too long is removed, because all hosts
- * would otherwise keep trying to connect to it; it is added again at the next contact. Stateless.
+ * or is retired is removed once a learner has caught up and was promoted in its place. A learner that is silent for too
+ * long is removed, because all hosts would otherwise keep trying to connect to it; it is added again at the next contact.
+ * Stateless.
  */
 final class MemberPlan {
     private MemberPlan() {}
@@ -91,11 +92,20 @@
                 .map(MembershipChange.AddLearner::new);
     }
 
+    /**
+     * Promotes a learner if there are too few voters, or one of them must be removed. The removal follows, so the number of
+     * voters never falls below the target, and the loss of any tolerated number of disks leaves a quorum.
+     */
     private static Optional<MembershipChange> promotion(ReplicatedLog log, Input input) {
-        if (log.membership().voters().size() >= input.targetVoters()) {
+        int voters = log.membership().voters().size();
+        boolean isReplacement = voters == input.targetVoters()
+                && removableVoters(log, input).findAny().isPresent();
+        if (voters >= input.targetVoters() && !isReplacement) {
             return Optional.empty();
         }
-        return successor(log, input).map(MembershipChange.Promote::new);
+        return successor(log, input)
+                .<MembershipChange>map(MembershipChange.Promote::new)
+                .filter(change -> quorumSurvives(log, change));
     }
 
     private static Optional<MemberId> successor(ReplicatedLog log, Input input) {
@@ -107,17 +117,20 @@
     }
 
     private static Optional<MembershipChange> removal(ReplicatedLog log, Input input) {
-        List<MemberId> voters =
-                log.membership().voters().stream().map(Member::id).toList();
-        boolean hasSuccessor = successor(log, input).isPresent();
-        boolean isSurplus = voters.size() > input.targetVoters();
-        return voters.stream()
+        if (log.membership().voters().size() <= input.targetVoters()) {
+            return Optional.empty();
+        }
+        return removableVoters(log, input)
+                .<MembershipChange>map(MembershipChange.Remove::new)
+                .filter(change -> quorumSurvives(log, change))
+                .findFirst();
+    }
+
+    private static Stream<MemberId> removableVoters(ReplicatedLog log, Input input) {
+        return log.membership().voters().stream()
+                .map(Member::id)
                 .filter(id -> !id.equals(log.self()))
-                .filter(id -> mustBeRemoved(log, id, input))
-                .filter(id -> hasSuccessor || isSurplus)
-                .filter(id -> quorumSurvivesWithout(log, id))
-                .findFirst()
-                .map(MembershipChange.Remove::new);
+                .filter(id -> mustBeRemoved(log, id, input));
     }
 
     private static boolean mustBeRemoved(ReplicatedLog log, MemberId id, Input input) {
@@ -131,8 +144,8 @@
         return host != null && host.member().id().incarnation() != id.incarnation();
     }
 
-    private static boolean quorumSurvivesWithout(ReplicatedLog log, MemberId removed) {
-        Membership after = log.membership().after(new MembershipChange.Remove(removed));
+    private static boolean quorumSurvives(ReplicatedLog log, MembershipChange change) {
+        Membership after = log.membership().after(change);
         long active = after.voters().stream()
                 .filter(voter -> voter.id().equals(log.self()) || log.isActive(voter.id()))
                 .count();
