Sync the files that a member loads at its start

Cause: a process that ends between the write of a record and its sync leaves the record readable but not durable. After the restart, LogStorage.load returned it and ReplicatedLog counted it as durable: the member acknowledged it to the leader, which committed it. No later sync covered it, because a new segment is started. A loss of power then removed the record, or a part of it, which load refuses as damage in a segment that is not the last one. The same held for a vote whose rename had not been synced, so that a member could vote twice in a term.

Evidence: before the fix LogStorageTest lost entries 3 and 4 of 4 and the vote of term 2 that load had returned.

Why it works: load syncs the folder and the last segment before it returns, so everything that the member can act upon is durable. Earlier segments are complete, because each record is synced before the next one is written. The start takes two more syncs.

--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
@@ -25,7 +25,8 @@
  * overwritten in place. Identity, hard state and snapshot are files of one record each, which are replaced by an atomic
  * rename.
  *
- * <p>Invariant: when {@link #persist} returns, everything passed to it is durable. After an I/O failure every further
+ * <p>Invariant: when {@link #persist} returns, everything passed to it is durable, and so is everything that {@link #load}
+ * has returned. After an I/O failure every further
  * operation throws the same exception, because it is unknown what is durable after a failed sync. Confined to one thread at a
  * time, apart from {@link #syncs}.
  */
@@ -88,8 +89,9 @@
     }
 
     /**
-     * Loads the stored state. Removes temporary files, an incomplete record at the end of the last segment, and a log that an
-     * installed snapshot has replaced.
+     * Loads the stored state and makes it durable: a process that ended between a write and its sync leaves files which the
+     * operating system returns, but which a power failure would still revert. Removes temporary files, an incomplete record
+     * at the end of the last segment, and a log that an installed snapshot has replaced.
      *
      * @return the stored state; empty if nothing is stored
      * @throws StorageException with {@link ErrorCode#CORRUPT_RECORD} if a file is damaged, or with
@@ -103,6 +105,7 @@
                     files.delete(name);
                 }
             }
+            files.syncFolder();
             HardState hardState = names.contains(HARD_STATE_FILE)
                     ? MessageCodec.decode(readSingleRecord(HARD_STATE_FILE), HardState.class)
                     : HardState.initial();
@@ -140,6 +143,9 @@
             if (records.validBytes() < content.length) {
                 files.truncate(name, records.validBytes());
             }
+            if (last) {
+                sync(name);
+            }
             long number = Long.parseLong(name.substring(SEGMENT_PREFIX.length()));
             segments.put(number, 0L);
             for (byte[] body : records.bodies()) {
@@ -152,6 +158,12 @@
         return entries;
     }
 
+    private void sync(String name) throws IOException {
+        try (AppendFile file = files.openForAppend(name)) {
+            file.sync();
+        }
+    }
+
     private static void addEntry(String name, TreeMap<Long, LogEntry> entries, LogEntry entry) {
         entries.tailMap(entry.index(), true).clear();
         if (!entries.isEmpty() && entries.lastKey() != entry.index() - 1) {
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/LogCluster.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/LogCluster.java
@@ -13,6 +13,7 @@
 import java.util.TreeSet;
 
 import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.StorageException;
 import io.rosemarybeam.consensus.LogMessage.Envelope;
 import io.rosemarybeam.consensus.storage.FaultyFileSystem;
 import io.rosemarybeam.consensus.storage.LogStorage;
@@ -215,6 +216,18 @@
             open();
         }
 
+        /** Ends the process between a write and its sync, if it has anything to write, and starts it again. */
+        void endProcess() {
+            files.failSyncs();
+            try {
+                persisting.ifPresent(ready -> storage.persist(ready.hardState(), ready.snapshot(), ready.entries()));
+            } catch (StorageException interrupted) {
+                // The files contain what was written before the process ended.
+            }
+            files.endProcess();
+            open();
+        }
+
         void process() {
             while (log.hasReady()) {
                 Ready ready = log.ready();
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogInterleavingTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogInterleavingTest.java
@@ -50,6 +50,65 @@
         converge(cluster);
     }
 
+    /** All hosts lose power right after an acknowledgement, one of the disks is lost, and a process had just ended. */
+    @Property(tries = 200, seed = "20261207", shrinking = ShrinkingMode.OFF)
+    void shouldRetainAcknowledgedEntriesWhenAllHostsLosePowerAndOneDiskIsLost(@ForAll long seed) {
+        LogCluster cluster = new LogCluster(3, seed, LogOptions.standard(seed));
+        for (int round = 0; round < 3; round++) {
+            cluster.runUntilLeader();
+            writeWhileProcessesEnd(cluster);
+            long acknowledged = cluster.lastCommitted();
+
+            cluster.network.clear();
+            cluster.nodes.values().forEach(Node::crash);
+            String lost = randomNode(cluster).id.name();
+            cluster.loseDisk(lost);
+            cluster.runUntilLeader();
+
+            Node leader = cluster.leader().orElseThrow();
+            assertTrue(leader.applied >= acknowledged, leader.applied + " of " + acknowledged + " entries are left");
+            replaceVoter(cluster, lost);
+        }
+        converge(cluster);
+    }
+
+    /** Runs the cluster with a proposal in every step, until some entries were acknowledged. */
+    private static void writeWhileProcessesEnd(LogCluster cluster) {
+        long first = cluster.lastCommitted();
+        for (int step = 0; step < STEPS && cluster.lastCommitted() < first + 5; step++) {
+            cluster.propose();
+            Node node = randomNode(cluster);
+            if (cluster.random.nextInt(8) == 0) {
+                node.endProcess();
+            } else if (cluster.random.nextBoolean()) {
+                node.persist();
+            }
+            if (!cluster.network.isEmpty()) {
+                cluster.deliver(cluster.random.nextInt(Math.min(cluster.network.size(), 8)), false);
+            }
+            if (cluster.random.nextInt(4) == 0) {
+                node.log.tick();
+                node.process();
+            }
+        }
+    }
+
+    /** Replaces the voter that has lost its disk by the learner of the same name. */
+    private static void replaceVoter(LogCluster cluster, String name) {
+        Member added = LogCluster.member(name, cluster.nodes.get(name).id.incarnation());
+        Member former = LogCluster.member(name, added.id().incarnation() - 1);
+        List<MembershipChange> changes = List.of(
+                new MembershipChange.AddLearner(added),
+                new MembershipChange.Remove(former.id()),
+                new MembershipChange.Promote(added.id()));
+        for (MembershipChange change : changes) {
+            Node leader = cluster.leader().orElseThrow();
+            leader.change(change);
+            cluster.run(CONVERGENCE_TICKS);
+        }
+        assertTrue(cluster.leader().orElseThrow().log.membership().isVoter(added.id()), name + " is no voter");
+    }
+
     private static Node randomNode(LogCluster cluster) {
         List<Node> nodes = List.copyOf(cluster.nodes.values());
         return nodes.get(cluster.random.nextInt(nodes.size()));
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/FaultyFileSystem.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/FaultyFileSystem.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.function.IntUnaryOperator;
 import java.util.random.RandomGenerator;
 
 /**
@@ -19,14 +20,31 @@
     private final TreeMap<String, Content> durableNames = new TreeMap<>();
     private final TreeMap<String, Content> names = new TreeMap<>();
     private boolean failSyncs;
+    private boolean failFolderSyncs;
     private long capacity = Long.MAX_VALUE;
     private int syncs;
 
-    /** Makes every sync fail until the next crash. */
+    /** Makes every sync fail until the next crash of the machine or end of the process. */
     public void failSyncs() {
         failSyncs = true;
     }
 
+    /** Makes every sync of the folder fail until the next crash of the machine or end of the process. */
+    public void failFolderSyncs() {
+        failFolderSyncs = true;
+    }
+
+    /** Simulates the end of the process, after which the files contain what was written, whether or not it was synced. */
+    public void endProcess() {
+        failSyncs = false;
+        failFolderSyncs = false;
+    }
+
+    /** Simulates a crash of the machine that loses all unsynced data. */
+    public void crash() {
+        crash(unsynced -> 0);
+    }
+
     /** Sets the maximum total size of all files, in bytes. */
     public void setCapacity(long bytes) {
         capacity = bytes;
@@ -39,15 +57,20 @@
 
     /** Simulates a crash of the machine, such as a power failure. */
     public void crash(RandomGenerator random) {
+        crash(unsynced -> random.nextInt(unsynced + 1));
+    }
+
+    private void crash(IntUnaryOperator retainedOfUnsynced) {
         names.clear();
         names.putAll(durableNames);
         for (Content content : names.values()) {
             int unsynced = content.bytes.length - content.syncedBytes;
-            int retained = unsynced <= 0 ? 0 : random.nextInt(unsynced + 1);
+            int retained = unsynced <= 0 ? 0 : retainedOfUnsynced.applyAsInt(unsynced);
             content.bytes = Arrays.copyOf(content.bytes, content.syncedBytes + retained);
             content.syncedBytes = content.bytes.length;
         }
         failSyncs = false;
+        failFolderSyncs = false;
     }
 
     /** Damages one byte of a file. */
@@ -106,6 +129,9 @@
 
     @Override
     public void syncFolder() throws IOException {
+        if (failFolderSyncs) {
+            throw new IOException("sync of the folder failed");
+        }
         sync();
         durableNames.clear();
         durableNames.putAll(names);
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
@@ -108,6 +108,40 @@
         assertEquals(ErrorCode.CORRUPT_RECORD, failure.code());
     }
 
+    /** A member acknowledges entries that it has loaded, so they must survive a power failure from then on. */
+    @Test
+    void shouldRetainLoadedEntriesWhenProcessEndedBeforeTheirSyncAndMachineCrashes() {
+        LogStorage storage = openStorage();
+        append(storage, entries(1, 2, 1));
+        files.failSyncs();
+        assertThrows(StorageException.class, () -> append(storage, entries(3, 4, 1)));
+        files.endProcess();
+
+        List<String> loaded = indexesAndTerms(openStorage().load());
+        files.crash();
+
+        assertEquals(List.of("1/1", "2/1", "3/1", "4/1"), loaded);
+        assertEquals(loaded, indexesAndTerms(openStorage().load()));
+    }
+
+    /** A member that forgets a vote after it has answered with it may vote twice in a term. */
+    @Test
+    void shouldRetainLoadedVoteWhenProcessEndedBeforeTheFolderWasSyncedAndMachineCrashes() {
+        LogStorage storage = openStorage();
+        HardState former = new HardState(1, Optional.empty());
+        HardState vote = new HardState(2, Optional.of(new MemberId("control-1", 7)));
+        storage.persist(Optional.of(former), Optional.empty(), entries(1, 1, 1));
+        files.failFolderSyncs();
+        assertThrows(StorageException.class, () -> storage.persist(Optional.of(vote), Optional.empty(), List.of()));
+        files.endProcess();
+
+        HardState loaded = openStorage().load().hardState();
+        files.crash();
+
+        assertEquals(vote, loaded);
+        assertEquals(loaded, openStorage().load().hardState());
+    }
+
     @Test
     void shouldRefuseAllFurtherUseWhenSyncFails() {
         LogStorage storage = openStorage();
