Tell an interrupted write from damage inside a segment

Cause: RecordFile took any record whose length reaches the end of the file for an interrupted write, so a damaged length in the first record dropped all that followed. In the other direction it took an interrupted write whose first bytes were missing, or whose length was a small number, for damage.

Evidence: two seeded properties.

Why it works: only the last record can be incomplete, because each one is synced before the next is written. So an invalid record is an interrupted write if and only if no valid record begins behind it; this is searched at every position, since a damaged length does not tell where the next record is. A removed end is logged (LOG_END_REMOVED). Damage to the last record itself cannot be told from an interrupted write. After damage the process stops with file and position; an operator replaces the host.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -44,6 +44,8 @@
     FINGERPRINT_QUARANTINED(305, Severity.WARNING, "A request was quarantined by the replicated state."),
     /** A learner does not hold all entries yet. */
     LEARNER_BEHIND(306, Severity.INFORMATION, "A learner does not hold all entries yet."),
+    /** An incomplete record was removed from the end of the log. */
+    LOG_END_REMOVED(307, Severity.WARNING, "An incomplete record was removed from the end of the log."),
     /** An entry lost its configuration lease and takes no new work. */
     LEASE_LAPSED(400, Severity.WARNING, "An entry lost its configuration lease and takes no new work."),
     /** An entry connected to a control host. */
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
@@ -9,6 +9,8 @@
 
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.StorageException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.wire.MessageCodec;
 import io.rosemarybeam.consensus.DurableState;
 import io.rosemarybeam.consensus.HardState;
@@ -39,6 +41,8 @@
     /** Size from which on a new segment is started. */
     private static final long SEGMENT_BYTES = 4 * 1024 * 1024;
 
+    private static final EventLog LOG = EventLog.of(LogStorage.class);
+
     private final FileSystem files;
     /** Largest index that was ever written to a segment, zero if none, by number of the segment. */
     private final TreeMap<Long, Long> segments = new TreeMap<>();
@@ -141,6 +145,7 @@
             byte[] content = files.read(name);
             RecordFile.Records records = RecordFile.decode(name, content, last);
             if (records.validBytes() < content.length) {
+                LOG.log(Event.LOG_END_REMOVED, "file", name, "position", records.validBytes(), "size", content.length);
                 files.truncate(name, records.validBytes());
             }
             if (last) {
@@ -178,6 +183,11 @@
     private static List<LogEntry> selectEntriesMatchingSnapshot(
             Optional<LogSnapshot> snapshot, TreeMap<Long, LogEntry> entries) {
         if (snapshot.isEmpty()) {
+            if (!entries.isEmpty() && entries.firstKey() != 1) {
+                throw new StorageException(
+                        ErrorCode.CORRUPT_RECORD,
+                        "the log starts with entry " + entries.firstKey() + " and no snapshot");
+            }
             return List.copyOf(entries.values());
         }
         long index = snapshot.get().index();
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/RecordFile.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/RecordFile.java
@@ -28,9 +28,10 @@
     }
 
     /**
-     * Decodes all records. Only the last record can be incomplete after a crash, because each record is synced before the
-     * next one is written. An invalid record counts as incomplete if its header or its length reaches the end of the file,
-     * or if the rest of the file consists of zeros; the file is then valid up to the start of that record.
+     * Decodes all records. Each record is synced before the next one is written, so only the last one can be incomplete after
+     * a crash, with any bytes in its place. An invalid record counts as incomplete if no valid record follows it, at whatever
+     * position, because a damaged length does not tell where the next one starts; the file is then valid up to the start of
+     * the incomplete record. Damage to the last record itself cannot be told from an interrupted write.
      *
      * @param name name of the file, for error messages
      * @param content content of the file
@@ -42,36 +43,43 @@
         List<byte[]> bodies = new ArrayList<>();
         int position = 0;
         while (position < content.length) {
-            int remaining = content.length - position;
-            int length = remaining < HEADER_BYTES
-                    ? -1
-                    : ByteBuffer.wrap(content, position, 4).getInt();
-            boolean reachesEnd = remaining < HEADER_BYTES || length >= remaining - HEADER_BYTES;
-            boolean valid = length > 0
-                    && length <= remaining - HEADER_BYTES
-                    && ByteBuffer.wrap(content, position + 4, 4).getInt()
-                            == checksum(content, position + HEADER_BYTES, length);
-            if (!valid) {
-                if (mayBeTorn && (reachesEnd || isZero(content, position))) {
+            if (!isRecordAt(content, position)) {
+                if (mayBeTorn && !hasRecordAfter(content, position)) {
                     return new Records(bodies, position);
                 }
                 throw new StorageException(
                         ErrorCode.CORRUPT_RECORD, name + " is damaged at byte " + position + " of " + content.length);
             }
             int start = position + HEADER_BYTES;
-            bodies.add(Arrays.copyOfRange(content, start, start + length));
-            position = start + length;
+            int end = start + intAt(content, position);
+            bodies.add(Arrays.copyOfRange(content, start, end));
+            position = end;
         }
         return new Records(bodies, position);
     }
 
-    private static boolean isZero(byte[] content, int from) {
-        for (int index = from; index < content.length; index++) {
-            if (content[index] != 0) {
-                return false;
+    private static boolean hasRecordAfter(byte[] content, int position) {
+        for (int next = position + 1; next < content.length; next++) {
+            if (isRecordAt(content, next)) {
+                return true;
             }
         }
-        return true;
+        return false;
+    }
+
+    private static boolean isRecordAt(byte[] content, int position) {
+        int available = content.length - position - HEADER_BYTES;
+        if (available <= 0) {
+            return false;
+        }
+        int length = intAt(content, position);
+        return length > 0
+                && length <= available
+                && intAt(content, position + 4) == checksum(content, position + HEADER_BYTES, length);
+    }
+
+    private static int intAt(byte[] content, int position) {
+        return ByteBuffer.wrap(content, position, Integer.BYTES).getInt();
     }
 
     private static int checksum(byte[] bytes, int offset, int length) {
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/FaultyFileSystem.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/FaultyFileSystem.java
@@ -78,6 +78,13 @@
         names.get(name).bytes[position] ^= 0x55;
     }
 
+    /** Replaces the durable content of a file. */
+    public void replace(String name, byte[] bytes) {
+        Content content = names.get(name);
+        content.bytes = bytes.clone();
+        content.syncedBytes = bytes.length;
+    }
+
     /** Removes bytes at the end of a file, like an interrupted write. */
     public void truncateTail(String name, int bytes) {
         Content content = names.get(name);
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
@@ -1,7 +1,9 @@
 package io.rosemarybeam.consensus.storage;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -14,6 +16,9 @@
 import io.rosemarybeam.consensus.LogSnapshot;
 import io.rosemarybeam.consensus.MemberId;
 import io.rosemarybeam.consensus.Membership;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -25,6 +30,11 @@
 class LogStorageTest {
     private static final String FIRST_SEGMENT = "log-0000000000000001";
 
+    /** Kinds of damage; the smaller ones are the numbers of the changed bit. */
+    private static final int ZEROED = 8;
+
+    private static final int REMOVED = 9;
+
     private final FaultyFileSystem files = new FaultyFileSystem();
 
     private static LogEntry entry(long index, long term) {
@@ -233,4 +243,94 @@
         first.close();
         LogStorage.open(FileSystem.of(folder)).close();
     }
+
+    /** Writes records of random entries to an empty folder and returns the start of each record in the only segment. */
+    private List<Integer> writeRandomRecords(SplittableRandom random) throws IOException {
+        // All tries of a property share the files.
+        for (String name : files.list()) {
+            files.delete(name);
+        }
+        LogStorage storage = openStorage();
+        List<Integer> starts = new ArrayList<>();
+        long next = 1;
+        int records = random.nextInt(2, 6);
+        for (int record = 0; record < records; record++) {
+            starts.add(starts.isEmpty() ? 0 : files.read(FIRST_SEGMENT).length);
+            List<LogEntry> batch = new ArrayList<>();
+            int size = random.nextInt(1, 4);
+            for (int entry = 0; entry < size; entry++) {
+                byte[] data = new byte[random.nextInt(40)];
+                random.nextBytes(data);
+                batch.add(new LogEntry(next++, 1, LogEntry.Kind.COMMAND, data));
+            }
+            append(storage, batch);
+        }
+        return starts;
+    }
+
+    /** Returns the content with a part removed or set to zero, or with one bit of each of its bytes changed. */
+    private static byte[] damaged(byte[] content, int from, int to, int kind) {
+        if (kind == REMOVED) {
+            byte[] shortened = Arrays.copyOf(content, content.length - (to - from));
+            System.arraycopy(content, to, shortened, from, content.length - to);
+            return shortened;
+        }
+        byte[] changed = content.clone();
+        for (int position = from; position < to; position++) {
+            changed[position] = (byte) (kind == ZEROED ? 0 : changed[position] ^ 1 << kind);
+        }
+        return changed;
+    }
+
+    /** Damage at any position before the last record must not remove acknowledged entries without an error. */
+    @Property(tries = 20, seed = "20261208", shrinking = ShrinkingMode.OFF)
+    void shouldNameFileAndPositionWhenAnyByteBeforeTheLastRecordIsDamaged(@ForAll long seed) throws IOException {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Integer> starts = writeRandomRecords(random);
+        byte[] content = files.read(FIRST_SEGMENT);
+        int last = starts.getLast();
+        for (int from = 0; from < last; from++) {
+            for (int kind = 0; kind <= REMOVED; kind++) {
+                int to = Math.min(last, from + random.nextInt(1, 20));
+                byte[] changed = damaged(content, from, to, kind);
+                int difference = Arrays.mismatch(content, changed);
+                int record =
+                        starts.stream().filter(start -> start <= difference).reduce(0, Math::max);
+                if (difference < 0) {
+                    continue;
+                }
+                files.replace(FIRST_SEGMENT, changed);
+                StorageException failure = assertThrows(
+                        StorageException.class,
+                        () -> openStorage().load(),
+                        "bytes " + from + " to " + to + ", kind " + kind);
+                assertEquals(ErrorCode.CORRUPT_RECORD, failure.code());
+                boolean areRecordsMissing = kind == REMOVED && starts.contains(from) && starts.contains(to);
+                assertTrue(
+                        areRecordsMissing
+                                || failure.getMessage()
+                                        .contains(FIRST_SEGMENT + " is damaged at byte " + record + " of"),
+                        failure.getMessage() + " instead of " + record + ", bytes " + from + " to " + to + ", kind "
+                                + kind);
+            }
+        }
+    }
+
+    /** A write that a power failure interrupted may leave any bytes, none of which were acknowledged. */
+    @Property(tries = 200, seed = "20261209", shrinking = ShrinkingMode.OFF)
+    void shouldDropTheLastRecordWhenItsWriteLeftAnyBytes(@ForAll long seed) throws IOException {
+        SplittableRandom random = new SplittableRandom(seed);
+        writeRandomRecords(random);
+        List<String> acknowledged = indexesAndTerms(openStorage().load());
+        byte[] content = files.read(FIRST_SEGMENT);
+        byte[] torn = Arrays.copyOf(content, content.length + random.nextInt(1, 60));
+        boolean isZero = random.nextInt(4) == 0;
+        for (int position = content.length + random.nextInt(8); position < torn.length; position++) {
+            torn[position] = (byte) (isZero ? 0 : random.nextInt());
+        }
+        files.replace(FIRST_SEGMENT, torn);
+
+        assertEquals(acknowledged, indexesAndTerms(openStorage().load()));
+        assertEquals(content.length, files.read(FIRST_SEGMENT).length);
+    }
 }
