--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
@@ -9,6 +9,8 @@
 
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.StorageException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.wire.MessageCodec;
 import io.rosemarybeam.consensus.DurableState;
 import io.rosemarybeam.consensus.HardState;
@@ -25,7 +27,8 @@
  * overwritten in place. Identity, hard state and snapshot are files of one record each, which are replaced by an atomic
  * rename.
  *
- * <p>Invariant: when {@link #persist} returns, everything passed to it is durable. After an I/O failure every further
+ * <p>Invariant: when {@link #persist} returns, everything passed to it is durable, and so is everything that {@link #load}
+ * has returned. After an I/O failure every further
  * operation throws the same exception, because it is unknown what is durable after a failed sync. Confined to one thread at a
  * time, apart from {@link #syncs}.
  */
@@ -38,6 +41,8 @@
     /** Size from which on a new segment is started. */
     private static final long SEGMENT_BYTES = 4 * 1024 * 1024;
 
+    private static final EventLog LOG = EventLog.of(LogStorage.class);
+
     private final FileSystem files;
     /** Largest index that was ever written to a segment, zero if none, by number of the segment. */
     private final TreeMap<Long, Long> segments = new TreeMap<>();
@@ -88,8 +93,9 @@
     }
 
     /**
-     * Loads the stored state. Removes temporary files, an incomplete record at the end of the last segment, and a log that an
-     * installed snapshot has replaced.
+     * Loads the stored state and makes it durable: a process that ended between a write and its sync leaves files which the
+     * operating system returns, but which a power failure would still revert. Removes temporary files, an incomplete record
+     * at the end of the last segment, and a log that an installed snapshot has replaced.
      *
      * @return the stored state; empty if nothing is stored
      * @throws StorageException with {@link ErrorCode#CORRUPT_RECORD} if a file is damaged, or with
@@ -103,6 +109,7 @@
                     files.delete(name);
                 }
             }
+            files.syncFolder();
             HardState hardState = names.contains(HARD_STATE_FILE)
                     ? MessageCodec.decode(readSingleRecord(HARD_STATE_FILE), HardState.class)
                     : HardState.initial();
@@ -138,8 +145,12 @@
             byte[] content = files.read(name);
             RecordFile.Records records = RecordFile.decode(name, content, last);
             if (records.validBytes() < content.length) {
+                LOG.log(Event.LOG_END_REMOVED, "file", name, "position", records.validBytes(), "size", content.length);
                 files.truncate(name, records.validBytes());
             }
+            if (last) {
+                sync(name);
+            }
             long number = Long.parseLong(name.substring(SEGMENT_PREFIX.length()));
             segments.put(number, 0L);
             for (byte[] body : records.bodies()) {
@@ -152,6 +163,12 @@
         return entries;
     }
 
+    private void sync(String name) throws IOException {
+        try (AppendFile file = files.openForAppend(name)) {
+            file.sync();
+        }
+    }
+
     private static void addEntry(String name, TreeMap<Long, LogEntry> entries, LogEntry entry) {
         entries.tailMap(entry.index(), true).clear();
         if (!entries.isEmpty() && entries.lastKey() != entry.index() - 1) {
@@ -166,6 +183,11 @@
     private static List<LogEntry> selectEntriesMatchingSnapshot(
             Optional<LogSnapshot> snapshot, TreeMap<Long, LogEntry> entries) {
         if (snapshot.isEmpty()) {
+            if (!entries.isEmpty() && entries.firstKey() != 1) {
+                throw new StorageException(
+                        ErrorCode.CORRUPT_RECORD,
+                        "the log starts with entry " + entries.firstKey() + " and no snapshot");
+            }
             return List.copyOf(entries.values());
         }
         long index = snapshot.get().index();
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemPlacement.java
@@ -44,6 +44,11 @@
                     : new Requirements(model, oldestVersion, exactVersion, softwareVersion, Optional.empty());
         }
 
+        /** Returns the requirements of the item once its partial text is discarded. */
+        public Requirements withoutText() {
+            return new Requirements(model, oldestVersion, -1, Optional.empty(), preferred);
+        }
+
         /** Returns whether endpoints of any weight and software version may run the item. */
         boolean isFree() {
             return exactVersion < 0 && softwareVersion.isEmpty();
@@ -54,7 +59,8 @@
         }
 
         boolean allowsWeightsOf(GenerationEndpoint endpoint) {
-            return exactVersion < 0 || endpoint.version(model) == exactVersion;
+            long version = endpoint.version(model);
+            return version >= oldestVersion && (exactVersion < 0 || version == exactVersion);
         }
     }
 
@@ -96,8 +102,8 @@
      *
      * @param requirements requirements of the item
      * @param endpoints all ready endpoints of the service
-     * @return false if no responsive endpoint has the software version of the text and, if it must have a single weight
-     *     version, loaded that one
+     * @return false if no responsive endpoint has the software version of the text, weights that are new enough and, if the
+     *     text must have a single weight version, that one
      */
     public static boolean canContinue(Requirements requirements, Collection<GenerationEndpoint> endpoints) {
         return requirements.isFree()
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/PlacementRound.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/PlacementRound.java
@@ -77,7 +77,8 @@
     }
 
     /**
-     * Returns whether the partial text of an item must be discarded, because no endpoint may continue it.
+     * Returns whether the partial text of an item must be discarded, because no endpoint may continue it and one can start the
+     * item anew.
      *
      * @param requirements requirements of the item
      * @param hasWaited whether the item has waited long enough for an endpoint that returns
@@ -89,8 +90,12 @@
         Requirements withoutPreference = requirements.withoutPreference();
         return ItemPlacement.isSoftwareGone(requirements, endpoints.values())
                 || hasWaited
-                        && lostTexts.computeIfAbsent(
-                                withoutPreference, need -> !ItemPlacement.canContinue(need, endpoints.values()));
+                        && cannotContinue(withoutPreference)
+                        && choose(requirements.withoutText()).isPresent();
+    }
+
+    private boolean cannotContinue(Requirements requirements) {
+        return lostTexts.computeIfAbsent(requirements, need -> !ItemPlacement.canContinue(need, endpoints.values()));
     }
 
     /**
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/WaitReason.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/WaitReason.java
@@ -42,10 +42,7 @@
         if (remaining.isEmpty()) {
             return SOFTWARE_VERSION;
         }
-        remaining = remaining.stream()
-                .filter(endpoint -> requirements.allowsWeightsOf(endpoint)
-                        && endpoint.version(requirements.model()) >= requirements.oldestVersion())
-                .toList();
+        remaining = remaining.stream().filter(requirements::allowsWeightsOf).toList();
         if (remaining.isEmpty()) {
             return WEIGHTS;
         }
