--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.common.wire;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -106,6 +107,9 @@
             List<EndpointRateLimit> rateLimits,
             List<StreamOrigin> streams)
             implements StoreMessage {
+        /** Maximum number of announcements in a batch; each has at most 128 KiB, and a frame 8 MiB. */
+        private static final int MAXIMUM_ANNOUNCEMENTS = 50;
+
         /** Copies the lists. */
         public EndpointNews {
             announcements = List.copyOf(announcements);
@@ -118,6 +122,21 @@
             return new EndpointNews(List.copyOf(announcements), List.of(), List.of(), List.of());
         }
 
+        /**
+         * Splits announcements so that each message fits into a frame.
+         *
+         * @param announcements any number of announcements
+         * @return messages that together contain them; none if there are no announcements
+         */
+        public static List<EndpointNews> batchesOf(Collection<EndpointAnnouncement> announcements) {
+            List<EndpointAnnouncement> all = List.copyOf(announcements);
+            List<EndpointNews> batches = new ArrayList<>();
+            for (int start = 0; start < all.size(); start += MAXIMUM_ANNOUNCEMENTS) {
+                batches.add(ofAnnouncements(all.subList(start, Math.min(all.size(), start + MAXIMUM_ANNOUNCEMENTS))));
+            }
+            return batches;
+        }
+
         public static EndpointNews ofCrashes(Collection<EndpointCrash> crashes) {
             return new EndpointNews(List.of(), List.copyOf(crashes), List.of(), List.of());
         }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
@@ -74,7 +74,7 @@
 
     /** Sends the announcements of endpoints with recent contact to the other store hosts, so that they do not time out there. */
     void sendRecentContacts(long since) {
-        sendToPeers(EndpointNews.ofAnnouncements(directory.updatedSince(since)));
+        EndpointNews.batchesOf(directory.updatedSince(since)).forEach(this::sendToPeers);
     }
 
     /** Announces endpoints without a heartbeat for the given time, in milliseconds, as silent. */
@@ -83,8 +83,6 @@
     }
 
     private void sendToPeers(EndpointNews update) {
-        if (!update.announcements().isEmpty()) {
-            links.names().forEach(name -> links.send(name, update));
-        }
+        links.names().forEach(name -> links.send(name, update));
     }
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -463,10 +463,8 @@
         @Override
         public void onOpen(WireConnection connection) {
             connection.send(status(Forwarder.now()));
-            if (connection.remoteRole() == Role.ENTRY || !directory.all().isEmpty()) {
-                connection.send(
-                        new EndpointNews(List.copyOf(directory.all()), crashes.all(), rateLimits.all(), List.of()));
-            }
+            EndpointNews.batchesOf(directory.all()).forEach(connection::send);
+            connection.send(new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of()));
         }
 
         @Override
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -34,19 +35,25 @@
     private static final SubmissionId SUBMISSION = SubmissionId.of("s-1");
     private static final ItemId ITEM = ItemId.of("i-1");
 
+    /** Several rounds in which the hosts exchange the endpoints with recent heartbeats. */
+    private static final long CONTACT_ROUNDS_MILLISECONDS = 3_000;
+
     @TempDir
     Path folder;
 
+    private final List<Throwable> failures = new CopyOnWriteArrayList<>();
+
     private StoreCluster cluster;
 
     @BeforeEach
     void create() {
-        cluster = new StoreCluster(folder);
+        cluster = new StoreCluster(folder, failures::add);
     }
 
     @AfterEach
     void close() {
         cluster.close();
+        assertEquals(List.of(), failures);
     }
 
     private static String configuration(int version) {
@@ -226,4 +233,24 @@
         replaceConfiguration(3, 2);
         assertEquals(configuration(2), newestConfiguration(4));
     }
+
+    /** The list of endpoints was sent in one frame, and the process that could not send it ended. */
+    @Test
+    void shouldGoOnWhenAHeartbeatExceedsTheSizeOfAFrame() throws InterruptedException {
+        for (int host = 1; host <= 3; host++) {
+            cluster.start(host, true);
+        }
+        replaceConfiguration(1, 1);
+        String heartbeat = "{\"Backend\":\"s\",\"Address\":\"10.1.0.9:80\",\"Zone\":\"fes\",\"Capacity\":1,"
+                + "\"State\":\"ready\",\"Sequence\":1,\"Version\":\"" + "v".repeat(9_000_000) + "\"}";
+
+        for (int host = 1; host <= 3; host++) {
+            cluster.post(host, "/api/replicas/e-1/heartbeat", heartbeat);
+        }
+        Thread.sleep(CONTACT_ROUNDS_MILLISECONDS);
+
+        replaceConfiguration(2, 2);
+        assertEquals(configuration(2), newestConfiguration(3));
+        assertEquals(List.of(), failures);
+    }
 }
