--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EndpointAnnouncement.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EndpointAnnouncement.java
@@ -12,7 +12,8 @@
  * The content of one heartbeat of an endpoint.
  *
  * <p>Invariant: of two announcements under one id, the one with the later start is newer, and of two with the same
- * start the one with the larger sequence. Immutable and safe for use by several threads.
+ * start the one with the larger sequence. The capacity lies between 1 and {@value #MAXIMUM_CAPACITY}. Immutable and safe for
+ * use by several threads.
  *
  * @param id the endpoint
  * @param startedMilliseconds Unix time of its start, in milliseconds
@@ -37,6 +38,9 @@
         State state,
         List<LoadedModel> models,
         String softwareVersion) {
+    /** Maximum capacity of an endpoint; an engine runs some hundred requests at once. */
+    public static final int MAXIMUM_CAPACITY = 100_000;
+
     /** Sequence number of the final announcement of an endpoint; no heartbeat of the same start has a larger one. */
     public static final long LAST_SEQUENCE = Long.MAX_VALUE;
 
@@ -63,6 +67,8 @@
     public EndpointAnnouncement {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(state, "state");
+        // Hosts of earlier releases distribute capacities that are out of range.
+        capacity = Math.clamp(capacity, 1, MAXIMUM_CAPACITY);
         models = models == null ? List.of() : List.copyOf(models);
         softwareVersion = softwareVersion == null ? "" : softwareVersion;
     }
