Add up the slots of endpoints in 64 bits

Seen: with capacities of 2,147,483,647 the sum of the free slots of a model became negative, so that the model seemed to be short of slots, and endpoints of another model were ordered to load its weights.

Cause: VersionPlan#freeSlots and BatchRunner#start added 32-bit numbers. A negative sum also made BatchRunner treat its queue as overloaded.

Evidence: VersionPlanTest# shouldLoadNothingMoreWhenTheSumOfFreeSlotsExceedsAnInteger failed before: loads were planned for endpoints of the other model where none was needed. The sum in BatchRunner has the same cause and was found by reading; no test shows it.

Fix: both sums are 64-bit numbers. Capacities from the platform are bounded already; the sum no longer relies on it.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/StepSchedule.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/StepSchedule.java
@@ -103,7 +103,7 @@
      * @param now the current time, in milliseconds
      * @return the items, the one to start first at the front
      */
-    public static <T> List<T> order(Collection<Step<T>> steps, int slots, long now) {
+    public static <T> List<T> order(Collection<Step<T>> steps, long slots, long now) {
         List<RankedGroup<T>> groups = new ArrayList<>();
         steps.forEach(step -> rankGroups(step, groups));
         List<WaitingItem<T>> waiting = new ArrayList<>();
@@ -128,7 +128,7 @@
     }
 
     /** Whether the awaited groups, run in the order of their deadlines, miss one of these deadlines. */
-    private static <T> boolean isOverloaded(List<RankedGroup<T>> groups, int slots, long now) {
+    private static <T> boolean isOverloaded(List<RankedGroup<T>> groups, long slots, long now) {
         List<RankedGroup<T>> awaited = groups.stream()
                 .filter(RankedGroup::isAwaited)
                 .sorted(Comparator.comparingLong(
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/VersionPlan.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/VersionPlan.java
@@ -127,10 +127,10 @@
         }
     }
 
-    private static int freeSlots(Collection<GenerationEndpoint> endpoints, ModelDemand demand) {
+    private static long freeSlots(Collection<GenerationEndpoint> endpoints, ModelDemand demand) {
         return endpoints.stream()
                 .filter(endpoint -> endpoint.canStart(demand.model(), demand.oldestVersion()))
-                .mapToInt(endpoint -> endpoint.capacity() - endpoint.running())
+                .mapToLong(endpoint -> (long) endpoint.capacity() - endpoint.running())
                 .sum();
     }
 
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/VersionPlanTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/VersionPlanTest.java
@@ -105,4 +105,24 @@
         assertEquals(EndpointId.of("e5"), loads.getFirst().endpoint());
         assertTrue(new HashSet<>(loads).size() == 2);
     }
+
+    private static List<GenerationEndpoint> withCapacity(int capacity) {
+        List<Map<ModelName, Long>> versions =
+                List.of(Map.of(SMALL, 5L, LARGE, 5L), Map.of(SMALL, 5L, LARGE, 5L), Map.of(SMALL, 5L, LARGE, 1L));
+        List<GenerationEndpoint> endpoints = new ArrayList<>();
+        for (int number = 0; number < versions.size(); number++) {
+            endpoints.add(new GenerationEndpoint(
+                    EndpointId.of("e" + number), "v1", capacity, 0, versions.get(number), Set.of(), false, true, 0));
+        }
+        return endpoints;
+    }
+
+    /** Free slots added up in 32 bits become negative, and the model seems to be short of them. */
+    @Test
+    void shouldLoadNothingMoreWhenTheSumOfFreeSlotsExceedsAnInteger() {
+        List<ModelDemand> demands = List.of(demand(SMALL, 5, 0, 30), demand(LARGE, 5, 2, 8));
+
+        assertEquals(List.of(), new VersionPlan().next(withCapacity(8), demands));
+        assertEquals(List.of(), plan.next(withCapacity(Integer.MAX_VALUE), demands));
+    }
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -256,10 +256,10 @@
                 .flatMap(open -> open.values().stream().limit(1))
                 .flatMap(task -> route(task.submission).stream())
                 .forEach(route -> available.computeIfAbsent(route.serviceAt(0), fleet::endpoints));
-        int slots = available.values().stream()
+        long slots = available.values().stream()
                 .flatMap(List::stream)
                 .filter(endpoint -> !endpoint.avoided())
-                .mapToInt(GenerationEndpoint::capacity)
+                .mapToLong(GenerationEndpoint::capacity)
                 .sum();
         List<ItemTask> waiting = queue.order(tasks.values(), this::runTarget, slots, leader.leaderTime(), now);
         for (ItemTask task : waiting) {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
@@ -67,7 +67,7 @@
     List<ItemTask> order(
             Collection<Map<ItemId, ItemTask>> submissions,
             ToLongFunction<StoredSubmission> targets,
-            int slots,
+            long slots,
             long leaderTime,
             long now) {
         List<StepSchedule.Step<ItemTask>> steps = new ArrayList<>();
