--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EndpointAnnouncement.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EndpointAnnouncement.java
@@ -62,7 +62,20 @@
      * @param model the model
      * @param version version of its weights
      */
-    public record LoadedModel(ModelName model, long version) {}
+    public record LoadedModel(ModelName model, long version) {
+        /** Maximum number of a version; a trainer publishes one version per step. */
+        public static final long MAXIMUM_VERSION = 1_000_000_000;
+
+        /**
+         * Returns whether a number can be a weight version.
+         *
+         * @param number the number
+         * @return true if it lies between 0 and {@link #MAXIMUM_VERSION}
+         */
+        public static boolean isVersion(long number) {
+            return number >= 0 && number <= MAXIMUM_VERSION;
+        }
+    }
 
     public EndpointAnnouncement {
         Objects.requireNonNull(id, "id");
