Refuse heartbeats with an implausible start or sequence

Seen: one heartbeat under the id of a sound endpoint with the largest sequence, a sequence of 2^53 - 1 or the largest start time, or one at its address with a start in the future, replaced the endpoint. All its own heartbeats were older by comparison and ignored; edges sent its requests to the other address, or answered 503, until the entry was removed two minutes after its silence. A restart did not bring the endpoint back, because its start was older, too.

Cause: of two announcements the one with the later start or the larger sequence wins, and neither was checked against the clock.

Fix: a heartbeat is refused if it claims a start more than 60 s ahead of the host, or more heartbeats than milliseconds since the start. Endpoints count from 0 at each start, and clocks differ by seconds, so a real heartbeat is accepted. An endpoint whose clock is further ahead is accepted once it has run for as long.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ControlRequests.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ControlRequests.java
@@ -85,7 +85,8 @@
     }
 
     private void heartbeat(CallerExchange exchange, String id) {
-        Optional<EndpointAnnouncement> announcement = EndpointFormat.decodeHeartbeat(id, exchange.body());
+        Optional<EndpointAnnouncement> announcement =
+                EndpointFormat.decodeHeartbeat(id, exchange.body(), System.currentTimeMillis());
         if (announcement.isEmpty()) {
             LOG.log(Event.HEARTBEAT_REFUSED, "endpoint", id, "bytes", exchange.body().length);
             exchange.answerText(400, "the heartbeat does not describe a valid endpoint");
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/VersionOrdersTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/VersionOrdersTest.java
@@ -44,7 +44,7 @@
             EndpointDirectory directory = new EndpointDirectory();
             directory.merge(
                     EndpointFormat.decodeHeartbeat(
-                                    "e-1", engine.heartbeat("engines", 1).getBytes())
+                                    "e-1", engine.heartbeat("engines", 1).getBytes(), System.currentTimeMillis())
                             .orElseThrow(),
                     0);
             GenerationFleet fleet = new GenerationFleet(directory, new EndpointLoads(), endpoint -> true);
