--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -55,6 +55,7 @@
         this.folder = folder;
     }
 
+    /** Returns a port that no earlier call returned; the system may assign one again as soon as it is closed. */
     private static int freePort() {
         while (true) {
             try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(STORE_HOST))) {
@@ -155,6 +156,11 @@
                 () -> post(operatorPort, "/api/replicas/" + id + "/heartbeat", "", heartbeat) == 200 ? true : null);
     }
 
+    /** Sends any body as the heartbeat of an endpoint and returns the status of the answer. */
+    int heartbeat(String id, String body) {
+        return post(operatorPort, "/api/replicas/" + id + "/heartbeat", "", body);
+    }
+
     /** Sends a request to an edge and returns the status of the answer. */
     int request(int edge, String id, String body) {
         return request(edge, "/x/1", id, body);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -462,6 +462,21 @@
             StoreProcess.this.askLeader(request, reply);
         }
 
+        @Override
+        public boolean isAcceptable(EndpointAnnouncement announcement) {
+            // Endpoints of a new service may register before this host knows the configuration that names it.
+            return isConfigured(announcement)
+                    || directory
+                            .replacedBy(announcement)
+                            .filter(this::isConfigured)
+                            .isEmpty();
+        }
+
+        private boolean isConfigured(EndpointAnnouncement announcement) {
+            return table.map(current -> current.services().containsKey(announcement.service()))
+                    .orElse(false);
+        }
+
         @Override
         public void receive(EndpointAnnouncement announcement) {
             registry.receive(announcement);
@@ -479,10 +494,8 @@
         @Override
         public void onOpen(WireConnection connection) {
             connection.send(status(Forwarder.now()));
-            if (connection.remoteRole() == Role.ENTRY || !directory.all().isEmpty()) {
-                connection.send(
-                        new EndpointNews(List.copyOf(directory.all()), crashes.all(), rateLimits.all(), List.of()));
-            }
+            EndpointNews.batchesOf(directory.all()).forEach(connection::send);
+            connection.send(new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of()));
         }
 
         @Override
