Close idle connections to endpoints on which bytes arrive, in the entry

A caller of a plain service could get a failure as a success, as in the platform path: if the start of an extra answer arrives on an idle connection, the decoder keeps it and takes the next answer for its continuation. After "HTTP/1.1 200 OK" and half a header line, a 404 was passed on with status 200. A guard before the decoder now closes a connection on which bytes arrive while it is in the pool.

--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.rosemarybeam.common.id.AttemptId;
@@ -70,10 +71,15 @@
                 .setHttpClientCodecMaxHeaderSize(MAXIMUM_HEADER_BYTES)
                 .setTcpNoDelay(true)
                 .setCookieStore(null)
-                .setHttpAdditionalChannelInitializer(ReadGate::install)
+                .setHttpAdditionalChannelInitializer(EndpointClient::installHandlers)
                 .setResponseBodyPartFactory(AsyncHttpClientConfig.ResponseBodyPartFactory.LAZY));
     }
 
+    private static void installHandlers(Channel channel) {
+        ReadGate.install(channel);
+        IdleConnectionGuard.install(channel);
+    }
+
     /**
      * Starts an attempt.
      *
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ProxyTest.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ProxyTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 
@@ -384,4 +385,44 @@
             throw new IllegalStateException(interrupted);
         }
     }
+
+    /** Answers with 200, and with 404 on the same connection; the start of an extra answer follows the first one. */
+    private static ScriptedEndpoint.Script extraAnswer(long delayMilliseconds, CountDownLatch sent) {
+        String extra = "HTTP/1.1 200 OK\r\nX: ";
+        return call -> {
+            if (call.uri().endsWith("/second")) {
+                call.respond(404, "missing");
+            } else if (delayMilliseconds == 0) {
+                call.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst" + extra);
+                sent.countDown();
+            } else {
+                call.respond(200, "first");
+                Thread.sleep(delayMilliseconds);
+                call.write(extra);
+                sent.countDown();
+            }
+        };
+    }
+
+    private void checkNotMixed(long delayMilliseconds) throws Exception {
+        CountDownLatch sent = new CountDownLatch(1);
+        endpoint("a", extraAnswer(delayMilliseconds, sent));
+
+        assertEquals(200, harness.get(entry, PATH + "/first").statusCode());
+        assertTrue(sent.await(5, TimeUnit.SECONDS));
+        Thread.sleep(100);
+        assertEquals(404, harness.get(entry, PATH + "/second").statusCode());
+    }
+
+    /** The start of an extra answer on an idle connection would become a part of the head of the next answer. */
+    @Test
+    void shouldNotMixTheNextAnswerWithBytesThatArriveOnAnIdleConnection() throws Exception {
+        checkNotMixed(100);
+    }
+
+    /** The start of an extra answer stays in the decoder if it arrives together with the end of an answer. */
+    @Test
+    void shouldNotMixTheNextAnswerWithBytesThatArriveWithTheAnswer() throws Exception {
+        checkNotMixed(0);
+    }
 }
