Keep an endpoint when another id claims its address with the same start

Seen: a copy of a heartbeat under another id replaced the endpoint from which it was copied. Edges expected the other id at the address, the endpoint refused their requests with 421, and callers got 503.

Cause: an endpoint kept its address only against one with an earlier start. With the same start, the heartbeat that came last won, and the endpoint's own later heartbeats were ignored because it counted as departed.

Fix: two processes cannot have one address from the same millisecond on, so the endpoint that has it keeps it. Where no start is known, the later heartbeat still decides; a test covers that.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
@@ -58,7 +58,7 @@
                 Optional.ofNullable(byAddress.get(announcement.address())).flatMap(this::find);
         boolean isReplaced = addressOwner
                 .filter(other -> !other.id().equals(announcement.id()))
-                .filter(other -> other.startedMilliseconds() > announcement.startedMilliseconds())
+                .filter(other -> keepsAddress(other, announcement))
                 .isPresent();
         if (isReplaced) {
             return Change.OUTDATED;
@@ -72,6 +72,16 @@
         return isNew ? Change.CHANGED : Change.REFRESHED;
     }
 
+    /**
+     * Returns whether the endpoint at an address is not replaced by another one that claims it. Two processes cannot have the
+     * address from the same start on; only if no start is known, the later heartbeat decides.
+     */
+    private static boolean keepsAddress(EndpointAnnouncement owner, EndpointAnnouncement claimant) {
+        boolean sameStart = owner.startedMilliseconds() == claimant.startedMilliseconds();
+        boolean isKnown = owner.startedMilliseconds() > 0;
+        return sameStart ? isKnown : owner.startedMilliseconds() > claimant.startedMilliseconds();
+    }
+
     /**
      * Returns the latest announcement of an endpoint.
      *
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointDirectoryTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointDirectoryTest.java
@@ -124,4 +124,22 @@
                     State.GONE, other.find(EndpointId.of("a")).orElseThrow().state(), "from " + first);
         }
     }
+
+    /** A copy of an entry under another id has the same start; it must not replace the endpoint that it was copied from. */
+    @Test
+    void shouldKeepTheEndpointWhenAnotherIdClaimsItsAddressWithTheSameStart() {
+        directory.merge(ready("a", 100, 1), 0);
+
+        assertEquals(Change.OUTDATED, directory.merge(ready("b", 100, 9), 1));
+        assertEquals("a", directory.ready(DESK).getFirst().id().value());
+    }
+
+    /** Endpoints that do not state their start have no other order than that of their heartbeats. */
+    @Test
+    void shouldReplaceTheEndpointAtAnAddressWhenNoStartIsKnown() {
+        directory.merge(ready("a", 0, 1), 0);
+
+        assertEquals(Change.CHANGED, directory.merge(ready("b", 0, 1), 1));
+        assertEquals("b", directory.ready(DESK).getFirst().id().value());
+    }
 }
