Give each listener of a test cluster a port of its own

Seen: a test failed with SETTINGS_INVALID for /readyAddress of an edge, once in 99 clusters: two of the ports that PlatformCluster drew were the same one.

Cause: a port is free again as soon as the socket that found it is closed, so the system may assign it twice.

--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -14,8 +14,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
@@ -29,6 +31,9 @@
     static final String STORE_HOST = "127.0.78.1";
     private static final int STOP_SECONDS = 1;
 
+    /** The ports that were returned for any cluster of this process. */
+    private static final Set<Integer> PORTS = ConcurrentHashMap.newKeySet();
+
     private final Path folder;
     private final int protocolPort = freePort();
     private final int operatorPort = freePort();
@@ -44,7 +49,16 @@
         this.folder = folder;
     }
 
+    /** Returns a port that no earlier call returned; the system may assign one again as soon as it is closed. */
     private static int freePort() {
+        int port = unusedPort();
+        while (!PORTS.add(port)) {
+            port = unusedPort();
+        }
+        return port;
+    }
+
+    private static int unusedPort() {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(STORE_HOST))) {
             return socket.getLocalPort();
         } catch (IOException failure) {
