Keep endpoints in use when an unknown service claims their id or address

Seen: a heartbeat of a service that no configuration names, at the address of a sound endpoint with a later start, or under its id with a larger sequence, replaced the endpoint. Callers of the endpoint's service got 503.

Cause: announcements are merged by start and sequence, whatever their service.

Fix: a host that knows a configuration with the service of the endpoint in use refuses the heartbeat of a service that its configuration does not name. Endpoints of a new service can still register before the configuration arrives, at addresses that are not in use.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
@@ -92,6 +92,22 @@
         return Optional.ofNullable(byId.get(id)).map(entry -> entry.announcement);
     }
 
+    /**
+     * Returns the ready endpoint that an announcement would replace, by its id or its address.
+     *
+     * @param announcement the announcement
+     * @return the endpoint of another service that has the id, or the other endpoint that has the address
+     */
+    public Optional<EndpointAnnouncement> replacedBy(EndpointAnnouncement announcement) {
+        Optional<EndpointAnnouncement> sameId = find(announcement.id())
+                .filter(known -> known.state() == State.READY)
+                .filter(known -> !known.service().equals(announcement.service()));
+        return sameId.or(() -> Optional.ofNullable(byAddress.get(announcement.address()))
+                .filter(id -> !id.equals(announcement.id()))
+                .flatMap(this::find)
+                .filter(known -> known.state() == State.READY));
+    }
+
     /**
      * Returns the endpoints that accept new requests.
      *
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointDirectoryTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointDirectoryTest.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.decision.routing;
 
 import java.util.List;
+import java.util.Optional;
 
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.FailureDomain;
@@ -142,4 +143,21 @@
         assertEquals(Change.CHANGED, directory.merge(ready("b", 0, 1), 1));
         assertEquals("b", directory.ready(DESK).getFirst().id().value());
     }
+
+    /** An endpoint in use is found by its id or its address; one that is gone is replaced by every newer one. */
+    @Test
+    void shouldFindTheReadyEndpointThatAnAnnouncementReplaces() {
+        EndpointAnnouncement used = ready("a", 100, 1);
+        directory.merge(used, 0);
+
+        assertEquals(Optional.of(used), directory.replacedBy(announcement("b", 200, 1, MODEL, ADDRESS, State.READY)));
+        assertEquals(
+                Optional.of(used),
+                directory.replacedBy(announcement("a", 200, 1, MODEL, "10.1.0.10:8080", State.READY)));
+        assertEquals(Optional.empty(), directory.replacedBy(ready("a", 200, 1)));
+
+        directory.merge(used.asDeparted(), 1);
+
+        assertEquals(Optional.empty(), directory.replacedBy(announcement("b", 200, 1, MODEL, ADDRESS, State.READY)));
+    }
 }
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/LimitedEndpoint.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/LimitedEndpoint.java
@@ -12,11 +12,15 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 
-/** An endpoint that names a rate limit while it is told to, and records when requests arrive. Safe for use by several threads. */
+/**
+ * An endpoint that names a rate limit while it is told to, refuses requests for other endpoints and records when its own arrive.
+ * Safe for use by several threads.
+ */
 final class LimitedEndpoint implements AutoCloseable {
     private final HttpServer server;
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
     private volatile String limit = "";
+    private volatile String id = "";
 
     /** Monotonic times of the requests, in milliseconds. */
     final List<Long> requests = new CopyOnWriteArrayList<>();
@@ -37,6 +41,11 @@
         limit = requestsPerSecond;
     }
 
+    /** Sets the id of this endpoint, so that it refuses requests that expect another one; empty to run them all. */
+    void runAs(String endpoint) {
+        id = endpoint;
+    }
+
     String address() {
         return "127.0.0.1:" + server.getAddress().getPort();
     }
@@ -54,8 +63,14 @@
     }
 
     private void serve(HttpExchange exchange) throws IOException {
-        requests.add(System.nanoTime() / 1_000_000);
         exchange.getRequestBody().readAllBytes();
+        String expected = exchange.getRequestHeaders().getFirst("Rosemarybeam-Expect-Instance");
+        if (!id.isEmpty() && !id.equals(expected)) {
+            exchange.sendResponseHeaders(421, -1);
+            exchange.close();
+            return;
+        }
+        requests.add(System.nanoTime() / 1_000_000);
         exchange.getResponseHeaders()
                 .set("Rosemarybeam-Request-Id", exchange.getRequestHeaders().getFirst("Rosemarybeam-Request-Id"));
         exchange.getResponseHeaders().set("Rosemarybeam-Server-Stamp", "d");
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -154,6 +154,11 @@
                 () -> post(operatorPort, "/api/replicas/" + id + "/heartbeat", "", heartbeat) == 200 ? true : null);
     }
 
+    /** Sends any body as the heartbeat of an endpoint and returns the status of the answer. */
+    int heartbeat(String id, String body) {
+        return post(operatorPort, "/api/replicas/" + id + "/heartbeat", "", body);
+    }
+
     /** Sends a request to an edge and returns the status of the answer. */
     int request(int edge, String id, String body) {
         return request(edge, "/x/1", id, body);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ControlRequests.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ControlRequests.java
@@ -44,6 +44,9 @@
         /** Sends a request to the leader, which may be this host. */
         void askLeader(StoreMessage request, Consumer<StoreReply> reply);
 
+        /** Returns whether an announcement may be merged: it replaces no endpoint in use by one of an unknown service. */
+        boolean isAcceptable(EndpointAnnouncement announcement);
+
         /** Merges an announcement and distributes the change. */
         void receive(EndpointAnnouncement announcement);
 
@@ -87,7 +90,7 @@
     private void heartbeat(CallerExchange exchange, String id) {
         Optional<EndpointAnnouncement> announcement =
                 EndpointFormat.decodeHeartbeat(id, exchange.body(), System.currentTimeMillis());
-        if (announcement.isEmpty()) {
+        if (announcement.filter(context::isAcceptable).isEmpty()) {
             LOG.log(Event.HEARTBEAT_REFUSED, "endpoint", id, "bytes", exchange.body().length);
             exchange.answerText(400, "the heartbeat does not describe a valid endpoint");
             return;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -446,6 +446,21 @@
             StoreProcess.this.askLeader(request, reply);
         }
 
+        @Override
+        public boolean isAcceptable(EndpointAnnouncement announcement) {
+            // Endpoints of a new service may register before this host knows the configuration that names it.
+            return isConfigured(announcement)
+                    || directory
+                            .replacedBy(announcement)
+                            .filter(this::isConfigured)
+                            .isEmpty();
+        }
+
+        private boolean isConfigured(EndpointAnnouncement announcement) {
+            return table.map(current -> current.services().containsKey(announcement.service()))
+                    .orElse(false);
+        }
+
         @Override
         public void receive(EndpointAnnouncement announcement) {
             registry.receive(announcement);
