Refuse deregistrations whose id is not valid

Seen: a deregistration under an id of more than 200 characters was answered with 500, after which the sender calls the next host.

Cause: the exception of the id was not handled.

Evidence: StoreProcessTest#shouldRefuseDeregistrationWhenTheIdIsTooLong failed before: 500 instead of 400.

Fix: it is answered with 400, as a heartbeat under such an id is.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ControlRequests.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ControlRequests.java
@@ -5,6 +5,7 @@
 import java.util.function.Consumer;
 
 import io.rosemarybeam.common.error.ConfigurationException;
+import io.rosemarybeam.common.error.InvalidIdentifierException;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.id.EndpointId;
@@ -100,7 +101,13 @@
     }
 
     private void deregister(CallerExchange exchange, String id) {
-        Optional<EndpointAnnouncement> known = context.find(EndpointId.of(id));
+        Optional<EndpointAnnouncement> known;
+        try {
+            known = context.find(EndpointId.of(id));
+        } catch (InvalidIdentifierException malformed) {
+            exchange.answerText(400, malformed.getMessage());
+            return;
+        }
         if (known.isEmpty()) {
             // Another host may know the endpoint; without its start time, a late heartbeat could register it again.
             exchange.refuse(RETRY_AFTER_SECONDS);
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
@@ -234,6 +234,14 @@
         assertEquals(configuration(2), newestConfiguration(4));
     }
 
+    /** A 500 is repeated at every other host. */
+    @Test
+    void shouldRefuseDeregistrationWhenTheIdIsTooLong() {
+        cluster.start(1, true);
+
+        assertEquals(400, cluster.post(1, "/api/replicas/" + "x".repeat(201) + "/deregister", "{}"));
+    }
+
     /** The list of endpoints was sent in one frame, and the process that could not send it ended. */
     @Test
     void shouldGoOnWhenAHeartbeatExceedsTheSizeOfAFrame() throws InterruptedException {
