Refuse reads of results whose query cannot be decoded

Seen: a read with "After=%zz" was answered with 500, which consumers repeat.

Cause: the decoder of the query throws IllegalArgumentException for a malformed escape, and only malformed numbers and ids were handled.

Numbers that are malformed or too large were refused already.

Fix: the exception is converted where the query is decoded.

--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/BatchRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/BatchRequests.java
@@ -7,6 +7,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.InvalidIdentifierException;
 import io.rosemarybeam.common.error.RequestException;
 import io.rosemarybeam.common.event.Event;
@@ -76,7 +77,7 @@
             } else {
                 return false;
             }
-        } catch (InvalidIdentifierException | NumberFormatException malformed) {
+        } catch (InvalidIdentifierException | NumberFormatException | RequestException malformed) {
             exchange.answerText(400, malformed.getMessage());
         }
         return true;
@@ -182,7 +183,11 @@
     }
 
     private static Optional<String> parameter(CallerExchange exchange, String name) {
-        Map<String, List<String>> parameters = new QueryStringDecoder(exchange.uri()).parameters();
-        return Optional.ofNullable(parameters.get(name)).map(List::getFirst);
+        try {
+            Map<String, List<String>> parameters = new QueryStringDecoder(exchange.uri()).parameters();
+            return Optional.ofNullable(parameters.get(name)).map(List::getFirst);
+        } catch (IllegalArgumentException malformed) {
+            throw new RequestException(ErrorCode.REQUEST_INVALID, "the query cannot be decoded", malformed);
+        }
     }
 }
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -4,10 +4,12 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -164,6 +166,18 @@
         return request(edge, "/x/1", id, body);
     }
 
+    /** Reads from a path of an edge, which need not be a valid one, and returns the status line of the answer. */
+    String read(int edge, String path) throws IOException {
+        try (Socket socket = new Socket(STORE_HOST, callerPorts.get(edge))) {
+            String request = "GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
+                    .lines()
+                    .findFirst()
+                    .orElse("");
+        }
+    }
+
     int request(int edge, String path, String id, String body) {
         return post(callerPorts.get(edge), path, id, body);
     }
