--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/BatchRequestsTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/BatchRequestsTest.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.edge;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -71,4 +72,13 @@
 
         assertEquals(413, status.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
     }
+
+    /** A failure of the edge would make trainers repeat a call that can never succeed. */
+    @Test
+    void shouldRefuseReadWhenItsParametersAreMalformed() throws IOException {
+        for (String query :
+                new String[] {"After=x", "After=99999999999", "After=1.5", "After=%zz", "After=%", "After="}) {
+            assertEquals("HTTP/1.1 400 Bad Request", cluster.read(0, "/api/lots/s-1?" + query), query);
+        }
+    }
 }
