Start no item of a submission that ended after the last tick

Callers saw: an item of an ended submission could still be sent to an endpoint, up to one tick (50 ms) after the end was applied, and then ran to its end. Nothing cancelled or timed it out, because it was no longer among the open items; it held a slot, also after this host had lost the leadership, and its result was proposed.

Cause: since items start in the order of the last tick when another one completes, that order can contain waiting items of a submission that has ended meanwhile. They stay in the stage WAITING.

Ruled out: items that were listed or abandoned; their stage is LISTING.

Why it works: the end of a submission removes its items from the order, so the order contains open items only.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -168,6 +168,7 @@
     /** Cancels the items of an ended submission, and retains their texts for a later submission. */
     void end(StoredSubmission stored) {
         Map<ItemId, ItemTask> ended = tasks.remove(stored.submission().id());
+        queue.remove(stored);
         removePromptEndpoints(stored);
         if (ended != null) {
             ended.values().forEach(task -> {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemQueue.java
@@ -92,6 +92,11 @@
         return () -> ordered.stream().filter(task -> isStartable(task, now)).iterator();
     }
 
+    /** Removes the items of a submission from the order; a submission may end between two calls of {@link #order}. */
+    void remove(StoredSubmission stored) {
+        ordered = ordered.stream().filter(task -> task.submission != stored).toList();
+    }
+
     private static boolean isStartable(ItemTask task, long now) {
         return task.stage == ItemTask.Stage.WAITING && now >= task.notBefore;
     }
--- /dev/null
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
@@ -0,0 +1,172 @@
+package io.rosemarybeam.store;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.ItemId;
+import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.wire.Submission;
+import io.rosemarybeam.decision.routing.CallerLimits;
+import io.rosemarybeam.decision.routing.EndpointDirectory;
+import io.rosemarybeam.decision.routing.EndpointLoads;
+import io.rosemarybeam.decision.routing.Route;
+import io.rosemarybeam.decision.routing.RoutingTable;
+import io.rosemarybeam.forward.RateLimits;
+import io.rosemarybeam.platform.EndpointClient;
+import io.rosemarybeam.platform.EndpointFormat;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+/** Guards against runs of items that no trainer waits for any more. */
+class BatchRunnerTest {
+    /** Number of slots of a {@link FakeEngine}. */
+    private static final int SLOTS = 4;
+
+    /** Number of events of the item that ends first; at 10 ms an event the others run much longer. */
+    private static final int FEW_EVENTS = 5;
+
+    /** Number of events of a run that lasts longer than the test. */
+    private static final int MANY_EVENTS = 10_000;
+
+    private static final int TIMEOUT_SECONDS = 20;
+    private static final EndpointId ENDPOINT = EndpointId.of("e-1");
+
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final EventLoop loop = loops.next();
+    private final StoreState state = new StoreState();
+    private final EndpointLoads loads = new EndpointLoads();
+    private final CompletableFuture<SubmissionId> firstResult = new CompletableFuture<>();
+
+    @AfterEach
+    void close() {
+        loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    private BatchRunner runner(FakeEngine engine) {
+        EndpointDirectory directory = new EndpointDirectory();
+        directory.merge(
+                EndpointFormat.decodeHeartbeat(
+                                ENDPOINT.value(), engine.heartbeat("engines", 1).getBytes())
+                        .orElseThrow(),
+                0);
+        BatchRunner runner = new BatchRunner(
+                state,
+                new GenerationFleet(directory, loads, endpoint -> true),
+                loads,
+                new RateLimits(changes -> {}, (request, decision) -> {}),
+                endpoint -> {},
+                EndpointClient.of(loop),
+                new ItemScoring(loop, null),
+                new FakeLeader());
+        state.setListener(new StoreState.Listener() {
+            @Override
+            public void accepted(StoredSubmission submission) {
+                runner.add(submission);
+            }
+
+            @Override
+            public void ended(StoredSubmission submission) {
+                runner.end(submission);
+            }
+        });
+        return runner;
+    }
+
+    private static Submission submission(String id, int items) {
+        List<Submission.Item> all = IntStream.range(0, items)
+                .mapToObj(number -> new Submission.Item(
+                        ItemId.of(id + "-" + number),
+                        "/generate/x",
+                        Map.of(),
+                        new byte[0],
+                        5,
+                        0,
+                        "g-" + number,
+                        Optional.empty()))
+                .toList();
+        return new Submission(
+                SubmissionId.of(id),
+                "a.example",
+                "/x/1",
+                0,
+                Optional.of(ModelName.of(FakeEngine.MODEL)),
+                1,
+                items,
+                all);
+    }
+
+    private void apply(long leaderTime, StoreCommand command) {
+        state.apply(StoreCommand.encode(leaderTime, command));
+    }
+
+    /** Guards against a run that nothing cancels, because its submission ended after the last tick had ordered the items. */
+    @Test
+    void shouldNotStartItemWhenItsSubmissionEndedSinceTheLastTick() throws Exception {
+        try (FakeEngine engine = new FakeEngine("127.0.77.102")) {
+            engine.setEventCount("first-0", FEW_EVENTS);
+            for (int item = 1; item < SLOTS; item++) {
+                engine.setEventCount("first-" + item, MANY_EVENTS);
+            }
+            engine.setEventCount("second-0", MANY_EVENTS);
+            BatchRunner runner = runner(engine);
+            loop.submit(() -> {
+                        apply(1, new StoreCommand.AcceptSubmission(submission("first", SLOTS), "r"));
+                        apply(2, new StoreCommand.AcceptSubmission(submission("second", 1), "r"));
+                        runner.tick();
+                        apply(3, new StoreCommand.CloseSubmission(SubmissionId.of("second")));
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            assertEquals(SubmissionId.of("first"), firstResult.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+
+            int running = loop.submit(() -> loads.outstanding(ENDPOINT)).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            loop.submit(runner::stop).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertEquals(SLOTS - 1, running);
+        }
+    }
+
+    /** A leader whose log stores nothing. */
+    private final class FakeLeader implements BatchRunner.LeaderContext {
+        private final RoutingTable table = RoutingTable.of(
+                1,
+                List.of(Route.builder()
+                        .matching("r", "a.example", "/x/")
+                        .split(List.of(new Route.Share(ServiceName.of("engines"), 1)))
+                        .submissionTimes(Duration.ofSeconds(10), Duration.ofMinutes(1))
+                        .build()),
+                List.of(),
+                CallerLimits.defaults());
+
+        @Override
+        public Optional<RoutingTable> table() {
+            return Optional.of(table);
+        }
+
+        @Override
+        public long leaderTime() {
+            return 0;
+        }
+
+        @Override
+        public void storeTexts(SubmissionId submission, List<StoredSubmission.StoredText> texts) {
+            // The test looks at the runs only.
+        }
+
+        @Override
+        public void listResults(SubmissionId submission, List<Submission.Result> results) {
+            firstResult.complete(submission);
+        }
+    }
+}
