Do not deny a stored submission when the leader cannot confirm itself

Callers saw (would see): a copy of a submission that is stored and runs is answered 503, which promises that no part of it runs.

Cause: since a copy of a stored submission is acknowledged without a proposal, a leader that loses the leadership before a majority has confirmed it replies NOT_LEADER. An edge takes that as not executed and refuses the submission when its time ends. A failed proposal, as before, was UNCERTAIN, which ends in 504.

Ruled out: a copy that waits for the first proposal; it gets the outcome of that proposal, which is UNCERTAIN when the leadership is lost.

Why it works: the reply about a stored submission is DONE or UNCERTAIN.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -204,7 +204,7 @@
     private void submit(Submission submission, Consumer<StoreReply> reply) {
         SubmissionId id = submission.id();
         if (state.submission(id).isPresent()) {
-            readLinearizably(reply, () -> isStored(id));
+            confirmStored(id, reply);
             return;
         }
         List<Consumer<StoreReply>> waiting = pendingSubmissions.get(id);
@@ -219,8 +219,12 @@
         propose(command, outcome -> pendingSubmissions.remove(id).forEach(waiter -> waiter.accept(outcome)));
     }
 
-    private StoreReply isStored(SubmissionId id) {
-        return StoreReply.of(state.submission(id).isPresent() ? Outcome.DONE : Outcome.UNCERTAIN);
+    /** Never replies that this host does not lead, because callers then refuse the submission, although its items run. */
+    private void confirmStored(SubmissionId id, Consumer<StoreReply> reply) {
+        driver.confirmLeadership(false).whenComplete((ignored, failure) -> {
+            boolean isStored = failure == null && state.submission(id).isPresent();
+            reply.accept(StoreReply.of(isStored ? Outcome.DONE : Outcome.UNCERTAIN));
+        });
     }
 
     private void read(ReadResults read, Consumer<StoreReply> reply) {
--- /dev/null
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
@@ -0,0 +1,177 @@
+package io.rosemarybeam.store;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+
+import io.rosemarybeam.common.id.ItemId;
+import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
+import io.rosemarybeam.common.wire.StoreMessage.SubmitBatch;
+import io.rosemarybeam.common.wire.Submission;
+import io.rosemarybeam.consensus.DurableState;
+import io.rosemarybeam.consensus.HardState;
+import io.rosemarybeam.consensus.LogMessage;
+import io.rosemarybeam.consensus.LogMessage.Envelope;
+import io.rosemarybeam.consensus.LogOptions;
+import io.rosemarybeam.consensus.LogSnapshot;
+import io.rosemarybeam.consensus.Member;
+import io.rosemarybeam.consensus.MemberId;
+import io.rosemarybeam.consensus.Membership;
+import io.rosemarybeam.consensus.ReplicatedLog;
+import io.rosemarybeam.consensus.storage.FileSystem;
+import io.rosemarybeam.consensus.storage.LogStorage;
+import io.rosemarybeam.control.LeaderClock;
+import io.rosemarybeam.control.LogDriver;
+import io.rosemarybeam.control.MonotonicClock;
+import io.rosemarybeam.decision.routing.EndpointLoads;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/** Guards against a leader that answers a submission as not accepted although it is stored. */
+class StoreLeaderTest {
+    /** Number of ticks within which an election or a check of the quorum is over. */
+    private static final int MANY_TICKS = 200;
+
+    private static final MemberId SELF = new MemberId("store-1", 1);
+    private static final MemberId FOLLOWER = new MemberId("store-2", 1);
+
+    @TempDir
+    Path folder;
+
+    private final Queue<Runnable> tasks = new ArrayDeque<>();
+    private final StoreState state = new StoreState();
+    private LogStorage storage;
+    private LogDriver driver;
+    private boolean followerAnswers = true;
+
+    @BeforeEach
+    void lead() {
+        Membership members = new Membership(List.of(new Member(SELF, "a"), new Member(FOLLOWER, "b")), List.of());
+        LogSnapshot snapshot = new LogSnapshot(1, 1, members, new byte[0]);
+        HardState hardState = new HardState(1, Optional.empty());
+        storage = LogStorage.open(FileSystem.of(folder));
+        storage.persist(Optional.of(hardState), Optional.of(snapshot), List.of());
+        DurableState durable = new DurableState(hardState, Optional.of(snapshot), List.of());
+        ReplicatedLog log = new ReplicatedLog(LogOptions.standard(1), SELF, durable);
+        driver = new LogDriver(tasks::add, tasks::add, storage, log, Optional.of(snapshot), state, new Listener());
+        for (int tick = 0; tick < MANY_TICKS && log.role() != ReplicatedLog.Role.LEADER; tick++) {
+            tick();
+        }
+        tick();
+        assertEquals(ReplicatedLog.Role.LEADER, log.role());
+    }
+
+    @AfterEach
+    void close() {
+        storage.close();
+    }
+
+    private void tick() {
+        driver.tick();
+        runTasks();
+    }
+
+    private void runTasks() {
+        while (!tasks.isEmpty()) {
+            tasks.remove().run();
+        }
+    }
+
+    private StoreLeader leader() {
+        return new StoreLeader(
+                driver,
+                state,
+                new LeaderClock(MonotonicClock.system(), 0),
+                Optional::empty,
+                null,
+                null,
+                Duration.ofMinutes(1),
+                context ->
+                        new BatchRunner(state, null, new EndpointLoads(), null, endpoint -> {}, null, null, context));
+    }
+
+    private static SubmitBatch request() {
+        Submission.Item item =
+                new Submission.Item(ItemId.of("i"), "/x", Map.of(), new byte[0], 5, 0, "g", Optional.empty());
+        return new SubmitBatch(
+                new Submission(SubmissionId.of("s"), "h", "/x/", 0, Optional.empty(), 3, 1, List.of(item)));
+    }
+
+    /** Guards against a copy of a stored submission that is refused, which promises callers that none of it runs. */
+    @Test
+    void shouldNotDenyStoredSubmissionWhenLeadershipIsLostBeforeTheCopyIsConfirmed() {
+        StoreLeader leader = leader();
+        List<StoreReply> replies = new ArrayList<>();
+        leader.serve(request(), replies::add);
+        runTasks();
+        assertEquals(
+                List.of(Outcome.DONE), replies.stream().map(StoreReply::outcome).toList());
+
+        followerAnswers = false;
+        leader.serve(request(), replies::add);
+        for (int tick = 0; tick < MANY_TICKS && replies.size() == 1; tick++) {
+            tick();
+        }
+
+        assertTrue(state.submission(SubmissionId.of("s")).isPresent());
+        assertEquals(Outcome.UNCERTAIN, replies.getLast().outcome());
+    }
+
+    /** Answers as the other voter. */
+    private void answer(LogMessage message) {
+        Optional<LogMessage> reply = switch (message) {
+            case LogMessage.RequestVote vote -> Optional.of(new LogMessage.Vote(vote.term(), vote.preVote(), true));
+            case LogMessage.Append append ->
+                Optional.of(new LogMessage.Appended(
+                        append.term(),
+                        true,
+                        append.previousIndex() + append.entries().size(),
+                        0,
+                        append.readRound()));
+            default -> Optional.empty();
+        };
+        reply.ifPresent(sent -> tasks.add(() -> driver.receive(new Envelope(FOLLOWER, SELF, sent))));
+    }
+
+    /** Passes the messages of the log to the other voter while that one answers. */
+    private final class Listener implements LogDriver.Listener {
+        @Override
+        public void send(Envelope envelope) {
+            if (followerAnswers) {
+                answer(envelope.message());
+            }
+        }
+
+        @Override
+        public void onApplied() {
+            // The test looks at the replies only.
+        }
+
+        @Override
+        public void onLeadershipAcquired() {
+            // The test creates the leader itself.
+        }
+
+        @Override
+        public void onLeadershipLost() {
+            // The test looks at the replies only.
+        }
+
+        @Override
+        public void onFailure(Throwable failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+}
