Propose the results of items again when the log refused them

Callers would see: an item of an open submission stays without a result until the leader changes, although its text is complete.

Cause: the leader proposes a result once and ignores the outcome. The log refuses proposals while leadership is transferred. If the transfer is abandoned, because the successor does not take over, this host goes on leading, and the items stay in the stage LISTING, which no tick and no timeout leaves.

Ruled out: a proposal that ends because the leadership is lost; the next leader runs or lists these items.

Evidence: StoreLeaderTest lists 0 results instead of 1 within 200 ticks after an abandoned transfer on the code before; with the fix it passes.

Why it works: results whose proposal is UNCERTAIN are queued again for the next tick. A result is listed at most once, so one that was stored after all changes nothing.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -361,11 +361,18 @@
         pendingResults.computeIfAbsent(submission, ignored -> new ArrayList<>()).addAll(results);
     }
 
-    /** Proposes the results of one tick as one log entry per submission. */
+    /**
+     * Proposes the results of one tick as one log entry per submission. Results that may not be stored are proposed again: the
+     * log refuses proposals during a transfer of leadership, which may be abandoned, and a result is listed at most once.
+     */
     private void proposePendingResults() {
         Map<SubmissionId, List<Submission.Result>> ready = new HashMap<>(pendingResults);
         pendingResults.clear();
-        ready.forEach((submission, results) -> propose(new StoreCommand.ListResults(submission, results), reply -> {}));
+        ready.forEach((submission, results) -> propose(new StoreCommand.ListResults(submission, results), reply -> {
+            if (reply.outcome() == Outcome.UNCERTAIN) {
+                listResults(submission, results);
+            }
+        }));
     }
 
     /** A long-polling read that waits for the next result. Immutable. */
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
@@ -39,7 +39,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a leader that answers a submission as not accepted although it is stored. */
+/** Guards against a leader that denies a stored submission, or that drops a result which the log did not accept. */
 class StoreLeaderTest {
     /** Number of ticks within which an election or a check of the quorum is over. */
     private static final int MANY_TICKS = 200;
@@ -96,7 +96,7 @@
                 new LeaderClock(MonotonicClock.system(), 0),
                 Optional::empty,
                 null,
-                null,
+                new VersionOrders(null, null, endpoint -> {}, "store-1", 1, 0),
                 Duration.ofMinutes(1),
                 context ->
                         new BatchRunner(state, null, new EndpointLoads(), null, endpoint -> {}, null, null, context));
@@ -129,7 +129,27 @@
         assertEquals(Outcome.UNCERTAIN, replies.getLast().outcome());
     }
 
-    /** Answers as the other voter. */
+    /** Guards against an item that stays without a result, because its only proposal was refused during a transfer. */
+    @Test
+    void shouldListResultWhenItWasProposedDuringATransferOfLeadershipThatIsAbandoned() {
+        StoreLeader leader = leader();
+        leader.serve(request(), reply -> {});
+        runTasks();
+
+        driver.transferLeadership(FOLLOWER);
+        leader.listResults(
+                SubmissionId.of("s"),
+                List.of(new Submission.Result(ItemId.of("i"), true, new byte[0], List.of(3L), Optional.empty())));
+        StoredSubmission stored = state.submission(SubmissionId.of("s")).orElseThrow();
+        for (int tick = 0; tick < MANY_TICKS && stored.listedCount() == 0; tick++) {
+            leader.tick();
+            tick();
+        }
+
+        assertEquals(1, stored.listedCount());
+    }
+
+    /** Answers as the other voter, which ignores the request to lead. */
     private void answer(LogMessage message) {
         Optional<LogMessage> reply = switch (message) {
             case LogMessage.RequestVote vote -> Optional.of(new LogMessage.Vote(vote.term(), vote.preVote(), true));
