Compute a membership change once for all entries of the same version

Callers see nothing; the control leader does the work of one change of the membership once for each entry instead of once for all. Each computation passes over all endpoints and entries.

Cause: EntryNotifier has a cache of computed changes, but the method that builds the message asks the state directly.

Ruled out: a stale cache; it is cleared with each membership version.

Evidence: EntryNotifierTest fails before, because two entries of the same version get two equal but separately computed changes; it passes with the fix. Found while looking for work repeated per receiver; no stall of this process was measured.

Why it works: the message is built from the cached change.

--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryNotifier.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/EntryNotifier.java
@@ -90,7 +90,7 @@
                 state.configurations().newest().filter(newest -> newest.number() > sent.revision);
         boolean newMembership = sent.membershipVersion != state.membershipVersion();
         Optional<MembershipDelta> membership =
-                newMembership ? Optional.of(state.membershipSince(sent.membershipVersion)) : Optional.empty();
+                newMembership ? Optional.of(membershipSince(sent.membershipVersion)) : Optional.empty();
         var quarantined = state.quarantine().quarantinedSince(sent.quarantineVersion);
         Map<String, WeightVersion> weights =
                 sent.weightChanges == state.weights().changes()
