--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -204,7 +204,7 @@
     private void submit(Submission submission, Consumer<StoreReply> reply) {
         SubmissionId id = submission.id();
         if (state.submission(id).isPresent()) {
-            readLinearizably(reply, () -> isStored(id));
+            confirmStored(id, reply);
             return;
         }
         List<Consumer<StoreReply>> waiting = pendingSubmissions.get(id);
@@ -219,8 +219,12 @@
         propose(command, outcome -> pendingSubmissions.remove(id).forEach(waiter -> waiter.accept(outcome)));
     }
 
-    private StoreReply isStored(SubmissionId id) {
-        return StoreReply.of(state.submission(id).isPresent() ? Outcome.DONE : Outcome.UNCERTAIN);
+    /** Never replies that this host does not lead, because callers then refuse the submission, although its items run. */
+    private void confirmStored(SubmissionId id, Consumer<StoreReply> reply) {
+        driver.confirmLeadership(false).whenComplete((ignored, failure) -> {
+            boolean isStored = failure == null && state.submission(id).isPresent();
+            reply.accept(StoreReply.of(isStored ? Outcome.DONE : Outcome.UNCERTAIN));
+        });
     }
 
     private void read(ReadResults read, Consumer<StoreReply> reply) {
@@ -357,11 +361,18 @@
         pendingResults.computeIfAbsent(submission, ignored -> new ArrayList<>()).addAll(results);
     }
 
-    /** Proposes the results of one tick as one log entry per submission. */
+    /**
+     * Proposes the results of one tick as one log entry per submission. Results that may not be stored are proposed again: the
+     * log refuses proposals during a transfer of leadership, which may be abandoned, and a result is listed at most once.
+     */
     private void proposePendingResults() {
         Map<SubmissionId, List<Submission.Result>> ready = new HashMap<>(pendingResults);
         pendingResults.clear();
-        ready.forEach((submission, results) -> propose(new StoreCommand.ListResults(submission, results), reply -> {}));
+        ready.forEach((submission, results) -> propose(new StoreCommand.ListResults(submission, results), reply -> {
+            if (reply.outcome() == Outcome.UNCERTAIN) {
+                listResults(submission, results);
+            }
+        }));
     }
 
     /** A long-polling read that waits for the next result. Immutable. */
