Delete segments of the log one after the other

Cause: LogStorage deleted several segments before it synced the folder. After a loss of power each of these deletions may be kept or reverted, so an older segment can be back while a newer one is gone, and load refuses the gap between them.

Evidence: FaultyFileSystem now keeps or reverts each name on its own, as the platform does.

Why it works: each deletion is durable before the next one. Compaction usually deletes one segment, which takes as many syncs as before.

--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -121,7 +120,7 @@
             List<LogEntry> retained = selectEntriesMatchingSnapshot(snapshot, entries);
             if (retained.isEmpty()) {
                 // A crash after an installed snapshot was renamed and before the old log was deleted leaves both.
-                deleteSegments(Long.MAX_VALUE);
+                deleteAllSegments();
             }
             return new DurableState(hardState, snapshot, retained);
         });
@@ -197,8 +196,15 @@
         if (matchesSnapshot) {
             return List.copyOf(entries.values());
         }
-        boolean startsAfterSnapshot = !entries.isEmpty() && entries.firstKey() == index + 1;
-        return startsAfterSnapshot ? List.copyOf(entries.values()) : List.of();
+        if (entries.isEmpty() || entries.firstKey() <= index) {
+            return List.of();
+        }
+        if (entries.firstKey() > index + 1) {
+            throw new StorageException(
+                    ErrorCode.CORRUPT_RECORD,
+                    "the log starts with entry " + entries.firstKey() + ", the snapshot ends with entry " + index);
+        }
+        return List.copyOf(entries.values());
     }
 
     /**
@@ -214,7 +220,7 @@
             if (installed.isPresent()) {
                 snapshotIndex = installed.get().index();
                 replaceFile(SNAPSHOT_FILE, MessageCodec.encode(installed.get()));
-                deleteSegments(Long.MAX_VALUE);
+                deleteAllSegments();
             }
             if (hardState.isPresent()) {
                 replaceFile(HARD_STATE_FILE, MessageCodec.encode(hardState.get()));
@@ -263,36 +269,37 @@
             }
             snapshotIndex = snapshot.index();
             replaceFile(SNAPSHOT_FILE, MessageCodec.encode(snapshot));
-            deleteSegments(firstRetained);
+            deleteSegmentsBefore(firstRetained);
             return null;
         });
     }
 
+    /** Deletes the oldest segments whose entries all precede an index, but not the last segment. */
+    private void deleteSegmentsBefore(long firstRetained) throws IOException {
+        while (segments.size() > 1 && segments.firstEntry().getValue() < firstRetained) {
+            deleteSegment(segments.firstKey());
+        }
+    }
+
     /**
-     * Deletes the oldest segments whose entries all precede an index, but not the last segment. {@link Long#MAX_VALUE}
-     * deletes all segments.
+     * Deletes all segments, the newest one first: those that a crash leaves then begin where the log began, unlike those of
+     * which older segments are missing.
      */
-    private void deleteSegments(long firstRetained) throws IOException {
-        boolean deleted = false;
+    private void deleteAllSegments() throws IOException {
+        closeCurrentSegment();
         while (!segments.isEmpty()) {
-            Map.Entry<Long, Long> oldest = segments.firstEntry();
-            boolean isCurrent = segments.size() == 1;
-            if (oldest.getValue() >= firstRetained || (isCurrent && firstRetained != Long.MAX_VALUE)) {
-                break;
-            }
-            if (isCurrent) {
-                closeCurrentSegment();
-            }
-            files.delete(segmentName(oldest.getKey()));
-            segments.remove(oldest.getKey());
-            deleted = true;
-        }
-        if (deleted) {
-            files.syncFolder();
-            syncs++;
+            deleteSegment(segments.lastKey());
         }
     }
 
+    /** Deletes a segment durably before the next one, because a crash may revert unsynced deletions in any order. */
+    private void deleteSegment(long number) throws IOException {
+        files.delete(segmentName(number));
+        segments.remove(number);
+        files.syncFolder();
+        syncs++;
+    }
+
     private static String segmentName(long number) {
         return SEGMENT_PREFIX + String.format("%016d", number);
     }
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/FaultyFileSystem.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/FaultyFileSystem.java
@@ -6,6 +6,8 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntUnaryOperator;
 import java.util.random.RandomGenerator;
 
@@ -13,14 +15,14 @@
  * Files in memory that can lose unsynced data in a crash, fail to sync or run out of space. Confined to the thread of the
  * test.
  *
- * <p>A crash retains the synced part of every file and a random prefix of the data written after it, and undoes all
- * creations, renames and deletions since the last sync of the folder.
+ * <p>A crash retains the synced part of every file and a random prefix of the data written after it. Each name that was
+ * created, renamed or deleted since the last sync of the folder is retained or reverted, independently of the others.
  */
 public final class FaultyFileSystem implements FileSystem {
     private final TreeMap<String, Content> durableNames = new TreeMap<>();
     private final TreeMap<String, Content> names = new TreeMap<>();
     private boolean failSyncs;
-    private boolean failFolderSyncs;
+    private int folderSyncsUntilFailure = Integer.MAX_VALUE;
     private long capacity = Long.MAX_VALUE;
     private int syncs;
 
@@ -31,18 +33,23 @@
 
     /** Makes every sync of the folder fail until the next crash of the machine or end of the process. */
     public void failFolderSyncs() {
-        failFolderSyncs = true;
+        failFolderSyncsAfter(0);
+    }
+
+    /** Makes every sync of the folder except the next ones fail until the next crash or end of the process. */
+    public void failFolderSyncsAfter(int successful) {
+        folderSyncsUntilFailure = successful;
     }
 
     /** Simulates the end of the process, after which the files contain what was written, whether or not it was synced. */
     public void endProcess() {
         failSyncs = false;
-        failFolderSyncs = false;
+        folderSyncsUntilFailure = Integer.MAX_VALUE;
     }
 
-    /** Simulates a crash of the machine that loses all unsynced data. */
+    /** Simulates a crash of the machine that reverts all unsynced data and names. */
     public void crash() {
-        crash(unsynced -> 0);
+        crash(unsynced -> 0, () -> false);
     }
 
     /** Sets the maximum total size of all files, in bytes. */
@@ -57,10 +64,21 @@
 
     /** Simulates a crash of the machine, such as a power failure. */
     public void crash(RandomGenerator random) {
-        crash(unsynced -> random.nextInt(unsynced + 1));
-    }
-
-    private void crash(IntUnaryOperator retainedOfUnsynced) {
+        crash(unsynced -> random.nextInt(unsynced + 1), random::nextBoolean);
+    }
+
+    private void crash(IntUnaryOperator retainedOfUnsynced, BooleanSupplier retainsName) {
+        TreeSet<String> changed = new TreeSet<>(names.keySet());
+        changed.addAll(durableNames.keySet());
+        changed.removeIf(name -> names.get(name) == durableNames.get(name));
+        for (String name : changed) {
+            Content retained = retainsName.getAsBoolean() ? names.get(name) : durableNames.get(name);
+            if (retained == null) {
+                durableNames.remove(name);
+            } else {
+                durableNames.put(name, retained);
+            }
+        }
         names.clear();
         names.putAll(durableNames);
         for (Content content : names.values()) {
@@ -70,7 +88,7 @@
             content.syncedBytes = content.bytes.length;
         }
         failSyncs = false;
-        failFolderSyncs = false;
+        folderSyncsUntilFailure = Integer.MAX_VALUE;
     }
 
     /** Damages one byte of a file. */
@@ -136,9 +154,10 @@
 
     @Override
     public void syncFolder() throws IOException {
-        if (failFolderSyncs) {
+        if (folderSyncsUntilFailure == 0) {
             throw new IOException("sync of the folder failed");
         }
+        folderSyncsUntilFailure--;
         sync();
         durableNames.clear();
         durableNames.putAll(names);
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
@@ -229,6 +229,58 @@
         assertEquals(List.of("2/1", "3/1"), indexesAndTerms(openStorage().load()));
     }
 
+    /** Files that were deleted together may reappear one by one, which left a gap between the segments. */
+    @Property(tries = 100, seed = "20261210", shrinking = ShrinkingMode.OFF)
+    void shouldLoadWhenMachineCrashesWhileSegmentsAreDeleted(@ForAll long seed) throws IOException {
+        SplittableRandom random = new SplittableRandom(seed);
+        deleteAllFiles();
+        for (int segment = 0; segment < 5; segment++) {
+            LogStorage storage = openStorage();
+            storage.load();
+            append(storage, entries(segment * 3 + 1, segment * 3 + 3, 1));
+        }
+        LogStorage storage = openStorage();
+        storage.load();
+        boolean isInstalled = random.nextBoolean();
+        files.failFolderSyncsAfter(random.nextInt(6));
+        try {
+            if (isInstalled) {
+                storage.persist(Optional.empty(), Optional.of(snapshot(20, 2)), List.of());
+            } else {
+                storage.compact(snapshot(14, 1), 14);
+            }
+        } catch (StorageException interrupted) {
+            // The machine crashes before the folder is synced.
+        }
+        files.crash(random);
+
+        DurableState loaded = openStorage().load();
+
+        boolean hasSnapshot = loaded.snapshot().isPresent();
+        boolean isReplaced = hasSnapshot && isInstalled;
+        assertEquals(
+                isReplaced ? 0 : 15,
+                loaded.entries().isEmpty() ? 0 : loaded.entries().getLast().index());
+        assertTrue(hasSnapshot || loaded.entries().getFirst().index() == 1);
+    }
+
+    /** The entries of a lost segment were acknowledged, and the later ones cannot be applied without them. */
+    @Test
+    void shouldRefuseToLoadWhenSegmentAfterSnapshotIsMissing() throws IOException {
+        append(openStorage(), entries(1, 5, 1));
+        LogStorage second = openStorage();
+        second.load();
+        append(second, entries(6, 8, 1));
+        second.compact(snapshot(3, 1), 1);
+        files.delete(FIRST_SEGMENT);
+
+        StorageException failure =
+                assertThrows(StorageException.class, () -> openStorage().load());
+
+        assertEquals(ErrorCode.CORRUPT_RECORD, failure.code());
+        assertEquals(List.of("log-0000000000000002", "snapshot"), files.list());
+    }
+
     @Test
     void shouldRefuseFolderWhenItBelongsToAnotherHostOrProcess(@TempDir Path folder) {
         MemberId created = openStorage().identity("control-1", 5);
@@ -244,12 +296,18 @@
         LogStorage.open(FileSystem.of(folder)).close();
     }
 
-    /** Writes records of random entries to an empty folder and returns the start of each record in the only segment. */
-    private List<Integer> writeRandomRecords(SplittableRandom random) throws IOException {
-        // All tries of a property share the files.
+    /** Must be called first by a property, because all its tries share the files. */
+    private void deleteAllFiles() throws IOException {
+        files.endProcess();
         for (String name : files.list()) {
             files.delete(name);
         }
+        files.syncFolder();
+    }
+
+    /** Writes records of random entries to an empty folder and returns the start of each record in the only segment. */
+    private List<Integer> writeRandomRecords(SplittableRandom random) throws IOException {
+        deleteAllFiles();
         LogStorage storage = openStorage();
         List<Integer> starts = new ArrayList<>();
         long next = 1;
