List results again that the log has refused

What callers would see: a completed item is never listed, so its step runs out of time although the item was at no endpoint any more.

Cause: StoreLeader ignored the reply to ListResults. A proposal is refused while the host leads on if a transfer of leadership is in progress that is abandoned later, or if the texts of one tick exceed the size of a command. The items then stay in stage LISTING, which no timeout ends.

Why it works: results whose proposal fails are proposed again in the next tick, which is safe because the state drops results that are listed already. Results of one tick are split into commands of up to 1 MiB of text. A new leader still starts from the listed results.

A single text above the maximum size of a command (6 MiB) is still refused, now in each tick.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -41,6 +41,9 @@
     /** Time for which results are stored beyond the promised retention, in milliseconds, because clocks may lag. */
     private static final long RETENTION_MARGIN_MILLISECONDS = 30_000;
 
+    /** Maximum size of the texts that one command lists, in bytes, unless a single text is longer; commands are limited. */
+    private static final int MAXIMUM_LISTED_BYTES = 1_048_576;
+
     private static final EventLog LOG = EventLog.of(StoreLeader.class);
 
     private final LogDriver driver;
@@ -334,11 +337,34 @@
         pendingResults.computeIfAbsent(submission, ignored -> new ArrayList<>()).addAll(results);
     }
 
-    /** Proposes the results of one tick as one log entry per submission. */
+    /** Proposes the results of one tick as one log entry per submission, or several if the texts are long. */
     private void proposePendingResults() {
         Map<SubmissionId, List<Submission.Result>> ready = new HashMap<>(pendingResults);
         pendingResults.clear();
-        ready.forEach((submission, results) -> propose(new StoreCommand.ListResults(submission, results), reply -> {}));
+        ready.forEach((submission, results) -> splitBySize(results).forEach(part -> listNow(submission, part)));
+    }
+
+    /** Results that the log refuses, as during a transfer of leadership, are proposed again while this host leads. */
+    private void listNow(SubmissionId submission, List<Submission.Result> results) {
+        propose(new StoreCommand.ListResults(submission, results), reply -> {
+            if (reply.outcome() == Outcome.UNCERTAIN) {
+                listResults(submission, results);
+            }
+        });
+    }
+
+    private static List<List<Submission.Result>> splitBySize(List<Submission.Result> results) {
+        List<List<Submission.Result>> parts = new ArrayList<>();
+        int bytes = 0;
+        for (Submission.Result result : results) {
+            bytes += result.text().length;
+            if (parts.isEmpty() || bytes > MAXIMUM_LISTED_BYTES) {
+                parts.add(new ArrayList<>());
+                bytes = result.text().length;
+            }
+            parts.getLast().add(result);
+        }
+        return parts;
     }
 
     /** A long-polling read that waits for the next result. Immutable. */
