--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
@@ -58,7 +58,7 @@
         EndpointDirectory directory = new EndpointDirectory();
         directory.merge(
                 EndpointFormat.decodeHeartbeat(
-                                ENDPOINT.value(), engine.heartbeat("engines", 1).getBytes())
+                                ENDPOINT.value(), engine.heartbeat("engines", 1).getBytes(), System.currentTimeMillis())
                         .orElseThrow(),
                 0);
         BatchRunner runner = new BatchRunner(
