Measure the delay of the event loop from when its probe was due

A process that is suspended while the monitor sleeps between two probes had no LOOP_STALLED, which the former check of the ticks had; found in review. LoopMonitorTest failed before (delay of 0 ms instead of 400).

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/LoopMonitor.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/LoopMonitor.java
@@ -33,13 +33,15 @@
 
     private final Executor loop;
     private final Consumer<Delay> onDelay;
+    private final Pause pause;
     private final Thread thread;
     private volatile Thread loopThread;
     private volatile boolean closed;
 
-    private LoopMonitor(Executor loop, Consumer<Delay> onDelay) {
+    private LoopMonitor(Executor loop, Consumer<Delay> onDelay, Pause pause) {
         this.loop = Objects.requireNonNull(loop, "loop");
         this.onDelay = Objects.requireNonNull(onDelay, "onDelay");
+        this.pause = Objects.requireNonNull(pause, "pause");
         this.thread = Thread.ofPlatform().name("loop-monitor").daemon().unstarted(this::run);
     }
 
@@ -51,11 +53,20 @@
      * @return the monitor, which runs until it is closed
      */
     public static LoopMonitor start(Executor loop, Consumer<Delay> onDelay) {
-        LoopMonitor monitor = new LoopMonitor(loop, onDelay);
+        return start(loop, onDelay, Thread::sleep);
+    }
+
+    static LoopMonitor start(Executor loop, Consumer<Delay> onDelay, Pause pause) {
+        LoopMonitor monitor = new LoopMonitor(loop, onDelay, pause);
         monitor.thread.start();
         return monitor;
     }
 
+    /** Waits between two probes. */
+    interface Pause {
+        void sleep(long milliseconds) throws InterruptedException;
+    }
+
     @Override
     public void close() {
         closed = true;
@@ -70,19 +81,21 @@
 
     private void run() {
         try {
+            long dueAt = System.nanoTime();
             while (!closed) {
-                onDelay.accept(probe());
-                Thread.sleep(PROBE_INTERVAL_MILLISECONDS);
+                onDelay.accept(probe(dueAt));
+                dueAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PROBE_INTERVAL_MILLISECONDS);
+                pause.sleep(PROBE_INTERVAL_MILLISECONDS);
             }
         } catch (InterruptedException | RejectedExecutionException stopping) {
             // The monitor was closed, or the loop accepts no more tasks.
         }
     }
 
-    private Delay probe() throws InterruptedException {
+    /** Measures from the time at which the probe was due, because a suspended process does not queue it in time either. */
+    private Delay probe(long dueAt) throws InterruptedException {
         Probe probe = new Probe();
         Map<String, Integer> samples = new HashMap<>();
-        long queuedAt = System.nanoTime();
         loop.execute(probe);
         long sampleDelay = OVERDUE_MILLISECONDS;
         while (!probe.await(sampleDelay)) {
@@ -92,7 +105,7 @@
             }
             sampleDelay = SAMPLE_INTERVAL_MILLISECONDS;
         }
-        return new Delay(TimeUnit.NANOSECONDS.toMillis(probe.executedAt - queuedAt), samples);
+        return new Delay(Math.max(0, TimeUnit.NANOSECONDS.toMillis(probe.executedAt - dueAt)), samples);
     }
 
     /** Returns the innermost frames of this project, the innermost first, after the innermost frame of all. */
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/event/LoopMonitorTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/event/LoopMonitorTest.java
@@ -52,6 +52,22 @@
         }
     }
 
+    @Test
+    void shouldCountTheTimeInWhichTheProcessWasSuspendedBeforeItsProbe() throws InterruptedException {
+        // Guards against a suspended host without a log line: the monitor is suspended together with the loop.
+        BlockingQueue<LoopMonitor.Delay> suspended = new LinkedBlockingQueue<>();
+        LoopMonitor frozen =
+                LoopMonitor.start(loop, suspended::add, interval -> Thread.sleep(interval + STALL_MILLISECONDS));
+        try {
+            suspended.poll(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+            LoopMonitor.Delay second = suspended.poll(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+            assertNotNull(second);
+            assertTrue(second.milliseconds() >= STALL_MILLISECONDS / 2, second::toString);
+        } finally {
+            frozen.close();
+        }
+    }
+
     @Test
     void shouldStopWhenTheLoopAcceptsNoMoreTasks() throws InterruptedException {
         // Guards against a monitor thread that fails loudly during a normal stop of the process.
