--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -215,10 +215,10 @@
             waiting.add(reply);
             return;
         }
-        pendingSubmissions.put(id, new ArrayList<>(List.of(reply)));
         Optional<Route> route = table.get().flatMap(current -> current.find(submission.host(), submission.routePath()));
         StoreCommand command = new StoreCommand.AcceptSubmission(
                 submission, route.map(Route::name).orElse(""));
+        pendingSubmissions.put(id, new ArrayList<>(List.of(reply)));
         propose(command, outcome -> pendingSubmissions.remove(id).forEach(waiter -> waiter.accept(outcome)));
     }
 
