Send unchanged status messages between edges and store hosts less often

On a grown deployment each of 10 store hosts sent its status, which lists all edges, to each of 45 edges four times a second, and each edge sent its own as often to each store host: 3,600 messages a second that say nothing new. Edges now send theirs when it changes and on a new connection; store hosts send theirs when it changes and every 500 ms, because edges ignore a status older than 1,500 ms. The heartbeats of the connections still show within 1,200 ms that the other side is gone.

--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
@@ -36,7 +36,7 @@
     /** Minimum interval between two attempts to connect to a host, in milliseconds; a process restarts within 1 s. */
     private static final long CONNECT_INTERVAL_MILLISECONDS = 300;
 
-    /** Age after which the status of a host is ignored, in milliseconds; hosts send it every 250. */
+    /** Age after which the status of a host is ignored, in milliseconds; hosts send it every 500. */
     private static final long MAXIMUM_STATUS_AGE_MILLISECONDS = 1_500;
 
     private static final EventLog LOG = EventLog.of(StoreSessions.class);
@@ -49,6 +49,7 @@
     private final Map<String, Session> sessions = new HashMap<>();
     private List<String> seeds;
     private String lastLeader = "";
+    private EdgeStatus lastStatus;
 
     StoreSessions(
             EventLoop loop,
@@ -69,14 +70,20 @@
         seeds = List.copyOf(newSeeds);
     }
 
-    /** Opens missing connections and sends the status of this edge to every connected host. */
+    /**
+     * Opens missing connections and sends the status of this edge to every connected host if it has changed; a new connection
+     * gets it at once, and heartbeats show that the connection lives.
+     */
     void tick(EdgeStatus ownStatus) {
         long now = Forwarder.now();
         Set<String> required = requiredAddresses();
         required.forEach(address -> sessions.computeIfAbsent(address, Session::new));
         sessions.values()
                 .removeIf(session -> !session.isOpen() && !session.connecting && !required.contains(session.address));
-        broadcast(ownStatus);
+        if (!ownStatus.equals(lastStatus)) {
+            lastStatus = ownStatus;
+            broadcast(ownStatus);
+        }
         sessions.values().stream()
                 .filter(session -> !session.isOpen() && !session.connecting && now >= session.nextAttempt)
                 .forEach(session -> connect(session, now));
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -92,9 +92,15 @@
     /** Interval between ticks of the log, in milliseconds. */
     private static final long TICK_MILLISECONDS = 50;
 
-    /** Ticks between two maintenance rounds, which send the status; edges use a status for 1,500 milliseconds. */
+    /** Ticks between two maintenance rounds, which send the status to the other store hosts. */
     private static final long MAINTENANCE_TICKS = 5;
 
+    /**
+     * Maintenance rounds between two messages with an unchanged status to the edges, which use a status for 1,500 milliseconds. It
+     * lists all edges, so its size and its receivers both grow with their number.
+     */
+    private static final long EDGE_STATUS_ROUNDS = 2;
+
     /** Maintenance rounds between two messages that tell the other store hosts the last contact with each endpoint. */
     private static final long CONTACT_ROUNDS = 4;
 
@@ -161,6 +167,7 @@
     private CallerServer operatorServer;
     private boolean startedEmpty;
     private boolean failed;
+    private StoreStatus lastStatusToEdges;
     private long ticks;
 
     private StoreProcess(StoreSettings settings, FileSystem files, Consumer<Throwable> onFailure) {
@@ -349,7 +356,10 @@
         links.maintain(members.peers(seeds, now), now);
         StoreStatus status = status(now);
         links.sendToAll(status);
-        Broadcast.send(edges.keySet(), status);
+        if (ticks % (MAINTENANCE_TICKS * EDGE_STATUS_ROUNDS) == 0 || !status.equals(lastStatusToEdges)) {
+            lastStatusToEdges = status;
+            Broadcast.send(edges.keySet(), status);
+        }
         boolean isContactRound = ticks % (MAINTENANCE_TICKS * CONTACT_ROUNDS) == 0;
         if (isContactRound) {
             registry.sendRecentContacts(now - MAINTENANCE_TICKS * CONTACT_ROUNDS * TICK_MILLISECONDS);
