--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -96,8 +96,8 @@
     private static final long MAINTENANCE_TICKS = 5;
 
     /**
-     * Maintenance rounds between two messages with an unchanged status to the edges, which use a status for 1,500 milliseconds. It
-     * lists all edges, so its size and its receivers both grow with their number.
+     * Maintenance rounds between two messages with an unchanged status to the edges, which use a status for 1,500
+     * milliseconds. It lists all edges, so its size and its receivers both grow with their number.
      */
     private static final long EDGE_STATUS_ROUNDS = 2;
 
