Read the answers of the broken-answers test from the socket

The message shows that the client had read the head of a chunked answer; Java's client fails the request as a whole if the connection ends before it has handed over the response. The test now reads the bytes itself, so the status is always known, and the expected values are unchanged.

--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -17,6 +16,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -24,6 +24,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import io.rosemarybeam.common.settings.EdgeSettings;
 import io.rosemarybeam.common.settings.StoreSettings;
@@ -37,6 +39,8 @@
     private static final long TIMEOUT_MILLISECONDS = 15_000;
     static final String STORE_HOST = "127.0.78.1";
     private static final int STOP_SECONDS = 1;
+    private static final int ANSWER_TIMEOUT_MILLISECONDS = 5_000;
+    private static final Pattern CONTENT_LENGTH = Pattern.compile("content-length: (\\d+)");
 
     /** Ports given out in this process; the system may offer a port again once its socket is closed. */
     private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
@@ -215,27 +219,55 @@
 
     /** Sends a request to an edge; returns status, body and whether the answer was framed as complete. */
     String exchange(int edge, String path, String id) {
-        URI uri = URI.create("http://" + STORE_HOST + ":" + callerPorts.get(edge) + path);
-        HttpRequest request = HttpRequest.newBuilder(uri)
-                .timeout(Duration.ofSeconds(5))
-                .header("Rosemarybeam-Request-Id", id)
-                .POST(HttpRequest.BodyPublishers.ofString(id))
-                .build();
-        try {
-            HttpResponse<InputStream> response = http.send(request, HttpResponse.BodyHandlers.ofInputStream());
-            ByteArrayOutputStream body = new ByteArrayOutputStream();
-            String end = "complete";
-            try (InputStream in = response.body()) {
-                in.transferTo(body);
-            } catch (IOException brokenOff) {
-                end = "broken";
+        ByteArrayOutputStream received = new ByteArrayOutputStream();
+        try (Socket socket = new Socket(STORE_HOST, callerPorts.get(edge))) {
+            socket.setSoTimeout(ANSWER_TIMEOUT_MILLISECONDS);
+            String request = "POST " + path + " HTTP/1.1\r\nHost: " + STORE_HOST + "\r\nRosemarybeam-Request-Id: " + id
+                    + "\r\nContent-Length: " + id.length() + "\r\nConnection: close\r\n\r\n" + id;
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            socket.getInputStream().transferTo(received);
+        } catch (IOException brokenOff) {
+            // What arrived before tells whether the answer is complete.
+            return describeAnswer(received.toString(StandardCharsets.UTF_8));
+        }
+        return describeAnswer(received.toString(StandardCharsets.UTF_8));
+    }
+
+    /** Describes an answer after its connection has ended; one without a length and without chunks is complete by its end. */
+    private static String describeAnswer(String answer) {
+        int headEnd = answer.indexOf("\r\n\r\n");
+        if (headEnd < 0) {
+            return "no answer: " + answer;
+        }
+        String head = answer.substring(0, headEnd).toLowerCase(Locale.ROOT);
+        String content = answer.substring(headEnd + 4);
+        String status = head.split(" ")[1];
+        Matcher length = CONTENT_LENGTH.matcher(head);
+        if (head.contains("transfer-encoding: chunked")) {
+            return status + " " + describeChunks(content);
+        }
+        boolean isComplete = !length.find() || content.length() == Integer.parseInt(length.group(1));
+        return status + " [" + content + "] " + (isComplete ? "complete" : "broken");
+    }
+
+    private static String describeChunks(String content) {
+        StringBuilder body = new StringBuilder();
+        int position = 0;
+        while (true) {
+            int sizeEnd = content.indexOf("\r\n", position);
+            if (sizeEnd < 0) {
+                return "[" + body + "] broken";
             }
-            return response.statusCode() + " [" + body.toString(StandardCharsets.UTF_8) + "] " + end;
-        } catch (IOException failure) {
-            return "no answer: " + failure;
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-            throw new IllegalStateException(interrupted);
+            int size = Integer.parseInt(content.substring(position, sizeEnd), 16);
+            int end = sizeEnd + 2 + size;
+            body.append(content, sizeEnd + 2, Math.min(end, content.length()));
+            if (end + 2 > content.length()) {
+                return "[" + body + "] broken";
+            }
+            if (size == 0) {
+                return "[" + body + "] complete";
+            }
+            position = end + 2;
         }
     }
 
