--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -127,6 +127,9 @@
     SERVICE_CUT_OFF(725, Severity.WARNING, "No endpoint of a service accepts connections from here."),
     /** An endpoint of a service accepts connections from here again. */
     SERVICE_REACHED(726, Severity.INFORMATION, "An endpoint of a service accepts connections from here again."),
+    /** An answer of an endpoint said that it leaves. */
+    ENDPOINT_LEAVING(
+            727, Severity.INFORMATION, "An answer of an endpoint said that it leaves; it takes no new requests."),
     /** A batch submission was accepted and stored. */
     SUBMISSION_ACCEPTED(740, Severity.INFORMATION, "A batch submission is kept from now on."),
     /** A batch submission was ended by its trainer. */
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EndpointAnnouncement.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/EndpointAnnouncement.java
@@ -44,6 +44,12 @@
     /** Sequence number of the final announcement of an endpoint; no heartbeat of the same start has a larger one. */
     public static final long LAST_SEQUENCE = Long.MAX_VALUE;
 
+    /**
+     * Sequence number of the announcement that an endpoint leaves, as one of its answers said; only its departure has a larger
+     * one, so that no heartbeat of the same start undoes it.
+     */
+    public static final long LEAVING_SEQUENCE = LAST_SEQUENCE - 1;
+
     /** Whether an endpoint takes new requests. */
     public enum State {
         /** It takes new requests. */
@@ -106,10 +112,20 @@
      * Returns whether the announcements differ in more than the sequence.
      *
      * @param other the other announcement
-     * @return true if hosts that route to the endpoint must be notified of this one
+     * @return true if hosts that route to the endpoint must be notified of this one, also if only its sequence tells that the
+     *     endpoint leaves
      */
     public boolean differsFrom(EndpointAnnouncement other) {
-        return !withSequence(other.sequence).equals(other);
+        return isLeaving() != other.isLeaving() || !withSequence(other.sequence).equals(other);
+    }
+
+    /**
+     * Returns whether an answer of the endpoint said that it leaves, so that it takes no new requests until it restarts.
+     *
+     * @return false also if only its heartbeats say so
+     */
+    public boolean isLeaving() {
+        return sequence == LEAVING_SEQUENCE;
     }
 
     /**
@@ -131,6 +147,25 @@
                 softwareVersion);
     }
 
+    /**
+     * Returns a copy with state {@link State#DRAINING}, after an answer of the endpoint said that it leaves.
+     *
+     * @return the copy, newer than every heartbeat of the same start
+     */
+    public EndpointAnnouncement asLeaving() {
+        return new EndpointAnnouncement(
+                id,
+                startedMilliseconds,
+                LEAVING_SEQUENCE,
+                service,
+                address,
+                failureDomain,
+                capacity,
+                State.DRAINING,
+                models,
+                softwareVersion);
+    }
+
     /**
      * Returns a copy with state {@link State#SILENT}.
      *
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
@@ -20,7 +20,8 @@
  * <p>Heartbeats arrive late, duplicated, out of order and through several hosts. The result of merging them does not
  * depend on that order: the later start of the process wins, then the larger sequence number, and a newer endpoint at an
  * address replaces the older one there. A departed endpoint is retained for {@link #RETENTION_MILLISECONDS}, so that a late
- * heartbeat does not bring it back. Confined to one thread.
+ * heartbeat does not bring it back, and an endpoint whose answers say that it leaves for
+ * {@link #LEAVING_RETENTION_MILLISECONDS}. Confined to one thread.
  */
 public final class EndpointDirectory {
     /**
@@ -29,6 +30,12 @@
      */
     public static final long RETENTION_MILLISECONDS = 120_000;
 
+    /**
+     * Time for which it is known that an endpoint leaves, after its last heartbeat here. It goes on sending heartbeats
+     * that say it is ready, and a host that lost contact with the others for minutes still must not use it.
+     */
+    public static final long LEAVING_RETENTION_MILLISECONDS = 3_600_000;
+
     private final Map<EndpointId, Entry> byId = new HashMap<>();
     private final Map<String, EndpointId> byAddress = new HashMap<>();
 
@@ -52,6 +59,9 @@
     public Change merge(EndpointAnnouncement announcement, long now) {
         Entry known = byId.get(announcement.id());
         if (known != null && !announcement.isNewerThan(known.announcement)) {
+            if (known.announcement.isLeaving()) {
+                byId.put(announcement.id(), new Entry(known.announcement, now));
+            }
             return Change.OUTDATED;
         }
         Optional<EndpointAnnouncement> addressOwner =
@@ -202,10 +212,26 @@
     public void evictExpired(long now) {
         byId.values()
                 .removeIf(entry ->
-                        entry.announcement.state() != State.READY && now - entry.lastContact > RETENTION_MILLISECONDS);
+                        entry.announcement.state() != State.READY && now - entry.lastContact > retention(entry));
         byAddress.values().removeIf(id -> !byId.containsKey(id));
     }
 
+    private static long retention(Entry entry) {
+        return entry.announcement.isLeaving() ? LEAVING_RETENTION_MILLISECONDS : RETENTION_MILLISECONDS;
+    }
+
+    /**
+     * Returns the endpoints whose answers say that they leave.
+     *
+     * @return their latest announcements
+     */
+    public List<EndpointAnnouncement> leaving() {
+        return byId.values().stream()
+                .map(entry -> entry.announcement)
+                .filter(EndpointAnnouncement::isLeaving)
+                .toList();
+    }
+
     /** The latest announcement of an endpoint and the time at which it arrived. Immutable. */
     private record Entry(EndpointAnnouncement announcement, long lastContact) {}
 }
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointDirectoryTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointDirectoryTest.java
@@ -50,6 +50,58 @@
         assertTrue(directory.ready(DESK).isEmpty());
     }
 
+    /** Guards against heartbeats that still say that an endpoint is ready after its answers have said that it leaves. */
+    @Test
+    void shouldStayOutOfUseWhenAnAnswerSaidThatTheEndpointLeaves() {
+        directory.merge(ready("a", 100, 1), 0);
+
+        assertEquals(Change.CHANGED, directory.merge(ready("a", 100, 1).asLeaving(), 1));
+        assertEquals(Change.OUTDATED, directory.merge(ready("a", 100, 99), 2));
+        assertTrue(directory.ready(DESK).isEmpty());
+    }
+
+    @Test
+    void shouldBeAChangeWhenADrainingEndpointSaysInAnAnswerThatItLeaves() {
+        EndpointAnnouncement draining = announcement("a", 100, 3, DESK, ADDRESS, State.DRAINING);
+        directory.merge(draining, 0);
+
+        assertEquals(Change.CHANGED, directory.merge(draining.asLeaving(), 1));
+        assertEquals(Change.OUTDATED, directory.merge(ready("a", 100, 4), 2));
+    }
+
+    /** Guards against a leaving endpoint that is forgotten, and then taken for a new one, while its heartbeats go on. */
+    @Test
+    void shouldKnowThatAnEndpointLeavesWhenItsHeartbeatsGoOnForLong() {
+        directory.merge(ready("a", 100, 1).asLeaving(), 0);
+        long later = EndpointDirectory.LEAVING_RETENTION_MILLISECONDS;
+        directory.merge(ready("a", 100, 50), later);
+        directory.evictExpired(later + 1_000);
+
+        directory.merge(ready("a", 100, 51), later + 1_000);
+
+        assertTrue(directory.ready(DESK).isEmpty());
+        assertEquals(
+                List.of(EndpointId.of("a")),
+                directory.leaving().stream().map(EndpointAnnouncement::id).toList());
+    }
+
+    @Test
+    void shouldBeReadyAgainWhenALeavingEndpointHasRestarted() {
+        directory.merge(ready("a", 100, 1).asLeaving(), 0);
+
+        assertEquals(Change.CHANGED, directory.merge(ready("a", 200, 1), 1));
+        assertEquals(1, directory.ready(DESK).size());
+        assertTrue(directory.leaving().isEmpty());
+    }
+
+    @Test
+    void shouldDepartWhenALeavingEndpointDeregisters() {
+        directory.merge(ready("a", 100, 1).asLeaving(), 0);
+
+        assertEquals(Change.CHANGED, directory.merge(ready("a", 100, 2).asDeparted(), 1));
+        assertTrue(directory.leaving().isEmpty());
+    }
+
     @Test
     void shouldStayDepartedWhenHeartbeatOfSameIncarnationArrivesAfterDeregistration() {
         directory.merge(ready("a", 100, 1), 0);
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -36,6 +36,7 @@
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.forward.HandOver;
+import io.rosemarybeam.forward.LeavingEndpoints;
 import io.rosemarybeam.forward.RateLimits;
 import io.rosemarybeam.forward.ServiceReach;
 import io.rosemarybeam.forward.StreamOrigins;
@@ -134,6 +135,7 @@
                 ForwardMetrics.of(metrics),
                 crashes,
                 rateLimits,
+                new LeavingEndpoints(directory, this::publishLeaving),
                 new StreamOrigins(directory, new StoreStreams(loop, stores)),
                 new HandOver(reach, peers, settings.name().value()));
         this.requests = new EdgeRequests(forwarder, new BatchRequests(new StoreRequests(loop, stores)));
@@ -231,7 +233,11 @@
     }
 
     private List<Message> messagesOnConnect() {
-        return List.of(status(), new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of()));
+        List<Message> messages = new ArrayList<>();
+        messages.add(status());
+        messages.add(new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of()));
+        messages.addAll(EndpointNews.batchesOf(directory.leaving()));
+        return messages;
     }
 
     private void useConfiguration(PushConfiguration push) {
@@ -248,6 +254,11 @@
         }
     }
 
+    private void publishLeaving(EndpointAnnouncement announcement) {
+        merge(announcement);
+        stores.broadcast(EndpointNews.ofAnnouncements(List.of(announcement)));
+    }
+
     private void merge(EndpointAnnouncement announcement) {
         if (directory.merge(announcement, Forwarder.now()) == EndpointDirectory.Change.CHANGED) {
             LOG.log(
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/LimitedEndpoint.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/LimitedEndpoint.java
@@ -13,13 +13,15 @@
 import com.sun.net.httpserver.HttpServer;
 
 /**
- * An endpoint that names a rate limit while it is told to, refuses requests for other endpoints and records when its own arrive.
+ * An endpoint that names a rate limit or says that it leaves while it is told to, refuses requests for other endpoints and
+ * records when its own arrive.
  * Safe for use by several threads.
  */
 final class LimitedEndpoint implements AutoCloseable {
     private final HttpServer server;
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
     private volatile String limit = "";
+    private volatile boolean leaving;
     private volatile String id = "";
 
     /** Monotonic times of the requests, in milliseconds. */
@@ -41,6 +43,16 @@
         limit = requestsPerSecond;
     }
 
+    /** Sets whether answers say that the endpoint leaves. */
+    void setLeaving(boolean leaves) {
+        leaving = leaves;
+    }
+
+    /** Returns the number of requests that arrived at or after a time. */
+    long requestsSince(long since) {
+        return requests.stream().filter(arrival -> arrival >= since).count();
+    }
+
     /** Sets the id of this endpoint, so that it refuses requests that expect another one; empty to run them all. */
     void runAs(String endpoint) {
         id = endpoint;
@@ -77,6 +89,9 @@
         if (!limit.isEmpty()) {
             exchange.getResponseHeaders().set("Server-Limit", limit);
         }
+        if (leaving) {
+            exchange.getResponseHeaders().set("Server-Leaving", "1");
+        }
         byte[] body = {'o', 'k'};
         exchange.sendResponseHeaders(200, body.length);
         exchange.getResponseBody().write(body);
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/EndpointCandidates.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/EndpointCandidates.java
@@ -92,6 +92,12 @@
                 .toList();
     }
 
+    /** Returns whether an endpoint still takes new requests; it may have begun to leave since it was chosen. */
+    boolean isReady(EndpointAnnouncement endpoint) {
+        return forwarder.directory().ready(endpoint.service()).stream()
+                .anyMatch(ready -> ready.id().equals(endpoint.id()));
+    }
+
     boolean isLimited(EndpointAnnouncement endpoint) {
         return forwarder.limits().isLimited(endpoint.id());
     }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -329,10 +329,12 @@
                 Optional<EndpointAnnouncement> endpoint = limited.stream()
                         .filter(candidate -> candidate.id().equals(granted.endpoint()))
                         .findFirst();
-                if (endpoint.isPresent()) {
+                if (endpoint.isEmpty()) {
+                    finishIfNoneRuns();
+                } else if (candidates.isReady(endpoint.get())) {
                     new EndpointAttempt(endpoint.get()).send();
                 } else {
-                    finishIfNoneRuns();
+                    tryNextEndpoint();
                 }
             }
             case PermitDecision.Denied denied -> {
@@ -623,6 +625,7 @@
             head = answer;
             forwarder.crashMonitor().endpointAnswered(endpoint);
             forwarder.limits().observe(endpoint.id(), answer);
+            forwarder.leaving().observe(endpoint, answer);
             answer.requestCount()
                     .ifPresent(count -> forwarder.loads().recordReport(endpoint.id(), count, Forwarder.now()));
             boolean streams = request.route().kind() == RouteKind.STREAMING && answer.isSuccess();
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
@@ -23,6 +23,7 @@
     private final CrashMonitor crashMonitor;
     private final CrashRegistry crashes;
     private final RateLimits limits;
+    private final LeavingEndpoints leaving;
     private final StreamOrigins streams;
     private final HandOver handOver;
 
@@ -37,6 +38,7 @@
      * @param metrics counts requests and attempts
      * @param crashes the known crashes of endpoints; updated by each attempt
      * @param limits the rate limits of endpoints; updated by each answer
+     * @param leaving takes endpoints that leave out of use; updated by each answer
      * @param streams finds out what began a stream; updated by each stream
      * @param handOver other hosts for requests whose endpoints cannot be reached from here
      */
@@ -49,6 +51,7 @@
             ForwardMetrics metrics,
             CrashRegistry crashes,
             RateLimits limits,
+            LeavingEndpoints leaving,
             StreamOrigins streams,
             HandOver handOver) {
         this.loop = loop;
@@ -60,6 +63,7 @@
         this.crashMonitor = new CrashMonitor(client, metrics, crashes, handOver.reach());
         this.crashes = crashes;
         this.limits = limits;
+        this.leaving = leaving;
         this.streams = streams;
         this.handOver = handOver;
     }
@@ -127,6 +131,10 @@
         return limits;
     }
 
+    LeavingEndpoints leaving() {
+        return leaving;
+    }
+
     CrashMonitor crashMonitor() {
         return crashMonitor;
     }
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -94,6 +94,7 @@
             ForwardMetrics.of(Metrics.ofProcess()),
             crashes,
             limits,
+            LeavingEndpoints.local(directory),
             StreamOrigins.local(directory, () -> true),
             HandOver.none(loop, EndpointClient.of(loop), directory));
 
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -437,7 +437,7 @@
     private void startRun(ItemTask task, Route route, GenerationEndpoint chosen, long now) {
         EndpointId id = chosen.id();
         EndpointAnnouncement endpoint = fleet.announcement(id).orElseThrow();
-        ItemTask.Run run = new ItemTask.Run(id, endpoint.softwareVersion(), now, task.text.lastEvent());
+        ItemTask.Run run = new ItemTask.Run(endpoint, now, task.text.lastEvent());
         try {
             run.attempt = client.send(request(task, route, endpoint), new ItemStream(task, run, this));
         } catch (IllegalArgumentException failure) {
@@ -580,6 +580,7 @@
     @Override
     public void answered(ItemTask.Run run, EndpointAnswer answer) {
         limits.observe(run.endpoint, answer);
+        fleet.observe(run.announcement, answer);
     }
 
     @Override
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/GenerationFleet.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/GenerationFleet.java
@@ -16,6 +16,8 @@
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.forward.Forwarder;
+import io.rosemarybeam.forward.LeavingEndpoints;
+import io.rosemarybeam.platform.EndpointAnswer;
 
 /**
  * The leader's view of the endpoints that generate text: their announcements and what it has observed itself.
@@ -30,6 +32,7 @@
     private final EndpointDirectory directory;
     private final EndpointLoads loads;
     private final Predicate<EndpointId> hasRoom;
+    private final LeavingEndpoints leaving;
     private final Map<EndpointId, EndpointState> stateById = new HashMap<>();
 
     /**
@@ -38,11 +41,14 @@
      * @param directory the announced endpoints
      * @param loads load and health of the endpoints
      * @param hasRoom whether the rate limit of an endpoint, if it has one, allows a request now
+     * @param leaving takes endpoints that leave out of use
      */
-    GenerationFleet(EndpointDirectory directory, EndpointLoads loads, Predicate<EndpointId> hasRoom) {
+    GenerationFleet(
+            EndpointDirectory directory, EndpointLoads loads, Predicate<EndpointId> hasRoom, LeavingEndpoints leaving) {
         this.directory = directory;
         this.loads = loads;
         this.hasRoom = hasRoom;
+        this.leaving = leaving;
     }
 
     /** Returns the ready endpoints of a service. */
@@ -84,6 +90,11 @@
         return directory.find(id);
     }
 
+    /** Reads from an answer to an item, an order or a report whether the endpoint leaves. */
+    void observe(EndpointAnnouncement endpoint, EndpointAnswer answer) {
+        leaving.observe(endpoint, answer);
+    }
+
     /** Records the weight version that an endpoint returned with a response or report. */
     void recordVersion(EndpointId id, ModelName model, long version) {
         directory.find(id).map(this::stateOf).ifPresent(endpoint -> endpoint.versions.put(model, version));
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
@@ -4,6 +4,7 @@
 
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.Submission;
 import io.rosemarybeam.decision.batch.ItemText;
 import io.rosemarybeam.forward.ForwardCall;
@@ -80,6 +81,7 @@
 
     /** One run of an item at an endpoint. Times are monotonic times in milliseconds. */
     static final class Run {
+        final EndpointAnnouncement announcement;
         final EndpointId endpoint;
         final String softwareVersion;
         final long startedAt;
@@ -90,9 +92,17 @@
         /** Weight version that generates the events; -1 until the endpoint has returned one. */
         long version = -1;
 
-        Run(EndpointId endpoint, String softwareVersion, long now, long startedAfterEvent) {
-            this.endpoint = endpoint;
-            this.softwareVersion = softwareVersion;
+        /**
+         * Creates a run that has not been sent yet.
+         *
+         * @param announcement the endpoint as it is announced now
+         * @param now monotonic time, in milliseconds
+         * @param startedAfterEvent the last event that the text already has
+         */
+        Run(EndpointAnnouncement announcement, long now, long startedAfterEvent) {
+            this.announcement = announcement;
+            this.endpoint = announcement.id();
+            this.softwareVersion = announcement.softwareVersion();
             this.startedAfterEvent = startedAfterEvent;
             this.startedAt = now;
             this.lastEventAt = now;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -76,6 +76,7 @@
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.forward.HandOver;
+import io.rosemarybeam.forward.LeavingEndpoints;
 import io.rosemarybeam.forward.RateLimits;
 import io.rosemarybeam.forward.StreamOrigins;
 import io.rosemarybeam.platform.ConfigurationFormat;
@@ -145,7 +146,8 @@
     private final EndpointClient client = EndpointClient.of(loop);
     private final StreamOriginTable streams = new StreamOriginTable();
     private final PermitGranter permits = new PermitGranter(loop);
-    private final GenerationFleet fleet = new GenerationFleet(directory, loads, permits::isAvailable);
+    private final LeavingEndpoints leavingEndpoints = new LeavingEndpoints(directory, this::publishLeaving);
+    private final GenerationFleet fleet = new GenerationFleet(directory, loads, permits::isAvailable, leavingEndpoints);
     private final CrashRegistry crashes;
     private final RateLimits rateLimits;
     private final Forwarder forwarder;
@@ -186,6 +188,7 @@
                 ForwardMetrics.of(metrics),
                 crashes,
                 rateLimits,
+                leavingEndpoints,
                 StreamOrigins.local(directory, () -> false),
                 HandOver.none(loop, client, directory));
         this.storage = LogStorage.open(files);
@@ -395,6 +398,10 @@
         links.sendToAll(news);
     }
 
+    private void publishLeaving(EndpointAnnouncement announcement) {
+        registry.receive(announcement);
+    }
+
     private void useRateLimits(List<EndpointRateLimit> changes) {
         changes.forEach(permits::setLimit);
         EndpointNews news = EndpointNews.ofRateLimits(changes);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
@@ -298,6 +298,7 @@
         @Override
         public void onHead(EndpointAnswer head) {
             status = head.status();
+            fleet.observe(order.endpoint, head);
         }
 
         @Override
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
@@ -21,6 +21,7 @@
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.RoutingTable;
+import io.rosemarybeam.forward.LeavingEndpoints;
 import io.rosemarybeam.forward.RateLimits;
 import io.rosemarybeam.platform.EndpointClient;
 import io.rosemarybeam.platform.EndpointFormat;
@@ -63,7 +64,7 @@
                 0);
         BatchRunner runner = new BatchRunner(
                 state,
-                new GenerationFleet(directory, loads, endpoint -> true),
+                new GenerationFleet(directory, loads, endpoint -> true, LeavingEndpoints.local(directory)),
                 loads,
                 new RateLimits(changes -> {}, (request, decision) -> {}),
                 endpoint -> {},
@@ -137,6 +138,31 @@
         }
     }
 
+    /** Guards against items that are sent to an endpoint whose answer to an earlier item said that it leaves. */
+    @Test
+    void shouldStartNoItemWhenAnAnswerSaidThatTheEndpointLeaves() throws Exception {
+        try (FakeEngine engine = new FakeEngine("127.0.77.103")) {
+            engine.leave();
+            BatchRunner runner = runner(engine);
+            loop.submit(() -> {
+                        apply(1, new StoreCommand.AcceptSubmission(submission("first", 1), "r"));
+                        runner.tick();
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            firstResult.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            loop.submit(() -> {
+                        apply(2, new StoreCommand.AcceptSubmission(submission("second", 1), "r"));
+                        runner.tick();
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            int running = loop.submit(() -> loads.outstanding(ENDPOINT)).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            loop.submit(runner::stop).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertEquals(0, running);
+        }
+    }
+
     /** A leader whose log stores nothing. */
     private final class FakeLeader implements BatchRunner.LeaderContext {
         private final RoutingTable table = RoutingTable.of(
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
@@ -30,6 +30,7 @@
     private volatile long version = 1;
     private volatile long ordersAccepted;
     private volatile boolean answersOrders = true;
+    private volatile boolean leaving;
 
     private final AtomicLong bytesWithoutEvent = new AtomicLong(-1);
 
@@ -79,6 +80,11 @@
         bytesWithoutEvent.set(0);
     }
 
+    /** Makes the engine say in its answers to items that it leaves. */
+    void leave() {
+        leaving = true;
+    }
+
     /** Returns the number of bytes of the endless run. */
     long bytesWithoutEvent() {
         return bytesWithoutEvent.get();
@@ -109,6 +115,9 @@
         exchange.getResponseHeaders().set("Rosemarybeam-Request-Id", item);
         exchange.getResponseHeaders().set("Rosemarybeam-Weight-Versions", Long.toString(version));
         exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+        if (leaving) {
+            exchange.getResponseHeaders().set("Server-Leaving", "1");
+        }
         exchange.sendResponseHeaders(200, 0);
         try (OutputStream body = exchange.getResponseBody()) {
             byte[] noEvent = new byte[8_192];
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
@@ -28,6 +28,7 @@
 import io.rosemarybeam.forward.ForwardMetrics;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.forward.HandOver;
+import io.rosemarybeam.forward.LeavingEndpoints;
 import io.rosemarybeam.forward.RateLimits;
 import io.rosemarybeam.forward.StreamOrigins;
 import io.rosemarybeam.platform.EndpointClient;
@@ -69,6 +70,7 @@
                     new CrashRegistry(crashes -> {}),
                     new RateLimits(
                             changes -> {}, (request, onDecision) -> onDecision.accept(new PermitDecision.Denied(0, 0))),
+                    LeavingEndpoints.local(new EndpointDirectory()),
                     StreamOrigins.local(new EndpointDirectory(), () -> true),
                     HandOver.none(loop, EndpointClient.of(loop), new EndpointDirectory())));
 
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
@@ -10,9 +10,12 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FailureDomain;
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.Submission;
 import io.rosemarybeam.platform.EndpointAnswer;
 import io.rosemarybeam.platform.EndpointClient;
@@ -37,6 +40,18 @@
     private static final Submission SUBMISSION =
             new Submission(SubmissionId.of("s"), "h", "/x/", 0, Optional.empty(), 3, 1, List.of(ITEM));
 
+    private static final EndpointAnnouncement ENDPOINT = new EndpointAnnouncement(
+            EndpointId.of("e"),
+            1,
+            1,
+            ServiceName.of("engines"),
+            "127.0.0.1:1",
+            FailureDomain.of("fes"),
+            4,
+            EndpointAnnouncement.State.READY,
+            List.of(),
+            "v1");
+
     private static final NioEventLoopGroup LOOPS = new NioEventLoopGroup(1);
 
     /** Nothing listens there; the tests only need an attempt that can be cancelled. */
@@ -53,7 +68,7 @@
     }
 
     private ItemStream stream() {
-        ItemTask.Run run = new ItemTask.Run(EndpointId.of("e"), "v1", 0, 0);
+        ItemTask.Run run = new ItemTask.Run(ENDPOINT, 0, 0);
         run.attempt = EndpointClient.of(LOOPS.next()).send(UNANSWERED, new IgnoringListener());
         return new ItemStream(task, run, new RecordingOwner());
     }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
@@ -32,6 +32,7 @@
 import io.rosemarybeam.control.MonotonicClock;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
+import io.rosemarybeam.forward.LeavingEndpoints;
 import io.rosemarybeam.platform.EndpointClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -131,7 +132,9 @@
 
     private StoreLeader newLeader() {
         EndpointLoads loads = new EndpointLoads();
-        GenerationFleet fleet = new GenerationFleet(new EndpointDirectory(), loads, endpoint -> true);
+        EndpointDirectory directory = new EndpointDirectory();
+        GenerationFleet fleet =
+                new GenerationFleet(directory, loads, endpoint -> true, LeavingEndpoints.local(directory));
         EndpointClient client = EndpointClient.of(loops.next());
         return new StoreLeader(
                 driver,
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/VersionOrdersTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/VersionOrdersTest.java
@@ -17,6 +17,7 @@
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.RoutingTable;
 import io.rosemarybeam.decision.routing.ServiceDefinition;
+import io.rosemarybeam.forward.LeavingEndpoints;
 import io.rosemarybeam.platform.EndpointClient;
 import io.rosemarybeam.platform.EndpointFormat;
 import org.junit.jupiter.api.AfterEach;
@@ -47,7 +48,8 @@
                                     "e-1", engine.heartbeat("engines", 1).getBytes(), System.currentTimeMillis())
                             .orElseThrow(),
                     0);
-            GenerationFleet fleet = new GenerationFleet(directory, new EndpointLoads(), endpoint -> true);
+            GenerationFleet fleet = new GenerationFleet(
+                    directory, new EndpointLoads(), endpoint -> true, LeavingEndpoints.local(directory));
             VersionOrders orders =
                     new VersionOrders(fleet, EndpointClient.of(loop), counted::add, "store-1", 1, Long.MIN_VALUE);
             RoutingTable table = RoutingTable.of(
