--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/ProcessGroup.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/ProcessGroup.java
@@ -13,30 +13,48 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Java processes that run programs of the class path of this one, each with a settings file and a log of its name.
+ * Java processes that run programs of one class path, each with a settings file and a log of its name.
  *
  * <p>Invariant: signals go only to processes that this object started. Safe for use by several threads, except that one
  * process is started or stopped by one thread at a time.
  */
 final class ProcessGroup implements AutoCloseable {
     private final Path folder;
+    private final String java;
+    private final String classPath;
     private final Map<String, Process> processes = new ConcurrentHashMap<>();
 
     /**
-     * Creates an empty group.
+     * Creates an empty group that uses the runtime and the class path of this process.
      *
      * @param folder holds the settings NAME.json, and receives the logs NAME.log
      */
     ProcessGroup(Path folder) {
+        this(
+                folder,
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                System.getProperty("java.class.path"));
+    }
+
+    /**
+     * Creates an empty group.
+     *
+     * @param folder holds the settings NAME.json, and receives the logs NAME.log
+     * @param java the command that starts the runtime
+     * @param classPath the class path, as the command line is to name it
+     */
+    ProcessGroup(Path folder, String java, String classPath) {
         this.folder = folder;
+        this.java = java;
+        this.classPath = classPath;
     }
 
     /** Starts a process; a log of an earlier process of the same name is continued. */
     void start(String name, List<String> flags, String mainClass) {
         List<String> command = new ArrayList<>();
-        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.add(java);
         command.addAll(flags);
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
+        command.addAll(List.of("-cp", classPath, mainClass));
         command.addAll(List.of("--settings", folder.resolve(name + ".json").toString()));
         File log = folder.resolve(name + ".log").toFile();
         try {
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakDeployment.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakDeployment.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -67,6 +68,7 @@
     private final int peerPort = Deployment.freePort();
     private final int adminPort = Deployment.freePort();
     private final ProcessGroup processes;
+    private final Function<String, List<String>> flags;
     private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(2);
     private final List<SoakEndpoint> endpoints = new ArrayList<>();
     private final AsyncHttpClient client = Dsl.asyncHttpClient(Dsl.config()
@@ -74,11 +76,26 @@
             .setConnectTimeout(java.time.Duration.ofSeconds(1))
             .setRequestTimeout(java.time.Duration.ofMillis(CALL_TIMEOUT_MILLISECONDS)));
 
+    /** Creates a deployment whose programs come from the class path of this process. */
     SoakDeployment(Path folder, int stores, int edges) {
+        this(folder, stores, edges, new ProcessGroup(folder), name -> FLAGS);
+    }
+
+    /**
+     * Creates a deployment.
+     *
+     * @param folder receives settings, logs and data
+     * @param stores number of store processes
+     * @param edges number of edge processes
+     * @param processes starts the processes
+     * @param flags returns the flags of the runtime for the process of a name
+     */
+    SoakDeployment(Path folder, int stores, int edges, ProcessGroup processes, Function<String, List<String>> flags) {
         this.folder = folder;
         this.stores = stores;
         this.edges = edges;
-        this.processes = new ProcessGroup(folder);
+        this.processes = processes;
+        this.flags = flags;
     }
 
     int stores() {
@@ -150,7 +167,7 @@
                         firstStart,
                         (Math.min(stores, 3) - 1) / 2,
                         STOP_SECONDS));
-        processes.start(store(index), FLAGS, "io.rosemarybeam.store.StoreMain");
+        processes.start(store(index), flags.apply(store(index)), "io.rosemarybeam.store.StoreMain");
     }
 
     void startEdge(int index) {
@@ -172,7 +189,7 @@
                         seeds(),
                         storePort,
                         STOP_SECONDS));
-        processes.start(edge(index), FLAGS, "io.rosemarybeam.edge.EdgeMain");
+        processes.start(edge(index), flags.apply(edge(index)), "io.rosemarybeam.edge.EdgeMain");
     }
 
     private String seeds() {
@@ -243,6 +260,24 @@
                         == 200);
     }
 
+    /** Reports a weight version to one store host after another; returns whether one accepted it. */
+    boolean nameVersion(String model, long version) {
+        return anyStoreAccepts("/api/version-put", "{\"Model\":\"" + model + "\",\"Version\":" + version + "}");
+    }
+
+    /** Returns the text that the metrics address of a process serves; empty if none was served. */
+    String metrics(String name) {
+        int index = Integer.parseInt(name.substring(name.indexOf('-') + 1));
+        String host = name.startsWith("store-") ? storeHost(index) : edgeHost(index);
+        Response response = call(new RequestBuilder("GET").setUrl(url(host, adminPort, "/metrics")));
+        return status(response) == 200 ? response.getResponseBody() : "";
+    }
+
+    /** Returns a request for the addresses of edges, or for the readiness of one, to an edge. */
+    RequestBuilder toReadyAddress(int edge, String path) {
+        return new RequestBuilder("GET").setUrl(url(edgeHost(edge), readyPort, path));
+    }
+
     /** Returns a request to an edge. */
     RequestBuilder toEdge(int edge, String method, String path) {
         return new RequestBuilder(method)
