--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -113,6 +113,8 @@
     STORE_LEADER_CHANGED(713, Severity.INFORMATION, "Another store host leads."),
     /** A request to the store leader was not executed. */
     STORE_REQUEST_FAILED(714, Severity.WARNING, "A request to the store leader was not carried out."),
+    /** A datagram between store hosts was not sent or received. */
+    KEEP_ALIVE_FAILED(715, Severity.WARNING, "A message that a stalled leader runs could not be sent or received."),
     /** An endpoint announced a change. */
     ENDPOINT_CHANGED(720, Severity.INFORMATION, "An endpoint announced a change."),
     /** A heartbeat cannot be read or does not describe a usable endpoint. */
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/LoopMonitor.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/LoopMonitor.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 /**
  * Measures how long tasks wait for an event loop, and samples what the loop executes while one waits too long.
@@ -23,8 +24,11 @@
     /** Delay of a probe from which the stack of the loop is sampled, in milliseconds. */
     private static final long OVERDUE_MILLISECONDS = 40;
 
-    /** Interval between two samples of the stack, in milliseconds. */
-    private static final long SAMPLE_INTERVAL_MILLISECONDS = 10;
+    /**
+     * Interval between two samples of the stack, in milliseconds. A sample takes up to a millisecond of a small host's only core,
+     * which the stalled loop then lacks.
+     */
+    private static final long SAMPLE_INTERVAL_MILLISECONDS = 50;
 
     /** Maximum number of frames of this project in a sample, from the innermost. */
     private static final int MAXIMUM_FRAMES = 4;
@@ -33,14 +37,16 @@
 
     private final Executor loop;
     private final Consumer<Delay> onDelay;
+    private final LongConsumer onOverdue;
     private final Pause pause;
     private final Thread thread;
     private volatile Thread loopThread;
     private volatile boolean closed;
 
-    private LoopMonitor(Executor loop, Consumer<Delay> onDelay, Pause pause) {
+    private LoopMonitor(Executor loop, Consumer<Delay> onDelay, LongConsumer onOverdue, Pause pause) {
         this.loop = Objects.requireNonNull(loop, "loop");
         this.onDelay = Objects.requireNonNull(onDelay, "onDelay");
+        this.onOverdue = Objects.requireNonNull(onOverdue, "onOverdue");
         this.pause = Objects.requireNonNull(pause, "pause");
         this.thread = Thread.ofPlatform().name("loop-monitor").daemon().unstarted(this::run);
     }
@@ -50,14 +56,15 @@
      *
      * @param loop executes its tasks one after the other on one thread
      * @param onDelay is told the delay of each probe
+     * @param onOverdue is told at each sample how long the probe has waited so far, in milliseconds
      * @return the monitor, which runs until it is closed
      */
-    public static LoopMonitor start(Executor loop, Consumer<Delay> onDelay) {
-        return start(loop, onDelay, Thread::sleep);
+    public static LoopMonitor start(Executor loop, Consumer<Delay> onDelay, LongConsumer onOverdue) {
+        return start(loop, onDelay, onOverdue, Thread::sleep);
     }
 
-    static LoopMonitor start(Executor loop, Consumer<Delay> onDelay, Pause pause) {
-        LoopMonitor monitor = new LoopMonitor(loop, onDelay, pause);
+    static LoopMonitor start(Executor loop, Consumer<Delay> onDelay, LongConsumer onOverdue, Pause pause) {
+        LoopMonitor monitor = new LoopMonitor(loop, onDelay, onOverdue, pause);
         monitor.thread.start();
         return monitor;
     }
@@ -99,6 +106,7 @@
         loop.execute(probe);
         long sampleDelay = OVERDUE_MILLISECONDS;
         while (!probe.await(sampleDelay)) {
+            onOverdue.accept(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - dueAt));
             Thread monitored = loopThread;
             if (monitored != null) {
                 samples.merge(describe(monitored.getStackTrace()), 1, Integer::sum);
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/event/LoopMonitorTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/event/LoopMonitorTest.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -23,7 +24,8 @@
 
     private final ExecutorService loop = Executors.newSingleThreadExecutor();
     private final BlockingQueue<LoopMonitor.Delay> delays = new LinkedBlockingQueue<>();
-    private final LoopMonitor monitor = LoopMonitor.start(loop, delays::add);
+    private final BlockingQueue<Long> overdue = new LinkedBlockingQueue<>();
+    private final LoopMonitor monitor = LoopMonitor.start(loop, delays::add, overdue::add);
 
     @AfterEach
     void stopLoop() {
@@ -42,6 +44,30 @@
                 () -> "samples " + longest.samples());
     }
 
+    @Test
+    void shouldReportAStallWhileItLasts() throws InterruptedException {
+        // Guards against followers that hear of the stall of their leader only when it is over.
+        assertNotNull(delays.poll(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS));
+        CountDownLatch released = new CountDownLatch(1);
+        loop.execute(() -> awaitQuietly(released));
+        long reported = 0;
+        while (reported < STALL_MILLISECONDS) {
+            Long milliseconds = overdue.poll(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+            assertNotNull(milliseconds, "the stall was not reported while it lasted");
+            reported = milliseconds;
+        }
+        released.countDown();
+        assertTrue(awaitDelayOf(STALL_MILLISECONDS).milliseconds() >= reported);
+    }
+
+    private static void awaitQuietly(CountDownLatch released) {
+        try {
+            released.await();
+        } catch (InterruptedException stopping) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void shouldTakeNoSamplesWhenTheLoopIsIdle() throws InterruptedException {
         // Guards against reading the stack of a loop that keeps up, which would cost processor time all day.
@@ -56,8 +82,8 @@
     void shouldCountTheTimeInWhichTheProcessWasSuspendedBeforeItsProbe() throws InterruptedException {
         // Guards against a suspended host without a log line: the monitor is suspended together with the loop.
         BlockingQueue<LoopMonitor.Delay> suspended = new LinkedBlockingQueue<>();
-        LoopMonitor frozen =
-                LoopMonitor.start(loop, suspended::add, interval -> Thread.sleep(interval + STALL_MILLISECONDS));
+        LoopMonitor frozen = LoopMonitor.start(
+                loop, suspended::add, ignored -> {}, interval -> Thread.sleep(interval + STALL_MILLISECONDS));
         try {
             suspended.poll(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
             LoopMonitor.Delay second = suspended.poll(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -217,6 +217,19 @@
         }
     }
 
+    /**
+     * Postpones the election of another leader, because the process of the present one runs, although it sends no heartbeats.
+     *
+     * @param from the member that says so
+     * @param term the term in which it leads; without effect if this member does not follow it in that term
+     */
+    public void leaderIsAlive(MemberId from, long term) {
+        boolean isLeader = leader.filter(from::equals).isPresent();
+        if (role == Role.FOLLOWER && isLeader && term == hardState.term()) {
+            electionElapsedTicks = 0;
+        }
+    }
+
     private void tickLeader() {
         Leadership state = leadership.orElseThrow();
         heartbeatElapsedTicks++;
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -105,6 +105,60 @@
         assertEquals(ReplicatedLog.Role.FOLLOWER, former.log.role());
     }
 
+    /** Advances the time of the followers only, as if the event loop of the leader were stalled. */
+    private void runFollowers(Node leader, int ticks, Runnable beforeEachTick) {
+        List<Node> others =
+                cluster.nodes.values().stream().filter(node -> node != leader).toList();
+        for (int tick = 0; tick < ticks; tick++) {
+            beforeEachTick.run();
+            for (Node node : others) {
+                node.log.tick();
+                node.process();
+                node.persist();
+                while (!cluster.network.isEmpty()) {
+                    cluster.deliver(0, false);
+                    others.forEach(Node::persist);
+                }
+            }
+        }
+    }
+
+    /** Guards against elections that a leader loses only because its event loop is stalled while its process runs. */
+    @Test
+    void shouldNotElectAnotherLeaderWhenStalledLeaderSaysThatItRuns() {
+        Node stalled = leader();
+        cluster.isolated.add(stalled.id.name());
+        long term = stalled.log.term();
+        List<Node> others =
+                cluster.nodes.values().stream().filter(node -> node != stalled).toList();
+
+        runFollowers(stalled, 60, () -> others.forEach(node -> node.log.leaderIsAlive(stalled.id, term)));
+        assertTrue(others.stream().allMatch(node -> node.log.term() == term));
+
+        runFollowers(stalled, 60, () -> {});
+        assertTrue(others.contains(leader()), "without a further sign of life another leader is elected");
+    }
+
+    /** Guards against a former leader that keeps a cluster without a leader from electing one. */
+    @Test
+    void shouldElectAnotherLeaderWhenTheSignOfLifeIsOfAFormerTermOrAnotherHost() {
+        Node stalled = leader();
+        cluster.isolated.add(stalled.id.name());
+        long term = stalled.log.term();
+        List<Node> others =
+                cluster.nodes.values().stream().filter(node -> node != stalled).toList();
+
+        runFollowers(
+                stalled,
+                60,
+                () -> others.forEach(node -> {
+                    node.log.leaderIsAlive(stalled.id, term - 1);
+                    node.log.leaderIsAlive(others.getFirst().id, term);
+                }));
+
+        assertTrue(others.contains(leader()));
+    }
+
     @Test
     void shouldConfirmReadsWhenMajorityAnswers() {
         cluster.read(leader());
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -168,6 +168,11 @@
         schedule();
     }
 
+    /** Postpones an election, because the process of the leader runs although it sends no heartbeats. */
+    public void leaderIsAlive(KeepAliveMessage message) {
+        log.leaderIsAlive(message.leader(), message.term());
+    }
+
     /** Passes a message of another host to the log. */
     public void receive(Envelope envelope) {
         log.receive(envelope);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -61,6 +61,7 @@
 import io.rosemarybeam.consensus.storage.FileSystem;
 import io.rosemarybeam.consensus.storage.LogStorage;
 import io.rosemarybeam.control.LeaderClock;
+import io.rosemarybeam.control.LeaderKeepAlive;
 import io.rosemarybeam.control.LogDriver;
 import io.rosemarybeam.control.MonotonicClock;
 import io.rosemarybeam.control.PeerConnections;
@@ -165,6 +166,7 @@
     private Optional<StoreLeader> leader = Optional.empty();
     private Channel protocolChannel;
     private AdminServer admin;
+    private LeaderKeepAlive keepAlive;
     private LoopMonitor loopMonitor;
     private CallerServer operatorServer;
     private boolean startedEmpty;
@@ -231,6 +233,8 @@
         ForwardMetrics.registerComputedMetrics(metrics, directory, client, this::configurationVersion);
         admin = AdminServer.start(loops, settings.adminAddress(), metrics, report::dump);
         protocolChannel = transport.listen(settings.protocolAddress(), self.name(), secrets, new Receiver());
+        keepAlive =
+                LeaderKeepAlive.open(settings.protocolAddress(), secrets.clusterSecret(), loop, driver::leaderIsAlive);
         operatorServer = CallerServer.open(
                 loops,
                 settings.operatorAddress(),
@@ -245,7 +249,7 @@
                 "event_loop_delay_seconds",
                 "Time that a task waited for the event loop in seconds.",
                 LOOP_DELAY_BOUNDS);
-        loopMonitor = LoopMonitor.start(loop, delay -> recordLoopDelay(delay, delays));
+        loopMonitor = LoopMonitor.start(loop, delay -> recordLoopDelay(delay, delays), keepAlive::loopIsStalled);
         LOG.log(
                 Event.PROCESS_STARTED,
                 "name",
@@ -288,6 +292,7 @@
         loop.execute(() -> handOver(handedOver, Forwarder.now() + STOP_TIMEOUT_MILLISECONDS));
         handedOver.join();
         loopMonitor.close();
+        keepAlive.close();
         loop.submit(() -> {
                     driver.stop();
                     leader.ifPresent(StoreLeader::stop);
@@ -326,6 +331,7 @@
         try {
             ticks++;
             driver.tick();
+            updateKeepAlive();
             leader.ifPresent(StoreLeader::tick);
             if (ticks % MAINTENANCE_TICKS == 0) {
                 maintain();
@@ -338,6 +344,20 @@
         }
     }
 
+    /** Keeps what a stall of the event loop announces up to date with the role of this host. */
+    private void updateKeepAlive() {
+        ReplicatedLog log = driver.log();
+        if (log.role() == ReplicatedLog.Role.LEADER) {
+            List<String> others = log.membership().members().stream()
+                    .filter(member -> !member.id().equals(self))
+                    .map(Member::address)
+                    .toList();
+            keepAlive.lead(self, log.term(), others);
+        } else {
+            keepAlive.follow();
+        }
+    }
+
     private static void recordLoopDelay(LoopMonitor.Delay delay, Histogram delays) {
         delays.observe(delay.milliseconds() / MILLISECONDS_PER_SECOND);
         if (delay.milliseconds() >= STALL_THRESHOLD_MILLISECONDS) {
@@ -636,6 +656,7 @@
                             new ItemScoring(loop, forwarder),
                             context));
             leader = Optional.of(next);
+            updateKeepAlive();
             permits.start(rateLimits.all());
             LOG.log(Event.LEADER_ELECTED, "name", settings.name(), "term", term, "applied", driver.applied());
             StoreStatus status = status(Forwarder.now());
