--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +28,7 @@
 import io.rosemarybeam.decision.batch.ItemPlacement;
 import io.rosemarybeam.decision.batch.ModelDemand;
 import io.rosemarybeam.decision.batch.PlacementRound;
+import io.rosemarybeam.decision.batch.StartPacing;
 import io.rosemarybeam.decision.batch.WaitReason;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.Route;
@@ -83,6 +85,11 @@
     private final ItemScoring scoring;
     private final LeaderContext leader;
     private final ItemQueue queue = new ItemQueue();
+    private final StartPacing pacing = new StartPacing();
+
+    /** Runs whose connection was being opened when they were started; those that are sent by now are removed when counted. */
+    private final Set<ItemTask.Run> opening = new HashSet<>();
+
     private final Map<SubmissionId, Map<ItemId, ItemTask>> tasks = new LinkedHashMap<>();
     private final Map<ModelName, Double> slotDemand = new HashMap<>();
 
@@ -326,14 +333,16 @@
                 .flatMap(task -> route(task.submission).stream())
                 .forEach(route -> round(route.serviceAt(0)));
         long slots = rounds.values().stream().mapToLong(PlacementRound::slots).sum();
+        pacing.beginTurn();
         queue.order(tasks.values(), this::runTarget, slots, leader.leaderTime(), now)
                 .forEach(task -> startIfPossible(task, now));
     }
 
     /** Starts waiting items in the order of the last tick. */
     private void startWhileThereIsRoom(long now) {
+        pacing.beginTurn();
         for (ItemTask task : queue.waiting(now)) {
-            if (rounds.values().stream().noneMatch(PlacementRound::hasRoom)) {
+            if (!mayStartAnother() || rounds.values().stream().noneMatch(PlacementRound::hasRoom)) {
                 return;
             }
             startIfPossible(task, now);
@@ -344,6 +353,11 @@
         contain(task, now, () -> route(task.submission).ifPresent(route -> start(task, route, now)));
     }
 
+    private boolean mayStartAnother() {
+        opening.removeIf(run -> run.attempt.isSent());
+        return pacing.mayStart(opening.size());
+    }
+
     private PlacementRound round(ServiceName service) {
         return rounds.computeIfAbsent(service, ignored -> PlacementRound.of(fleet.endpoints(service)));
     }
@@ -380,7 +394,7 @@
                 restartText(task);
             }
         }
-        if (!round.hasRoom()) {
+        if (!round.hasRoom() || !mayStartAnother()) {
             return;
         }
         choose(service, round, requirements(task)).ifPresent(chosen -> {
@@ -444,6 +458,8 @@
             abandon(task, "the item cannot be sent: " + failure.getMessage());
             return;
         }
+        pacing.recordStart();
+        opening.add(run);
         recordSent.accept(id);
         logRunStarted(task, chosen);
         task.stage = ItemTask.Stage.RUNNING;
@@ -474,6 +490,7 @@
 
     private void releaseEndpoint(ItemTask task) {
         task.run.ifPresent(run -> {
+            opening.remove(run);
             loads.recordEnd(run.endpoint);
             rounds.forEach((service, round) -> round.update(run.endpoint, fleet.endpoint(service, run.endpoint)));
         });
