--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -27,6 +27,7 @@
 import io.rosemarybeam.common.wire.WireSettings;
 import io.rosemarybeam.common.wire.WireTransport;
 import io.rosemarybeam.decision.routing.CallerLimits;
+import io.rosemarybeam.decision.routing.DrainWindow;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.RoutingTable;
@@ -64,11 +65,11 @@
     /** Maximum number of addresses in one answer; the platform reads no more. */
     private static final int MAXIMUM_ADDRESSES = 64;
 
-    /**
-     * Minimum time that a stopping process continues to serve, in milliseconds: callers cache its address for up to three
-     * lifetimes.
-     */
-    private static final long MINIMUM_DRAIN_MILLISECONDS = 3_000L * ADDRESS_LIFETIME_SECONDS + 1_000;
+    /** Time for which callers still use the address of a stopping process, in milliseconds: three lifetimes. */
+    private static final long ADDRESS_USE_MILLISECONDS = 3_000L * ADDRESS_LIFETIME_SECONDS;
+
+    /** Minimum time that a stopping process continues to serve, in milliseconds. */
+    private static final long MINIMUM_DRAIN_MILLISECONDS = ADDRESS_USE_MILLISECONDS + 1_000;
 
     /** A stopping process stops waiting for open requests this long before SIGKILL, in milliseconds. */
     private static final long STOP_MARGIN_MILLISECONDS = 900;
@@ -317,20 +318,22 @@
     }
 
     /**
-     * Drains the process: reports to the store hosts that it drains, so that callers get the addresses of other edges;
-     * continues to serve until callers no longer use its address, and refuses those that still do; closes the connections of
-     * callers once no request is open. Requests that are open when the stop time of the settings is nearly over are answered
-     * as at their deadline. Returns when this is done.
+     * Drains the process: reports to the store hosts that it drains, so that callers get the addresses of other edges, and
+     * continues to serve until callers no longer use its address. It then refuses the requests that may outlast the stop, and a
+     * little later all; it closes the connections of callers once no request is open. Requests that are open when the stop
+     * time of the settings is nearly over are answered as at their deadline. Returns when this is done.
      */
     public void stop() {
         CompletableFuture<Void> drained = new CompletableFuture<>();
         long maximumDrain = settings.stopTimeout().toMillis() - STOP_MARGIN_MILLISECONDS;
         loop.execute(() -> {
             draining = true;
+            long now = Forwarder.now();
+            requests.drain(new DrainWindow(now + ADDRESS_USE_MILLISECONDS, now + maximumDrain));
             forwardingServers().forEach(CallerServer::drain);
             stores.broadcast(status());
             LOG.log(Event.PROCESS_STOPPING, "name", settings.name(), "open", openRequests());
-            awaitDrained(drained, Forwarder.now(), maximumDrain);
+            awaitDrained(drained, now, maximumDrain);
         });
         drained.join();
         LOG.log(Event.PROCESS_STOPPED, "name", settings.name(), "open", openRequests());
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeRequests.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.decision.routing.DrainWindow;
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.RouteKind;
 import io.rosemarybeam.decision.routing.RoutingTable;
@@ -34,6 +35,7 @@
     private final Forwarder forwarder;
     private final BatchRequests batches;
     private Optional<RoutingTable> table = Optional.empty();
+    private Optional<DrainWindow> draining = Optional.empty();
     private boolean closed;
 
     EdgeRequests(Forwarder forwarder, BatchRequests batches) {
@@ -60,6 +62,11 @@
         return true;
     }
 
+    /** Refuses the requests that the window does not accept as not run. */
+    void drain(DrainWindow window) {
+        draining = Optional.of(window);
+    }
+
     /** Refuses all further requests as not run; those in progress go on. */
     void close() {
         closed = true;
@@ -139,6 +146,11 @@
         long callerTimeout = exchange.header(PlatformHeaders.DEADLINE)
                 .map(text -> parseMilliseconds(text, timeout))
                 .orElse(timeout);
+        long deadline = now + Math.min(timeout, callerTimeout);
+        if (draining.filter(window -> !window.accepts(now, deadline)).isPresent()) {
+            refuseClosed(exchange, id);
+            return;
+        }
         ForwardRequest request = new ForwardRequest(
                 id,
                 route,
@@ -147,7 +159,7 @@
                 exchange.uri(),
                 exchange.headers(),
                 exchange.body(),
-                now + Math.min(timeout, callerTimeout),
+                deadline,
                 table.orElseThrow().version(),
                 false,
                 handedOn);
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/EdgeStopTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/EdgeStopTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against requests without an answer when the stop time of an edge ends before they do. */
@@ -24,26 +25,39 @@
     /** Time in which a request that was sent is read by the edge, in milliseconds. */
     private static final long READ_MILLISECONDS = 200;
 
+    private static final int LONG_STOP_SECONDS = 8;
+
+    /** Callers use an address for up to three lifetimes of one second after the stop began. */
+    private static final long LATE_MILLISECONDS = 3_300;
+
     @TempDir
     Path folder;
 
     private final CountDownLatch arrived = new CountDownLatch(1);
+
+    /** All that the endpoint has read; the store host asks it for reports too. */
+    private final StringBuffer received = new StringBuffer();
+
     private PlatformCluster cluster;
     private ServerSocket silentEndpoint;
+    private int callerPort;
 
     @BeforeEach
     void startCluster() throws IOException {
         cluster = new PlatformCluster(folder);
         cluster.startStore();
-        cluster.configure("""
+        cluster.configure(
+                """
                 {"Version":1,"Routes":[
                 {"Name":"o","Hostname":"%s","PathPrefix":"/x/","RouteType":"non_idempotent",
                 "TimeoutMs":5000,"TargetLatencyMs":300,"Priority":0,"Backend":"desk","MaxAttempts":2},
+                {"Name":"s","Hostname":"%s","PathPrefix":"/short/","RouteType":"non_idempotent",
+                "TimeoutMs":500,"TargetLatencyMs":300,"Priority":0,"Backend":"desk","MaxAttempts":2},
                 {"Name":"t","Hostname":"%s","PathPrefix":"/t/","RouteType":"rollout",
                 "TimeoutMs":5000,"TargetLatencyMs":400,"RunAimMs":4000,"KeepS":60,"Backend":"desk","MaxAttempts":2}],
                 "Services":[{"Name":"desk","HealthPath":"/healthz","MaxConnections":50,"Protocol":"h1","Tls":false,
                 "Engine":{"Capacity":4,"Models":[{"Name":"model"}]}}]}
-                """.formatted(PlatformCluster.STORE_HOST, PlatformCluster.STORE_HOST));
+                """.formatted(PlatformCluster.STORE_HOST, PlatformCluster.STORE_HOST, PlatformCluster.STORE_HOST));
         silentEndpoint = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Thread.ofVirtual().start(this::acceptAndStaySilent);
         cluster.announce("e-0", "127.0.0.1:" + silentEndpoint.getLocalPort(), 1);
@@ -70,8 +84,11 @@
 
     private void readUntilClosed(Socket connection) {
         try (connection) {
-            while (connection.getInputStream().read() >= 0) {
+            int next = connection.getInputStream().read();
+            while (next >= 0) {
+                received.append((char) next);
                 arrived.countDown();
+                next = connection.getInputStream().read();
             }
         } catch (IOException reset) {
             arrived.countDown();
@@ -90,6 +107,40 @@
         return status;
     }
 
+    /** Stops an edge with a long stop time; returns when it has served for most of the time in which callers still use it. */
+    private CompletableFuture<Void> stopLate() throws InterruptedException {
+        cluster.setStopSeconds(LONG_STOP_SECONDS);
+        cluster.startEdge(1);
+        PlatformCluster.await("the edge serves", () -> cluster.request(1, "/none/", "", "") == 404 ? true : null);
+        callerPort = cluster.callerPort(1);
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(() -> cluster.stopEdge(1));
+        Thread.sleep(LATE_MILLISECONDS);
+        return stopped;
+    }
+
+    /** Guards against a request that is taken late in a planned stop, runs, and is cut off when the stop time ends. */
+    @Test
+    void shouldRefuseAtOnceWhenALateRequestMayOutlastTheStop() throws Exception {
+        CompletableFuture<Void> stopped = stopLate();
+
+        int status = cluster.requestAt(callerPort, "/x/1", "late-1", "body");
+
+        assertEquals(503, status);
+        assertFalse(received.toString().contains("late-1"), "the request was refused as not run");
+        stopped.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void shouldServeALateRequestWhenItEndsBeforeTheStop() throws Exception {
+        CompletableFuture<Void> stopped = stopLate();
+
+        int status = cluster.requestAt(callerPort, "/short/1", "late-2", "body");
+
+        assertEquals(504, status, "the endpoint is silent, so the request ends at its timeout");
+        assertTrue(received.toString().contains("late-2"), "the request did not reach an endpoint");
+        stopped.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
     /** The endpoint may run the request, so neither a refusal nor a closed connection may end it. */
     @Test
     void shouldAnswerARequestThatAnEndpointRunsWhenTheStopTimeEnds() throws Exception {
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PlatformCluster.java
@@ -55,6 +55,7 @@
             .version(HttpClient.Version.HTTP_1_1)
             .build();
     private StoreProcess store;
+    private int stopSeconds = STOP_SECONDS;
 
     PlatformCluster(Path folder) {
         this.folder = folder;
@@ -116,7 +117,7 @@
                         freePort(),
                         host,
                         protocolPort,
-                        STOP_SECONDS);
+                        stopSeconds);
         EdgeProcess edge =
                 new EdgeProcess(EdgeSettings.load(write("edge-" + number + ".json", text)), endpointDestinations);
         edge.start();
@@ -124,6 +125,11 @@
         callerPorts.put(number, callerPort);
     }
 
+    /** Sets how long the edges that are started from now on may take to stop. */
+    void setStopSeconds(int seconds) {
+        stopSeconds = seconds;
+    }
+
     void stopEdge(int number) {
         edges.remove(number).stop();
         callerPorts.remove(number);
@@ -183,6 +189,15 @@
         }
     }
 
+    /** Returns the port of an edge for callers, which may be needed after its stop has begun. */
+    int callerPort(int edge) {
+        return callerPorts.get(edge);
+    }
+
+    int requestAt(int callerPort, String path, String id, String body) {
+        return post(callerPort, path, id, body);
+    }
+
     int request(int edge, String path, String id, String body) {
         return post(callerPorts.get(edge), path, id, body);
     }
