--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireSettings.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireSettings.java
@@ -7,27 +7,36 @@
  *
  * @param heartbeatInterval interval between heartbeats on an otherwise idle connection
  * @param silenceTimeout time without any received byte after which a connection is closed
- * @param handshakeTimeout maximum time for connecting, and for the handshake
+ * @param connectTimeout maximum time for connecting
+ * @param handshakeTimeout maximum time for the handshake on an open connection
  */
-public record WireSettings(Duration heartbeatInterval, Duration silenceTimeout, Duration handshakeTimeout) {
-    private static final Duration DEFAULT_HEARTBEAT_INTERVAL = Duration.ofMillis(500);
-    private static final Duration DEFAULT_SILENCE_TIMEOUT = Duration.ofMillis(2_000);
-    private static final Duration DEFAULT_HANDSHAKE_TIMEOUT = Duration.ofMillis(2_000);
-    private static final Duration SHORT_HEARTBEAT_INTERVAL = Duration.ofMillis(300);
-    private static final Duration SHORT_SILENCE_TIMEOUT = Duration.ofMillis(1_200);
-    private static final Duration SHORT_HANDSHAKE_TIMEOUT = Duration.ofMillis(1_000);
+public record WireSettings(
+        Duration heartbeatInterval, Duration silenceTimeout, Duration connectTimeout, Duration handshakeTimeout) {
+    private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
+    private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(2_000);
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(2_000);
+    private static final Duration HANDSHAKE_TIMEOUT = Duration.ofMillis(2_000);
+
+    /** A lost SYN is sent again after 1 s, and a new attempt gets through as soon. */
+    private static final Duration SHORT_CONNECT_TIMEOUT = Duration.ofMillis(1_000);
+
+    /**
+     * A process that restarts under load needs up to 2 s for its first handshakes; one that is given up is begun again, which
+     * adds to the load.
+     */
+    private static final Duration LONG_HANDSHAKE_TIMEOUT = Duration.ofMillis(4_000);
 
     /** Returns the default timeouts, which the protocol page documents. */
     public static WireSettings standard() {
-        return new WireSettings(DEFAULT_HEARTBEAT_INTERVAL, DEFAULT_SILENCE_TIMEOUT, DEFAULT_HANDSHAKE_TIMEOUT);
+        return new WireSettings(HEARTBEAT_INTERVAL, SILENCE_TIMEOUT, CONNECT_TIMEOUT, HANDSHAKE_TIMEOUT);
     }
 
     /**
-     * Returns shorter timeouts, for processes whose callers wait for less than a second.
+     * Returns the timeouts of processes that hold connections to many others and restart under load.
      *
-     * @return settings that close a silent connection after 1.2 s, when three heartbeats are missing
+     * @return settings that give up connecting sooner than the default ones, and a handshake later
      */
-    public static WireSettings shortTimeouts() {
-        return new WireSettings(SHORT_HEARTBEAT_INTERVAL, SHORT_SILENCE_TIMEOUT, SHORT_HANDSHAKE_TIMEOUT);
+    public static WireSettings ofMesh() {
+        return new WireSettings(HEARTBEAT_INTERVAL, SILENCE_TIMEOUT, SHORT_CONNECT_TIMEOUT, LONG_HANDSHAKE_TIMEOUT);
     }
 }
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireTransport.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireTransport.java
@@ -100,7 +100,7 @@
                 .group(eventLoops)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int)
-                        settings.handshakeTimeout().toMillis())
+                        settings.connectTimeout().toMillis())
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .handler(initializer(() -> new HandshakeHandler.Client(credentials, opened, handler, settings)));
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/WireTransportTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/WireTransportTest.java
@@ -28,8 +28,8 @@
 /** Guards against clients that pass the handshake without the secret and against connections that hang forever. */
 class WireTransportTest {
     private static final Duration DEADLINE = Duration.ofSeconds(5);
-    private static final WireSettings SETTINGS =
-            new WireSettings(Duration.ofMillis(50), Duration.ofMillis(300), Duration.ofMillis(500));
+    private static final WireSettings SETTINGS = new WireSettings(
+            Duration.ofMillis(50), Duration.ofMillis(300), Duration.ofMillis(500), Duration.ofMillis(500));
 
     private final NioEventLoopGroup eventLoops = new NioEventLoopGroup(1);
     private final WireTransport transport = WireTransport.of(eventLoops, SETTINGS);
@@ -122,6 +122,25 @@
         }
     }
 
+    /** Guards against handshakes with a process that starts under load and that are given up and begun again for ever. */
+    @Test
+    void shouldWaitLongerForTheHandshakeThanForTheConnection() throws Exception {
+        Duration handshakeTimeout = Duration.ofMillis(600);
+        WireSettings patient = new WireSettings(
+                Duration.ofMillis(50), Duration.ofMillis(300), Duration.ofMillis(100), handshakeTimeout);
+        try (ServerSocket silent = new ServerSocket(0)) {
+            long start = System.nanoTime();
+            CompletableFuture<WireConnection> opened = WireTransport.of(eventLoops, patient)
+                    .connect(
+                            "127.0.0.1:" + silent.getLocalPort(),
+                            new Credentials(Role.ENTRY, "entry-1", 7, "cluster"),
+                            (connection, correlation, message) -> {});
+
+            assertThrows(ExecutionException.class, () -> opened.get(5, TimeUnit.SECONDS));
+            assertTrue(System.nanoTime() - start >= handshakeTimeout.toNanos());
+        }
+    }
+
     /**
      * A host that is unreachable or slow while its peer continues to send: unsent messages filled the memory of the
      * peer.
@@ -130,8 +149,8 @@
     void shouldNotBeWritableWhenThePeerDoesNotRead() throws Exception {
         NioEventLoopGroup blockedLoops = new NioEventLoopGroup(1);
         CountDownLatch done = new CountDownLatch(1);
-        WireSettings longTimeouts =
-                new WireSettings(Duration.ofSeconds(5), Duration.ofSeconds(20), Duration.ofSeconds(5));
+        WireSettings longTimeouts = new WireSettings(
+                Duration.ofSeconds(5), Duration.ofSeconds(20), Duration.ofSeconds(5), Duration.ofSeconds(5));
         Channel slowServer = WireTransport.of(blockedLoops, longTimeouts)
                 .listen(
                         "127.0.0.1:0",
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -118,7 +118,7 @@
         this.reach = new ServiceReach(loop, client, directory);
         this.stores = new StoreSessions(
                 loop,
-                WireTransport.of(loops, WireSettings.shortTimeouts()),
+                WireTransport.of(loops, WireSettings.ofMesh()),
                 credentials,
                 settings.stores().addresses(),
                 this::messagesOnConnect,
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/StoreSessionsTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/StoreSessionsTest.java
@@ -29,7 +29,7 @@
     private static final long TIMEOUT_SECONDS = 10;
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
-    private final WireTransport transport = WireTransport.of(loops, WireSettings.shortTimeouts());
+    private final WireTransport transport = WireTransport.of(loops, WireSettings.ofMesh());
     private final BlockingQueue<Message> received = new LinkedBlockingQueue<>();
     private Channel store;
     private StoreSessions sessions;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -202,7 +202,7 @@
         ReplicatedLog log = new ReplicatedLog(options(), self, durable);
         this.driver =
                 new LogDriver(loop, storageExecutor, storage, log, durable.snapshot(), state, new DriverListener());
-        this.transport = WireTransport.of(loops, WireSettings.shortTimeouts());
+        this.transport = WireTransport.of(loops, WireSettings.ofMesh());
         Credentials credentials =
                 new Credentials(Role.CONTROL, self.name(), self.incarnation(), secrets.clusterSecret());
         this.links = new PeerConnections(transport, credentials, new Receiver(), loop);
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
@@ -178,7 +178,7 @@
     StoreReply ask(int number, StoreMessage request) {
         WireConnection connection = null;
         try {
-            connection = WireTransport.of(loops, WireSettings.shortTimeouts())
+            connection = WireTransport.of(loops, WireSettings.ofMesh())
                     .connect(host(number) + ":" + protocolPort, new Credentials(Role.ENTRY, "test", 0, "test"), IGNORE)
                     .get(2, TimeUnit.SECONDS);
             Message reply = connection.request(request, Duration.ofSeconds(2)).get(3, TimeUnit.SECONDS);
@@ -197,7 +197,7 @@
 
     /** Sends copies of a request to a host without waiting between them, and returns the replies. */
     List<StoreReply> askAtOnce(int number, StoreMessage request, int copies) throws Exception {
-        WireConnection connection = WireTransport.of(loops, WireSettings.shortTimeouts())
+        WireConnection connection = WireTransport.of(loops, WireSettings.ofMesh())
                 .connect(host(number) + ":" + protocolPort, new Credentials(Role.ENTRY, "test", 0, "test"), IGNORE)
                 .get(2, TimeUnit.SECONDS);
         try {
