--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -13,7 +13,7 @@
 /** Messages between edge and store processes. Immutable and safe for use by several threads. */
 public sealed interface StoreMessage extends Message {
     /**
-     * Status of an edge, sent on each new connection to a store host and then periodically.
+     * Status of an edge, sent on each new connection to a store host and then on each change.
      *
      * @param host name of its host
      * @param callerAddress IP address and port for callers
@@ -22,6 +22,8 @@
      * @param configurationVersion version of the configuration in use; -1 if there is none
      * @param peerAddress IP address and port for requests that other edges hand on; empty if an older sender omits it
      * @param cutOffServices services whose endpoints it cannot reach; empty if an older sender omits them
+     * @param keepsStoreStatus whether it uses the status of a store host until the connection closes, so that an unchanged one
+     *     need not be repeated; false if an older sender omits it
      */
     record EdgeStatus(
             String host,
@@ -30,7 +32,8 @@
             boolean draining,
             long configurationVersion,
             String peerAddress,
-            List<String> cutOffServices)
+            List<String> cutOffServices,
+            boolean keepsStoreStatus)
             implements StoreMessage {
         /** Sets components that an older sender omits to empty ones. */
         public EdgeStatus {
@@ -56,7 +59,8 @@
     }
 
     /**
-     * Status of a store host, sent on each new connection and then periodically.
+     * Status of a store host, sent on each new connection and on each change, and periodically to other store hosts and to
+     * edges of earlier releases.
      *
      * @param host name of its host
      * @param address IP address and port of its protocol
@@ -64,7 +68,8 @@
      * @param term the largest term that it has seen
      * @param leading whether it is the leader of that term and has applied all earlier entries
      * @param stores addresses of all store hosts that it knows
-     * @param edges the edges that are connected to it and not draining
+     * @param edges the edges that are connected to it and not draining; empty in the status for other store hosts, which
+     *     make no use of them
      * @param grantsPermits whether it answers {@link AcquirePermit} as a leader; false if an older sender omits it
      * @param findsStreams whether it answers {@link FindStream}; false if an older sender omits it
      */
@@ -83,6 +88,16 @@
             stores = List.copyOf(stores);
             edges = List.copyOf(edges);
         }
+
+        /**
+         * Returns the status for other store hosts.
+         *
+         * @return a copy that lists no edges
+         */
+        public StoreStatus withoutEdges() {
+            return new StoreStatus(
+                    host, address, incarnation, term, leading, stores, List.of(), grantsPermits, findsStreams);
+        }
     }
 
     /**
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -220,7 +220,8 @@
                 draining || requests.table().isEmpty(),
                 configurationVersion(),
                 settings.peerAddress().orElse(""),
-                reach.cutOffServices().stream().map(ServiceName::value).sorted().toList());
+                reach.cutOffServices().stream().map(ServiceName::value).sorted().toList(),
+                true);
     }
 
     private void onStoreMessage(Message message) {
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
@@ -1,6 +1,5 @@
 package io.rosemarybeam.edge;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -30,15 +29,15 @@
  * Maintains connections to all store hosts and finds the leader among them.
  *
  * <p>The hosts are those of the settings and those that any connected host lists in its status. A host that is neither
- * connected nor listed any more is removed. Confined to its event loop.
+ * connected nor listed any more is removed.
+ *
+ * <p>Invariant: the status of a host is used until its connection closes, which it does when it is silent; hosts send it again
+ * only when it changes. Confined to its event loop.
  */
 final class StoreSessions {
     /** Minimum interval between two attempts to connect to a host, in milliseconds; a process restarts within 1 s. */
     private static final long CONNECT_INTERVAL_MILLISECONDS = 300;
 
-    /** Age after which the status of a host is ignored, in milliseconds; hosts send it every 500. */
-    private static final long MAXIMUM_STATUS_AGE_MILLISECONDS = 1_500;
-
     private static final EventLog LOG = EventLog.of(StoreSessions.class);
 
     private final EventLoop loop;
@@ -51,6 +50,9 @@
     private String lastLeader = "";
     private EdgeStatus lastStatus;
 
+    /** The edges that the hosts list; computed again when one sends its status or its connection closes. */
+    private Optional<Set<EdgeAddress>> edges = Optional.empty();
+
     StoreSessions(
             EventLoop loop,
             WireTransport transport,
@@ -116,9 +118,9 @@
                         loop);
     }
 
-    /** Returns the connection to the host that reports to lead in the highest term; empty without a recent report. */
+    /** Returns the connection to the host that reports to lead in the highest term; empty if none reports it. */
     Optional<WireConnection> leader() {
-        Optional<Session> found = sessionsWithRecentStatus().stream()
+        Optional<Session> found = sessionsWithStatus().stream()
                 .filter(session -> session.status.leading())
                 .max(Comparator.comparingLong(session -> session.status.term()));
         String name = found.map(session -> session.address).orElse("");
@@ -144,23 +146,26 @@
 
     /** Returns the connections to the hosts that find the origins of streams, which earlier releases do not. */
     List<WireConnection> streamFinders() {
-        return sessionsWithRecentStatus().stream()
+        return sessionsWithStatus().stream()
                 .filter(session -> session.status.findsStreams())
                 .map(session -> session.connection)
                 .toList();
     }
 
-    /** Returns whether every known host has sent its status lately, so that this edge knows all endpoints. */
+    /** Returns whether every known host is connected and has sent its status, so that this edge knows all endpoints. */
     boolean isInTouchWithAll() {
         return !sessions.isEmpty()
-                && sessionsWithRecentStatus().size() == requiredAddresses().size();
+                && sessionsWithStatus().size() == requiredAddresses().size();
     }
 
-    /** Returns the edges that any host lists in its recent status. */
+    /** Returns the edges that any connected host lists in its status. */
     Collection<EdgeAddress> edges() {
-        Set<EdgeAddress> edges = new HashSet<>();
-        sessionsWithRecentStatus().forEach(session -> edges.addAll(session.status.edges()));
-        return edges;
+        if (edges.isEmpty()) {
+            Set<EdgeAddress> listed = new HashSet<>();
+            sessionsWithStatus().forEach(session -> listed.addAll(session.status.edges()));
+            edges = Optional.of(listed);
+        }
+        return edges.get();
     }
 
     /** Returns the state of each connection for the dump. */
@@ -176,17 +181,10 @@
                 .toList();
     }
 
-    private List<Session> sessionsWithRecentStatus() {
-        long now = Forwarder.now();
-        List<Session> recent = new ArrayList<>();
-        for (Session session : sessions.values()) {
-            if (session.isOpen()
-                    && session.status != null
-                    && now - session.lastContact <= MAXIMUM_STATUS_AGE_MILLISECONDS) {
-                recent.add(session);
-            }
-        }
-        return recent;
+    private List<Session> sessionsWithStatus() {
+        return sessions.values().stream()
+                .filter(session -> session.isOpen() && session.status != null)
+                .toList();
     }
 
     /** Sends a message to every connected host. */
@@ -235,6 +233,7 @@
             if (message instanceof StoreStatus status) {
                 session.status = status;
                 session.lastContact = Forwarder.now();
+                edges = Optional.empty();
             } else {
                 onUpdate.accept(message);
             }
@@ -244,6 +243,7 @@
         public void onClose(WireConnection connection) {
             LOG.log(Event.STORE_LOST, "store", session.address, "silent", Forwarder.now() - session.lastContact);
             session.status = null;
+            edges = Optional.empty();
         }
     }
 }
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/StoreSessionsTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/StoreSessionsTest.java
@@ -64,7 +64,7 @@
     }
 
     private static EdgeStatus status(long configuration) {
-        return new EdgeStatus("edge-1", "127.0.0.1:1", "fes", false, configuration, "", List.of());
+        return new EdgeStatus("edge-1", "127.0.0.1:1", "fes", false, configuration, "", List.of(), true);
     }
 
     @Test
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -98,8 +98,8 @@
     private static final long MAINTENANCE_TICKS = 5;
 
     /**
-     * Maintenance rounds between two messages with an unchanged status to the edges, which use a status for 1,500
-     * milliseconds. It lists all edges, so its size and its receivers both grow with their number.
+     * Maintenance rounds between two messages with an unchanged status to edges of earlier releases, which use a status for
+     * 1,500 milliseconds. It lists all edges, so its size and its receivers both grow with their number.
      */
     private static final long EDGE_STATUS_ROUNDS = 2;
 
@@ -378,10 +378,12 @@
         rateLimits.retain(id -> directory.find(id).isPresent());
         links.maintain(members.peers(seeds, now), now);
         StoreStatus status = status(now);
-        links.sendToAll(status);
-        if (ticks % (MAINTENANCE_TICKS * EDGE_STATUS_ROUNDS) == 0 || !status.equals(lastStatusToEdges)) {
+        links.sendToAll(status.withoutEdges());
+        if (!status.equals(lastStatusToEdges)) {
             lastStatusToEdges = status;
             Broadcast.send(edges.keySet(), status);
+        } else if (ticks % (MAINTENANCE_TICKS * EDGE_STATUS_ROUNDS) == 0) {
+            Broadcast.send(edgesThatNeedRepeatedStatus(), status);
         }
         boolean isContactRound = ticks % (MAINTENANCE_TICKS * CONTACT_ROUNDS) == 0;
         if (isContactRound) {
@@ -393,6 +395,13 @@
         }
     }
 
+    private List<WireConnection> edgesThatNeedRepeatedStatus() {
+        return edges.entrySet().stream()
+                .filter(edge -> !edge.getValue().keepsStoreStatus())
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     private StoreStatus status(long now) {
         List<String> stores = new ArrayList<>(members.peers(seeds, now).values());
         stores.add(settings.protocolAddress());
@@ -570,7 +579,11 @@
         }
 
         private void receiveEdgeStatus(WireConnection connection, EdgeStatus edge) {
-            edges.put(connection, edge);
+            boolean isNew = edges.put(connection, edge) == null;
+            if (isNew) {
+                // The status may have changed since the connection was opened, and is not sent again until it changes.
+                connection.send(status(Forwarder.now()));
+            }
             state.configuration()
                     .filter(newest -> newest.version() > edge.configurationVersion())
                     .ifPresent(connection::send);
@@ -659,8 +672,8 @@
             updateKeepAlive();
             permits.start(rateLimits.all());
             LOG.log(Event.LEADER_ELECTED, "name", settings.name(), "term", term, "applied", driver.applied());
-            StoreStatus status = status(Forwarder.now());
-            Broadcast.send(edges.keySet(), status);
+            lastStatusToEdges = status(Forwarder.now());
+            Broadcast.send(edges.keySet(), lastStatusToEdges);
         }
 
         @Override
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -211,6 +212,24 @@
         }
     }
 
+    /** Connects to a host as an edge with the given status; returns the messages that arrive within a time. */
+    List<Message> listenAsEdge(int number, StoreMessage.EdgeStatus status, long milliseconds) throws Exception {
+        List<Message> messages = new CopyOnWriteArrayList<>();
+        WireConnection connection = WireTransport.of(loops, WireSettings.ofMesh())
+                .connect(
+                        host(number) + ":" + protocolPort,
+                        new Credentials(Role.ENTRY, status.host(), 0, "test"),
+                        (from, correlation, message) -> messages.add(message))
+                .get(2, TimeUnit.SECONDS);
+        try {
+            connection.send(status);
+            Thread.sleep(milliseconds);
+            return List.copyOf(messages);
+        } finally {
+            connection.close();
+        }
+    }
+
     /** Returns the size of all files of a host, in bytes. */
     long dataBytes(int number) {
         try (Stream<Path> files = Files.walk(folder.resolve("data-" + number))) {
