--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
@@ -204,6 +204,17 @@
                 .orElse(0);
     }
 
+    /**
+     * Leaves a time out of the silence of all endpoints, in which this process could not read what they sent.
+     *
+     * @param milliseconds the time; 0 changes nothing
+     */
+    public void excuseSilence(long milliseconds) {
+        if (milliseconds > 0) {
+            byId.replaceAll((id, entry) -> new Entry(entry.announcement, entry.lastContact + milliseconds));
+        }
+    }
+
     /**
      * Removes the endpoints that are not ready and whose retention period has passed.
      *
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointDirectoryTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/routing/EndpointDirectoryTest.java
@@ -102,6 +102,17 @@
         assertTrue(directory.leaving().isEmpty());
     }
 
+    /** Guards against endpoints that are taken for silent because this process did not read their heartbeats. */
+    @Test
+    void shouldNotCountTheStallOfThisProcessAsSilence() {
+        directory.merge(ready("a", 100, 1), 0);
+
+        directory.excuseSilence(4_000);
+
+        assertTrue(directory.silentFor(4_800, 5_000).isEmpty());
+        assertEquals(1, directory.silentFor(4_800, 9_000).size());
+    }
+
     @Test
     void shouldStayDepartedWhenHeartbeatOfSameIncarnationArrivesAfterDeregistration() {
         directory.merge(ready("a", 100, 1), 0);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -33,6 +33,7 @@
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.RoutingTable;
+import io.rosemarybeam.decision.routing.StallDetector;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.forward.RateLimits;
 import io.rosemarybeam.platform.EndpointAnswer;
@@ -65,6 +66,9 @@
     /** Delay before an item is considered again after an unexpected failure of this host, in milliseconds. */
     private static final long FAILED_ACTION_DELAY_MILLISECONDS = 1_000;
 
+    /** Interval between ticks, in milliseconds. */
+    private static final long TICK_MILLISECONDS = 50;
+
     /** Weight of one tick in the moving average of slot demand; at 50 ms a tick it covers about two steps of a trainer. */
     private static final double SLOT_DEMAND_WEIGHT = 0.006;
 
@@ -86,6 +90,7 @@
     private final LeaderContext leader;
     private final ItemQueue queue = new ItemQueue();
     private final StartPacing pacing = new StartPacing();
+    private final StallDetector stalls = new StallDetector(TICK_MILLISECONDS);
 
     /** Runs whose connection was being opened when they were started; those that are sent by now are removed when counted. */
     private final Set<ItemTask.Run> opening = new HashSet<>();
@@ -249,6 +254,7 @@
     /** Cancels runs whose stream is silent, abandons expired items, stores partial texts, and starts waiting items. */
     void tick() {
         long now = Forwarder.now();
+        excuseRuns(stalls.stalledUntil(now));
         openTasks().toList().forEach(task -> contain(task, now, () -> checkTimeouts(task, now)));
         tasks.forEach((submission, open) -> partialTexts.checkpoint(submission, open.values()));
         updateSlotDemand();
@@ -305,6 +311,13 @@
                 .orElse(WaitReason.NO_ROUTE);
     }
 
+    /** Postpones the timeouts of all runs after a stall of this host, because what they have sent may not be read yet. */
+    private void excuseRuns(long stalledMilliseconds) {
+        if (stalledMilliseconds > 0) {
+            openTasks().flatMap(task -> task.run.stream()).forEach(run -> run.lastEventAt += stalledMilliseconds);
+        }
+    }
+
     private void checkTimeouts(ItemTask task, long now) {
         if (task.run.isPresent()) {
             ItemTask.Run run = task.run.get();
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
@@ -11,6 +11,7 @@
 import io.rosemarybeam.common.wire.WireConnection;
 import io.rosemarybeam.control.PeerConnections;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
+import io.rosemarybeam.decision.routing.StallDetector;
 import io.rosemarybeam.forward.Forwarder;
 
 /**
@@ -25,6 +26,7 @@
     private final EndpointDirectory directory;
     private final PeerConnections links;
     private final Collection<WireConnection> edges;
+    private final StallDetector stalls;
 
     /**
      * Creates a registry.
@@ -32,11 +34,17 @@
      * @param directory the latest announcement of each endpoint
      * @param links connections to the other store hosts
      * @param edges a view of the open connections of edges
+     * @param maintenanceInterval interval between two calls of {@link #excuseStall}, in milliseconds
      */
-    EndpointRegistry(EndpointDirectory directory, PeerConnections links, Collection<WireConnection> edges) {
+    EndpointRegistry(
+            EndpointDirectory directory,
+            PeerConnections links,
+            Collection<WireConnection> edges,
+            long maintenanceInterval) {
         this.directory = directory;
         this.links = links;
         this.edges = edges;
+        this.stalls = new StallDetector(maintenanceInterval);
     }
 
     /** Merges an announcement that this host received directly, and sends a change to the edges and other store hosts. */
@@ -77,6 +85,11 @@
         EndpointNews.batchesOf(directory.updatedSince(since)).forEach(this::sendToPeers);
     }
 
+    /** Postpones the time at which endpoints count as silent after a stall of this host; to be called in each maintenance. */
+    void excuseStall(long now) {
+        directory.excuseSilence(stalls.stalledUntil(now));
+    }
+
     /** Announces endpoints without a heartbeat for the given time, in milliseconds, as silent. */
     void markSilent(long silence, long now) {
         directory.silentFor(silence, now).forEach(silent -> receive(silent.asSilent()));
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -207,7 +207,7 @@
                 new Credentials(Role.CONTROL, self.name(), self.incarnation(), secrets.clusterSecret());
         this.links = new PeerConnections(transport, credentials, new Receiver(), loop);
         this.members = new StoreMembers(settings, self, driver, state);
-        this.registry = new EndpointRegistry(directory, links, edges.keySet());
+        this.registry = new EndpointRegistry(directory, links, edges.keySet(), MAINTENANCE_TICKS * TICK_MILLISECONDS);
     }
 
     /**
@@ -373,6 +373,7 @@
     private void maintain() {
         long now = Forwarder.now();
         client.tick();
+        registry.excuseStall(now);
         directory.evictExpired(now);
         crashes.tick();
         rateLimits.retain(id -> directory.find(id).isPresent());
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
@@ -22,6 +22,7 @@
 import io.rosemarybeam.decision.batch.VersionPlan;
 import io.rosemarybeam.decision.routing.RoutingTable;
 import io.rosemarybeam.decision.routing.ServiceDefinition;
+import io.rosemarybeam.decision.routing.StallDetector;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.platform.EndpointAnswer;
 import io.rosemarybeam.platform.EndpointClient;
@@ -55,6 +56,9 @@
     /** Delay after a failed call, in milliseconds. */
     private static final long RETRY_DELAY_MILLISECONDS = 300;
 
+    /** Interval between ticks, in milliseconds. */
+    private static final long TICK_MILLISECONDS = 50;
+
     private static final int STATUS_ACCEPTED = 202;
     private static final int STATUS_OK = 200;
     /** Maximum length of a response; a report of a full endpoint has a few kilobytes. */
@@ -70,6 +74,7 @@
     private final long firstOrderAt;
     private final Map<String, VersionPlan> plans = new HashMap<>();
     private final Map<EndpointId, Order> orders = new HashMap<>();
+    private final StallDetector stalls = new StallDetector(TICK_MILLISECONDS);
 
     /**
      * Creates an instance for the current term.
@@ -100,6 +105,7 @@
 
     void tick(Optional<RoutingTable> table, Function<ModelName, ModelDemand> demand) {
         long now = Forwarder.now();
+        excuseCalls(stalls.stalledUntil(now));
         if (now < firstOrderAt || table.isEmpty()) {
             return;
         }
@@ -116,6 +122,14 @@
         }
     }
 
+    /** Postpones the timeouts of calls and loads after a stall of this host, because answers may not be read yet. */
+    private void excuseCalls(long stalledMilliseconds) {
+        orders.values().forEach(order -> {
+            order.calledAt += stalledMilliseconds;
+            order.startedAt += stalledMilliseconds;
+        });
+    }
+
     void stop() {
         orders.values().forEach(order -> {
             fleet.setLoading(order.load.endpoint(), Optional.empty());
@@ -264,7 +278,7 @@
     private static final class Order {
         private final VersionPlan.PlannedLoad load;
         private final EndpointAnnouncement endpoint;
-        private final long startedAt;
+        private long startedAt;
         private Optional<Call> call = Optional.empty();
         private Optional<Long> acceptedAt = Optional.empty();
         private long calledAt;
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
@@ -42,6 +42,10 @@
     private static final int MANY_EVENTS = 10_000;
 
     private static final int TIMEOUT_SECONDS = 20;
+
+    /** Longer than a stream may be silent. */
+    private static final long STALL_MILLISECONDS = 2_200;
+
     private static final EndpointId ENDPOINT = EndpointId.of("e-1");
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
@@ -138,6 +142,40 @@
         }
     }
 
+    /** Guards against runs that are started again because this host was too busy to read what they have generated. */
+    @Test
+    void shouldKeepARunWhenOnlyThisHostWasStalled() throws Exception {
+        try (FakeEngine engine = new FakeEngine("127.0.77.104")) {
+            engine.setEventCount("first-0", MANY_EVENTS);
+            BatchRunner runner = runner(engine);
+            loop.submit(() -> {
+                        apply(1, new StoreCommand.AcceptSubmission(submission("first", 1), "r"));
+                        runner.tick();
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            StoreCluster.await("the item runs", () -> engine.runs.isEmpty() ? null : true);
+
+            loop.submit(() -> {
+                        pause(STALL_MILLISECONDS);
+                        runner.tick();
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            int running = loop.submit(() -> loads.outstanding(ENDPOINT)).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            loop.submit(runner::stop).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertEquals(1, running);
+            assertEquals(1, engine.runs.size());
+        }
+    }
+
+    private static void pause(long milliseconds) {
+        try {
+            Thread.sleep(milliseconds);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Guards against items that are sent to an endpoint whose answer to an earlier item said that it leaves. */
     @Test
     void shouldStartNoItemWhenAnAnswerSaidThatTheEndpointLeaves() throws Exception {
