--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
@@ -77,7 +77,7 @@
 
     private static void installHandlers(Channel channel) {
         ReadGate.install(channel);
-        IdleConnectionGuard.install(channel);
+        EndpointCodec.install(channel, MAXIMUM_HEADER_BYTES);
     }
 
     /**
