--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/LingeringClose.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/LingeringClose.java
@@ -1,4 +1,4 @@
-package io.rosemarybeam.forward;
+package io.rosemarybeam.common.wire;
 
 import java.util.concurrent.TimeUnit;
 
@@ -8,13 +8,13 @@
 import io.netty.channel.socket.DuplexChannel;
 
 /**
- * Closes a connection after its last answer in the way of RFC 9112, section 9.6: it ends the output, and goes on reading
- * until the caller closes or a timeout is over.
+ * Closes a connection of a caller after its last answer in the way of RFC 9112, section 9.6: it ends the output, and goes on
+ * reading until the caller closes or a timeout is over.
  *
  * <p>A connection that is closed while bytes of the caller are unread or on their way is reset, which can discard the answer.
  * The handler of the connection has to discard what it still reads. Stateless and safe for use by several threads.
  */
-final class LingeringClose implements ChannelFutureListener {
+public final class LingeringClose implements ChannelFutureListener {
     /** Maximum time for which a connection is read after the last answer, in milliseconds. */
     private static final long TIMEOUT_MILLISECONDS = 2_000;
 
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerConnection.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerConnection.java
@@ -148,7 +148,7 @@
         discarding = true;
         routes.countRefusal(problem.code());
         HttpCall refused = new HttpCall(context.channel(), head, new byte[0], () -> {}, openCalls.enter());
-        refused.closeAfterAnswer();
+        refused.lingerAfterAnswer();
         refused.refuse(problem);
     }
 
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpCall.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpCall.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.rosemarybeam.common.wire.LingeringClose;
 
 /**
  * One HTTP request with its complete body, and the means to answer it.
@@ -43,6 +44,7 @@
     private final List<Runnable> onClosed = new ArrayList<>();
     private boolean closed;
     private volatile boolean closing;
+    private volatile boolean lingering;
 
     /**
      * Creates a call.
@@ -76,6 +78,15 @@
         closing = true;
     }
 
+    /**
+     * Closes the connection after the answer to a request whose body is not read, in a way that does not reset it while the
+     * caller still writes; a reset discards the answer.
+     */
+    void lingerAfterAnswer() {
+        closing = true;
+        lingering = true;
+    }
+
     // ---- Complete answers ----
 
     void respondJson(int status, Object value) {
@@ -221,7 +232,7 @@
     private void onAnswerWritten(ChannelFuture written) {
         written.addListener(ended -> onSent.run());
         if (closing) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            written.addListener(lingering ? new LingeringClose() : ChannelFutureListener.CLOSE);
         } else {
             onAnswered.run();
         }
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ProxyTest.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/ProxyTest.java
@@ -30,6 +30,9 @@
  * with a slow caller.
  */
 class ProxyTest {
+    /** More than the buffers of a connection take, so that the caller still writes when it is refused. */
+    private static final int LONG_BODY_BYTES = 8 * 1_048_576;
+
     private static final String PATH = "/services/workshop-app";
     private static final int CHUNK_BYTES = 16_384;
 
@@ -251,6 +254,18 @@
         assertEquals(0, endpoint.calls().size());
     }
 
+    /** The connection was reset while the caller still wrote, which discarded the answer. */
+    @Test
+    void shouldDeliverTheRefusalWhenTheCallerStillWrites() {
+        endpoint("a", call -> call.respond(200, "x"));
+        for (int attempt = 0; attempt < 10; attempt++) {
+            assertEquals(
+                    413,
+                    harness.post(entry, PATH + "/bookings", "x".repeat(LONG_BODY_BYTES))
+                            .statusCode());
+        }
+    }
+
     // The endpoint could resolve the path to a call that is not idempotent.
     @Test
     void shouldRefuseWhenPathHasDotSegment() {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerConnection.java
@@ -22,6 +22,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.wire.LingeringClose;
 import io.rosemarybeam.decision.routing.CallerLimits;
 
 /**
