--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/ArchiveTrainingTool.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/ArchiveTrainingTool.java
@@ -92,14 +92,21 @@
             parser.printUsage(System.out);
             return;
         }
-        tool.run(Files.createDirectories(Path.of(tool.folder)));
+        Path files = Files.createDirectories(Path.of(tool.folder));
+        tool.run(files, new ProcessGroup(files, tool.java, tool.classPath));
         boolean areWritten = Files.exists(Path.of(tool.storeArchive)) && Files.exists(Path.of(tool.edgeArchive));
         System.out.print(tool.report.render());
         System.exit(areWritten ? 0 : 1);
     }
 
-    private void run(Path files) throws InterruptedException {
-        ProcessGroup processes = new ProcessGroup(files, java, classPath);
+    /** Runs the load with the programs on the class path of this process and writes no archives, for the tests. */
+    static SoakReport exerciseOnly(Path files) throws InterruptedException {
+        ArchiveTrainingTool tool = new ArchiveTrainingTool();
+        tool.run(files, new ProcessGroup(files));
+        return tool.report;
+    }
+
+    private void run(Path files, ProcessGroup processes) throws InterruptedException {
         try (SoakDeployment deployment = new SoakDeployment(files, STORES, EDGES, processes, this::flags)) {
             deployment.start(report, DESKS, ENGINES);
             Thread.ofVirtual().start(() -> announce(deployment));
@@ -112,16 +119,16 @@
                 caller.join();
             }
             running = false;
-            processes.stop(EDGE, STOP_TIMEOUT);
-            processes.stop(STORE, STOP_TIMEOUT);
+            report.count(processes.stop(EDGE, STOP_TIMEOUT) ? "programs stopped" : "programs not stopped");
+            report.count(processes.stop(STORE, STOP_TIMEOUT) ? "programs stopped" : "programs not stopped");
         }
     }
 
     private List<String> flags(String name) {
         List<String> flags = new ArrayList<>(FLAGS);
-        if (name.equals(STORE)) {
+        if (name.equals(STORE) && !storeArchive.isEmpty()) {
             flags.add("-XX:ArchiveClassesAtExit=" + storeArchive);
-        } else if (name.equals(EDGE)) {
+        } else if (name.equals(EDGE) && !edgeArchive.isEmpty()) {
             flags.add("-XX:ArchiveClassesAtExit=" + edgeArchive);
         }
         return flags;
@@ -177,6 +184,7 @@
             deployment.processes().signal(leader, "CONT");
             hasFollowed |= !leader(deployment).equals(STORE);
         }
+        report.count(hasFollowed && leader(deployment).equals(STORE) ? "both roles taken" : "one role taken");
         exercise(deployment);
     }
 
