--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -53,7 +53,7 @@
  * {@link #start}, {@link #stop} and {@link #reload} may be called from any thread but the event loop.
  */
 public final class EdgeProcess {
-    /** Interval of periodic work, in milliseconds; store hosts remove an edge without a status for 1,500 ms. */
+    /** Interval of periodic work, in milliseconds; a changed status reaches the store hosts within it. */
     private static final long TICK_MILLISECONDS = 250;
 
     /**
