--- a/review/support/src/review/Deployment.java
+++ b/review/support/src/review/Deployment.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -29,8 +30,9 @@
 
     private final Path root = Path.of("").toAbsolutePath();
     private final Path folder = Files.createTempDirectory("rosemarybeam-review");
-    /** Differs between runs, so that two runs can overlap. */
-    private final String network = "127." + (20 + ProcessHandle.current().pid() % 200) + ".";
+    /** Drawn at random, so that two runs can overlap. */
+    private final String network = "127." + ThreadLocalRandom.current().nextInt(20, 250) + "."
+            + ThreadLocalRandom.current().nextInt(1, 250) + ".";
     private final Map<String, Process> processes = new ConcurrentHashMap<>();
     private final int stores;
     private final int edges;
@@ -46,7 +48,7 @@
     }
 
     String storeHost(int index) {
-        return network + "1." + (10 + index);
+        return network + (10 + index);
     }
 
     String control(int index) {
@@ -54,11 +56,11 @@
     }
 
     String front(int index) {
-        return network + "2." + (10 + index) + ":" + FRONT_PORT;
+        return network + (50 + index) + ":" + FRONT_PORT;
     }
 
     String replicaHost(int index) {
-        return network + "3." + (10 + index);
+        return network + (100 + index);
     }
 
     static String storeName(int index) {
@@ -111,7 +113,7 @@
     }
 
     void startEdge(int index) throws IOException {
-        String host = network + "2." + (10 + index);
+        String host = network + (50 + index);
         start("edge-" + index, "edge", List.of(), """
                 {"name": "edge-%d", "failureDomain": "zone-%d", "callerAddress": "%s", "readyAddress": "%s:%d",
                  "peerAddress": "%s:%d", "adminAddress": "%s:%d", "seeds": [%s], "storePort": %d,
--- a/review/support/src/review/EndlessReward.java
+++ b/review/support/src/review/EndlessReward.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -17,19 +16,11 @@
 
     private EndlessReward() {}
 
-    public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        int exit;
-        try (Record record = new Record(Path.of(arguments[0], "record.txt"));
-                Deployment deployment = new Deployment(3, 3, List.of())) {
-            exit = run(deployment, record, trouble);
-            record.log("exit %d", exit);
-        }
-        System.exit(exit);
+    public static void main(String[] arguments) throws IOException {
+        Case.run(arguments, 3, 3, List.of(), EndlessReward::run);
     }
 
     private static int run(Deployment deployment, Record record, boolean trouble) throws Exception {
-        deployment.startAll();
         List<Replica> desks = new ArrayList<>();
         for (int index = 0; index < 6; index++) {
             new Replica(deployment, record, index, Trainer.ENGINES, List.of(Trainer.MODEL));
@@ -37,11 +28,11 @@
         }
         Trainer trainer = new Trainer(deployment, record);
         if (!trainer.configure(1, true, 20_000)) {
-            return 2;
+            return Case.NOT_RUN;
         }
         Replica.pause(4_000);
         if (!trainer.submit("step-0", ITEMS, 10_000) || !trainer.awaitComplete("step-0", ITEMS, 15)) {
-            return 2;
+            return Case.NOT_RUN;
         }
         if (trouble) {
             for (Replica faulty : desks.subList(0, 2)) {
@@ -53,7 +44,7 @@
         for (int step = 1; step <= STEPS; step++) {
             String id = "step-" + step;
             if (!trainer.submit(id, ITEMS, 10_000)) {
-                return 2;
+                return Case.NOT_RUN;
             }
             double accepted = record.seconds();
             Map<String, String> states = Map.of();
@@ -66,12 +57,12 @@
             record.log("%d of %d items of %s are listed as terminated %.1f s after its 202: %s", given, states.size(), id,
                     record.seconds() - accepted, states);
             if (states.size() < ITEMS) {
-                return 2;
+                return Case.NOT_RUN;
             }
             terminated += given;
         }
         record.log("%d items are listed as terminated", terminated);
-        return terminated > 0 ? 1 : 0;
+        return terminated > 0 ? Case.BROKEN : Case.HELD;
     }
 
     private static boolean endless(Replica replica, Record record, Http.Message request, OutputStream out)
--- a/review/support/src/review/Trainer.java
+++ b/review/support/src/review/Trainer.java
@@ -37,7 +37,7 @@
                 + "\"TargetLatencyMs\":205,\"Priority\":2,\"Backend\":\"" + DESK + "\",\"MaxAttempts\":2},"
                 + "{\"Name\":\"r-stream\",\"Hostname\":\"" + HOST
                 + "\",\"PathPrefix\":\"/jodo117/\",\"RouteType\":\"streaming\",\"Resumable\":true,"
-                + "\"TimeoutMs\":10000,\"TargetLatencyMs\":400,\"Priority\":1,\"Backend\":\"" + DESK
+                + "\"TimeoutMs\":30000,\"TargetLatencyMs\":400,\"Priority\":1,\"Backend\":\"" + DESK
                 + "\",\"MaxAttempts\":3}],"
                 + "\"Services\":[{\"Name\":\"" + ENGINES
                 + "\",\"HealthPath\":\"/healthz\",\"MaxConnections\":130,\"Protocol\":\"h1\",\"Tls\":false,"
