--- a/review/support/src/review/Deployment.java
+++ b/review/support/src/review/Deployment.java
@@ -1,6 +1,7 @@
 package review;
 
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,13 +22,9 @@
  * exactly the processes that it started.
  */
 final class Deployment implements AutoCloseable {
-    private static final int STORE_PORT = 17660;
-    private static final int CONTROL_PORT = 18146;
-    private static final int FRONT_PORT = 18144;
-    private static final int READY_PORT = 18140;
-    private static final int PEER_PORT = 17675;
-    private static final int ADMIN_PORT = 19464;
+    private static final int PORTS = 6;
 
+    private final int[] ports = freePorts();
     private final Path root = Path.of("").toAbsolutePath();
     private final Path folder = Files.createTempDirectory("rosemarybeam-review");
     /** Drawn at random, so that two runs can overlap. */
@@ -47,16 +44,30 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.values().forEach(Process::destroyForcibly)));
     }
 
+    /** Returns ports that are free at all addresses: stores, control, front, readiness, other edges, metrics. */
+    private static int[] freePorts() throws IOException {
+        int[] found = new int[PORTS];
+        List<ServerSocket> open = new ArrayList<>();
+        for (int index = 0; index < PORTS; index++) {
+            open.add(new ServerSocket(0));
+            found[index] = open.get(index).getLocalPort();
+        }
+        for (ServerSocket socket : open) {
+            socket.close();
+        }
+        return found;
+    }
+
     String storeHost(int index) {
         return network + (10 + index);
     }
 
     String control(int index) {
-        return storeHost(index) + ":" + CONTROL_PORT;
+        return storeHost(index) + ":" + ports[1];
     }
 
     String front(int index) {
-        return network + (50 + index) + ":" + FRONT_PORT;
+        return network + (50 + index) + ":" + ports[2];
     }
 
     String replicaHost(int index) {
@@ -105,10 +116,10 @@
                         storeHost(index),
                         control(index),
                         storeHost(index),
-                        ADMIN_PORT,
+                        ports[5],
                         data,
                         seeds(),
-                        STORE_PORT,
+                        ports[0],
                         firstStart));
     }
 
@@ -119,8 +130,8 @@
                  "peerAddress": "%s:%d", "adminAddress": "%s:%d", "seeds": [%s], "storePort": %d,
                  "clusterSecret": "rosemarybeam", "stopSeconds": 8}
                 """.formatted(
-                        index, index % 3, front(index), host, READY_PORT, host, PEER_PORT, host, ADMIN_PORT, seeds(),
-                        STORE_PORT));
+                        index, index % 3, front(index), host, ports[3], host, ports[4], host, ports[5], seeds(),
+                        ports[0]));
     }
 
     private void start(String name, String role, List<String> flags, String settings) throws IOException {
--- a/review/support/src/review/StreamOrigin.java
+++ b/review/support/src/review/StreamOrigin.java
@@ -59,7 +59,7 @@
             record.log("killed and started again: %s", deployment.restartEnded());
         }
         Replica.pause(PAUSE_MS);
-        record.log("the connections of all streams break");
+        record.log("the connections of all streams are reset");
         for (Consumer consumer : consumers) {
             consumer.breakConnection();
         }
@@ -110,6 +110,7 @@
         }
 
         void breakConnection() throws IOException {
+            socket.setSoLinger(true, 0);
             socket.close();
         }
 
