Review case 3: shown with a planned restart of the stores in turn

Breaks LOST as before: streams that were begun before the restart cannot be taken up at other edges while two software versions serve.

--- a/review/support/src/review/StreamOrigin.java
+++ b/review/support/src/review/StreamOrigin.java
@@ -11,14 +11,17 @@
 import java.util.TreeSet;
 
 /**
- * Two software versions of a service serve side by side. All stores are killed at the same moment and are back within a
- * second. Much later, consumers lose the connections of their streams and resume them at other edges.
+ * Two software versions of a service serve side by side. The stores are stopped and started in turn, as planned work. Later,
+ * consumers lose the connections of their streams and resume them at other edges.
  */
 final class StreamOrigin {
     private static final int STREAMS = 18;
-    private static final int EVENTS = 200;
+    private static final int EVENTS = 400;
     private static final int INTERVAL_MS = 100;
 
+    /** Between the start of a store and the stop of the next one. */
+    private static final int GAP_MS = 2_500;
+
     /** Until the connections break; more than twice ContactMs after the stores are back. */
     private static final int PAUSE_MS = 8_000;
 
@@ -52,11 +55,7 @@
         }
         Replica.pause(1_500);
         if (trouble) {
-            for (int index = 0; index < deployment.stores(); index++) {
-                deployment.process("store-" + index).destroyForcibly();
-            }
-            Replica.pause(300);
-            record.log("killed and started again: %s", deployment.restartEnded());
+            restartStoresInTurn(deployment, record);
         }
         Replica.pause(PAUSE_MS);
         record.log("the connections of all streams are reset");
@@ -87,6 +86,18 @@
         return resumed * 2 * STREAMS < begun * first ? Case.BROKEN : Case.HELD;
     }
 
+    private static void restartStoresInTurn(Deployment deployment, Record record) throws Exception {
+        for (int index = 0; index < deployment.stores(); index++) {
+            String store = "store-" + index;
+            record.log("%s gets SIGTERM", store);
+            deployment.process(store).destroy();
+            deployment.process(store).waitFor();
+            record.log("%s has ended with %d and is started again", store, deployment.process(store).exitValue());
+            deployment.restartEnded();
+            Replica.pause(GAP_MS);
+        }
+    }
+
     /** A consumer of one stream. Used by one thread at a time, apart from {@link #breakConnection}. */
     private static final class Consumer {
         private final String id;
@@ -109,9 +120,12 @@
             read(id + "-1", deployment.front(firstEdge), Map.of());
         }
 
+        /** Resets the connection, unless the stream could not begin. */
         void breakConnection() throws IOException {
-            socket.setSoLinger(true, 0);
-            socket.close();
+            if (!socket.isClosed()) {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
         }
 
         /** Resumes at edges other than the one that failed. */
