--- a/review/support/src/review/EndlessBody.java
+++ b/review/support/src/review/EndlessBody.java
@@ -14,7 +14,7 @@
  */
 final class EndlessBody {
     /** Memory of a store machine on the sheets; the heap of a store is a share of it. */
-    private static final String MACHINE_MEMORY = "-XX:MaxRAM=460m";
+    private static final String MACHINE_MEMORY = "-XX:MaxRAM=470m";
 
     private static final int ITEMS = 48;
     private static final double TROUBLE_S = 12;
