--- a/review/support/src/review/Deployment.java
+++ b/review/support/src/review/Deployment.java
@@ -1,6 +1,7 @@
 package review;
 
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -44,12 +45,12 @@
         Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.values().forEach(Process::destroyForcibly)));
     }
 
-    /** Returns ports that are free at all addresses: stores, control, front, readiness, other edges, metrics. */
+    /** Returns free ports: stores, control, front, readiness, other edges, metrics. */
     private static int[] freePorts() throws IOException {
         int[] found = new int[PORTS];
         List<ServerSocket> open = new ArrayList<>();
         for (int index = 0; index < PORTS; index++) {
-            open.add(new ServerSocket(0));
+            open.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
             found[index] = open.get(index).getLocalPort();
         }
         for (ServerSocket socket : open) {
