--- a/review/support/src/review/StreamSoftware.java
+++ b/review/support/src/review/StreamSoftware.java
@@ -15,7 +15,10 @@
  * software; its first heartbeat arrives late. Consumers resume their streams. No stream may have events of both.
  */
 final class StreamSoftware {
-    private static final int STREAMS = 12;
+    /** Replicas of the plain service on the sheet; one that crashes is less than the share of srv_crash there. */
+    private static final int REPLICAS = 8;
+
+    private static final int STREAMS = 48;
     private static final int EVENTS = 40;
     private static final int INTERVAL_MS = 100;
 
@@ -30,7 +33,7 @@
 
     private static int run(Deployment deployment, Record record, boolean trouble) throws Exception {
         List<Replica> replicas = new ArrayList<>();
-        for (int index = 0; index < 3; index++) {
+        for (int index = 0; index < REPLICAS; index++) {
             Replica replica = new Replica(deployment, record, 10 + index, Trainer.DESK, List.of());
             replica.software(index == 0 ? "v1" : "v2");
             replica.behave((request, out) -> replica.stream(request, out, EVENTS, INTERVAL_MS));
@@ -47,7 +50,7 @@
             Stream stream = new Stream("stream-" + number, trainer, record);
             streams.add(stream);
             threads.add(Thread.ofVirtual().start(stream::read));
-            Replica.pause(30);
+            Replica.pause(10);
         }
         Replica.pause(1_000);
         if (trouble) {
