Ask another scorer when a scorer's answer does not end

Cause: a success of more than 1 MB was passed on in parts to any receiver, and the receiver of a score gave the item up at the first part. An endpoint that sends without end is faulty; the answer says nothing about the item. The same happened on each scorer's route of kind "streaming" without any fault. Ruled out: 422, 500 (none was sent) and the age of the item (0.5 s of 40 s).

A receiver now says whether it reads bodies. If not, they are discarded as they arrive, and one that exceeds 1 MB is a failure of its endpoint: it is avoided, and the request goes to another one.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/AnswerSink.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/AnswerSink.java
@@ -15,12 +15,23 @@
      */
     default void reportInternalErrors(int count) {}
 
+    /**
+     * Returns whether the receiver reads bodies. A receiver that needs only status and headers gets each answer through {@link
+     * #complete} with an empty body. Its requests treat an answer that is too long to be buffered as a failure of the endpoint,
+     * which another endpoint may make up for.
+     *
+     * @return false if bodies are discarded as they arrive
+     */
+    default boolean readsBody() {
+        return true;
+    }
+
     /**
      * Receives a complete answer of an endpoint.
      *
      * @param status the status code
      * @param headers headers without those that concern the connection
-     * @param body the body
+     * @param body the body; empty if the receiver does not read bodies
      */
     void complete(int status, HttpHeaders headers, byte[] body);
 
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -554,6 +554,10 @@
         private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
         private EndpointClient.Attempt attempt;
         private EndpointAnswer head;
+
+        /** Bytes of the body that arrived before the answer was started. */
+        private long bodyBytes;
+
         private boolean answerStarted;
         private boolean ofSuspect;
 
@@ -628,12 +632,15 @@
             forwarder.leaving().observe(endpoint, answer);
             answer.requestCount()
                     .ifPresent(count -> forwarder.loads().recordReport(endpoint.id(), count, Forwarder.now()));
-            boolean streams = request.route().kind() == RouteKind.STREAMING && answer.isSuccess();
-            if (streams) {
+            if (request.route().kind() == RouteKind.STREAMING && mayBePassedInParts()) {
                 startAnswer();
             }
         }
 
+        private boolean mayBePassedInParts() {
+            return head.isSuccess() && sink.readsBody();
+        }
+
         private void startAnswer() {
             answerStarted = true;
             List.copyOf(running).stream().filter(other -> other != this).forEach(EndpointAttempt::abandon);
@@ -667,12 +674,15 @@
                 pass(bytes);
                 return;
             }
-            buffered.write(bytes, 0, bytes.length);
-            if (buffered.size() > MAXIMUM_BUFFERED_BYTES) {
-                if (head.isSuccess()) {
+            bodyBytes += bytes.length;
+            if (sink.readsBody()) {
+                buffered.write(bytes, 0, bytes.length);
+            }
+            if (bodyBytes > MAXIMUM_BUFFERED_BYTES) {
+                if (mayBePassedInParts()) {
                     startAnswer();
                 } else {
-                    handleTooLongFailure();
+                    handleTooLongAnswer();
                 }
             }
         }
@@ -686,7 +696,7 @@
             }
         }
 
-        private void handleTooLongFailure() {
+        private void handleTooLongAnswer() {
             attempt.cancel();
             removeFromRunning();
             forwarder.loads().recordFailure(endpoint.id(), Forwarder.now());
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
@@ -157,25 +157,34 @@
             }
         }
 
-        /** Called only for a response that is too long to be buffered, which cannot be a score. */
+        /** Only the head of a response matters, so one that is too long is a failure of its endpoint, not of the item. */
+        @Override
+        public boolean readsBody() {
+            return false;
+        }
+
         @Override
         public void begin(int status, HttpHeaders headers) {
-            listener.abandoned("the scorer's response is too long");
+            throw responseInParts();
         }
 
         @Override
         public void part(byte[] bytes) {
-            // The item was abandoned when the response started.
+            throw responseInParts();
         }
 
         @Override
         public void end() {
-            // The item was abandoned when the response started.
+            throw responseInParts();
         }
 
         @Override
         public void abort() {
-            // The item was abandoned when the response started.
+            throw responseInParts();
+        }
+
+        private static IllegalStateException responseInParts() {
+            return new IllegalStateException("a receiver that reads no body got a response in parts");
         }
 
         @Override
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
@@ -1,6 +1,14 @@
 package io.rosemarybeam.store;
 
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,18 +19,21 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.FailureDomain;
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.id.ModelName;
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.id.SubmissionId;
 import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.Submission;
 import io.rosemarybeam.decision.routing.CallerLimits;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.decision.routing.PermitDecision;
 import io.rosemarybeam.decision.routing.Route;
+import io.rosemarybeam.decision.routing.RouteKind;
 import io.rosemarybeam.decision.routing.RoutingTable;
 import io.rosemarybeam.forward.CrashRegistry;
 import io.rosemarybeam.forward.ForwardMetrics;
@@ -34,11 +45,16 @@
 import io.rosemarybeam.platform.EndpointClient;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against scores that are requested without a pause while no scorer can answer, or by an old configuration. */
+/**
+ * Guards against scores that are requested without a pause while no scorer can answer, or by an old configuration, and against
+ * items that are given up because one endpoint of the scorer is faulty.
+ */
 class ItemScoringTest {
     private static final Submission.Item ITEM = new Submission.Item(
             ItemId.of("i"),
@@ -58,12 +74,14 @@
     private final AtomicReference<String> abandoned = new AtomicReference<>();
     private final ItemTask task =
             new ItemTask(new StoredSubmission(SUBMISSION, "r", 0), ITEM, ModelName.of("m"), false, false);
+    private final EndpointDirectory directory = new EndpointDirectory();
+    private final List<RawScorer> scorers = new ArrayList<>();
     private final ItemScoring scoring = new ItemScoring(
             loop,
             new Forwarder(
                     loop,
                     EndpointClient.of(loop),
-                    new EndpointDirectory(),
+                    directory,
                     new EndpointLoads(),
                     FailureDomain.of("fes"),
                     ForwardMetrics.of(Metrics.ofProcess()),
@@ -75,13 +93,21 @@
                     HandOver.none(loop, EndpointClient.of(loop), new EndpointDirectory())));
 
     @AfterEach
-    void close() {
+    void close() throws IOException {
+        for (RawScorer scorer : scorers) {
+            scorer.close();
+        }
         loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
     }
 
     private static RoutingTable table(String pathPrefix) {
+        return table(pathPrefix, RouteKind.IDEMPOTENT);
+    }
+
+    private static RoutingTable table(String pathPrefix, RouteKind kind) {
         Route route = Route.builder()
                 .matching("r", "a.example", pathPrefix)
+                .kind(kind)
                 .requestTimes(Duration.ofSeconds(2), Duration.ofMillis(300))
                 .split(List.of(new Route.Share(ServiceName.of("desk"), 1)))
                 .maximumAttempts(2)
@@ -99,7 +125,7 @@
         loop.submit(() -> scoring.score(task, table, new ItemScoring.Listener() {
                     @Override
                     public void scored(String score) {
-                        abandoned.set("scored");
+                        abandoned.set("scored " + score);
                     }
 
                     @Override
@@ -126,4 +152,103 @@
         StoreCluster.await("the new configuration is used", abandoned::get);
         assertEquals("no route matches the scorer", abandoned.get());
     }
+
+    /** The item would be listed as given up although another endpoint scores it. */
+    @ParameterizedTest
+    @EnumSource(RouteKind.class)
+    void shouldScoreElsewhereWhenTheBodyOfAScorerDoesNotEnd(RouteKind kind) throws Exception {
+        RawScorer endless = scorer("a", true);
+        RawScorer other = scorer("b", true);
+        score(() -> {
+            if (scorers.size() == 2 && endless.requests.get() + other.requests.get() > 0) {
+                scorer("c", false);
+            }
+            return Optional.of(table("/score/", kind));
+        });
+
+        StoreCluster.await("the item is scored or given up", abandoned::get);
+        assertEquals("scored d", abandoned.get());
+        assertEquals(0, task.failedScores);
+    }
+
+    private RawScorer scorer(String id, boolean isEndless) {
+        RawScorer scorer = new RawScorer(isEndless);
+        scorers.add(scorer);
+        EndpointAnnouncement announcement = new EndpointAnnouncement(
+                EndpointId.of(id),
+                1,
+                1,
+                ServiceName.of("desk"),
+                scorer.address(),
+                FailureDomain.of("fes"),
+                6,
+                EndpointAnnouncement.State.READY,
+                List.of(),
+                "v1");
+        directory.merge(announcement, Forwarder.now());
+        return scorer;
+    }
+
+    /** An endpoint of the scorer that answers in full, or with a body that does not end until the connection closes. */
+    private static final class RawScorer implements AutoCloseable {
+        private static final String HEAD = "HTTP/1.1 200 OK\r\nRosemarybeam-Server-Stamp: d\r\n";
+
+        private final AtomicInteger requests = new AtomicInteger();
+        private final boolean isEndless;
+        private final ServerSocket socket;
+
+        RawScorer(boolean isEndless) {
+            this.isEndless = isEndless;
+            try {
+                socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            } catch (IOException failure) {
+                throw new IllegalStateException("no port is free on the loopback address", failure);
+            }
+            Thread.ofVirtual().start(this::accept);
+        }
+
+        String address() {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+
+        private void accept() {
+            while (!socket.isClosed()) {
+                try {
+                    Socket connection = socket.accept();
+                    Thread.ofVirtual().start(() -> serve(connection));
+                } catch (IOException closed) {
+                    return;
+                }
+            }
+        }
+
+        private void serve(Socket connection) {
+            try (connection) {
+                InputStream in = connection.getInputStream();
+                StringBuilder head = new StringBuilder();
+                while (head.indexOf("\r\n\r\n") < 0) {
+                    int next = in.read();
+                    if (next < 0) {
+                        return;
+                    }
+                    head.append((char) next);
+                }
+                requests.incrementAndGet();
+                OutputStream out = connection.getOutputStream();
+                out.write((HEAD + (isEndless ? "\r\n" : "Content-Length: 0\r\n\r\n"))
+                        .getBytes(StandardCharsets.US_ASCII));
+                byte[] junk = new byte[16_000];
+                while (isEndless) {
+                    out.write(junk);
+                }
+            } catch (IOException closed) {
+                // The caller has closed the connection.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
 }
