Limit the text of an item by what its request asked for

Cause: only the bytes between two events were bounded, not the text. Partial texts go to the log, so that the followers ran out of memory too, and the next leader resumed them.

A text now has one event a token and 64 KiB + 1 KiB a token at most, never more than fits into a page of results; each store host computes this from the submission. A longer one is discarded, also where it is stored, its endpoint is avoided, and the item starts again. What is stored in one turn, the texts of ended submissions and bytes without events are bounded too.

--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemText.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/batch/ItemText.java
@@ -20,6 +20,9 @@
     private String softwareVersion = "";
     private boolean complete;
 
+    /** Length of the encoded text with a line feed after each event, in bytes. */
+    private long byteLength;
+
     /**
      * Consecutive events of a text. Immutable.
      *
@@ -53,14 +56,39 @@
      * @return the events that follow it
      */
     public Part partAfter(int after) {
+        return part(after, data.size());
+    }
+
+    /**
+     * Returns some of the events after a given event, at least one if there is any.
+     *
+     * @param after id of that event; 0 for all events
+     * @param maximumBytes length at which the part ends, in bytes; a single event may be longer
+     * @return the events that follow it; complete only if no event is left out
+     */
+    public Part partAfter(int after, long maximumBytes) {
+        int end = after;
+        long bytes = 0;
+        while (end < data.size() && (end == after || bytes + length(data.get(end)) <= maximumBytes)) {
+            bytes += length(data.get(end));
+            end++;
+        }
+        return part(after, end);
+    }
+
+    private Part part(int after, int end) {
         return new Part(
                 after + 1,
-                data.subList(after, data.size()),
-                eventVersions.subList(after, data.size()),
-                complete,
+                data.subList(after, end),
+                eventVersions.subList(after, end),
+                complete && end == data.size(),
                 softwareVersion);
     }
 
+    private static long length(String event) {
+        return event.getBytes(StandardCharsets.UTF_8).length + 1L;
+    }
+
     /**
      * Appends a part. A part that begins with the first event replaces the text, because the item was restarted.
      *
@@ -98,6 +126,7 @@
         }
         softwareVersion = software;
         data.add(text);
+        byteLength += length(text);
         eventVersions.add(version);
         versions.add(version);
         return true;
@@ -127,6 +156,7 @@
         eventVersions.clear();
         versions.clear();
         softwareVersion = "";
+        byteLength = 0;
         complete = false;
     }
 
@@ -139,6 +169,25 @@
         return data.size();
     }
 
+    /**
+     * Returns the length of the text.
+     *
+     * @return the length with a line feed after each event, in bytes
+     */
+    public long byteLength() {
+        return byteLength;
+    }
+
+    /**
+     * Returns whether the text is no longer than its request allows.
+     *
+     * @param limit the limit of the text
+     * @return false if an endpoint has sent more than the request asked for
+     */
+    public boolean isWithin(TextLimit limit) {
+        return limit.allows(data.size(), byteLength);
+    }
+
     /**
      * Returns whether the text is complete.
      *
--- a/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemTextTest.java
+++ b/rosemarybeam-decision/src/test/java/io/rosemarybeam/decision/batch/ItemTextTest.java
@@ -70,4 +70,22 @@
         text.clear();
         assertTrue(text.append(1, "a", 4, "v2"), "a new text may have another version");
     }
+
+    /** A part of any length would exceed the size of a log entry, and the text would not be stored at all. */
+    @Test
+    void shouldSplitTheEventsByLength() {
+        ItemText text = new ItemText();
+        for (int event = 1; event <= 5; event++) {
+            text.append(event, "\u00e9\u00e9", 1, "v1");
+        }
+        text.markComplete();
+
+        assertEquals(25, text.byteLength());
+        assertEquals(2, text.partAfter(0, 10).data().size());
+        assertFalse(text.partAfter(0, 10).complete());
+        assertEquals(3, text.partAfter(2, 4).firstEvent());
+        assertEquals(1, text.partAfter(2, 4).data().size());
+        assertTrue(text.partAfter(4, 10).complete());
+        assertTrue(text.partAfter(5, 10).data().isEmpty());
+    }
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -444,7 +444,7 @@
                 Optional.ofNullable(endpointByPrompt.get(task.prompt)));
     }
 
-    /** Discards a partial text that no endpoint can continue, so that the item can run elsewhere from its start. */
+    /** Discards a partial text that no endpoint can continue or that is none, so that the item runs elsewhere from its start. */
     private static void restartText(ItemTask task) {
         LOG.log(
                 Event.ITEM_RESTARTED,
@@ -458,7 +458,7 @@
                 task.text.versions(),
                 "software",
                 task.text.softwareVersion().orElse(""));
-        task.text.clear();
+        task.discardText();
     }
 
     private void startRun(ItemTask task, Route route, GenerationEndpoint chosen, long now) {
@@ -593,6 +593,11 @@
                 loads.recordFailure(run.endpoint, now);
                 task.notBefore = now + RETRY_DELAY_MILLISECONDS;
             }
+            case OVERSIZED -> {
+                loads.recordFailure(run.endpoint, now);
+                task.notBefore = now + RETRY_DELAY_MILLISECONDS;
+                restartText(task);
+            }
             case FAILED -> {
                 task.failedRuns++;
                 int maximumAttempts =
@@ -620,7 +625,7 @@
         List<Long> versions = task.text.versions();
         boolean isDifferent = task.singleVersion && !versions.isEmpty() && versions.getFirst() != version;
         if (isDifferent) {
-            task.text.clear();
+            task.discardText();
         }
         return isFresh && !isDifferent;
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
@@ -15,8 +15,11 @@
  * the last of them. Confined to the thread of the log driver.
  */
 final class ItemStream implements EndpointClient.Listener {
-    /** Maximum number of bytes without a new event; an event has some hundred bytes. */
-    private static final long MAXIMUM_BYTES_BETWEEN_EVENTS = 1_048_576;
+    /**
+     * Maximum number of bytes without a new event, also in the body of an error. An event has some hundred bytes, and this many
+     * are kept for each run of all endpoints at once.
+     */
+    private static final long MAXIMUM_BYTES_BETWEEN_EVENTS = 262_144;
 
     private final ItemTask task;
     private final ItemTask.Run run;
@@ -61,7 +64,9 @@
         /** The connection closed, the stream was invalid or silent, or another error was answered; not counted as an attempt. */
         BROKEN,
         /** The weight version is too old, or differs from that of the text although the route requires a single version. */
-        WRONG_VERSION
+        WRONG_VERSION,
+        /** The text is longer than the request allows: events of an endpoint are no text, so that all of it is discarded. */
+        OVERSIZED
     }
 
     ItemStream(ItemTask task, ItemTask.Run run, Owner owner) {
@@ -130,6 +135,14 @@
             end(Termination.BROKEN, "event " + id + " after event " + task.text.lastEvent());
             return;
         }
+        if (!task.text.isWithin(task.textLimit)) {
+            run.attempt.cancel();
+            end(
+                    Termination.OVERSIZED,
+                    task.text.lastEvent() + " events with " + task.text.byteLength() + " bytes, at most "
+                            + task.textLimit.events() + " and " + task.textLimit.bytes());
+            return;
+        }
         bytesSinceEvent = 0;
         long now = Forwarder.now();
         if (run.lastEventAt != run.startedAt) {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
@@ -7,9 +7,11 @@
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.Submission;
 import io.rosemarybeam.decision.batch.ItemText;
+import io.rosemarybeam.decision.batch.TextLimit;
 import io.rosemarybeam.forward.ForwardCall;
 import io.rosemarybeam.forward.Forwarder;
 import io.rosemarybeam.platform.EndpointClient;
+import io.rosemarybeam.platform.SubmissionFormat;
 
 /**
  * The execution state of an item that is not listed yet, on the leader.
@@ -26,11 +28,17 @@
     /** Identifies the prompt, which the items of a group in one submission share. */
     final String prompt;
 
+    /** The longest text that the item can have. */
+    final TextLimit textLimit;
+
     ItemText text = new ItemText();
 
     /** Number of events of the text that were proposed to the log. */
     int storedEvents;
 
+    /** Whether the text that was proposed to the log or is stored was discarded meanwhile. */
+    boolean isStoredTextObsolete;
+
     Stage stage = Stage.WAITING;
     int failedRuns;
     int failedScores;
@@ -69,6 +77,20 @@
         this.singleVersion = singleVersion;
         this.isCarriedOver = isCarriedOver;
         this.prompt = submission.submission().id() + " " + item.group();
+        this.textLimit = textLimit(item);
+    }
+
+    /** Returns the longest text that an item can have; the same on all store hosts, because the submission states it. */
+    static TextLimit textLimit(Submission.Item item) {
+        return TextLimit.ofTokens(SubmissionFormat.maximumOutputTokens(item));
+    }
+
+    /** Discards the text, so that the item runs again from its start. */
+    void discardText() {
+        boolean isStored = storedEvents > 0 || submission.storedText(item.id()).isPresent();
+        isStoredTextObsolete |= isStored;
+        text.clear();
+        storedEvents = 0;
     }
 
     /** Cancels the current run or score request, if any. */
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/PartialTextStore.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/PartialTextStore.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.store;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,6 +23,15 @@
     /** Minimum number of new events of an item that is written to the log; an engine makes about 25 events a second. */
     private static final int MINIMUM_NEW_EVENTS = 25;
 
+    /**
+     * Length at which the part of a text ends that is written to the log in one turn, in bytes. An engine makes some kilobytes in
+     * that time; an endpoint that sends events without end exceeds the limit of the text before much of it is stored.
+     */
+    private static final long MAXIMUM_PART_BYTES = 32_768;
+
+    /** Maximum length of all texts of ended submissions in memory, in bytes; a text has some ten kilobytes. */
+    private static final long MAXIMUM_ENDED_BYTES = 16 * 1_048_576;
+
     /** Maximum number of texts of ended submissions in memory; a step of a trainer has a few hundred items. */
     private static final int MAXIMUM_ENDED_TEXTS = 2_000;
 
@@ -38,6 +48,7 @@
     void restore(ItemTask task) {
         ItemText earlier = earlierText(task);
         if (earlier.lastEvent() > 0
+                && earlier.isWithin(task.textLimit)
                 && earlier.satisfies(task.submission.submission().oldestVersion(), task.singleVersion)) {
             task.text = earlier;
         }
@@ -62,6 +73,17 @@
     void retain(ItemTask task) {
         if (task.text.lastEvent() > 0) {
             endedTexts.put(task.item.id(), task.text);
+            removeLeastRecentlyUsed();
+        }
+    }
+
+    private void removeLeastRecentlyUsed() {
+        long bytes =
+                endedTexts.values().stream().mapToLong(ItemText::byteLength).sum();
+        Iterator<ItemText> eldestFirst = endedTexts.values().iterator();
+        while (bytes > MAXIMUM_ENDED_BYTES && eldestFirst.hasNext()) {
+            bytes -= eldestFirst.next().byteLength();
+            eldestFirst.remove();
         }
     }
 
@@ -69,14 +91,13 @@
     void checkpoint(SubmissionId submission, Iterable<ItemTask> open) {
         List<StoredSubmission.StoredText> grown = new ArrayList<>();
         for (ItemTask task : open) {
-            if (task.text.lastEvent() < task.storedEvents) {
-                // The text was cleared and generated again, so it is stored from its first event.
-                task.storedEvents = 0;
-            }
-            if (task.stage != ItemTask.Stage.LISTING
-                    && task.text.lastEvent() - task.storedEvents >= MINIMUM_NEW_EVENTS) {
-                grown.add(new StoredSubmission.StoredText(task.item.id(), task.text.partAfter(task.storedEvents)));
-                task.storedEvents = task.text.lastEvent();
+            boolean hasGrown = task.text.lastEvent() - task.storedEvents >= MINIMUM_NEW_EVENTS;
+            if (task.stage != ItemTask.Stage.LISTING && (hasGrown || task.isStoredTextObsolete)) {
+                // A part that begins with the first event replaces what is stored, also if it has no events.
+                task.isStoredTextObsolete = false;
+                ItemText.Part part = task.text.partAfter(task.storedEvents, MAXIMUM_PART_BYTES);
+                grown.add(new StoredSubmission.StoredText(task.item.id(), part));
+                task.storedEvents += part.data().size();
             }
         }
         if (!grown.isEmpty()) {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoredSubmission.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoredSubmission.java
@@ -98,11 +98,21 @@
         return submission.items().stream().filter(item -> item.id().equals(id)).findFirst();
     }
 
-    /** Appends generated text of an item, so that another leader can resume from there. */
-    void appendText(ItemId item, ItemText.Part part) {
-        if (!positions.containsKey(item) && item(item).isPresent()) {
-            texts.computeIfAbsent(item, ignored -> new ItemText()).append(part);
+    /**
+     * Appends generated text of an item, so that another leader can resume from there. A text that is longer than its request
+     * allows is discarded: a leader of an earlier release does not limit it.
+     */
+    void appendText(ItemId id, ItemText.Part part) {
+        if (positions.containsKey(id)) {
+            return;
         }
+        item(id).ifPresent(item -> {
+            ItemText text = texts.computeIfAbsent(id, ignored -> new ItemText());
+            text.append(part);
+            if (text.lastEvent() == 0 || !text.isWithin(ItemTask.textLimit(item))) {
+                texts.remove(id);
+            }
+        });
     }
 
     /** Returns the stored text of an item that is not listed; empty if there is none. */
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRecoveryTest.java
@@ -187,6 +187,27 @@
         assertTrue(engine.bytesWithoutEvent() < 32 * 1_048_576, engine.bytesWithoutEvent() + " bytes were read");
     }
 
+    /** Events without end would fill the memory of all hosts, because texts are stored in the log. */
+    @Test
+    void shouldRunItemsElsewhereWhenAnEngineSendsEventsWithoutEnd() throws IOException {
+        try (FakeEngine endless = new FakeEngine("127.0.77.101")) {
+            endless.sendEventsWithoutEnd();
+            announce("e-2", endless, 1);
+            assertEquals(
+                    Outcome.DONE, cluster.ask(new SubmitBatch(submission(7))).outcome());
+
+            List<Submission.Result> results = results(8);
+
+            assertTrue(!endless.runs.isEmpty(), "the faulty engine got no item");
+            assertTrue(results.stream().allMatch(Submission.Result::completed), "an item was given up");
+            results.forEach(result ->
+                    assertEquals(result.item().value() + "-1", new String(result.text(), StandardCharsets.UTF_8)));
+            assertTrue(
+                    endless.bytesOfEventsWithoutEnd() < 32 * 1_048_576,
+                    endless.bytesOfEventsWithoutEnd() + " bytes were read");
+        }
+    }
+
     /** The engine that generated the start of a text crashes, and the others have loaded newer weights. */
     @Test
     void shouldStartItemAgainWhenNoEngineHasTheOnlyVersionOfItsText() throws IOException, InterruptedException {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
@@ -23,6 +23,7 @@
 final class FakeEngine implements AutoCloseable {
     static final String MODEL = "quotes";
     private static final int EVENT_INTERVAL_MILLISECONDS = 10;
+    private static final String ENDLESS_EVENT = "x".repeat(16_000);
 
     private final HttpServer server;
     private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -33,6 +34,8 @@
     private volatile boolean leaving;
 
     private final AtomicLong bytesWithoutEvent = new AtomicLong(-1);
+    private final AtomicLong eventsWithoutEnd = new AtomicLong();
+    private volatile boolean sendsEventsWithoutEnd;
 
     /** The item of each run and the last event that the caller had received. */
     final List<String> runs = new CopyOnWriteArrayList<>();
@@ -80,6 +83,16 @@
         bytesWithoutEvent.set(0);
     }
 
+    /** Makes the engine answer each run with long events until the connection closes. */
+    void sendEventsWithoutEnd() {
+        sendsEventsWithoutEnd = true;
+    }
+
+    /** Returns the number of bytes in events that no item asked for. */
+    long bytesOfEventsWithoutEnd() {
+        return eventsWithoutEnd.get() * ENDLESS_EVENT.length();
+    }
+
     /** Makes the engine say in its answers to items that it leaves. */
     void leave() {
         leaving = true;
@@ -125,6 +138,11 @@
                 body.write(noEvent);
                 bytesWithoutEvent.addAndGet(noEvent.length);
             }
+            for (int event = first; sendsEventsWithoutEnd; event++) {
+                body.write(("id: " + event + "\ndata: " + ENDLESS_EVENT + "\n\n").getBytes(StandardCharsets.UTF_8));
+                body.flush();
+                eventsWithoutEnd.incrementAndGet();
+            }
             for (int event = first; event <= eventsByItem.getOrDefault(item, 1); event++) {
                 body.write(
                         ("id: " + event + "\ndata: " + item + "-" + event + "\n\n").getBytes(StandardCharsets.UTF_8));
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemStreamTest.java
@@ -122,6 +122,30 @@
         assertEquals(1, task.text.lastEvent());
     }
 
+    /** An endpoint that sends events without end would exhaust the memory of all store hosts. */
+    @Test
+    void shouldEndTheRunWhenItHasMoreEventsThanTheItemHasTokens() {
+        ItemStream stream = stream();
+        stream.onHead(answer(200));
+        for (int event = 1; event <= 6; event++) {
+            stream.onContent(bytes("id: " + event + "\ndata: a\n\n"));
+        }
+        stream.onEnd();
+
+        assertEquals(List.of("version 4", "OVERSIZED 6 events with 12 bytes, at most 5 and 70656"), notifications);
+    }
+
+    @Test
+    void shouldEndTheRunWhenItsEventsAreLongerThanTheTokensOfTheItem() {
+        ItemStream stream = stream();
+        stream.onHead(answer(200));
+        for (int event = 1; event <= 2; event++) {
+            stream.onContent(bytes("id: " + event + "\ndata: " + "a".repeat(40_000) + "\n\n"));
+        }
+
+        assertEquals(List.of("version 4", "OVERSIZED 2 events with 80002 bytes, at most 5 and 70656"), notifications);
+    }
+
     private static EndpointAnswer answer(int status, String name, String value) {
         EndpointAnswer answer = answer(status);
         answer.headers().set(name, value);
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
@@ -130,4 +130,31 @@
         assertTrue(
                 state.submission(ID).orElseThrow().storedText(ItemId.of("i-1")).isEmpty());
     }
+
+    /** A leader of an earlier release stores texts of any length, which would fill the memory of its followers. */
+    @Test
+    void shouldDiscardATextThatIsLongerThanItsRequestAllows() {
+        apply(new StoreCommand.AcceptSubmission(submission("i-1"), "r"));
+        for (int event = 1; event <= 100; event++) {
+            ItemText.Part part = new ItemText.Part(event, List.of("x".repeat(16_000)), List.of(3L), false, "v1");
+            apply(new StoreCommand.KeepTexts(ID, List.of(new StoredSubmission.StoredText(ItemId.of("i-1"), part))));
+        }
+
+        assertTrue(
+                state.submission(ID).orElseThrow().storedText(ItemId.of("i-1")).isEmpty());
+    }
+
+    /** A text that the leader has discarded would be continued by the next leader. */
+    @Test
+    void shouldDiscardTheStoredTextWhenAPartWithoutEventsFollows() {
+        apply(new StoreCommand.AcceptSubmission(submission("i-1"), "r"));
+        ItemText.Part part = new ItemText.Part(1, List.of("a", "b"), List.of(3L, 4L), false, "v1");
+        apply(new StoreCommand.KeepTexts(ID, List.of(new StoredSubmission.StoredText(ItemId.of("i-1"), part))));
+        ItemText.Part none = new ItemText().partAfter(0);
+        apply(new StoreCommand.KeepTexts(ID, List.of(new StoredSubmission.StoredText(ItemId.of("i-1"), none))));
+
+        assertTrue(
+                state.submission(ID).orElseThrow().storedText(ItemId.of("i-1")).isEmpty());
+        assertEquals(1, state.submissions().size());
+    }
 }
