End a process whose storage or event loop ended with an error

Storage tasks, the tick and the tasks of the log contained exceptions only, so that an error ended the thread, or silently cancelled the scheduled tick, and nobody took over.

Such an error now ends the process with code 1 after PROCESS_FAILED, whose line is flushed before; an event loop that ends, and any other thread that ends with an error, do the same. An edge goes on after an error in its tick.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ServerProgram.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ServerProgram.java
@@ -60,6 +60,7 @@
      * @param <S> type of the settings
      */
     public static <S> void run(String name, String[] arguments, Function<Path, S> load, Consumer<S> serve) {
+        ProcessFailure.endOnUncaughtErrors();
         ServerProgram program = new ServerProgram(name);
         CmdLineParser parser = new CmdLineParser(program);
         try {
@@ -96,7 +97,7 @@
             serve.accept(settings);
         } catch (RosemarybeamException failure) {
             LOG.log(Event.PROCESS_FAILED, failure);
-            Runtime.getRuntime().halt(FAILED);
+            ProcessFailure.end();
         }
     }
 
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlMain.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlMain.java
@@ -6,6 +6,7 @@
 
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.settings.ControlSettings;
+import io.rosemarybeam.common.settings.ProcessFailure;
 import io.rosemarybeam.common.settings.ServerProgram;
 
 /** Main class of a control process. Confined to the main thread, except for the shutdown hook. */
@@ -42,7 +43,7 @@
         }));
         try {
             stopped.await();
-            Runtime.getRuntime().halt(ServerProgram.FAILED);
+            ProcessFailure.end();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
@@ -26,6 +26,7 @@
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.metric.Metrics;
 import io.rosemarybeam.common.settings.ControlSettings;
+import io.rosemarybeam.common.settings.ProcessFailure;
 import io.rosemarybeam.common.wire.CommonReply;
 import io.rosemarybeam.common.wire.ControlTraffic.LogTraffic;
 import io.rosemarybeam.common.wire.Credentials;
@@ -97,6 +98,7 @@
     private Optional<Leader> leader = Optional.empty();
     private boolean storageEmpty;
     private boolean failed;
+    private volatile boolean stopping;
     private long ticks;
 
     /**
@@ -193,6 +195,7 @@
         listener = transport.listen(settings.protocolAddress(), self.name(), secrets, new Receiver());
         // A fixed rate would run a burst of ticks after a stall, and the log would take that for missing heartbeats of
         // the other hosts.
+        ProcessFailure.watch(eventLoops, () -> stopping, this::fail);
         controlLoop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
         LOG.log(Event.PROCESS_STARTED, "name", self.name(), "address", settings.protocolAddress());
     }
@@ -202,6 +205,7 @@
      * storage is closed.
      */
     public void stop() {
+        stopping = true;
         LOG.log(Event.PROCESS_STOPPING, "name", self.name());
         CompletableFuture<Void> transferred = new CompletableFuture<>();
         controlLoop.execute(
@@ -274,7 +278,8 @@
         } catch (ControlException refusal) {
             // The log refused a membership change; the next reconciliation tries again.
             LOG.log(Event.CONTROL_HOSTS_CHANGE_REFUSED, "reason", refusal.getMessage());
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
+            // The event loop would drop the task, and this host would neither lead nor follow.
             fail(failure);
         }
     }
@@ -340,11 +345,15 @@
         driver.bootstrap(options(), selfOnly);
     }
 
-    private void fail(Throwable failure) {
-        if (!failed) {
-            failed = true;
+    private synchronized void fail(Throwable failure) {
+        if (failed) {
+            return;
+        }
+        failed = true;
+        try {
             driver.stop();
             LOG.log(Event.PROCESS_FAILED, failure, "name", self.name());
+        } finally {
             onFailure.accept(failure);
         }
     }
@@ -443,7 +452,7 @@
             Envelope envelope = LogMessageCodec.decode(traffic.payload());
             try {
                 driver.receive(envelope);
-            } catch (RuntimeException failure) {
+            } catch (RuntimeException | Error failure) {
                 // The log detected the violation of an invariant.
                 fail(failure);
             }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -31,7 +31,8 @@
  * Connects the replicated log with its storage, the other hosts of the log and the state machine.
  *
  * <p>Invariants: storage is used by one task at a time on the storage executor; everything else runs on the control
- * executor. A proposal completes once its entry is applied, or fails when this host stops leading.
+ * executor. A proposal completes once its entry is applied, or fails when this host stops leading. After an error, such as a lack
+ * of memory, the log may hold entries that are neither stored nor applied, so it is reported as a failure like any other.
  */
 public final class LogDriver {
     /** Number of applied entries after which a snapshot is taken. */
@@ -150,7 +151,7 @@
                     install(snapshot);
                     schedule();
                 });
-            } catch (RuntimeException failure) {
+            } catch (RuntimeException | Error failure) {
                 controlExecutor.execute(() -> listener.onFailure(failure));
             }
         });
@@ -262,7 +263,7 @@
             }
             notifyRoleChange();
             takeSnapshotIfDue();
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
             listener.onFailure(failure);
         }
     }
@@ -318,7 +319,7 @@
         try {
             storage.persist(ready.hardState(), ready.snapshot(), ready.entries());
             controlExecutor.execute(() -> onPersisted(ready));
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
             controlExecutor.execute(() -> listener.onFailure(failure));
         }
     }
@@ -387,7 +388,7 @@
                 storageExecutor.execute(() -> store(snapshot, firstRetained));
             } catch (RejectedExecutionException stopping) {
                 // The process is stopping; the log still holds every entry.
-            } catch (RuntimeException failure) {
+            } catch (RuntimeException | Error failure) {
                 controlExecutor.execute(() -> listener.onFailure(failure));
             }
         });
@@ -400,7 +401,7 @@
                 snapshotInProgress = false;
                 log.compact(snapshot, firstRetained);
             });
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
             controlExecutor.execute(() -> listener.onFailure(failure));
         }
     }
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeMain.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeMain.java
@@ -7,6 +7,7 @@
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.settings.EdgeSettings;
+import io.rosemarybeam.common.settings.ProcessFailure;
 import io.rosemarybeam.common.settings.ServerProgram;
 import io.rosemarybeam.common.settings.SettingsFileWatcher;
 
@@ -31,6 +32,10 @@
 
     private static void serve(Loaded loaded) {
         EdgeProcess process = new EdgeProcess(loaded.settings);
+        process.onFailure(failure -> {
+            LOG.log(Event.PROCESS_FAILED, failure, "name", loaded.settings.name());
+            ProcessFailure.end();
+        });
         process.start();
         Runtime.getRuntime().addShutdownHook(new Thread(process::stop));
         SettingsFileWatcher.start(loaded.file, () -> reload(process, loaded.file));
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
@@ -17,6 +18,7 @@
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.metric.Metrics;
 import io.rosemarybeam.common.settings.EdgeSettings;
+import io.rosemarybeam.common.settings.ProcessFailure;
 import io.rosemarybeam.common.wire.Credentials;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
 import io.rosemarybeam.common.wire.HandshakeMessage.Role;
@@ -187,6 +189,15 @@
                 settings.stores().hosts());
     }
 
+    /**
+     * Sets the action for a failure after which this process serves nobody.
+     *
+     * @param action called at most once, on another thread; ends the process
+     */
+    public void onFailure(Consumer<Throwable> action) {
+        ProcessFailure.watch(loops, () -> false, action);
+    }
+
     private void tick() {
         try {
             stores.tick(status());
@@ -197,7 +208,9 @@
             directory.evictExpired(now);
             loads.retain(id -> directory.find(id).isPresent());
             rateLimits.retain(id -> directory.find(id).isPresent());
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
+            // The event loop would drop the task. Requests are served without it, so that the process goes on and tries
+            // again.
             LOG.log(Event.HANDLER_FAILED, failure, "message", "tick");
         }
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreMain.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreMain.java
@@ -7,6 +7,7 @@
 import io.rosemarybeam.common.error.SettingsException;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.settings.ProcessFailure;
 import io.rosemarybeam.common.settings.ServerProgram;
 import io.rosemarybeam.common.settings.SettingsFileWatcher;
 import io.rosemarybeam.common.settings.StoreSettings;
@@ -46,7 +47,7 @@
         SettingsFileWatcher.start(loaded.file, () -> reload(process, loaded.file));
         try {
             stopped.await();
-            Runtime.getRuntime().halt(ServerProgram.FAILED);
+            ProcessFailure.end();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -25,6 +25,7 @@
 import io.rosemarybeam.common.event.LoopMonitor;
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.common.settings.ProcessFailure;
 import io.rosemarybeam.common.settings.StoreSettings;
 import io.rosemarybeam.common.wire.Broadcast;
 import io.rosemarybeam.common.wire.ControlTraffic.LogTraffic;
@@ -171,6 +172,7 @@
     private CallerServer operatorServer;
     private boolean startedEmpty;
     private boolean failed;
+    private volatile boolean stopping;
     private StoreStatus lastStatusToEdges;
     private long ticks;
 
@@ -219,7 +221,12 @@
      * @throws io.rosemarybeam.common.error.RosemarybeamException if the data folder cannot be used
      */
     public static StoreProcess of(StoreSettings settings, Consumer<Throwable> onFailure) {
-        return new StoreProcess(settings, FileSystem.of(settings.dataFolder()), onFailure);
+        return of(settings, FileSystem.of(settings.dataFolder()), onFailure);
+    }
+
+    /** Creates a process with another file system, for tests of storage that fails. */
+    static StoreProcess of(StoreSettings settings, FileSystem files, Consumer<Throwable> onFailure) {
+        return new StoreProcess(settings, files, onFailure);
     }
 
     private static LogOptions options() {
@@ -228,6 +235,7 @@
 
     /** Opens the listeners and starts to take part in the replicated log. */
     public void start() {
+        ProcessFailure.watch(loops, () -> stopping, this::fail);
         StoreReport report = new StoreReport(driver, state, directory, new ReportView());
         report.register(metrics);
         ForwardMetrics.registerComputedMetrics(metrics, directory, client, this::configurationVersion);
@@ -287,6 +295,7 @@
 
     /** Hands leadership over if this host is the leader, and shuts down. Blocks until the storage is closed. */
     public void stop() {
+        stopping = true;
         LOG.log(Event.PROCESS_STOPPING, "name", settings.name());
         CompletableFuture<Void> handedOver = new CompletableFuture<>();
         loop.execute(() -> handOver(handedOver, Forwarder.now() + STOP_TIMEOUT_MILLISECONDS));
@@ -339,7 +348,8 @@
         } catch (ControlException refusal) {
             // The log refused a membership change; the next maintenance round proposes it again.
             LOG.log(Event.CONTROL_HOSTS_CHANGE_REFUSED, "reason", refusal.getMessage());
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
+            // The event loop would drop the task, and this host would neither lead nor follow.
             fail(failure);
         }
     }
@@ -458,11 +468,15 @@
                         loop);
     }
 
-    private void fail(Throwable failure) {
-        if (!failed) {
-            failed = true;
+    private synchronized void fail(Throwable failure) {
+        if (failed) {
+            return;
+        }
+        failed = true;
+        try {
             driver.stop();
             LOG.log(Event.PROCESS_FAILED, failure, "name", settings.name());
+        } finally {
             onFailure.accept(failure);
         }
     }
@@ -548,7 +562,7 @@
         @Override
         public void onMessage(WireConnection connection, long correlation, Message message) {
             switch (message) {
-                case LogTraffic traffic -> driver.receive(LogMessageCodec.decode(traffic.payload()));
+                case LogTraffic traffic -> receiveLogTraffic(traffic);
                 case EdgeStatus edge -> receiveEdgeStatus(connection, edge);
                 case StoreStatus peer -> members.receive(peer, Forwarder.now());
                 case EndpointNews update -> receiveNews(update);
@@ -566,6 +580,16 @@
             }
         }
 
+        private void receiveLogTraffic(LogTraffic traffic) {
+            Envelope envelope = LogMessageCodec.decode(traffic.payload());
+            try {
+                driver.receive(envelope);
+            } catch (Error failure) {
+                // The log may have taken over a part of the message.
+                fail(failure);
+            }
+        }
+
         private void receiveNews(EndpointNews update) {
             update.streams().forEach(streams::add);
             update.announcements().forEach(registry::merge);
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -33,6 +34,7 @@
 import io.rosemarybeam.common.wire.WireConnection;
 import io.rosemarybeam.common.wire.WireSettings;
 import io.rosemarybeam.common.wire.WireTransport;
+import io.rosemarybeam.consensus.storage.FileSystem;
 
 /** A cluster of store processes, each with its own loopback address and data folder. Confined to the test thread. */
 final class StoreCluster implements AutoCloseable {
@@ -79,7 +81,17 @@
     }
 
     void start(int number, boolean firstStart) {
-        StoreProcess process = StoreProcess.of(settings(number, firstStart), onFailure);
+        start(number, settings(number, firstStart), UnaryOperator.identity());
+    }
+
+    /** Starts a process for the first time whose files are replaced, for tests of storage that fails. */
+    void start(int number, UnaryOperator<FileSystem> files) {
+        start(number, settings(number, true), files);
+    }
+
+    private void start(int number, StoreSettings settings, UnaryOperator<FileSystem> files) {
+        FileSystem disk = FileSystem.of(settings.dataFolder());
+        StoreProcess process = StoreProcess.of(settings, files.apply(disk), onFailure);
         process.start();
         running.put(number, process);
     }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
@@ -105,6 +105,30 @@
         }
     }
 
+    /** A host whose storage has ended would neither store nor end, and count as running for good. */
+    @Test
+    void shouldFailWhenStorageEndsWithAnError() {
+        List<Throwable> failures = new CopyOnWriteArrayList<>();
+        List<FailingFileSystem> disks = new ArrayList<>();
+        try (StoreCluster failing = new StoreCluster(folder, failures::add)) {
+            for (int host = 1; host <= 3; host++) {
+                failing.start(host, files -> {
+                    disks.add(new FailingFileSystem(files));
+                    return disks.getLast();
+                });
+            }
+            StoreCluster.await(
+                    "the configuration is accepted",
+                    () -> failing.post(1, REPLACE, configuration(1)) == 200 ? true : null);
+
+            disks.forEach(disk -> disk.failWrites(() -> new OutOfMemoryError("Java heap space")));
+            failing.post(1, REPLACE, configuration(2));
+
+            StoreCluster.await("a process has failed", () -> failures.isEmpty() ? null : true);
+            assertEquals(OutOfMemoryError.class, failures.getFirst().getClass());
+        }
+    }
+
     @Test
     void shouldAnswerUnavailableWhenEmptyHostsStartWithoutFirstStart() throws InterruptedException {
         cluster.start(1, false);
