Send the origins of open streams to a restarted store host

Cause: origins are kept in memory, at the edge that began the stream and at the store hosts connected at that moment. A new session began with status, crashes, rate limits and leaving endpoints, but not with these. Evidence: STREAM_NOT_RESUMED with software "unknown" within 1 to 2 ms at every attempt, while the first edge runs. Ruled out: endpoints (ready) and edges (not restarted).

They now travel like the other facts of an edge, in batches, as long as the stream may be resumed. A host that has just started says that it is still collecting, and edges ask again while the caller can wait.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -125,6 +125,9 @@
         /** Maximum number of announcements in a batch; each has at most 128 KiB, and a frame 8 MiB. */
         private static final int MAXIMUM_ANNOUNCEMENTS = 50;
 
+        /** Maximum number of origins in a batch; each has some hundred bytes. */
+        private static final int MAXIMUM_STREAMS = 500;
+
         /** Copies the lists. */
         public EndpointNews {
             announcements = List.copyOf(announcements);
@@ -160,6 +163,22 @@
             return new EndpointNews(List.of(), List.of(), List.copyOf(rateLimits), List.of());
         }
 
+        /**
+         * Splits origins of streams so that no message keeps its receiver busy for long.
+         *
+         * @param streams any number of origins
+         * @return messages that together contain them; none if there are no origins
+         */
+        public static List<EndpointNews> batchesOfStreams(Collection<StreamOrigin> streams) {
+            List<StreamOrigin> all = List.copyOf(streams);
+            List<EndpointNews> batches = new ArrayList<>();
+            for (int start = 0; start < all.size(); start += MAXIMUM_STREAMS) {
+                List<StreamOrigin> batch = all.subList(start, Math.min(all.size(), start + MAXIMUM_STREAMS));
+                batches.add(new EndpointNews(List.of(), List.of(), List.of(), batch));
+            }
+            return batches;
+        }
+
         public static EndpointNews ofStream(StreamOrigin stream) {
             return new EndpointNews(List.of(), List.of(), List.of(), List.of(stream));
         }
@@ -265,8 +284,10 @@
      * Answers {@link FindStream}.
      *
      * @param origin the origin of the stream; empty if the host does not know it
+     * @param isCollecting whether the host has just started, so that edges may know origins that it has not received yet; false
+     *     if an older sender omits it
      */
-    record StreamReply(Optional<StreamOrigin> origin) implements StoreMessage {}
+    record StreamReply(Optional<StreamOrigin> origin, boolean isCollecting) implements StoreMessage {}
 
     /** The outcome of a store request. */
     enum Outcome {
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -96,6 +96,7 @@
     private final ReportedEdges peers;
     private final CrashRegistry crashes;
     private final RateLimits rateLimits;
+    private final StreamOrigins streams;
     private final EdgeRequests requests;
     private final List<CallerServer> servers = new ArrayList<>();
     private Optional<CallerServer> peerServer = Optional.empty();
@@ -124,11 +125,13 @@
                 credentials,
                 settings.stores().addresses(),
                 this::messagesOnConnect,
+                this::messagesAfterConnect,
                 this::onStoreMessage);
         this.crashes = new CrashRegistry(observed -> stores.broadcast(EndpointNews.ofCrashes(observed)));
         this.rateLimits = new RateLimits(
                 observed -> stores.broadcast(EndpointNews.ofRateLimits(observed)), new LeaderPermits(loop, stores));
         this.peers = new ReportedEdges(stores, settings.callerAddress());
+        this.streams = new StreamOrigins(directory, new StoreStreams(loop, stores));
         Forwarder forwarder = new Forwarder(
                 loop,
                 client,
@@ -139,7 +142,7 @@
                 crashes,
                 rateLimits,
                 new LeavingEndpoints(directory, this::publishLeaving),
-                new StreamOrigins(directory, new StoreStreams(loop, stores)),
+                streams,
                 new HandOver(reach, peers, settings.name().value()));
         this.requests = new EdgeRequests(forwarder, new BatchRequests(new StoreRequests(loop, stores)));
         registerMetrics();
@@ -255,6 +258,11 @@
         return messages;
     }
 
+    /** A store host that has restarted knows no origins of streams, so that no other edge could resume those of this one. */
+    private List<Message> messagesAfterConnect() {
+        return List.copyOf(EndpointNews.batchesOfStreams(streams.resumable()));
+    }
+
     private void useConfiguration(PushConfiguration push) {
         boolean isNewer = configurationVersion() < push.version();
         if (!isNewer) {
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.edge;
 
+import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -7,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -44,6 +46,7 @@
     private final WireTransport transport;
     private final Credentials credentials;
     private final Supplier<List<Message>> messagesOnConnect;
+    private final Supplier<List<Message>> messagesAfterConnect;
     private final Consumer<Message> onUpdate;
     private final Map<String, Session> sessions = new HashMap<>();
     private List<String> seeds;
@@ -53,18 +56,31 @@
     /** The edges that the hosts list; computed again when one sends its status or its connection closes. */
     private Optional<Set<EdgeAddress>> edges = Optional.empty();
 
+    /**
+     * Creates an instance without connections.
+     *
+     * @param loop the event loop
+     * @param transport opens the connections
+     * @param credentials of this edge
+     * @param seeds addresses of the hosts in the settings
+     * @param messagesOnConnect sent to a host at once when it is connected
+     * @param messagesAfterConnect sent to it one after the other, one at each tick, because there may be many
+     * @param onUpdate receives the messages of all hosts other than their status
+     */
     StoreSessions(
             EventLoop loop,
             WireTransport transport,
             Credentials credentials,
             List<String> seeds,
             Supplier<List<Message>> messagesOnConnect,
+            Supplier<List<Message>> messagesAfterConnect,
             Consumer<Message> onUpdate) {
         this.loop = loop;
         this.transport = transport;
         this.credentials = credentials;
         this.seeds = seeds;
         this.messagesOnConnect = messagesOnConnect;
+        this.messagesAfterConnect = messagesAfterConnect;
         this.onUpdate = onUpdate;
     }
 
@@ -86,6 +102,7 @@
             lastStatus = ownStatus;
             broadcast(ownStatus);
         }
+        sessions.values().forEach(Session::sendNext);
         sessions.values().stream()
                 .filter(session -> !session.isOpen() && !session.connecting && now >= session.nextAttempt)
                 .forEach(session -> connect(session, now));
@@ -112,6 +129,8 @@
                             if (connection != null) {
                                 session.connection = connection;
                                 messagesOnConnect.get().forEach(connection::send);
+                                session.waiting = new ArrayDeque<>(messagesAfterConnect.get());
+                                session.sendNext();
                                 LOG.log(Event.STORE_CONNECTED, "store", session.address);
                             }
                         },
@@ -208,6 +227,9 @@
 
         private boolean connecting;
 
+        /** Messages that are sent one at each tick. */
+        private Queue<Message> waiting = new ArrayDeque<>();
+
         /** Monotonic time before which no connection is attempted, in milliseconds. */
         private long nextAttempt;
 
@@ -218,6 +240,12 @@
         boolean isOpen() {
             return connection != null && connection.isOpen();
         }
+
+        void sendNext() {
+            if (isOpen() && !waiting.isEmpty()) {
+                connection.send(waiting.remove());
+            }
+        }
     }
 
     /** Receives the messages of one host. */
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreStreams.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreStreams.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
@@ -16,8 +17,12 @@
 import io.rosemarybeam.common.wire.StreamOrigin;
 import io.rosemarybeam.common.wire.WireConnection;
 import io.rosemarybeam.forward.StreamOrigins;
+import io.rosemarybeam.forward.StreamOrigins.SearchResult;
 
-/** Origins of streams that the store hosts know; each of them gets all origins from the edges. Confined to its event loop. */
+/**
+ * Origins of streams that the store hosts know; each of them gets all origins from the edges, and those of open streams again when
+ * it has restarted. Confined to its event loop.
+ */
 final class StoreStreams implements StreamOrigins.Remote {
     /** Timeout of a reply, in milliseconds; a round trip takes about 10, and a caller waits meanwhile. */
     private static final Duration REPLY_TIMEOUT = Duration.ofMillis(150);
@@ -43,28 +48,39 @@
     }
 
     @Override
-    public void find(String request, Consumer<Optional<StreamOrigin>> onResult) {
-        CompletableFuture<StreamOrigin> found = new CompletableFuture<>();
-        List<CompletableFuture<Void>> replies = sessions.streamFinders().stream()
-                .map(store -> ask(store, request, found))
+    public void schedule(Runnable task, long delay) {
+        loop.schedule(task, delay, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void find(String request, Consumer<SearchResult> onResult) {
+        CompletableFuture<SearchResult> result = new CompletableFuture<>();
+        List<CompletableFuture<Boolean>> replies = sessions.streamFinders().stream()
+                .map(store -> ask(store, request, result))
                 .toList();
-        CompletableFuture.allOf(replies.toArray(CompletableFuture[]::new))
-                .whenComplete((ignored, failure) -> found.complete(null));
-        found.whenCompleteAsync((origin, failure) -> onResult.accept(Optional.ofNullable(origin)), loop);
+        CompletableFuture.allOf(replies.toArray(CompletableFuture[]::new)).whenComplete((ignored, failure) -> {
+            boolean isCertain = replies.stream().anyMatch(CompletableFuture::join);
+            result.complete(new SearchResult(Optional.empty(), isCertain));
+        });
+        result.whenCompleteAsync((found, failure) -> onResult.accept(found), loop);
     }
 
-    /** Asks one host; the first known origin completes the search, and the others are not waited for. */
-    private static CompletableFuture<Void> ask(
-            WireConnection store, String request, CompletableFuture<StreamOrigin> found) {
+    /**
+     * Asks one host; the first known origin completes the search, and the others are not waited for. Completes with whether the
+     * host would know an origin that any edge knows.
+     */
+    private static CompletableFuture<Boolean> ask(
+            WireConnection store, String request, CompletableFuture<SearchResult> result) {
         return store.request(new FindStream(request), REPLY_TIMEOUT).handle((reply, failure) -> {
             if (failure != null) {
                 logFailure(store, request, failure.getMessage());
             } else if (reply instanceof StreamReply answer) {
-                answer.origin().ifPresent(found::complete);
+                answer.origin().ifPresent(origin -> result.complete(new SearchResult(Optional.of(origin), true)));
+                return !answer.isCollecting();
             } else {
                 logFailure(store, request, "unexpected reply " + describe(reply));
             }
-            return null;
+            return false;
         });
     }
 
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -138,7 +138,8 @@
         }
         deadlineTimer = forwarder.loop().schedule(this::expire, remaining, TimeUnit.MILLISECONDS);
         if (resumesStream()) {
-            forwarder.streams().find(request.resumedRequest(), routeServices(), this::onOriginFound);
+            long waitUntil = Forwarder.now() + maximumWait();
+            forwarder.streams().find(request.resumedRequest(), routeServices(), waitUntil, this::onOriginFound);
         } else {
             tryNextEndpoint();
         }
@@ -310,7 +311,7 @@
         });
     }
 
-    /** Returns how long the request can wait for a permit and still be answered in time, in milliseconds. */
+    /** Returns how long the request can wait for a permit or a reply and still be answered in time, in milliseconds. */
     private long maximumWait() {
         long remaining = request.deadline() - Forwarder.now();
         if (request.mustRun()) {
@@ -658,12 +659,11 @@
         /** Recorded before the caller gets the first event, because it may resume at another host right after it. */
         private void recordOrigin() {
             if (request.route().kind() == RouteKind.STREAMING && request.route().resumable()) {
-                forwarder
-                        .streams()
-                        .record(candidates
-                                .restriction()
-                                .orElseGet(() -> new StreamOrigin(
-                                        request.id(), endpoint.service(), endpoint.softwareVersion())));
+                StreamOrigin origin = candidates
+                        .restriction()
+                        .orElseGet(
+                                () -> new StreamOrigin(request.id(), endpoint.service(), endpoint.softwareVersion()));
+                forwarder.streams().record(origin, request.deadline());
             }
         }
 
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/StreamOrigins.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/StreamOrigins.java
@@ -14,11 +14,15 @@
 /**
  * Finds out what began a stream that a caller resumes, here or at another host.
  *
- * <p>Invariant: the origin of a stream that begins here is published at once, so that it survives this process. An origin
- * that no host knows is derived only if the route has one service with a single software version, as far as a host in touch with
- * all store hosts can tell; otherwise it is unknown. Confined to one event loop.
+ * <p>Invariant: the origin of a stream that begins here is published at once, so that it survives this process, and again to
+ * each host that connects, so that it survives those. An origin that no host knows is derived only if the route has one service
+ * with a single software version, as far as a host in touch with all store hosts can tell; otherwise it is unknown. Hosts that have
+ * just started are asked again while the caller can wait. Confined to one event loop.
  */
 public final class StreamOrigins {
+    /** Delay before other hosts are asked again, in milliseconds; a round trip takes about 10. */
+    private static final long REPEAT_MILLISECONDS = 50;
+
     private final StreamOriginTable table = new StreamOriginTable();
     private final EndpointDirectory directory;
     private final Remote remote;
@@ -36,14 +40,31 @@
          * Asks other hosts for an origin.
          *
          * @param request id of the caller's attempt that brought the first event
-         * @param onResult called once, on the event loop, with the origin, or empty if no host knows it
+         * @param onResult called once, on the event loop
+         */
+        void find(String request, Consumer<SearchResult> onResult);
+
+        /**
+         * Schedules a task on the event loop.
+         *
+         * @param task the task
+         * @param delay delay, in milliseconds
          */
-        void find(String request, Consumer<Optional<StreamOrigin>> onResult);
+        void schedule(Runnable task, long delay);
 
         /** Returns whether this host has recent contact with all store hosts, so that it knows all endpoints. */
         boolean knowsAllEndpoints();
     }
 
+    /**
+     * What other hosts know of a stream. Immutable.
+     *
+     * @param origin the origin, or empty if no host that answered knows it
+     * @param isCertain whether a host would know it if the stream had begun at any host that is left; false while all hosts that
+     *     answered have just started and still collect what the others know
+     */
+    public record SearchResult(Optional<StreamOrigin> origin, boolean isCertain) {}
+
     /**
      * Creates an instance without origins.
      *
@@ -70,8 +91,13 @@
             }
 
             @Override
-            public void find(String request, Consumer<Optional<StreamOrigin>> onResult) {
-                onResult.accept(Optional.empty());
+            public void find(String request, Consumer<SearchResult> onResult) {
+                onResult.accept(new SearchResult(Optional.empty(), true));
+            }
+
+            @Override
+            public void schedule(Runnable task, long delay) {
+                throw new IllegalStateException("a certain result needs no further search");
             }
 
             @Override
@@ -81,27 +107,50 @@
         });
     }
 
-    /** Records what began a stream. */
-    void record(StreamOrigin origin) {
-        table.add(origin);
+    /**
+     * Records what began a stream.
+     *
+     * @param origin the origin
+     * @param resumableUntil monotonic time after which the caller does not resume the stream, in milliseconds
+     */
+    void record(StreamOrigin origin, long resumableUntil) {
+        table.add(origin, resumableUntil);
         remote.publish(origin);
     }
 
+    /**
+     * Returns the origins of the streams that began here and may still be resumed, for a host that has just connected.
+     *
+     * @return the origins
+     */
+    public List<StreamOrigin> resumable() {
+        return table.resumable(Forwarder.now());
+    }
+
     /**
      * Finds the origin of a stream.
      *
      * @param request id of the attempt that brought the first event; empty if the caller did not name it
      * @param services the services of the route
+     * @param waitUntil monotonic time until which the caller can wait, in milliseconds
      * @param onResult called once, possibly before this method returns; empty if the stream must not go on
      */
-    void find(String request, List<ServiceName> services, Consumer<Optional<StreamOrigin>> onResult) {
+    void find(String request, List<ServiceName> services, long waitUntil, Consumer<Optional<StreamOrigin>> onResult) {
         Optional<StreamOrigin> known = table.find(request);
         if (known.isPresent()) {
             onResult.accept(known);
         } else if (request.isEmpty()) {
             onResult.accept(onlyVersion(request, services));
         } else {
-            remote.find(request, found -> onResult.accept(found.or(() -> onlyVersion(request, services))));
+            remote.find(request, result -> {
+                Optional<StreamOrigin> found = result.origin().or(() -> onlyVersion(request, services));
+                boolean isFinal = found.isPresent() || result.isCertain();
+                if (isFinal || Forwarder.now() + REPEAT_MILLISECONDS > waitUntil) {
+                    onResult.accept(found);
+                } else {
+                    remote.schedule(() -> find(request, services, waitUntil, onResult), REPEAT_MILLISECONDS);
+                }
+            });
         }
     }
 
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -131,6 +131,9 @@
     /** Timeout of each step of a shutdown, in milliseconds: the hand-over of leadership, the event loop, the storage. */
     private static final long STOP_TIMEOUT_MILLISECONDS = 1_500;
 
+    /** Time after the start in which all edges connect and send what they know, in milliseconds; they try three times a second. */
+    private static final long COLLECTION_MILLISECONDS = 2_000;
+
     private static final double MILLISECONDS_PER_SECOND = 1_000;
 
     private static final EventLog LOG = EventLog.of(StoreProcess.class);
@@ -171,6 +174,7 @@
     private LoopMonitor loopMonitor;
     private CallerServer operatorServer;
     private boolean startedEmpty;
+    private long startedAt;
     private boolean failed;
     private volatile boolean stopping;
     private StoreStatus lastStatusToEdges;
@@ -235,6 +239,7 @@
 
     /** Opens the listeners and starts to take part in the replicated log. */
     public void start() {
+        startedAt = Forwarder.now();
         ProcessFailure.watch(loops, () -> stopping, this::fail);
         StoreReport report = new StoreReport(driver, state, directory, new ReportView());
         report.register(metrics);
@@ -568,7 +573,7 @@
                 case EndpointNews update -> receiveNews(update);
                 case AcquirePermit wanted -> grant(connection, correlation, wanted);
                 case FindStream wanted ->
-                    connection.reply(correlation, new StreamReply(streams.find(wanted.request())));
+                    connection.reply(correlation, new StreamReply(streams.find(wanted.request()), isCollecting()));
                 case StoreMessage request -> serve(connection, correlation, request);
                 default ->
                     LOG.log(
@@ -580,6 +585,10 @@
             }
         }
 
+        private boolean isCollecting() {
+            return Forwarder.now() - startedAt < COLLECTION_MILLISECONDS;
+        }
+
         private void receiveLogTraffic(LogTraffic traffic) {
             Envelope envelope = LogMessageCodec.decode(traffic.payload());
             try {
@@ -591,7 +600,7 @@
         }
 
         private void receiveNews(EndpointNews update) {
-            update.streams().forEach(streams::add);
+            update.streams().forEach(origin -> streams.add(origin, Long.MAX_VALUE));
             update.announcements().forEach(registry::merge);
             List<EndpointCrash> changes = crashes.merge(update.crashes());
             if (!changes.isEmpty()) {
