Limit the memory of all buffered answers together

Answers now share a budget of an eighth of the heap beyond their first 16 KiB. Attempts at endpoints and at other edges use the same class. ByteBudget moves from the entry to the common module. ForwarderTest gets chunk sizes, chunk extensions, trailers and spaces without end, which passed before as well.

--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerConnection.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/CallerConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.util.ReferenceCountUtil;
+import io.rosemarybeam.common.collection.ByteBudget;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.RosemarybeamException;
 import io.rosemarybeam.common.event.Event;
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EntryProcess.java
@@ -13,6 +13,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.rosemarybeam.common.admin.AdminServer;
+import io.rosemarybeam.common.collection.ByteBudget;
 import io.rosemarybeam.common.configuration.ConfigurationParser;
 import io.rosemarybeam.common.error.WireException;
 import io.rosemarybeam.common.metric.Metrics;
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpServer.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpServer.java
@@ -17,6 +17,7 @@
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import io.rosemarybeam.common.collection.ByteBudget;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.WireException;
 import io.rosemarybeam.common.wire.WireTransport;
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -1,6 +1,5 @@
 package io.rosemarybeam.forward;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -40,9 +39,6 @@
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
 
-    /** Longest answer that is buffered until it is complete, in bytes; typical answers have a few kilobytes. */
-    private static final int MAXIMUM_BUFFERED_BYTES = 1_048_576;
-
     /**
      * Number of attempts that endpoints did not run after which the service counts as full; each one costs a round trip to
      * an endpoint.
@@ -552,13 +548,10 @@
     private final class EndpointAttempt implements EndpointClient.Listener {
         private final EndpointAnnouncement endpoint;
         private final long sentAt = Forwarder.now();
-        private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+        private final AnswerBuffer buffered =
+                sink.readsBody() ? AnswerBuffer.of(forwarder.answerBytes()) : AnswerBuffer.discarding();
         private EndpointClient.Attempt attempt;
         private EndpointAnswer head;
-
-        /** Bytes of the body that arrived before the answer was started. */
-        private long bodyBytes;
-
         private boolean answerStarted;
         private boolean ofSuspect;
 
@@ -602,6 +595,7 @@
 
         private void abandon() {
             removeFromRunning();
+            buffered.discard();
             if (attempt != null) {
                 attempt.cancel();
             }
@@ -649,9 +643,8 @@
             cancel(hedgeTimer);
             recordOrigin();
             sink.begin(head.status(), ForwardedHeaders.copy(head.headers()));
-            if (buffered.size() > 0) {
-                byte[] bytes = buffered.toByteArray();
-                buffered.reset();
+            byte[] bytes = buffered.take();
+            if (bytes.length > 0) {
                 pass(bytes);
             }
         }
@@ -672,18 +665,13 @@
             forwarder.crashMonitor().endpointAnswered(endpoint);
             if (answerStarted) {
                 pass(bytes);
+            } else if (buffered.append(bytes)) {
                 return;
-            }
-            bodyBytes += bytes.length;
-            if (sink.readsBody()) {
-                buffered.write(bytes, 0, bytes.length);
-            }
-            if (bodyBytes > MAXIMUM_BUFFERED_BYTES) {
-                if (mayBePassedInParts()) {
-                    startAnswer();
-                } else {
-                    handleTooLongAnswer();
-                }
+            } else if (mayBePassedInParts()) {
+                startAnswer();
+                pass(bytes);
+            } else {
+                handleTooLongAnswer();
             }
         }
 
@@ -697,10 +685,9 @@
         }
 
         private void handleTooLongAnswer() {
-            attempt.cancel();
-            removeFromRunning();
+            abandon();
             forwarder.loads().recordFailure(endpoint.id(), Forwarder.now());
-            recordOutcome("failed", head.status() + " with more than " + MAXIMUM_BUFFERED_BYTES + " bytes");
+            recordOutcome("failed", head.status() + " with a body that is too long to be buffered");
             if (head.isNotExecuted()) {
                 markUnavailable();
                 tryNextEndpoint();
@@ -734,12 +721,13 @@
             if (answerStarted) {
                 sink.end();
             } else {
-                sink.complete(head.status(), ForwardedHeaders.copy(head.headers()), buffered.toByteArray());
+                sink.complete(head.status(), ForwardedHeaders.copy(head.headers()), buffered.take());
             }
         }
 
         /** The endpoint did not run the request, so it may be sent to another one, whatever the kind of the route. */
         private void handleNotExecuted(long now) {
+            buffered.discard();
             markUnavailable();
             forwarder.loads().recordFailure(endpoint.id(), now);
             recordOutcome("not executed", String.valueOf(head.status()));
@@ -758,14 +746,15 @@
 
         private void handleErrorAnswer(long now) {
             boolean lacksDigest = head.status() < 300;
+            byte[] body = buffered.take();
             mayHaveRun = true;
             recordOutcome("failed", (lacksDigest ? "no digest in " : "") + head.status());
             if (lacksDigest) {
                 forwarder.loads().recordFailure(endpoint.id(), now);
             } else {
                 internalErrors += head.status() == INTERNAL_ERROR ? 1 : 0;
-                lastErrorAnswer = Optional.of(new BufferedAnswer(
-                        head.status(), ForwardedHeaders.copy(head.headers()), buffered.toByteArray()));
+                lastErrorAnswer =
+                        Optional.of(new BufferedAnswer(head.status(), ForwardedHeaders.copy(head.headers()), body));
             }
             retryIfRepeatable();
         }
@@ -773,6 +762,7 @@
         @Override
         public void onFailure(Failure failure, String reason) {
             removeFromRunning();
+            buffered.discard();
             forwarder.loads().recordFailure(endpoint.id(), Forwarder.now());
             recordOutcome(failure == Failure.NOT_SENT ? "not sent" : "broken", reason);
             if (answerStarted) {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.forward;
 
 import io.netty.channel.EventLoop;
+import io.rosemarybeam.common.collection.ByteBudget;
 import io.rosemarybeam.common.id.FailureDomain;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
@@ -13,6 +14,10 @@
  * the endpoint stated so, or the request was never sent. Confined to its event loop.
  */
 public final class Forwarder {
+    /** Fraction of the heap that buffered answers may take; the rest is needed for requests, and for copies on the way. */
+    private static final int ANSWER_HEAP_DIVISOR = 8;
+
+    private final ByteBudget answerBytes = new ByteBudget(Runtime.getRuntime().maxMemory() / ANSWER_HEAP_DIVISOR);
     private final EventLoop loop;
     private final EndpointClient client;
     private final EndpointDirectory directory;
@@ -91,6 +96,11 @@
         return System.nanoTime() / 1_000_000;
     }
 
+    /** Returns the limit of all buffered answers together. */
+    ByteBudget answerBytes() {
+        return answerBytes;
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnAttempt.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnAttempt.java
@@ -1,8 +1,7 @@
 package io.rosemarybeam.forward;
 
-import java.io.ByteArrayOutputStream;
-
 import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.collection.ByteBudget;
 import io.rosemarybeam.forward.ForwardRequest.HandedOn;
 import io.rosemarybeam.platform.EndpointAnswer;
 import io.rosemarybeam.platform.EndpointClient;
@@ -20,9 +19,6 @@
     private static final int INTERNAL_ERROR = 500;
     private static final int UNAVAILABLE = 503;
 
-    /** Longest answer that is buffered until it is complete, in bytes. */
-    private static final int MAXIMUM_BUFFERED_BYTES = 1_048_576;
-
     /** Receives the outcome of the attempt. */
     interface Receiver {
         /** A complete answer of an endpoint. */
@@ -45,13 +41,21 @@
 
     private final boolean streams;
     private final Receiver receiver;
-    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private final AnswerBuffer buffered;
     private EndpointClient.Attempt attempt;
     private EndpointAnswer head;
     private boolean started;
 
-    HandedOnAttempt(boolean streams, Receiver receiver) {
+    /**
+     * Creates an attempt; {@link #send} starts it.
+     *
+     * @param streams whether an answer is passed on as it arrives
+     * @param budget limits the buffered answers of this process
+     * @param receiver receives the outcome
+     */
+    HandedOnAttempt(boolean streams, ByteBudget budget, Receiver receiver) {
         this.streams = streams;
+        this.buffered = AnswerBuffer.of(budget);
         this.receiver = receiver;
     }
 
@@ -65,6 +69,7 @@
     }
 
     void cancel() {
+        buffered.discard();
         if (attempt != null) {
             attempt.cancel();
         }
@@ -85,9 +90,9 @@
     private void start() {
         started = true;
         receiver.onAnswerStarted(head);
-        if (buffered.size() > 0) {
-            receiver.onPart(buffered.toByteArray());
-            buffered.reset();
+        byte[] bytes = buffered.take();
+        if (bytes.length > 0) {
+            receiver.onPart(bytes);
         }
     }
 
@@ -95,29 +100,29 @@
     public void onContent(byte[] bytes) {
         if (started) {
             receiver.onPart(bytes);
+        } else if (buffered.append(bytes)) {
             return;
-        }
-        buffered.write(bytes, 0, bytes.length);
-        if (buffered.size() <= MAXIMUM_BUFFERED_BYTES) {
-            return;
-        }
-        if (head.isSuccess()) {
+        } else if (head.isSuccess()) {
             start();
+            receiver.onPart(bytes);
         } else {
             cancel();
-            receiver.onFailed("answered " + head.status() + " with more than " + MAXIMUM_BUFFERED_BYTES + " bytes");
+            receiver.onFailed("answered " + head.status() + " with a body that is too long to be buffered");
         }
     }
 
     @Override
     public void onEnd() {
         boolean isOfEndpoint = head.digest().isPresent();
+        if (!isOfEndpoint) {
+            buffered.discard();
+        }
         boolean isRefusal =
                 head.status() >= BAD_REQUEST && head.status() < INTERNAL_ERROR || head.status() == UNAVAILABLE;
         if (started) {
             receiver.onAnswerEnded();
         } else if (isOfEndpoint) {
-            receiver.onAnswer(head, buffered.toByteArray());
+            receiver.onAnswer(head, buffered.take());
         } else if (isRefusal) {
             receiver.onNotRun("answered " + head.status());
         } else {
@@ -127,6 +132,7 @@
 
     @Override
     public void onFailure(Failure failure, String reason) {
+        buffered.discard();
         if (failure == Failure.NOT_SENT) {
             receiver.onNotRun(reason);
         } else {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/RequestHandOver.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/RequestHandOver.java
@@ -114,7 +114,8 @@
                 attempts,
                 "milliseconds",
                 Forwarder.now() - startedAt);
-        HandedOnAttempt started = new HandedOnAttempt(request.route().kind() == RouteKind.STREAMING, this);
+        boolean streams = request.route().kind() == RouteKind.STREAMING;
+        HandedOnAttempt started = new HandedOnAttempt(streams, forwarder.answerBytes(), this);
         attempt = Optional.of(started);
         HandedOn handedOn = new HandedOn(forwarder.handOver().ownName(), attempts);
         try {
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -66,7 +66,12 @@
     /** An endpoint that sends this and then goes on with the same bytes until the connection closes. */
     private static final String ENDLESS = "endless ";
 
+    /** Marks the start of the bytes that an endless answer repeats, if they are not all of it. */
+    private static final String REPEATED = "\0";
+
     private static final String FAILURE_HEAD = "HTTP/1.1 500 Internal Server Error\r\n\r\n";
+    private static final String CHUNKED_FAILURE_HEAD =
+            "HTTP/1.1 500 Internal Server Error\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final String SUCCESS_HEAD = "HTTP/1.1 200 OK\r\nRosemarybeam-Server-Stamp: d\r\n\r\n";
 
     /** Bytes that may be on their way or in buffers of the system when the connection is closed. */
@@ -327,6 +332,26 @@
         checkEndless("\r\n", "failed 502");
     }
 
+    @Test
+    void shouldFailWhenASizeOfAChunkNeverEnds() throws Exception {
+        checkEndless(CHUNKED_FAILURE_HEAD + REPEATED + "0", "failed 502");
+    }
+
+    @Test
+    void shouldFailWhenAnExtensionOfAChunkNeverEnds() throws Exception {
+        checkEndless(CHUNKED_FAILURE_HEAD + "5;" + REPEATED + "name=value", "failed 502");
+    }
+
+    @Test
+    void shouldFailWhenTrailersNeverEnd() throws Exception {
+        checkEndless(CHUNKED_FAILURE_HEAD + "0\r\n" + REPEATED + "name: value\r\n", "failed 502");
+    }
+
+    @Test
+    void shouldFailWhenSpacesBeforeTheHeadNeverEnd() throws Exception {
+        checkEndless(" ", "failed 502");
+    }
+
     @Test
     void shouldFailWhenInformationalResponsesNeverEnd() throws Exception {
         checkEndless("HTTP/1.1 100 Continue\r\n\r\n", "failed 502");
@@ -460,9 +485,10 @@
             }
         }
 
-        private void writeUntilClosed(OutputStream out, String start) throws IOException {
-            byte[] bytes = start.repeat(8_192 / start.length()).getBytes(StandardCharsets.UTF_8);
-            out.write(start.getBytes(StandardCharsets.UTF_8));
+        private void writeUntilClosed(OutputStream out, String answer) throws IOException {
+            String repeated = answer.substring(answer.indexOf(REPEATED) + 1);
+            byte[] bytes = repeated.repeat(8_192 / repeated.length()).getBytes(StandardCharsets.UTF_8);
+            out.write(answer.replace(REPEATED, "").getBytes(StandardCharsets.UTF_8));
             while (true) {
                 out.write(bytes);
                 written.addAndGet(bytes.length);
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/HandedOnAttemptTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/HandedOnAttemptTest.java
@@ -6,6 +6,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.rosemarybeam.common.collection.ByteBudget;
 import io.rosemarybeam.platform.EndpointAnswer;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -16,6 +17,8 @@
 
 /** Guards against answers of other hosts that pass for answers of endpoints, and requests that run twice because of them. */
 class HandedOnAttemptTest {
+    private static final ByteBudget BUDGET = new ByteBudget(Long.MAX_VALUE);
+
     private final List<String> outcomes = new ArrayList<>();
 
     private static EndpointAnswer answer(int status, boolean hasDigest) {
@@ -48,7 +51,7 @@
     @ParameterizedTest
     @MethodSource("answers")
     void shouldReportNotRunOnlyAfterARefusal(boolean streams, int status, boolean hasDigest, String expected) {
-        HandedOnAttempt attempt = new HandedOnAttempt(streams, new RecordingReceiver());
+        HandedOnAttempt attempt = new HandedOnAttempt(streams, BUDGET, new RecordingReceiver());
         attempt.onHead(answer(status, hasDigest));
         attempt.onEnd();
 
@@ -67,7 +70,7 @@
     @ParameterizedTest
     @MethodSource("longAnswers")
     void shouldStartALongAnswerOnlyIfItIsASuccessOfAnEndpoint(int status, boolean hasDigest, String expected) {
-        HandedOnAttempt attempt = new HandedOnAttempt(false, new RecordingReceiver());
+        HandedOnAttempt attempt = new HandedOnAttempt(false, BUDGET, new RecordingReceiver());
         attempt.onHead(answer(status, hasDigest));
         attempt.onContent(new byte[1_048_577]);
         if (status == 200 && hasDigest) {
