Avoid an endpoint whose plain answer does not end in time

The endpoint of an answer that was passed on in parts and did not end before the deadline kept its good record, although a sound caller got no answer from it, and attracted the next requests. It is a failure now, unless the caller was slower than the endpoint or the answer is a stream.

Test: ForwarderTest#shouldAvoidTheEndpointWhenItsAnswerDoesNotEndInTime (before: "expected: <true> but was: <false>").

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -409,6 +409,7 @@
                 running.stream().anyMatch(attempt -> attempt.answerStarted) || handOver.isAnswerStarted();
         boolean mayRun = mayHaveRun || !isIdle();
         if (answerStarted) {
+            List.copyOf(running).forEach(EndpointAttempt::recordUnfinished);
             finish("time over in the answer", GATEWAY_TIMEOUT);
             sink.abort();
         } else if (mayRun) {
@@ -601,6 +602,14 @@
             }
         }
 
+        /** An endpoint whose plain answer does not end in time is avoided, unless the caller was slower than the endpoint. */
+        private void recordUnfinished() {
+            if (answerStarted && request.route().kind() != RouteKind.STREAMING && sink.isWritable()) {
+                forwarder.loads().recordFailure(endpoint.id(), Forwarder.now());
+                recordOutcome("unfinished", String.valueOf(head.status()));
+            }
+        }
+
         /** Ends the attempt with the call. Unless another attempt was answered, an endpoint that is silent is checked. */
         private void endUnanswered() {
             abandon();
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -83,6 +83,7 @@
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
     private final EventLoop loop = loops.next();
     private final EndpointDirectory directory = new EndpointDirectory();
+    private final EndpointLoads loads = new EndpointLoads();
     private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
     private volatile boolean callerReads = true;
@@ -94,7 +95,7 @@
             loop,
             EndpointClient.of(loop),
             directory,
-            new EndpointLoads(),
+            loads,
             OWN_DOMAIN,
             ForwardMetrics.of(Metrics.ofProcess()),
             crashes,
@@ -373,6 +374,21 @@
         checkEndless(SUCCESS_HEAD, "begun");
     }
 
+    /** An endpoint that sends without end would attract the next requests, because it answers at once. */
+    @Test
+    void shouldAvoidTheEndpointWhenItsAnswerDoesNotEndInTime() throws Exception {
+        endpoint("a", ENDLESS + SUCCESS_HEAD + REPEATED + "x");
+        ForwardRequest request = request(RouteKind.IDEMPOTENT, 300, false);
+
+        forward(request);
+
+        while (!outcome().equals("broken off")) {
+            Thread.onSpinWait();
+        }
+        assertTrue(loop.submit(() -> loads.isAvoided(EndpointId.of("a"), request.deadline()))
+                .get());
+    }
+
     /** The endpoint that got the address of another one names its own limit when it refuses a request for that one. */
     @Test
     void shouldNotTakeTheLimitOfAnotherEndpointAtTheSameAddress() throws Exception {
