Keep the loop monitor after an error in one probe

Since an error that ends a thread ends its process, a lack of memory in the monitor would end a store host that can do its duty without that probe.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/LoopMonitor.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/LoopMonitor.java
@@ -33,6 +33,8 @@
     /** Maximum number of frames of this project in a sample, from the innermost. */
     private static final int MAXIMUM_FRAMES = 4;
 
+    private static final EventLog LOG = EventLog.of(LoopMonitor.class);
+
     private static final String PROJECT_PACKAGE = "io.rosemarybeam.";
 
     private final Executor loop;
@@ -90,7 +92,7 @@
         try {
             long dueAt = System.nanoTime();
             while (!closed) {
-                onDelay.accept(probe(dueAt));
+                measure(dueAt);
                 dueAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PROBE_INTERVAL_MILLISECONDS);
                 pause.sleep(PROBE_INTERVAL_MILLISECONDS);
             }
@@ -99,6 +101,15 @@
         }
     }
 
+    /** An error of one probe, such as a lack of memory, ends neither the monitor nor the process, which serves without it. */
+    private void measure(long dueAt) throws InterruptedException {
+        try {
+            onDelay.accept(probe(dueAt));
+        } catch (Error failure) {
+            LOG.log(Event.HANDLER_FAILED, failure, "thread", thread.getName());
+        }
+    }
+
     /** Measures from the time at which the probe was due, because a suspended process does not queue it in time either. */
     private Delay probe(long dueAt) throws InterruptedException {
         Probe probe = new Probe();
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/event/LoopMonitorTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/event/LoopMonitorTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -78,6 +79,28 @@
         }
     }
 
+    @Test
+    void shouldGoOnWhenAProbeEndsWithAnError() throws InterruptedException {
+        // Guards against a process that ends, or whose stalls are not seen any more, because of a lack of memory in one
+        // probe.
+        BlockingQueue<LoopMonitor.Delay> later = new LinkedBlockingQueue<>();
+        AtomicBoolean hasFailed = new AtomicBoolean();
+        LoopMonitor failing = LoopMonitor.start(
+                loop,
+                delay -> {
+                    if (hasFailed.compareAndSet(false, true)) {
+                        throw new OutOfMemoryError("Java heap space");
+                    }
+                    later.add(delay);
+                },
+                ignored -> {});
+        try {
+            assertNotNull(later.poll(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS));
+        } finally {
+            failing.close();
+        }
+    }
+
     @Test
     void shouldCountTheTimeInWhichTheProcessWasSuspendedBeforeItsProbe() throws InterruptedException {
         // Guards against a suspended host without a log line: the monitor is suspended together with the loop.
