--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
@@ -131,7 +131,12 @@
                                 messagesOnConnect.get().forEach(connection::send);
                                 session.waiting = new ArrayDeque<>(messagesAfterConnect.get());
                                 session.sendNext();
-                                LOG.log(Event.STORE_CONNECTED, "store", session.address);
+                                LOG.log(
+                                        Event.STORE_CONNECTED,
+                                        "store",
+                                        session.address,
+                                        "waiting",
+                                        session.waiting.size());
                             }
                         },
                         loop);
