Bound the time in which a failing process writes its last records

Found by reading the change: the last records are flushed before the process ends, and a flush blocks for good if nobody reads the output, so that the process would stay after all. They are written on another thread now, for two seconds at most.

Test: ProcessFailureTest#shouldEndTheProcessWhenNobodyReadsItsOutput (before: "the process has not ended" after 20 s).

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ProcessFailure.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ProcessFailure.java
@@ -22,6 +22,9 @@
 public final class ProcessFailure {
     private static final EventLog LOG = EventLog.of(ProcessFailure.class);
 
+    /** Time after which the process ends although its last records are not written, in milliseconds; the log is given 1,000. */
+    private static final long MAXIMUM_WRITE_MILLISECONDS = 2_000;
+
     /** Written if there is no memory left for a log record. */
     private static final byte[] OUT_OF_MEMORY_RECORD = ("{\"severity\":\"ERROR\",\"event\":"
                     + Event.PROCESS_FAILED.number()
@@ -66,14 +69,24 @@
         end(() -> {});
     }
 
-    private static void end(Runnable lastWords) {
+    /** Writes on another thread, because the output blocks for good if nobody reads it. */
+    private static void end(Runnable record) {
         try {
-            lastWords.run();
+            Thread writer = Thread.ofPlatform().name("last-record").daemon().start(() -> write(record));
+            writer.join(MAXIMUM_WRITE_MILLISECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } finally {
+            Runtime.getRuntime().halt(ServerProgram.FAILED);
+        }
+    }
+
+    private static void write(Runnable record) {
+        try {
+            record.run();
             LogManager.shutdown();
         } catch (Error failure) {
             writeOutOfMemoryRecord();
-        } finally {
-            Runtime.getRuntime().halt(ServerProgram.FAILED);
         }
     }
 
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -284,10 +284,10 @@
      * Answers {@link FindStream}.
      *
      * @param origin the origin of the stream; empty if the host does not know it
-     * @param isCollecting whether the host has just started, so that edges may know origins that it has not received yet; false
+     * @param collecting whether the host has just started, so that edges may know origins that it has not received yet; false
      *     if an older sender omits it
      */
-    record StreamReply(Optional<StreamOrigin> origin, boolean isCollecting) implements StoreMessage {}
+    record StreamReply(Optional<StreamOrigin> origin, boolean collecting) implements StoreMessage {}
 
     /** The outcome of a store request. */
     enum Outcome {
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/settings/ProcessFailureTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/settings/ProcessFailureTest.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -22,6 +24,11 @@
     /** Time in which a process ends after an error, in seconds: the log is given one second, the rest starts the process. */
     private static final long END_SECONDS = 20;
 
+    /** Records that are longer together than the 64 KiB that a pipe holds. */
+    private static final int UNREAD_RECORDS = 4_000;
+
+    private static final EventLog LOG = EventLog.of(ProcessFailureTest.class);
+
     private final BlockingQueue<Throwable> failures = new LinkedBlockingQueue<>();
 
     /** A process whose thread ends as its argument says, and whose main thread waits for good. */
@@ -34,6 +41,12 @@
                     () -> {
                         switch (arguments[0]) {
                             case "heap" -> throw new OutOfMemoryError("Java heap space");
+                            case "unread" -> {
+                                for (int record = 0; record < UNREAD_RECORDS; record++) {
+                                    LOG.log(Event.HANDLER_FAILED, "record", record);
+                                }
+                                throw new OutOfMemoryError("Java heap space");
+                            }
                             case "class" -> throw new NoClassDefFoundError("a class");
                             default -> throw new IllegalStateException("a failed task");
                         }
@@ -48,8 +61,8 @@
 
     private record Ended(int code, String output) {}
 
-    private static Ended run(String failure) throws IOException, InterruptedException {
-        Process process = new ProcessBuilder(
+    private static Process start(String failure) throws IOException {
+        return new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-cp",
                         System.getProperty("java.class.path"),
@@ -57,6 +70,10 @@
                         failure)
                 .redirectErrorStream(true)
                 .start();
+    }
+
+    private static Ended run(String failure) throws IOException, InterruptedException {
+        Process process = start(failure);
         try {
             assertTrue(process.waitFor(END_SECONDS, TimeUnit.SECONDS), "the process has not ended");
             return new Ended(
@@ -75,6 +92,18 @@
         assertTrue(ended.output.contains("PROCESS_FAILED") && ended.output.contains("storage"), ended.output);
     }
 
+    /** Records that nobody reads fill the pipe, after which each write blocks for good. */
+    @Test
+    void shouldEndTheProcessWhenNobodyReadsItsOutput() throws Exception {
+        Process process = start("unread");
+        try {
+            assertTrue(process.waitFor(END_SECONDS, TimeUnit.SECONDS), "the process has not ended");
+            assertEquals(ServerProgram.FAILED, process.exitValue());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     @Test
     void shouldGoOnWhenATaskFailsWithAnException() throws Exception {
         Ended ended = run("task");
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -212,8 +212,7 @@
             loads.retain(id -> directory.find(id).isPresent());
             rateLimits.retain(id -> directory.find(id).isPresent());
         } catch (RuntimeException | Error failure) {
-            // The event loop would drop the task. Requests are served without it, so that the process goes on and tries
-            // again.
+            // The event loop would drop the task; requests are served without it meanwhile.
             LOG.log(Event.HANDLER_FAILED, failure, "message", "tick");
         }
     }
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreStreams.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreStreams.java
@@ -76,7 +76,7 @@
                 logFailure(store, request, failure.getMessage());
             } else if (reply instanceof StreamReply answer) {
                 answer.origin().ifPresent(origin -> result.complete(new SearchResult(Optional.of(origin), true)));
-                return !answer.isCollecting();
+                return !answer.collecting();
             } else {
                 logFailure(store, request, "unexpected reply " + describe(reply));
             }
