--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ProcessFailure.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ProcessFailure.java
@@ -28,7 +28,7 @@
     /** Written if there is no memory left for a log record. */
     private static final byte[] OUT_OF_MEMORY_RECORD = ("{\"severity\":\"ERROR\",\"event\":"
                     + Event.PROCESS_FAILED.number()
-                    + ",\"name\":\"PROCESS_FAILED\",\"fields\":{\"reason\":\"an error, and no memory is left to describe it\"}}\n")
+                    + ",\"name\":\"PROCESS_FAILED\",\"fields\":{\"reason\":\"an error, no memory is left to describe it\"}}\n")
             .getBytes(StandardCharsets.UTF_8);
 
     private ProcessFailure() {}
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
@@ -19,6 +19,7 @@
 import io.rosemarybeam.common.wire.EntryRequest.EndpointRenewal;
 import io.rosemarybeam.common.wire.EntryRequest.RenewEntryLease;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
+import io.rosemarybeam.common.wire.StoreMessage.StreamReply;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -140,4 +141,20 @@
                 EndpointNews.ofCrashes(List.of()),
                 MessageCodec.decode(MessageCodec.encode(new EarlierEndpointNews(List.of())), EndpointNews.class));
     }
+
+    /** The reply of an earlier release to a search for the origin of a stream, which does not say whether it is certain. */
+    private record EarlierStreamReply(Optional<StreamOrigin> origin) {}
+
+    /** In a rolling upgrade edges would ask hosts of the earlier release again, or drop their connections. */
+    @Test
+    void shouldExchangeStreamRepliesWithAnEarlierRelease() {
+        Optional<StreamOrigin> origin = Optional.of(new StreamOrigin("r", ServiceName.of("desk"), "v1"));
+
+        assertEquals(
+                new StreamReply(origin, false),
+                MessageCodec.decode(MessageCodec.encode(new EarlierStreamReply(origin)), StreamReply.class));
+        assertEquals(
+                new EarlierStreamReply(origin),
+                MessageCodec.decode(MessageCodec.encode(new StreamReply(origin, true)), EarlierStreamReply.class));
+    }
 }
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/StreamOriginTable.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/StreamOriginTable.java
@@ -10,8 +10,8 @@
 /**
  * The origins of the streams that have begun lately.
  *
- * <p>Load pattern: store hosts that are restarted one after the other while streams are open. They keep origins in memory only, so
- * each host that began a stream sends its origin again to a restarted one. Confined to one thread.
+ * <p>Load pattern: store hosts that are restarted one after the other while streams are open. They keep origins in memory only,
+ * so each host that began a stream sends its origin again to a restarted one. Confined to one thread.
  */
 public final class StreamOriginTable {
     /** Maximum number of streams, which bounds the memory; at 8,600 new ones per second it covers 11 s. */
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreStreams.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreStreams.java
@@ -20,8 +20,8 @@
 import io.rosemarybeam.forward.StreamOrigins.SearchResult;
 
 /**
- * Origins of streams that the store hosts know; each of them gets all origins from the edges, and those of open streams again when
- * it has restarted. Confined to its event loop.
+ * Origins of streams that the store hosts know; each of them gets all origins from the edges, and those of open streams again
+ * when it has restarted. Confined to its event loop.
  */
 final class StoreStreams implements StreamOrigins.Remote {
     /** Timeout of a reply, in milliseconds; a round trip takes about 10, and a caller waits meanwhile. */
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/StoreSessionsTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/StoreSessionsTest.java
@@ -26,7 +26,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
-/** Guards against store hosts that spend their time on status messages which say nothing new, or on what all edges send at once. */
+/** Guards against store hosts that spend their time on statuses which say nothing new, or on what all edges send at once. */
 class StoreSessionsTest {
     private static final String SECRET = "test";
     private static final int TICKS = 5;
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/AnswerBuffer.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/AnswerBuffer.java
@@ -7,8 +7,8 @@
 /**
  * The body of an answer that is buffered until it is complete.
  *
- * <p>Load pattern: a faulty endpoint that answers many requests at once with bodies without end. Neither a single answer nor all of
- * them together take more than their share of the memory. Confined to one thread.
+ * <p>Load pattern: a faulty endpoint that answers many requests at once with bodies without end. Neither a single answer nor all
+ * of them together take more than their share of the memory. Confined to one thread.
  */
 final class AnswerBuffer {
     /** Longest answer that is buffered, in bytes; typical answers have a few kilobytes. */
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/StreamOrigins.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/StreamOrigins.java
@@ -16,8 +16,8 @@
  *
  * <p>Invariant: the origin of a stream that begins here is published at once, so that it survives this process, and again to
  * each host that connects, so that it survives those. An origin that no host knows is derived only if the route has one service
- * with a single software version, as far as a host in touch with all store hosts can tell; otherwise it is unknown. Hosts that have
- * just started are asked again while the caller can wait. Confined to one event loop.
+ * with a single software version, as far as a host in touch with all store hosts can tell; otherwise it is unknown. Hosts that
+ * have just started are asked again while the caller can wait. Confined to one event loop.
  */
 public final class StreamOrigins {
     /** Delay before other hosts are asked again, in milliseconds; a round trip takes about 10. */
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -131,7 +131,7 @@
     /** Timeout of each step of a shutdown, in milliseconds: the hand-over of leadership, the event loop, the storage. */
     private static final long STOP_TIMEOUT_MILLISECONDS = 1_500;
 
-    /** Time after the start in which all edges connect and send what they know, in milliseconds; they try three times a second. */
+    /** Time after the start in which edges connect and send what they know, in milliseconds; they try three times a second. */
     private static final long COLLECTION_MILLISECONDS = 2_000;
 
     private static final double MILLISECONDS_PER_SECOND = 1_000;
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FailingFileSystem.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FailingFileSystem.java
@@ -7,7 +7,7 @@
 
 import io.rosemarybeam.consensus.storage.FileSystem;
 
-/** Files on disk whose writes end with an error, as when the memory of the process is used up. Safe for use by several threads. */
+/** Files on disk whose writes end with an error, as without free memory. Safe for use by several threads. */
 final class FailingFileSystem implements FileSystem {
     private final FileSystem files;
     private volatile Supplier<Error> writeError = () -> null;
