--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -28,7 +28,7 @@
     /** A frame could not be decoded. */
     FRAME_REFUSED(202, Severity.WARNING, "A frame could not be decoded."),
     /** A message handler failed. */
-    HANDLER_FAILED(203, Severity.ERROR, "A message handler failed."),
+    HANDLER_FAILED(203, Severity.ERROR, "A message handler or another task failed; the process goes on."),
     /** A control host became leader. */
     LEADER_ELECTED(300, Severity.INFORMATION, "A control host became leader."),
     /** A control host stopped leading. */
@@ -148,7 +148,8 @@
     ITEM_RESTARTED(
             746,
             Severity.INFORMATION,
-            "An item starts again, because no endpoint has the version of weights or software that may continue its text."),
+            "An item starts again, because no endpoint has the version of weights or software that may continue its text, or "
+                    + "the text was too long."),
     /** Items of a submission wait for long; the line tells how many and for what. */
     ITEMS_WAITING(
             747, Severity.INFORMATION, "Items of a submission wait for long; the line tells how many and for what."),
