Give the items of BatchRunnerTest the tokens that their events need

Traced: the item asked for 5 tokens and its engine sends up to 10,000 events, each of which has a token at least, so that the run was ended as OVERSIZED, as it should be. The item asks for 10,000 tokens now; the checks are the same.

--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
@@ -96,7 +96,7 @@
                         "/generate/x",
                         Map.of(),
                         new byte[0],
-                        5,
+                        MANY_EVENTS,
                         0,
                         "g-" + number,
                         Optional.empty()))
