Measure how recently a majority confirmed that a host leads

Each heartbeat now begins a round of confirmations; the age counts from the time at which the round was sent, so that answers that are read after a stall are as old as the stall. The number is part of the messages already, and hosts of earlier releases return it.

New gauge store_majority_age_seconds.

--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
@@ -40,7 +40,7 @@
     private Optional<MemberId> transferTarget = Optional.empty();
     private int quorumChecksSinceTransfer;
     /** Number of the last round of read confirmations; sent with every append and returned in its answer. */
-    private long readRound;
+    private long readRound = 1;
 
     private boolean readRoundUnsent;
 
@@ -99,6 +99,9 @@
             startReads(List.copyOf(readsAwaitingHeartbeat));
             readsAwaitingHeartbeat.clear();
             readRoundUnsent = false;
+        } else {
+            // Each heartbeat begins a round, whose answers show how recently a majority followed this leader.
+            readRound++;
         }
         peers.forEach((id, progress) -> {
             progress.probeSent = false;
@@ -286,6 +289,23 @@
         if (pendingReads.isEmpty()) {
             return;
         }
+        long confirmed = confirmedRound();
+        pendingReads.removeIf(read -> {
+            boolean done = read.round <= confirmed;
+            if (done) {
+                confirmedReads.add(new ConfirmedRead(read.context, read.index));
+            }
+            return done;
+        });
+    }
+
+    /** Returns the number of the last round that was begun. */
+    long readRound() {
+        return readRound;
+    }
+
+    /** Returns the number of the last round that a majority of the voters has answered, or zero. */
+    long confirmedRound() {
         Membership membership = log.membership();
         long[] rounds = membership.voters().stream()
                 .flatMapToLong(voter -> voter.id().equals(log.self())
@@ -295,14 +315,7 @@
                                 .orElse(0L)))
                 .sorted()
                 .toArray();
-        long confirmed = rounds[rounds.length - membership.quorum()];
-        pendingReads.removeIf(read -> {
-            boolean done = read.round <= confirmed;
-            if (done) {
-                confirmedReads.add(new ConfirmedRead(read.context, read.index));
-            }
-            return done;
-        });
+        return rounds.length == 0 ? 0 : rounds[rounds.length - membership.quorum()];
     }
 
     List<ConfirmedRead> takeConfirmedReads() {
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 
@@ -204,6 +205,30 @@
         return role == Role.LEADER && buffer.term(commitIndex) == hardState.term();
     }
 
+    /**
+     * Returns the number of the last round in which this leader asked all members whether they still follow it. A new round
+     * begins at least with each heartbeat, before its messages are returned by {@link #ready}.
+     *
+     * @return the number; empty if this member does not lead
+     */
+    public OptionalLong confirmationRound() {
+        return leadership.map(state -> OptionalLong.of(state.readRound())).orElseGet(OptionalLong::empty);
+    }
+
+    /**
+     * Returns the number of the last round that a majority of the voters has answered in the present term.
+     *
+     * @return the number, or zero if there was none; empty if this member does not lead
+     */
+    public OptionalLong confirmedRound() {
+        return leadership.map(state -> OptionalLong.of(state.confirmedRound())).orElseGet(OptionalLong::empty);
+    }
+
+    /** Returns whether this member leads and has begun to transfer the leadership. */
+    public boolean isTransferring() {
+        return leadership.map(Leadership::isTransferring).orElse(false);
+    }
+
     /** Advances the logical clock by one tick, which drives heartbeats and election timeouts. */
     public void tick() {
         electionElapsedTicks++;
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -54,6 +54,8 @@
     private final LogStorage storage;
     private final StateMachine state;
     private final Listener listener;
+    private final MonotonicClock clock = MonotonicClock.system();
+    private final MajorityContact contact = new MajorityContact();
     private final TreeMap<Long, Proposal> proposals = new TreeMap<>();
     private final Map<Long, CompletableFuture<Void>> pendingReads = new HashMap<>();
     private final TreeMap<Long, List<CompletableFuture<Void>>> confirmedReads = new TreeMap<>();
@@ -244,6 +246,16 @@
         return confirmation;
     }
 
+    /**
+     * Returns the age of the last word of a majority that this host leads, counted from the time at which it was asked for.
+     * Unlike {@link #confirmLeadership} it asks nobody; each heartbeat renews it.
+     *
+     * @return the age in milliseconds; {@link Long#MAX_VALUE} if this host does not lead, or is handing the leadership over
+     */
+    public long majorityAge() {
+        return stopped || log.isTransferring() ? Long.MAX_VALUE : contact.age(log, clock.milliseconds());
+    }
+
     /** Schedules one pass for all inputs that arrive together, so that one sync covers all their entries. */
     private void schedule() {
         if (!processingScheduled && !stopped) {
@@ -259,7 +271,9 @@
         }
         try {
             while (log.hasReady()) {
-                handle(log.ready());
+                Ready ready = log.ready();
+                contact.recordRound(log, clock.milliseconds());
+                handle(ready);
             }
             notifyRoleChange();
             takeSnapshotIfDue();
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreReport.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreReport.java
@@ -64,6 +64,10 @@
                 "store_members_behind",
                 "Members that lack committed entries, as the leader sees it.",
                 this::membersBehind);
+        metrics.computedGauge(
+                "store_majority_age_seconds",
+                "Age of the last word of a majority that this host leads; -1 while it does not lead.",
+                () -> driver.majorityAge() == Long.MAX_VALUE ? -1 : driver.majorityAge() / MILLISECONDS_PER_SECOND);
         metrics.computedGauge(
                 "endpoint_view_age_seconds",
                 "Time since the last heartbeat of the ready endpoint that was heard longest ago.",
