Send work only while a majority has confirmed the leader recently

A leader whose loop had stood for 13 s started 46 items and sent scores and orders before it read that another host led, which had acknowledged the ends meanwhile.

Cause: whether this host leads, whether the submission is open and whether the item still wants the work was asked when work was planned, in each place in another way, and not when it was sent.

EndpointClient asks it when the connection is open, so that it also covers connections being opened, permits, retries and repetitions of score requests, items and orders. What is withheld is no failure of the endpoint.

New records: SCORE_REQUESTED, WORK_WITHHELD; term and age of the majority's word in ITEM_RUN_STARTED and the records of orders; stages of the open items, term and applied entry in SUBMISSION_ENDED.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -153,6 +153,13 @@
     /** Items of a submission wait for long; the line tells how many and for what. */
     ITEMS_WAITING(
             747, Severity.INFORMATION, "Items of a submission wait for long; the line tells how many and for what."),
+    /** The score of an item was requested. */
+    SCORE_REQUESTED(748, Severity.INFORMATION, "The score of an item was requested."),
+    /** The leader sends no work, because no majority has confirmed recently that it leads, or goes on. */
+    WORK_WITHHELD(
+            749,
+            Severity.WARNING,
+            "The leader sends no work, because no majority has confirmed recently that it leads, or goes on."),
     /** A trainer published a weight version. */
     VERSION_NAMED(750, Severity.INFORMATION, "A trainer named a weight version."),
     /** An endpoint was ordered to load a weight version. */
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -400,6 +400,15 @@
         sink.refuse(retryMilliseconds / 1_000.0);
     }
 
+    private void finishWithheld() {
+        if (mayHaveRun) {
+            finish("withheld", BAD_GATEWAY);
+            sink.fail(BAD_GATEWAY);
+        } else {
+            finishRefused("withheld", MINIMUM_RETRY_MILLISECONDS);
+        }
+    }
+
     /** Ends the request as at its deadline: with status 504 if it may have run, else as refused. */
     public void expire() {
         if (finished) {
@@ -578,7 +587,7 @@
             EndpointClient.Request sent = new EndpointClient.Request(
                     endpoint.address(), request.method(), request.uri(), headers, request.body());
             try {
-                attempt = forwarder.client().send(sent, this);
+                attempt = forwarder.client().send(sent, request.condition(), this);
             } catch (IllegalArgumentException failure) {
                 recordOutcome("not sent", failure.getMessage());
                 finishInvalid();
@@ -772,6 +781,10 @@
         public void onFailure(Failure failure, String reason) {
             removeFromRunning();
             buffered.discard();
+            if (failure == Failure.WITHHELD) {
+                handleWithheld(reason);
+                return;
+            }
             forwarder.loads().recordFailure(endpoint.id(), Forwarder.now());
             recordOutcome(failure == Failure.NOT_SENT ? "not sent" : "broken", reason);
             if (answerStarted) {
@@ -788,6 +801,15 @@
             }
         }
 
+        /** What withholds the request concerns this host and no endpoint, so that no other endpoint is tried. */
+        private void handleWithheld(String reason) {
+            sends--;
+            recordOutcome("withheld", reason);
+            if (isIdle()) {
+                finishWithheld();
+            }
+        }
+
         /**
          * Checks whether the endpoint crashed. A suspect is retried only when the result is known, because this crash may be
          * the one that quarantines it; other requests are retried at once.
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
@@ -7,6 +7,7 @@
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.platform.PlatformHeaders;
+import io.rosemarybeam.platform.SendCondition;
 
 /**
  * A request to forward to an endpoint. Immutable, provided that headers and array are not changed.
@@ -21,6 +22,7 @@
  * @param deadline monotonic time at which the request times out, in milliseconds, see {@link Forwarder#now}
  * @param configurationVersion version of the configuration that has the route; written to the log
  * @param mustRun whether the request is never quarantined, because the system has promised to run it
+ * @param condition asked immediately before each attempt is written, also for retries and hedges
  * @param handedOn how another host handed it on; empty if it came from its caller
  */
 public record ForwardRequest(
@@ -34,7 +36,36 @@
         long deadline,
         long configurationVersion,
         boolean mustRun,
+        SendCondition condition,
         Optional<HandedOn> handedOn) {
+    /** Creates a request that may be sent as long as its caller waits, with the parameters of the record. */
+    public ForwardRequest(
+            String id,
+            Route route,
+            ServiceName service,
+            String method,
+            String uri,
+            HttpHeaders headers,
+            byte[] body,
+            long deadline,
+            long configurationVersion,
+            boolean mustRun,
+            Optional<HandedOn> handedOn) {
+        this(
+                id,
+                route,
+                service,
+                method,
+                uri,
+                headers,
+                body,
+                deadline,
+                configurationVersion,
+                mustRun,
+                SendCondition.ALWAYS,
+                handedOn);
+    }
+
     /**
      * How another host handed a request on.
      *
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -87,6 +88,7 @@
     private final Consumer<EndpointId> recordSent;
     private final EndpointClient client;
     private final ItemScoring scoring;
+    private final SendAuthority authority;
     private final LeaderContext leader;
     private final ItemQueue queue = new ItemQueue();
     private final StartPacing pacing = new StartPacing();
@@ -110,6 +112,9 @@
     private Optional<RoutingTable> routedTable = Optional.empty();
     private long lastWaitReport;
 
+    /** Time since when this host has sent no work, because its authority did not allow it. */
+    private OptionalLong withheldSince = OptionalLong.empty();
+
     private final PartialTextStore partialTexts;
 
     /** The parts of the leader that the runner uses. */
@@ -135,6 +140,7 @@
             Consumer<EndpointId> recordSent,
             EndpointClient client,
             ItemScoring scoring,
+            SendAuthority authority,
             LeaderContext leader) {
         this.state = state;
         this.fleet = fleet;
@@ -143,6 +149,7 @@
         this.recordSent = recordSent;
         this.client = client;
         this.scoring = scoring;
+        this.authority = authority;
         this.leader = leader;
         this.partialTexts = new PartialTextStore(state, leader);
         state.submissions().forEach(this::add);
@@ -184,7 +191,7 @@
         removePromptEndpoints(stored);
         if (ended != null) {
             ended.values().forEach(task -> {
-                cancel(task, "the submission ended");
+                close(task, "the submission ended");
                 partialTexts.retain(task);
             });
         }
@@ -194,6 +201,9 @@
     void listed(StoredSubmission stored) {
         Map<ItemId, ItemTask> open = tasks.get(stored.submission().id());
         if (open != null) {
+            open.values().stream()
+                    .filter(task -> stored.isListed(task.item.id()))
+                    .forEach(task -> close(task, "its result is listed"));
             open.keySet().removeIf(stored::isListed);
             if (open.isEmpty()) {
                 tasks.remove(stored.submission().id());
@@ -210,10 +220,19 @@
 
     /** Cancels all items, because this host is no longer the leader. */
     void stop() {
-        openTasks().forEach(task -> cancel(task, "this host is no longer the leader"));
+        openTasks().forEach(task -> close(task, "this host is no longer the leader"));
         tasks.clear();
     }
 
+    /** Returns the number of open items of a submission by stage. */
+    Map<ItemTask.Stage, Integer> stages(StoredSubmission stored) {
+        Map<ItemTask.Stage, Integer> stages = new EnumMap<>(ItemTask.Stage.class);
+        tasks.getOrDefault(stored.submission().id(), Map.of())
+                .values()
+                .forEach(task -> stages.merge(task.stage, 1, Integer::sum));
+        return stages;
+    }
+
     int openItems() {
         return tasks.values().stream().mapToInt(Map::size).sum();
     }
@@ -338,8 +357,32 @@
         }
     }
 
+    /** Returns whether this host may not send work now, and logs it when that changes. */
+    private boolean isWithheld(long now) {
+        Optional<SendAuthority.Refusal> refusal = authority.refusal();
+        if (refusal.isPresent() != withheldSince.isPresent()) {
+            LOG.log(
+                    Event.WORK_WITHHELD,
+                    "reason",
+                    refusal.map(Enum::name).orElse(""),
+                    "term",
+                    authority.term(),
+                    "majorityAge",
+                    authority.majorityAge(),
+                    "milliseconds",
+                    now - withheldSince.orElse(now),
+                    "waiting",
+                    waitingItems());
+            withheldSince = refusal.isPresent() ? OptionalLong.of(now) : OptionalLong.empty();
+        }
+        return refusal.isPresent();
+    }
+
     /** Orders the waiting items anew, with a new view of the endpoints, and starts those for which there is a slot. */
     private void startInNewOrder(long now) {
+        if (isWithheld(now)) {
+            return;
+        }
         rounds.clear();
         tasks.values().stream()
                 .flatMap(open -> open.values().stream().limit(1))
@@ -353,6 +396,9 @@
 
     /** Starts waiting items in the order of the last tick. */
     private void startWhileThereIsRoom(long now) {
+        if (isWithheld(now)) {
+            return;
+        }
         pacing.beginTurn();
         for (ItemTask task : queue.waiting(now)) {
             if (!mayStartAnother() || rounds.values().stream().noneMatch(PlacementRound::hasRoom)) {
@@ -466,7 +512,8 @@
         EndpointAnnouncement endpoint = fleet.announcement(id).orElseThrow();
         ItemTask.Run run = new ItemTask.Run(endpoint, now, task.text.lastEvent());
         try {
-            run.attempt = client.send(request(task, route, endpoint), new ItemStream(task, run, this));
+            run.attempt = client.send(
+                    request(task, route, endpoint), authority.condition(task), new ItemStream(task, run, this));
         } catch (IllegalArgumentException failure) {
             abandon(task, "the item cannot be sent: " + failure.getMessage());
             return;
@@ -501,6 +548,12 @@
         task.cancel();
     }
 
+    /** Cancels what is in progress for an item, and forbids what was scheduled for it. */
+    private void close(ItemTask task, String reason) {
+        cancel(task, reason);
+        task.close();
+    }
+
     private void releaseEndpoint(ItemTask task) {
         task.run.ifPresent(run -> {
             opening.remove(run);
@@ -534,6 +587,10 @@
                 task.text.lastEvent(),
                 "expected",
                 queue.remainingMilliseconds(task),
+                "term",
+                authority.term(),
+                "majorityAge",
+                authority.majorityAge(),
                 "age",
                 leader.leaderTime() - task.submission.acceptedAt());
     }
@@ -589,6 +646,7 @@
         long now = Forwarder.now();
         task.waitingSince = now;
         switch (termination) {
+            case WITHHELD -> task.notBefore = now + RETRY_DELAY_MILLISECONDS;
             case NOT_EXECUTED, BROKEN -> {
                 loads.recordFailure(run.endpoint, now);
                 task.notBefore = now + RETRY_DELAY_MILLISECONDS;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
@@ -40,10 +40,12 @@
 
     private final EventLoop loop;
     private final Forwarder forwarder;
+    private final SendAuthority authority;
 
-    ItemScoring(EventLoop loop, Forwarder forwarder) {
+    ItemScoring(EventLoop loop, Forwarder forwarder, SendAuthority authority) {
         this.loop = loop;
         this.forwarder = forwarder;
+        this.authority = authority;
     }
 
     /** Is notified of the outcome of scoring. */
@@ -89,12 +91,31 @@
                 Forwarder.now() + timeout.toMillis(),
                 table.orElseThrow().version(),
                 true,
+                authority.condition(task),
                 Optional.empty());
+        logRequested(task, scorer);
         ForwardCall call = forwarder.forward(request, new ScoreSink(task, currentTable, route.get(), listener));
         // A call that was refused at once has scheduled its repetition already.
         task.scoring = call.isFinished() ? Optional.empty() : Optional.of(call);
     }
 
+    private void logRequested(ItemTask task, Submission.Scorer scorer) {
+        LOG.log(
+                Event.SCORE_REQUESTED,
+                "submission",
+                task.submission.submission().id(),
+                "request",
+                task.item.id(),
+                "scorer",
+                scorer.id(),
+                "repetitions",
+                task.scoreRetries,
+                "term",
+                authority.term(),
+                "majorityAge",
+                authority.majorityAge());
+    }
+
     private void scheduleRetry(
             ItemTask task, Supplier<Optional<RoutingTable>> currentTable, Listener listener, String reason) {
         long delay = Math.min(
@@ -116,7 +137,11 @@
         task.scoring = Optional.empty();
         loop.schedule(
                 () -> {
-                    if (task.stage == ItemTask.Stage.SCORING && task.scoring.isEmpty() && !task.submission.isEnded()) {
+                    boolean mayRepeat = authority
+                            .refusal(task)
+                            .map(SendAuthority.Refusal::isTemporary)
+                            .orElse(true);
+                    if (mayRepeat && task.stage == ItemTask.Stage.SCORING && task.scoring.isEmpty()) {
                         score(task, currentTable, listener);
                     }
                 },
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemStream.java
@@ -55,6 +55,8 @@
 
     /** The reason why a run terminated before the text was complete. */
     enum Termination {
+        /** The run was not sent, because its {@link SendAuthority} did not allow it any more. */
+        WITHHELD,
         /** The endpoint did not start the run, which does not count towards the maximum number of attempts. */
         NOT_EXECUTED,
         /** The endpoint answered 500: the run failed, and counts towards the maximum number of attempts. */
@@ -218,7 +220,13 @@
 
     @Override
     public void onFailure(EndpointClient.Failure failure, String reason) {
-        end(failure == EndpointClient.Failure.NOT_SENT ? Termination.NOT_EXECUTED : Termination.BROKEN, reason);
+        end(
+                switch (failure) {
+                    case NOT_SENT -> Termination.NOT_EXECUTED;
+                    case BROKEN -> Termination.BROKEN;
+                    case WITHHELD -> Termination.WITHHELD;
+                },
+                reason);
     }
 
     private void end(Termination termination, String detail) {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
@@ -50,6 +50,8 @@
     /** Monotonic time before which the item is not started again, in milliseconds. */
     long notBefore;
 
+    private boolean closed;
+
     Optional<Run> run = Optional.empty();
     Optional<ForwardCall> scoring = Optional.empty();
 
@@ -93,6 +95,17 @@
         storedEvents = 0;
     }
 
+    /** Cancels the current run or score request, and forbids all later ones. */
+    void close() {
+        closed = true;
+        cancel();
+    }
+
+    /** Returns whether nothing may be sent for the item any more. */
+    boolean isClosed() {
+        return closed;
+    }
+
     /** Cancels the current run or score request, if any. */
     void cancel() {
         run.ifPresent(running -> running.attempt.cancel());
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -52,6 +52,7 @@
     private final Supplier<Optional<RoutingTable>> table;
     private final Retirements retirements;
     private final VersionOrders orders;
+    private final SendAuthority authority;
     private final long resultRetentionMilliseconds;
     private final Map<SubmissionId, List<PendingRead>> pendingReads = new HashMap<>();
 
@@ -79,6 +80,7 @@
             Supplier<Optional<RoutingTable>> table,
             Retirements retirements,
             VersionOrders orders,
+            SendAuthority authority,
             Duration resultRetention,
             RunnerFactory runners) {
         this.driver = driver;
@@ -87,6 +89,7 @@
         this.table = table;
         this.retirements = retirements;
         this.orders = orders;
+        this.authority = authority;
         this.resultRetentionMilliseconds = resultRetention.toMillis();
         this.runner = runners.create(this);
         state.setListener(this);
@@ -98,6 +101,7 @@
     }
 
     void stop() {
+        authority.end();
         state.setListener(new StoreState.Listener() {});
         runner.stop();
         orders.stop();
@@ -324,6 +328,12 @@
                 stored.listedCount(),
                 "items",
                 stored.submission().items().size(),
+                "stages",
+                runner.stages(stored),
+                "term",
+                authority.term(),
+                "applied",
+                driver.applied(),
                 "age",
                 clock.leaderTime() - stored.acceptedAt());
         runner.end(stored);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -237,6 +237,11 @@
         return LogOptions.standard(new SecureRandom().nextLong()).withMaximumProposalBytes(MAXIMUM_COMMAND_BYTES);
     }
 
+    /** Returns the event loop to which all state is confined, for tests that stall it. */
+    EventLoop eventLoop() {
+        return loop;
+    }
+
     /** Opens the listeners and starts to take part in the replicated log. */
     public void start() {
         startedAt = Forwarder.now();
@@ -678,12 +683,13 @@
             LeaderClock clock = new LeaderClock(MonotonicClock.system(), state.lastLeaderTime());
             long firstOrderDelay =
                     settings.endpointsCheckFencing() ? 0 : settings.orderLease().toMillis();
+            SendAuthority authority = new SendAuthority(term, driver::majorityAge, state);
             VersionOrders orders = new VersionOrders(
                     fleet,
                     client,
                     permits::recordSent,
                     settings.name().value(),
-                    term,
+                    authority,
                     Forwarder.now() + firstOrderDelay);
             StoreLeader next = new StoreLeader(
                     driver,
@@ -692,6 +698,7 @@
                     () -> table,
                     members,
                     orders,
+                    authority,
                     settings.resultRetention(),
                     context -> new BatchRunner(
                             state,
@@ -700,7 +707,8 @@
                             rateLimits,
                             permits::recordSent,
                             client,
-                            new ItemScoring(loop, forwarder),
+                            new ItemScoring(loop, forwarder, authority),
+                            authority,
                             context));
             leader = Optional.of(next);
             updateKeepAlive();
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
@@ -70,7 +70,7 @@
     private final EndpointClient client;
     private final Consumer<EndpointId> recordSent;
     private final String leaderName;
-    private final long term;
+    private final SendAuthority authority;
     private final long firstOrderAt;
     private final Map<String, VersionPlan> plans = new HashMap<>();
     private final Map<EndpointId, Order> orders = new HashMap<>();
@@ -84,7 +84,7 @@
      * @param recordSent is told the endpoint of each order, which counts towards its rate limit but is not delayed by it; reports
      *     do not count, because they take no work of the endpoint
      * @param leaderName name of this host
-     * @param term term of this leader
+     * @param authority decides whether an order may be sent
      * @param firstOrderAt monotonic time, in milliseconds, until which no orders are sent, because endpoints may still
      *     execute those of the former leader
      */
@@ -93,13 +93,13 @@
             EndpointClient client,
             Consumer<EndpointId> recordSent,
             String leaderName,
-            long term,
+            SendAuthority authority,
             long firstOrderAt) {
         this.fleet = fleet;
         this.client = client;
         this.recordSent = recordSent;
         this.leaderName = leaderName;
-        this.term = term;
+        this.authority = authority;
         this.firstOrderAt = firstOrderAt;
     }
 
@@ -186,7 +186,9 @@
             "version",
             order.load.version(),
             "term",
-            term,
+            authority.term(),
+            "majorityAge",
+            authority.majorityAge(),
             "ordersBefore",
             order.ordersBefore,
             "detail",
@@ -232,7 +234,8 @@
 
     private void sendOrder(Order order) {
         ModelName model = order.load.model();
-        LoadOrder content = new LoadOrder(model, order.load.version(), true, leaderName, term, order.ordersBefore);
+        LoadOrder content =
+                new LoadOrder(model, order.load.version(), true, leaderName, authority.term(), order.ordersBefore);
         LOG.log(Event.ORDER_GIVEN, fields(order, "load"));
         recordSent.accept(order.load.endpoint());
         call(
@@ -265,8 +268,10 @@
         Call call = new Call(order, handler);
         order.call = Optional.of(call);
         order.calledAt = now;
-        call.attempt =
-                client.send(new EndpointClient.Request(order.endpoint.address(), method, path, headers, body), call);
+        call.attempt = client.send(
+                new EndpointClient.Request(order.endpoint.address(), method, path, headers, body),
+                authority.condition(),
+                call);
     }
 
     /** Handles the complete response to a call. */
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
 
 import io.netty.channel.EventLoop;
@@ -52,6 +53,8 @@
     private final EventLoop loop = loops.next();
     private final StoreState state = new StoreState();
     private final EndpointLoads loads = new EndpointLoads();
+    private final AtomicLong majorityAge = new AtomicLong();
+    private final SendAuthority authority = new SendAuthority(1, majorityAge::get, state);
     private final CompletableFuture<SubmissionId> firstResult = new CompletableFuture<>();
 
     @AfterEach
@@ -73,7 +76,8 @@
                 new RateLimits(changes -> {}, (request, decision) -> {}),
                 endpoint -> {},
                 EndpointClient.of(loop),
-                new ItemScoring(loop, null),
+                new ItemScoring(loop, null, authority),
+                authority,
                 new FakeLeader());
         state.setListener(new StoreState.Listener() {
             @Override
@@ -168,6 +172,49 @@
         }
     }
 
+    /** Guards against items that a leader starts after a stall, while another one leads and has acknowledged ends. */
+    @Test
+    void shouldNotStartItemsWhenNoMajorityHasAnsweredRecently() throws Exception {
+        try (FakeEngine engine = new FakeEngine("127.0.77.105")) {
+            engine.setEventCount("first-0", MANY_EVENTS);
+            BatchRunner runner = runner(engine);
+            loop.submit(() -> {
+                        apply(1, new StoreCommand.AcceptSubmission(submission("first", 1), "r"));
+                        majorityAge.set(SendAuthority.MAXIMUM_AGE_MILLISECONDS + 1);
+                        runner.tick();
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertEquals(1, loop.submit(runner::waitingItems).get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+
+            majorityAge.set(SendAuthority.MAXIMUM_AGE_MILLISECONDS);
+            loop.submit(runner::tick).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            StoreCluster.await("the item runs", () -> engine.runs.isEmpty() ? null : true);
+            loop.submit(runner::stop).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Guards against an item that is planned in time and sent later, when its connection opens and the majority is silent. */
+    @Test
+    void shouldNotSendAnItemWhenTheMajorityBecomesSilentWhileItsConnectionIsOpened() throws Exception {
+        try (FakeEngine engine = new FakeEngine("127.0.77.106")) {
+            BatchRunner runner = runner(engine);
+            loop.submit(() -> {
+                        apply(1, new StoreCommand.AcceptSubmission(submission("first", 1), "r"));
+                        runner.tick();
+                        majorityAge.set(Long.MAX_VALUE);
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            StoreCluster.await(
+                    "the item waits again",
+                    () -> loop.submit(runner::waitingItems).get(TIMEOUT_SECONDS, TimeUnit.SECONDS) == 1 ? true : null);
+            assertEquals(List.of(), engine.runs);
+            assertEquals(0, loop.submit(() -> loads.outstanding(ENDPOINT)).get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+            loop.submit(runner::stop).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
     private static void pause(long milliseconds) {
         try {
             Thread.sleep(milliseconds);
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
@@ -72,8 +72,10 @@
     private final EventLoop loop = loops.next();
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicReference<String> abandoned = new AtomicReference<>();
+    private final StoreState state = stateWithSubmission();
+    private final SendAuthority authority = new SendAuthority(1, () -> 0, state);
     private final ItemTask task =
-            new ItemTask(new StoredSubmission(SUBMISSION, "r", 0), ITEM, ModelName.of("m"), false, false);
+            new ItemTask(state.submission(SUBMISSION.id()).orElseThrow(), ITEM, ModelName.of("m"), false, false);
     private final EndpointDirectory directory = new EndpointDirectory();
     private final List<RawScorer> scorers = new ArrayList<>();
     private final ItemScoring scoring = new ItemScoring(
@@ -90,7 +92,8 @@
                             changes -> {}, (request, onDecision) -> onDecision.accept(new PermitDecision.Denied(0, 0))),
                     LeavingEndpoints.local(new EndpointDirectory()),
                     StreamOrigins.local(new EndpointDirectory(), () -> true),
-                    HandOver.none(loop, EndpointClient.of(loop), new EndpointDirectory())));
+                    HandOver.none(loop, EndpointClient.of(loop), new EndpointDirectory())),
+            authority);
 
     @AfterEach
     void close() throws IOException {
@@ -100,6 +103,12 @@
         loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
     }
 
+    private static StoreState stateWithSubmission() {
+        StoreState created = new StoreState();
+        created.apply(StoreCommand.encode(1, new StoreCommand.AcceptSubmission(SUBMISSION, "r")));
+        return created;
+    }
+
     private static RoutingTable table(String pathPrefix) {
         return table(pathPrefix, RouteKind.IDEMPOTENT);
     }
@@ -145,6 +154,37 @@
         assertTrue(requests.get() >= 2 && requests.get() <= 5, requests + " requests within a second");
     }
 
+    /** Guards against score requests that a host repeats although it leads no more or the item was cancelled. */
+    @Test
+    void shouldNotRepeatTheRequestWhenTheItemWasClosed() throws InterruptedException {
+        score(this::scorerTable);
+        Thread.sleep(300);
+
+        loop.submit(task::close).sync();
+
+        int before = requests.get();
+        Thread.sleep(2_000);
+        assertEquals(before, requests.get());
+    }
+
+    /** Guards against score requests without end, because an installed snapshot replaced the submission that was ended. */
+    @Test
+    void shouldNotRepeatTheRequestWhenASnapshotWithTheEndedSubmissionWasInstalled() throws InterruptedException {
+        score(this::scorerTable);
+        Thread.sleep(300);
+
+        loop.submit(() -> {
+                    StoreState other = stateWithSubmission();
+                    other.apply(StoreCommand.encode(2, new StoreCommand.CloseSubmission(SUBMISSION.id())));
+                    state.restore(other.capture().get());
+                })
+                .sync();
+
+        int before = requests.get();
+        Thread.sleep(2_000);
+        assertEquals(before, requests.get());
+    }
+
     @Test
     void shouldUseTheCurrentConfigurationWhenTheRequestIsRepeated() throws InterruptedException {
         score(() -> requests.get() == 0 ? scorerTable() : Optional.of(table("/other/")));
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
@@ -134,6 +135,17 @@
         running.remove(number).stop();
     }
 
+    /** Blocks the event loop of a host until the latch is released. */
+    void stall(int number, CountDownLatch released) {
+        running.get(number).eventLoop().execute(() -> {
+            try {
+                released.await(TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
     void wipe(int number) {
         try (Stream<Path> files = Files.walk(folder.resolve("data-" + number))) {
             files.sorted(Comparator.reverseOrder())
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
@@ -90,16 +90,18 @@
     }
 
     private StoreLeader leader() {
+        SendAuthority authority = new SendAuthority(1, () -> 0, state);
         return new StoreLeader(
                 driver,
                 state,
                 new LeaderClock(MonotonicClock.system(), 0),
                 Optional::empty,
                 null,
-                new VersionOrders(null, null, endpoint -> {}, "store-1", 1, 0),
+                new VersionOrders(null, null, endpoint -> {}, "store-1", authority, 0),
+                authority,
                 Duration.ofMinutes(1),
-                context ->
-                        new BatchRunner(state, null, new EndpointLoads(), null, endpoint -> {}, null, null, context));
+                context -> new BatchRunner(
+                        state, null, new EndpointLoads(), null, endpoint -> {}, null, null, authority, context));
     }
 
     private static SubmitBatch request() {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
@@ -136,15 +136,18 @@
         GenerationFleet fleet =
                 new GenerationFleet(directory, loads, endpoint -> true, LeavingEndpoints.local(directory));
         EndpointClient client = EndpointClient.of(loops.next());
+        SendAuthority authority = new SendAuthority(1, () -> 0, state);
         return new StoreLeader(
                 driver,
                 state,
                 new LeaderClock(MonotonicClock.system(), 0),
                 Optional::empty,
                 null,
-                new VersionOrders(fleet, client, endpoint -> {}, "store-1", 1, 0),
+                new VersionOrders(fleet, client, endpoint -> {}, "store-1", authority, 0),
+                authority,
                 Duration.ofSeconds(120),
-                context -> new BatchRunner(state, fleet, loads, null, endpoint -> {}, client, null, context));
+                context ->
+                        new BatchRunner(state, fleet, loads, null, endpoint -> {}, client, null, authority, context));
     }
 
     private void submit(int items) {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/VersionOrdersTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/VersionOrdersTest.java
@@ -50,8 +50,9 @@
                     0);
             GenerationFleet fleet = new GenerationFleet(
                     directory, new EndpointLoads(), endpoint -> true, LeavingEndpoints.local(directory));
-            VersionOrders orders =
-                    new VersionOrders(fleet, EndpointClient.of(loop), counted::add, "store-1", 1, Long.MIN_VALUE);
+            SendAuthority authority = new SendAuthority(1, () -> 0, new StoreState());
+            VersionOrders orders = new VersionOrders(
+                    fleet, EndpointClient.of(loop), counted::add, "store-1", authority, Long.MIN_VALUE);
             RoutingTable table = RoutingTable.of(
                     1, List.of(), List.of(new ServiceDefinition(SERVICE, 10, List.of(MODEL))), CallerLimits.defaults());
             loop.scheduleWithFixedDelay(
