--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -155,6 +155,34 @@
                 Optional.empty());
     }
 
+    /** Guards against an endpoint that is avoided, and a request that is repeated, although only this host may not send it. */
+    @Test
+    void shouldRefuseAsNotRunAndBlameNoEndpointWhenTheConditionWithholdsTheRequest() throws Exception {
+        ScriptedEndpoint first = endpoint("a", OK);
+        ScriptedEndpoint second = endpoint("b", OK);
+        ForwardRequest allowed = request(RouteKind.IDEMPOTENT, 2_000, true);
+        ForwardRequest withheld = new ForwardRequest(
+                allowed.id(),
+                allowed.route(),
+                allowed.service(),
+                allowed.method(),
+                allowed.uri(),
+                allowed.headers(),
+                allowed.body(),
+                allowed.deadline(),
+                allowed.configurationVersion(),
+                allowed.mustRun(),
+                () -> Optional.of("over"),
+                allowed.handedOn());
+
+        forward(withheld);
+
+        assertEquals("refused", outcome());
+        assertTrue(first.requests.isEmpty() && second.requests.isEmpty());
+        forward(allowed);
+        assertTrue(outcome().startsWith("200"));
+    }
+
     private String outcome() throws InterruptedException {
         String outcome = outcomes.poll(5, TimeUnit.SECONDS);
         assertNotNull(outcome, "no outcome");
