--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/PermitGranter.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/PermitGranter.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.store;
 
 import java.util.Collection;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -19,8 +20,9 @@
 /**
  * Grants the permits for requests to endpoints with a rate limit, for all hosts, while this host is the leader.
  *
- * <p>Invariants: a host that does not lead denies every request; a new leader starts without tokens, because the former one
- * may have granted all of them. Confined to the event loop of the store.
+ * <p>Invariants: a host that does not lead, or has no recent word of a majority, denies every request, because another leader
+ * may grant the same permits; a new leader starts without tokens, because the former one may have granted all of them. Confined
+ * to the event loop of the store.
  */
 final class PermitGranter {
     /** Time until a new leader is likely, in milliseconds; an election takes at least 500. */
@@ -30,28 +32,28 @@
 
     private final EventLoop loop;
     private PermitQueue queue = new PermitQueue();
-    private boolean leads;
+    private Optional<SendAuthority> authority = Optional.empty();
     private Future<?> timer;
 
     PermitGranter(EventLoop loop) {
         this.loop = loop;
     }
 
-    /** Starts to grant permits. */
-    void start(Collection<EndpointRateLimit> limits) {
-        leads = true;
+    /** Starts to grant permits while an authority allows it. */
+    void start(Collection<EndpointRateLimit> limits, SendAuthority newAuthority) {
+        authority = Optional.of(newAuthority);
         queue = new PermitQueue();
         limits.forEach(this::setLimit);
     }
 
     /** Stops granting permits, because another host may lead. */
     void stop() {
-        leads = false;
+        authority = Optional.empty();
         queue.close();
     }
 
     void setLimit(EndpointRateLimit limit) {
-        if (leads) {
+        if (authority.isPresent()) {
             queue.setLimit(limit, Forwarder.now());
             schedule();
         }
@@ -59,11 +61,13 @@
 
     /** Decides on a request; see {@link PermitQueue#request}. */
     void acquire(PermitRequest request, Consumer<PermitDecision> onDecision) {
-        if (!leads) {
-            onDecision.accept(new PermitDecision.Denied(LEADER_RETRY_MILLISECONDS, LEADER_RETRY_MILLISECONDS));
+        if (!mayGrant()) {
+            onDecision.accept(noLeader());
             return;
         }
-        queue.request(request, Forwarder.now(), decision -> {
+        queue.request(request, Forwarder.now(), queued -> {
+            // The host may have been stalled while the request waited.
+            PermitDecision decision = mayGrant() ? queued : noLeader();
             if (decision instanceof PermitDecision.Denied denied) {
                 LOG.log(
                         Event.PERMIT_DENIED,
@@ -87,6 +91,14 @@
         schedule();
     }
 
+    private boolean mayGrant() {
+        return authority.filter(current -> current.refusal().isEmpty()).isPresent();
+    }
+
+    private static PermitDecision noLeader() {
+        return new PermitDecision.Denied(LEADER_RETRY_MILLISECONDS, LEADER_RETRY_MILLISECONDS);
+    }
+
     /** Returns whether a request that does not wait may be sent to an endpoint now. */
     boolean isAvailable(EndpointId endpoint) {
         return queue.isAvailable(endpoint, Forwarder.now());
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -712,7 +712,7 @@
                             context));
             leader = Optional.of(next);
             updateKeepAlive();
-            permits.start(rateLimits.all());
+            permits.start(rateLimits.all(), authority);
             LOG.log(Event.LEADER_ELECTED, "name", settings.name(), "term", term, "applied", driver.applied());
             lastStatusToEdges = status(Forwarder.now());
             Broadcast.send(edges.keySet(), lastStatusToEdges);
