Refuse copies of a submission that arrive after its end

A caller that ended a submission which the leader did not know got 404, and the end was forgotten. A copy of the submission that an edge still repeated (2.5 s), or that waited in a connection to a host that became leader, was accepted after it and ran without an end.

Cause: nothing related an end to copies of its submission that come later, neither at the edge nor at the leader, where a copy that arrived while the end was being committed followed it in the log.

The caller still gets its 404 at once. Its edge sends the end again for 6 s (SubmissionCopies: the time in which edges repeat a submission, and the longest delay in a connection to a host that leads), and repeats no submission whose end it has taken. The leader remembers from the arrival of an end, in memory and bounded, that it does not know the submission, and refuses it as not run once a majority has confirmed that it leads. A host of an earlier release that leads is covered by the repeated end. Neither the replicated state nor a message changes. An edge answers 503 to a refused submission only if no earlier copy may have been accepted, else 504; before, it answered 503 also after a copy without a definite reply.

Failed before: EndedSubmissionTest, three of five (no second end within 15 s; 202 for the copy after the end; 503 instead of 504), and StoreLeaderReplyTest, two of four (DONE instead of REFUSED, for a copy after the end and for one while it is committed). All pass after.

--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/BatchRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/BatchRequests.java
@@ -21,6 +21,7 @@
 import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
 import io.rosemarybeam.common.wire.StoreMessage.SubmitBatch;
 import io.rosemarybeam.common.wire.Submission;
+import io.rosemarybeam.common.wire.SubmissionCopies;
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.forward.CallerExchange;
 import io.rosemarybeam.forward.Forwarder;
@@ -37,9 +38,6 @@
  * edge.
  */
 final class BatchRequests {
-    /** Timeout of a submission including retries, in milliseconds; longer than an election of the store takes. */
-    private static final long SUBMIT_TIMEOUT_MILLISECONDS = 2_500;
-
     /**
      * Timeout of a read or of the end of a submission including retries, in milliseconds; trainers wait 1,500 longer than
      * the wait that they request.
@@ -105,9 +103,11 @@
             exchange.answerText(400, refused.getMessage());
             return;
         }
-        store.send(id, new SubmitBatch(submission), 0, SUBMIT_TIMEOUT_MILLISECONDS, requestOutcome -> {
+        SubmitBatch request = new SubmitBatch(submission);
+        long timeout = SubmissionCopies.SUBMIT_TIMEOUT_MILLISECONDS;
+        store.sendWhileAllowed(id, request, timeout, () -> refusal(submission.id()), requestOutcome -> {
             if (requestOutcome.reply().isPresent()) {
-                answerSubmission(exchange, requestOutcome.reply().get());
+                answerSubmission(exchange, requestOutcome.reply().get(), requestOutcome.mayHaveExecuted());
             } else if (requestOutcome.tooLong()) {
                 exchange.answer(413);
             } else if (requestOutcome.mayHaveExecuted()) {
@@ -118,10 +118,21 @@
         });
     }
 
-    private static void answerSubmission(CallerExchange exchange, StoreReply reply) {
+    private Optional<String> refusal(SubmissionId submission) {
+        return ends.isPending(submission) ? Optional.of("the end of the submission was taken") : Optional.empty();
+    }
+
+    /** A refusal promises that nothing runs, which an earlier copy without a definite reply does not allow. */
+    private static void answerSubmission(CallerExchange exchange, StoreReply reply, boolean mayHaveExecuted) {
         switch (reply.outcome()) {
             case DONE, IN_PROGRESS -> exchange.answer(202);
-            case REFUSED -> exchange.refuse(RETRY_AFTER_SECONDS);
+            case REFUSED -> {
+                if (mayHaveExecuted) {
+                    exchange.answer(504);
+                } else {
+                    exchange.refuse(RETRY_AFTER_SECONDS);
+                }
+            }
             default -> exchange.answer(500);
         }
     }
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/PendingEnds.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/PendingEnds.java
@@ -9,15 +9,18 @@
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.id.SubmissionId;
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.SubmissionCopies;
 
 /**
- * The ends of submissions that this edge has taken from callers and that no leader has acknowledged.
+ * The ends of submissions that this edge has taken from callers and goes on sending: those that no leader has acknowledged, and
+ * those of submissions that the leader did not know, because a copy of the submission can arrive after its end.
  *
  * <p>Decides which ends are sent when, and sends nothing itself. Times are monotonic, in milliseconds. Ends are idempotent, so
  * that an end which a leader may have carried out already is sent again.
  *
- * <p>Invariants: an end is kept from the moment in which it is taken until a leader has acknowledged it, its time is over, or
- * too many are kept; at most one attempt to send a kept end is in progress. Confined to the event loop of the edge.
+ * <p>Invariants: an end is pending from the moment in which it is taken until a leader has ended the submission, no copy of the
+ * submission can arrive any more, its time is over, or too many are pending; at most one attempt to send it is in progress
+ * beside those of its callers. Confined to the event loop of the edge.
  */
 final class PendingEnds {
     /** Pause after the first failed attempt to send a kept end, in milliseconds: one tick of the edge. */
@@ -61,7 +64,7 @@
         ends.computeIfAbsent(id, ignored -> new PendingEnd(now));
     }
 
-    /** Returns whether the end of a submission was taken and is not acknowledged. */
+    /** Returns whether the end of a submission was taken, and the submission must therefore not be sent. */
     boolean isPending(SubmissionId id) {
         return ends.containsKey(id);
     }
@@ -79,8 +82,12 @@
      * @param now the time
      */
     void acknowledge(SubmissionId id, Outcome outcome, long now) {
-        PendingEnd end = ends.remove(id);
-        if (end != null && end.kept) {
+        PendingEnd end = ends.get(id);
+        if (end == null) {
+            return;
+        }
+        boolean isUnknown = outcome == Outcome.UNKNOWN;
+        if (end.kept || end.isForCopies() && !isUnknown) {
             LOG.log(
                     Event.END_DELIVERED,
                     "request",
@@ -92,6 +99,11 @@
                     "outcome",
                     outcome);
         }
+        if (isUnknown) {
+            end.sendForCopies(now);
+        } else {
+            ends.remove(id);
+        }
     }
 
     /**
@@ -136,8 +148,9 @@
         }
     }
 
-    /** Gives up the ends whose time is over. */
+    /** Gives up the ends whose time is over, and those whose submission cannot arrive any more. */
     void dropExpired(long now) {
+        ends.values().removeIf(end -> end.isForCopies() && now >= end.copiesUntil);
         List<SubmissionId> expired = ends.entrySet().stream()
                 .filter(entry -> now - entry.getValue().takenAt >= MAXIMUM_AGE_MILLISECONDS)
                 .map(Map.Entry::getKey)
@@ -175,12 +188,29 @@
         private long nextAttempt;
         private long pause = FIRST_PAUSE_MILLISECONDS;
 
+        /** Time until which a copy of the submission can reach a leader that did not know it; 0 before a leader said so. */
+        private long copiesUntil;
+
         PendingEnd(long takenAt) {
             this.takenAt = takenAt;
         }
 
         boolean isDue(long now) {
-            return kept && !attempting && now >= nextAttempt;
+            return (kept || isForCopies()) && !attempting && now >= nextAttempt;
+        }
+
+        /** Returns whether a leader has acknowledged it, and it is sent on for copies of the submission. */
+        boolean isForCopies() {
+            return !kept && copiesUntil > 0;
+        }
+
+        void sendForCopies(long now) {
+            kept = false;
+            if (copiesUntil == 0) {
+                copiesUntil = now + SubmissionCopies.MAXIMUM_AGE_MILLISECONDS;
+                nextAttempt = now + FIRST_PAUSE_MILLISECONDS;
+                pause = FIRST_PAUSE_MILLISECONDS;
+            }
         }
 
         void beginAttempt() {
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreRequests.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import io.rosemarybeam.common.error.ErrorCode;
@@ -43,7 +44,7 @@
      * Outcome of a request after all retries.
      *
      * @param reply the reply of the leader; empty if none arrived before the timeout
-     * @param mayHaveExecuted whether the request may have been executed; always true if there is a reply
+     * @param mayHaveExecuted whether an attempt without a definite reply may have been executed
      * @param tooLong whether no message can carry the request, so that it was not sent
      * @param reason why there is no reply; empty if there is one
      */
@@ -64,7 +65,25 @@
      * @param onOutcome receives the outcome, on the event loop
      */
     void send(String id, StoreMessage request, long maximumWait, long timeout, Consumer<RequestOutcome> onOutcome) {
-        new Call(id, request, maximumWait, Forwarder.now() + timeout, onOutcome).attempt();
+        new Call(id, request, maximumWait, Forwarder.now() + timeout, Optional::empty, onOutcome).attempt();
+    }
+
+    /**
+     * Sends a request that does not wait for results and retries it while it may be sent.
+     *
+     * @param id identifies the request in the log
+     * @param request the request
+     * @param timeout timeout including retries, in milliseconds
+     * @param refusal asked before each attempt; returns why the request must not be sent any more, empty if it may be sent
+     * @param onOutcome receives the outcome, on the event loop
+     */
+    void sendWhileAllowed(
+            String id,
+            StoreMessage request,
+            long timeout,
+            Supplier<Optional<String>> refusal,
+            Consumer<RequestOutcome> onOutcome) {
+        new Call(id, request, 0, Forwarder.now() + timeout, refusal, onOutcome).attempt();
     }
 
     /** One request and its retries. Confined to the event loop. */
@@ -73,18 +92,31 @@
         private final StoreMessage request;
         private final long maximumWait;
         private final long deadline;
+        private final Supplier<Optional<String>> refusal;
         private final Consumer<RequestOutcome> onOutcome;
         private boolean mayHaveExecuted;
 
-        Call(String id, StoreMessage request, long maximumWait, long deadline, Consumer<RequestOutcome> onOutcome) {
+        Call(
+                String id,
+                StoreMessage request,
+                long maximumWait,
+                long deadline,
+                Supplier<Optional<String>> refusal,
+                Consumer<RequestOutcome> onOutcome) {
             this.id = id;
             this.request = request;
             this.maximumWait = maximumWait;
             this.deadline = deadline;
+            this.refusal = refusal;
             this.onOutcome = onOutcome;
         }
 
         void attempt() {
+            Optional<String> refused = refusal.get();
+            if (refused.isPresent()) {
+                finish(refused.get(), false);
+                return;
+            }
             Optional<WireConnection> leader = sessions.leader();
             if (leader.isEmpty()) {
                 retry("no leader is known");
@@ -118,7 +150,7 @@
                 mayHaveExecuted = true;
                 retry("leader cannot confirm the outcome");
             } else {
-                onOutcome.accept(new RequestOutcome(Optional.of(reply), true, false, ""));
+                onOutcome.accept(new RequestOutcome(Optional.of(reply), mayHaveExecuted, false, ""));
             }
         }
 
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/EndedSubmissionTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/EndedSubmissionTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.rosemarybeam.common.settings.EdgeSettings;
+import io.rosemarybeam.common.wire.StoreMessage.Outcome;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -110,6 +111,22 @@
         return send("DELETE", "/api/lots/step-1", "");
     }
 
+    private CompletableFuture<Integer> submit() {
+        String item =
+                "{\"Id\":\"i-1\",\"Path\":\"/t/\",\"Headers\":{\"Rosemarybeam-Model\":\"model\"},\"Body\":\"eA==\","
+                        + "\"TokenCount\":1,\"Group\":\"g\"}";
+        String body = "{\"Step\":0,\"Model\":\"model\",\"OldestVersion\":1,\"GroupCount\":1,\"Items\":[" + item + "]}";
+        return CompletableFuture.supplyAsync(() -> send("POST", "/t/1", body));
+    }
+
+    private void awaitCopies(long count) {
+        PlatformCluster.await(
+                count + " copies arrive",
+                () -> Optional.of(store.copies())
+                        .filter(copies -> copies >= count)
+                        .orElse(null));
+    }
+
     private void awaitEnds(long count) {
         PlatformCluster.await(
                 count + " ends arrive",
@@ -135,4 +152,44 @@
 
         awaitEnds(1);
     }
+
+    /** A copy of the submission may reach a leader after its end, and would run without one. */
+    @Test
+    void shouldSendAnEndAgainWhenTheLeaderDoesNotKnowTheSubmission() {
+        store.setLeading(true);
+        store.setEndReply(Outcome.UNKNOWN);
+
+        assertEquals(404, end());
+
+        awaitEnds(3);
+    }
+
+    @Test
+    void shouldNotRepeatASubmissionWhenItsEndWasTaken() throws Exception {
+        store.setLeading(true);
+        store.setSubmitReply(Outcome.NOT_LEADER);
+        store.setEndReply(Outcome.UNKNOWN);
+        CompletableFuture<Integer> submitted = submit();
+        awaitCopies(2);
+
+        assertEquals(404, end());
+        long copies = store.copies();
+        store.setSubmitReply(Outcome.DONE);
+
+        assertEquals(503, submitted.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        assertEquals(copies, store.copies());
+    }
+
+    /** A refusal promises that nothing runs, which an earlier copy without a definite reply does not allow. */
+    @Test
+    void shouldNotRefuseASubmissionWhenAnEarlierCopyMayHaveBeenAccepted() throws Exception {
+        store.setLeading(true);
+        store.setSubmitReply(Outcome.UNCERTAIN);
+        CompletableFuture<Integer> submitted = submit();
+        awaitCopies(2);
+
+        store.setSubmitReply(Outcome.REFUSED);
+
+        assertEquals(504, submitted.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+    }
 }
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PendingEndsTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PendingEndsTest.java
@@ -4,6 +4,7 @@
 
 import io.rosemarybeam.common.id.SubmissionId;
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.SubmissionCopies;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -78,4 +79,32 @@
         ends.attemptEnded(SubmissionId.of("step-0"), now);
         assertEquals(1, ends.beginDueAttempts(now).size());
     }
+
+    @Test
+    void shouldSendAgainWhileCopiesCanArriveWhenTheLeaderDoesNotKnowTheSubmission() {
+        ends.take(STEP, "", START);
+        ends.acknowledge(STEP, Outcome.UNKNOWN, START);
+        long until = START + SubmissionCopies.MAXIMUM_AGE_MILLISECONDS;
+        int attempts = 0;
+        for (long now = START; now < until; now += PendingEnds.FIRST_PAUSE_MILLISECONDS) {
+            ends.dropExpired(now);
+            for (SubmissionId id : ends.beginDueAttempts(now)) {
+                attempts++;
+                ends.acknowledge(id, Outcome.UNKNOWN, now);
+                ends.attemptEnded(id, now);
+            }
+        }
+        assertTrue(attempts >= 6, "sent again once a second");
+        assertTrue(ends.isPending(STEP));
+        ends.dropExpired(until);
+        assertFalse(ends.isPending(STEP));
+    }
+
+    @Test
+    void shouldStopWhenASubmissionThatWasAcceptedAfterItsEndIsEnded() {
+        ends.take(STEP, "", START);
+        ends.acknowledge(STEP, Outcome.UNKNOWN, START);
+        ends.acknowledge(STEP, Outcome.DONE, START + 1);
+        assertFalse(ends.isPending(STEP));
+    }
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -59,6 +59,7 @@
     /** Receivers of the outcome of each submission that is proposed and not applied yet. */
     private final Map<SubmissionId, List<Consumer<StoreReply>>> pendingSubmissions = new HashMap<>();
 
+    private final UnknownEnds unknownEnds = new UnknownEnds();
     private final Map<SubmissionId, List<Submission.Result>> pendingResults = new HashMap<>();
     private final BatchRunner runner;
 
@@ -165,7 +166,7 @@
             case ReadNewestConfiguration ignored -> readLinearizably(reply, this::newestConfiguration);
             case NameVersion name -> publishVersion(name, reply);
             case SubmitBatch submit -> submit(submit.submission(), reply);
-            case EndSubmission end -> propose(new StoreCommand.CloseSubmission(end.submission()), reply);
+            case EndSubmission end -> end(end.submission(), reply);
             case ReadResults read -> read(read, reply);
             case ReadItem read -> readLinearizably(reply, () -> itemBody(read));
             case RetireHost retire -> retire(retire, reply);
@@ -219,6 +220,10 @@
             waiting.add(reply);
             return;
         }
+        if (unknownEnds.contains(id, Forwarder.now())) {
+            refuseEnded(id, reply);
+            return;
+        }
         Optional<Route> route = table.get().flatMap(current -> current.find(submission.host(), submission.routePath()));
         StoreCommand command = new StoreCommand.AcceptSubmission(
                 submission, route.map(Route::name).orElse(""));
@@ -226,6 +231,32 @@
         propose(command, outcome -> pendingSubmissions.remove(id).forEach(waiter -> waiter.accept(outcome)));
     }
 
+    /** The end is remembered before it is applied, because a copy that is proposed meanwhile would follow it in the log. */
+    private void end(SubmissionId id, Consumer<StoreReply> reply) {
+        if (state.submission(id).isEmpty()) {
+            unknownEnds.add(id, Forwarder.now());
+        }
+        propose(new StoreCommand.CloseSubmission(id), outcome -> {
+            if (outcome.outcome() == Outcome.DONE) {
+                unknownEnds.remove(id);
+            }
+            reply.accept(outcome);
+        });
+    }
+
+    /** Refuses a submission whose end came first; a host that leads no more does not know whether its successor has stored it. */
+    private void refuseEnded(SubmissionId id, Consumer<StoreReply> reply) {
+        driver.confirmLeadership(false).whenComplete((ignored, failure) -> {
+            boolean isUnknown = state.submission(id).isEmpty() && !pendingSubmissions.containsKey(id);
+            if (failure == null && isUnknown) {
+                LOG.log(Event.REQUEST_REFUSED, "request", id, "reason", "the end of the submission came first");
+                reply.accept(StoreReply.of(Outcome.REFUSED));
+            } else {
+                reply.accept(StoreReply.of(Outcome.UNCERTAIN));
+            }
+        });
+    }
+
     /** Never replies that this host does not lead, because callers then refuse the submission, although its items run. */
     private void confirmStored(SubmissionId id, Consumer<StoreReply> reply) {
         driver.confirmLeadership(false).whenComplete((ignored, failure) -> {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
@@ -11,6 +11,7 @@
 
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.wire.StoreMessage.EndSubmission;
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
 import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
 import io.rosemarybeam.common.wire.StoreMessage.SubmitBatch;
@@ -39,7 +40,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a leader that denies a stored submission, or that drops a result which the log did not accept. */
+/**
+ * Guards against a leader that denies a stored submission, accepts one after its end, or drops a result which the log did not
+ * accept.
+ */
 class StoreLeaderReplyTest {
     /** Number of ticks within which an election or a check of the quorum is over. */
     private static final int MANY_TICKS = 200;
@@ -131,6 +135,46 @@
         assertEquals(Outcome.UNCERTAIN, replies.getLast().outcome());
     }
 
+    /** Guards against a submission that is accepted after its end, from a copy that was delayed, and runs without an end. */
+    @Test
+    void shouldRefuseSubmissionWhenItsEndArrivedBefore() {
+        StoreLeader leader = leader();
+        List<StoreReply> replies = new ArrayList<>();
+        leader.serve(new EndSubmission(SubmissionId.of("s")), replies::add);
+        awaitReplies(replies, 1);
+        leader.serve(request(), replies::add);
+        awaitReplies(replies, 2);
+
+        assertEquals(
+                List.of(Outcome.UNKNOWN, Outcome.REFUSED),
+                replies.stream().map(StoreReply::outcome).toList());
+        assertTrue(state.submission(SubmissionId.of("s")).isEmpty());
+    }
+
+    /** Guards against a submission that arrives while its end is being committed, and is stored after it. */
+    @Test
+    void shouldRefuseSubmissionWhenItsEndIsNotAppliedYet() {
+        StoreLeader leader = leader();
+        List<StoreReply> ended = new ArrayList<>();
+        List<StoreReply> submitted = new ArrayList<>();
+        leader.serve(new EndSubmission(SubmissionId.of("s")), ended::add);
+        leader.serve(request(), submitted::add);
+        awaitReplies(ended, 1);
+        awaitReplies(submitted, 1);
+
+        assertEquals(Outcome.UNKNOWN, ended.getFirst().outcome());
+        assertEquals(Outcome.REFUSED, submitted.getFirst().outcome());
+        assertTrue(state.submission(SubmissionId.of("s")).isEmpty());
+    }
+
+    private void awaitReplies(List<StoreReply> replies, int count) {
+        runTasks();
+        for (int tick = 0; tick < MANY_TICKS && replies.size() < count; tick++) {
+            tick();
+        }
+        assertEquals(count, replies.size());
+    }
+
     /** Guards against an item that stays without a result, because its only proposal was refused during a transfer. */
     @Test
     void shouldListResultWhenItWasProposedDuringATransferOfLeadershipThatIsAbandoned() {
