--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -155,27 +155,69 @@
         state.submissions().forEach(this::add);
     }
 
-    /** Schedules the items of a submission that are not listed yet. */
+    /**
+     * Schedules the items of a submission that are not listed yet. Items that cannot be scheduled are given up: the submission is
+     * in the log, so an exception would end this host and each next leader in turn.
+     */
     void add(StoredSubmission stored) {
-        Set<String> carriedOver = queue.recordGroups(stored.submission());
-        if (stored.isEnded() || stored.isComplete()) {
-            return;
-        }
-        boolean singleVersion = route(stored).map(Route::singleVersion).orElse(false);
         Map<ItemId, ItemTask> added = new LinkedHashMap<>();
-        for (Submission.Item item : stored.submission().items()) {
-            if (!stored.isListed(item.id())) {
-                ItemTask task = new ItemTask(
-                        stored, item, model(stored, item), singleVersion, carriedOver.contains(item.group()));
-                added.put(item.id(), task);
-                partialTexts.restore(task);
-                queue.recordExpectedTokens(task);
+        try {
+            Set<String> carriedOver = queue.recordGroups(stored.submission());
+            if (stored.isEnded() || stored.isComplete()) {
+                return;
             }
+            boolean singleVersion = route(stored).map(Route::singleVersion).orElse(false);
+            for (Submission.Item item : stored.submission().items()) {
+                if (!stored.isListed(item.id())) {
+                    addItem(stored, item, singleVersion, carriedOver.contains(item.group()), added);
+                }
+            }
+        } catch (RuntimeException failure) {
+            added.clear();
+            stored.submission().items().stream()
+                    .filter(item -> !stored.isListed(item.id()))
+                    .forEach(item -> giveUp(stored, item, failure));
+        }
+        if (added.isEmpty()) {
+            return;
         }
         tasks.put(stored.submission().id(), added);
+        long now = Forwarder.now();
         List.copyOf(added.values()).stream()
                 .filter(task -> task.text.isComplete())
-                .forEach(this::score);
+                .forEach(task -> contain(task, now, () -> score(task)));
+    }
+
+    private void addItem(
+            StoredSubmission stored,
+            Submission.Item item,
+            boolean singleVersion,
+            boolean isCarriedOver,
+            Map<ItemId, ItemTask> added) {
+        try {
+            ItemTask task = new ItemTask(stored, item, model(stored, item), singleVersion, isCarriedOver);
+            partialTexts.restore(task);
+            queue.recordExpectedTokens(task);
+            added.put(item.id(), task);
+        } catch (RuntimeException failure) {
+            giveUp(stored, item, failure);
+        }
+    }
+
+    /** Lists an item that has no task as not completed. */
+    private void giveUp(StoredSubmission stored, Submission.Item item, RuntimeException failure) {
+        SubmissionId submission = stored.submission().id();
+        LOG.log(
+                Event.HANDLER_FAILED,
+                failure,
+                "submission",
+                submission,
+                "request",
+                item.id(),
+                "message",
+                "the item is given up");
+        leader.listResults(
+                submission, List.of(new Submission.Result(item.id(), false, new byte[0], List.of(), Optional.empty())));
     }
 
     private static ModelName model(StoredSubmission stored, Submission.Item item) {
@@ -190,10 +232,12 @@
         queue.remove(stored);
         removePromptEndpoints(stored);
         if (ended != null) {
-            ended.values().forEach(task -> {
-                close(task, "the submission ended");
-                partialTexts.retain(task);
-            });
+            long now = Forwarder.now();
+            ended.values()
+                    .forEach(task -> contain(task, now, () -> {
+                        close(task, "the submission ended");
+                        partialTexts.retain(task);
+                    }));
         }
     }
 
@@ -201,9 +245,10 @@
     void listed(StoredSubmission stored) {
         Map<ItemId, ItemTask> open = tasks.get(stored.submission().id());
         if (open != null) {
+            long now = Forwarder.now();
             open.values().stream()
                     .filter(task -> stored.isListed(task.item.id()))
-                    .forEach(task -> close(task, "its result is listed"));
+                    .forEach(task -> contain(task, now, () -> close(task, "its result is listed")));
             open.keySet().removeIf(stored::isListed);
             if (open.isEmpty()) {
                 tasks.remove(stored.submission().id());
@@ -550,8 +595,11 @@
 
     /** Cancels what is in progress for an item, and forbids what was scheduled for it. */
     private void close(ItemTask task, String reason) {
-        cancel(task, reason);
-        task.close();
+        try {
+            cancel(task, reason);
+        } finally {
+            task.close();
+        }
     }
 
     private void releaseEndpoint(ItemTask task) {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
@@ -56,6 +56,7 @@
     private final AtomicLong majorityAge = new AtomicLong();
     private final SendAuthority authority = new SendAuthority(1, majorityAge::get, state);
     private final CompletableFuture<SubmissionId> firstResult = new CompletableFuture<>();
+    private Optional<RuntimeException> tableFailure = Optional.empty();
 
     @AfterEach
     void close() {
@@ -248,6 +249,61 @@
         }
     }
 
+    /** Guards against an item of the log that ends every new leader while it schedules the open submissions. */
+    @Test
+    void shouldGiveUpTheItemWhenTheLogOfANewLeaderHoldsAModelHeaderThatIsNoName() throws Exception {
+        Submission valid = submission("first", 2);
+        Submission.Item item = valid.items().getFirst();
+        Submission.Item invalid = new Submission.Item(
+                item.id(),
+                item.path(),
+                Map.of("Rosemarybeam-Model", " "),
+                item.body(),
+                item.tokens(),
+                item.expectedTokens(),
+                item.group(),
+                item.scorer());
+        Submission submission = new Submission(
+                valid.id(),
+                valid.host(),
+                valid.routePath(),
+                valid.step(),
+                valid.model(),
+                valid.oldestVersion(),
+                valid.wantedGroups(),
+                List.of(invalid, valid.items().getLast()));
+        try (FakeEngine engine = new FakeEngine("127.0.77.107")) {
+            BatchRunner runner = loop.submit(() -> {
+                        apply(1, new StoreCommand.AcceptSubmission(submission, "r"));
+                        return runner(engine);
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            assertEquals(SubmissionId.of("first"), firstResult.getNow(null));
+            assertEquals(1, loop.submit(runner::waitingItems).get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+            loop.submit(runner::stop).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Guards against a submission that ends every new leader for a reason that is not foreseen. */
+    @Test
+    void shouldGiveUpTheItemsWhenTheirSubmissionCannotBeScheduled() throws Exception {
+        try (FakeEngine engine = new FakeEngine("127.0.77.108")) {
+            BatchRunner runner = runner(engine);
+            loop.submit(() -> {
+                        tableFailure = Optional.of(new IllegalStateException("a fault of the table"));
+                        apply(1, new StoreCommand.AcceptSubmission(submission("first", 2), "r"));
+                        tableFailure = Optional.empty();
+                        apply(2, new StoreCommand.AcceptSubmission(submission("second", 1), "r"));
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            assertEquals(SubmissionId.of("first"), firstResult.getNow(null));
+            assertEquals(1, loop.submit(runner::waitingItems).get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+            loop.submit(runner::stop).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
     /** A leader whose log stores nothing. */
     private final class FakeLeader implements BatchRunner.LeaderContext {
         private final RoutingTable table = RoutingTable.of(
@@ -262,6 +318,9 @@
 
         @Override
         public Optional<RoutingTable> table() {
+            tableFailure.ifPresent(failure -> {
+                throw failure;
+            });
             return Optional.of(table);
         }
 
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
@@ -22,8 +22,11 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 /**
  * Guards against two clusters that form side by side, acknowledged changes that are lost with a disk or in a restart of all
@@ -214,6 +217,34 @@
                 cluster.ask(new ReadResults(SubmissionId.of("other"), 0, 0)).outcome());
     }
 
+    /** Such an item, accepted by an earlier release, ended each leader in turn, and every one that a restart elected. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 201})
+    void shouldGiveUpTheItemWhenItsModelHeaderIsNoName(int length) {
+        String model = length == 1 ? " " : "m".repeat(length);
+        Submission.Item invalid = new Submission.Item(
+                ITEM, "/x/1", Map.of("Rosemarybeam-Model", model), new byte[0], 10, 0, "g", Optional.empty());
+        Submission.Item valid =
+                new Submission.Item(ItemId.of("i-2"), "/x/1", Map.of(), new byte[0], 10, 0, "g", Optional.empty());
+        for (int host = 1; host <= 3; host++) {
+            cluster.start(host, true);
+        }
+
+        cluster.ask(new SubmitBatch(
+                new Submission(SUBMISSION, "a.example", "/x/", 0, Optional.empty(), 1, 1, List.of(invalid, valid))));
+
+        List<Submission.Result> results = StoreCluster.await("the item is listed", () -> {
+            List<Submission.Result> listed = cluster.ask(new ReadResults(SUBMISSION, 0, 0))
+                    .page()
+                    .orElseThrow()
+                    .results();
+            return listed.isEmpty() ? null : listed;
+        });
+        assertEquals(
+                List.of(ITEM), results.stream().map(Submission.Result::item).toList());
+        assertFalse(results.getFirst().completed());
+    }
+
     @Test
     void shouldAcknowledgeOlderVersionWithoutUsingItAndRefuseInvalidText() {
         for (int host = 1; host <= 3; host++) {
