Explain why an item was sent after the end of its submission

rosemarybeam explain ITEM left out the end of the submission, whose lines carry another id, so that nobody who followed an item saw that it was sent after the end, or why; in docs/incidents/unasked.md this took a search of several logs.

The path of an item or of its score request now contains END_REQUESTED to END_DROPPED and SUBMISSION_ENDED of its submission.

--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ExplainCommand.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/ExplainCommand.java
@@ -78,6 +78,7 @@
                             console.print("      " + failure.lines().findFirst().orElse("")));
         }
         explanation.outcome().ifPresent(last -> console.print("last decision: " + last.name() + " " + fields(last)));
+        explanation.lateSends().forEach(late -> console.print(late.describe()));
     }
 
     private static String fields(LogRecord record) {
@@ -106,6 +107,9 @@
         Map<String, Object> tree = new LinkedHashMap<>();
         tree.put("subject", explanation.subject());
         tree.put("lines", lines);
+        tree.put(
+                "sentAfterEnd",
+                explanation.lateSends().stream().map(LateSend::describe).toList());
         return tree;
     }
 }
--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/Explanation.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/Explanation.java
@@ -20,13 +20,14 @@
  * <p>Lines on the path contain the identifier as request, submission or scorer, the identifier of the scorer of the item,
  * or the fingerprint of the request. Lines of the context show the state on which the processes on the path based their
  * decisions: the configuration in use, the state of the endpoints that were tried, lost and restored connections to store
- * hosts, changes of the leader, reloaded settings, stalls of an event loop, and starts and stops. Immutable and safe for use
- * by several threads.
+ * hosts, changes of the leader, reloaded settings, stalls of an event loop, and starts and stops. The path of an item
+ * contains the end of its submission. Immutable and safe for use by several threads.
  *
  * @param subject what is explained, for the heading
  * @param lines the lines in order of time
+ * @param lateSends the items and score requests on the path that were sent after the end of their submission
  */
-record Explanation(String subject, List<Line> lines) {
+record Explanation(String subject, List<Line> lines, List<LateSend> lateSends) {
     /** A change this long before the first decision of the path can still be the reason for it. */
     private static final Duration CONTEXT_BEFORE = Duration.ofSeconds(2);
 
@@ -47,6 +48,8 @@
             Set.of(Event.ENDPOINT_CHANGED, Event.ORDER_GIVEN, Event.ORDER_FAILED, Event.VERSION_LOADED);
     private static final Set<Event> CONFIGURATION_EVENTS =
             Set.of(Event.CONFIGURATION_IN_USE, Event.CONTROL_REQUEST_FINISHED);
+    private static final Set<Event> END_EVENTS =
+            Set.of(Event.END_REQUESTED, Event.END_KEPT, Event.END_DELIVERED, Event.END_DROPPED, Event.SUBMISSION_ENDED);
     private static final Set<String> IDENTIFIER_FIELDS = Set.of("request", "submission", "scorer", "fingerprint");
     private static final Pattern LIST_SEPARATORS = Pattern.compile("[\\[\\], ]+");
 
@@ -67,7 +70,12 @@
      */
     static Explanation ofRequest(String identifier, List<LogRecord> records) {
         Set<String> identifiers = relatedIdentifiers(identifier, records);
-        return explain("request " + identifier, records, record -> hasIdentifier(record, identifiers));
+        Set<String> submissions = submissions(identifier, records);
+        return explain(
+                "request " + identifier,
+                records,
+                record -> hasIdentifier(record, identifiers)
+                        || isOneOf(record, END_EVENTS) && submissions.contains(record.field("request")));
     }
 
     /**
@@ -102,6 +110,17 @@
         return related;
     }
 
+    /** Returns the submissions of an item or of the request for its score; several may contain the same item. */
+    private static Set<String> submissions(String identifier, List<LogRecord> records) {
+        Set<String> submissions = records.stream()
+                .filter(record -> record.field("request").equals(identifier)
+                        || record.field("scorer").equals(identifier))
+                .map(record -> record.field("submission"))
+                .collect(Collectors.toSet());
+        submissions.remove("");
+        return submissions;
+    }
+
     private static boolean hasIdentifier(LogRecord record, Set<String> identifiers) {
         return IDENTIFIER_FIELDS.stream().anyMatch(field -> identifiers.contains(record.field(field)));
     }
@@ -113,7 +132,7 @@
     private static Explanation explain(String subject, List<LogRecord> records, Predicate<LogRecord> onPath) {
         List<LogRecord> path = records.stream().filter(onPath).toList();
         if (path.isEmpty()) {
-            return new Explanation(subject, List.of());
+            return new Explanation(subject, List.of(), List.of());
         }
         Set<LogRecord> context = context(path, records);
         List<Line> lines = new ArrayList<>();
@@ -123,7 +142,7 @@
                 lines.add(new Line(record, isOnPath));
             }
         }
-        return new Explanation(subject, List.copyOf(lines));
+        return new Explanation(subject, List.copyOf(lines), LateSend.find(path, records));
     }
 
     private static Set<LogRecord> context(List<LogRecord> path, List<LogRecord> records) {
