Let no event loop wait for direct memory

Cause: after a stall of its disk the leader answered all waiting reads in one turn. Frame.Encoder took a direct buffer of the size of each answer, up to 900 kB, and kept it until the edge had read it. At the limit of direct memory the Java runtime lets the allocating thread, the event loop, sleep for up to half a second a buffer before it fails.

PacedWriteHandler, the handler nearest to the socket of every channel that a program opens or accepts, queues output as it is, on the heap, and passes slices of 32 KiB, the next one when the socket has taken the former. So direct memory for output grows with connections and not with bytes that wait. Waiting bytes count for isWritable. A slice that fails closes the connection, because the frames after it would be shifted. Frames wrap their payload without a copy, and channels allocate on the heap except for reads and writes of the socket, so incomplete frames are not collected in direct memory.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/admin/AdminServer.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/admin/AdminServer.java
@@ -22,6 +22,7 @@
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.WireException;
 import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.common.wire.PacedWriteHandler;
 import io.rosemarybeam.common.wire.WireTransport;
 
 /**
@@ -62,6 +63,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        PacedWriteHandler.install(channel);
                         accepted.add(channel);
                         initialise(channel, metrics, dump);
                     }
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/Frame.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/Frame.java
@@ -3,9 +3,10 @@
 import java.util.List;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
-import io.netty.handler.codec.MessageToByteEncoder;
+import io.netty.handler.codec.MessageToMessageEncoder;
 import io.netty.handler.codec.TooLongFrameException;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.WireException;
@@ -30,21 +31,16 @@
     private static final int LENGTH_BYTES = 4;
     private static final int HEADER_BYTES = 1 + 2 + 8;
 
-    /** Encodes frames. Confined to the event loop of its connection. */
-    static final class Encoder extends MessageToByteEncoder<Frame> {
-        /** Allocates the exact size; a buffer that grows would copy a large frame again and again. */
+    /** Encodes frames. Wraps the payload without a copy. Confined to the event loop of its connection. */
+    static final class Encoder extends MessageToMessageEncoder<Frame> {
         @Override
-        protected ByteBuf allocateBuffer(ChannelHandlerContext context, Frame frame, boolean preferDirect) {
-            return context.alloc().ioBuffer(LENGTH_BYTES + HEADER_BYTES + frame.payload.length);
-        }
-
-        @Override
-        protected void encode(ChannelHandlerContext context, Frame frame, ByteBuf out) {
-            out.writeInt(HEADER_BYTES + frame.payload.length);
-            out.writeByte(VERSION);
-            out.writeShort(frame.type);
-            out.writeLong(frame.correlation);
-            out.writeBytes(frame.payload);
+        protected void encode(ChannelHandlerContext context, Frame frame, List<Object> out) {
+            ByteBuf header = Unpooled.buffer(LENGTH_BYTES + HEADER_BYTES)
+                    .writeInt(HEADER_BYTES + frame.payload.length)
+                    .writeByte(VERSION)
+                    .writeShort(frame.type)
+                    .writeLong(frame.correlation);
+            out.add(Unpooled.wrappedBuffer(header, Unpooled.wrappedBuffer(frame.payload)));
         }
     }
 
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireTransport.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/WireTransport.java
@@ -117,6 +117,7 @@
         return new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
+                PacedWriteHandler.install(channel);
                 channel.pipeline()
                         .addLast(idleStateHandler())
                         .addLast(new Frame.Decoder())
--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpServer.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/HttpServer.java
@@ -20,6 +20,7 @@
 import io.rosemarybeam.common.collection.ByteBudget;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.WireException;
+import io.rosemarybeam.common.wire.PacedWriteHandler;
 import io.rosemarybeam.common.wire.WireTransport;
 
 /**
@@ -72,6 +73,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         connections.add(channel);
+                        PacedWriteHandler.install(channel);
                         channel.pipeline()
                                 .addLast(new IdleStateHandler(IDLE_SECONDS, 0, 0, TimeUnit.SECONDS))
                                 .addLast(new FlushConsolidationHandler(
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerServer.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CallerServer.java
@@ -24,6 +24,7 @@
 import io.rosemarybeam.common.error.WireException;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.wire.PacedWriteHandler;
 import io.rosemarybeam.common.wire.WireTransport;
 import io.rosemarybeam.decision.routing.CallerLimits;
 
@@ -91,6 +92,7 @@
     private void accept(SocketChannel channel) {
         CallerLimits current = limits.get();
         connections.add(channel);
+        PacedWriteHandler.install(channel);
         HttpDecoderConfig decoder = new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
                 .setMaxHeaderSize(current.maximumHeaderBytes());
