Refuse reads of results while too many bytes wait to be sent

On the heap of a store host, about 180 MB, pages of 900 kB for each waiting read would only move the fault from direct memory to the heap.

AnswerLimit sends a page or an item body only while the connection is below its high water mark of 4 MiB and less than an eighth of the heap waits in the whole process. Otherwise the answer is UNCERTAIN, on which edges of all releases ask again after 60 ms; nothing new is on the wire. Changes and empty pages are always answered.

The gauge output_backlog_bytes (store hosts and edges), the counter store_refused_reads and the field backlog of LOOP_STALLED show the figures.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardMetrics.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardMetrics.java
@@ -5,6 +5,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.rosemarybeam.common.metric.Metrics;
+import io.rosemarybeam.common.wire.OutputBacklog;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.platform.EndpointClient;
 
@@ -59,6 +60,10 @@
                 "known_endpoints",
                 "Endpoints that were announced.",
                 () -> directory.all().size());
+        metrics.computedGauge(
+                "output_backlog_bytes",
+                "Bytes that wait until the sockets of this process take them.",
+                OutputBacklog.ofProcess()::bytes);
         metrics.computedCounter("endpoint_connections", "Connections opened to endpoints.", client::connectionsOpened);
     }
 
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -36,6 +36,7 @@
 import io.rosemarybeam.common.wire.HandshakeMessage.Role;
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.common.wire.MessageHandler;
+import io.rosemarybeam.common.wire.OutputBacklog;
 import io.rosemarybeam.common.wire.Secrets;
 import io.rosemarybeam.common.wire.StoreMessage;
 import io.rosemarybeam.common.wire.StoreMessage.AcquirePermit;
@@ -151,6 +152,7 @@
     private final EndpointClient client = EndpointClient.of(loop);
     private final StreamOriginTable streams = new StreamOriginTable();
     private final PermitGranter permits = new PermitGranter(loop);
+    private final AnswerLimit answerLimit = AnswerLimit.of(OutputBacklog.ofProcess());
     private final LeavingEndpoints leavingEndpoints = new LeavingEndpoints(directory, this::publishLeaving);
     private final GenerationFleet fleet = new GenerationFleet(directory, loads, permits::isAvailable, leavingEndpoints);
     private final CrashRegistry crashes;
@@ -248,6 +250,7 @@
         ProcessFailure.watch(loops, () -> stopping, this::fail);
         StoreReport report = new StoreReport(driver, state, directory, new ReportView());
         report.register(metrics);
+        answerLimit.register(metrics);
         ForwardMetrics.registerComputedMetrics(metrics, directory, client, this::configurationVersion);
         admin = AdminServer.start(loops, settings.adminAddress(), metrics, report::dump);
         protocolChannel = transport.listen(settings.protocolAddress(), self.name(), secrets, new Receiver());
@@ -385,6 +388,8 @@
                     Event.LOOP_STALLED,
                     "milliseconds",
                     delay.milliseconds(),
+                    "backlog",
+                    OutputBacklog.ofProcess().bytes(),
                     "executed",
                     delay.mostFrequent(MAXIMUM_STALL_SAMPLES));
         }
@@ -644,7 +649,10 @@
 
         private void serve(WireConnection connection, long correlation, StoreMessage request) {
             if (leader.isPresent()) {
-                leader.get().serve(request, reply -> connection.reply(correlation, reply));
+                leader.get()
+                        .serve(
+                                request,
+                                reply -> connection.reply(correlation, answerLimit.admit(request, connection, reply)));
             } else {
                 connection.reply(correlation, StoreReply.of(Outcome.NOT_LEADER));
             }
