Keep a store host that cannot write waiting instead of ending it

LogStorage fails for good after an I/O failure, because nobody knows what is durable then, and its failure ended the process; only a new process read the folder again. StoreSupervisor, which StoreMain uses now, closes the failed StoreProcess with its ports, threads and files, without a hand-over of the leadership, waits until a probe file of 64 KiB can be written, synced and deleted, and opens a new StoreProcess on the folder, as a restart does. The rule of LogStorage stays. The delay grows from 0.5 to 5 s and begins anew after an instance has run for 60 s. The same holds if the identity or the log cannot be read or written at the start. STORAGE_UNAVAILABLE (104) and STORAGE_AVAILABLE (105) tell it.

LogStorage#close releases the lock of the folder also if the current segment cannot be closed.

The majority accepts changes while the disk is full, and after host 1 is stopped a change needs the storage of the host that came back.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/error/ErrorCode.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/error/ErrorCode.java
@@ -51,8 +51,8 @@
     PROPOSAL_TOO_LARGE(3010, "A proposal exceeds the size limit."),
     /** A stored record in the middle of a file fails its checksum. */
     CORRUPT_RECORD(4001, "A stored record in the middle of a file fails its checksum."),
-    /** Data could not be synced to disk; the process stops. */
-    SYNC_FAILED(4002, "Data could not be synced to disk; the process stops."),
+    /** Data could not be synced to disk. */
+    SYNC_FAILED(4002, "Data could not be synced to disk."),
     /** The data folder cannot be used. */
     DATA_FOLDER_INVALID(4003, "The data folder cannot be used."),
     /** The entry has no valid configuration lease and takes no new work. */
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -12,6 +12,16 @@
     PROCESS_STOPPED(102, Severity.INFORMATION, "A process finished its graceful stop."),
     /** A process stops because of a failure. */
     PROCESS_FAILED(103, Severity.ERROR, "A process stops because of a failure."),
+    /** The data folder cannot be written; the process takes no part in the log until it can. */
+    STORAGE_UNAVAILABLE(
+            104,
+            Severity.ERROR,
+            "The data folder cannot be written; the process takes no part in the log until it can."),
+    /** The data folder can be written again; the process takes part in the log again. */
+    STORAGE_AVAILABLE(
+            105,
+            Severity.INFORMATION,
+            "The data folder can be written again; the process takes part in the log again."),
     /** The settings file was read again. */
     SETTINGS_RELOADED(110, Severity.INFORMATION, "The settings file was read again."),
     /** A changed settings file cannot be used; the former settings stay. */
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
@@ -332,9 +332,8 @@
 
     @Override
     public void close() {
-        try {
+        try (files) {
             closeCurrentSegment();
-            files.close();
         } catch (IOException cause) {
             throw new UncheckedIOException(cause);
         }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreMain.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreMain.java
@@ -2,7 +2,6 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.rosemarybeam.common.error.SettingsException;
 import io.rosemarybeam.common.event.Event;
@@ -32,30 +31,21 @@
     }
 
     private static void serve(Loaded loaded) {
-        AtomicBoolean failed = new AtomicBoolean();
-        CountDownLatch stopped = new CountDownLatch(1);
-        StoreProcess process = StoreProcess.of(loaded.settings, failure -> {
-            failed.set(true);
-            stopped.countDown();
-        });
-        process.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            if (!failed.get()) {
-                process.stop();
-            }
-        }));
-        SettingsFileWatcher.start(loaded.file, () -> reload(process, loaded.file));
+        CountDownLatch failed = new CountDownLatch(1);
+        StoreSupervisor supervisor = StoreSupervisor.start(loaded.settings, failure -> failed.countDown());
+        Runtime.getRuntime().addShutdownHook(new Thread(supervisor::stop));
+        SettingsFileWatcher.start(loaded.file, () -> reload(supervisor, loaded.file));
         try {
-            stopped.await();
+            failed.await();
             ProcessFailure.end();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static void reload(StoreProcess process, Path file) {
+    private static void reload(StoreSupervisor supervisor, Path file) {
         try {
-            process.reload(StoreSettings.load(file));
+            supervisor.reload(StoreSettings.load(file));
         } catch (SettingsException refused) {
             LOG.log(Event.SETTINGS_REFUSED, "reason", refused.getMessage());
         }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -20,6 +20,7 @@
 import io.rosemarybeam.common.admin.AdminServer;
 import io.rosemarybeam.common.error.ConfigurationException;
 import io.rosemarybeam.common.error.ControlException;
+import io.rosemarybeam.common.error.StorageException;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.event.LoopMonitor;
@@ -180,7 +181,12 @@
     private StoreStatus lastStatusToEdges;
     private long ticks;
 
-    private StoreProcess(StoreSettings settings, FileSystem files, Consumer<Throwable> onFailure) {
+    private StoreProcess(
+            StoreSettings settings,
+            LogStorage storage,
+            MemberId self,
+            DurableState durable,
+            Consumer<Throwable> onFailure) {
         this.settings = settings;
         this.onFailure = onFailure;
         this.seeds = settings.stores().hosts();
@@ -199,11 +205,8 @@
                 leavingEndpoints,
                 StreamOrigins.local(directory, () -> false),
                 HandOver.none(loop, client, directory));
-        this.storage = LogStorage.open(files);
-        boolean isBootstrapMember = settings.firstStart() && seeds.contains(settings.host());
-        long incarnation = isBootstrapMember ? FIRST_INCARNATION : new SecureRandom().nextLong();
-        this.self = storage.identity(settings.host(), incarnation);
-        DurableState durable = storage.load();
+        this.storage = storage;
+        this.self = self;
         this.startedEmpty = durable.isEmpty();
         ReplicatedLog log = new ReplicatedLog(options(), self, durable);
         this.driver =
@@ -220,7 +223,8 @@
      * Opens the data folder and creates a process that is not started yet.
      *
      * @param settings the settings
-     * @param onFailure called at most once, when the process has failed and must stop
+     * @param onFailure called at most once, when the process has failed and must be closed with {@link #abort}; on a thread that
+     *     the process waits for when it is closed
      * @return the process
      * @throws io.rosemarybeam.common.error.RosemarybeamException if the data folder cannot be used
      */
@@ -230,7 +234,26 @@
 
     /** Creates a process with another file system, for tests of storage that fails. */
     static StoreProcess of(StoreSettings settings, FileSystem files, Consumer<Throwable> onFailure) {
-        return new StoreProcess(settings, files, onFailure);
+        LogStorage storage = LogStorage.open(files);
+        try {
+            List<String> seeds = settings.stores().hosts();
+            boolean isBootstrapMember = settings.firstStart() && seeds.contains(settings.host());
+            long incarnation = isBootstrapMember ? FIRST_INCARNATION : new SecureRandom().nextLong();
+            MemberId self = storage.identity(settings.host(), incarnation);
+            return new StoreProcess(settings, storage, self, storage.load(), onFailure);
+        } catch (StorageException failure) {
+            closeAfter(failure, storage::close);
+            throw failure;
+        }
+    }
+
+    /** Runs a step of closing something that has failed; its own failure is of no interest beside the first one. */
+    private static void closeAfter(Throwable failure, Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException unclosed) {
+            failure.addSuppressed(unclosed);
+        }
     }
 
     private static LogOptions options() {
@@ -325,13 +348,51 @@
         loops.shutdownGracefully(0, STOP_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
                 .syncUninterruptibly();
         storageExecutor.shutdown();
+        awaitStorage();
+        storage.close();
+        LOG.log(Event.PROCESS_STOPPED, "name", settings.name());
+    }
+
+    /**
+     * Closes a failed process without a hand-over of leadership, and releases its ports, threads and files.
+     *
+     * @return false if a storage task still runs, so that the data folder must not be opened again
+     */
+    public boolean abort() {
+        stopping = true;
+        List<Runnable> steps = List.of(
+                driver::stop,
+                () -> leader.ifPresent(StoreLeader::stop),
+                operatorServer::close,
+                links::closeAll,
+                protocolChannel::close,
+                admin::close);
+        IllegalStateException unclosed = new IllegalStateException("a failed process could not be closed completely");
+        closeAfter(unclosed, loopMonitor::close);
+        closeAfter(unclosed, keepAlive::close);
+        // The event loop may have ended; it then runs none of the steps.
+        closeAfter(
+                unclosed,
+                () -> loop.submit(() -> steps.forEach(step -> closeAfter(unclosed, step)))
+                        .awaitUninterruptibly(STOP_TIMEOUT_MILLISECONDS));
+        loops.shutdownGracefully(0, STOP_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(2 * STOP_TIMEOUT_MILLISECONDS);
+        storageExecutor.shutdown();
+        boolean isReleased = loops.isTerminated() && awaitStorage();
+        closeAfter(unclosed, storage::close);
+        if (unclosed.getSuppressed().length > 0) {
+            LOG.log(Event.HANDLER_FAILED, unclosed, "name", settings.name());
+        }
+        return isReleased;
+    }
+
+    private boolean awaitStorage() {
         try {
-            storageExecutor.awaitTermination(STOP_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+            return storageExecutor.awaitTermination(STOP_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
+            return false;
         }
-        storage.close();
-        LOG.log(Event.PROCESS_STOPPED, "name", settings.name());
     }
 
     private void handOver(CompletableFuture<Void> done, long deadline) {
@@ -485,7 +546,6 @@
         failed = true;
         try {
             driver.stop();
-            LOG.log(Event.PROCESS_FAILED, failure, "name", settings.name());
         } finally {
             onFailure.accept(failure);
         }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FailingFileSystem.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FailingFileSystem.java
@@ -3,19 +3,26 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
 import io.rosemarybeam.consensus.storage.FileSystem;
 
-/** Files on disk whose writes end with an error, as without free memory. Safe for use by several threads. */
+/** Files on disk whose writes fail, as without free memory or free space. Safe for use by several threads. */
 final class FailingFileSystem implements FileSystem {
     private final FileSystem files;
     private volatile Supplier<Error> writeError = () -> null;
+    private volatile BooleanSupplier isFull = () -> false;
 
     FailingFileSystem(FileSystem files) {
         this.files = files;
     }
 
+    /** Refuses writes as long as the condition holds, as a full disk does. */
+    void refuseWritesWhile(BooleanSupplier condition) {
+        isFull = condition;
+    }
+
     /** Makes every following write end with an error. */
     void failWrites(Supplier<Error> error) {
         writeError = error;
@@ -41,6 +48,9 @@
                 if (error != null) {
                     throw error;
                 }
+                if (isFull.getAsBoolean()) {
+                    throw new IOException("No space left on device");
+                }
                 file.write(bytes);
             }
 
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
@@ -97,7 +97,8 @@
         running.put(number, process);
     }
 
-    private StoreSettings settings(int number, boolean firstStart) {
+    /** Writes and loads the settings of a host, for tests that start it in another way. */
+    StoreSettings settings(int number, boolean firstStart) {
         String text = """
                 {"name": "store-%d", "failureDomain": "fes", "host": "%s", "operatorAddress": "%s:%d",
                  "adminAddress": "%s:%d", "dataFolder": "data-%d",
