--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/error/ErrorCode.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/error/ErrorCode.java
@@ -55,6 +55,8 @@
     SYNC_FAILED(4002, "Data could not be synced to disk; the process stops."),
     /** The data folder cannot be used. */
     DATA_FOLDER_INVALID(4003, "The data folder cannot be used."),
+    /** A snapshot could not be written; the log is unharmed and the process goes on. */
+    SNAPSHOT_NOT_WRITTEN(4004, "A snapshot could not be written; the log is unharmed and the process goes on."),
     /** The entry has no valid configuration lease and takes no new work. */
     LEASE_LAPSED(5001, "The entry has no valid configuration lease and takes no new work."),
     /** The configuration in force has no such service. */
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/MessageCodec.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/MessageCodec.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.lang.reflect.Method;
 import java.lang.reflect.RecordComponent;
 import java.nio.ByteBuffer;
@@ -10,8 +11,11 @@
 import java.util.Optional;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectWriter;
 import com.fasterxml.jackson.databind.introspect.Annotated;
 import com.fasterxml.jackson.databind.introspect.AnnotatedClass;
 import com.fasterxml.jackson.databind.introspect.JacksonAnnotationIntrospector;
@@ -23,6 +27,7 @@
 /** Encodes records as MessagePack arrays and back. Immutable and safe for use by several threads. */
 public final class MessageCodec {
     private static final ObjectMapper MAPPER = createMapper();
+    private static final ObjectWriter STREAM_WRITER = MAPPER.writer().without(JsonGenerator.Feature.AUTO_CLOSE_TARGET);
 
     private MessageCodec() {}
 
@@ -45,6 +50,95 @@
         }
     }
 
+    /**
+     * Writes the bytes that {@link #encode} returns to a stream, without a copy of all of them in memory. Beside the record it
+     * takes memory for its structure, but not for the content of its texts and arrays of bytes.
+     *
+     * @param value the record
+     * @param target receives the MessagePack array and is not closed
+     * @throws IOException if the stream fails
+     * @throws WireException with {@link ErrorCode#FRAME_INVALID} if the record cannot be encoded
+     */
+    public static void encode(Record value, OutputStream target) throws IOException {
+        try {
+            Optional<byte[]> payload = LargePayload.find(value);
+            if (payload.isPresent()) {
+                target.write(LargePayload.encodeHead(value, payload.get().length));
+                target.write(payload.get());
+            } else {
+                STREAM_WRITER.writeValue(target, value);
+            }
+        } catch (JsonProcessingException failure) {
+            throw new WireException(ErrorCode.FRAME_INVALID, "cannot encode " + value.getClass(), failure);
+        }
+    }
+
+    /**
+     * Encodes a large record that does not change meanwhile into one array of the exact size. {@link #encode(Record)} collects
+     * the bytes in a growing buffer and copies them, which takes two to three times their size; this method encodes the record
+     * twice instead, first to count the bytes.
+     *
+     * @param value the record
+     * @return the MessagePack array
+     * @throws WireException with {@link ErrorCode#FRAME_INVALID} if the record cannot be encoded, changes meanwhile or is too
+     *     large for an array
+     */
+    public static byte[] encodeLarge(Record value) {
+        try {
+            CountingStream counted = new CountingStream();
+            encode(value, counted);
+            ArrayStream encoded = new ArrayStream(Math.toIntExact(counted.bytes));
+            encode(value, encoded);
+            return encoded.complete();
+        } catch (IOException | ArithmeticException failure) {
+            throw new WireException(ErrorCode.FRAME_INVALID, "cannot encode " + value.getClass(), failure);
+        }
+    }
+
+    /** Counts bytes. Confined to one thread. */
+    private static final class CountingStream extends OutputStream {
+        private long bytes;
+
+        @Override
+        public void write(int value) {
+            bytes++;
+        }
+
+        @Override
+        public void write(byte[] source, int offset, int length) {
+            bytes += length;
+        }
+    }
+
+    /** Fills an array of a fixed size. Confined to one thread. */
+    private static final class ArrayStream extends OutputStream {
+        private final ByteBuffer target;
+
+        ArrayStream(int size) {
+            target = ByteBuffer.allocate(size);
+        }
+
+        @Override
+        public void write(int value) throws IOException {
+            write(new byte[] {(byte) value}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] source, int offset, int length) throws IOException {
+            if (length > target.remaining()) {
+                throw new IOException("the record grew while it was encoded");
+            }
+            target.put(source, offset, length);
+        }
+
+        byte[] complete() throws IOException {
+            if (target.hasRemaining()) {
+                throw new IOException("the record shrank while it was encoded");
+            }
+            return target.array();
+        }
+    }
+
     /**
      * Decodes a record. Components that an older sender omits are null, zero or empty; components that a newer sender
      * appends are ignored.
@@ -107,21 +201,29 @@
         }
 
         static byte[] encode(Record value, byte[] payload) throws IOException {
+            byte[] head = encodeHead(value, payload.length);
+            return ByteBuffer.allocate(head.length + payload.length)
+                    .put(head)
+                    .put(payload)
+                    .array();
+        }
+
+        /** Returns everything that precedes the bytes of the payload. */
+        static byte[] encodeHead(Record value, int payloadBytes) throws IOException {
             List<Method> accessors = ACCESSORS.get(value.getClass());
             ByteArrayOutputStream head = new ByteArrayOutputStream();
             head.write(ARRAY_FORMAT | accessors.size());
             for (Method accessor : accessors.subList(0, accessors.size() - 1)) {
                 head.write(MAPPER.writeValueAsBytes(read(accessor, value)));
             }
-            ByteBuffer encoded = ByteBuffer.allocate(head.size() + 1 + Integer.BYTES + payload.length);
-            encoded.put(head.toByteArray());
-            if (payload.length <= MAXIMUM_SHORT_BINARY_BYTES) {
-                encoded.put(SHORT_BINARY_FORMAT).putShort((short) payload.length);
+            ByteBuffer length = ByteBuffer.allocate(1 + Integer.BYTES);
+            if (payloadBytes <= MAXIMUM_SHORT_BINARY_BYTES) {
+                length.put(SHORT_BINARY_FORMAT).putShort((short) payloadBytes);
             } else {
-                encoded.put(LONG_BINARY_FORMAT).putInt(payload.length);
+                length.put(LONG_BINARY_FORMAT).putInt(payloadBytes);
             }
-            encoded.put(payload);
-            return encoded.hasRemaining() ? Arrays.copyOf(encoded.array(), encoded.position()) : encoded.array();
+            head.write(length.array(), 0, length.position());
+            return head.toByteArray();
         }
 
         private static Object read(Method accessor, Record value) throws IOException {
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
@@ -1,5 +1,7 @@
 package io.rosemarybeam.common.wire;
 
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -55,6 +57,23 @@
     /** The same record with one more component, for which the general encoder is used. */
     record WithPayloadInside(String name, Optional<Long> number, FailureDomain absent, byte[] payload, String end) {}
 
+    /** A snapshot that is written in chunks must be readable by a host that reads it as a whole, and the other way round. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 255, 4_095, 4_096, 65_535, 65_536, 300_000})
+    void shouldWriteTheSameBytesWhenEncodedToAStreamOrInTwoPasses(int size) throws IOException {
+        byte[] payload = new byte[size];
+        new Random(size).nextBytes(payload);
+        for (Record record : List.of(
+                new WithPayload("name", Optional.of(-7L), null, payload),
+                new WithPayloadInside("n".repeat(size), Optional.empty(), null, payload, "end"))) {
+            ByteArrayOutputStream stream = new ByteArrayOutputStream();
+            MessageCodec.encode(record, stream);
+
+            assertArrayEquals(MessageCodec.encode(record), stream.toByteArray());
+            assertArrayEquals(MessageCodec.encode(record), MessageCodec.encodeLarge(record));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {0, 255, 4_095, 4_096, 65_535, 65_536, 300_000})
     void shouldEncodeLargePayloadInTheGeneralFormat(int size) {
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/DiskFileSystem.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/DiskFileSystem.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.consensus.storage;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -19,6 +20,12 @@
 final class DiskFileSystem implements FileSystem {
     private static final String LOCK_FILE = "lock";
 
+    /**
+     * Maximum size of one read or write, in bytes. The JDK copies each through memory of its size outside the heap: one write of
+     * 40 MiB raised the resident memory of a process by 40 MiB.
+     */
+    private static final int SLICE_BYTES = 64 * 1024;
+
     private final Path folder;
     private final FileChannel lockChannel;
 
@@ -55,7 +62,24 @@
 
     @Override
     public byte[] read(String name) throws IOException {
-        return Files.readAllBytes(folder.resolve(name));
+        try (FileChannel channel = FileChannel.open(folder.resolve(name), StandardOpenOption.READ)) {
+            ByteBuffer content = ByteBuffer.allocate(contentBytes(name, channel.size()));
+            while (content.hasRemaining()) {
+                content.limit(Math.min(content.capacity(), content.position() + SLICE_BYTES));
+                if (channel.read(content) < 0) {
+                    throw new EOFException(name + " ends at byte " + content.position() + " of " + content.capacity());
+                }
+                content.limit(content.capacity());
+            }
+            return content.array();
+        }
+    }
+
+    private static int contentBytes(String name, long size) throws IOException {
+        if (size > Integer.MAX_VALUE) {
+            throw new IOException(name + " has " + size + " bytes, more than an array holds");
+        }
+        return (int) size;
     }
 
     @Override
@@ -107,8 +131,11 @@
 
         @Override
         public void write(ByteBuffer bytes) throws IOException {
-            while (bytes.hasRemaining()) {
+            int end = bytes.limit();
+            while (bytes.position() < end) {
+                bytes.limit(Math.min(end, bytes.position() + SLICE_BYTES));
                 size += channel.write(bytes);
+                bytes.limit(end);
             }
         }
 
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 
 import io.rosemarybeam.common.error.ErrorCode;
@@ -28,8 +29,17 @@
  *
  * <p>Invariant: when {@link #persist} returns, everything passed to it is durable, and so is everything that {@link #load}
  * has returned. After an I/O failure every further
- * operation throws the same exception, because it is unknown what is durable after a failed sync. Confined to one thread at a
- * time, apart from {@link #syncs}.
+ * operation throws the same exception, because it is unknown what is durable after a failed sync. The exception is the temporary
+ * file of a snapshot: nothing refers to it before it is complete and synced, so a failure to write it leaves the storage as it
+ * was ({@link ErrorCode#SNAPSHOT_NOT_WRITTEN}).
+ *
+ * <p>Memory, beside the arguments and results: identity and hard state take some hundred bytes. A snapshot is encoded twice, for
+ * its length and checksum and then to the file, so {@link #compact}, and {@link #persist} of a snapshot, take two buffers of
+ * 64 KiB whatever its size. {@link #persist} of entries takes up to four times the bytes of these entries, because a log record
+ * is encoded in memory, and so written by one or few calls. {@link #load} takes twice the size of the largest file. No read or
+ * write of a {@link FileSystem#of} folder takes more than 64 KiB outside the heap.
+ *
+ * <p>Confined to one thread at a time, apart from {@link #syncs}.
  */
 public final class LogStorage implements AutoCloseable {
     private static final String IDENTITY_FILE = "identity";
@@ -78,7 +88,7 @@
         return execute("read the identity", () -> {
             if (!files.list().contains(IDENTITY_FILE)) {
                 MemberId created = new MemberId(name, newIncarnation);
-                replaceFile(IDENTITY_FILE, MessageCodec.encode(created));
+                replaceFile(IDENTITY_FILE, created);
                 return created;
             }
             MemberId stored = MessageCodec.decode(readSingleRecord(IDENTITY_FILE), MemberId.class);
@@ -219,11 +229,11 @@
         execute("persist", () -> {
             if (installed.isPresent()) {
                 snapshotIndex = installed.get().index();
-                replaceFile(SNAPSHOT_FILE, MessageCodec.encode(installed.get()));
+                replaceFile(SNAPSHOT_FILE, installed.get());
                 deleteAllSegments();
             }
             if (hardState.isPresent()) {
-                replaceFile(HARD_STATE_FILE, MessageCodec.encode(hardState.get()));
+                replaceFile(HARD_STATE_FILE, hardState.get());
             }
             if (!entries.isEmpty()) {
                 append(entries);
@@ -259,21 +269,41 @@
      *
      * @param snapshot the snapshot
      * @param firstRetained index of the first entry to retain
-     * @throws StorageException with {@link ErrorCode#SYNC_FAILED} if the snapshot cannot be made durable
+     * @return size of the snapshot file in bytes, or empty if nothing was done
+     * @throws StorageException with {@link ErrorCode#SNAPSHOT_NOT_WRITTEN} if the temporary file cannot be written or synced, or
+     *     memory is lacking for it: the file is removed, the storage holds what it held before, and the call may be repeated;
+     *     with {@link ErrorCode#SYNC_FAILED} if the renamed file or the deletions cannot be made durable
      */
-    public void compact(LogSnapshot snapshot, long firstRetained) {
-        execute("store a snapshot", () -> {
+    public OptionalLong compact(LogSnapshot snapshot, long firstRetained) {
+        return execute("store a snapshot", () -> {
             if (snapshot.index() <= snapshotIndex) {
                 // A newer snapshot of the leader was installed while this one was taken.
-                return null;
+                return OptionalLong.empty();
             }
+            long bytes = writeSnapshot(snapshot);
             snapshotIndex = snapshot.index();
-            replaceFile(SNAPSHOT_FILE, MessageCodec.encode(snapshot));
+            useTemporaryFile(SNAPSHOT_FILE);
             deleteSegmentsBefore(firstRetained);
-            return null;
+            return OptionalLong.of(bytes);
         });
     }
 
+    private long writeSnapshot(LogSnapshot snapshot) {
+        try {
+            return writeTemporaryFile(SNAPSHOT_FILE, snapshot);
+        } catch (IOException | OutOfMemoryError cause) {
+            StorageException failure = new StorageException(
+                    ErrorCode.SNAPSHOT_NOT_WRITTEN, "cannot write the snapshot of entry " + snapshot.index(), cause);
+            try {
+                deleteTemporaryFile(SNAPSHOT_FILE);
+            } catch (IOException remaining) {
+                // The next attempt and the next start remove the file.
+                failure.addSuppressed(remaining);
+            }
+            throw failure;
+        }
+    }
+
     /** Deletes the oldest segments whose entries all precede an index, but not the last segment. */
     private void deleteSegmentsBefore(long firstRetained) throws IOException {
         while (segments.size() > 1 && segments.firstEntry().getValue() < firstRetained) {
@@ -304,16 +334,29 @@
         return SEGMENT_PREFIX + String.format("%016d", number);
     }
 
-    private void replaceFile(String name, byte[] body) throws IOException {
-        String temporary = name + TEMPORARY_SUFFIX;
-        if (files.list().contains(temporary)) {
-            files.delete(temporary);
-        }
-        try (AppendFile file = files.openForAppend(temporary)) {
-            file.write(RecordFile.encode(body));
+    private void replaceFile(String name, Record content) throws IOException {
+        writeTemporaryFile(name, content);
+        useTemporaryFile(name);
+    }
+
+    /** Writes and syncs the file that is to replace another one, and returns its size in bytes. */
+    private long writeTemporaryFile(String name, Record content) throws IOException {
+        deleteTemporaryFile(name);
+        try (AppendFile file = files.openForAppend(name + TEMPORARY_SUFFIX)) {
+            long bytes = RecordFile.append(file, content);
             file.sync();
+            return bytes;
+        }
+    }
+
+    private void deleteTemporaryFile(String name) throws IOException {
+        if (files.list().contains(name + TEMPORARY_SUFFIX)) {
+            files.delete(name + TEMPORARY_SUFFIX);
         }
-        files.rename(temporary, name);
+    }
+
+    private void useTemporaryFile(String name) throws IOException {
+        files.rename(name + TEMPORARY_SUFFIX, name);
         files.syncFolder();
         syncs += 2;
     }
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/RecordFile.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/RecordFile.java
@@ -1,5 +1,7 @@
 package io.rosemarybeam.consensus.storage;
 
+import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -8,6 +10,8 @@
 
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.StorageException;
+import io.rosemarybeam.common.wire.MessageCodec;
+import io.rosemarybeam.consensus.storage.FileSystem.AppendFile;
 
 /**
  * Encodes and decodes the records of a file. A record is the length of the body, the CRC32C checksum of the body, both as
@@ -17,6 +21,9 @@
     /** Size of length and checksum. */
     private static final int HEADER_BYTES = 8;
 
+    /** Size of the buffer through which a record is written, in bytes. */
+    private static final int CHUNK_BYTES = 64 * 1024;
+
     private RecordFile() {}
 
     static ByteBuffer encode(byte[] body) {
@@ -27,6 +34,35 @@
         return buffer.flip();
     }
 
+    /**
+     * Appends the record of a message, whose encoding is never in memory as a whole: it is encoded once for its length and
+     * checksum, and a second time to the file, through a buffer of {@value #CHUNK_BYTES} bytes.
+     *
+     * @param file the file
+     * @param message the body, which must not change meanwhile
+     * @return the size of the record, in bytes
+     * @throws IOException if the file cannot be written, or the second encoding differs from the first
+     */
+    static long append(AppendFile file, Record message) throws IOException {
+        ChunkedBody measured = new ChunkedBody(chunk -> {});
+        MessageCodec.encode(message, measured);
+        measured.flush();
+        if (measured.bytes > Integer.MAX_VALUE) {
+            throw new IOException("a record of " + measured.bytes + " bytes exceeds the length field");
+        }
+        file.write(ByteBuffer.allocate(HEADER_BYTES)
+                .putInt((int) measured.bytes)
+                .putInt(measured.checksum())
+                .flip());
+        ChunkedBody written = new ChunkedBody(file::write);
+        MessageCodec.encode(message, written);
+        written.flush();
+        if (written.bytes != measured.bytes || written.checksum() != measured.checksum()) {
+            throw new IOException("the message changed while it was written");
+        }
+        return HEADER_BYTES + written.bytes;
+    }
+
     /**
      * Decodes all records. Each record is synced before the next one is written, so only the last one can be incomplete after
      * a crash, with any bytes in its place. An invalid record counts as incomplete if no valid record follows it, at whatever
@@ -88,6 +124,61 @@
         return (int) checksum.getValue();
     }
 
+    /** Receives the chunks of a body in order. */
+    private interface ChunkTarget {
+        void write(ByteBuffer chunk) throws IOException;
+    }
+
+    /** Collects a body in chunks, and computes its length and checksum. Confined to one thread. */
+    private static final class ChunkedBody extends OutputStream {
+        private final ChunkTarget target;
+        private final ByteBuffer chunk = ByteBuffer.allocate(CHUNK_BYTES);
+        private final CRC32C checksum = new CRC32C();
+        private long bytes;
+
+        ChunkedBody(ChunkTarget target) {
+            this.target = target;
+        }
+
+        @Override
+        public void write(int value) throws IOException {
+            write(new byte[] {(byte) value}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] source, int offset, int length) throws IOException {
+            int position = offset;
+            while (position < offset + length) {
+                int copied = Math.min(chunk.remaining(), offset + length - position);
+                chunk.put(source, position, copied);
+                position += copied;
+                if (!chunk.hasRemaining()) {
+                    writeChunk();
+                }
+            }
+        }
+
+        /** Passes on what is collected, if anything; the encoder may call this at any time. */
+        @Override
+        public void flush() throws IOException {
+            if (chunk.position() > 0) {
+                writeChunk();
+            }
+        }
+
+        private void writeChunk() throws IOException {
+            chunk.flip();
+            bytes += chunk.remaining();
+            checksum.update(chunk.duplicate());
+            target.write(chunk);
+            chunk.clear();
+        }
+
+        int checksum() {
+            return (int) checksum.getValue();
+        }
+    }
+
     /** The bodies of the records of a file, and the size of the valid part in bytes. Immutable. */
     record Records(List<byte[]> bodies, int validBytes) {}
 }
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
@@ -1,15 +1,20 @@
 package io.rosemarybeam.consensus.storage;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.zip.CRC32C;
 
+import com.sun.management.ThreadMXBean;
 import io.rosemarybeam.common.error.ErrorCode;
 import io.rosemarybeam.common.error.StorageException;
+import io.rosemarybeam.common.wire.MessageCodec;
 import io.rosemarybeam.consensus.DurableState;
 import io.rosemarybeam.consensus.HardState;
 import io.rosemarybeam.consensus.LogEntry;
@@ -21,7 +26,11 @@
 import net.jqwik.api.ShrinkingMode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
+import static org.junit.jupiter.api.Assertions.assertAll;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -35,6 +44,12 @@
 
     private static final int REMOVED = 9;
 
+    /** Size of a state or entry that is large beside the memory that storing it may take, in bytes. */
+    private static final int LARGE_BYTES = 20 * 1024 * 1024;
+
+    /** Memory that an operation may take beside what it stores, in bytes. */
+    private static final long MAXIMUM_WORKING_BYTES = 1024 * 1024;
+
     private final FaultyFileSystem files = new FaultyFileSystem();
 
     private static LogEntry entry(long index, long term) {
@@ -391,4 +406,110 @@
         assertEquals(acknowledged, indexesAndTerms(openStorage().load()));
         assertEquals(content.length, files.read(FIRST_SEGMENT).length);
     }
+
+    /**
+     * Guards against copies of the whole state, with which all store hosts ran out of memory while they took the snapshot of
+     * one entry.
+     */
+    @Test
+    void shouldTakeMemoryForOneChunkWhenALargeSnapshotIsStored(@TempDir Path folder) {
+        LogSnapshot large = new LogSnapshot(2, 1, Membership.empty(), randomBytes(LARGE_BYTES));
+        LogStorage storage = LogStorage.open(FileSystem.of(folder));
+        storage.persist(Optional.empty(), Optional.of(snapshot(1, 1)), List.of());
+
+        long before = allocatedBytes();
+        storage.compact(large, 2);
+        long compaction = allocatedBytes() - before;
+        storage.persist(Optional.empty(), Optional.of(large), List.of());
+        long installation = allocatedBytes() - before - compaction;
+
+        assertAll(
+                () -> assertTrue(compaction < MAXIMUM_WORKING_BYTES, "compact allocated " + compaction + " bytes"),
+                () -> assertTrue(installation < MAXIMUM_WORKING_BYTES, "install allocated " + installation + " bytes"));
+        storage.close();
+        LogStorage reopened = LogStorage.open(FileSystem.of(folder));
+        assertArrayEquals(
+                large.state(), reopened.load().snapshot().orElseThrow().state());
+        reopened.close();
+    }
+
+    private static long allocatedBytes() {
+        return ((ThreadMXBean) ManagementFactory.getThreadMXBean()).getCurrentThreadAllocatedBytes();
+    }
+
+    private static byte[] randomBytes(int size) {
+        byte[] bytes = new byte[size];
+        new SplittableRandom(1).nextBytes(bytes);
+        return bytes;
+    }
+
+    /** Returns the snapshot file as releases before the chunked encoding wrote it. */
+    private static byte[] earlierSnapshotFile(LogSnapshot snapshot) {
+        byte[] body = MessageCodec.encode(snapshot);
+        CRC32C checksum = new CRC32C();
+        checksum.update(body);
+        return ByteBuffer.allocate(2 * Integer.BYTES + body.length)
+                .putInt(body.length)
+                .putInt((int) checksum.getValue())
+                .put(body)
+                .array();
+    }
+
+    /** A host may start with the data folder of an earlier release, and go back to it. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 3, 4_095, 4_096, 65_535, 65_536, 200_000})
+    void shouldKeepTheFormatOfEarlierReleasesWhenSnapshotIsStored(int stateBytes) throws IOException {
+        LogSnapshot snapshot = new LogSnapshot(7, 2, Membership.empty(), randomBytes(stateBytes));
+        openStorage().compact(snapshot, 0);
+
+        assertArrayEquals(earlierSnapshotFile(snapshot), files.read("snapshot"));
+        assertArrayEquals(
+                snapshot.state(), openStorage().load().snapshot().orElseThrow().state());
+    }
+
+    /** Guards against hosts that end because their disk has no space for a snapshot, although the log is unharmed. */
+    @Test
+    void shouldGoOnWhenSnapshotCannotBeWritten() {
+        LogStorage storage = openStorage();
+        append(storage, entries(1, 3, 1));
+        LogSnapshot large = new LogSnapshot(2, 1, Membership.empty(), randomBytes(300_000));
+        files.setCapacity(200_000);
+
+        StorageException failure = assertThrows(StorageException.class, () -> storage.compact(large, 2));
+
+        assertEquals(ErrorCode.SNAPSHOT_NOT_WRITTEN, failure.code());
+        assertEquals(List.of(FIRST_SEGMENT), files.list());
+        append(storage, entries(4, 4, 1));
+        files.setCapacity(Long.MAX_VALUE);
+        assertTrue(storage.compact(large, 2).isPresent());
+        DurableState loaded = openStorage().load();
+        assertEquals(List.of("1/1", "2/1", "3/1", "4/1"), indexesAndTerms(loaded));
+        assertArrayEquals(large.state(), loaded.snapshot().orElseThrow().state());
+    }
+
+    /** After a failed sync of the log, or of the folder, it is unknown what is durable. */
+    @Test
+    void shouldFailForGoodWhenTheRenamedSnapshotOrTheLogCannotBeSynced() {
+        LogStorage storage = openStorage();
+        append(storage, entries(1, 3, 1));
+        files.failFolderSyncs();
+        assertEquals(
+                ErrorCode.SYNC_FAILED,
+                assertThrows(StorageException.class, () -> storage.compact(snapshot(2, 1), 2))
+                        .code());
+        files.endProcess();
+        assertThrows(StorageException.class, () -> append(storage, entries(4, 4, 1)));
+
+        LogStorage other = openStorage();
+        other.load();
+        files.failSyncs();
+        assertEquals(
+                ErrorCode.SNAPSHOT_NOT_WRITTEN,
+                assertThrows(StorageException.class, () -> other.compact(snapshot(3, 1), 2))
+                        .code());
+        assertEquals(
+                ErrorCode.SYNC_FAILED,
+                assertThrows(StorageException.class, () -> append(other, entries(4, 4, 1)))
+                        .code());
+    }
 }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ControlState.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/state/ControlState.java
@@ -231,7 +231,7 @@
                 weights.snapshotData(),
                 steps.snapshotData(),
                 quarantine.snapshotData());
-        return () -> MessageCodec.encode(data);
+        return () -> MessageCodec.encodeLarge(data);
     }
 
     /**
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreState.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreState.java
@@ -196,7 +196,7 @@
                 submissions.values().stream().map(StoredSubmission::toSnapshot).toList(),
                 Map.copyOf(hostByName),
                 List.copyOf(retiring));
-        return () -> MessageCodec.encode(snapshot);
+        return () -> MessageCodec.encodeLarge(snapshot);
     }
 
     /** The latest published weight version of a model. Immutable. */
