--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -46,6 +46,14 @@
     LEARNER_BEHIND(306, Severity.INFORMATION, "A learner does not hold all entries yet."),
     /** An incomplete record was removed from the end of the log. */
     LOG_END_REMOVED(307, Severity.WARNING, "An incomplete record was removed from the end of the log."),
+    /** A host began a snapshot of its replicated state. */
+    SNAPSHOT_STARTED(308, Severity.INFORMATION, "A host began a snapshot of its replicated state."),
+    /** A snapshot is stored, and the log before it is discarded. */
+    SNAPSHOT_STORED(309, Severity.INFORMATION, "A snapshot is stored, and the log before it is discarded."),
+    /** A snapshot failed and is tried again later. */
+    SNAPSHOT_FAILED(310, Severity.WARNING, "A snapshot failed and is tried again later; the log is unharmed."),
+    /** A snapshot of the leader replaced the state of this host. */
+    SNAPSHOT_INSTALLED(311, Severity.INFORMATION, "A snapshot of the leader replaced the state of this host."),
     /** An entry lost its configuration lease and takes no new work. */
     LEASE_LAPSED(400, Severity.WARNING, "An entry lost its configuration lease and takes no new work."),
     /** An entry connected to a control host. */
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -13,6 +14,9 @@
 
 import io.rosemarybeam.common.error.ControlException;
 import io.rosemarybeam.common.error.ErrorCode;
+import io.rosemarybeam.common.error.StorageException;
+import io.rosemarybeam.common.event.Event;
+import io.rosemarybeam.common.event.EventLog;
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.consensus.DurableState;
 import io.rosemarybeam.consensus.HardState;
@@ -32,15 +36,11 @@
  *
  * <p>Invariants: storage is used by one task at a time on the storage executor; everything else runs on the control
  * executor. A proposal completes once its entry is applied, or fails when this host stops leading. After an error, such as a lack
- * of memory, the log may hold entries that are neither stored nor applied, so it is reported as a failure like any other.
+ * of memory, the log may hold entries that are neither stored nor applied, so it is reported as a failure like any other. The
+ * exception is a snapshot whose captured state cannot be encoded for lack of memory, or whose temporary file cannot be written:
+ * log and state are as before, so it is put off ({@link SnapshotSchedule}) and this host goes on.
  */
 public final class LogDriver {
-    /** Number of applied entries after which a snapshot is taken. */
-    private static final int SNAPSHOT_ENTRIES = 4_096;
-
-    /** Size of applied entries after which a snapshot is taken, in bytes. */
-    private static final long SNAPSHOT_BYTES = 4L * 1024 * 1024;
-
     /** Maximum number of entries before a snapshot that stay in memory, for hosts that lag slightly. */
     private static final int RETAINED_ENTRIES = 1_024;
 
@@ -49,12 +49,16 @@
 
     private static final byte[] INITIAL_STATE = {};
 
+    private static final EventLog LOG = EventLog.of(LogDriver.class);
+
     private final Executor controlExecutor;
     private final Executor storageExecutor;
+    private final Executor snapshotExecutor;
     private final LogStorage storage;
     private final StateMachine state;
     private final Listener listener;
-    private final MonotonicClock clock = MonotonicClock.system();
+    private final MonotonicClock clock;
+    private final SnapshotSchedule snapshots;
     private final MajorityContact contact = new MajorityContact();
     private final TreeMap<Long, Proposal> proposals = new TreeMap<>();
     private final Map<Long, CompletableFuture<Void>> pendingReads = new HashMap<>();
@@ -62,11 +66,10 @@
     private ReplicatedLog log;
     private long applied;
     private long appliedTerm;
-    private long entriesSinceSnapshot;
-    private long bytesSinceSnapshot;
     private long lastReadId;
     private long syncedEntries;
-    private boolean snapshotInProgress;
+    private OptionalLong storedSnapshotBytes = OptionalLong.empty();
+    private long snapshotStoredAt;
     private boolean processingScheduled;
     private boolean stopped;
     private boolean leadershipReported;
@@ -108,8 +111,34 @@
             Optional<LogSnapshot> snapshot,
             StateMachine state,
             Listener listener) {
+        this(
+                controlExecutor,
+                storageExecutor,
+                LogDriver::startSnapshotThread,
+                MonotonicClock.system(),
+                storage,
+                log,
+                snapshot,
+                state,
+                listener);
+    }
+
+    /** Creates a driver with another clock, and another executor for the encoding of snapshots, for tests. */
+    LogDriver(
+            Executor controlExecutor,
+            Executor storageExecutor,
+            Executor snapshotExecutor,
+            MonotonicClock clock,
+            LogStorage storage,
+            ReplicatedLog log,
+            Optional<LogSnapshot> snapshot,
+            StateMachine state,
+            Listener listener) {
         this.controlExecutor = controlExecutor;
         this.storageExecutor = storageExecutor;
+        this.snapshotExecutor = snapshotExecutor;
+        this.clock = clock;
+        this.snapshots = new SnapshotSchedule(log.self(), clock.milliseconds());
         this.storage = storage;
         this.log = log;
         this.state = state;
@@ -130,6 +159,23 @@
         return applied;
     }
 
+    /** Encoding a state of maximum size takes longer than an election timeout, so it runs on neither executor. */
+    private static void startSnapshotThread(Runnable task) {
+        Thread.ofPlatform().name("snapshot").daemon().start(task);
+    }
+
+    /** Returns the size of the last snapshot that this process has stored, in bytes; empty if it has stored none. */
+    public OptionalLong storedSnapshotBytes() {
+        return storedSnapshotBytes;
+    }
+
+    /** Returns the time since this process has stored a snapshot, in milliseconds; empty if it has stored none. */
+    public OptionalLong storedSnapshotAge() {
+        return storedSnapshotBytes.isPresent()
+                ? OptionalLong.of(clock.milliseconds() - snapshotStoredAt)
+                : OptionalLong.empty();
+    }
+
     /** Returns the number of entries that were synced to storage since the start of the process. */
     public long syncedEntries() {
         return syncedEntries;
@@ -342,7 +388,7 @@
         if (stopped) {
             return;
         }
-        ready.snapshot().ifPresent(this::install);
+        ready.snapshot().ifPresent(this::installFromLeader);
         syncedEntries += ready.entries().size();
         long index = ready.entries().isEmpty() ? 0 : ready.entries().getLast().index();
         long term = ready.entries().isEmpty() ? 0 : ready.entries().getLast().term();
@@ -350,12 +396,26 @@
         schedule();
     }
 
+    private void installFromLeader(LogSnapshot snapshot) {
+        long startedAt = clock.milliseconds();
+        install(snapshot);
+        LOG.log(
+                Event.SNAPSHOT_INSTALLED,
+                "index",
+                snapshot.index(),
+                "term",
+                snapshot.term(),
+                "bytes",
+                snapshot.state().length,
+                "milliseconds",
+                clock.milliseconds() - startedAt);
+    }
+
     private void install(LogSnapshot snapshot) {
         state.restore(snapshot.state());
         applied = snapshot.index();
         appliedTerm = snapshot.term();
-        entriesSinceSnapshot = 0;
-        bytesSinceSnapshot = 0;
+        snapshots.installed();
         listener.onApplied();
     }
 
@@ -372,8 +432,7 @@
         }
         applied = entry.index();
         appliedTerm = entry.term();
-        entriesSinceSnapshot++;
-        bytesSinceSnapshot += entry.data().length;
+        snapshots.applied(entry.data().length);
     }
 
     private void completeReads() {
@@ -383,43 +442,100 @@
     }
 
     private void takeSnapshotIfDue() {
-        boolean due = entriesSinceSnapshot >= SNAPSHOT_ENTRIES || bytesSinceSnapshot >= SNAPSHOT_BYTES;
-        if (!due || snapshotInProgress) {
+        long now = clock.milliseconds();
+        if (!snapshots.isDue(now)) {
             return;
         }
-        snapshotInProgress = true;
-        entriesSinceSnapshot = 0;
-        bytesSinceSnapshot = 0;
-        long index = applied;
-        long term = appliedTerm;
-        Membership membership = log.membershipAt(index);
-        long firstRetained = log.firstRetained(index, RETAINED_ENTRIES, RETAINED_BYTES);
+        SnapshotAttempt attempt = new SnapshotAttempt(
+                applied,
+                appliedTerm,
+                log.membershipAt(applied),
+                log.firstRetained(applied, RETAINED_ENTRIES, RETAINED_BYTES),
+                snapshots.begin(),
+                now);
+        LOG.log(Event.SNAPSHOT_STARTED, "index", attempt.index, "term", attempt.term, "attempt", attempt.number);
         Supplier<byte[]> captured = state.capture();
-        // Encoding a state of maximum size takes longer than an election timeout, so it runs on neither executor.
-        Thread.ofPlatform().name("snapshot").daemon().start(() -> {
-            try {
-                LogSnapshot snapshot = new LogSnapshot(index, term, membership, captured.get());
-                storageExecutor.execute(() -> store(snapshot, firstRetained));
-            } catch (RejectedExecutionException stopping) {
-                // The process is stopping; the log still holds every entry.
-            } catch (RuntimeException | Error failure) {
-                controlExecutor.execute(() -> listener.onFailure(failure));
-            }
-        });
+        snapshotExecutor.execute(() -> encode(attempt, captured));
     }
 
-    private void store(LogSnapshot snapshot, long firstRetained) {
+    private void encode(SnapshotAttempt attempt, Supplier<byte[]> captured) {
         try {
-            storage.compact(snapshot, firstRetained);
-            controlExecutor.execute(() -> {
-                snapshotInProgress = false;
-                log.compact(snapshot, firstRetained);
-            });
+            LogSnapshot snapshot = attempt.snapshot(captured.get());
+            storageExecutor.execute(() -> store(attempt, snapshot));
+        } catch (RejectedExecutionException stopping) {
+            // The process is stopping; the log still holds every entry.
+        } catch (OutOfMemoryError failure) {
+            controlExecutor.execute(() -> onSnapshotFailed(attempt, failure));
         } catch (RuntimeException | Error failure) {
             controlExecutor.execute(() -> listener.onFailure(failure));
         }
     }
 
+    private void store(SnapshotAttempt attempt, LogSnapshot snapshot) {
+        try {
+            OptionalLong bytes = storage.compact(snapshot, attempt.firstRetained);
+            controlExecutor.execute(() -> onSnapshotStored(attempt, snapshot, bytes));
+        } catch (RuntimeException | Error failure) {
+            boolean isUnharmed = failure instanceof StorageException storageFailure
+                    && storageFailure.code() == ErrorCode.SNAPSHOT_NOT_WRITTEN;
+            controlExecutor.execute(() -> {
+                if (isUnharmed) {
+                    onSnapshotFailed(attempt, failure);
+                } else {
+                    listener.onFailure(failure);
+                }
+            });
+        }
+    }
+
+    private void onSnapshotStored(SnapshotAttempt attempt, LogSnapshot snapshot, OptionalLong bytes) {
+        snapshots.succeeded();
+        log.compact(snapshot, attempt.firstRetained);
+        if (bytes.isEmpty()) {
+            return;
+        }
+        storedSnapshotBytes = bytes;
+        snapshotStoredAt = clock.milliseconds();
+        LOG.log(
+                Event.SNAPSHOT_STORED,
+                "index",
+                attempt.index,
+                "term",
+                attempt.term,
+                "bytes",
+                bytes.getAsLong(),
+                "milliseconds",
+                snapshotStoredAt - attempt.startedAt,
+                "attempt",
+                attempt.number);
+    }
+
+    private void onSnapshotFailed(SnapshotAttempt attempt, Throwable failure) {
+        long now = clock.milliseconds();
+        long delay = snapshots.failed(now);
+        LOG.log(
+                Event.SNAPSHOT_FAILED,
+                failure,
+                "index",
+                attempt.index,
+                "term",
+                attempt.term,
+                "milliseconds",
+                now - attempt.startedAt,
+                "attempt",
+                attempt.number,
+                "delayMilliseconds",
+                delay);
+    }
+
+    /** A snapshot in progress, with the monotonic time of its start in milliseconds. Immutable. */
+    private record SnapshotAttempt(
+            long index, long term, Membership membership, long firstRetained, int number, long startedAt) {
+        LogSnapshot snapshot(byte[] encodedState) {
+            return new LogSnapshot(index, term, membership, encodedState);
+        }
+    }
+
     /** A proposal whose entry is not applied yet, with the term in which it was proposed. Immutable. */
     private record Proposal(long term, CompletableFuture<Message> reply) {}
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreReport.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreReport.java
@@ -68,6 +68,16 @@
                 "store_majority_age_seconds",
                 "Age of the last word of a majority that this host leads; -1 while it does not lead.",
                 () -> driver.majorityAge() == Long.MAX_VALUE ? -1 : driver.majorityAge() / MILLISECONDS_PER_SECOND);
+        metrics.computedGauge(
+                "store_snapshot_bytes",
+                "Size of the last snapshot that this process has stored; -1 if it has stored none.",
+                () -> driver.storedSnapshotBytes().orElse(-1));
+        metrics.computedGauge(
+                "store_snapshot_age_seconds",
+                "Time since this process has stored a snapshot; -1 if it has stored none.",
+                () -> driver.storedSnapshotAge().isPresent()
+                        ? driver.storedSnapshotAge().getAsLong() / MILLISECONDS_PER_SECOND
+                        : -1);
         metrics.computedGauge(
                 "endpoint_view_age_seconds",
                 "Time since the last heartbeat of the ready endpoint that was heard longest ago.",
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -35,6 +36,12 @@
     private static final SubmissionId SUBMISSION = SubmissionId.of("s-1");
     private static final ItemId ITEM = ItemId.of("i-1");
 
+    /** Time from a start within which a snapshot that is due is stored, in milliseconds; it waits for 20 s at most. */
+    private static final long FIRST_SNAPSHOT_MILLISECONDS = 40_000;
+
+    /** Minimum size of a snapshot that is sent in many parts, in bytes. */
+    private static final long LARGE_SNAPSHOT_BYTES = 2 * 1024 * 1024;
+
     /** Several rounds in which the hosts exchange the endpoints with recent heartbeats. */
     private static final long CONTACT_ROUNDS_MILLISECONDS = 3_000;
 
@@ -178,6 +185,14 @@
             assertEquals(
                     Outcome.DONE, cluster.ask(new SubmitBatch(large(number))).outcome());
         }
+        // The first snapshot waits after a start. Without one the empty host would receive entries instead.
+        for (int host = 2; host <= 3; host++) {
+            Path snapshot = cluster.dataFolder(host).resolve("snapshot");
+            StoreCluster.await(
+                    "host " + host + " has stored a large snapshot",
+                    FIRST_SNAPSHOT_MILLISECONDS,
+                    () -> Files.size(snapshot) > LARGE_SNAPSHOT_BYTES ? true : null);
+        }
         cluster.stop(1);
         cluster.wipe(1);
         cluster.start(1, false);
