--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreCluster.java
@@ -255,6 +255,10 @@
         }
     }
 
+    Path dataFolder(int number) {
+        return folder.resolve("data-" + number);
+    }
+
     /** Returns the size of all files of a host, in bytes. */
     long dataBytes(int number) {
         try (Stream<Path> files = Files.walk(folder.resolve("data-" + number))) {
@@ -265,7 +269,11 @@
     }
 
     static <T> T await(String condition, Callable<T> attempt) {
-        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MILLISECONDS);
+        return await(condition, TIMEOUT_MILLISECONDS, attempt);
+    }
+
+    static <T> T await(String condition, long timeoutMilliseconds, Callable<T> attempt) {
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMilliseconds);
         while (System.nanoTime() < deadline) {
             try {
                 T result = attempt.call();
@@ -281,7 +289,7 @@
                 Thread.onSpinWait();
             }
         }
-        throw new AssertionError("not within " + TIMEOUT_MILLISECONDS + " ms: " + condition);
+        throw new AssertionError("not within " + timeoutMilliseconds + " ms: " + condition);
     }
 
     @Override
