Check in the soak that work stops with the end of its submission

The soak could not find UNASKED: no trainer ended a submission, no leader was paused for longer than an election, and endpoints did not ask whether they may get an item.

Endpoints now report an item or a score request that arrives later than CancelMs (3,000 ms) after the acknowledged end of its submission, and one that nobody sent. An end that is not acknowledged counts as acknowledged after AckMs (4,000 ms) in which no store host or edge was disturbed; only the time up to the arrival is considered. Trainers end submissions with waiting items and failing scorers once, again, beside the submission, or over a connection that is closed at once. The former faults keep their random numbers. A process that ends without a signal of the soak is a violation with its exit code and last log line.

The rule itself is new and could not fail before.

--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/ProcessGroup.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/ProcessGroup.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
@@ -24,6 +25,16 @@
     private final String classPath;
     private final Map<String, Process> processes = new ConcurrentHashMap<>();
 
+    /** The processes that this object was told to end. */
+    private final Set<Process> toEnd = ConcurrentHashMap.newKeySet();
+
+    private volatile OwnEndListener ownEndListener = (name, code) -> {};
+
+    /** Is notified of processes that end without being stopped or killed by this object. */
+    interface OwnEndListener {
+        void ended(String name, int exitCode);
+    }
+
     /**
      * Creates an empty group that uses the runtime and the class path of this process.
      *
@@ -62,12 +73,23 @@
                     .redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(log));
             builder.environment().put("MALLOC_ARENA_MAX", "1");
-            processes.put(name, builder.start());
+            Process process = builder.start();
+            processes.put(name, process);
+            process.onExit().thenAccept(ended -> {
+                if (!toEnd.contains(ended)) {
+                    ownEndListener.ended(name, ended.exitValue());
+                }
+            });
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
         }
     }
 
+    /** Sets the listener for processes that end by themselves; it is called on any thread. */
+    void onOwnEnd(OwnEndListener listener) {
+        ownEndListener = listener;
+    }
+
     Process process(String name) {
         return processes.get(name);
     }
@@ -90,12 +112,15 @@
 
     /** Kills a process without a graceful stop and waits until it has exited. */
     void kill(String name) {
-        processes.get(name).destroyForcibly().onExit().join();
+        Process process = processes.get(name);
+        toEnd.add(process);
+        process.destroyForcibly().onExit().join();
     }
 
     /** Requests a graceful stop and returns whether the process exited within the timeout. */
     boolean stop(String name, Duration timeout) {
         Process process = processes.get(name);
+        toEnd.add(process);
         process.destroy();
         try {
             return process.waitFor(timeout.toMillis(), TimeUnit.MILLISECONDS);
@@ -116,6 +141,7 @@
     /** Kills all processes and waits until they have exited. */
     @Override
     public void close() {
+        toEnd.addAll(processes.values());
         processes.values().forEach(Process::destroyForcibly);
         processes.values().forEach(process -> process.onExit().join());
     }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakDeployment.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakDeployment.java
@@ -3,14 +3,19 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -50,6 +55,8 @@
             "-Dlog4j.shutdownHookEnabled=false",
             "-Drosemarybeam.log.target=SYSTEM_OUT");
 
+    private static final Pattern LEADS = Pattern.compile("\\S*store_leads(\\{.*\\})? 1(\\.0)?");
+
     private static final int STOP_SECONDS = 6;
     private static final int CALL_TIMEOUT_MILLISECONDS = 2_000;
     private static final int START_TIMEOUT_MILLISECONDS = 60_000;
@@ -132,6 +139,8 @@
 
     /** Starts everything and waits until a configuration is accepted. */
     void start(SoakReport report, int desks, int engines) {
+        processes.onOwnEnd((name, code) ->
+                report.violation(name + " ended by itself with code " + code + "; its last line: " + lastLine(name)));
         IntStream.range(0, stores).forEach(index -> startStore(index, true));
         IntStream.range(0, edges).forEach(this::startEdge);
         for (int index = 0; index < desks + engines; index++) {
@@ -146,6 +155,20 @@
         }
     }
 
+    private String lastLine(String name) {
+        List<String> lines =
+                processes.readLog(name).lines().filter(line -> !line.isBlank()).toList();
+        return lines.isEmpty() ? "" : lines.getLast();
+    }
+
+    /** Returns the index of the store host whose metrics say that it leads; the ignored ones are not asked. */
+    OptionalInt leadingStore(Set<Integer> ignored) {
+        return IntStream.range(0, stores)
+                .filter(index -> !ignored.contains(index))
+                .filter(index -> metrics(store(index)).lines().anyMatch(LEADS.asMatchPredicate()))
+                .findFirst();
+    }
+
     void startStore(int index, boolean firstStart) {
         String host = storeHost(index);
         write(store(index), """
@@ -285,6 +308,18 @@
                 .setVirtualHost(HOST);
     }
 
+    /** Sends a request without a body to an edge and closes the connection without waiting for the answer. */
+    void sendAndClose(int edge, String method, String path) {
+        String text = method + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nContent-Length: 0\r\n\r\n";
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(edgeHost(edge), callerPort), CALL_TIMEOUT_MILLISECONDS);
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        } catch (IOException unreachable) {
+            // The edge may be down; the caller doesn't learn whether the request arrived.
+            return;
+        }
+    }
+
     private static String url(String host, int port, String path) {
         return "http://" + host + ":" + port + path;
     }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -19,6 +19,12 @@
     /** A request whose body is this text, a hyphen and a number crashes every endpoint that runs it. */
     static final String POISON = "poison";
 
+    /** Begins the body of an item on which a model engine works for long. */
+    static final String SLOW = "slow-";
+
+    /** Begins the body of a score request that is answered 503. */
+    static final String FAILING_SCORE = "failing score ";
+
     static final String ANSWER_PREFIX = "answer to ";
     static final int TEXT_EVENTS = 10;
 
@@ -32,6 +38,7 @@
     private static final int MISDIRECTED_REQUEST = 421;
     private static final int MINIMUM_WORK_MILLISECONDS = 5;
     private static final int MAXIMUM_WORK_MILLISECONDS = 60;
+    private static final int MAXIMUM_SLOW_MILLISECONDS = 2_500;
     private static final String REPORT =
             "{\"Stage\":\"both\",\"Models\":[],\"Busy\":false,\"Sequence\":0,\"Waiting\":0,"
                     + "\"Running\":0,\"KvUsed\":0,\"KvTotal\":1000,\"Handles\":0}";
@@ -192,6 +199,20 @@
             crashUnder(exchange, Integer.parseInt(body.substring(POISON.length() + 1)));
             return;
         }
+        if (service.equals(SoakDeployment.ENGINES) || exchange.uri().equals(SoakSubmission.SCORER_PATH)) {
+            report.workArrived(id, exchange.header(PlatformHeaders.REQUEST_ID));
+        }
+        if (body.startsWith(FAILING_SCORE)) {
+            report.count("score requests that failed");
+            exchange.respond(503, "text/plain", new byte[0]);
+            return;
+        }
+        if (body.startsWith(SLOW)) {
+            String text = body.split(" ", 2)[0];
+            int slowWork = ThreadLocalRandom.current().nextInt(MAXIMUM_WORK_MILLISECONDS, MAXIMUM_SLOW_MILLISECONDS);
+            exchange.schedule(slowWork, () -> answer(exchange, text, Fault.NONE));
+            return;
+        }
         if (exchange.uri().startsWith(SoakDeployment.ORDER_PATH)) {
             report.orderRan(exchange.header(PlatformHeaders.REQUEST_ID));
         }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakFaults.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakFaults.java
@@ -3,16 +3,20 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Phaser;
+import java.util.stream.Collectors;
 
 /**
  * Injects faults from outside the processes: signals, restarts, configurations, and endpoints that crash or misbehave. Faults
  * come in series and overlap.
  *
- * <p>Invariant: at most a minority of the store hosts and at most half of the edges are affected at a time. The seed decides
+ * <p>Invariant: at most half of the edges are affected at a time, and at most a minority of the store hosts, except while the
+ * series of store faults takes their majority. The seed decides
  * which faults are started when; how they meet the traffic differs from run to run. {@link #run} is confined to one thread.
  */
 final class SoakFaults {
@@ -34,12 +38,32 @@
     /** Interval at which single answers break off beside all other faults, in milliseconds. */
     private static final long BREAK_INTERVAL_MILLISECONDS = 60;
 
+    private static final int CATCH_UP_MILLISECONDS = 3_000;
+
+    /** Longer than the 2.5 s after which another host leads, and than the 3 s after which {@link SoakEnds} reports work. */
+    private static final int MINIMUM_DISTURBANCE_MILLISECONDS = 3_500;
+
+    private static final int MAXIMUM_EXTENSION_MILLISECONDS = 3_000;
+
+    /** Time in which padded submissions make the log longer than the part of it that is retained. */
+    private static final int SNAPSHOT_MILLISECONDS = 8_000;
+
+    private static final int RESTART_MILLISECONDS = 1_200;
+    private static final int SERIES_RETRY_MILLISECONDS = 50;
+
+    /** Room for the other faults of store hosts between two of the series. */
+    private static final int MAXIMUM_SERIES_GAP_MILLISECONDS = 4_000;
+
+    /** Longer than several elections and the restart of a majority. */
+    private static final long LEADER_TIMEOUT_MILLISECONDS = 30_000;
+
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
 
     private final SoakDeployment deployment;
     private final SoakReport report;
     private final long seed;
     private final Random random;
+    private final SoakEndings endings;
     private final Set<String> affected = ConcurrentHashMap.newKeySet();
 
     /** Has one party for each fault in progress, and one for the thread that waits for their end. */
@@ -47,11 +71,21 @@
 
     private int configuration = 1;
 
-    SoakFaults(SoakDeployment deployment, SoakReport report, long seed) {
+    /** How the series of store faults disturbs store hosts, in its order. */
+    private enum StoreFault {
+        LEADER_PAUSED,
+        FOLLOWER_BEHIND,
+        MAJORITY_PAUSED,
+        KILLED_REPEATEDLY,
+        MAJORITY_KILLED
+    }
+
+    SoakFaults(SoakDeployment deployment, SoakReport report, long seed, SoakEndings endings) {
         this.deployment = deployment;
         this.report = report;
         this.seed = seed;
         this.random = new Random(seed);
+        this.endings = endings;
     }
 
     /** Starts faults for the given time and waits until all of them are over. */
@@ -59,6 +93,7 @@
         long end = SoakReport.now() + milliseconds;
         start(() -> nameLimits(end));
         start(() -> breakAnswersOff(end));
+        start(() -> disturbStores(end));
         while (SoakReport.now() < end) {
             startOne();
             SoakTraffic.pause(random.nextInt(MAXIMUM_GAP_MILLISECONDS));
@@ -85,7 +120,7 @@
     }
 
     private void affectEdge(int edge, String fault, Runnable action, boolean restart) {
-        affect(SoakDeployment.edge(edge), "edge-", deployment.edges() / 2, fault, () -> {
+        affect(Set.of(SoakDeployment.edge(edge)), "edge-", deployment.edges() / 2, fault, () -> {
             action.run();
             if (restart) {
                 deployment.startEdge(edge);
@@ -95,26 +130,130 @@
     }
 
     private void affectStore(int store, String fault, Runnable action, boolean restart) {
-        affect(SoakDeployment.store(store), "store-", (Math.min(deployment.stores(), 3) - 1) / 2, fault, () -> {
+        affect(Set.of(SoakDeployment.store(store)), "store-", (Math.min(deployment.stores(), 3) - 1) / 2, fault, () -> {
             action.run();
             if (restart) {
                 deployment.startStore(store, false);
             }
             // The next store host is affected only when this one has caught up.
-            SoakTraffic.pause(3_000);
+            SoakTraffic.pause(CATCH_UP_MILLISECONDS);
         });
     }
 
-    private void affect(String name, String kind, int maximum, String fault, Runnable action) {
-        long sameKind =
-                affected.stream().filter(other -> other.startsWith(kind)).count();
-        if (sameKind >= maximum || !affected.add(name)) {
-            return;
+    private boolean affect(Set<String> names, String kind, int maximum, String fault, Runnable action) {
+        if (!reserve(names, kind, maximum)) {
+            return false;
         }
         report.count("faults: " + fault);
+        report.ends().disturbanceBegan();
         start(() -> {
             action.run();
-            affected.remove(name);
+            affected.removeAll(names);
+            report.ends().disturbanceEnded(SoakReport.now());
+        });
+        return true;
+    }
+
+    private synchronized boolean reserve(Set<String> names, String kind, int maximum) {
+        long sameKind =
+                affected.stream().filter(other -> other.startsWith(kind)).count();
+        boolean mayAffect = sameKind + names.size() <= maximum && names.stream().noneMatch(affected::contains);
+        return mayAffect && affected.addAll(names);
+    }
+
+    /** Disturbs store hosts one way after the other, beside all other faults. The seed decides the first. */
+    private void disturbStores(long end) {
+        Random stores = new Random(seed * 71);
+        StoreFault[] faults = StoreFault.values();
+        for (int count = 0; SoakReport.now() < end; count++) {
+            StoreFault fault = faults[Math.floorMod(seed - 1 + count, faults.length)];
+            int duration = MINIMUM_DISTURBANCE_MILLISECONDS + stores.nextInt(MAXIMUM_EXTENSION_MILLISECONDS);
+            CountDownLatch over = new CountDownLatch(1);
+            int any = stores.nextInt(deployment.stores());
+            long deadline = SoakReport.now() + LEADER_TIMEOUT_MILLISECONDS;
+            while (!startStoreFault(fault, duration, any, over)) {
+                SoakTraffic.pause(SERIES_RETRY_MILLISECONDS);
+                if (SoakReport.now() > deadline) {
+                    report.violation(
+                            "no store host led, or one was disturbed, for " + LEADER_TIMEOUT_MILLISECONDS + " ms");
+                    return;
+                }
+            }
+            try {
+                over.await();
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+            SoakTraffic.pause(stores.nextInt(MAXIMUM_SERIES_GAP_MILLISECONDS));
+        }
+    }
+
+    private boolean startStoreFault(StoreFault fault, int duration, int any, CountDownLatch over) {
+        OptionalInt leader = deployment.leadingStore(Set.of());
+        if (leader.isEmpty()) {
+            return false;
+        }
+        int next = (leader.getAsInt() + 1) % deployment.stores();
+        List<Integer> majority = List.of(leader.getAsInt(), next);
+        return switch (fault) {
+            case LEADER_PAUSED ->
+                affectStores(
+                        List.of(leader.getAsInt()),
+                        "leader paused",
+                        over,
+                        () -> pauseLeader(leader.getAsInt(), duration));
+            case FOLLOWER_BEHIND ->
+                affectStores(List.of(next), "follower down until it needs a snapshot", over, () -> {
+                    endings.setPadded(true);
+                    kill(SoakDeployment.store(next), SNAPSHOT_MILLISECONDS);
+                    deployment.startStore(next, false);
+                    endings.setPadded(false);
+                });
+            case MAJORITY_PAUSED ->
+                affectStores(majority, "majority of the stores paused", over, () -> {
+                    majority.forEach(store -> deployment.processes().signal(SoakDeployment.store(store), "STOP"));
+                    SoakTraffic.pause(duration);
+                    majority.forEach(store -> deployment.processes().signal(SoakDeployment.store(store), "CONT"));
+                });
+            case KILLED_REPEATEDLY ->
+                affectStores(List.of(any), "store killed three times in a row", over, () -> {
+                    for (int count = 0; count < 3; count++) {
+                        kill(SoakDeployment.store(any), RESTART_MILLISECONDS);
+                        deployment.startStore(any, false);
+                        SoakTraffic.pause(RESTART_MILLISECONDS);
+                    }
+                });
+            case MAJORITY_KILLED ->
+                affectStores(majority, "majority of the stores killed", over, () -> {
+                    majority.forEach(store -> deployment.processes().kill(SoakDeployment.store(store)));
+                    SoakTraffic.pause(duration / 2);
+                    majority.forEach(store -> deployment.startStore(store, false));
+                });
+        };
+    }
+
+    /** Pauses a leader until another host has led for the given time and has acknowledged ends. */
+    private void pauseLeader(int leader, int milliseconds) {
+        deployment.processes().signal(SoakDeployment.store(leader), "STOP");
+        long deadline = SoakReport.now() + LEADER_TIMEOUT_MILLISECONDS;
+        while (deployment.leadingStore(Set.of(leader)).isEmpty() && SoakReport.now() < deadline) {
+            SoakTraffic.pause(SERIES_RETRY_MILLISECONDS);
+        }
+        SoakTraffic.pause(milliseconds);
+        deployment.processes().signal(SoakDeployment.store(leader), "CONT");
+    }
+
+    /** Affects store hosts while no other one is affected; returns false if one is. */
+    private boolean affectStores(List<Integer> stores, String fault, CountDownLatch over, Runnable action) {
+        Set<String> names = stores.stream().map(SoakDeployment::store).collect(Collectors.toUnmodifiableSet());
+        return affect(names, "store-", stores.size(), fault, () -> {
+            try {
+                action.run();
+                SoakTraffic.pause(CATCH_UP_MILLISECONDS);
+            } finally {
+                over.countDown();
+            }
         });
     }
 
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakReport.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakReport.java
@@ -32,11 +32,16 @@
 
     private final StallMonitor stalls = new StallMonitor();
     private final SoakLimits limits = new SoakLimits();
+    private final SoakEnds ends = new SoakEnds(stalls);
 
     StallMonitor stalls() {
         return stalls;
     }
 
+    SoakEnds ends() {
+        return ends;
+    }
+
     static long now() {
         return System.nanoTime() / 1_000_000;
     }
@@ -77,6 +82,11 @@
         reached.add(id);
     }
 
+    /** Records that an item or a score request arrived at an endpoint. */
+    void workArrived(String endpoint, String id) {
+        ends.arrived(id, endpoint, now()).ifPresent(this::violation);
+    }
+
     /** Returns whether a request has reached any endpoint. */
     boolean hasReached(String id) {
         return reached.contains(id);
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTool.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTool.java
@@ -47,6 +47,9 @@
     @Option(name = "--stream-callers", usage = "callers that read streams and resume them")
     private int streamCallers = 4;
 
+    @Option(name = "--ending-trainers", usage = "trainers that end their submissions early")
+    private int endingTrainers = 2;
+
     @Option(name = "--crashing", usage = "requests that crash endpoints")
     private int crashing = 3;
 
@@ -101,8 +104,9 @@
             Thread.ofVirtual().start(() -> announce(deployment));
             Thread.ofVirtual().start(() -> restartEndpoints(deployment));
             SoakTraffic.pause(2_000);
-            List<Thread> threads = startTraffic(deployment, traffic);
-            new SoakFaults(deployment, report, seed).run(seconds * 1_000L);
+            SoakEndings endings = new SoakEndings(deployment, report, seed, traffic::mayStart);
+            List<Thread> threads = startTraffic(deployment, traffic, endings);
+            new SoakFaults(deployment, report, seed, endings).run(seconds * 1_000L);
             SoakTraffic.pause(SETTLE_MILLISECONDS);
             deployment.endpoints().forEach(SoakEndpoint::endFaults);
             traffic.setCalm();
@@ -118,7 +122,7 @@
         }
     }
 
-    private List<Thread> startTraffic(SoakDeployment deployment, SoakTraffic traffic) {
+    private List<Thread> startTraffic(SoakDeployment deployment, SoakTraffic traffic, SoakEndings endings) {
         List<Thread> threads = new ArrayList<>();
         for (int caller = 0; caller < callers; caller++) {
             int number = caller;
@@ -133,6 +137,10 @@
             int number = caller;
             threads.add(Thread.ofVirtual().start(() -> streams.run(number)));
         }
+        for (int trainer = 0; trainer < endingTrainers; trainer++) {
+            int number = trainer;
+            threads.add(Thread.ofVirtual().start(() -> endings.run(number)));
+        }
         threads.add(Thread.ofVirtual().start(traffic::runTrainer));
         return threads;
     }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTraffic.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTraffic.java
@@ -1,13 +1,10 @@
 package io.rosemarybeam.testbed;
 
-import java.util.Base64;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -57,6 +54,11 @@
         return running;
     }
 
+    /** Returns whether trainers may send new submissions. */
+    boolean mayStart() {
+        return running && !calm;
+    }
+
     Set<String> openSubmissions() {
         return openSubmissions;
     }
@@ -133,7 +135,7 @@
     /** Submits batches of items and reads their results. */
     void runTrainer() {
         Random random = new Random(seed * 41);
-        while (running && !calm) {
+        while (mayStart()) {
             String id = newId("step");
             openSubmissions.add(id);
             while (running && !submit(id, random)) {
@@ -147,27 +149,14 @@
     }
 
     private boolean submit(String id, Random random) {
-        String items = IntStream.range(0, ITEMS)
-                .mapToObj(item -> "{\"Id\":\"" + id + "-" + item + "\",\"Path\":\"" + SoakDeployment.TRAINING_PATH
-                        + "x\",\"Headers\":{\"Rosemarybeam-Model\":\"model\"},\"Body\":\"" + encoded(id + "-" + item)
-                        + "\",\"TokenCount\":100,\"Group\":\"g\",\"Scorer\":{\"Id\":\"" + id + "-score-" + item
-                        + "\",\"Hostname\":\"" + SoakDeployment.HOST + "\",\"Path\":\"" + SoakDeployment.LOOKUP_PATH
-                        + "score\",\"Body\":\"" + encoded("score " + id + "-" + item) + "\"}}")
-                .collect(Collectors.joining(","));
-        String body = "{\"Step\":0,\"Model\":\"model\",\"OldestVersion\":1,\"GroupCount\":1,\"Items\":[" + items + "]}";
-        RequestBuilder request = deployment
-                .toEdge(random.nextInt(deployment.edges()), "POST", SoakDeployment.TRAINING_PATH + "x")
-                .setHeader(PlatformHeaders.REQUEST_ID, id)
-                .setBody(body);
+        SoakSubmission submission = new SoakSubmission(id, ITEMS, "", 0, 0);
+        report.ends().submitted(id, submission.work());
+        RequestBuilder request = submission.request(deployment, random.nextInt(deployment.edges()));
         int status = SoakDeployment.status(deployment.call(request));
         report.count("submissions answered " + status);
         return status == 202;
     }
 
-    private static String encoded(String text) {
-        return Base64.getEncoder().encodeToString(text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
-    }
-
     /** Reads the results of a submission, and closes it when all of them are listed. */
     void read(String id, Random random) {
         Response response = deployment.call(
