Record a score request only when it may be sent

A leader that resumed after a pause logged SCORE_REQUESTED for requests that SendAuthority then withheld, found by the soak. The rule is asked before the request is planned as well; what is withheld is repeated as before.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
@@ -79,6 +79,11 @@
             listener.abandoned("the scorer cannot be asked: " + failure.getMessage());
             return;
         }
+        Optional<SendAuthority.Refusal> refusal = authority.refusal(task);
+        if (refusal.isPresent()) {
+            scheduleRetry(task, currentTable, listener, "withheld: " + refusal.get());
+            return;
+        }
         Duration timeout = route.get().timeout();
         ForwardRequest request = new ForwardRequest(
                 scorer.id(),
