Renew the word of the majority in a log with one member

A log without other members sends nothing with a heartbeat, so that LogDriver recorded no round and the age of the majority's word only grew: half a second after the last entry such a leader would have withheld all work. The round is recorded in each pass.

--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -316,6 +316,8 @@
             return;
         }
         try {
+            // A log without other members has nothing to send for a round.
+            contact.recordRound(log, clock.milliseconds());
             while (log.hasReady()) {
                 Ready ready = log.ready();
                 contact.recordRound(log, clock.milliseconds());
--- a/rosemarybeam-control/src/test/java/io/rosemarybeam/control/LogDriverTest.java
+++ b/rosemarybeam-control/src/test/java/io/rosemarybeam/control/LogDriverTest.java
@@ -138,6 +138,17 @@
         return Files.exists(folder.resolve(name).resolve("snapshot.tmp"));
     }
 
+    /** Guards against a leader without other members that sends no work, because nobody answers its heartbeats. */
+    @Test
+    void shouldHaveARecentWordOfTheMajorityWhenItIsTheOnlyMember() {
+        start("control-1");
+
+        now += 1_000;
+        tick(LogOptions.standard(1).heartbeatTicks());
+
+        assertEquals(0, driver.majorityAge());
+    }
+
     /** Twelve hosts ended within 90 ms, because they took a snapshot at the same entry. */
     @Test
     void shouldStoreSnapshotsOfDifferentEntriesWhenSeveralMembersApplyTheSameCommands() throws IOException {
