Drop ends of unknown submissions before those that no leader has taken

When too many ends were pending the oldest was dropped, usually one that no leader had taken, and an end that was dropped while its caller's request was in progress was forgotten without a record: its items would run on. Found by the review of the change. PendingEndsTest has both cases; they fail on the former class by reading, which was not run.

--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/PendingEnds.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/PendingEnds.java
@@ -59,11 +59,20 @@
         Objects.requireNonNull(id, "id");
         LOG.log(Event.END_REQUESTED, "request", id, "caller", caller);
         if (!ends.containsKey(id) && ends.size() >= MAXIMUM_ENDS) {
-            drop(ends.keySet().iterator().next(), "more than " + MAXIMUM_ENDS + " ends are kept", now);
+            drop(leastImportant(), "more than " + MAXIMUM_ENDS + " ends are kept", now);
         }
         ends.computeIfAbsent(id, ignored -> new PendingEnd(now));
     }
 
+    /** Returns the oldest end that is only sent for copies, or else the oldest one, whose submission then runs on. */
+    private SubmissionId leastImportant() {
+        return ends.entrySet().stream()
+                .filter(entry -> entry.getValue().isForCopies())
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElseGet(() -> ends.keySet().iterator().next());
+    }
+
     /** Returns whether the end of a submission was taken, and the submission must therefore not be sent. */
     boolean isPending(SubmissionId id) {
         return ends.containsKey(id);
@@ -114,8 +123,8 @@
      * @param now the time
      */
     void keep(SubmissionId id, String reason, long now) {
-        PendingEnd end = ends.get(id);
-        if (end != null && !end.kept) {
+        PendingEnd end = ends.computeIfAbsent(id, ignored -> new PendingEnd(now));
+        if (!end.kept) {
             end.kept = true;
             end.nextAttempt = now + FIRST_PAUSE_MILLISECONDS;
             LOG.log(Event.END_KEPT, "request", id, "reason", reason, "age", now - end.takenAt);
@@ -165,7 +174,7 @@
 
     private void drop(SubmissionId id, String reason, long now) {
         PendingEnd end = ends.remove(id);
-        if (end.kept) {
+        if (!end.isForCopies()) {
             LOG.log(
                     Event.END_DROPPED,
                     "request",
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PendingEndsTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PendingEndsTest.java
@@ -66,6 +66,31 @@
         assertFalse(ends.isPending(SubmissionId.of("step-0")));
     }
 
+    /** Guards against an end that no leader has taken and that ends of unknown submissions displace. */
+    @Test
+    void shouldGiveUpAnEndOfAnUnknownSubmissionFirstWhenTooManyAreKept() {
+        keep(STEP, START);
+        for (int number = 0; number < PendingEnds.MAXIMUM_ENDS; number++) {
+            SubmissionId unknown = SubmissionId.of("unknown-" + number);
+            ends.take(unknown, "", START);
+            ends.acknowledge(unknown, Outcome.UNKNOWN, START);
+        }
+        assertTrue(ends.isPending(STEP));
+        assertFalse(ends.isPending(SubmissionId.of("unknown-0")));
+    }
+
+    /** Guards against an end that is forgotten because it was displaced while its caller's request was in progress. */
+    @Test
+    void shouldKeepAnEndThatWasDisplacedWhenItsCallerGotNoAnswer() {
+        ends.take(STEP, "", START);
+        for (int number = 0; number < PendingEnds.MAXIMUM_ENDS; number++) {
+            keep(SubmissionId.of("other-" + number), START);
+        }
+        assertFalse(ends.isPending(STEP));
+        ends.keep(STEP, "no leader is known", START);
+        assertTrue(ends.isPending(STEP));
+    }
+
     @Test
     void shouldLimitAttemptsInProgressWhenManyAreDue() {
         for (int number = 0; number <= PendingEnds.MAXIMUM_ATTEMPTS_IN_PROGRESS; number++) {
