Do not write a request after its deadline

After a stall of the event loop a connection that was opened meanwhile is handled before the deadline timer, so that the request was written with a remaining time from before the stall. The condition that is asked before the write refuses it now, as not run. A request that is withheld after an endpoint has answered with an error is answered with that error.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -402,13 +402,19 @@
 
     private void finishWithheld() {
         if (mayHaveRun) {
-            finish("withheld", BAD_GATEWAY);
-            sink.fail(BAD_GATEWAY);
+            finishWithoutAnswer();
         } else {
             finishRefused("withheld", MINIMUM_RETRY_MILLISECONDS);
         }
     }
 
+    /** Returns why the request must not be written any more; its time may be over when its connection opens after a stall. */
+    private Optional<String> refusal() {
+        return request.remaining() <= 0
+                ? Optional.of("deadline passed")
+                : request.condition().refusal();
+    }
+
     /** Ends the request as at its deadline: with status 504 if it may have run, else as refused. */
     public void expire() {
         if (finished) {
@@ -587,7 +593,7 @@
             EndpointClient.Request sent = new EndpointClient.Request(
                     endpoint.address(), request.method(), request.uri(), headers, request.body());
             try {
-                attempt = forwarder.client().send(sent, request.condition(), this);
+                attempt = forwarder.client().send(sent, ForwardCall.this::refusal, this);
             } catch (IllegalArgumentException failure) {
                 recordOutcome("not sent", failure.getMessage());
                 finishInvalid();
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -155,6 +155,23 @@
                 Optional.empty());
     }
 
+    /** Guards against a request that is written after its deadline, because this host was stalled while its connection opened. */
+    @Test
+    void shouldNotSendTheRequestWhenItsDeadlineHasPassedBeforeTheConnectionIsOpen() throws Exception {
+        ScriptedEndpoint endpoint = endpoint("a", OK);
+        ForwardRequest request = request(RouteKind.IDEMPOTENT, 100, false);
+
+        loop.submit(() -> {
+                    forwarder.forward(request, new RecordingSink());
+                    Thread.sleep(400);
+                    return true;
+                })
+                .sync();
+
+        assertEquals("refused", outcome());
+        assertTrue(endpoint.requests.isEmpty());
+    }
+
     /** Guards against an endpoint that is avoided, and a request that is repeated, although only this host may not send it. */
     @Test
     void shouldRefuseAsNotRunAndBlameNoEndpointWhenTheConditionWithholdsTheRequest() throws Exception {
