--- a/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/LateSend.java
+++ b/rosemarybeam-cli/src/main/java/io/rosemarybeam/cli/LateSend.java
@@ -8,7 +8,8 @@
 import io.rosemarybeam.common.event.Event;
 
 /**
- * An item or a score request that was sent after the end of its submission, with what shows the cause.
+ * An item or a score request that was sent after the end of its submission, with what shows the cause. What the sender withheld
+ * when the connection was open was planned and not sent, and is left out.
  *
  * <p>Times of several processes are compared by the clocks of their hosts. Immutable and safe for use by several threads.
  *
@@ -33,6 +34,7 @@
     static List<LateSend> find(List<LogRecord> path, List<LogRecord> records) {
         return path.stream()
                 .filter(record -> SEND_EVENTS.stream().anyMatch(record::is))
+                .filter(record -> !isWithheld(record, records))
                 .flatMap(sent ->
                         endBefore(sent, records)
                                 .map(end -> new LateSend(sent, end, disturbances(sent, records)))
@@ -40,6 +42,21 @@
                 .toList();
     }
 
+    /** The outcome of a run names the item, that of an attempt to get a score names the scorer's request. */
+    private static boolean isWithheld(LogRecord sent, List<LogRecord> records) {
+        boolean isRun = sent.is(Event.ITEM_RUN_STARTED);
+        Event outcome = isRun ? Event.ITEM_RUN_ENDED : Event.ATTEMPT_FAILED;
+        String id = sent.field(isRun ? "request" : "scorer");
+        return records.stream()
+                .filter(record -> record.process().equals(sent.process())
+                        && record.field("request").equals(id))
+                .filter(record -> !record.time().isBefore(sent.time()))
+                .filter(record -> record.is(outcome) || record.is(Event.REQUEST_FINISHED))
+                .findFirst()
+                .filter(record -> record.field("outcome").equalsIgnoreCase("withheld"))
+                .isPresent();
+    }
+
     private static Optional<LogRecord> endBefore(LogRecord sent, List<LogRecord> records) {
         return firstBefore(sent, Event.SUBMISSION_ENDED, records)
                 .or(() -> firstBefore(sent, Event.END_REQUESTED, records));
--- a/rosemarybeam-cli/src/test/java/io/rosemarybeam/cli/LateSendTest.java
+++ b/rosemarybeam-cli/src/test/java/io/rosemarybeam/cli/LateSendTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -84,6 +85,30 @@
         log = commands.write("stores.log", LOG);
     }
 
+    /** Guards against an explanation that blames a host for work that it withheld. */
+    @Test
+    void shouldNotNameWorkThatWasWithheld() {
+        List<String> withheld = List.of(
+                line("storage-fes-2", "24.000", Event.SUBMISSION_ENDED, "request", "step", "term", "3"),
+                run("storage-fes-1", "30.638", "late", "2", "13301"),
+                line("storage-fes-1", "30.640", Event.ITEM_RUN_ENDED, "request", "late", "outcome", "WITHHELD"),
+                line(
+                        "storage-fes-1",
+                        "30.700",
+                        Event.SCORE_REQUESTED,
+                        "submission",
+                        "step",
+                        "request",
+                        "late",
+                        "scorer",
+                        "score-1"),
+                line("storage-fes-1", "30.701", Event.ATTEMPT_FAILED, "request", "score-1", "outcome", "withheld"));
+
+        String text = explain("explain", "late", commands.write("withheld.log", String.join("\n", withheld) + "\n"));
+
+        assertFalse(text.contains("sent after the end"), text);
+    }
+
     private String explain(String... arguments) {
         Run run = commands.run(arguments);
         assertEquals(ExitCode.SUCCESS, run.code(), run.err());
