Confirm the leader for a permit after a stall, and play scores in the test of the stalled leader

A sound leader denied permits after each stall of more than 450 ms, and callers waited half a second, although one round trip shows whether it leads. The first tick of an election timeout may come at once, so the majority's word may be 450 ms old, not 500.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/PermitGranter.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/PermitGranter.java
@@ -3,8 +3,10 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
@@ -31,12 +33,20 @@
     private static final EventLog LOG = EventLog.of(PermitGranter.class);
 
     private final EventLoop loop;
+    private final Supplier<CompletableFuture<Void>> confirmation;
     private PermitQueue queue = new PermitQueue();
     private Optional<SendAuthority> authority = Optional.empty();
     private Future<?> timer;
 
-    PermitGranter(EventLoop loop) {
+    /**
+     * Creates an instance that denies every request until it is started.
+     *
+     * @param loop the event loop to which it is confined
+     * @param confirmation asks a majority whether this host leads; completes on the event loop
+     */
+    PermitGranter(EventLoop loop, Supplier<CompletableFuture<Void>> confirmation) {
         this.loop = loop;
+        this.confirmation = confirmation;
     }
 
     /** Starts to grant permits while an authority allows it. */
@@ -61,6 +71,15 @@
 
     /** Decides on a request; see {@link PermitQueue#request}. */
     void acquire(PermitRequest request, Consumer<PermitDecision> onDecision) {
+        if (isMajoritySilent()) {
+            // After a stall of this host one round trip shows whether it still leads.
+            confirmation.get().whenComplete((ignored, failure) -> decide(request, onDecision));
+        } else {
+            decide(request, onDecision);
+        }
+    }
+
+    private void decide(PermitRequest request, Consumer<PermitDecision> onDecision) {
         if (!mayGrant()) {
             onDecision.accept(noLeader());
             return;
@@ -91,6 +110,13 @@
         schedule();
     }
 
+    private boolean isMajoritySilent() {
+        return authority
+                .flatMap(SendAuthority::refusal)
+                .filter(SendAuthority.Refusal::isTemporary)
+                .isPresent();
+    }
+
     private boolean mayGrant() {
         return authority.filter(current -> current.refusal().isEmpty()).isPresent();
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/SendAuthority.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/SendAuthority.java
@@ -18,10 +18,11 @@
  */
 final class SendAuthority {
     /**
-     * Maximum age of the last word of a majority, in milliseconds: the minimum election timeout, which is 10 ticks of 50 ms.
-     * Followers do not vote for another leader within that time after they have heard of this one, unless they restart.
+     * Maximum age of the last word of a majority, in milliseconds: the minimum election timeout, of which the first of the 10
+     * ticks of 50 ms may come at once. Followers do not vote for another leader within that time after they have heard of this
+     * one, unless they restart or the leadership was handed over; work is then late by this time at most.
      */
-    static final long MAXIMUM_AGE_MILLISECONDS = 500;
+    static final long MAXIMUM_AGE_MILLISECONDS = 450;
 
     private final long term;
     private final LongSupplier majorityAge;
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -152,7 +152,7 @@
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointClient client = EndpointClient.of(loop);
     private final StreamOriginTable streams = new StreamOriginTable();
-    private final PermitGranter permits = new PermitGranter(loop);
+    private final PermitGranter permits = new PermitGranter(loop, this::confirmLeadership);
     private final AnswerLimit answerLimit = AnswerLimit.of(OutputBacklog.ofProcess());
     private final LeavingEndpoints leavingEndpoints = new LeavingEndpoints(directory, this::publishLeaving);
     private final GenerationFleet fleet = new GenerationFleet(directory, loads, permits::isAvailable, leavingEndpoints);
@@ -508,6 +508,10 @@
                 true);
     }
 
+    private CompletableFuture<Void> confirmLeadership() {
+        return driver.confirmLeadership(false);
+    }
+
     private void sendCrashes(List<EndpointCrash> changes) {
         EndpointNews news = EndpointNews.ofCrashes(changes);
         Broadcast.send(edges.keySet(), news);
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
@@ -40,6 +40,9 @@
     /** The item of each run and the last event that the caller had received. */
     final List<String> runs = new CopyOnWriteArrayList<>();
 
+    /** The ids of the received score requests, which get an answer without a score. */
+    final List<String> scores = new CopyOnWriteArrayList<>();
+
     /** The bodies of the received orders. */
     final List<String> orders = new CopyOnWriteArrayList<>();
 
@@ -54,6 +57,7 @@
         server = HttpServer.create(new InetSocketAddress(host, 0), 50);
         server.setExecutor(threads);
         server.createContext("/generate", this::generate);
+        server.createContext("/score", this::score);
         server.createContext("/api/report", this::report);
         server.createContext("/api/order", this::order);
         server.start();
@@ -154,6 +158,11 @@
         }
     }
 
+    private void score(HttpExchange exchange) throws IOException {
+        scores.add(exchange.getRequestHeaders().getFirst("Rosemarybeam-Request-Id"));
+        answer(exchange, 200, "");
+    }
+
     private void report(HttpExchange exchange) throws IOException {
         answer(
                 exchange,
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/PermitGranterTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/PermitGranterTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -31,7 +32,8 @@
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
     private final EventLoop loop = loops.next();
     private final AtomicLong majorityAge = new AtomicLong();
-    private final PermitGranter granter = new PermitGranter(loop);
+    private CompletableFuture<Void> confirmation = CompletableFuture.completedFuture(null);
+    private final PermitGranter granter = new PermitGranter(loop, () -> confirmation);
 
     @AfterEach
     void close() {
@@ -57,4 +59,23 @@
         majorityAge.set(0);
         assertEquals(new PermitDecision.Granted(ENDPOINT), acquire());
     }
+
+    /** Guards against a sound leader that denies permits for half a second after each stall. */
+    @Test
+    void shouldGrantThePermitWhenAMajorityConfirmsTheLeaderAfterAStall() throws InterruptedException {
+        SendAuthority authority = new SendAuthority(1, majorityAge::get, new StoreState());
+        loop.submit(() -> granter.start(List.of(LIMIT), authority)).sync();
+        Thread.sleep(TOKEN_MILLISECONDS);
+        majorityAge.set(SendAuthority.MAXIMUM_AGE_MILLISECONDS + 1);
+        confirmation = new CompletableFuture<>();
+        List<PermitDecision> decisions = new ArrayList<>();
+        PermitRequest request = new PermitRequest("r", List.of(ENDPOINT), 1, 0);
+        loop.submit(() -> granter.acquire(request, decisions::add)).sync();
+        assertEquals(List.of(), decisions);
+
+        majorityAge.set(0);
+        loop.submit(() -> confirmation.complete(null)).sync();
+
+        assertEquals(List.of(new PermitDecision.Granted(ENDPOINT)), decisions);
+    }
 }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/SendAuthorityTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/SendAuthorityTest.java
@@ -52,7 +52,7 @@
 
         assertEquals(Optional.of(Refusal.MAJORITY_SILENT), authority.refusal(task));
         assertEquals(
-                Optional.of("MAJORITY_SILENT in term 7, last word of a majority 501 ms ago"),
+                Optional.of("MAJORITY_SILENT in term 7, last word of a majority 451 ms ago"),
                 authority.condition().refusal());
     }
 
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StalledLeaderTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StalledLeaderTest.java
@@ -26,7 +26,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Guards against items of an ended submission that a former leader sends after a stall, before it knows of its successor. */
+/**
+ * Guards against items and score requests of an ended submission that a former leader sends after a stall, before it knows of its
+ * successor.
+ */
 class StalledLeaderTest {
     private static final SubmissionId SUBMISSION = SubmissionId.of("step-1");
 
@@ -58,7 +61,9 @@
         String configuration = """
                 {"Version":1,"Routes":[{"Name":"r","Hostname":"a.example","PathPrefix":"/x/","RouteType":"rollout",
                 "TimeoutMs":60000,"TargetLatencyMs":400,"RunAimMs":30000,"KeepS":40,"Backend":"engines","MaxAttempts":3,
-                "SingleVersion":false}],
+                "SingleVersion":false},
+                {"Name":"s","Hostname":"b.example","PathPrefix":"/score/","RouteType":"idempotent","TimeoutMs":2000,
+                "TargetLatencyMs":400,"Backend":"engines","MaxAttempts":3}],
                 "Services":[{"Name":"engines","HealthPath":"/healthz","MaxConnections":50,"Protocol":"h1","Tls":false,
                 "Engine":{"Capacity":4,"Models":[{"Name":"quotes"}]}}]}
                 """;
@@ -76,7 +81,7 @@
         engine.close();
     }
 
-    private static Submission submission() {
+    private static Submission submission(boolean hasScorers) {
         List<Submission.Item> items = IntStream.range(0, ITEMS)
                 .mapToObj(number -> new Submission.Item(
                         ItemId.of("i-" + number),
@@ -86,12 +91,16 @@
                         EVENTS,
                         0,
                         "g-" + number,
-                        Optional.empty()))
+                        scorer(number).filter(ignored -> hasScorers)))
                 .toList();
         return new Submission(
                 SUBMISSION, "a.example", "/x/1", 0, Optional.of(ModelName.of(FakeEngine.MODEL)), 1, ITEMS, items);
     }
 
+    private static Optional<Submission.Scorer> scorer(int number) {
+        return Optional.of(new Submission.Scorer("s-" + number, "b.example", "/score/x", new byte[0]));
+    }
+
     private int leader() {
         return StoreCluster.await("a host is leader", () -> {
             for (int host : cluster.running()) {
@@ -121,8 +130,20 @@
 
     @Test
     void shouldNotSendItemsAfterAStallWhenASuccessorHasEndedTheirSubmission() throws InterruptedException {
+        assertNothingIsSentAfterTheStall(false);
+    }
+
+    /** The texts become complete while the leader stalls, so that their scores are requested as soon as it goes on. */
+    @Test
+    void shouldNotRequestScoresAfterAStallWhenASuccessorHasEndedTheSubmission() throws InterruptedException {
+        assertNothingIsSentAfterTheStall(true);
+    }
+
+    private void assertNothingIsSentAfterTheStall(boolean hasScorers) throws InterruptedException {
         IntStream.range(0, ITEMS).forEach(number -> engine.setEventCount("i-" + number, EVENTS));
-        assertEquals(Outcome.DONE, cluster.ask(new SubmitBatch(submission())).outcome());
+        assertEquals(
+                Outcome.DONE,
+                cluster.ask(new SubmitBatch(submission(hasScorers))).outcome());
         StoreCluster.await("items run", () -> engine.runs.isEmpty() ? null : true);
         int former = leader();
         CountDownLatch stall = new CountDownLatch(1);
@@ -131,10 +152,12 @@
         assertEquals(Outcome.DONE, endAtAnotherHost(former));
         TimeUnit.MILLISECONDS.sleep(EVENTS);
         int runsAtTheEnd = engine.runs.size();
+        int scoresAtTheEnd = engine.scores.size();
         stall.countDown();
 
         TimeUnit.MILLISECONDS.sleep(OBSERVATION_MILLISECONDS);
         assertEquals(runsAtTheEnd, engine.runs.size(), () -> "runs " + engine.runs);
+        assertEquals(scoresAtTheEnd, engine.scores.size(), () -> "scores " + engine.scores);
         assertEquals(List.of(), failures);
     }
 }
