--- a/rosemarybeam-cli/src/test/java/io/rosemarybeam/cli/LateSendTest.java
+++ b/rosemarybeam-cli/src/test/java/io/rosemarybeam/cli/LateSendTest.java
@@ -87,7 +87,7 @@
 
     /** Guards against an explanation that blames a host for work that it withheld. */
     @Test
-    void shouldNotNameWorkThatWasWithheld() {
+    void shouldNotNameWorkThatWasWithheld() throws IOException {
         List<String> withheld = List.of(
                 line("storage-fes-2", "24.000", Event.SUBMISSION_ENDED, "request", "step", "term", "3"),
                 run("storage-fes-1", "30.638", "late", "2", "13301"),
