Exit with 0 after SIGTERM, and survive SIGHUP while settings are loaded

The Java runtime runs the shutdown hooks after SIGTERM but keeps the code of the signal, and the handler of SIGHUP was installed only after the start. All three handlers are now installed before the command line is read, and hang-ups are counted until the watcher of the settings file processes them. A signal before the main method still has the runtime's effect.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ServerProgram.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/ServerProgram.java
@@ -16,8 +16,8 @@
 /**
  * The command line of all server programs: the settings file, an option that only checks it, and help.
  *
- * <p>Invariant: exits with {@link #FAILED} if the process fails and with {@link #USAGE} for an invalid command line or
- * invalid settings, in which case nothing is started. Confined to the main thread.
+ * <p>Invariant: exits with 0 after SIGTERM or SIGINT, also while it starts, with {@link #FAILED} if the process fails and with
+ * {@link #USAGE} for an invalid command line or invalid settings, in which case nothing is started. Confined to the main thread.
  */
 public final class ServerProgram {
     /** Exit code of a process that failed. */
@@ -61,6 +61,7 @@
      */
     public static <S> void run(String name, String[] arguments, Function<Path, S> load, Consumer<S> serve) {
         ProcessFailure.endOnUncaughtErrors();
+        ProcessSignals.install();
         ServerProgram program = new ServerProgram(name);
         CmdLineParser parser = new CmdLineParser(program);
         try {
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/SettingsFileWatcher.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/settings/SettingsFileWatcher.java
@@ -1,16 +1,11 @@
 package io.rosemarybeam.common.settings;
 
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
-import io.rosemarybeam.common.event.Event;
-import io.rosemarybeam.common.event.EventLog;
-
 /**
  * Detects changes of a settings file, by polling it and on SIGHUP.
  *
@@ -20,11 +15,8 @@
     /** Polling interval, in seconds; new seeds must take effect within a few seconds. */
     private static final long POLL_SECONDS = 2;
 
-    private static final EventLog LOG = EventLog.of(SettingsFileWatcher.class);
-
     private final Path file;
     private final Runnable onChange;
-    private final Semaphore hangUpSignals = new Semaphore(0);
     private byte[] lastContent;
 
     private SettingsFileWatcher(Path file, Runnable onChange) {
@@ -41,38 +33,16 @@
      */
     public static void start(Path file, Runnable onChange) {
         SettingsFileWatcher watch = new SettingsFileWatcher(file, onChange);
-        watch.installHangUpHandler();
         Thread thread = new Thread(watch, "settings-watch");
         thread.setDaemon(true);
         thread.start();
     }
 
-    /**
-     * Installs the handler by reflection, because direct use of sun.misc.Signal fails to compile under {@code -Werror}.
-     */
-    private void installHangUpHandler() {
-        try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object release = Proxy.newProxyInstance(
-                    SettingsFileWatcher.class.getClassLoader(),
-                    new Class<?>[] {handler},
-                    (proxy, method, arguments) -> {
-                        hangUpSignals.release();
-                        return null;
-                    });
-            Object hangUp = signal.getConstructor(String.class).newInstance("HUP");
-            signal.getMethod("handle", signal, handler).invoke(null, hangUp, release);
-        } catch (ReflectiveOperationException unsupported) {
-            LOG.log(Event.SETTINGS_REFUSED, unsupported, "reason", "SIGHUP cannot be handled");
-        }
-    }
-
     @Override
     public void run() {
         try {
             while (true) {
-                boolean signalled = hangUpSignals.tryAcquire(POLL_SECONDS, TimeUnit.SECONDS);
+                boolean signalled = ProcessSignals.hangUps().tryAcquire(POLL_SECONDS, TimeUnit.SECONDS);
                 byte[] newContent = read();
                 if (signalled || !Arrays.equals(newContent, lastContent)) {
                     lastContent = newContent;
