--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
@@ -84,8 +84,8 @@
 
     void sendPending() {
         for (Map.Entry<MemberId, Progress> peer : peers.entrySet()) {
-            if (readRoundUnsent && !peer.getValue().isSendingSnapshot()) {
-                sendAppend(peer.getKey(), peer.getValue());
+            if (readRoundUnsent) {
+                sendReadRound(peer.getKey(), peer.getValue());
             }
             while (canSend(peer.getValue())) {
                 sendAppend(peer.getKey(), peer.getValue());
@@ -107,12 +107,24 @@
             progress.probeSent = false;
             if (progress.isSendingSnapshot()) {
                 continueSnapshotTransfer(id, progress);
-            } else {
-                sendAppend(id, progress);
             }
+            sendReadRound(id, progress);
         });
     }
 
+    /**
+     * Asks a member whether it follows this leader. A member that receives a snapshot is asked by an append after the start of
+     * the log, which every member can answer: parts of a snapshot carry no round, and a leader whose majority needs this member
+     * would otherwise have no word of a majority until the snapshot is installed.
+     */
+    private void sendReadRound(MemberId to, Progress progress) {
+        if (progress.isSendingSnapshot()) {
+            log.send(to, new LogMessage.Append(log.term(), 0, 0, List.of(), 0, readRound));
+        } else {
+            sendAppend(to, progress);
+        }
+    }
+
     /**
      * Resends a part that is considered lost, or starts again with a newer snapshot; otherwise sends an empty part, which
      * serves as heartbeat.
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -224,6 +224,36 @@
         assertEquals(1, snapshotPartsInFlightTo(behind));
     }
 
+    /** Guards against a leader that sends no work, because its only reachable follower receives a snapshot for seconds. */
+    @Test
+    void shouldConfirmThatItLeadsWhenItsMajorityReceivesASnapshot() {
+        Node behind = isolateBeyondRetainedEntries();
+        Node leader = leader();
+        cluster.isolated.clear();
+        cluster.nodes.values().stream()
+                .filter(node -> node != behind && node != leader)
+                .forEach(other -> cluster.isolated.add(other.id.name()));
+        while (snapshotPartsInFlightTo(behind) == 0) {
+            leader.log.tick();
+            leader.process();
+            cluster.deliver(0, false);
+        }
+        long round = leader.log.confirmationRound().orElseThrow();
+        cluster.network.removeIf(envelope -> envelope.message() instanceof LogMessage.SnapshotPart);
+
+        for (int tick = 0; tick < 4; tick++) {
+            leader.log.tick();
+            leader.process();
+            while (!cluster.network.isEmpty()) {
+                cluster.deliver(0, false);
+                behind.persist();
+            }
+        }
+
+        assertTrue(behind.applied < 500, "the snapshot is installed");
+        assertTrue(leader.log.confirmedRound().orElseThrow() > round, "no majority has answered since " + round);
+    }
+
     @Test
     void shouldResendPartOfSnapshotWhenItWasLost() {
         Node behind = isolateBeyondRetainedEntries();
