Withhold work in a planned stop only once the leadership is offered

Another member may lead at once only after it was requested to, which happens when it has caught up. SendAuthority now withholds work from then on; commands are still refused from the start of the transfer, so that the successor can catch up.

--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
@@ -39,6 +39,9 @@
     private final List<ConfirmedRead> confirmedReads = new ArrayList<>();
     private Optional<MemberId> transferTarget = Optional.empty();
     private int quorumChecksSinceTransfer;
+    /** Whether a member was requested to take the leadership over; it may lead at any time until the transfer is abandoned. */
+    private boolean leadershipOffered;
+
     /** Number of the last round of read confirmations; sent with every append and returned in its answer. */
     private long readRound = 1;
 
@@ -262,6 +265,7 @@
         quorumChecksSinceTransfer++;
         if (quorumChecksSinceTransfer > 1) {
             transferTarget = Optional.empty();
+            leadershipOffered = false;
         }
         return activeVoters >= log.membership().quorum();
     }
@@ -340,6 +344,10 @@
         return transferTarget.isPresent();
     }
 
+    boolean hasOfferedLeadership() {
+        return leadershipOffered;
+    }
+
     void transferTo(MemberId target) {
         transferTarget = Optional.of(target);
         quorumChecksSinceTransfer = 0;
@@ -349,6 +357,7 @@
     private void continueLeadershipTransfer() {
         transferTarget.ifPresent(target -> {
             if (matchIndex(target) == buffer.lastIndex()) {
+                leadershipOffered = true;
                 log.send(target, new LogMessage.TimeoutNow(log.term()));
             }
         });
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -224,9 +224,12 @@
         return leadership.map(state -> OptionalLong.of(state.confirmedRound())).orElseGet(OptionalLong::empty);
     }
 
-    /** Returns whether this member leads and has begun to transfer the leadership. */
-    public boolean isTransferring() {
-        return leadership.map(Leadership::isTransferring).orElse(false);
+    /**
+     * Returns whether this member leads and has requested another one to take the leadership over. That member may lead at once,
+     * whoever has heard of this leader meanwhile. A transfer whose target lags has not come that far.
+     */
+    public boolean hasOfferedLeadership() {
+        return leadership.map(Leadership::hasOfferedLeadership).orElse(false);
     }
 
     /** Advances the logical clock by one tick, which drives heartbeats and election timeouts. */
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -361,6 +361,24 @@
         assertEquals(target.id, leader().id);
     }
 
+    /** Guards against a leader that sends no work for the whole of a planned stop, because its successor lags. */
+    @Test
+    void shouldOfferTheLeadershipOnlyWhenItsSuccessorHasCaughtUp() {
+        Node target = follower();
+        cluster.isolated.add(target.id.name());
+        propose(10);
+        Node leader = leader();
+        leader.log.transferLeadership(target.id);
+        leader.process();
+        cluster.run(2);
+
+        assertFalse(leader.log.hasOfferedLeadership());
+        cluster.isolated.clear();
+        leader.log.transferLeadership(target.id);
+        cluster.run(20);
+        assertEquals(target.id, leader().id);
+    }
+
     @Test
     void shouldSyncOnceWhenManyProposalsArriveTogether() {
         LogCluster alone = cluster(1);
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -296,10 +296,10 @@
      * Returns the age of the last word of a majority that this host leads, counted from the time at which it was asked for.
      * Unlike {@link #confirmLeadership} it asks nobody; each heartbeat renews it.
      *
-     * @return the age in milliseconds; {@link Long#MAX_VALUE} if this host does not lead, or is handing the leadership over
+     * @return the age in milliseconds; {@link Long#MAX_VALUE} if this host does not lead, or has offered the leadership
      */
     public long majorityAge() {
-        return stopped || log.isTransferring() ? Long.MAX_VALUE : contact.age(log, clock.milliseconds());
+        return stopped || log.hasOfferedLeadership() ? Long.MAX_VALUE : contact.age(log, clock.milliseconds());
     }
 
     /** Schedules one pass for all inputs that arrive together, so that one sync covers all their entries. */
