--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -445,7 +445,7 @@
 
     private void takeSnapshotIfDue() {
         long now = clock.milliseconds();
-        if (!snapshots.isDue(now)) {
+        if (!snapshots.isDue(now, log.membership())) {
             return;
         }
         SnapshotAttempt attempt = new SnapshotAttempt(
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/SnapshotSchedule.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/SnapshotSchedule.java
@@ -3,6 +3,7 @@
 import java.util.SplittableRandom;
 
 import io.rosemarybeam.consensus.MemberId;
+import io.rosemarybeam.consensus.Membership;
 
 /**
  * Decides when a member takes its next snapshot.
@@ -14,8 +15,8 @@
  * run, and different members draw different ones.
  *
  * <p>After a start, and after a failure, a snapshot that is due waits: what failed for lack of memory or space would otherwise
- * fail again at once, also in a process that was started because the one before ended. The waits are drawn as well, because
- * members often start and fail together.
+ * fail again at once, also in a process that was started because the one before ended. Members often start together, so that
+ * each one waits for its own part of a common period; the waits after a failure are drawn.
  *
  * <p>Invariant: at most one snapshot is in progress. Confined to the thread of the log driver.
  */
@@ -27,9 +28,9 @@
     static final long MEAN_BYTES = 4L * 1024 * 1024;
 
     /**
-     * Minimum time from the start of the process to its first snapshot, in milliseconds; the draw at most doubles it. Hosts that
-     * ended for lack of memory in their first snapshot ended again every 3.3 s. Three times that leaves them time to serve
-     * between two attempts, while the log grows by some MB.
+     * Minimum time from the start of the process to its first snapshot, in milliseconds; the last member waits almost twice as
+     * long. Hosts that ended for lack of memory in their first snapshot ended again every 3.3 s. Three times that leaves them
+     * time to serve between two attempts, while the log grows by some MB.
      */
     static final long FIRST_SNAPSHOT_DELAY_MILLISECONDS = 10_000;
 
@@ -44,13 +45,20 @@
 
     private static final double MINIMUM_FACTOR = 0.5;
 
+    /** Largest share of a member's part of the period that is drawn; the rest separates it from the next member. */
+    private static final double DRAWN_SHARE = 0.5;
+
+    private final MemberId self;
     private final SplittableRandom random;
+    private final long startedAt;
+    private final double firstDraw;
     private double factor;
     private long notBefore;
     private long entries;
     private long bytes;
     private int failures;
     private boolean retries;
+    private boolean hasBegun;
     private boolean inProgress;
 
     /**
@@ -60,9 +68,12 @@
      * @param now monotonic time, in milliseconds
      */
     SnapshotSchedule(MemberId self, long now) {
+        this.self = self;
         random = new SplittableRandom(31 * self.incarnation() + self.name().hashCode());
         drawFactor();
-        notBefore = now + spread(FIRST_SNAPSHOT_DELAY_MILLISECONDS);
+        startedAt = now;
+        firstDraw = DRAWN_SHARE * random.nextDouble();
+        notBefore = now;
     }
 
     private void drawFactor() {
@@ -86,10 +97,28 @@
         retries = false;
     }
 
-    /** Returns whether a snapshot is to be taken at a monotonic time in milliseconds. */
-    boolean isDue(long now) {
+    /**
+     * Returns whether a snapshot is to be taken.
+     *
+     * @param now monotonic time, in milliseconds
+     * @param membership the members that may have started together with this one
+     */
+    boolean isDue(long now, Membership membership) {
         boolean reached = entries >= factor * MEAN_ENTRIES || bytes >= factor * MEAN_BYTES;
-        return !inProgress && (reached || retries) && now >= notBefore;
+        return !inProgress
+                && (reached || retries)
+                && now >= notBefore
+                && (hasBegun || now >= firstSnapshotAt(membership));
+    }
+
+    /** Returns the start of this member's part of the period in which all members take their first snapshots. */
+    private long firstSnapshotAt(Membership membership) {
+        long position = membership.members().stream()
+                .filter(member -> member.id().compareTo(self) < 0)
+                .count();
+        int parts = Math.max(1, membership.members().size());
+        double share = (position + firstDraw) / parts;
+        return startedAt + (long) ((1 + share) * FIRST_SNAPSHOT_DELAY_MILLISECONDS);
     }
 
     /**
@@ -99,6 +128,7 @@
      */
     int begin() {
         inProgress = true;
+        hasBegun = true;
         retries = false;
         entries = 0;
         bytes = 0;
--- a/rosemarybeam-control/src/test/java/io/rosemarybeam/control/SnapshotScheduleTest.java
+++ b/rosemarybeam-control/src/test/java/io/rosemarybeam/control/SnapshotScheduleTest.java
@@ -5,8 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
 
+import io.rosemarybeam.consensus.Member;
 import io.rosemarybeam.consensus.MemberId;
+import io.rosemarybeam.consensus.Membership;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -21,8 +25,18 @@
     /** Time after which the first snapshot of any member no longer waits, in milliseconds. */
     private static final long STARTED = 2 * SnapshotSchedule.FIRST_SNAPSHOT_DELAY_MILLISECONDS;
 
+    private static final Membership MEMBERSHIP = new Membership(
+            IntStream.rangeClosed(1, MEMBERS)
+                    .mapToObj(member -> new Member(id(member), "host:" + member))
+                    .toList(),
+            List.of());
+
+    private static MemberId id(int member) {
+        return new MemberId("storage-tanger-" + member, 1);
+    }
+
     private static SnapshotSchedule schedule(int member) {
-        return new SnapshotSchedule(new MemberId("storage-tanger-" + member, 1), 0);
+        return new SnapshotSchedule(id(member), 0);
     }
 
     /** Returns the entries after which a member takes its snapshots, each of which lasts as long as no entry. */
@@ -31,7 +45,7 @@
         List<Integer> taken = new ArrayList<>();
         for (int entry = 1; entry <= entries; entry++) {
             schedule.applied(entryBytes);
-            if (schedule.isDue(STARTED)) {
+            if (schedule.isDue(STARTED, MEMBERSHIP)) {
                 schedule.begin();
                 schedule.succeeded();
                 taken.add(entry);
@@ -93,8 +107,29 @@
         SnapshotSchedule schedule = schedule(1);
         makeDue(schedule);
 
-        assertFalse(schedule.isDue(SnapshotSchedule.FIRST_SNAPSHOT_DELAY_MILLISECONDS - 1));
-        assertTrue(schedule.isDue(STARTED));
+        assertFalse(schedule.isDue(SnapshotSchedule.FIRST_SNAPSHOT_DELAY_MILLISECONDS - 1, MEMBERSHIP));
+        assertTrue(schedule.isDue(STARTED, MEMBERSHIP));
+    }
+
+    /** Two of three hosts that started together began within 4 ms, and three of them in one part of a second. */
+    @Test
+    void shouldTakeFirstSnapshotsApartWhenMembersStartTogether() {
+        TreeSet<Long> due = new TreeSet<>();
+        for (int member = 1; member <= MEMBERS; member++) {
+            SnapshotSchedule schedule = schedule(member);
+            makeDue(schedule);
+            long now = 0;
+            while (!schedule.isDue(now, MEMBERSHIP)) {
+                now++;
+            }
+            due.add(now);
+        }
+
+        assertEquals(MEMBERS, due.size(), "first snapshots at " + due);
+        long gap = SnapshotSchedule.FIRST_SNAPSHOT_DELAY_MILLISECONDS / MEMBERS / 2;
+        for (Long time : due) {
+            assertTrue(due.subSet(time + 1, time + gap).isEmpty(), "first snapshots at " + due);
+        }
     }
 
     @Test
@@ -104,20 +139,20 @@
         long now = STARTED;
         long minimum = SnapshotSchedule.RETRY_DELAY_MILLISECONDS;
         for (int attempt = 1; attempt <= 8; attempt++) {
-            assertTrue(schedule.isDue(now));
+            assertTrue(schedule.isDue(now, MEMBERSHIP));
             assertEquals(attempt, schedule.begin());
-            assertFalse(schedule.isDue(now), "one snapshot at a time");
+            assertFalse(schedule.isDue(now, MEMBERSHIP), "one snapshot at a time");
             long delay = schedule.failed(now);
             assertTrue(delay >= minimum && delay < 2 * minimum, "delay of " + delay + " after attempt " + attempt);
-            assertFalse(schedule.isDue(now + delay - 1));
+            assertFalse(schedule.isDue(now + delay - 1, MEMBERSHIP));
             now += delay;
             minimum = Math.min(2 * minimum, SnapshotSchedule.MAXIMUM_RETRY_DELAY_MILLISECONDS);
         }
         schedule.begin();
         schedule.succeeded();
-        assertFalse(schedule.isDue(now));
+        assertFalse(schedule.isDue(now, MEMBERSHIP));
         makeDue(schedule);
-        assertTrue(schedule.isDue(now));
+        assertTrue(schedule.isDue(now, MEMBERSHIP));
         assertEquals(1, schedule.begin());
     }
 
@@ -130,6 +165,6 @@
 
         schedule.installed();
 
-        assertFalse(schedule.isDue(STARTED + delay));
+        assertFalse(schedule.isDue(STARTED + delay, MEMBERSHIP));
     }
 }
