Say in the soak where a request ran that failed in the calm phase

The report could not tell a fault of the programs from an order at an endpoint that another caller's crashing request has just ended. A violation now names the endpoints that the request has reached and the crashing requests that ended them afterwards.

--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakEndpoint.java
@@ -195,7 +195,7 @@
         report.requestArrived(id, exchange.header(PlatformHeaders.REQUEST_ID));
         String body = new String(exchange.body(), StandardCharsets.UTF_8);
         if (body.startsWith(POISON)) {
-            report.crashed(body);
+            report.crashed(id, body);
             crashUnder(exchange, Integer.parseInt(body.substring(POISON.length() + 1)));
             return;
         }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakReport.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakReport.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -25,8 +24,9 @@
 
     private final Map<String, AtomicInteger> counts = new ConcurrentSkipListMap<>();
     private final Map<String, List<Long>> crashTimes = new ConcurrentHashMap<>();
+    private final List<Crash> crashes = new CopyOnWriteArrayList<>();
     private final Map<String, AtomicInteger> orderRuns = new ConcurrentHashMap<>();
-    private final Set<String> reached = ConcurrentHashMap.newKeySet();
+    private final Map<String, List<Arrival>> arrivals = new ConcurrentHashMap<>();
     private final Map<String, Integer> orderAnswers = new ConcurrentHashMap<>();
     private final List<String> violations = new CopyOnWriteArrayList<>();
 
@@ -60,7 +60,8 @@
     }
 
     /** Records that a request with this body crashed an endpoint. */
-    void crashed(String body) {
+    void crashed(String endpoint, String body) {
+        crashes.add(new Crash(endpoint, body, now()));
         crashTimes
                 .computeIfAbsent(body, ignored -> new CopyOnWriteArrayList<>())
                 .add(now());
@@ -79,7 +80,27 @@
     /** Records that a request arrived at an endpoint. */
     void requestArrived(String endpoint, String id) {
         limits.requestArrived(endpoint);
-        reached.add(id);
+        arrivals.computeIfAbsent(id, ignored -> new CopyOnWriteArrayList<>()).add(new Arrival(endpoint, now()));
+    }
+
+    /**
+     * Returns which endpoints a request has reached, and which crashing requests ended them afterwards, with the time of each
+     * event since the request was sent.
+     *
+     * @param id id of the request
+     * @param sentAt monotonic time at which it was sent, in milliseconds
+     */
+    String describeRuns(String id, long sentAt) {
+        StringBuilder text = new StringBuilder();
+        for (Arrival arrival : arrivals.getOrDefault(id, List.of())) {
+            text.append(String.format("; reached %s after %d ms", arrival.endpoint, arrival.time - sentAt));
+            crashes.stream()
+                    .filter(crash -> crash.endpoint.equals(arrival.endpoint) && crash.time >= arrival.time)
+                    .findFirst()
+                    .ifPresent(crash -> text.append(
+                            String.format(", which %s ended after %d ms", crash.body, crash.time - sentAt)));
+        }
+        return text.isEmpty() ? "; reached no endpoint" : text.toString();
     }
 
     /** Records that an item or a score request arrived at an endpoint. */
@@ -89,7 +110,7 @@
 
     /** Returns whether a request has reached any endpoint. */
     boolean hasReached(String id) {
-        return reached.contains(id);
+        return arrivals.containsKey(id);
     }
 
     /** Records that an endpoint ran a non-idempotent request. */
@@ -140,4 +161,10 @@
                         text.append("VIOLATION: ").append(violation).append('\n'));
         return text.toString();
     }
+
+    /** A request that arrived at an endpoint, at a monotonic time in milliseconds. Immutable. */
+    private record Arrival(String endpoint, long time) {}
+
+    /** An endpoint that was ended by a crashing request, at a monotonic time in milliseconds. Immutable. */
+    private record Crash(String endpoint, String body, long time) {}
 }
--- a/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTraffic.java
+++ b/rosemarybeam-testbed/src/main/java/io/rosemarybeam/testbed/SoakTraffic.java
@@ -99,7 +99,8 @@
         if (report.stalls().hasStalledSince(sentAt - STALL_EFFECT_MILLISECONDS)) {
             report.count("not judged, because the machine stalled");
         } else {
-            report.violation(id + " was answered " + status + " although all was calm");
+            report.violation(id + " was answered " + status + " although all was calm, " + (SoakReport.now() - sentAt)
+                    + " ms after it was sent" + report.describeRuns(id, sentAt));
         }
     }
 
