Apply committed entries also while the disk of this host does not return

A leader whose own disk stalled went on leading, because heartbeats and rounds of confirmations need no disk, but applied nothing that the other members had committed.

Entries were delivered only up to the last one that was durable here. A committed entry is durable on a majority, which is all that its application needs: this host finds it again in the log of any later leader.

ReplicatedLogTest#shouldApplyCommittedEntriesWhenTheDiskOfTheLeaderDoesNotReturn failed before (applied 2, committed 3 after 20 ticks).

--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -490,7 +490,7 @@
         return canPersist
                 || !messages.isEmpty()
                 || (stateIsDurable() && deferredMessages.hasReleasable(buffer.durableIndex()))
-                || deliveredIndex < Math.min(commitIndex, buffer.durableIndex())
+                || hasCommitted()
                 || leadership.map(Leadership::hasPending).orElse(false);
     }
 
@@ -526,16 +526,29 @@
         return new Ready(hardStateToPersist, snapshotToPersist, entries, outgoing, takeCommitted(), reads);
     }
 
+    /**
+     * Returns whether committed entries can be delivered. A majority has stored them, so that they need not be durable here: a
+     * leader whose own disk does not return would otherwise lead on without applying what the others have committed. A
+     * snapshot that is being installed comes first.
+     */
+    private boolean hasCommitted() {
+        return deliveredIndex < commitIndex && snapshotToInstall.isEmpty() && !snapshotPersisting;
+    }
+
     private List<LogEntry> takeCommitted() {
-        long last = Math.min(commitIndex, buffer.durableIndex());
-        if (deliveredIndex >= last) {
+        if (!hasCommitted()) {
             return List.of();
         }
-        List<LogEntry> committed = buffer.between(deliveredIndex + 1, last, options.maximumProposalBytes());
+        List<LogEntry> committed = buffer.between(deliveredIndex + 1, commitIndex, options.maximumProposalBytes());
         deliveredIndex = committed.getLast().index();
         return committed;
     }
 
+    /** Returns whether all entries up to an index are durable on this member. */
+    public boolean isDurable(long index) {
+        return index <= buffer.durableIndex();
+    }
+
     /**
      * Returns the first entry to retain when a snapshot is taken. Entries that the snapshot covers are retained so that
      * members which lag a little receive entries instead of the snapshot.
@@ -562,7 +575,7 @@
      * Adopts a snapshot that the driver has taken and persisted, and discards older entries. Does nothing if the log
      * already has a snapshot of the same or a later entry.
      *
-     * @param newSnapshot the snapshot, taken after an entry that {@link Ready#committed} contained
+     * @param newSnapshot the snapshot, taken after an entry that {@link Ready#committed} contained and that is durable
      * @param firstRetained index of the first entry to retain
      */
     public void compact(LogSnapshot newSnapshot, long firstRetained) {
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -394,6 +394,39 @@
         assertEquals(only.log.lastIndex(), only.applied);
     }
 
+    /** Advances all members by one tick and delivers all messages, while the disk of one member does not return. */
+    private void runWithHangingDisk(Node slow) {
+        List<Node> others =
+                cluster.nodes.values().stream().filter(node -> node != slow).toList();
+        cluster.nodes.values().forEach(node -> {
+            node.log.tick();
+            node.process();
+        });
+        others.forEach(Node::persist);
+        for (int message = 0; message < 2_000 && !cluster.network.isEmpty(); message++) {
+            cluster.deliver(0, false);
+            others.forEach(Node::persist);
+        }
+    }
+
+    /** Guards against a leader that sends work of submissions whose ends the others have committed, because its disk hangs. */
+    @Test
+    void shouldApplyCommittedEntriesWhenTheDiskOfTheLeaderDoesNotReturn() {
+        Node slow = leader();
+        cluster.propose();
+        long index = slow.log.lastIndex();
+        for (int tick = 0; tick < 20; tick++) {
+            runWithHangingDisk(slow);
+        }
+
+        assertEquals(slow.id, leader().id);
+        assertTrue(slow.applied >= index, "applied " + slow.applied + ", committed " + slow.log.commitIndex());
+        assertFalse(slow.log.isDurable(index));
+        slow.crash();
+        cluster.run(50);
+        assertTrue(slow.applied >= index, "the entry is lost after a restart");
+    }
+
     @Test
     void shouldKeepLeadingWhenDisksOfFollowersAreSlow() {
         Node leader = leader();
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -445,7 +445,8 @@
 
     private void takeSnapshotIfDue() {
         long now = clock.milliseconds();
-        if (!snapshots.isDue(now, log.membership())) {
+        // A snapshot replaces entries of the stored log, so that all applied ones must be in it.
+        if (!snapshots.isDue(now, log.membership()) || !log.isDurable(applied)) {
             return;
         }
         SnapshotAttempt attempt = new SnapshotAttempt(
