Hand the leadership over to the member that holds most of the log

In a planned stop of a leader every command, ends included, was refused for up to 1.5 s if the disk of its successor did not return, and for as long as that disk hung if the leader was retired. The successor was the first active voter: one with a hanging disk answers heartbeats, counts as active, and never catches up, while each renewal of the transfer keeps commands refused.

Store and control hosts now ask the log for the active voter with the largest matching index. If no voter can catch up, nothing commits either.

The choice is a new method, so that its test could not run before.

--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -1,6 +1,7 @@
 package io.rosemarybeam.consensus;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
@@ -8,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 
 import io.rosemarybeam.common.error.ControlException;
 import io.rosemarybeam.common.error.ErrorCode;
@@ -197,6 +199,21 @@
         return answered || (role == Role.LEADER && member.equals(self));
     }
 
+    /**
+     * Returns the voter that can take the leadership over first: of the active ones, the one that holds most of the log. One
+     * whose disk does not return answers heartbeats and never catches up, while commands are refused.
+     *
+     * @param isEligible whether a voter may lead
+     * @return the voter; empty if no other one is active and eligible, or if this member does not lead
+     */
+    public Optional<MemberId> successor(Predicate<MemberId> isEligible) {
+        return membership().voters().stream()
+                .map(Member::id)
+                .filter(id -> !id.equals(self) && isActive(id) && isEligible.test(id))
+                .max(Comparator.comparing((MemberId id) -> matchIndex(id).orElse(0L))
+                        .thenComparing(Comparator.<MemberId>reverseOrder()));
+    }
+
     /**
      * Returns whether this member leads and has committed an entry of its own term. Only then does it know that its
      * commit index covers all entries committed in earlier terms, so reads and membership changes wait for it.
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -427,6 +427,24 @@
         assertTrue(slow.applied >= index, "the entry is lost after a restart");
     }
 
+    /** Guards against commands that are refused during a whole planned stop, because the successor cannot catch up. */
+    @Test
+    void shouldChooseASuccessorThatHoldsTheLogWhenTheDiskOfAnotherDoesNotReturn() {
+        for (Node slow : List.copyOf(cluster.nodes.values())) {
+            if (slow == leader()) {
+                continue;
+            }
+            cluster.propose();
+            for (int tick = 0; tick < 10; tick++) {
+                runWithHangingDisk(slow);
+            }
+
+            assertTrue(leader().log.isActive(slow.id));
+            assertFalse(leader().log.successor(id -> true).equals(Optional.of(slow.id)));
+            cluster.run(10);
+        }
+    }
+
     @Test
     void shouldKeepLeadingWhenDisksOfFollowersAreSlow() {
         Node leader = leader();
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/ControlProcess.java
@@ -241,10 +241,7 @@
 
     private void transferLeadership(CompletableFuture<Void> transferred, long deadline) {
         ReplicatedLog log = driver.log();
-        Optional<MemberId> successor = log.membership().voters().stream()
-                .map(Member::id)
-                .filter(id -> !id.equals(self) && log.isActive(id))
-                .findFirst();
+        Optional<MemberId> successor = log.successor(id -> true);
         boolean leads = log.role() == ReplicatedLog.Role.LEADER;
         if (!leads || successor.isEmpty() || clock.milliseconds() >= deadline) {
             transferred.complete(null);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreMembers.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreMembers.java
@@ -78,12 +78,8 @@
 
     /** Returns the voter that leadership is handed over to when this host stops or is retired. */
     Optional<MemberId> successor() {
-        ReplicatedLog log = driver.log();
         Set<String> retiring = retiringHosts();
-        return log.membership().voters().stream()
-                .map(Member::id)
-                .filter(id -> !id.equals(self) && log.isActive(id) && !retiring.contains(id.name()))
-                .findFirst();
+        return driver.log().successor(id -> !retiring.contains(id.name()));
     }
 
     /**
