Withhold a request that is handed on after its deadline

An edge that was stalled while its connection to another edge opened handed the request on after its caller's time was over, and the other edge let an endpoint run it. Requests to endpoints have been asked for their time when they are written since; the hand-over between edges was not. Both now use ForwardRequest#refusal, and a request that is withheld counts as not run.

HandedOnAttemptTest#shouldNotHandTheRequestOnWhenItsDeadlineHasPassedBeforeTheConnectionIsOpen failed before: the request was written 300 ms after its deadline.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -408,13 +408,6 @@
         }
     }
 
-    /** Returns why the request must not be written any more; its time may be over when its connection opens after a stall. */
-    private Optional<String> refusal() {
-        return request.remaining() <= 0
-                ? Optional.of("deadline passed")
-                : request.condition().refusal();
-    }
-
     /** Ends the request as at its deadline: with status 504 if it may have run, else as refused. */
     public void expire() {
         if (finished) {
@@ -593,7 +586,7 @@
             EndpointClient.Request sent = new EndpointClient.Request(
                     endpoint.address(), request.method(), request.uri(), headers, request.body());
             try {
-                attempt = forwarder.client().send(sent, ForwardCall.this::refusal, this);
+                attempt = forwarder.client().send(sent, request::refusal, this);
             } catch (IllegalArgumentException failure) {
                 recordOutcome("not sent", failure.getMessage());
                 finishInvalid();
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
@@ -79,6 +79,11 @@
         return deadline - Forwarder.now();
     }
 
+    /** Returns why the request must not be written any more; its time may be over when its connection opens after a stall. */
+    Optional<String> refusal() {
+        return remaining() <= 0 ? Optional.of("deadline passed") : condition.refusal();
+    }
+
     /** Returns the maximum number of attempts of this host; another host may have made some of those of the route. */
     int maximumAttempts() {
         int used = handedOn.map(HandedOn::attempts).orElse(0);
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnAttempt.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/HandedOnAttempt.java
@@ -65,7 +65,9 @@
         headers.set(PlatformHeaders.DEADLINE, Math.max(1, request.remaining()));
         HandedOnHeaders.set(headers, handedOn);
         attempt = client.send(
-                new EndpointClient.Request(address, request.method(), request.uri(), headers, request.body()), this);
+                new EndpointClient.Request(address, request.method(), request.uri(), headers, request.body()),
+                request::refusal,
+                this);
     }
 
     void cancel() {
@@ -133,7 +135,7 @@
     @Override
     public void onFailure(Failure failure, String reason) {
         buffered.discard();
-        if (failure == Failure.NOT_SENT) {
+        if (failure == Failure.NOT_SENT || failure == Failure.WITHHELD) {
             receiver.onNotRun(reason);
         } else {
             receiver.onFailed(reason);
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/HandedOnAttemptTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/HandedOnAttemptTest.java
@@ -1,18 +1,35 @@
 package io.rosemarybeam.forward;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.rosemarybeam.common.collection.ByteBudget;
+import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.decision.routing.Route;
+import io.rosemarybeam.decision.routing.RouteKind;
+import io.rosemarybeam.forward.ForwardRequest.HandedOn;
 import io.rosemarybeam.platform.EndpointAnswer;
+import io.rosemarybeam.platform.EndpointClient;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 /** Guards against answers of other hosts that pass for answers of endpoints, and requests that run twice because of them. */
@@ -81,6 +98,57 @@
         assertEquals(expected, String.join(", ", outcomes));
     }
 
+    private static ForwardRequest request(long milliseconds) {
+        Route route = Route.builder()
+                .matching("r", "a.example", "/")
+                .kind(RouteKind.IDEMPOTENT)
+                .requestTimes(Duration.ofSeconds(2), Duration.ofMillis(300))
+                .split(List.of(new Route.Share(ServiceName.of("desk"), 1)))
+                .maximumAttempts(2)
+                .build();
+        HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.HOST, "a.example");
+        return new ForwardRequest(
+                "r1",
+                route,
+                ServiceName.of("desk"),
+                "POST",
+                "/x",
+                headers,
+                new byte[] {1},
+                Forwarder.now() + milliseconds,
+                1,
+                false,
+                Optional.empty());
+    }
+
+    /** Guards against a request that is handed on after its deadline, because this host stalled while the connection opened. */
+    @Test
+    void shouldNotHandTheRequestOnWhenItsDeadlineHasPassedBeforeTheConnectionIsOpen() throws Exception {
+        NioEventLoopGroup loops = new NioEventLoopGroup(1);
+        EventLoop loop = loops.next();
+        try (ServerSocket peer = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            HandedOnAttempt attempt = new HandedOnAttempt(false, BUDGET, new RecordingReceiver());
+            loop.submit(() -> {
+                        String address = "127.0.0.1:" + peer.getLocalPort();
+                        attempt.send(EndpointClient.of(loop), address, request(100), new HandedOn("edge-1", 0));
+                        Thread.sleep(400);
+                        return true;
+                    })
+                    .sync();
+
+            try (Socket accepted = peer.accept()) {
+                accepted.setSoTimeout(1_000);
+                assertThrows(
+                        SocketTimeoutException.class,
+                        () -> accepted.getInputStream().read());
+            }
+            assertEquals(
+                    List.of("not run"), loop.submit(() -> List.copyOf(outcomes)).get());
+        } finally {
+            loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** Records the outcome as text. */
     private final class RecordingReceiver implements HandedOnAttempt.Receiver {
         @Override
