--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
@@ -294,12 +294,7 @@
         } catch (IOException | OutOfMemoryError cause) {
             StorageException failure = new StorageException(
                     ErrorCode.SNAPSHOT_NOT_WRITTEN, "cannot write the snapshot of entry " + snapshot.index(), cause);
-            try {
-                deleteTemporaryFile(SNAPSHOT_FILE);
-            } catch (IOException remaining) {
-                // The next attempt and the next start remove the file.
-                failure.addSuppressed(remaining);
-            }
+            deleteAfter(failure, SNAPSHOT_FILE);
             throw failure;
         }
     }
@@ -334,11 +329,26 @@
         return SEGMENT_PREFIX + String.format("%016d", number);
     }
 
+    /** Leaves no temporary file after a failure, because one that fills the disk would keep this host from writing again. */
     private void replaceFile(String name, Record content) throws IOException {
-        writeTemporaryFile(name, content);
+        try {
+            writeTemporaryFile(name, content);
+        } catch (IOException | OutOfMemoryError failure) {
+            deleteAfter(failure, name);
+            throw failure;
+        }
         useTemporaryFile(name);
     }
 
+    private void deleteAfter(Throwable failure, String name) {
+        try {
+            deleteTemporaryFile(name);
+        } catch (IOException remaining) {
+            // The next attempt and the next start remove the file.
+            failure.addSuppressed(remaining);
+        }
+    }
+
     /** Writes and syncs the file that is to replace another one, and returns its size in bytes. */
     private long writeTemporaryFile(String name, Record content) throws IOException {
         deleteTemporaryFile(name);
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
@@ -487,6 +487,21 @@
         assertArrayEquals(large.state(), loaded.snapshot().orElseThrow().state());
     }
 
+    /** Guards against a host that waits for good for space that the rest of its own failed installation takes. */
+    @Test
+    void shouldFreeTheSpaceOfASnapshotOfTheLeaderThatCannotBeWritten() {
+        LogStorage storage = openStorage();
+        append(storage, entries(1, 3, 1));
+        LogSnapshot large = new LogSnapshot(9, 1, Membership.empty(), randomBytes(300_000));
+        files.setCapacity(200_000);
+
+        StorageException failure = assertThrows(
+                StorageException.class, () -> storage.persist(Optional.empty(), Optional.of(large), List.of()));
+
+        assertEquals(ErrorCode.SYNC_FAILED, failure.code());
+        assertEquals(List.of(FIRST_SEGMENT), files.list());
+    }
+
     /** After a failed sync of the log, or of the folder, it is unknown what is durable. */
     @Test
     void shouldFailForGoodWhenTheRenamedSnapshotOrTheLogCannotBeSynced() {
