Persist at most 1 MiB of entries in one sync

A disk that returned after a stall got everything that had waited as one batch, of which three copies were made while it was encoded. A lack of memory there ends the host, and hosts with the same backlog end together. Batches are now bounded by bytes; a larger entry is persisted alone.

ReplicatedLogTest#shouldPersistInBoundedBatchesWhenManyLargeEntriesWait failed before (4,000,000 bytes in one batch). Found by the review of the incident.

--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/EntryBuffer.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/EntryBuffer.java
@@ -14,6 +14,12 @@
     /** Term of an entry that is compacted or does not exist. */
     static final long UNKNOWN_TERM = -1;
 
+    /**
+     * Maximum size of the entries that are persisted by one sync, in bytes; a larger entry is persisted alone. A batch is copied
+     * while it is encoded, and a disk that returns after a stall would otherwise get all that has waited as one batch.
+     */
+    static final int MAXIMUM_BATCH_BYTES = 1024 * 1024;
+
     private final ArrayList<LogEntry> entries = new ArrayList<>();
     private long baseIndex;
     private long baseTerm;
@@ -103,8 +109,8 @@
 
     List<LogEntry> startPersisting(int maximumEntries) {
         long last = Math.min(lastIndex(), persistingIndex + Math.min(maximumEntries, entries.size()));
-        List<LogEntry> batch = between(persistingIndex + 1, last, Integer.MAX_VALUE);
-        persistingIndex = last;
+        List<LogEntry> batch = between(persistingIndex + 1, last, MAXIMUM_BATCH_BYTES);
+        persistingIndex += batch.size();
         return batch;
     }
 
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -427,6 +427,30 @@
         assertTrue(slow.applied >= index, "the entry is lost after a restart");
     }
 
+    /** Guards against several copies of all that has waited for a stalled disk, which end a host for lack of memory. */
+    @Test
+    void shouldPersistInBoundedBatchesWhenManyLargeEntriesWait() {
+        Node alone = cluster(1).leader().orElseThrow();
+        int entryBytes = 100_000;
+        int entries = 40;
+        for (int number = 0; number < entries; number++) {
+            alone.log.propose(new byte[entryBytes]);
+        }
+
+        int persisted = 0;
+        while (persisted < entries) {
+            Ready ready = alone.log.ready();
+            long bytes = ready.entries().stream()
+                    .mapToLong(entry -> entry.data().length)
+                    .sum();
+            assertTrue(bytes > 0 && bytes <= EntryBuffer.MAXIMUM_BATCH_BYTES, bytes + " bytes in one batch");
+            persisted += ready.entries().size();
+            alone.log.persisted(0, 0);
+        }
+
+        assertTrue(alone.log.isDurable(alone.log.lastIndex()));
+    }
+
     /** Guards against commands that are refused during a whole planned stop, because the successor cannot catch up. */
     @Test
     void shouldChooseASuccessorThatHoldsTheLogWhenTheDiskOfAnotherDoesNotReturn() {
