--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -549,7 +549,7 @@
      * snapshot that is being installed comes first.
      */
     private boolean hasCommitted() {
-        return deliveredIndex < commitIndex && snapshotToInstall.isEmpty() && !snapshotPersisting;
+        return deliveredIndex < commitIndex && !isInstalling();
     }
 
     private List<LogEntry> takeCommitted() {
@@ -715,6 +715,11 @@
 
     private void handleAppend(MemberId from, LogMessage.Append append) {
         follow(from);
+        if (isInstalling() && append.entries().isEmpty() && hardStateIsDurable()) {
+            // A member that stores a snapshot for seconds must not appear to be down. It confirms no entry yet.
+            send(from, new LogMessage.Appended(hardState.term(), true, 0, 0, append.readRound()));
+            return;
+        }
         if (append.previousIndex() < commitIndex) {
             sendWhenDurable(
                     from,
@@ -830,9 +835,16 @@
 
     /** Returns whether the hard state and any installed snapshot are durable. Entries need not be. */
     private boolean stateIsDurable() {
-        boolean hardStateIsDurable = !hardStateChanged && !hardStatePersisting;
-        boolean snapshotIsDurable = snapshotToInstall.isEmpty() && !snapshotPersisting;
-        return hardStateIsDurable && snapshotIsDurable;
+        return hardStateIsDurable() && !isInstalling();
+    }
+
+    private boolean hardStateIsDurable() {
+        return !hardStateChanged && !hardStatePersisting;
+    }
+
+    /** Returns whether a snapshot of the leader is not durable yet. */
+    private boolean isInstalling() {
+        return snapshotToInstall.isPresent() || snapshotPersisting;
     }
 
     private long appendAsLeader(LogEntry.Kind kind, byte[] data) {
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -427,6 +427,32 @@
         assertTrue(slow.applied >= index, "the entry is lost after a restart");
     }
 
+    /** Guards against a leader that steps down, because the only other member that is up stores a snapshot for 1.5 s. */
+    @Test
+    void shouldKeepLeadingWhenItsMajorityStoresASnapshot() {
+        Node behind = isolateBeyondRetainedEntries();
+        Node leader = leader();
+        cluster.isolated.clear();
+        cluster.nodes.values().stream()
+                .filter(node -> node != behind && node != leader)
+                .forEach(other -> cluster.isolated.add(other.id.name()));
+        for (int tick = 0; tick < 20; tick++) {
+            runWithHangingDisk(behind);
+        }
+        long confirmed = leader.log.confirmedRound().orElse(Long.MAX_VALUE);
+        for (int tick = 0; tick < 10; tick++) {
+            runWithHangingDisk(behind);
+        }
+
+        assertTrue(behind.applied < 500, "the snapshot is stored");
+        assertEquals(ReplicatedLog.Role.LEADER, leader.log.role());
+        assertTrue(
+                leader.log.confirmedRound().orElseThrow() > confirmed, "no majority has answered since " + confirmed);
+        behind.persist();
+        cluster.run(20);
+        assertEquals(leader.applied, behind.applied);
+    }
+
     /** Guards against several copies of all that has waited for a stalled disk, which end a host for lack of memory. */
     @Test
     void shouldPersistInBoundedBatchesWhenManyLargeEntriesWait() {
