Wait for the scorer's route instead of giving up a complete text

The same happened when the route was removed between two requests for one score, and when a new leader with a stored complete text had no route or no configuration yet.

ItemScoring took a route that is absent now for a property of the item. It now repeats the look-up with the delay of any other repetition (100 to 800 ms) until a configuration has the route. The wait ends as that of an item without a route for its run: with KeepS (BatchRunner#checkTimeouts), the end of the submission, or the end of the leadership; SendAuthority is still asked before each request.

Seven cases in ItemScoringTest (shouldScoreTheItemWhenTheScorersRoute..., shouldNotWaitForTheScorersRouteWhenTheItemWasClosed) and BatchRunnerTest#shouldKeepACompleteTextWhenANewLeaderHasNoRouteForItsScorer failed before with "no route matches the scorer" or a listed result.

ItemScoringTest#shouldUseTheCurrentConfigurationWhenTheRequestIsRepeated expected the faulty behaviour: it saw the new configuration by the item being given up. It now requires that the repetition is sent through the route of the new configuration to another service, and that the item gets that score.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemScoring.java
@@ -25,7 +25,8 @@
  * Requests the scores of items whose text is complete.
  *
  * <p>A score request is repeated until it succeeds; only failures reported by the scorer count towards abandoning the item.
- * Confined to the thread of the log driver.
+ * A later configuration may add a route that is absent now, so an item whose scorer has no route waits until its submission
+ * ends or {@link BatchRunner} gives it up because of its age. Confined to the thread of the log driver.
  */
 final class ItemScoring {
     /** Delay before a score request is repeated for the first time, in milliseconds; doubles with each repetition. */
@@ -52,15 +53,15 @@
     interface Listener {
         void scored(String score);
 
-        /** Called when the item cannot be scored; its score is not requested again. */
+        /** Called when no configuration can have the item scored; its score is not requested again. */
         void abandoned(String reason);
     }
 
     /**
-     * Requests the score of an item, and repeats the request until it succeeds or is hopeless.
+     * Requests the score of an item, and repeats the request until it succeeds or cannot succeed.
      *
      * @param task the item, whose text is complete
-     * @param currentTable supplies the configuration in use, which may change between repetitions
+     * @param currentTable supplies the configuration in use, which may change between repetitions and may lack the scorer's route
      * @param listener is notified of the outcome
      */
     void score(ItemTask task, Supplier<Optional<RoutingTable>> currentTable, Listener listener) {
@@ -68,7 +69,7 @@
         Submission.Scorer scorer = task.item.scorer().orElseThrow();
         Optional<Route> route = table.flatMap(current -> current.find(scorer.host(), scorer.path()));
         if (route.isEmpty()) {
-            listener.abandoned("no route matches the scorer");
+            scheduleRetry(task, currentTable, listener, "no route matches the scorer");
             return;
         }
         HttpHeaders headers = new DefaultHttpHeaders();
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
@@ -17,6 +17,7 @@
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.id.SubmissionId;
 import io.rosemarybeam.common.wire.Submission;
+import io.rosemarybeam.decision.batch.ItemText;
 import io.rosemarybeam.decision.routing.CallerLimits;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
@@ -30,8 +31,9 @@
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 
-/** Guards against runs of items that no trainer waits for any more. */
+/** Guards against runs of items that no trainer waits for any more, and against items that are given up too early. */
 class BatchRunnerTest {
     /** Number of slots of a {@link FakeEngine}. */
     private static final int SLOTS = 4;
@@ -47,6 +49,9 @@
     /** Longer than a stream may be silent. */
     private static final long STALL_MILLISECONDS = 2_200;
 
+    /** Time after which an item may be given up. */
+    private static final Duration KEEP_TIME = Duration.ofMinutes(1);
+
     private static final EndpointId ENDPOINT = EndpointId.of("e-1");
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
@@ -58,6 +63,8 @@
     private final CompletableFuture<SubmissionId> firstResult = new CompletableFuture<>();
     private Optional<RuntimeException> tableFailure = Optional.empty();
 
+    private volatile long leaderTime;
+
     @AfterEach
     void close() {
         loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
@@ -304,6 +311,59 @@
         }
     }
 
+    /** Guards against complete texts that a new leader gives up, because its configuration lacks the scorer's route. */
+    @Test
+    void shouldKeepACompleteTextWhenANewLeaderHasNoRouteForItsScorer() throws Exception {
+        try (FakeEngine engine = new FakeEngine("127.0.77.109")) {
+            BatchRunner runner = loop.submit(() -> {
+                        storeCompleteText();
+                        return runner(engine);
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            loop.submit(runner::tick).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            pause(300);
+            assertNull(firstResult.getNow(null));
+            assertEquals(1, loop.submit(runner::openItems).get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
+
+            leaderTime = KEEP_TIME.toMillis() + 2;
+            loop.submit(runner::tick).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            assertEquals(SubmissionId.of("first"), firstResult.getNow(null), "its time is up");
+            loop.submit(runner::stop).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
+    private void storeCompleteText() {
+        Submission valid = submission("first", 1);
+        Submission.Item item = valid.items().getFirst();
+        Submission.Item scored = new Submission.Item(
+                item.id(),
+                item.path(),
+                item.headers(),
+                item.body(),
+                item.tokens(),
+                item.expectedTokens(),
+                item.group(),
+                Optional.of(new Submission.Scorer("s", "a.example", "/score/1", new byte[0])));
+        Submission submission = new Submission(
+                valid.id(),
+                valid.host(),
+                valid.routePath(),
+                valid.step(),
+                valid.model(),
+                valid.oldestVersion(),
+                valid.wantedGroups(),
+                List.of(scored));
+        apply(1, new StoreCommand.AcceptSubmission(submission, "r"));
+        storeText(new ItemText.Part(1, List.of("a"), List.of(1L), true, "v1"));
+    }
+
+    /** Stores the text of the first item of the first submission. */
+    private void storeText(ItemText.Part part) {
+        StoredSubmission.StoredText text = new StoredSubmission.StoredText(ItemId.of("first-0"), part);
+        apply(1, new StoreCommand.KeepTexts(SubmissionId.of("first"), List.of(text)));
+    }
+
     /** A leader whose log stores nothing. */
     private final class FakeLeader implements BatchRunner.LeaderContext {
         private final RoutingTable table = RoutingTable.of(
@@ -311,7 +371,7 @@
                 List.of(Route.builder()
                         .matching("r", "a.example", "/x/")
                         .split(List.of(new Route.Share(ServiceName.of("engines"), 1)))
-                        .submissionTimes(Duration.ofSeconds(10), Duration.ofMinutes(1))
+                        .submissionTimes(Duration.ofSeconds(10), KEEP_TIME)
                         .build()),
                 List.of(),
                 CallerLimits.defaults());
@@ -326,7 +386,7 @@
 
         @Override
         public long leaderTime() {
-            return 0;
+            return leaderTime;
         }
 
         @Override
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/ItemScoringTest.java
@@ -13,9 +13,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -47,13 +49,15 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
  * Guards against scores that are requested without a pause while no scorer can answer, or by an old configuration, and against
- * items that are given up because one endpoint of the scorer is faulty.
+ * items that are given up because one endpoint of the scorer is faulty or the scorer's route is absent for a while.
  */
 class ItemScoringTest {
     private static final Submission.Item ITEM = new Submission.Item(
@@ -68,6 +72,8 @@
     private static final Submission SUBMISSION =
             new Submission(SubmissionId.of("s"), "h", "/x/", 0, Optional.empty(), 3, 1, List.of(ITEM));
 
+    private static final ServiceName SERVICE = ServiceName.of("desk");
+
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
     private final EventLoop loop = loops.next();
     private final AtomicInteger requests = new AtomicInteger();
@@ -114,11 +120,15 @@
     }
 
     private static RoutingTable table(String pathPrefix, RouteKind kind) {
+        return table(pathPrefix, kind, SERVICE);
+    }
+
+    private static RoutingTable table(String pathPrefix, RouteKind kind, ServiceName service) {
         Route route = Route.builder()
                 .matching("r", "a.example", pathPrefix)
                 .kind(kind)
                 .requestTimes(Duration.ofSeconds(2), Duration.ofMillis(300))
-                .split(List.of(new Route.Share(ServiceName.of("desk"), 1)))
+                .split(List.of(new Route.Share(service, 1)))
                 .maximumAttempts(2)
                 .build();
         return RoutingTable.of(1, List.of(route), List.of(), CallerLimits.defaults());
@@ -187,10 +197,81 @@
 
     @Test
     void shouldUseTheCurrentConfigurationWhenTheRequestIsRepeated() throws InterruptedException {
-        score(() -> requests.get() == 0 ? scorerTable() : Optional.of(table("/other/")));
+        ServiceName moved = ServiceName.of("moved");
+        RawScorer scorer = scorer("a", false, moved);
+        score(() -> requests.get() == 0 ? scorerTable() : Optional.of(table("/score/", RouteKind.IDEMPOTENT, moved)));
+
+        StoreCluster.await("the item is scored or given up", abandoned::get);
+        assertEquals("scored d", abandoned.get());
+        assertEquals(1, scorer.requests.get());
+    }
+
+    /** Configurations that the operator may replace by one with the scorer's route while the item is open. */
+    private static Stream<Optional<RoutingTable>> tablesWithoutScorer() {
+        return Stream.of(
+                Optional.of(table("/other/")),
+                Optional.of(RoutingTable.of(1, List.of(), List.of(), CallerLimits.defaults())),
+                Optional.empty());
+    }
+
+    /** Guards against complete texts that are given up because one configuration lacks the scorer's route for seconds. */
+    @ParameterizedTest
+    @MethodSource("tablesWithoutScorer")
+    void shouldScoreTheItemWhenTheScorersRouteIsAddedAfterTheTextIsComplete(Optional<RoutingTable> tableWithoutScorer)
+            throws InterruptedException {
+        AtomicBoolean hasRoute = new AtomicBoolean();
+        RawScorer scorer = scorer("a", false);
+        score(() -> hasRoute.get() ? scorerTable() : tableWithoutScorer);
+        Thread.sleep(500);
+        assertNull(abandoned.get());
+        assertEquals(0, scorer.requests.get());
+
+        hasRoute.set(true);
+
+        StoreCluster.await("the item is scored or given up", abandoned::get);
+        assertEquals("scored d", abandoned.get());
+        assertEquals(1, scorer.requests.get());
+        assertEquals(0, task.failedScores);
+    }
+
+    /** Guards against complete texts that are given up when the route vanishes between two requests for one score. */
+    @ParameterizedTest
+    @MethodSource("tablesWithoutScorer")
+    void shouldScoreTheItemWhenTheScorersRouteIsRemovedBeforeARepetitionAndAddedAgain(
+            Optional<RoutingTable> tableWithoutScorer) throws Exception {
+        AtomicBoolean hasRoute = new AtomicBoolean();
+        score(() -> requests.get() == 0 || hasRoute.get() ? scorerTable() : tableWithoutScorer);
+        assertEquals(1, requests.get());
+        RawScorer scorer = loop.submit(() -> scorer("a", false)).get();
+        Thread.sleep(500);
+        assertNull(abandoned.get());
+        assertEquals(0, scorer.requests.get());
+
+        hasRoute.set(true);
 
-        StoreCluster.await("the new configuration is used", abandoned::get);
-        assertEquals("no route matches the scorer", abandoned.get());
+        StoreCluster.await("the item is scored or given up", abandoned::get);
+        assertEquals("scored d", abandoned.get());
+    }
+
+    /** Guards against an item that waits for its scorer's route for ever, and against a score that nobody may request. */
+    @Test
+    void shouldNotWaitForTheScorersRouteWhenTheItemWasClosed() throws InterruptedException {
+        AtomicBoolean hasRoute = new AtomicBoolean();
+        RawScorer scorer = scorer("a", false);
+        score(() -> {
+            requests.incrementAndGet();
+            return Optional.of(table(hasRoute.get() ? "/score/" : "/other/"));
+        });
+        Thread.sleep(300);
+
+        loop.submit(task::close).sync();
+        hasRoute.set(true);
+
+        int before = requests.get();
+        Thread.sleep(2_000);
+        assertEquals(before, requests.get());
+        assertEquals(0, scorer.requests.get());
+        assertNull(abandoned.get());
     }
 
     /** The item would be listed as given up although another endpoint scores it. */
@@ -212,13 +293,17 @@
     }
 
     private RawScorer scorer(String id, boolean isEndless) {
+        return scorer(id, isEndless, SERVICE);
+    }
+
+    private RawScorer scorer(String id, boolean isEndless, ServiceName service) {
         RawScorer scorer = new RawScorer(isEndless);
         scorers.add(scorer);
         EndpointAnnouncement announcement = new EndpointAnnouncement(
                 EndpointId.of(id),
                 1,
                 1,
-                ServiceName.of("desk"),
+                service,
                 scorer.address(),
                 FailureDomain.of("fes"),
                 6,
