Do not give up an item at its first failed run while its route is absent

An item whose run was answered 500 while the configuration in use lacked the submission's route was listed as terminated after this one failure, although the route allowed more attempts and returned later.

The number of failed runs was compared with the MaxAttempts of the route, and with 1 if there was none. Only the route states the number, so without it the item now waits. The failure stays counted; once the route is back the item runs again, and the next failure is compared with its MaxAttempts. At most one run beyond MaxAttempts results, if the last allowed one fails during the absence.

BatchRunnerTest#shouldKeepTheItemWhenItsRunFailsWhileItsRouteIsAbsent failed before: a result was listed after the first of two allowed runs.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -706,9 +706,10 @@
             }
             case FAILED -> {
                 task.failedRuns++;
-                int maximumAttempts =
-                        route(task.submission).map(Route::maximumAttempts).orElse(1);
-                if (task.failedRuns >= maximumAttempts) {
+                // Only the route states how many runs may fail; without it the item waits.
+                Optional<Route> exhausted =
+                        route(task.submission).filter(route -> task.failedRuns >= route.maximumAttempts());
+                if (exhausted.isPresent()) {
                     abandon(task, task.failedRuns + " failed runs");
                 }
             }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
@@ -63,6 +63,9 @@
     private final CompletableFuture<SubmissionId> firstResult = new CompletableFuture<>();
     private Optional<RuntimeException> tableFailure = Optional.empty();
 
+    /** Whether the configuration in use has the route of the submissions. */
+    private volatile boolean routed = true;
+
     private volatile long leaderTime;
 
     @AfterEach
@@ -364,6 +367,37 @@
         apply(1, new StoreCommand.KeepTexts(SubmissionId.of("first"), List.of(text)));
     }
 
+    /** Guards against an item that is given up at its first failed run, because its route is absent at that moment. */
+    @Test
+    void shouldKeepTheItemWhenItsRunFailsWhileItsRouteIsAbsent() throws Exception {
+        try (FakeEngine engine = new FakeEngine("127.0.77.110")) {
+            engine.failRuns(1);
+            BatchRunner runner = runner(engine);
+            loop.submit(() -> {
+                        apply(1, new StoreCommand.AcceptSubmission(submission("first", 1), "r"));
+                        runner.tick();
+                        routed = false;
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            StoreCluster.await(
+                    "the run has failed",
+                    () -> loop.submit(() -> loads.outstanding(ENDPOINT)).get(TIMEOUT_SECONDS, TimeUnit.SECONDS) == 0
+                            ? true
+                            : null);
+            assertEquals(1, engine.runs.size());
+            assertNull(firstResult.getNow(null));
+
+            routed = true;
+            StoreCluster.await("the item has a result", () -> {
+                loop.submit(runner::tick).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+                return firstResult.getNow(null);
+            });
+
+            assertEquals(2, engine.runs.size());
+            loop.submit(runner::stop).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
     /** A leader whose log stores nothing. */
     private final class FakeLeader implements BatchRunner.LeaderContext {
         private final RoutingTable table = RoutingTable.of(
@@ -372,6 +406,7 @@
                         .matching("r", "a.example", "/x/")
                         .split(List.of(new Route.Share(ServiceName.of("engines"), 1)))
                         .submissionTimes(Duration.ofSeconds(10), KEEP_TIME)
+                        .maximumAttempts(2)
                         .build()),
                 List.of(),
                 CallerLimits.defaults());
@@ -381,7 +416,7 @@
             tableFailure.ifPresent(failure -> {
                 throw failure;
             });
-            return Optional.of(table);
+            return Optional.of(routed ? table : RoutingTable.of(2, List.of(), List.of(), CallerLimits.defaults()));
         }
 
         @Override
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FakeEngine.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.sun.net.httpserver.HttpExchange;
@@ -33,6 +34,7 @@
     private volatile boolean answersOrders = true;
     private volatile boolean leaving;
 
+    private final AtomicInteger runsToFail = new AtomicInteger();
     private final AtomicLong bytesWithoutEvent = new AtomicLong(-1);
     private final AtomicLong eventsWithoutEnd = new AtomicLong();
     private volatile boolean sendsEventsWithoutEnd;
@@ -97,6 +99,11 @@
         return eventsWithoutEnd.get() * ENDLESS_EVENT.length();
     }
 
+    /** Makes the engine answer the next runs with status 500. */
+    void failRuns(int count) {
+        runsToFail.set(count);
+    }
+
     /** Makes the engine say in its answers to items that it leaves. */
     void leave() {
         leaving = true;
@@ -135,6 +142,11 @@
         if (leaving) {
             exchange.getResponseHeaders().set("Server-Leaving", "1");
         }
+        if (runsToFail.getAndUpdate(left -> Math.max(0, left - 1)) > 0) {
+            exchange.sendResponseHeaders(500, -1);
+            exchange.close();
+            return;
+        }
         exchange.sendResponseHeaders(200, 0);
         try (OutputStream body = exchange.getResponseBody()) {
             byte[] noEvent = new byte[8_192];
