Read whether a text may have several versions when its route is back

A store host that became the leader while the submission's route was absent took it for one that allows several weight versions, for as long as it led. On a SingleVersion route it would then continue a stored text of versions 1 and 2, list it as completed, or mix versions in new texts.

The property was read once, when the item was scheduled, with "false" if there was no route. It is now read from the route each time the item is considered for a start, and a text that the route does not allow is generated again. A stored complete text of several versions waits for the route before it is scored; one of a single version does not.

BatchRunnerTest#shouldNotContinueATextOfSeveralVersionsWhenItsRouteAllowsOnlyOne failed before in the two cases with such a route: the item was continued after event 2, and a complete text was listed.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/BatchRunner.java
@@ -166,6 +166,7 @@
             if (stored.isEnded() || stored.isComplete()) {
                 return;
             }
+            // If the route is absent now, start() reads it when it is back.
             boolean singleVersion = route(stored).map(Route::singleVersion).orElse(false);
             for (Submission.Item item : stored.submission().items()) {
                 if (!stored.isListed(item.id())) {
@@ -184,10 +185,17 @@
         tasks.put(stored.submission().id(), added);
         long now = Forwarder.now();
         List.copyOf(added.values()).stream()
-                .filter(task -> task.text.isComplete())
+                .filter(this::mayScoreStoredText)
                 .forEach(task -> contain(task, now, () -> score(task)));
     }
 
+    /** A text of several versions waits for the route of its submission, which states whether it may have them. */
+    private boolean mayScoreStoredText(ItemTask task) {
+        boolean isRouteNeeded = task.text.versions().size() > 1;
+        return task.text.isComplete()
+                && (!isRouteNeeded || route(task.submission).isPresent());
+    }
+
     private void addItem(
             StoredSubmission stored,
             Submission.Item item,
@@ -490,6 +498,14 @@
     }
 
     private void start(ItemTask task, Route route, long now) {
+        task.singleVersion = route.singleVersion();
+        if (!task.text.satisfies(task.submission.submission().oldestVersion(), task.singleVersion)) {
+            restartText(task);
+        }
+        if (task.text.isComplete()) {
+            score(task);
+            return;
+        }
         ServiceName service = route.serviceFor(task.item.id().value());
         PlacementRound round = round(service);
         if (task.text.lastEvent() > 0) {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ItemTask.java
@@ -22,7 +22,6 @@
     final StoredSubmission submission;
     final Submission.Item item;
     final ModelName model;
-    final boolean singleVersion;
     final boolean isCarriedOver;
 
     /** Identifies the prompt, which the items of a group in one submission share. */
@@ -31,6 +30,9 @@
     /** The longest text that the item can have. */
     final TextLimit textLimit;
 
+    /** Whether one weight version must generate the whole text, as the route said when the item was last considered. */
+    boolean singleVersion;
+
     ItemText text = new ItemText();
 
     /** Number of events of the text that were proposed to the log. */
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/BatchRunnerTest.java
@@ -29,6 +29,8 @@
 import io.rosemarybeam.platform.EndpointFormat;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -66,6 +68,9 @@
     /** Whether the configuration in use has the route of the submissions. */
     private volatile boolean routed = true;
 
+    /** Whether the route of the submissions allows only one weight version in a text. */
+    private boolean singleVersion;
+
     private volatile long leaderTime;
 
     @AfterEach
@@ -398,6 +403,55 @@
         }
     }
 
+    /** Guards against results of several versions, because a leader began while a route that allows only one was absent. */
+    @ParameterizedTest
+    @CsvSource({"true, false, first-0 after 0", "true, true, first-0 after 0", "false, false, first-0 after 2"})
+    void shouldNotContinueATextOfSeveralVersionsWhenItsRouteAllowsOnlyOne(
+            boolean allowsOnlyOne, boolean isComplete, String expectedRun) throws Exception {
+        singleVersion = allowsOnlyOne;
+        routed = false;
+        try (FakeEngine engine = new FakeEngine("127.0.77.111")) {
+            BatchRunner runner = loop.submit(() -> {
+                        apply(1, new StoreCommand.AcceptSubmission(submission("first", 1), "r"));
+                        storeText(new ItemText.Part(1, List.of("a", "b"), List.of(1L, 2L), isComplete, "v1"));
+                        return runner(engine);
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            loop.submit(runner::tick).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertNull(firstResult.getNow(null));
+
+            routed = true;
+            loop.submit(runner::tick).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            StoreCluster.await("the item runs", () -> engine.runs.isEmpty() ? null : true);
+            assertEquals(List.of(expectedRun), engine.runs);
+            loop.submit(runner::stop).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Guards against a complete text that is generated again, or that waits for ever, after its route was absent. */
+    @Test
+    void shouldUseACompleteTextOfSeveralVersionsWhenItsRouteIsAddedAndAllowsThem() throws Exception {
+        routed = false;
+        try (FakeEngine engine = new FakeEngine("127.0.77.112")) {
+            BatchRunner runner = loop.submit(() -> {
+                        apply(1, new StoreCommand.AcceptSubmission(submission("first", 1), "r"));
+                        storeText(new ItemText.Part(1, List.of("a", "b"), List.of(1L, 2L), true, "v1"));
+                        return runner(engine);
+                    })
+                    .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            loop.submit(runner::tick).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertNull(firstResult.getNow(null));
+
+            routed = true;
+            loop.submit(runner::tick).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+
+            assertEquals(SubmissionId.of("first"), firstResult.getNow(null));
+            assertEquals(List.of(), engine.runs);
+            loop.submit(runner::stop).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
     /** A leader whose log stores nothing. */
     private final class FakeLeader implements BatchRunner.LeaderContext {
         private final RoutingTable table = RoutingTable.of(
@@ -407,6 +461,7 @@
                         .split(List.of(new Route.Share(ServiceName.of("engines"), 1)))
                         .submissionTimes(Duration.ofSeconds(10), KEEP_TIME)
                         .maximumAttempts(2)
+                        .singleVersion(singleVersion)
                         .build()),
                 List.of(),
                 CallerLimits.defaults());
