Keep the results of a complete submission until it is ended

The platform promises a result its position and content while the submission is open, and it is open until its trainer ends it.

StoreLeader#removeExpiredSubmissions took a complete submission for an ended one. It now forgets ended ones only. As a submission may now be older than its retention when it is ended, it is stored for at least 30 s after its end: without that, the repeated end of a trainer that missed the acknowledgement would be answered 404. The time of the end is that of its command.

In StoreLeaderTest, which has a clock of its own now, shouldKeepResultsWhenACompleteSubmissionWasNotEnded and shouldAcknowledgeTheRepeatedEndOfASubmissionThatWasOpenLongerThanResultsAreKept failed before (UNKNOWN instead of DONE); the retention of ended submissions, 150 s, has a test that held before too.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -41,6 +41,12 @@
     /** Time for which results are stored beyond the promised retention, in milliseconds, because clocks may lag. */
     private static final long RETENTION_MARGIN_MILLISECONDS = 30_000;
 
+    /**
+     * Minimum time for which a submission is stored after its end, in milliseconds. An end whose acknowledgement was lost is sent
+     * again, and would be answered as unknown once the submission is forgotten.
+     */
+    private static final long RETENTION_AFTER_END_MILLISECONDS = 30_000;
+
     /** Maximum size of the texts that one command lists, in bytes, unless a single text is longer; commands are limited. */
     private static final int MAXIMUM_LISTED_BYTES = 1_048_576;
 
@@ -142,10 +148,17 @@
         }
     }
 
+    /**
+     * Forgets ended submissions whose retention is over. The platform promises the results of a submission until it is ended, so
+     * one that was not ended is stored even if all its results are listed.
+     */
     private void removeExpiredSubmissions() {
-        long oldest = clock.leaderTime() - resultRetentionMilliseconds - RETENTION_MARGIN_MILLISECONDS;
+        long now = clock.leaderTime();
+        long oldest = now - resultRetentionMilliseconds - RETENTION_MARGIN_MILLISECONDS;
+        long oldestEnd = now - RETENTION_AFTER_END_MILLISECONDS;
         List<SubmissionId> expired = state.submissions().stream()
-                .filter(stored -> stored.acceptedAt() < oldest && (stored.isEnded() || stored.isComplete()))
+                .filter(StoredSubmission::isEnded)
+                .filter(stored -> stored.acceptedAt() < oldest && stored.endedAt() < oldestEnd)
                 .map(stored -> stored.submission().id())
                 .toList();
         if (!expired.isEmpty()) {
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreState.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreState.java
@@ -151,7 +151,7 @@
             return StoreReply.of(Outcome.UNKNOWN);
         }
         if (!stored.isEnded()) {
-            stored.end();
+            stored.end(lastLeaderTime);
             listener.ended(stored);
         }
         return StoreReply.of(Outcome.DONE);
@@ -180,7 +180,8 @@
         lastLeaderTime = decoded.time;
         configuration = Optional.ofNullable(decoded.configuration);
         decoded.versions.forEach(version -> versions.put(version.model, version.version));
-        decoded.submissions.forEach(entry -> submissions.put(entry.submission().id(), StoredSubmission.of(entry)));
+        decoded.submissions.forEach(
+                entry -> submissions.put(entry.submission().id(), StoredSubmission.of(entry, decoded.time)));
         hostByName.putAll(decoded.hostByName);
         retiring.addAll(decoded.retiring);
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoredSubmission.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoredSubmission.java
@@ -30,6 +30,7 @@
     private final Map<ItemId, Integer> positions = new HashMap<>();
     private final Map<ItemId, ItemText> texts = new LinkedHashMap<>();
     private boolean ended;
+    private long endedAt;
 
     StoredSubmission(Submission submission, String routeName, long acceptedAt) {
         this.submission = submission;
@@ -41,12 +42,20 @@
                 .count();
     }
 
-    static StoredSubmission of(Snapshot snapshot) {
+    /**
+     * Restores a submission.
+     *
+     * @param snapshot the submission
+     * @param snapshotTime leader time of the last command before the snapshot, in milliseconds
+     */
+    static StoredSubmission of(Snapshot snapshot, long snapshotTime) {
         StoredSubmission submission =
                 new StoredSubmission(snapshot.submission, snapshot.routeName, snapshot.acceptedAt);
         snapshot.results.forEach(submission::list);
         snapshot.texts.forEach(text -> submission.appendText(text.item, text.part));
-        submission.ended = snapshot.ended;
+        if (snapshot.ended) {
+            submission.end(snapshotTime);
+        }
         return submission;
     }
 
@@ -78,8 +87,18 @@
         return ended;
     }
 
-    void end() {
+    /**
+     * Returns the latest leader time at which the trainer can have ended the submission, in milliseconds. Snapshots do not
+     * contain the time of an end, so after a restoration it is that of the snapshot. It may differ between hosts, so the effect
+     * of a command must not depend on it.
+     */
+    long endedAt() {
+        return endedAt;
+    }
+
+    void end(long leaderTime) {
         ended = true;
+        endedAt = leaderTime;
     }
 
     boolean isComplete() {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,6 +14,11 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.wire.StoreMessage;
+import io.rosemarybeam.common.wire.StoreMessage.EndSubmission;
+import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.StoreMessage.ReadResults;
+import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
 import io.rosemarybeam.common.wire.StoreMessage.SubmitBatch;
 import io.rosemarybeam.common.wire.Submission;
 import io.rosemarybeam.consensus.DurableState;
@@ -29,7 +35,6 @@
 import io.rosemarybeam.consensus.storage.LogStorage;
 import io.rosemarybeam.control.LeaderClock;
 import io.rosemarybeam.control.LogDriver;
-import io.rosemarybeam.control.MonotonicClock;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import io.rosemarybeam.forward.LeavingEndpoints;
@@ -41,7 +46,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-/** Guards against results that are lost while the host goes on leading. */
+/** Guards against results that are lost while the host goes on leading, or forgotten while trainers may read them. */
 class StoreLeaderTest {
     private static final Member SELF = member("10.0.0.1");
     private static final Member OTHER = member("10.0.0.2");
@@ -49,6 +54,11 @@
     /** Ticks after which a transfer of leadership is abandoned, with a margin; two quorum checks. */
     private static final int TRANSFER_TICKS = 30;
 
+    private static final long RETENTION_MILLISECONDS = 120_000;
+
+    /** Time after which results of an ended submission are forgotten, with its margin of 30 s for clocks that lag. */
+    private static final long LONGEST_RETENTION_MILLISECONDS = RETENTION_MILLISECONDS + 30_000;
+
     @TempDir
     Path folder;
 
@@ -59,6 +69,9 @@
     private LogDriver driver;
     private Optional<StoreLeader> leader = Optional.empty();
 
+    /** Time of the clock of this host, in milliseconds. */
+    private long time;
+
     private static Member member(String host) {
         return new Member(new MemberId(host, 1), host + ":7000");
     }
@@ -140,12 +153,12 @@
         return new StoreLeader(
                 driver,
                 state,
-                new LeaderClock(MonotonicClock.system(), 0),
+                new LeaderClock(() -> time, 0),
                 Optional::empty,
                 null,
                 new VersionOrders(fleet, client, endpoint -> {}, "store-1", authority, 0),
                 authority,
-                Duration.ofSeconds(120),
+                Duration.ofMillis(RETENTION_MILLISECONDS),
                 context ->
                         new BatchRunner(state, fleet, loads, null, endpoint -> {}, client, null, authority, context));
     }
@@ -201,4 +214,63 @@
 
         assertEquals(4, listedCount());
     }
+
+    private Outcome serve(StoreMessage request) {
+        List<StoreReply> replies = new ArrayList<>();
+        leader.orElseThrow().serve(request, replies::add);
+        run(5);
+        assertEquals(1, replies.size());
+        return replies.getFirst().outcome();
+    }
+
+    /** Guards against results that a trainer loses while its submission is open, because all of them are listed. */
+    @Test
+    void shouldKeepResultsWhenACompleteSubmissionWasNotEnded() {
+        submit(1);
+        list(0, 1);
+        run(5);
+        assertEquals(1, listedCount());
+
+        time += 10 * LONGEST_RETENTION_MILLISECONDS;
+        run(5);
+
+        assertEquals(Outcome.DONE, serve(new ReadResults(SUBMISSION, 0, 0)));
+        assertEquals(1, listedCount());
+    }
+
+    /** Guards against results that are forgotten too early, and against ended submissions that are stored for ever. */
+    @Test
+    void shouldForgetResultsWhenTheRetentionOfAnEndedSubmissionIsOver() {
+        submit(1);
+        list(0, 1);
+        run(5);
+        assertEquals(Outcome.DONE, serve(new EndSubmission(SUBMISSION)));
+
+        time += LONGEST_RETENTION_MILLISECONDS;
+        run(5);
+        assertEquals(Outcome.DONE, serve(new ReadResults(SUBMISSION, 0, 0)));
+
+        time++;
+        run(5);
+        assertEquals(Outcome.UNKNOWN, serve(new ReadResults(SUBMISSION, 0, 0)));
+    }
+
+    /** Guards against an end that is answered as unknown when its acknowledgement was lost and it is sent again. */
+    @Test
+    void shouldAcknowledgeTheRepeatedEndOfASubmissionThatWasOpenLongerThanResultsAreKept() {
+        submit(1);
+        list(0, 1);
+        time += 10 * LONGEST_RETENTION_MILLISECONDS;
+        run(5);
+
+        assertEquals(Outcome.DONE, serve(new EndSubmission(SUBMISSION)));
+        time += 29_000;
+        run(5);
+        assertEquals(Outcome.DONE, serve(new EndSubmission(SUBMISSION)));
+        assertEquals(Outcome.DONE, serve(new ReadResults(SUBMISSION, 0, 0)));
+
+        time += 2_000;
+        run(5);
+        assertEquals(Outcome.UNKNOWN, serve(new ReadResults(SUBMISSION, 0, 0)));
+    }
 }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
@@ -102,6 +102,20 @@
         assertEquals(7, other.configuration().orElseThrow().version());
     }
 
+    /** Guards against a submission that is forgotten at once, because the host was restored after its end. */
+    @Test
+    void shouldTakeTheTimeOfTheSnapshotForThatOfAnEndWhenTheStateIsRestored() {
+        apply(new StoreCommand.AcceptSubmission(submission("a"), "r"));
+        state.apply(StoreCommand.encode(20, new StoreCommand.CloseSubmission(ID)));
+        state.apply(StoreCommand.encode(30, new StoreCommand.CloseSubmission(ID)));
+        StoreState other = new StoreState();
+
+        other.restore(state.capture().get());
+
+        assertEquals(20, state.submission(ID).orElseThrow().endedAt());
+        assertEquals(30, other.submission(ID).orElseThrow().endedAt());
+    }
+
     @Test
     void shouldAllowNewHostUnderNameOfRetiredOne() {
         apply(new StoreCommand.NameHost("store-1", "10.0.0.1"));
