Answer ends of unknown submissions without an entry of the log

Callers that ended a submission which no leader knows got 404, and edges then repeated the end about once a second while copies of the submission could arrive. Each of these ends was a CloseSubmission in the replicated log, synced by a majority of the store hosts, that changed nothing.

The leader proposed the command to learn whether the submission exists, because the entries of former leaders may not be applied yet. A confirmation of leadership tells the same: it waits until an entry of the leader's own term and all entries before it are applied. So the leader remembers the end, confirms that it leads, and answers UNKNOWN while the submission is neither stored nor proposed. Otherwise it proposes the command as before. Without a confirmation it answers UNCERTAIN, which edges repeat. Copies are refused from the arrival of the end on, as before.

StoreLeaderReplyTest: five ends of an unknown submission raised the applied index from 2 to 7; it stays at 2. Two more tests, which passed before too, guard the cases in which the end must not be answered UNKNOWN: the submission is being committed, and the leadership is not confirmed.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -231,11 +231,29 @@
         propose(command, outcome -> pendingSubmissions.remove(id).forEach(waiter -> waiter.accept(outcome)));
     }
 
-    /** The end is remembered before it is applied, because a copy that is proposed meanwhile would follow it in the log. */
+    /**
+     * Ends a submission. The end of an unknown one is remembered and takes no entry of the log: callers and edges repeat it. It
+     * is remembered before the leadership is confirmed, because a copy that is proposed meanwhile would follow it. The
+     * confirmation waits until the entries of former leaders are applied, which may store the submission.
+     */
     private void end(SubmissionId id, Consumer<StoreReply> reply) {
-        if (state.submission(id).isEmpty()) {
-            unknownEnds.add(id, Forwarder.now());
+        if (!isUnknown(id)) {
+            close(id, reply);
+            return;
         }
+        unknownEnds.add(id, Forwarder.now());
+        driver.confirmLeadership(false).whenComplete((ignored, failure) -> {
+            if (failure != null) {
+                reply.accept(StoreReply.of(Outcome.UNCERTAIN));
+            } else if (isUnknown(id)) {
+                reply.accept(StoreReply.of(Outcome.UNKNOWN));
+            } else {
+                close(id, reply);
+            }
+        });
+    }
+
+    private void close(SubmissionId id, Consumer<StoreReply> reply) {
         propose(new StoreCommand.CloseSubmission(id), outcome -> {
             if (outcome.outcome() == Outcome.DONE) {
                 unknownEnds.remove(id);
@@ -244,11 +262,15 @@
         });
     }
 
+    /** Returns whether a submission is neither stored nor proposed by this leader. */
+    private boolean isUnknown(SubmissionId id) {
+        return state.submission(id).isEmpty() && !pendingSubmissions.containsKey(id);
+    }
+
     /** Refuses a submission whose end came first; a host that leads no more does not know whether its successor has stored it. */
     private void refuseEnded(SubmissionId id, Consumer<StoreReply> reply) {
         driver.confirmLeadership(false).whenComplete((ignored, failure) -> {
-            boolean isUnknown = state.submission(id).isEmpty() && !pendingSubmissions.containsKey(id);
-            if (failure == null && isUnknown) {
+            if (failure == null && isUnknown(id)) {
                 LOG.log(Event.REQUEST_REFUSED, "request", id, "reason", "the end of the submission came first");
                 reply.accept(StoreReply.of(Outcome.REFUSED));
             } else {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.id.SubmissionId;
@@ -41,8 +43,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * Guards against a leader that denies a stored submission, accepts one after its end, or drops a result which the log did not
- * accept.
+ * Guards against a leader that denies a stored submission, accepts one after its end, writes an entry of the log for each end of
+ * an unknown submission, or drops a result which the log did not accept.
  */
 class StoreLeaderReplyTest {
     /** Number of ticks within which an election or a check of the quorum is over. */
@@ -167,6 +169,51 @@
         assertTrue(state.submission(SubmissionId.of("s")).isEmpty());
     }
 
+    /** Guards against entries of the log that callers and edges cause by repeating the end of an unknown submission. */
+    @Test
+    void shouldNotWriteToTheLogWhenAnUnknownSubmissionIsEnded() {
+        StoreLeader leader = leader();
+        List<StoreReply> replies = new ArrayList<>();
+        long applied = driver.applied();
+        for (int repetition = 1; repetition <= 5; repetition++) {
+            leader.serve(new EndSubmission(SubmissionId.of("s")), replies::add);
+            awaitReplies(replies, repetition);
+        }
+
+        assertEquals(
+                Set.of(Outcome.UNKNOWN),
+                replies.stream().map(StoreReply::outcome).collect(Collectors.toSet()));
+        assertEquals(applied, driver.applied());
+    }
+
+    /** Guards against an end that is reported as one of an unknown submission while the submission is being committed. */
+    @Test
+    void shouldEndSubmissionWhenItIsNotAppliedYet() {
+        StoreLeader leader = leader();
+        List<StoreReply> submitted = new ArrayList<>();
+        List<StoreReply> ended = new ArrayList<>();
+        leader.serve(request(), submitted::add);
+        leader.serve(new EndSubmission(SubmissionId.of("s")), ended::add);
+        awaitReplies(submitted, 1);
+        awaitReplies(ended, 1);
+
+        assertEquals(Outcome.DONE, submitted.getFirst().outcome());
+        assertEquals(Outcome.DONE, ended.getFirst().outcome());
+        assertTrue(state.submission(SubmissionId.of("s")).orElseThrow().isEnded());
+    }
+
+    /** Guards against a former leader that denies a submission which its successor has stored, so that nobody ends it. */
+    @Test
+    void shouldNotReportAnUnknownSubmissionWhenLeadershipIsNotConfirmed() {
+        StoreLeader leader = leader();
+        List<StoreReply> replies = new ArrayList<>();
+        followerAnswers = false;
+        leader.serve(new EndSubmission(SubmissionId.of("s")), replies::add);
+        awaitReplies(replies, 1);
+
+        assertEquals(Outcome.UNCERTAIN, replies.getFirst().outcome());
+    }
+
     private void awaitReplies(List<StoreReply> replies, int count) {
         runTasks();
         for (int tick = 0; tick < MANY_TICKS && replies.size() < count; tick++) {
