Count the time of an unknown end from the first one, also at the next leader

The edge that took the end repeats it for 6 s from its first reply, which is a round trip later than the 6 s of the leader. A last repetition in between found the end forgotten and began 6 s anew; one that reached a new leader did the same.

A repetition now names the time since a leader first answered the edge that it does not know the submission. The leader counts from then, so that the id is refused for 6 s after that first answer, also after a change of leaders, and for as long as the edge repeats the end at least. The end that a caller asks for names 0, as do ends that no leader has acknowledged: no leader may know of them.

UnknownEndsTest: with a leader that ignores the time (trial) the id was still refused 20 ms after the last repetition, and 5,000 ms after a repetition that is 1,000 ms old; EndedSubmissionTest and PendingEndsTest show what the edge sends. StoreMessageTest shows that both releases read each other's message: leaders of earlier releases ignore the time, and ends of earlier edges begin it anew, as before.

What remains: a repetition that waits in a connection prolongs the time by that wait, and one that is tried again by up to its timeout of 0.7 s. A second end of a caller after the 6 s counts as a new one.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -212,8 +212,15 @@
      * Asks the leader to end a submission. Idempotent.
      *
      * @param submission the submission
+     * @param unknownMilliseconds for a repetition, the time since a leader first answered this sender that it does not know the
+     *     submission, in milliseconds; 0 for an end that a caller asks for now, and if an older sender omits it
      */
-    record EndSubmission(SubmissionId submission) implements StoreMessage {}
+    record EndSubmission(SubmissionId submission, long unknownMilliseconds) implements StoreMessage {
+        /** Creates the request for an end that a caller asks for now. */
+        public static EndSubmission of(SubmissionId submission) {
+            return new EndSubmission(submission, 0);
+        }
+    }
 
     /**
      * Asks the leader to replace the configuration if the version is higher. Idempotent.
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/StoreMessageTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/StoreMessageTest.java
@@ -6,14 +6,16 @@
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.FailureDomain;
 import io.rosemarybeam.common.id.ServiceName;
+import io.rosemarybeam.common.id.SubmissionId;
 import io.rosemarybeam.common.wire.EndpointAnnouncement.State;
+import io.rosemarybeam.common.wire.StoreMessage.EndSubmission;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against a list of endpoints that exceeds the size of a frame, so that it cannot be sent at all. */
+/** Guards against lists of endpoints that exceed the size of a frame, and against messages that an upgrade makes unreadable. */
 class StoreMessageTest {
     private static final int LONGEST_ANNOUNCEMENT_BYTES = 131_072;
 
@@ -31,6 +33,21 @@
                 "v".repeat(LONGEST_ANNOUNCEMENT_BYTES));
     }
 
+    /** The message as earlier releases know it. */
+    record EarlierEndSubmission(SubmissionId submission) {}
+
+    /** Guards against ends that an edge and a leader of different releases cannot exchange during an upgrade. */
+    @Test
+    void shouldExchangeEndsWithEarlierReleases() {
+        SubmissionId id = SubmissionId.of("step-1");
+        EarlierEndSubmission earlier = new EarlierEndSubmission(id);
+        EndSubmission repetition = new EndSubmission(id, 1_000);
+
+        assertEquals(EndSubmission.of(id), MessageCodec.decode(MessageCodec.encode(earlier), EndSubmission.class));
+        assertEquals(earlier, MessageCodec.decode(MessageCodec.encode(repetition), EarlierEndSubmission.class));
+        assertEquals(repetition, MessageCodec.decode(MessageCodec.encode(repetition), EndSubmission.class));
+    }
+
     @Test
     void shouldSplitAnnouncementsSoThatEachBatchFitsIntoAFrame() {
         List<EndpointAnnouncement> all =
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/BatchRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/BatchRequests.java
@@ -139,7 +139,7 @@
 
     private void endSubmission(CallerExchange exchange, SubmissionId submission) {
         ends.take(submission, exchange.header(PlatformHeaders.REQUEST_ID).orElse(""), Forwarder.now());
-        sendEnd(submission, READ_TIMEOUT_MILLISECONDS, requestOutcome -> {
+        sendEnd(EndSubmission.of(submission), READ_TIMEOUT_MILLISECONDS, requestOutcome -> {
             if (requestOutcome.reply().isEmpty()) {
                 ends.keep(submission, requestOutcome.reason(), Forwarder.now());
             }
@@ -147,8 +147,9 @@
         });
     }
 
-    private void sendEnd(SubmissionId submission, long timeout, Consumer<StoreRequests.RequestOutcome> onOutcome) {
-        store.send(submission.value(), new EndSubmission(submission), 0, timeout, requestOutcome -> {
+    private void sendEnd(EndSubmission request, long timeout, Consumer<StoreRequests.RequestOutcome> onOutcome) {
+        SubmissionId submission = request.submission();
+        store.send(submission.value(), request, 0, timeout, requestOutcome -> {
             requestOutcome.reply().ifPresent(reply -> ends.acknowledge(submission, reply.outcome(), Forwarder.now()));
             onOutcome.accept(requestOutcome);
         });
@@ -161,7 +162,7 @@
         if (store.isLeaderKnown()) {
             ends.beginDueAttempts(now)
                     .forEach(submission -> sendEnd(
-                            submission,
+                            new EndSubmission(submission, ends.unknownMilliseconds(submission, now)),
                             KEPT_END_TIMEOUT_MILLISECONDS,
                             requestOutcome -> ends.attemptEnded(submission, Forwarder.now())));
         }
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/PendingEnds.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/PendingEnds.java
@@ -78,6 +78,19 @@
         return ends.containsKey(id);
     }
 
+    /**
+     * Returns the time since a leader first reported the submission of an end as unknown, if the end is only sent for copies of
+     * the submission.
+     *
+     * @param id the submission
+     * @param now the time
+     * @return the time in milliseconds; 0 for any other end
+     */
+    long unknownMilliseconds(SubmissionId id, long now) {
+        PendingEnd end = ends.get(id);
+        return end != null && end.isForCopies() ? now - end.unknownAt() : 0;
+    }
+
     /** Returns how many ends no leader has acknowledged after the request of the caller was over. */
     int kept() {
         return (int) ends.values().stream().filter(end -> end.kept).count();
@@ -213,6 +226,11 @@
             return !kept && copiesUntil > 0;
         }
 
+        /** Returns the time of the first reply that the submission is unknown. */
+        long unknownAt() {
+            return copiesUntil - SubmissionCopies.MAXIMUM_AGE_MILLISECONDS;
+        }
+
         void sendForCopies(long now) {
             kept = false;
             if (copiesUntil == 0) {
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/EndedSubmissionTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/EndedSubmissionTest.java
@@ -10,11 +10,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.rosemarybeam.common.settings.EdgeSettings;
+import io.rosemarybeam.common.wire.StoreMessage.EndSubmission;
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -22,6 +24,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against items that run after their trainer asked for the end of the submission, because the end was not carried on. */
 class EndedSubmissionTest {
@@ -162,6 +165,12 @@
         assertEquals(404, end());
 
         awaitEnds(3);
+        List<Long> times = store.endRequests().stream()
+                .map(EndSubmission::unknownMilliseconds)
+                .toList();
+        assertEquals(0, times.getFirst());
+        assertTrue(times.get(1) > 0, times.toString());
+        assertTrue(times.get(2) > times.get(1), times.toString());
     }
 
     @Test
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/FakeStoreHost.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/FakeStoreHost.java
@@ -71,7 +71,15 @@
 
     /** Returns how many requests to end a submission have arrived. */
     long ends() {
-        return requests.stream().filter(EndSubmission.class::isInstance).count();
+        return endRequests().size();
+    }
+
+    /** Returns the requests to end a submission, in the order in which they arrived. */
+    List<EndSubmission> endRequests() {
+        return requests.stream()
+                .filter(EndSubmission.class::isInstance)
+                .map(EndSubmission.class::cast)
+                .toList();
     }
 
     /** Returns how many copies of submissions have arrived. */
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PendingEndsTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/PendingEndsTest.java
@@ -125,6 +125,19 @@
         assertFalse(ends.isPending(STEP));
     }
 
+    /** Guards against a repetition that a leader takes for a new end, and refuses the submission for as long again. */
+    @Test
+    void shouldTellTheTimeSinceALeaderKnowsOfTheEndWhenItIsRepeatedForCopies() {
+        ends.take(STEP, "", START);
+        assertEquals(0, ends.unknownMilliseconds(STEP, START + 10));
+        ends.acknowledge(STEP, Outcome.UNKNOWN, START + 20);
+        ends.acknowledge(STEP, Outcome.UNKNOWN, START + 520);
+        assertEquals(1_000, ends.unknownMilliseconds(STEP, START + 1_020));
+
+        ends.keep(STEP, "no leader is known", START + 1_100);
+        assertEquals(0, ends.unknownMilliseconds(STEP, START + 1_200));
+    }
+
     @Test
     void shouldStopWhenASubmissionThatWasAcceptedAfterItsEndIsEnded() {
         ends.take(STEP, "", START);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -166,7 +166,7 @@
             case ReadNewestConfiguration ignored -> readLinearizably(reply, this::newestConfiguration);
             case NameVersion name -> publishVersion(name, reply);
             case SubmitBatch submit -> submit(submit.submission(), reply);
-            case EndSubmission end -> end(end.submission(), reply);
+            case EndSubmission end -> end(end, reply);
             case ReadResults read -> read(read, reply);
             case ReadItem read -> readLinearizably(reply, () -> itemBody(read));
             case RetireHost retire -> retire(retire, reply);
@@ -236,12 +236,13 @@
      * is remembered before the leadership is confirmed, because a copy that is proposed meanwhile would follow it. The
      * confirmation waits until the entries of former leaders are applied, which may store the submission.
      */
-    private void end(SubmissionId id, Consumer<StoreReply> reply) {
+    private void end(EndSubmission request, Consumer<StoreReply> reply) {
+        SubmissionId id = request.submission();
         if (!isUnknown(id)) {
             close(id, reply);
             return;
         }
-        unknownEnds.add(id, Forwarder.now());
+        unknownEnds.add(id, request.unknownMilliseconds(), Forwarder.now());
         driver.confirmLeadership(false).whenComplete((ignored, failure) -> {
             if (failure != null) {
                 reply.accept(StoreReply.of(Outcome.UNCERTAIN));
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/AnswerLimitTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/AnswerLimitTest.java
@@ -60,7 +60,7 @@
         StoreReply done = StoreReply.of(Outcome.DONE);
         StoreReply empty = StoreReply.of(new ResultPage(1, 0, List.of()));
 
-        assertSame(done, limit.admit(new EndSubmission(SUBMISSION), connection, done));
+        assertSame(done, limit.admit(EndSubmission.of(SUBMISSION), connection, done));
         assertSame(empty, limit.admit(new ReadResults(SUBMISSION, 0, 0), connection, empty));
     }
 
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StalledLeaderTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StalledLeaderTest.java
@@ -118,7 +118,7 @@
             for (int host : cluster.running()) {
                 if (host != former) {
                     Outcome outcome =
-                            cluster.ask(host, new EndSubmission(SUBMISSION)).outcome();
+                            cluster.ask(host, EndSubmission.of(SUBMISSION)).outcome();
                     if (outcome == Outcome.DONE) {
                         return outcome;
                     }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
@@ -142,7 +142,7 @@
     void shouldRefuseSubmissionWhenItsEndArrivedBefore() {
         StoreLeader leader = leader();
         List<StoreReply> replies = new ArrayList<>();
-        leader.serve(new EndSubmission(SubmissionId.of("s")), replies::add);
+        leader.serve(EndSubmission.of(SubmissionId.of("s")), replies::add);
         awaitReplies(replies, 1);
         leader.serve(request(), replies::add);
         awaitReplies(replies, 2);
@@ -159,7 +159,7 @@
         StoreLeader leader = leader();
         List<StoreReply> ended = new ArrayList<>();
         List<StoreReply> submitted = new ArrayList<>();
-        leader.serve(new EndSubmission(SubmissionId.of("s")), ended::add);
+        leader.serve(EndSubmission.of(SubmissionId.of("s")), ended::add);
         leader.serve(request(), submitted::add);
         awaitReplies(ended, 1);
         awaitReplies(submitted, 1);
@@ -176,7 +176,7 @@
         List<StoreReply> replies = new ArrayList<>();
         long applied = driver.applied();
         for (int repetition = 1; repetition <= 5; repetition++) {
-            leader.serve(new EndSubmission(SubmissionId.of("s")), replies::add);
+            leader.serve(EndSubmission.of(SubmissionId.of("s")), replies::add);
             awaitReplies(replies, repetition);
         }
 
@@ -193,7 +193,7 @@
         List<StoreReply> submitted = new ArrayList<>();
         List<StoreReply> ended = new ArrayList<>();
         leader.serve(request(), submitted::add);
-        leader.serve(new EndSubmission(SubmissionId.of("s")), ended::add);
+        leader.serve(EndSubmission.of(SubmissionId.of("s")), ended::add);
         awaitReplies(submitted, 1);
         awaitReplies(ended, 1);
 
@@ -208,7 +208,7 @@
         StoreLeader leader = leader();
         List<StoreReply> replies = new ArrayList<>();
         followerAnswers = false;
-        leader.serve(new EndSubmission(SubmissionId.of("s")), replies::add);
+        leader.serve(EndSubmission.of(SubmissionId.of("s")), replies::add);
         awaitReplies(replies, 1);
 
         assertEquals(Outcome.UNCERTAIN, replies.getFirst().outcome());
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/UnknownEndsTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/UnknownEndsTest.java
@@ -7,7 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-/** Guards against ends that are forgotten while copies of their submission can arrive, or that are remembered without bounds. */
+/** Guards against ends that are forgotten while copies of their submission can arrive, or that are remembered for too long. */
 class UnknownEndsTest {
     private static final SubmissionId STEP = SubmissionId.of("step-1");
     private static final long START = 10_000;
@@ -16,15 +16,36 @@
 
     @Test
     void shouldRememberAnEndWhileCopiesCanArrive() {
-        ends.add(STEP, START);
+        ends.add(STEP, 0, START);
         assertTrue(ends.contains(STEP, START + SubmissionCopies.MAXIMUM_AGE_MILLISECONDS - 1));
         assertFalse(ends.contains(STEP, START + SubmissionCopies.MAXIMUM_AGE_MILLISECONDS));
     }
 
+    /** Guards against an id that is refused for twice the time, because the last repetition of the end begins it anew. */
+    @Test
+    void shouldCountFromTheFirstEndWhenARepetitionArrivesAfterItsTime() {
+        long roundTrip = 20;
+        long repeatedAt = START + SubmissionCopies.MAXIMUM_AGE_MILLISECONDS;
+        ends.add(STEP, 0, START);
+        ends.add(STEP, repeatedAt - START - roundTrip, repeatedAt);
+
+        assertTrue(ends.contains(STEP, repeatedAt + roundTrip - 1));
+        assertFalse(ends.contains(STEP, repeatedAt + roundTrip));
+    }
+
+    /** The next leader knows of the end by a repetition, and may get a copy too. */
+    @Test
+    void shouldRememberAnEndWhenOnlyARepetitionArrives() {
+        ends.add(STEP, 1_000, START);
+
+        assertTrue(ends.contains(STEP, START + SubmissionCopies.MAXIMUM_AGE_MILLISECONDS - 1_001));
+        assertFalse(ends.contains(STEP, START + SubmissionCopies.MAXIMUM_AGE_MILLISECONDS - 1_000));
+    }
+
     @Test
     void shouldForgetTheOldestEndWhenThereAreTooMany() {
         for (int number = 0; number <= UnknownEnds.MAXIMUM_ENDS; number++) {
-            ends.add(SubmissionId.of("step-" + number), START);
+            ends.add(SubmissionId.of("step-" + number), 0, START);
         }
         assertFalse(ends.contains(SubmissionId.of("step-0"), START));
         assertTrue(ends.contains(STEP, START));
@@ -32,7 +53,7 @@
 
     @Test
     void shouldForgetAnEndWhenTheSubmissionIsStored() {
-        ends.add(STEP, START);
+        ends.add(STEP, 0, START);
         ends.remove(STEP);
         assertFalse(ends.contains(STEP, START));
     }
