Hand the ends that a stopping edge keeps to other edges

It goes on sending the ends to the leader itself, and stops no earlier than before.

EndedSubmissionTest#shouldHandAnEndToAnotherEdgeWhenTheEdgeStopsBeforeAHostLeads failed before: no end arrived within 15 s of the election of a leader.

What remains: store hosts name the other edges, so that an edge without a connection to any of them hands nothing over; ends that are only repeated for copies of an unknown submission are not handed over; and an edge that is killed loses what it keeps.

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -158,6 +158,8 @@
     END_DELIVERED(733, Severity.INFORMATION, "A leader acknowledged the end of a submission that was kept."),
     /** The end of a submission that was kept does not reach a leader any more. */
     END_DROPPED(734, Severity.WARNING, "The end of a submission that was kept is given up."),
+    /** The end of a submission that a stopping edge keeps was sent to another edge. */
+    END_HANDED_OVER(735, Severity.INFORMATION, "Another edge answered an end that a stopping edge handed over to it."),
     /** A batch submission was accepted and stored. */
     SUBMISSION_ACCEPTED(740, Severity.INFORMATION, "A batch submission is kept from now on."),
     /** A batch submission was ended by its trainer. */
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/BatchRequests.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/BatchRequests.java
@@ -34,7 +34,8 @@
  *
  * <p>Invariants: a submission is refused as not run only if no store host can have executed a request for it; 404 is
  * answered only if a leader that a majority has confirmed reports the submission or item as unknown; the end of a submission that
- * was taken from a caller is sent until a leader has it, also after the caller was refused. Confined to the event loop of the
+ * was taken from a caller is sent until a leader has it, also after the caller was refused, and to other edges if this one
+ * stops before that. Confined to the event loop of the
  * edge.
  */
 final class BatchRequests {
@@ -168,6 +169,23 @@
         }
     }
 
+    /** Sends the kept ends to other edges, because this process stops; called periodically. */
+    void handOverEnds(EndHandOver handOver) {
+        handOver.send(ends.keptEnds(), this::onHandedOver);
+    }
+
+    /** An edge answers 200 or 404 with the reply of a leader, and keeps an end for which it answers 503. */
+    private void onHandedOver(SubmissionId submission, int status) {
+        switch (status) {
+            case 200 -> ends.acknowledge(submission, Outcome.DONE, Forwarder.now());
+            case 404 -> ends.acknowledge(submission, Outcome.UNKNOWN, Forwarder.now());
+            case 503 -> ends.handedOver(submission);
+            default -> {
+                // The other edge did not take the end.
+            }
+        }
+    }
+
     /** Returns how many ends are kept until a leader acknowledges them. */
     int keptEnds() {
         return ends.kept();
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -98,6 +98,7 @@
     private final RateLimits rateLimits;
     private final StreamOrigins streams;
     private final BatchRequests batches;
+    private final EndHandOver endHandOver;
     private final EdgeRequests requests;
     private final List<CallerServer> servers = new ArrayList<>();
     private Optional<CallerServer> peerServer = Optional.empty();
@@ -146,6 +147,8 @@
                 streams,
                 new HandOver(reach, peers, settings.name().value()));
         this.batches = new BatchRequests(new StoreRequests(loop, stores));
+        this.endHandOver = new EndHandOver(
+                loop, client, peers::otherCallerAddresses, settings.name().value());
         this.requests = new EdgeRequests(forwarder, batches);
         registerMetrics();
     }
@@ -210,6 +213,9 @@
             stores.tick(status());
             client.tick();
             batches.tick();
+            if (draining) {
+                batches.handOverEnds(endHandOver);
+            }
             crashes.tick();
             verifyReach();
             long now = Forwarder.now();
@@ -347,8 +353,8 @@
      * Drains the process: reports to the store hosts that it drains, so that callers get the addresses of other edges, and
      * continues to serve until callers no longer use its address. It then refuses the requests that may outlast the stop, and a
      * little later all; it closes the connections of callers once no request is open and a leader has every end of a submission
-     * that it has taken. Requests that are open when the stop time of the settings is nearly over are answered as at their
-     * deadline. Returns when this is done.
+     * that it has taken; meanwhile it hands these ends to other edges. Requests that are open when the stop time of the settings
+     * is nearly over are answered as at their deadline. Returns when this is done.
      */
     public void stop() {
         CompletableFuture<Void> drained = new CompletableFuture<>();
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/PendingEnds.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/PendingEnds.java
@@ -93,7 +93,23 @@
 
     /** Returns how many ends no leader has acknowledged after the request of the caller was over. */
     int kept() {
-        return (int) ends.values().stream().filter(end -> end.kept).count();
+        return keptEnds().size();
+    }
+
+    /** Returns the ends that no leader has acknowledged after the request of the caller was over, the oldest first. */
+    List<SubmissionId> keptEnds() {
+        return ends.entrySet().stream()
+                .filter(entry -> entry.getValue().kept)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /** Records that another edge has taken an end; it is sent on from here too while this process runs. */
+    void handedOver(SubmissionId id) {
+        PendingEnd end = ends.get(id);
+        if (end != null) {
+            end.handedOver = true;
+        }
     }
 
     /**
@@ -187,7 +203,7 @@
 
     private void drop(SubmissionId id, String reason, long now) {
         PendingEnd end = ends.remove(id);
-        if (!end.isForCopies()) {
+        if (!end.isForCopies() && !end.handedOver) {
             LOG.log(
                     Event.END_DROPPED,
                     "request",
@@ -205,6 +221,7 @@
     private static final class PendingEnd {
         private final long takenAt;
         private boolean kept;
+        private boolean handedOver;
         private boolean attempting;
         private int attempts;
         private long nextAttempt;
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/ReportedEdges.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/ReportedEdges.java
@@ -42,6 +42,16 @@
                 .toList();
     }
 
+    /** Returns the addresses for callers of the other edges. */
+    List<String> otherCallerAddresses() {
+        return stores.edges().stream()
+                .map(EdgeAddress::callerAddress)
+                .filter(address -> !address.equals(ownCallerAddress))
+                .distinct()
+                .sorted()
+                .toList();
+    }
+
     /** Returns the addresses for callers: of the edges that reach all services, or of all edges if there are none. */
     List<String> callerAddresses() {
         Set<String> cutOff = new HashSet<>();
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/EndedSubmissionTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/EndedSubmissionTest.java
@@ -51,14 +51,19 @@
                 "Engine":{"Capacity":4,"Models":[{"Name":"model"}]}}]}
                 """.formatted(HOST));
         callerPort = freePort();
-        Path settings = folder.resolve("edge.json");
+        edge = startEdge("edge-1", callerPort);
+    }
+
+    private EdgeProcess startEdge(String name, int port) throws IOException {
+        Path settings = folder.resolve(name + ".json");
         Files.writeString(settings, """
-                {"name": "edge-1", "failureDomain": "fes", "callerAddress": "%s:%d", "readyAddress": "%s:%d",
+                {"name": "%s", "failureDomain": "fes", "callerAddress": "%s:%d", "readyAddress": "%s:%d",
                  "peerAddress": "%s:%d", "adminAddress": "%s:%d", "seeds": ["%s:1"], "storePort": %d,
                  "clusterSecret": "%s", "stopSeconds": %d}
                 """.formatted(
+                        name,
                         HOST,
-                        callerPort,
+                        port,
                         HOST,
                         freePort(),
                         HOST,
@@ -69,9 +74,10 @@
                         store.port(),
                         FakeStoreHost.SECRET,
                         STOP_SECONDS));
-        edge = new EdgeProcess(EdgeSettings.load(settings));
-        edge.start();
-        PlatformCluster.await("the edge serves", () -> send("POST", "/none/", "x") == 404 ? true : null);
+        EdgeProcess started = new EdgeProcess(EdgeSettings.load(settings));
+        started.start();
+        PlatformCluster.await("the edge serves", () -> send(port, "POST", "/none/", "x") == 404 ? true : null);
+        return started;
     }
 
     @AfterEach
@@ -95,7 +101,11 @@
     }
 
     private int send(String method, String path, String body) {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + callerPort + path))
+        return send(callerPort, method, path, body);
+    }
+
+    private int send(int port, String method, String path, String body) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + port + path))
                 .timeout(Duration.ofSeconds(TIMEOUT_SECONDS))
                 .header("Rosemarybeam-Request-Id", "step-1")
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
@@ -156,6 +166,21 @@
         awaitEnds(1);
     }
 
+    /** Guards against an end that is lost with the edge that took it, because no host led before its stop time was over. */
+    @Test
+    void shouldHandAnEndToAnotherEdgeWhenTheEdgeStopsBeforeAHostLeads() throws Exception {
+        EdgeProcess other = startEdge("edge-2", freePort());
+        assertEquals(503, end());
+        stop();
+        stopped.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        assertEquals(0, store.ends());
+
+        store.setLeading(true);
+
+        awaitEnds(1);
+        other.stop();
+    }
+
     /** A copy of the submission may reach a leader after its end, and would run without one. */
     @Test
     void shouldSendAnEndAgainWhenTheLeaderDoesNotKnowTheSubmission() {
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/FakeStoreHost.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/FakeStoreHost.java
@@ -3,7 +3,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
@@ -12,6 +14,7 @@
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.common.wire.Secrets;
 import io.rosemarybeam.common.wire.StoreMessage;
+import io.rosemarybeam.common.wire.StoreMessage.EdgeAddress;
 import io.rosemarybeam.common.wire.StoreMessage.EdgeStatus;
 import io.rosemarybeam.common.wire.StoreMessage.EndSubmission;
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
@@ -33,7 +36,7 @@
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
     private final List<StoreMessage> requests = new CopyOnWriteArrayList<>();
-    private final List<WireConnection> edges = new CopyOnWriteArrayList<>();
+    private final Map<WireConnection, EdgeStatus> edges = new ConcurrentHashMap<>();
     private final Channel channel;
     private final String configuration;
     private volatile boolean leading;
@@ -58,7 +61,7 @@
     /** Sets whether it leads, and tells the edges. */
     void setLeading(boolean leads) {
         leading = leads;
-        edges.forEach(edge -> edge.send(status()));
+        sendStatus();
     }
 
     void setSubmitReply(Outcome outcome) {
@@ -87,18 +90,26 @@
         return requests.stream().filter(SubmitBatch.class::isInstance).count();
     }
 
+    private void sendStatus() {
+        edges.keySet().forEach(edge -> edge.send(status()));
+    }
+
     private StoreStatus status() {
-        return new StoreStatus("store-1", HOST + ":" + port(), 1, 1, leading, List.of(), List.of(), false, false);
+        List<EdgeAddress> listed = edges.values().stream()
+                .filter(edge -> !edge.draining())
+                .map(edge -> new EdgeAddress(
+                        edge.callerAddress(), edge.failureDomain(), edge.peerAddress(), edge.cutOffServices()))
+                .toList();
+        return new StoreStatus("store-1", HOST + ":" + port(), 1, 1, leading, List.of(), listed, false, false);
     }
 
     private void onMessage(WireConnection connection, long correlation, Message message) {
         switch (message) {
-            case EdgeStatus ignored -> {
-                if (!edges.contains(connection)) {
-                    edges.add(connection);
+            case EdgeStatus edge -> {
+                if (edges.put(connection, edge) == null) {
                     connection.send(new PushConfiguration(1, configuration.getBytes(StandardCharsets.UTF_8)));
                 }
-                connection.send(status());
+                sendStatus();
             }
             case SubmitBatch submit -> {
                 requests.add(submit);
