Answer open calls before a stopping store host closes their connections

A call that a follower had passed on to the leader ended without an answer, although the leader carried it out; on the leader the same happened to an answer that its socket had not taken yet.

After the hand-over of the leadership the host now refuses new calls as not run and waits until none is open. It waits for 1 s at most, longer than the 800 ms that it waits for a reply of the leader; what is still open then gets 504, because the leader may carry it out. From the beginning of the stop each answer closes its connection, so that callers move to another host. A stop without open calls takes no longer than before.

StoreProcessTest#shouldAnswerAnOpenCallWhenTheHostStops stops a follower with a configuration change that waits for a leader that stalls for 300 ms. It failed before with "HTTP/1.1 header parser received no bytes". The dump of the state shows the number of open calls, which the test waits for.

A request that the host has not read completely is cut as before, and so are requests of edges, which ask another host.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ControlRequests.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/ControlRequests.java
@@ -39,6 +39,7 @@
     private static final EventLog LOG = EventLog.of(ControlRequests.class);
 
     private final Context context;
+    private boolean closed;
 
     /** The parts of the process that the requests use. */
     interface Context {
@@ -59,7 +60,17 @@
         this.context = context;
     }
 
+    /** Refuses all further requests as not run; those in progress go on. */
+    void close() {
+        closed = true;
+    }
+
     void serve(CallerExchange exchange) {
+        if (closed) {
+            LOG.log(Event.REQUEST_REFUSED, "reason", "process stops", "path", exchange.path());
+            exchange.refuse(RETRY_AFTER_SECONDS);
+            return;
+        }
         String path = exchange.path();
         Optional<String> heartbeat = PlatformPaths.endpointOfHeartbeat(path);
         Optional<String> deregistration = PlatformPaths.endpointOfDeregistration(path);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -133,6 +133,12 @@
     /** Timeout of each step of a shutdown, in milliseconds: the hand-over of leadership, the event loop, the storage. */
     private static final long STOP_TIMEOUT_MILLISECONDS = 1_500;
 
+    /**
+     * Maximum time in which a stopping process waits for the answers to open calls, in milliseconds; longer than it waits for
+     * the reply of the leader to each of them.
+     */
+    private static final long LAST_ANSWERS_MILLISECONDS = 1_000;
+
     /** Time after the start in which edges connect and send what they know, in milliseconds; they try three times a second. */
     private static final long COLLECTION_MILLISECONDS = 2_000;
 
@@ -168,6 +174,7 @@
     private final Map<WireConnection, EdgeStatus> edges = new LinkedHashMap<>();
     private final StoreMembers members;
     private final EndpointRegistry registry;
+    private final ControlRequests controlRequests = new ControlRequests(new RequestContext());
     private List<String> seeds;
     private Optional<RoutingTable> table = Optional.empty();
     private Optional<StoreLeader> leader = Optional.empty();
@@ -279,11 +286,8 @@
         protocolChannel = transport.listen(settings.protocolAddress(), self.name(), secrets, new Receiver());
         keepAlive =
                 LeaderKeepAlive.open(settings.protocolAddress(), secrets.clusterSecret(), loop, driver::leaderIsAlive);
-        operatorServer = CallerServer.open(
-                loops,
-                settings.operatorAddress(),
-                CallerLimits::defaults,
-                new ControlRequests(new RequestContext())::serve);
+        operatorServer =
+                CallerServer.open(loops, settings.operatorAddress(), CallerLimits::defaults, controlRequests::serve);
         if (startedEmpty && self.incarnation() == FIRST_INCARNATION) {
             bootstrap();
         }
@@ -329,13 +333,19 @@
         });
     }
 
-    /** Hands leadership over if this host is the leader, and shuts down. Blocks until the storage is closed. */
+    /**
+     * Hands leadership over if this host is the leader, answers the open calls of operators, endpoints and trainers, and shuts
+     * down. Calls that arrive after the hand-over are refused as not run. Blocks until the storage is closed.
+     */
     public void stop() {
         stopping = true;
         LOG.log(Event.PROCESS_STOPPING, "name", settings.name());
-        CompletableFuture<Void> handedOver = new CompletableFuture<>();
-        loop.execute(() -> handOver(handedOver, Forwarder.now() + STOP_TIMEOUT_MILLISECONDS));
-        handedOver.join();
+        CompletableFuture<Void> answered = new CompletableFuture<>();
+        loop.execute(() -> {
+            operatorServer.drain();
+            handOver(answered, Forwarder.now() + STOP_TIMEOUT_MILLISECONDS);
+        });
+        answered.join();
         loopMonitor.close();
         keepAlive.close();
         loop.submit(() -> {
@@ -403,13 +413,26 @@
         boolean leads = log.role() == ReplicatedLog.Role.LEADER;
         Optional<MemberId> successor = members.successor();
         if (!leads || successor.isEmpty() || Forwarder.now() >= deadline) {
-            done.complete(null);
+            controlRequests.close();
+            awaitAnswers(done, Forwarder.now() + LAST_ANSWERS_MILLISECONDS);
             return;
         }
         driver.transferLeadership(successor.get());
         loop.schedule(() -> handOver(done, deadline), TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
 
+    /** Waits until no call is open; a call that has no answer at the deadline gets 504, because the leader may carry it out. */
+    private void awaitAnswers(CompletableFuture<Void> done, long deadline) {
+        if (Forwarder.now() >= deadline) {
+            operatorServer.expire();
+            done.complete(null);
+        } else if (operatorServer.openExchanges() == 0) {
+            done.complete(null);
+        } else {
+            loop.schedule(() -> awaitAnswers(done, deadline), TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void tick() {
         try {
             ticks++;
@@ -593,6 +616,11 @@
         public int edges() {
             return edges.size();
         }
+
+        @Override
+        public int openCalls() {
+            return operatorServer.openExchanges();
+        }
     }
 
     /** Exposes this process to the requests of operators and endpoints. */
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreReport.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreReport.java
@@ -35,6 +35,9 @@
 
         /** Returns the number of connected edges. */
         int edges();
+
+        /** Returns the number of calls of operators, endpoints and trainers without a complete answer. */
+        int openCalls();
     }
 
     StoreReport(LogDriver driver, StoreState state, EndpointDirectory directory, ProcessView process) {
@@ -110,7 +113,8 @@
                 + identities(log.membership().learners()) + ", \"configuration\": "
                 + process.configurationVersion() + ", \"submissions\": "
                 + state.submissions().size() + ", \"openItems\": "
-                + process.leader().map(StoreLeader::openItems).orElse(0) + ", \"edges\": " + process.edges() + "}";
+                + process.leader().map(StoreLeader::openItems).orElse(0) + ", \"edges\": " + process.edges()
+                + ", \"openCalls\": " + process.openCalls() + "}";
         return CompletableFuture.completedFuture(text);
     }
 
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreProcessTest.java
@@ -8,7 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -28,6 +31,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
  * Guards against two clusters that form side by side, acknowledged changes that are lost with a disk or in a restart of all
@@ -48,6 +52,9 @@
     /** Several rounds in which the hosts exchange the endpoints with recent heartbeats. */
     private static final long CONTACT_ROUNDS_MILLISECONDS = 3_000;
 
+    /** Time for which a leader answers nothing, in milliseconds; other hosts wait for a reply for 800. */
+    private static final long STALL_MILLISECONDS = 300;
+
     @TempDir
     Path folder;
 
@@ -101,6 +108,44 @@
                 && observed.path("learners").isEmpty();
     }
 
+    private boolean leads(int host) throws IOException {
+        return new ObjectMapper()
+                .readTree(cluster.dump(host))
+                .path("role")
+                .asText()
+                .equals("LEADER");
+    }
+
+    /** Guards against a planned stop that cuts a call which waits for the reply of the leader. */
+    @Test
+    void shouldAnswerAnOpenCallWhenTheHostStops() throws Exception {
+        for (int host = 1; host <= 3; host++) {
+            cluster.start(host, true);
+        }
+        replaceConfiguration(1, 1);
+        int leader = StoreCluster.await("a host leads", () -> {
+            for (int host : cluster.running()) {
+                if (leads(host)) {
+                    return host;
+                }
+            }
+            return null;
+        });
+        int follower = leader == 1 ? 2 : 1;
+        CountDownLatch stall = new CountDownLatch(1);
+        cluster.stall(leader, stall);
+        CompletableFuture<Integer> status =
+                CompletableFuture.supplyAsync(() -> cluster.post(follower, REPLACE, configuration(2)));
+        StoreCluster.await("the call is open", () -> cluster.dump(follower).contains("\"openCalls\": 1") ? true : null);
+
+        CompletableFuture.delayedExecutor(STALL_MILLISECONDS, TimeUnit.MILLISECONDS)
+                .execute(stall::countDown);
+        cluster.stop(follower);
+
+        int answered = status.get(STALL_MILLISECONDS, TimeUnit.MILLISECONDS);
+        assertTrue(answered == 200 || answered == 503, "answered " + answered);
+    }
+
     @Test
     void shouldFormOneClusterWhenSeedsStartInAnyOrder() {
         cluster.start(4, true);
