--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/PendingEnds.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/PendingEnds.java
@@ -78,9 +78,38 @@
         return ends.containsKey(id);
     }
 
+    /**
+     * Returns the time since a leader first reported the submission of an end as unknown, if the end is only sent for copies of
+     * the submission.
+     *
+     * @param id the submission
+     * @param now the time
+     * @return the time in milliseconds; 0 for any other end
+     */
+    long unknownMilliseconds(SubmissionId id, long now) {
+        PendingEnd end = ends.get(id);
+        return end != null && end.isForCopies() ? now - end.unknownAt() : 0;
+    }
+
     /** Returns how many ends no leader has acknowledged after the request of the caller was over. */
     int kept() {
-        return (int) ends.values().stream().filter(end -> end.kept).count();
+        return keptEnds().size();
+    }
+
+    /** Returns the ends that no leader has acknowledged after the request of the caller was over, the oldest first. */
+    List<SubmissionId> keptEnds() {
+        return ends.entrySet().stream()
+                .filter(entry -> entry.getValue().kept)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /** Records that another edge has taken an end; it is sent on from here too while this process runs. */
+    void handedOver(SubmissionId id) {
+        PendingEnd end = ends.get(id);
+        if (end != null) {
+            end.handedOver = true;
+        }
     }
 
     /**
@@ -174,7 +203,7 @@
 
     private void drop(SubmissionId id, String reason, long now) {
         PendingEnd end = ends.remove(id);
-        if (!end.isForCopies()) {
+        if (!end.isForCopies() && !end.handedOver) {
             LOG.log(
                     Event.END_DROPPED,
                     "request",
@@ -192,6 +221,7 @@
     private static final class PendingEnd {
         private final long takenAt;
         private boolean kept;
+        private boolean handedOver;
         private boolean attempting;
         private int attempts;
         private long nextAttempt;
@@ -213,6 +243,11 @@
             return !kept && copiesUntil > 0;
         }
 
+        /** Returns the time of the first reply that the submission is unknown. */
+        long unknownAt() {
+            return copiesUntil - SubmissionCopies.MAXIMUM_AGE_MILLISECONDS;
+        }
+
         void sendForCopies(long now) {
             kept = false;
             if (copiesUntil == 0) {
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/EndedSubmissionTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/EndedSubmissionTest.java
@@ -10,11 +10,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import io.rosemarybeam.common.settings.EdgeSettings;
+import io.rosemarybeam.common.wire.StoreMessage.EndSubmission;
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -22,6 +24,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against items that run after their trainer asked for the end of the submission, because the end was not carried on. */
 class EndedSubmissionTest {
@@ -48,14 +51,19 @@
                 "Engine":{"Capacity":4,"Models":[{"Name":"model"}]}}]}
                 """.formatted(HOST));
         callerPort = freePort();
-        Path settings = folder.resolve("edge.json");
+        edge = startEdge("edge-1", callerPort);
+    }
+
+    private EdgeProcess startEdge(String name, int port) throws IOException {
+        Path settings = folder.resolve(name + ".json");
         Files.writeString(settings, """
-                {"name": "edge-1", "failureDomain": "fes", "callerAddress": "%s:%d", "readyAddress": "%s:%d",
+                {"name": "%s", "failureDomain": "fes", "callerAddress": "%s:%d", "readyAddress": "%s:%d",
                  "peerAddress": "%s:%d", "adminAddress": "%s:%d", "seeds": ["%s:1"], "storePort": %d,
                  "clusterSecret": "%s", "stopSeconds": %d}
                 """.formatted(
+                        name,
                         HOST,
-                        callerPort,
+                        port,
                         HOST,
                         freePort(),
                         HOST,
@@ -66,9 +74,10 @@
                         store.port(),
                         FakeStoreHost.SECRET,
                         STOP_SECONDS));
-        edge = new EdgeProcess(EdgeSettings.load(settings));
-        edge.start();
-        PlatformCluster.await("the edge serves", () -> send("POST", "/none/", "x") == 404 ? true : null);
+        EdgeProcess started = new EdgeProcess(EdgeSettings.load(settings));
+        started.start();
+        PlatformCluster.await("the edge serves", () -> send(port, "POST", "/none/", "x") == 404 ? true : null);
+        return started;
     }
 
     @AfterEach
@@ -92,7 +101,11 @@
     }
 
     private int send(String method, String path, String body) {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + callerPort + path))
+        return send(callerPort, method, path, body);
+    }
+
+    private int send(int port, String method, String path, String body) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + HOST + ":" + port + path))
                 .timeout(Duration.ofSeconds(TIMEOUT_SECONDS))
                 .header("Rosemarybeam-Request-Id", "step-1")
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
@@ -153,6 +166,21 @@
         awaitEnds(1);
     }
 
+    /** Guards against an end that is lost with the edge that took it, because no host led before its stop time was over. */
+    @Test
+    void shouldHandAnEndToAnotherEdgeWhenTheEdgeStopsBeforeAHostLeads() throws Exception {
+        EdgeProcess other = startEdge("edge-2", freePort());
+        assertEquals(503, end());
+        stop();
+        stopped.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        assertEquals(0, store.ends());
+
+        store.setLeading(true);
+
+        awaitEnds(1);
+        other.stop();
+    }
+
     /** A copy of the submission may reach a leader after its end, and would run without one. */
     @Test
     void shouldSendAnEndAgainWhenTheLeaderDoesNotKnowTheSubmission() {
@@ -162,6 +190,12 @@
         assertEquals(404, end());
 
         awaitEnds(3);
+        List<Long> times = store.endRequests().stream()
+                .map(EndSubmission::unknownMilliseconds)
+                .toList();
+        assertEquals(0, times.getFirst());
+        assertTrue(times.get(1) > 0, times.toString());
+        assertTrue(times.get(2) > times.get(1), times.toString());
     }
 
     @Test
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -179,7 +179,7 @@
             case ReadNewestConfiguration ignored -> readLinearizably(reply, this::newestConfiguration);
             case NameVersion name -> publishVersion(name, reply);
             case SubmitBatch submit -> submit(submit.submission(), reply);
-            case EndSubmission end -> end(end.submission(), reply);
+            case EndSubmission end -> end(end, reply);
             case ReadResults read -> read(read, reply);
             case ReadItem read -> readLinearizably(reply, () -> itemBody(read));
             case RetireHost retire -> retire(retire, reply);
@@ -244,11 +244,30 @@
         propose(command, outcome -> pendingSubmissions.remove(id).forEach(waiter -> waiter.accept(outcome)));
     }
 
-    /** The end is remembered before it is applied, because a copy that is proposed meanwhile would follow it in the log. */
-    private void end(SubmissionId id, Consumer<StoreReply> reply) {
-        if (state.submission(id).isEmpty()) {
-            unknownEnds.add(id, Forwarder.now());
+    /**
+     * Ends a submission. The end of an unknown one is remembered and takes no entry of the log: callers and edges repeat it. It
+     * is remembered before the leadership is confirmed, because a copy that is proposed meanwhile would follow it. The
+     * confirmation waits until the entries of former leaders are applied, which may store the submission.
+     */
+    private void end(EndSubmission request, Consumer<StoreReply> reply) {
+        SubmissionId id = request.submission();
+        if (!isUnknown(id)) {
+            close(id, reply);
+            return;
         }
+        unknownEnds.add(id, request.unknownMilliseconds(), Forwarder.now());
+        driver.confirmLeadership(false).whenComplete((ignored, failure) -> {
+            if (failure != null) {
+                reply.accept(StoreReply.of(Outcome.UNCERTAIN));
+            } else if (isUnknown(id)) {
+                reply.accept(StoreReply.of(Outcome.UNKNOWN));
+            } else {
+                close(id, reply);
+            }
+        });
+    }
+
+    private void close(SubmissionId id, Consumer<StoreReply> reply) {
         propose(new StoreCommand.CloseSubmission(id), outcome -> {
             if (outcome.outcome() == Outcome.DONE) {
                 unknownEnds.remove(id);
@@ -257,11 +276,15 @@
         });
     }
 
+    /** Returns whether a submission is neither stored nor proposed by this leader. */
+    private boolean isUnknown(SubmissionId id) {
+        return state.submission(id).isEmpty() && !pendingSubmissions.containsKey(id);
+    }
+
     /** Refuses a submission whose end came first; a host that leads no more does not know whether its successor has stored it. */
     private void refuseEnded(SubmissionId id, Consumer<StoreReply> reply) {
         driver.confirmLeadership(false).whenComplete((ignored, failure) -> {
-            boolean isUnknown = state.submission(id).isEmpty() && !pendingSubmissions.containsKey(id);
-            if (failure == null && isUnknown) {
+            if (failure == null && isUnknown(id)) {
                 LOG.log(Event.REQUEST_REFUSED, "request", id, "reason", "the end of the submission came first");
                 reply.accept(StoreReply.of(Outcome.REFUSED));
             } else {
