Refuse submissions beyond a quarter of the store leader's heap

Nothing compared the stored state with the heap.

The state now keeps an estimate of what its submissions, texts and results take, and the leader refuses a new submission if the state would exceed a quarter of its maximum heap. Each open item counts with the mean size of the stored results until it has one, and submissions that are proposed count from their proposal, so neither items that wait for endpoints nor a burst lead beyond the budget. A refusal is given only after the leadership is confirmed, as for submissions whose end came first; it promises that nothing runs. Copies of stored submissions, ends, results, texts and reads are never refused, so a leader whose state is over its budget shrinks it.

SUBMISSION_REFUSED, three metrics and the dump show state, budget and refusals.

With the check switched off, 4 tests of StoreLeaderReplyTest and one of StateBudgetTest fail (REFUSED expected, DONE given).

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -158,6 +158,9 @@
     END_DELIVERED(733, Severity.INFORMATION, "A leader acknowledged the end of a submission that was kept."),
     /** The end of a submission that was kept does not reach a leader any more. */
     END_DROPPED(734, Severity.WARNING, "The end of a submission that was kept is given up."),
+    /** The store leader refused a batch submission, because the stored state has no room for it. */
+    SUBMISSION_REFUSED(
+            739, Severity.WARNING, "A batch submission was refused, because the stored state has no room for it."),
     /** A batch submission was accepted and stored. */
     SUBMISSION_ACCEPTED(740, Severity.INFORMATION, "A batch submission is kept from now on."),
     /** A batch submission was ended by its trainer. */
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -53,12 +53,16 @@
     private final Retirements retirements;
     private final VersionOrders orders;
     private final SendAuthority authority;
+    private final StateBudget budget;
     private final long resultRetentionMilliseconds;
     private final Map<SubmissionId, List<PendingRead>> pendingReads = new HashMap<>();
 
     /** Receivers of the outcome of each submission that is proposed and not applied yet. */
     private final Map<SubmissionId, List<Consumer<StoreReply>>> pendingSubmissions = new HashMap<>();
 
+    /** Size of the submissions that are proposed and not applied yet. */
+    private StoredBytes proposed = StoredBytes.NONE;
+
     private final UnknownEnds unknownEnds = new UnknownEnds();
     private final Map<SubmissionId, List<Submission.Result>> pendingResults = new HashMap<>();
     private final BatchRunner runner;
@@ -82,6 +86,7 @@
             Retirements retirements,
             VersionOrders orders,
             SendAuthority authority,
+            StateBudget budget,
             Duration resultRetention,
             RunnerFactory runners) {
         this.driver = driver;
@@ -91,6 +96,7 @@
         this.retirements = retirements;
         this.orders = orders;
         this.authority = authority;
+        this.budget = budget;
         this.resultRetentionMilliseconds = resultRetention.toMillis();
         this.runner = runners.create(this);
         state.setListener(this);
@@ -221,14 +227,48 @@
             return;
         }
         if (unknownEnds.contains(id, Forwarder.now())) {
-            refuseEnded(id, reply);
+            refuse(
+                    id,
+                    reply,
+                    () -> LOG.log(
+                            Event.REQUEST_REFUSED, "request", id, "reason", "the end of the submission came first"));
+            return;
+        }
+        StoredBytes size = StoredSubmission.sizeOf(submission);
+        long expectedBytes = state.expectedBytesWith(proposed.plus(size));
+        if (!budget.hasRoom(expectedBytes)) {
+            refuse(id, reply, () -> recordLackOfRoom(id, size, expectedBytes));
             return;
         }
         Optional<Route> route = table.get().flatMap(current -> current.find(submission.host(), submission.routePath()));
         StoreCommand command = new StoreCommand.AcceptSubmission(
                 submission, route.map(Route::name).orElse(""));
         pendingSubmissions.put(id, new ArrayList<>(List.of(reply)));
-        propose(command, outcome -> pendingSubmissions.remove(id).forEach(waiter -> waiter.accept(outcome)));
+        proposed = proposed.plus(size);
+        propose(command, outcome -> {
+            proposed = proposed.minus(size);
+            pendingSubmissions.remove(id).forEach(waiter -> waiter.accept(outcome));
+        });
+    }
+
+    private void recordLackOfRoom(SubmissionId id, StoredBytes size, long expectedBytes) {
+        budget.countRefusal();
+        LOG.log(
+                Event.SUBMISSION_REFUSED,
+                "request",
+                id,
+                "bytes",
+                size.bytes(),
+                "expectedBytes",
+                expectedBytes,
+                "stateBytes",
+                state.expectedBytes(),
+                "budgetBytes",
+                budget.maximumBytes(),
+                "submissions",
+                state.submissions().size(),
+                "term",
+                authority.term());
     }
 
     /** The end is remembered before it is applied, because a copy that is proposed meanwhile would follow it in the log. */
@@ -244,12 +284,15 @@
         });
     }
 
-    /** Refuses a submission whose end came first; a host that leads no more does not know whether its successor has stored it. */
-    private void refuseEnded(SubmissionId id, Consumer<StoreReply> reply) {
+    /**
+     * Refuses a submission that is not stored, which promises that none of it runs. A host that leads no more does not know
+     * whether its successor has stored it.
+     */
+    private void refuse(SubmissionId id, Consumer<StoreReply> reply, Runnable recordRefusal) {
         driver.confirmLeadership(false).whenComplete((ignored, failure) -> {
             boolean isUnknown = state.submission(id).isEmpty() && !pendingSubmissions.containsKey(id);
             if (failure == null && isUnknown) {
-                LOG.log(Event.REQUEST_REFUSED, "request", id, "reason", "the end of the submission came first");
+                recordRefusal.run();
                 reply.accept(StoreReply.of(Outcome.REFUSED));
             } else {
                 reply.accept(StoreReply.of(Outcome.UNCERTAIN));
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -153,6 +153,7 @@
     private final EndpointClient client = EndpointClient.of(loop);
     private final StreamOriginTable streams = new StreamOriginTable();
     private final PermitGranter permits = new PermitGranter(loop, this::confirmLeadership);
+    private final StateBudget budget = StateBudget.ofProcess();
     private final AnswerLimit answerLimit = AnswerLimit.of(OutputBacklog.ofProcess());
     private final LeavingEndpoints leavingEndpoints = new LeavingEndpoints(directory, this::publishLeaving);
     private final GenerationFleet fleet = new GenerationFleet(directory, loads, permits::isAvailable, leavingEndpoints);
@@ -271,7 +272,7 @@
     public void start() {
         startedAt = Forwarder.now();
         ProcessFailure.watch(loops, () -> stopping, this::fail);
-        StoreReport report = new StoreReport(driver, state, directory, new ReportView());
+        StoreReport report = new StoreReport(driver, state, budget, directory, new ReportView());
         report.register(metrics);
         answerLimit.register(metrics);
         ForwardMetrics.registerComputedMetrics(metrics, directory, client, this::configurationVersion);
@@ -771,6 +772,7 @@
                     members,
                     orders,
                     authority,
+                    budget,
                     settings.resultRetention(),
                     context -> new BatchRunner(
                             state,
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreReport.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreReport.java
@@ -22,6 +22,7 @@
 
     private final LogDriver driver;
     private final StoreState state;
+    private final StateBudget budget;
     private final EndpointDirectory directory;
     private final ProcessView process;
 
@@ -37,9 +38,11 @@
         int edges();
     }
 
-    StoreReport(LogDriver driver, StoreState state, EndpointDirectory directory, ProcessView process) {
+    StoreReport(
+            LogDriver driver, StoreState state, StateBudget budget, EndpointDirectory directory, ProcessView process) {
         this.driver = driver;
         this.state = state;
+        this.budget = budget;
         this.directory = directory;
         this.process = process;
     }
@@ -78,6 +81,11 @@
                 () -> driver.storedSnapshotAge().isPresent()
                         ? driver.storedSnapshotAge().getAsLong() / MILLISECONDS_PER_SECOND
                         : -1);
+        metrics.computedGauge(
+                "store_state_bytes",
+                "Estimated size of the stored state on the heap, with what its open items will add.",
+                state::expectedBytes);
+        budget.register(metrics);
         metrics.computedGauge(
                 "endpoint_view_age_seconds",
                 "Time since the last heartbeat of the ready endpoint that was heard longest ago.",
@@ -109,7 +117,9 @@
                 + identities(log.membership().voters()) + ", \"learners\": "
                 + identities(log.membership().learners()) + ", \"configuration\": "
                 + process.configurationVersion() + ", \"submissions\": "
-                + state.submissions().size() + ", \"openItems\": "
+                + state.submissions().size() + ", \"stateBytes\": " + state.expectedBytes()
+                + ", \"stateBudgetBytes\": " + budget.maximumBytes() + ", \"refusedSubmissions\": "
+                + budget.refusedSubmissions() + ", \"openItems\": "
                 + process.leader().map(StoreLeader::openItems).orElse(0) + ", \"edges\": " + process.edges() + "}";
         return CompletableFuture.completedFuture(text);
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreState.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreState.java
@@ -31,6 +31,7 @@
     private final Map<SubmissionId, StoredSubmission> submissions = new LinkedHashMap<>();
     private final TreeMap<String, String> hostByName = new TreeMap<>();
     private final TreeSet<String> retiring = new TreeSet<>();
+    private StoredBytes storedBytes = StoredBytes.NONE;
     private long lastLeaderTime;
     private Listener listener = new Listener() {};
 
@@ -66,6 +67,27 @@
         return Optional.ofNullable(submissions.get(id));
     }
 
+    /**
+     * Returns an estimate of what the state takes on the heap, with what its open items will add. It is not a part of the state:
+     * releases may estimate differently.
+     *
+     * @return the size, in bytes
+     */
+    long expectedBytes() {
+        return expectedBytesWith(StoredBytes.NONE);
+    }
+
+    /**
+     * Returns the estimate of {@link #expectedBytes} for a state with further submissions.
+     *
+     * @param added size of these submissions
+     * @return the size, in bytes
+     */
+    long expectedBytesWith(StoredBytes added) {
+        return storedBytes.plus(added).expectedBytes()
+                + configuration.map(newest -> newest.text().length).orElse(0);
+    }
+
     /** Returns the IP numbers of the store hosts by name. */
     Map<String, String> hostByName() {
         return hostByName;
@@ -96,7 +118,7 @@
             case StoreCommand.KeepTexts keep -> storeTexts(keep);
             case StoreCommand.CloseSubmission close -> close(close);
             case StoreCommand.ForgetSubmissions forget -> {
-                forget.submissions().forEach(submissions::remove);
+                forget.submissions().forEach(this::remove);
                 yield StoreReply.of(Outcome.DONE);
             }
             case StoreCommand.NameHost name -> setHostName(name);
@@ -120,18 +142,36 @@
         SubmissionId id = accept.submission().id();
         if (!submissions.containsKey(id)) {
             StoredSubmission stored = new StoredSubmission(accept.submission(), accept.routeName(), lastLeaderTime);
-            submissions.put(id, stored);
+            put(stored);
             listener.accepted(stored);
         }
         return StoreReply.of(Outcome.DONE);
     }
 
+    private void put(StoredSubmission stored) {
+        submissions.put(stored.submission().id(), stored);
+        storedBytes = storedBytes.plus(stored.size());
+    }
+
+    private void remove(SubmissionId id) {
+        StoredSubmission stored = submissions.remove(id);
+        if (stored != null) {
+            storedBytes = storedBytes.minus(stored.size());
+        }
+    }
+
+    private void change(StoredSubmission stored, Runnable change) {
+        StoredBytes former = stored.size();
+        change.run();
+        storedBytes = storedBytes.minus(former).plus(stored.size());
+    }
+
     private StoreReply listResults(StoreCommand.ListResults list) {
         StoredSubmission stored = submissions.get(list.submission());
         if (stored == null) {
             return StoreReply.of(Outcome.UNKNOWN);
         }
-        list.results().forEach(stored::list);
+        change(stored, () -> list.results().forEach(stored::list));
         listener.listed(stored);
         return StoreReply.of(Outcome.DONE);
     }
@@ -141,7 +181,7 @@
         if (stored == null) {
             return StoreReply.of(Outcome.UNKNOWN);
         }
-        keep.texts().forEach(text -> stored.appendText(text.item(), text.part()));
+        change(stored, () -> keep.texts().forEach(text -> stored.appendText(text.item(), text.part())));
         return StoreReply.of(Outcome.DONE);
     }
 
@@ -151,7 +191,7 @@
             return StoreReply.of(Outcome.UNKNOWN);
         }
         if (!stored.isEnded()) {
-            stored.end();
+            change(stored, stored::end);
             listener.ended(stored);
         }
         return StoreReply.of(Outcome.DONE);
@@ -171,6 +211,7 @@
         configuration = Optional.empty();
         versions.clear();
         submissions.clear();
+        storedBytes = StoredBytes.NONE;
         hostByName.clear();
         retiring.clear();
         if (snapshot.length == 0) {
@@ -180,7 +221,7 @@
         lastLeaderTime = decoded.time;
         configuration = Optional.ofNullable(decoded.configuration);
         decoded.versions.forEach(version -> versions.put(version.model, version.version));
-        decoded.submissions.forEach(entry -> submissions.put(entry.submission().id(), StoredSubmission.of(entry)));
+        decoded.submissions.forEach(entry -> put(StoredSubmission.of(entry)));
         hostByName.putAll(decoded.hostByName);
         retiring.addAll(decoded.retiring);
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoredSubmission.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoredSubmission.java
@@ -22,6 +22,18 @@
     /** Maximum size of a page of results, in bytes of text; the platform reads at most one megabyte. */
     private static final int MAXIMUM_PAGE_BYTES = 900_000;
 
+    /** Objects of a submission beside the bytes of its items: the records, lists and maps, in bytes. */
+    private static final long SUBMISSION_OVERHEAD_BYTES = 1_000;
+
+    /** Objects of an item beside its text and bytes: records, arrays, strings, and its entry in the map of positions. */
+    private static final long ITEM_OVERHEAD_BYTES = 500;
+
+    /** Objects of a result beside its text, in bytes. */
+    private static final long RESULT_OVERHEAD_BYTES = 200;
+
+    /** Objects of an event of a partial text: a string with its array, a boxed version, and two references, in bytes. */
+    private static final long EVENT_OVERHEAD_BYTES = 80;
+
     private final Submission submission;
     private final String routeName;
     private final long acceptedAt;
@@ -29,6 +41,9 @@
     private final List<Submission.Result> results = new ArrayList<>();
     private final Map<ItemId, Integer> positions = new HashMap<>();
     private final Map<ItemId, ItemText> texts = new LinkedHashMap<>();
+    private final long submissionBytes;
+    private long resultBytes;
+    private long partialTextBytes;
     private boolean ended;
 
     StoredSubmission(Submission submission, String routeName, long acceptedAt) {
@@ -39,6 +54,51 @@
                 .map(StoredSubmission::group)
                 .distinct()
                 .count();
+        this.submissionBytes = estimatedBytes(submission);
+    }
+
+    /** Returns an estimate of what a submission takes on the heap as long as it has no results and texts. */
+    static StoredBytes sizeOf(Submission submission) {
+        return StoredBytes.ofOpen(estimatedBytes(submission), submission.items().size());
+    }
+
+    private static long estimatedBytes(Submission submission) {
+        return SUBMISSION_OVERHEAD_BYTES
+                + submission.items().stream()
+                        .mapToLong(StoredSubmission::estimatedBytes)
+                        .sum();
+    }
+
+    private static long estimatedBytes(Submission.Item item) {
+        long headers = item.headers().entrySet().stream()
+                .mapToLong(
+                        header -> header.getKey().length() + header.getValue().length())
+                .sum();
+        long scorer = item.scorer()
+                .map(request -> request.body().length + request.path().length())
+                .orElse(0);
+        return ITEM_OVERHEAD_BYTES + item.path().length() + headers + item.body().length + scorer;
+    }
+
+    private static long estimatedBytes(ItemText text) {
+        return text.byteLength() + text.lastEvent() * EVENT_OVERHEAD_BYTES;
+    }
+
+    private static long estimatedBytes(Submission.Result result) {
+        return RESULT_OVERHEAD_BYTES
+                + result.text().length
+                + result.score().map(String::length).orElse(0);
+    }
+
+    /** Returns an estimate of what the submission takes on the heap with its results and texts. */
+    StoredBytes size() {
+        int openItems = ended ? 0 : submission.items().size() - results.size();
+        return new StoredBytes(
+                submissionBytes + resultBytes + partialTextBytes,
+                partialTextBytes,
+                openItems,
+                results.size(),
+                resultBytes);
     }
 
     static StoredSubmission of(Snapshot snapshot) {
@@ -108,13 +168,22 @@
         }
         item(id).ifPresent(item -> {
             ItemText text = texts.computeIfAbsent(id, ignored -> new ItemText());
+            partialTextBytes -= estimatedBytes(text);
             text.append(part);
+            partialTextBytes += estimatedBytes(text);
             if (text.lastEvent() == 0 || !text.isWithin(ItemTask.textLimit(item))) {
-                texts.remove(id);
+                removeText(id);
             }
         });
     }
 
+    private void removeText(ItemId id) {
+        ItemText text = texts.remove(id);
+        if (text != null) {
+            partialTextBytes -= estimatedBytes(text);
+        }
+    }
+
     /** Returns the stored text of an item that is not listed; empty if there is none. */
     Optional<ItemText.Part> storedText(ItemId item) {
         return Optional.ofNullable(texts.get(item))
@@ -126,7 +195,8 @@
         if (positions.containsKey(result.item()) || item(result.item()).isEmpty()) {
             return false;
         }
-        texts.remove(result.item());
+        removeText(result.item());
+        resultBytes += estimatedBytes(result);
         positions.put(result.item(), results.size());
         results.add(result);
         return true;
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
@@ -11,8 +11,11 @@
 
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.id.SubmissionId;
+import io.rosemarybeam.common.wire.StoreMessage;
 import io.rosemarybeam.common.wire.StoreMessage.EndSubmission;
 import io.rosemarybeam.common.wire.StoreMessage.Outcome;
+import io.rosemarybeam.common.wire.StoreMessage.ReadItem;
+import io.rosemarybeam.common.wire.StoreMessage.ReadResults;
 import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
 import io.rosemarybeam.common.wire.StoreMessage.SubmitBatch;
 import io.rosemarybeam.common.wire.Submission;
@@ -30,7 +33,6 @@
 import io.rosemarybeam.consensus.storage.LogStorage;
 import io.rosemarybeam.control.LeaderClock;
 import io.rosemarybeam.control.LogDriver;
-import io.rosemarybeam.control.MonotonicClock;
 import io.rosemarybeam.decision.routing.EndpointLoads;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -41,13 +43,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
- * Guards against a leader that denies a stored submission, accepts one after its end, or drops a result which the log did not
- * accept.
+ * Guards against a leader that denies a stored submission, accepts one after its end or beyond its memory, or drops a result
+ * which the log did not accept.
  */
 class StoreLeaderReplyTest {
     /** Number of ticks within which an election or a check of the quorum is over. */
     private static final int MANY_TICKS = 200;
 
+    private static final Duration RETENTION = Duration.ofMinutes(1);
+
     private static final MemberId SELF = new MemberId("store-1", 1);
     private static final MemberId FOLLOWER = new MemberId("store-2", 1);
 
@@ -59,6 +63,7 @@
     private LogStorage storage;
     private LogDriver driver;
     private boolean followerAnswers = true;
+    private long now;
 
     @BeforeEach
     void lead() {
@@ -94,25 +99,52 @@
     }
 
     private StoreLeader leader() {
+        return leader(StateBudget.ofProcess());
+    }
+
+    private StoreLeader leader(StateBudget budget) {
         SendAuthority authority = new SendAuthority(1, () -> 0, state);
         return new StoreLeader(
                 driver,
                 state,
-                new LeaderClock(MonotonicClock.system(), 0),
+                new LeaderClock(() -> now, state.lastLeaderTime()),
                 Optional::empty,
                 null,
                 new VersionOrders(null, null, endpoint -> {}, "store-1", authority, 0),
                 authority,
-                Duration.ofMinutes(1),
+                budget,
+                RETENTION,
                 context -> new BatchRunner(
                         state, null, new EndpointLoads(), null, endpoint -> {}, null, null, authority, context));
     }
 
     private static SubmitBatch request() {
+        return request("s");
+    }
+
+    private static SubmitBatch request(String id) {
         Submission.Item item =
                 new Submission.Item(ItemId.of("i"), "/x", Map.of(), new byte[0], 5, 0, "g", Optional.empty());
         return new SubmitBatch(
-                new Submission(SubmissionId.of("s"), "h", "/x/", 0, Optional.empty(), 3, 1, List.of(item)));
+                new Submission(SubmissionId.of(id), "h", "/x/", 0, Optional.empty(), 3, 1, List.of(item)));
+    }
+
+    /** Returns a budget with room for one submission of {@link #request()} and less than a second one. */
+    private static StateBudget roomForOne() {
+        return StateBudget.of(StoredSubmission.sizeOf(request().submission()).bytes() * 3 / 2);
+    }
+
+    private Outcome serve(StoreLeader leader, StoreMessage request) {
+        List<StoreReply> replies = new ArrayList<>();
+        leader.serve(request, replies::add);
+        awaitReplies(replies, 1);
+        return replies.getFirst().outcome();
+    }
+
+    private void removeExpired(StoreLeader leader) {
+        now += 2 * RETENTION.toMillis();
+        leader.tick();
+        runTasks();
     }
 
     /** Guards against a copy of a stored submission that is refused, which promises callers that none of it runs. */
@@ -167,6 +199,81 @@
         assertTrue(state.submission(SubmissionId.of("s")).isEmpty());
     }
 
+    /** Guards against store hosts that accept submissions until their heap is exhausted. */
+    @Test
+    void shouldRefuseSubmissionWhenTheStateHasNoRoomForIt() {
+        StateBudget budget = roomForOne();
+        StoreLeader leader = leader(budget);
+
+        assertEquals(Outcome.DONE, serve(leader, request("s")));
+        assertEquals(Outcome.REFUSED, serve(leader, request("t")));
+
+        assertTrue(state.submission(SubmissionId.of("t")).isEmpty());
+        assertEquals(1, budget.refusedSubmissions());
+    }
+
+    /** Guards against a burst that is accepted as a whole, because none of it is applied yet. */
+    @Test
+    void shouldRefuseSubmissionWhenProposedOnesFillTheBudget() {
+        StoreLeader leader = leader(roomForOne());
+        List<StoreReply> first = new ArrayList<>();
+        List<StoreReply> second = new ArrayList<>();
+        leader.serve(request("s"), first::add);
+        leader.serve(request("t"), second::add);
+        awaitReplies(first, 1);
+        awaitReplies(second, 1);
+
+        assertEquals(Outcome.DONE, first.getFirst().outcome());
+        assertEquals(Outcome.REFUSED, second.getFirst().outcome());
+    }
+
+    /** Guards against work that was accepted and is lost, or a leader that cannot shrink its state, for lack of memory. */
+    @Test
+    void shouldServeStoredSubmissionWhenTheStateExceedsTheBudget() {
+        StoreLeader former = leader();
+        assertEquals(Outcome.DONE, serve(former, request("s")));
+        former.stop();
+        StoreLeader leader = leader(StateBudget.of(1));
+        SubmissionId stored = SubmissionId.of("s");
+
+        assertEquals(Outcome.REFUSED, serve(leader, request("t")));
+        assertEquals(Outcome.DONE, serve(leader, request("s")), "a copy of a stored submission is confirmed");
+        assertEquals(Outcome.DONE, serve(leader, new ReadItem(stored, ItemId.of("i"))));
+        leader.listResults(
+                stored,
+                List.of(new Submission.Result(ItemId.of("i"), true, new byte[9], List.of(3L), Optional.empty())));
+        leader.tick();
+        runTasks();
+        assertEquals(1, state.submission(stored).orElseThrow().listedCount());
+        assertEquals(Outcome.DONE, serve(leader, new ReadResults(stored, 0, 0)));
+        assertEquals(Outcome.DONE, serve(leader, new EndSubmission(stored)));
+        removeExpired(leader);
+        assertTrue(state.submission(stored).isEmpty());
+    }
+
+    @Test
+    void shouldAcceptSubmissionsAgainWhenExpiredOnesAreRemoved() {
+        StoreLeader leader = leader(roomForOne());
+        assertEquals(Outcome.DONE, serve(leader, request("s")));
+        assertEquals(Outcome.REFUSED, serve(leader, request("t")));
+
+        assertEquals(Outcome.DONE, serve(leader, new EndSubmission(SubmissionId.of("s"))));
+        removeExpired(leader);
+
+        assertEquals(Outcome.DONE, serve(leader, request("t")));
+    }
+
+    /** Guards against a refusal that promises that nothing runs, although the next leader may have accepted a copy. */
+    @Test
+    void shouldNotRefuseForLackOfRoomWhenLeadershipIsLostBeforeItIsConfirmed() {
+        StateBudget budget = StateBudget.of(1);
+        StoreLeader leader = leader(budget);
+        followerAnswers = false;
+
+        assertEquals(Outcome.UNCERTAIN, serve(leader, request("s")));
+        assertEquals(0, budget.refusedSubmissions());
+    }
+
     private void awaitReplies(List<StoreReply> replies, int count) {
         runTasks();
         for (int tick = 0; tick < MANY_TICKS && replies.size() < count; tick++) {
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
@@ -145,6 +145,7 @@
                 null,
                 new VersionOrders(fleet, client, endpoint -> {}, "store-1", authority, 0),
                 authority,
+                StateBudget.ofProcess(),
                 Duration.ofSeconds(120),
                 context ->
                         new BatchRunner(state, fleet, loads, null, endpoint -> {}, client, null, authority, context));
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
@@ -157,4 +157,51 @@
                 state.submission(ID).orElseThrow().storedText(ItemId.of("i-1")).isEmpty());
         assertEquals(1, state.submissions().size());
     }
+
+    private static StoreCommand.KeepTexts text(String item, int firstEvent, String... events) {
+        List<Long> versions = List.of(events).stream().map(event -> 3L).toList();
+        ItemText.Part part = new ItemText.Part(firstEvent, List.of(events), versions, false, "");
+        return new StoreCommand.KeepTexts(ID, List.of(new StoredSubmission.StoredText(ItemId.of(item), part)));
+    }
+
+    /** Guards against a size that drifts away from the state, so that a leader refuses submissions for ever or never. */
+    @Test
+    void shouldEstimateTheSameSizeWhenRestoredAndNoneWhenForgotten() {
+        apply(new StoreCommand.AcceptSubmission(submission("a", "b", "c"), "r"));
+        apply(text("a", 1, "one", "two"));
+        apply(text("a", 3, "three"));
+        apply(text("b", 1, "four"));
+        apply(text("b", 1, "five", "six"));
+        apply(text("c", 9, "a part that does not fit"));
+        apply(new StoreCommand.ListResults(ID, List.of(result("a", "one two three"), result("a", "again"))));
+        long size = state.expectedBytes();
+
+        StoreState restored = new StoreState();
+        restored.restore(state.capture().get());
+        assertEquals(size, restored.expectedBytes());
+        assertTrue(size > 0);
+
+        apply(new StoreCommand.CloseSubmission(ID));
+        apply(new StoreCommand.ForgetSubmissions(List.of(ID, ID)));
+        assertEquals(0, state.expectedBytes());
+    }
+
+    /** Guards against submissions that are accepted while items wait for endpoints, and exhaust the heap when they run. */
+    @Test
+    void shouldExpectResultsOfOpenItemsWhenOthersAreListed() {
+        apply(new StoreCommand.AcceptSubmission(submission("a", "b", "c", "d"), "r"));
+        long empty = state.expectedBytes();
+        apply(new StoreCommand.ListResults(ID, List.of(result("a", "x".repeat(20_000)))));
+        long open = state.expectedBytes();
+        assertTrue(open - empty >= 4 * 20_000, "expected " + (open - empty) + " bytes for four results");
+
+        apply(text("b", 1, "y".repeat(10_000)));
+        assertEquals(open, state.expectedBytes(), "a partial text is a part of the expected result");
+
+        StoredBytes added = StoredSubmission.sizeOf(submission("e", "f"));
+        assertTrue(state.expectedBytesWith(added) - open >= 2 * 20_000, "a new submission will have results, too");
+
+        apply(new StoreCommand.CloseSubmission(ID));
+        assertTrue(state.expectedBytes() < empty + 40_000, "items of an ended submission add nothing");
+    }
 }
