--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Leadership.java
@@ -1,7 +1,6 @@
 package io.rosemarybeam.consensus;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +8,7 @@
 import java.util.stream.LongStream;
 
 import io.rosemarybeam.consensus.Ready.ConfirmedRead;
+import io.rosemarybeam.consensus.Ready.SnapshotRead;
 
 /**
  * State and duties of a leader for one term: replication to the other members, advancing the commit index, confirmation of
@@ -135,12 +135,12 @@
     private void continueSnapshotTransfer(MemberId to, Progress progress) {
         progress.heartbeatsSincePart++;
         boolean isLost = progress.heartbeatsSincePart >= HEARTBEATS_UNTIL_RESEND;
-        boolean isReplaced =
-                progress.snapshotIndex != log.snapshot().map(LogSnapshot::index).orElse(progress.snapshotIndex);
+        boolean isReplaced = progress.snapshotIndex
+                != log.snapshot().map(SnapshotMetadata::index).orElse(progress.snapshotIndex);
         if (isLost || isReplaced) {
-            sendSnapshotPart(to, progress);
+            requestSnapshotPart(to, progress);
         } else {
-            sendSnapshotPart(to, progress, 0);
+            sendEmptySnapshotPart(to, progress);
         }
     }
 
@@ -148,7 +148,7 @@
         long previous = progress.nextIndex - 1;
         long previousTerm = buffer.term(previous);
         if (progress.isSendingSnapshot() || previousTerm == EntryBuffer.UNKNOWN_TERM) {
-            sendSnapshotPart(to, progress);
+            requestSnapshotPart(to, progress);
             return;
         }
         boolean windowOpen = progress.nextIndex - progress.matchIndex <= options.maximumEntriesInFlight();
@@ -163,18 +163,42 @@
         }
     }
 
-    private void sendSnapshotPart(MemberId to, Progress progress) {
+    /** Requests the next part of the snapshot from storage, after which it is sent; an empty state needs no read. */
+    private void requestSnapshotPart(MemberId to, Progress progress) {
+        SnapshotMetadata snapshot = startSnapshot(progress);
         progress.heartbeatsSincePart = 0;
-        sendSnapshotPart(to, progress, options.snapshotPartBytes());
+        int length = Math.min(options.snapshotPartBytes(), snapshot.stateBytes() - progress.snapshotOffset);
+        if (length > 0) {
+            log.readSnapshot(
+                    new SnapshotRead(to, snapshot.index(), snapshot.stateBytes(), progress.snapshotOffset, length));
+        } else {
+            sendSnapshotPart(to, snapshot, progress.snapshotOffset, new byte[0]);
+        }
     }
 
-    private void sendSnapshotPart(MemberId to, Progress progress, int maximumBytes) {
-        LogSnapshot snapshot = log.snapshot().orElseThrow();
+    private void sendEmptySnapshotPart(MemberId to, Progress progress) {
+        SnapshotMetadata snapshot = startSnapshot(progress);
+        sendSnapshotPart(to, snapshot, progress.snapshotOffset, new byte[0]);
+    }
+
+    private SnapshotMetadata startSnapshot(Progress progress) {
+        SnapshotMetadata snapshot = log.snapshot().orElseThrow();
         progress.startSnapshot(snapshot.index());
         progress.probeSent = true;
-        byte[] state = snapshot.state();
-        int start = Math.min(progress.snapshotOffset, state.length);
-        int end = Math.min(start + maximumBytes, state.length);
+        return snapshot;
+    }
+
+    /** Sends a part that was read from storage, unless the member needs another part or snapshot meanwhile. */
+    void sendSnapshotPart(SnapshotRead read, byte[] data) {
+        Optional<SnapshotMetadata> current = log.snapshot().filter(snapshot -> snapshot.index() == read.index());
+        Optional<Progress> waiting = find(read.member())
+                .filter(progress -> progress.snapshotIndex == read.index() && progress.snapshotOffset == read.offset());
+        if (current.isPresent() && waiting.isPresent()) {
+            sendSnapshotPart(read.member(), current.get(), read.offset(), data);
+        }
+    }
+
+    private void sendSnapshotPart(MemberId to, SnapshotMetadata snapshot, int offset, byte[] data) {
         log.send(
                 to,
                 new LogMessage.SnapshotPart(
@@ -182,9 +206,9 @@
                         snapshot.index(),
                         snapshot.term(),
                         snapshot.membership(),
-                        start,
-                        state.length,
-                        Arrays.copyOfRange(state, start, end)));
+                        offset,
+                        snapshot.stateBytes(),
+                        data));
     }
 
     void handleSnapshotProgress(MemberId from, LogMessage.SnapshotProgress message) {
@@ -195,9 +219,9 @@
             }
             boolean advanced = message.nextOffset() != progress.snapshotOffset;
             progress.snapshotOffset = message.nextOffset();
-            int total = log.snapshot().orElseThrow().state().length;
+            int total = log.snapshot().orElseThrow().stateBytes();
             if (advanced && progress.snapshotOffset < total) {
-                sendSnapshotPart(from, progress);
+                requestSnapshotPart(from, progress);
             }
         });
     }
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Ready.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/Ready.java
@@ -18,6 +18,8 @@
  * @param messages messages to send
  * @param committed committed entries to apply in this order
  * @param reads confirmed reads, which may be answered once the entry at their index is applied
+ * @param snapshotReads parts of the stored snapshot to read, after what was to be persisted before, and to pass to
+ *     {@link ReplicatedLog#snapshotRead}; one that the storage does not hold any more is dropped
  */
 public record Ready(
         Optional<HardState> hardState,
@@ -25,7 +27,8 @@
         List<LogEntry> entries,
         List<Envelope> messages,
         List<LogEntry> committed,
-        List<ConfirmedRead> reads) {
+        List<ConfirmedRead> reads,
+        List<SnapshotRead> snapshotReads) {
     /**
      * A read for which a majority has confirmed the leader.
      *
@@ -34,6 +37,17 @@
      */
     public record ConfirmedRead(long context, long index) {}
 
+    /**
+     * A part of the encoded state of the stored snapshot that a member needs. Immutable.
+     *
+     * @param member the member
+     * @param index index of the last entry that the snapshot covers
+     * @param stateBytes size of the encoded state, in bytes
+     * @param offset offset of the part in the encoded state, in bytes
+     * @param length size of the part, in bytes
+     */
+    public record SnapshotRead(MemberId member, long index, int stateBytes, int offset, int length) {}
+
     /** Returns whether there is anything to persist, after which {@link ReplicatedLog#persisted} must be called. */
     public boolean needsPersisting() {
         return hardState.isPresent() || snapshot.isPresent() || !entries.isEmpty();
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/ReplicatedLog.java
@@ -54,7 +54,9 @@
     /** Whether the batch contains the vote of a candidate for itself, which counts only once it is durable. */
     private boolean votePersisting;
 
-    private Optional<LogSnapshot> snapshot;
+    private final List<Ready.SnapshotRead> snapshotReads = new ArrayList<>();
+
+    private Optional<SnapshotMetadata> snapshot;
     private Optional<LogSnapshot> snapshotToInstall = Optional.empty();
     private Optional<IncomingSnapshot> incomingSnapshot = Optional.empty();
     private Role role = Role.FOLLOWER;
@@ -85,14 +87,14 @@
         // Members with the same seed must draw different election timeouts, or every election ends in a split vote.
         this.random = new SplittableRandom(options.seed() + self.hashCode());
         this.hardState = restored.hardState();
-        this.snapshot = restored.snapshot();
+        this.snapshot = restored.snapshot().map(SnapshotMetadata::of);
         restore(restored);
         resetElection();
     }
 
     private void restore(DurableState restored) {
-        long snapshotIndex = snapshot.map(LogSnapshot::index).orElse(0L);
-        long snapshotTerm = snapshot.map(LogSnapshot::term).orElse(0L);
+        long snapshotIndex = snapshot.map(SnapshotMetadata::index).orElse(0L);
+        long snapshotTerm = snapshot.map(SnapshotMetadata::term).orElse(0L);
         List<LogEntry> entries = restored.entries();
         if (entries.isEmpty()) {
             buffer.restore(snapshotIndex, snapshotTerm, entries);
@@ -489,6 +491,7 @@
                 !persisting && (hardStateChanged || snapshotToInstall.isPresent() || buffer.hasEntriesToPersist());
         return canPersist
                 || !messages.isEmpty()
+                || !snapshotReads.isEmpty()
                 || (stateIsDurable() && deferredMessages.hasReleasable(buffer.durableIndex()))
                 || deliveredIndex < Math.min(commitIndex, buffer.durableIndex())
                 || leadership.map(Leadership::hasPending).orElse(false);
@@ -521,9 +524,11 @@
         }
         List<Envelope> outgoing = List.copyOf(messages);
         messages.clear();
+        List<Ready.SnapshotRead> partsToRead = List.copyOf(snapshotReads);
+        snapshotReads.clear();
         List<Ready.ConfirmedRead> reads =
                 leadership.map(Leadership::takeConfirmedReads).orElse(List.of());
-        return new Ready(hardStateToPersist, snapshotToPersist, entries, outgoing, takeCommitted(), reads);
+        return new Ready(hardStateToPersist, snapshotToPersist, entries, outgoing, takeCommitted(), reads, partsToRead);
     }
 
     private List<LogEntry> takeCommitted() {
@@ -560,21 +565,32 @@
 
     /**
      * Adopts a snapshot that the driver has taken and persisted, and discards older entries. Does nothing if the log
-     * already has a snapshot of the same or a later entry.
+     * already has a snapshot of the same or a later entry. The log does not retain the encoded state.
      *
      * @param newSnapshot the snapshot, taken after an entry that {@link Ready#committed} contained
      * @param firstRetained index of the first entry to retain
      */
     public void compact(LogSnapshot newSnapshot, long firstRetained) {
         if (newSnapshot.index() > deliveredIndex
-                || snapshot.map(LogSnapshot::index).orElse(0L) >= newSnapshot.index()) {
+                || snapshot.map(SnapshotMetadata::index).orElse(0L) >= newSnapshot.index()) {
             return;
         }
-        snapshot = Optional.of(newSnapshot);
+        snapshot = Optional.of(SnapshotMetadata.of(newSnapshot));
         buffer.compact(Math.min(firstRetained - 1, newSnapshot.index()));
         memberships.discardBefore(buffer.baseIndex());
     }
 
+    /**
+     * Takes a part of the snapshot that {@link Ready#snapshotReads} has requested, and sends it to its member. Without effect if
+     * the member does not wait for it any more.
+     *
+     * @param read the request
+     * @param data the part, as the storage holds it
+     */
+    public void snapshotRead(Ready.SnapshotRead read, byte[] data) {
+        leadership.ifPresent(state -> state.sendSnapshotPart(read, data));
+    }
+
     private void resetElection() {
         electionElapsedTicks = 0;
         electionTimeoutTicks = options.electionTicks() + random.nextInt(options.electionTicks() + 1);
@@ -753,8 +769,8 @@
             return;
         }
         IncomingSnapshot receiving = incomingSnapshot
-                .filter(value -> value.index() == part.index())
-                .orElseGet(() -> new IncomingSnapshot(part.index()));
+                .filter(value -> value.contains(part))
+                .orElseGet(() -> new IncomingSnapshot(part.index(), part.total()));
         incomingSnapshot = Optional.of(receiving);
         int size = receiving.append(part);
         send(from, new LogMessage.SnapshotProgress(hardState.term(), part.index(), size));
@@ -766,8 +782,8 @@
 
     private void install(LogSnapshot received) {
         incomingSnapshot = Optional.empty();
-        snapshot = Optional.of(received);
-        snapshotToInstall = snapshot;
+        snapshot = Optional.of(SnapshotMetadata.of(received));
+        snapshotToInstall = Optional.of(received);
         buffer.reset(received.index(), received.term());
         memberships.reset(received.index(), received.membership());
         commitIndex = received.index();
@@ -778,10 +794,14 @@
         return buffer;
     }
 
-    Optional<LogSnapshot> snapshot() {
+    Optional<SnapshotMetadata> snapshot() {
         return snapshot;
     }
 
+    void readSnapshot(Ready.SnapshotRead read) {
+        snapshotReads.add(read);
+    }
+
     void advanceCommitTo(long index) {
         commitIndex = index;
         if (!membership().isVoter(self) && !isChangePending()) {
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/DiskFileSystem.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/DiskFileSystem.java
@@ -63,16 +63,28 @@
     @Override
     public byte[] read(String name) throws IOException {
         try (FileChannel channel = FileChannel.open(folder.resolve(name), StandardOpenOption.READ)) {
-            ByteBuffer content = ByteBuffer.allocate(contentBytes(name, channel.size()));
-            while (content.hasRemaining()) {
-                content.limit(Math.min(content.capacity(), content.position() + SLICE_BYTES));
-                if (channel.read(content) < 0) {
-                    throw new EOFException(name + " ends at byte " + content.position() + " of " + content.capacity());
-                }
-                content.limit(content.capacity());
+            return read(name, channel, 0, contentBytes(name, channel.size()));
+        }
+    }
+
+    @Override
+    public byte[] read(String name, long position, int length) throws IOException {
+        try (FileChannel channel = FileChannel.open(folder.resolve(name), StandardOpenOption.READ)) {
+            return read(name, channel, position, length);
+        }
+    }
+
+    private static byte[] read(String name, FileChannel channel, long position, int length) throws IOException {
+        ByteBuffer content = ByteBuffer.allocate(length);
+        while (content.hasRemaining()) {
+            content.limit(Math.min(length, content.position() + SLICE_BYTES));
+            if (channel.read(content, position + content.position()) < 0) {
+                throw new EOFException(
+                        name + " ends at byte " + (position + content.position()) + " of " + (position + length));
             }
-            return content.array();
+            content.limit(length);
         }
+        return content.array();
     }
 
     private static int contentBytes(String name, long size) throws IOException {
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/FileSystem.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/FileSystem.java
@@ -27,6 +27,17 @@
      */
     byte[] read(String name) throws IOException;
 
+    /**
+     * Reads a part of a file.
+     *
+     * @param name name of the file
+     * @param position position of the first byte
+     * @param length number of bytes
+     * @return the part
+     * @throws IOException if the file does not exist, ends before the end of the part or cannot be read
+     */
+    byte[] read(String name, long position, int length) throws IOException;
+
     /**
      * Opens a file for appending and creates it if it is missing. A creation is durable after {@link #syncFolder}.
      *
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/LogStorage.java
@@ -288,6 +288,31 @@
         });
     }
 
+    /**
+     * Reads a part of the encoded state of the stored snapshot. The file is verified when its first part is read, because a
+     * member that receives the parts cannot notice damage; after that it takes memory for the part only.
+     *
+     * @param index index of the last entry that the snapshot covers
+     * @param stateBytes size of the encoded state, in bytes
+     * @param offset offset of the part in the encoded state, in bytes
+     * @param length size of the part, in bytes
+     * @return the part; empty if another snapshot is stored
+     * @throws StorageException with {@link ErrorCode#CORRUPT_RECORD} if the file is damaged, or with
+     *     {@link ErrorCode#SYNC_FAILED} if it cannot be read
+     */
+    public Optional<byte[]> readSnapshot(long index, int stateBytes, int offset, int length) {
+        return execute("read the snapshot", () -> {
+            if (index != snapshotIndex) {
+                return Optional.empty();
+            }
+            if (offset == 0) {
+                RecordFile.verify(files, SNAPSHOT_FILE);
+            }
+            // The state is the last component of the record, and its bytes end the file.
+            return Optional.of(RecordFile.readEnd(files, SNAPSHOT_FILE, stateBytes, offset, length));
+        });
+    }
+
     private long writeSnapshot(LogSnapshot snapshot) {
         try {
             return writeTemporaryFile(SNAPSHOT_FILE, snapshot);
--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/RecordFile.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/RecordFile.java
@@ -94,6 +94,44 @@
         return new Records(bodies, position);
     }
 
+    /**
+     * Reads bytes near the end of the first record of a file.
+     *
+     * @param files the files
+     * @param name name of the file
+     * @param endBytes size of the end of the body to which the offset refers, in bytes
+     * @param offset offset in that end, in bytes
+     * @param length number of bytes
+     * @return the bytes, whose checksum is not verified
+     * @throws IOException if they cannot be read
+     */
+    static byte[] readEnd(FileSystem files, String name, int endBytes, int offset, int length) throws IOException {
+        int bodyBytes = intAt(files.read(name, 0, HEADER_BYTES), 0);
+        return files.read(name, HEADER_BYTES + (long) bodyBytes - endBytes + offset, length);
+    }
+
+    /**
+     * Verifies the checksum of the first record of a file, of which one chunk at a time is in memory.
+     *
+     * @param files the files
+     * @param name name of the file
+     * @throws IOException if the file cannot be read
+     * @throws StorageException with {@link ErrorCode#CORRUPT_RECORD} if the checksum differs
+     */
+    static void verify(FileSystem files, String name) throws IOException {
+        byte[] header = files.read(name, 0, HEADER_BYTES);
+        int bodyBytes = intAt(header, 0);
+        CRC32C checksum = new CRC32C();
+        for (int position = 0; position < bodyBytes; position += CHUNK_BYTES) {
+            checksum.update(
+                    files.read(name, HEADER_BYTES + (long) position, Math.min(CHUNK_BYTES, bodyBytes - position)));
+        }
+        if ((int) checksum.getValue() != intAt(header, Integer.BYTES)) {
+            throw new StorageException(
+                    ErrorCode.CORRUPT_RECORD, name + " has another checksum than it was stored with");
+        }
+    }
+
     private static boolean hasRecordAfter(byte[] content, int position) {
         for (int next = position + 1; next < content.length; next++) {
             if (isRecordAt(content, next)) {
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/ReplicatedLogTest.java
@@ -211,6 +211,7 @@
         while (snapshotPartsInFlightTo(behind) == 0) {
             leader.log.tick();
             leader.process();
+            leader.persist();
             for (int message = 0; snapshotPartsInFlightTo(behind) == 0 && !cluster.network.isEmpty(); message++) {
                 cluster.deliver(0, false);
             }
@@ -218,6 +219,7 @@
         for (int round = 0; round < 8; round++) {
             leader.log.tick();
             leader.process();
+            leader.persist();
             cluster.read(leader);
         }
 
@@ -236,6 +238,7 @@
         while (snapshotPartsInFlightTo(behind) == 0) {
             leader.log.tick();
             leader.process();
+            leader.persist();
             cluster.deliver(0, false);
         }
         long round = leader.log.confirmationRound().orElseThrow();
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/FaultyFileSystem.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/FaultyFileSystem.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.consensus.storage;
 
+import java.io.EOFException;
 import java.io.FileNotFoundException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -120,6 +121,15 @@
         return find(name).bytes.clone();
     }
 
+    @Override
+    public byte[] read(String name, long position, int length) throws IOException {
+        byte[] bytes = find(name).bytes;
+        if (position + length > bytes.length) {
+            throw new EOFException(name + " ends at byte " + bytes.length + " of " + (position + length));
+        }
+        return Arrays.copyOfRange(bytes, (int) position, (int) position + length);
+    }
+
     private Content find(String name) throws IOException {
         Content content = names.get(name);
         if (content == null) {
--- a/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
+++ b/rosemarybeam-consensus/src/test/java/io/rosemarybeam/consensus/storage/LogStorageTest.java
@@ -433,6 +433,67 @@
         reopened.close();
     }
 
+    /** Guards against a leader that holds the encoded state in memory, or reads it as a whole, for members that lag. */
+    @Test
+    void shouldTakeMemoryForOnePartWhenALargeSnapshotIsRead(@TempDir Path folder) {
+        LogSnapshot large = new LogSnapshot(2, 1, Membership.empty(), randomBytes(LARGE_BYTES));
+        LogStorage storage = LogStorage.open(FileSystem.of(folder));
+        storage.compact(large, 2);
+        int length = 300_000;
+        int last = LARGE_BYTES - length;
+
+        long before = allocatedBytes();
+        byte[] end = storage.readSnapshot(2, LARGE_BYTES, last, length).orElseThrow();
+        long allocated = allocatedBytes() - before;
+
+        assertArrayEquals(Arrays.copyOfRange(large.state(), last, LARGE_BYTES), end);
+        assertTrue(allocated < MAXIMUM_WORKING_BYTES, "reading a part allocated " + allocated + " bytes");
+        storage.close();
+    }
+
+    /** Files of all releases have the same format. */
+    @ParameterizedTest
+    @ValueSource(ints = {3, 255, 256, 65_535, 65_536, 200_000})
+    void shouldReadTheStateInPartsWhenSnapshotIsStored(int stateBytes) {
+        LogSnapshot snapshot = new LogSnapshot(7, 2, Membership.empty(), randomBytes(stateBytes));
+        LogStorage storage = openStorage();
+        storage.compact(snapshot, 0);
+        int part = Math.max(1, stateBytes / 3);
+
+        ByteBuffer read = ByteBuffer.allocate(stateBytes);
+        while (read.hasRemaining()) {
+            int length = Math.min(part, read.remaining());
+            read.put(
+                    storage.readSnapshot(7, stateBytes, read.position(), length).orElseThrow());
+        }
+
+        assertArrayEquals(snapshot.state(), read.array());
+    }
+
+    /** Guards against a snapshot that is put together from parts of two. */
+    @Test
+    void shouldReadNothingWhenANewerSnapshotIsStored() {
+        LogStorage storage = openStorage();
+        storage.compact(snapshot(2, 1), 0);
+        storage.compact(snapshot(3, 1), 0);
+
+        assertTrue(storage.readSnapshot(2, 3, 1, 2).isEmpty());
+        assertTrue(storage.readSnapshot(3, 3, 1, 2).isPresent());
+    }
+
+    /** Guards against damage that a leader passes on to other members, which cannot notice it. */
+    @Test
+    void shouldFailWhenTheSnapshotToReadIsDamaged() throws IOException {
+        LogStorage storage = openStorage();
+        storage.compact(new LogSnapshot(2, 1, Membership.empty(), randomBytes(200_000)), 0);
+        files.corrupt("snapshot", 150_000);
+
+        StorageException failure =
+                assertThrows(StorageException.class, () -> storage.readSnapshot(2, 200_000, 0, 1_000));
+
+        assertEquals(ErrorCode.CORRUPT_RECORD, failure.code());
+    }
+
     private static long allocatedBytes() {
         return ((ThreadMXBean) ManagementFactory.getThreadMXBean()).getCurrentThreadAllocatedBytes();
     }
--- a/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
+++ b/rosemarybeam-control/src/main/java/io/rosemarybeam/control/LogDriver.java
@@ -362,6 +362,7 @@
             storageExecutor.execute(() -> persist(ready));
         }
         ready.messages().forEach(listener::send);
+        ready.snapshotReads().forEach(read -> storageExecutor.execute(() -> readSnapshot(read)));
         ready.reads().forEach(read -> {
             CompletableFuture<Void> confirmation = pendingReads.remove(read.context());
             if (confirmation != null) {
@@ -398,6 +399,22 @@
         schedule();
     }
 
+    private void readSnapshot(Ready.SnapshotRead read) {
+        try {
+            storage.readSnapshot(read.index(), read.stateBytes(), read.offset(), read.length())
+                    .ifPresent(part -> controlExecutor.execute(() -> onSnapshotRead(read, part)));
+        } catch (RuntimeException | Error failure) {
+            controlExecutor.execute(() -> listener.onFailure(failure));
+        }
+    }
+
+    private void onSnapshotRead(Ready.SnapshotRead read, byte[] part) {
+        if (!stopped) {
+            log.snapshotRead(read, part);
+            schedule();
+        }
+    }
+
     private void installFromLeader(LogSnapshot snapshot) {
         long startedAt = clock.milliseconds();
         install(snapshot);
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StateBudget.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StateBudget.java
@@ -14,8 +14,9 @@
  */
 final class StateBudget {
     /**
-     * Divisor of the maximum heap. While a snapshot is taken, the state, the last encoded snapshot and the new one are in memory,
-     * each at most a quarter of the heap; the last quarter is left to the log, to messages and to the program.
+     * Divisor of the maximum heap. When a host starts, the file of the snapshot, its record and the encoded state are in memory
+     * together, each at most a quarter of the heap; the last quarter is left to the log and to the program. While a host serves,
+     * the state and one encoded snapshot that is taken or received are in memory.
      */
     private static final int HEAP_DIVISOR = 4;
 
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FailingFileSystem.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/FailingFileSystem.java
@@ -38,6 +38,11 @@
         return files.read(name);
     }
 
+    @Override
+    public byte[] read(String name, long position, int length) throws IOException {
+        return files.read(name, position, length);
+    }
+
     @Override
     public AppendFile openForAppend(String name) throws IOException {
         AppendFile file = files.openForAppend(name);
