--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -160,6 +160,9 @@
     END_DROPPED(734, Severity.WARNING, "The end of a submission that was kept is given up."),
     /** The end of a submission that a stopping edge keeps was sent to another edge. */
     END_HANDED_OVER(735, Severity.INFORMATION, "Another edge answered an end that a stopping edge handed over to it."),
+    /** The store leader refused a batch submission, because the stored state has no room for it. */
+    SUBMISSION_REFUSED(
+            739, Severity.WARNING, "A batch submission was refused, because the stored state has no room for it."),
     /** A batch submission was accepted and stored. */
     SUBMISSION_ACCEPTED(740, Severity.INFORMATION, "A batch submission is kept from now on."),
     /** A batch submission was ended by its trainer. */
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderTest.java
@@ -158,6 +158,7 @@
                 null,
                 new VersionOrders(fleet, client, endpoint -> {}, "store-1", authority, 0),
                 authority,
+                StateBudget.ofProcess(),
                 Duration.ofMillis(RETENTION_MILLISECONDS),
                 context ->
                         new BatchRunner(state, fleet, loads, null, endpoint -> {}, client, null, authority, context));
@@ -244,7 +245,7 @@
         submit(1);
         list(0, 1);
         run(5);
-        assertEquals(Outcome.DONE, serve(new EndSubmission(SUBMISSION)));
+        assertEquals(Outcome.DONE, serve(EndSubmission.of(SUBMISSION)));
 
         time += LONGEST_RETENTION_MILLISECONDS;
         run(5);
@@ -263,10 +264,10 @@
         time += 10 * LONGEST_RETENTION_MILLISECONDS;
         run(5);
 
-        assertEquals(Outcome.DONE, serve(new EndSubmission(SUBMISSION)));
+        assertEquals(Outcome.DONE, serve(EndSubmission.of(SUBMISSION)));
         time += 29_000;
         run(5);
-        assertEquals(Outcome.DONE, serve(new EndSubmission(SUBMISSION)));
+        assertEquals(Outcome.DONE, serve(EndSubmission.of(SUBMISSION)));
         assertEquals(Outcome.DONE, serve(new ReadResults(SUBMISSION, 0, 0)));
 
         time += 2_000;
