Estimate the size of submissions whose components are omitted

An entry of the log may omit components of an item. The estimate of its size failed on them, which would have ended each host that applies the entry.

StoreStateTest#shouldApplySubmissionWhenComponentsOfItsItemsAreOmitted fails without the change.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoredSubmission.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoredSubmission.java
@@ -76,9 +76,9 @@
                         header -> header.getKey().length() + header.getValue().length())
                 .sum();
         long scorer = item.scorer()
-                .map(request -> request.body().length + request.path().length())
-                .orElse(0);
-        return ITEM_OVERHEAD_BYTES + item.path().length() + headers + item.body().length + scorer;
+                .map(request -> length(request.body()) + length(request.path()))
+                .orElse(0L);
+        return ITEM_OVERHEAD_BYTES + length(item.path()) + headers + length(item.body()) + scorer;
     }
 
     private static long estimatedBytes(ItemText text) {
@@ -87,10 +87,19 @@
 
     private static long estimatedBytes(Submission.Result result) {
         return RESULT_OVERHEAD_BYTES
-                + result.text().length
+                + length(result.text())
                 + result.score().map(String::length).orElse(0);
     }
 
+    /** Entries of the log may omit components; an estimate that failed would end each host that applies them. */
+    private static long length(byte[] bytes) {
+        return bytes == null ? 0 : bytes.length;
+    }
+
+    private static long length(String text) {
+        return text == null ? 0 : text.length();
+    }
+
     /** Returns an estimate of what the submission takes on the heap with its results and texts. */
     StoredBytes size() {
         int openItems = ended ? 0 : submission.items().size() - results.size();
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreStateTest.java
@@ -200,6 +200,21 @@
         assertEquals(0, state.expectedBytes());
     }
 
+    /** Guards against an entry of the log that ends each host which applies it. */
+    @Test
+    void shouldApplySubmissionWhenComponentsOfItsItemsAreOmitted() {
+        Submission.Scorer scorer = new Submission.Scorer("s", "h", null, null);
+        Submission.Item item =
+                new Submission.Item(ItemId.of("a"), null, Map.of(), null, 5, 0, "g", Optional.of(scorer));
+        apply(new StoreCommand.AcceptSubmission(
+                new Submission(ID, "h", "/x/", 2, Optional.empty(), 3, 1, List.of(item)), "r"));
+        Submission.Result result = new Submission.Result(ItemId.of("a"), false, null, null, null);
+
+        apply(new StoreCommand.ListResults(ID, List.of(result)));
+
+        assertEquals(1, state.submission(ID).orElseThrow().listedCount());
+    }
+
     /** Guards against submissions that are accepted while items wait for endpoints, and exhaust the heap when they run. */
     @Test
     void shouldExpectResultsOfOpenItemsWhenOthersAreListed() {
