Store the leader's time while no command is proposed

Submissions were stored for much longer than their retention time after a change of the leader, so that a store host whose state is at its budget refused new ones for that much longer.

While submissions are stored, a leader that has proposed nothing for 5 s now proposes to forget no submission, which stores its time and nothing else. Hosts of earlier releases apply this command already, so no format changes.

StoreLeaderReplyTest#shouldRemoveExpiredSubmissionInTimeWhenLeadersChangeWithoutCommands failed before (still stored 100 s after it was accepted, with 90 s of retention).

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -47,6 +47,12 @@
      */
     private static final long RETENTION_AFTER_END_MILLISECONDS = 30_000;
 
+    /**
+     * Time without a command after which the leader stores its time, in milliseconds, while submissions are stored. The next
+     * leader continues from the last stored time, so each change of the leader delays their removal by this time at most.
+     */
+    private static final long STORED_TIME_AGE_MILLISECONDS = 5_000;
+
     /** Maximum size of the texts that one command lists, in bytes, unless a single text is longer; commands are limited. */
     private static final int MAXIMUM_LISTED_BYTES = 1_048_576;
 
@@ -69,6 +75,9 @@
     /** Size of the submissions that are proposed and not applied yet. */
     private StoredBytes proposed = StoredBytes.NONE;
 
+    /** Leader time at which this leader last proposed to store its time, in milliseconds. */
+    private long timeProposedAt;
+
     private final UnknownEnds unknownEnds = new UnknownEnds();
     private final Map<SubmissionId, List<Submission.Result>> pendingResults = new HashMap<>();
     private final BatchRunner runner;
@@ -137,6 +146,7 @@
         orders.tick(table.get(), runner::demand);
         answerExpiredReads();
         removeExpiredSubmissions();
+        storeLeaderTime();
         proposePendingResults();
     }
 
@@ -172,6 +182,16 @@
         }
     }
 
+    /** Proposes a command without effect but its time, which hosts of all releases can apply. */
+    private void storeLeaderTime() {
+        long now = clock.leaderTime();
+        boolean isDue = now - Math.max(timeProposedAt, state.lastLeaderTime()) >= STORED_TIME_AGE_MILLISECONDS;
+        if (isDue && !state.submissions().isEmpty()) {
+            timeProposedAt = now;
+            propose(new StoreCommand.ForgetSubmissions(List.of()), reply -> {});
+        }
+    }
+
     /**
      * Executes a request. A request of an unsupported type is answered with {@link Outcome#UNKNOWN}.
      *
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
@@ -310,6 +310,32 @@
         assertEquals(Outcome.DONE, serve(leader, request("t")));
     }
 
+    /**
+     * Guards against submissions that are stored for another retention time after each change of the leader, because the time
+     * of a leader without commands was lost with it. A leader whose state is at its budget gets no commands.
+     */
+    @Test
+    void shouldRemoveExpiredSubmissionInTimeWhenLeadersChangeWithoutCommands() {
+        StoreLeader first = leader();
+        serve(first, request("s"));
+        serve(first, EndSubmission.of(SubmissionId.of("s")));
+        pass(first, RETENTION.toMillis());
+        first.stop();
+
+        StoreLeader second = leader();
+        pass(second, 40_000);
+
+        assertTrue(state.submission(SubmissionId.of("s")).isEmpty(), "stored 100 s after it was accepted");
+    }
+
+    /** Advances the time in steps of a second. */
+    private void pass(StoreLeader leader, long milliseconds) {
+        for (long end = now + milliseconds; now < end; now += 1_000) {
+            leader.tick();
+            runTasks();
+        }
+    }
+
     /** Guards against a refusal that promises that nothing runs, although the next leader may have accepted a copy. */
     @Test
     void shouldNotRefuseForLackOfRoomWhenLeadershipIsLostBeforeItIsConfirmed() {
