Continue no stream at an endpoint that may have restarted

What callers saw: a stream that they resumed after the crash of an endpoint held events of two software versions.

Cause: hosts believed the last announcement of an endpoint until the next one, also after its connections had broken. A stream that began at the restarted endpoint was recorded with the former version too.

Change: when an attempt breaks, no connection can be opened, or a ready endpoint closes an idle connection, the host opens another one. If it is refused, no process listens any more and a restart is suspected (RestartTable, RestartRegistry). Store hosts tell all edges. Until an announcement of a later start, or a heartbeat of the same start at least 3 s after the break, no stream goes on there, and streams that begin there anyway are not resumed. This works because a crash closes the port of the process, whereas an endpoint that resets one connection accepts the next. An edge that reaches no endpoint of the service suspects for itself only.

Compatibility: EndpointNews has a new field, which earlier releases ignore and omit (MessageCodecTest). Beside store hosts of such a release an edge goes by its own observations and believes a ready endpoint again after 10 s.

--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -41,6 +41,7 @@
 import io.rosemarybeam.forward.HandOver;
 import io.rosemarybeam.forward.LeavingEndpoints;
 import io.rosemarybeam.forward.RateLimits;
+import io.rosemarybeam.forward.RestartRegistry;
 import io.rosemarybeam.forward.ServiceReach;
 import io.rosemarybeam.forward.StreamOrigins;
 import io.rosemarybeam.platform.ConfigurationFormat;
@@ -96,6 +97,7 @@
     private final ReportedEdges peers;
     private final CrashRegistry crashes;
     private final RateLimits rateLimits;
+    private final RestartRegistry restarts;
     private final StreamOrigins streams;
     private final BatchRequests batches;
     private final EdgeRequests requests;
@@ -132,7 +134,8 @@
         this.rateLimits = new RateLimits(
                 observed -> stores.broadcast(EndpointNews.ofRateLimits(observed)), new LeaderPermits(loop, stores));
         this.peers = new ReportedEdges(stores, settings.callerAddress());
-        this.streams = new StreamOrigins(directory, new StoreStreams(loop, stores));
+        this.restarts = new RestartRegistry(observed -> stores.broadcast(EndpointNews.ofRestarts(observed)));
+        this.streams = new StreamOrigins(directory, new StoreStreams(loop, stores), restarts);
         Forwarder forwarder = new Forwarder(
                 loop,
                 client,
@@ -211,6 +214,7 @@
             client.tick();
             batches.tick();
             crashes.tick();
+            restarts.tick();
             verifyReach();
             long now = Forwarder.now();
             directory.evictExpired(now);
@@ -251,13 +255,14 @@
             update.announcements().forEach(this::merge);
             crashes.merge(update.crashes());
             rateLimits.merge(update.rateLimits());
+            restarts.merge(update.restarts());
         }
     }
 
     private List<Message> messagesOnConnect() {
         List<Message> messages = new ArrayList<>();
         messages.add(status());
-        messages.add(new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of()));
+        messages.add(new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of(), restarts.all()));
         messages.addAll(EndpointNews.batchesOf(directory.leaving()));
         return messages;
     }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -142,9 +142,7 @@
     }
 
     private boolean resumesStream() {
-        return request.route().kind() == RouteKind.STREAMING
-                && request.route().resumable()
-                && request.headers().contains(PlatformHeaders.LAST_EVENT_ID);
+        return request.isResumableStream() && request.headers().contains(PlatformHeaders.LAST_EVENT_ID);
     }
 
     /** Continues the stream at the software version that began it; refuses the request at once if that cannot be done. */
@@ -571,6 +569,9 @@
         private boolean answerStarted;
         private boolean ofSuspect;
 
+        /** Whether the software of the endpoint was certain when the attempt began. */
+        private boolean isConfirmed;
+
         private EndpointAttempt(EndpointAnnouncement endpoint) {
             this.endpoint = endpoint;
         }
@@ -580,6 +581,7 @@
             candidates.recordTried(endpoint.id());
             running.add(this);
             forwarder.loads().recordRequest(endpoint.id());
+            isConfirmed = candidates.isConfirmed(endpoint);
             ofSuspect = isSuspect();
             if (ofSuspect) {
                 forwarder.crashMonitor().suspectStarted(endpoint.id());
@@ -675,11 +677,11 @@
 
         /** Recorded before the caller gets the first event, because it may resume at another host right after it. */
         private void recordOrigin() {
-            if (request.route().kind() == RouteKind.STREAMING && request.route().resumable()) {
+            if (request.isResumableStream()) {
+                String version = isConfirmed ? endpoint.softwareVersion() : StreamOrigin.UNCONFIRMED_VERSION;
                 StreamOrigin origin = candidates
                         .restriction()
-                        .orElseGet(
-                                () -> new StreamOrigin(request.id(), endpoint.service(), endpoint.softwareVersion()));
+                        .orElseGet(() -> new StreamOrigin(request.id(), endpoint.service(), version));
                 forwarder.streams().record(origin, request.deadline());
             }
         }
@@ -800,6 +802,7 @@
             } else if (failure == Failure.NOT_SENT) {
                 markUnavailable();
                 unsent++;
+                forwarder.crashMonitor().connectionFailed(endpoint);
                 forwarder.handOver().reach().verify(request.service());
                 tryNextEndpointAfterVerification();
             } else {
