Forget complete submissions that nobody ends when new ones find no room

Since a submission whose trainer never ends it is stored for good, and since the state has a budget: trainers that are gone would fill it, after which every new submission is refused until an operator ends the old ones.

A complete submission whose retention is over is now forgotten, as before, but only after a new one was refused for lack of room.

StoreLeaderReplyTest#shouldAcceptSubmissionsAgainWhenOnlyCompleteOnesFillTheBudget. It was not run on the former code, which has no rule for this case.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreLeader.java
@@ -75,6 +75,9 @@
     /** Size of the submissions that are proposed and not applied yet. */
     private StoredBytes proposed = StoredBytes.NONE;
 
+    /** Whether a submission was refused for lack of room since expired submissions were last removed. */
+    private boolean roomNeeded;
+
     /** Leader time at which this leader last proposed to store its time, in milliseconds. */
     private long timeProposedAt;
 
@@ -166,15 +169,18 @@
 
     /**
      * Forgets ended submissions whose retention is over. The platform promises the results of a submission until it is ended, so
-     * one that was not ended is stored even if all its results are listed.
+     * one that was not ended is stored even if all its results are listed. It is forgotten only when a new submission was refused
+     * for lack of room: trainers that are gone end nothing, and their submissions would fill the budget for good.
      */
     private void removeExpiredSubmissions() {
+        boolean isRoomNeeded = roomNeeded;
+        roomNeeded = false;
         long now = clock.leaderTime();
         long oldest = now - resultRetentionMilliseconds - RETENTION_MARGIN_MILLISECONDS;
         long oldestEnd = now - RETENTION_AFTER_END_MILLISECONDS;
         List<SubmissionId> expired = state.submissions().stream()
-                .filter(StoredSubmission::isEnded)
-                .filter(stored -> stored.acceptedAt() < oldest && stored.endedAt() < oldestEnd)
+                .filter(stored -> stored.acceptedAt() < oldest)
+                .filter(stored -> stored.isEnded() ? stored.endedAt() < oldestEnd : isRoomNeeded && stored.isComplete())
                 .map(stored -> stored.submission().id())
                 .toList();
         if (!expired.isEmpty()) {
@@ -285,6 +291,7 @@
     }
 
     private void recordLackOfRoom(SubmissionId id, StoredBytes size, long expectedBytes) {
+        roomNeeded = true;
         budget.countRefusal();
         LOG.log(
                 Event.SUBMISSION_REFUSED,
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StoreLeaderReplyTest.java
@@ -310,6 +310,24 @@
         assertEquals(Outcome.DONE, serve(leader, request("t")));
     }
 
+    /** Guards against complete submissions of trainers that are gone, which would keep all new ones out for good. */
+    @Test
+    void shouldAcceptSubmissionsAgainWhenOnlyCompleteOnesFillTheBudget() {
+        StoreLeader leader = leader(roomForOne());
+        SubmissionId first = SubmissionId.of("s");
+        assertEquals(Outcome.DONE, serve(leader, request("s")));
+        leader.listResults(
+                first,
+                List.of(new Submission.Result(ItemId.of("i"), true, new byte[9], List.of(3L), Optional.empty())));
+        removeExpired(leader);
+        assertTrue(state.submission(first).isPresent(), "stored while there is room");
+
+        assertEquals(Outcome.REFUSED, serve(leader, request("t")));
+        removeExpired(leader);
+
+        assertEquals(Outcome.DONE, serve(leader, request("t")));
+    }
+
     /**
      * Guards against submissions that are stored for another retention time after each change of the leader, because the time
      * of a leader without commands was lost with it. A leader whose state is at its budget gets no commands.
