--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -150,14 +150,6 @@
     /** An answer of an endpoint said that it leaves. */
     ENDPOINT_LEAVING(
             727, Severity.INFORMATION, "An answer of an endpoint said that it leaves; it takes no new requests."),
-    /** An endpoint may have restarted since its last announcement. */
-    RESTART_SUSPECTED(
-            728,
-            Severity.WARNING,
-            "No process listened at the address of an endpoint; no stream goes on there before its next heartbeat."),
-    /** A heartbeat shows that the announced process of an endpoint still runs. */
-    RESTART_DISPROVED(
-            729, Severity.INFORMATION, "A heartbeat shows that an endpoint has not restarted, as had been suspected."),
     /** A caller asked for the end of a submission. */
     END_REQUESTED(731, Severity.INFORMATION, "An edge took the end of a submission from a caller."),
     /** The end of a submission is sent again until a leader acknowledges it. */
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -115,14 +115,12 @@
      * @param crashes crashes of endpoints, by the requests that they ran; empty if an older sender omits them
      * @param rateLimits rate limits that endpoints name; empty if an older sender omits them
      * @param streams origins of streams that have begun; empty if an older sender omits them
-     * @param restarts endpoints that may have restarted; empty if an older sender omits them
      */
     record EndpointNews(
             List<EndpointAnnouncement> announcements,
             List<EndpointCrash> crashes,
             List<EndpointRateLimit> rateLimits,
-            List<StreamOrigin> streams,
-            List<SuspectedRestart> restarts)
+            List<StreamOrigin> streams)
             implements StoreMessage {
         /** Maximum number of announcements in a batch; each has at most 128 KiB, and a frame 8 MiB. */
         private static final int MAXIMUM_ANNOUNCEMENTS = 50;
@@ -136,11 +134,10 @@
             crashes = crashes == null ? List.of() : List.copyOf(crashes);
             rateLimits = rateLimits == null ? List.of() : List.copyOf(rateLimits);
             streams = streams == null ? List.of() : List.copyOf(streams);
-            restarts = restarts == null ? List.of() : List.copyOf(restarts);
         }
 
         public static EndpointNews ofAnnouncements(Collection<EndpointAnnouncement> announcements) {
-            return new EndpointNews(List.copyOf(announcements), List.of(), List.of(), List.of(), List.of());
+            return new EndpointNews(List.copyOf(announcements), List.of(), List.of(), List.of());
         }
 
         /**
@@ -159,11 +156,11 @@
         }
 
         public static EndpointNews ofCrashes(Collection<EndpointCrash> crashes) {
-            return new EndpointNews(List.of(), List.copyOf(crashes), List.of(), List.of(), List.of());
+            return new EndpointNews(List.of(), List.copyOf(crashes), List.of(), List.of());
         }
 
         public static EndpointNews ofRateLimits(Collection<EndpointRateLimit> rateLimits) {
-            return new EndpointNews(List.of(), List.of(), List.copyOf(rateLimits), List.of(), List.of());
+            return new EndpointNews(List.of(), List.of(), List.copyOf(rateLimits), List.of());
         }
 
         /**
@@ -177,17 +174,13 @@
             List<EndpointNews> batches = new ArrayList<>();
             for (int start = 0; start < all.size(); start += MAXIMUM_STREAMS) {
                 List<StreamOrigin> batch = all.subList(start, Math.min(all.size(), start + MAXIMUM_STREAMS));
-                batches.add(new EndpointNews(List.of(), List.of(), List.of(), batch, List.of()));
+                batches.add(new EndpointNews(List.of(), List.of(), List.of(), batch));
             }
             return batches;
         }
 
         public static EndpointNews ofStream(StreamOrigin stream) {
-            return new EndpointNews(List.of(), List.of(), List.of(), List.of(stream), List.of());
-        }
-
-        public static EndpointNews ofRestarts(Collection<SuspectedRestart> restarts) {
-            return new EndpointNews(List.of(), List.of(), List.of(), List.of(), List.copyOf(restarts));
+            return new EndpointNews(List.of(), List.of(), List.of(), List.of(stream));
         }
     }
 
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StreamOrigin.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StreamOrigin.java
@@ -9,15 +9,9 @@
  *
  * @param request id of the caller's attempt that brought the first event
  * @param service the service
- * @param softwareVersion software version of the endpoint, or {@link #UNCONFIRMED_VERSION}
+ * @param softwareVersion software version of the endpoint
  */
 public record StreamOrigin(String request, ServiceName service, String softwareVersion) {
-    /**
-     * Stands for the version of an endpoint that had possibly restarted since its last announcement. It differs from all versions
-     * that endpoints announce for hosts of earlier releases too, so that no host continues the stream.
-     */
-    public static final String UNCONFIRMED_VERSION = "(unconfirmed)";
-
     public StreamOrigin {
         Objects.requireNonNull(request, "request");
         Objects.requireNonNull(service, "service");
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
@@ -161,27 +161,6 @@
                 MessageCodec.decode(MessageCodec.encode(new EarlierEndpointNews(List.of())), EndpointNews.class));
     }
 
-    /** The endpoint news of an earlier release, which had no suspected restarts. */
-    private record EndpointNewsWithoutRestarts(
-            List<EndpointAnnouncement> announcements,
-            List<EndpointCrash> crashes,
-            List<EndpointRateLimit> rateLimits,
-            List<StreamOrigin> streams) {}
-
-    @Test
-    void shouldExchangeSuspectedRestartsWithAnEarlierRelease() {
-        EndpointNews newer =
-                EndpointNews.ofRestarts(List.of(new SuspectedRestart(EndpointId.of("e"), 1, 2, false, true)));
-        EndpointNewsWithoutRestarts earlier =
-                new EndpointNewsWithoutRestarts(List.of(), List.of(), List.of(), List.of());
-
-        assertEquals(newer, MessageCodec.decode(MessageCodec.encode(newer), EndpointNews.class));
-        assertEquals(earlier, MessageCodec.decode(MessageCodec.encode(newer), EndpointNewsWithoutRestarts.class));
-        assertEquals(
-                EndpointNews.ofRestarts(List.of()),
-                MessageCodec.decode(MessageCodec.encode(earlier), EndpointNews.class));
-    }
-
     /** The reply of an earlier release to a search for the origin of a stream, which does not say whether it is certain. */
     private record EarlierStreamReply(Optional<StreamOrigin> origin) {}
 
--- a/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
+++ b/rosemarybeam-decision/src/main/java/io/rosemarybeam/decision/routing/EndpointDirectory.java
@@ -102,18 +102,6 @@
         return Optional.ofNullable(byId.get(id)).map(entry -> entry.announcement);
     }
 
-    /**
-     * Returns the ready endpoint at an address.
-     *
-     * @param address IP address and port
-     * @return its latest announcement, or empty if no ready endpoint has the address
-     */
-    public Optional<EndpointAnnouncement> findReadyAt(String address) {
-        return Optional.ofNullable(byAddress.get(address))
-                .flatMap(this::find)
-                .filter(known -> known.state() == State.READY);
-    }
-
     /**
      * Returns the ready endpoint that an announcement would replace, by its id or its address.
      *
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/EdgeProcess.java
@@ -41,7 +41,6 @@
 import io.rosemarybeam.forward.HandOver;
 import io.rosemarybeam.forward.LeavingEndpoints;
 import io.rosemarybeam.forward.RateLimits;
-import io.rosemarybeam.forward.RestartRegistry;
 import io.rosemarybeam.forward.ServiceReach;
 import io.rosemarybeam.forward.StreamOrigins;
 import io.rosemarybeam.platform.ConfigurationFormat;
@@ -97,7 +96,6 @@
     private final ReportedEdges peers;
     private final CrashRegistry crashes;
     private final RateLimits rateLimits;
-    private final RestartRegistry restarts;
     private final StreamOrigins streams;
     private final BatchRequests batches;
     private final EndHandOver endHandOver;
@@ -135,8 +133,7 @@
         this.rateLimits = new RateLimits(
                 observed -> stores.broadcast(EndpointNews.ofRateLimits(observed)), new LeaderPermits(loop, stores));
         this.peers = new ReportedEdges(stores, settings.callerAddress());
-        this.restarts = new RestartRegistry(observed -> stores.broadcast(EndpointNews.ofRestarts(observed)));
-        this.streams = new StreamOrigins(directory, new StoreStreams(loop, stores), restarts);
+        this.streams = new StreamOrigins(directory, new StoreStreams(loop, stores));
         Forwarder forwarder = new Forwarder(
                 loop,
                 client,
@@ -220,7 +217,6 @@
                 batches.handOverEnds(endHandOver);
             }
             crashes.tick();
-            restarts.tick();
             verifyReach();
             long now = Forwarder.now();
             directory.evictExpired(now);
@@ -261,14 +257,13 @@
             update.announcements().forEach(this::merge);
             crashes.merge(update.crashes());
             rateLimits.merge(update.rateLimits());
-            restarts.merge(update.restarts());
         }
     }
 
     private List<Message> messagesOnConnect() {
         List<Message> messages = new ArrayList<>();
         messages.add(status());
-        messages.add(new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of(), restarts.all()));
+        messages.add(new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of()));
         messages.addAll(EndpointNews.batchesOf(directory.leaving()));
         return messages;
     }
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/ResumedStreamTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/ResumedStreamTest.java
@@ -9,7 +9,6 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against streams that hold events of two software versions because a caller resumed them at another edge. */
@@ -17,11 +16,6 @@
     private static final int BREAK = 4;
     private static final int ROUNDS = 6;
 
-    /** Time between the crash of an endpoint and its restart, in milliseconds. */
-    private static final long DOWN_MILLISECONDS = 200;
-
-    private static final long HEARTBEAT_MILLISECONDS = 300;
-
     @TempDir
     Path folder;
 
@@ -164,124 +158,4 @@
         assertEquals(503, cluster.stream(1, "again", "unknown", BREAK).status());
         cluster.startStore();
     }
-
-    /** Begins a stream at the endpoint that is announced with v1, which crashes in it and runs other software afterwards. */
-    private void crashAndRestart(String nextVersion) throws InterruptedException {
-        release();
-        newer.breakAfter(BREAK);
-        older.crashAfter(BREAK);
-        List<String> first = PlatformCluster.await("the stream begins at v1", () -> {
-            List<String> events = begin(0, "stream");
-            return events.contains("data: v1") ? events : null;
-        });
-        assertEquals(List.of("data: v1"), first.stream().distinct().toList());
-        Thread.sleep(DOWN_MILLISECONDS);
-        older.restart(nextVersion);
-    }
-
-    /** Guards against a stream that goes on at other software, because the former announcement of an endpoint is believed. */
-    @Test
-    void shouldNotResumeAtARestartedEndpointWhenItsHeartbeatIsLate() throws InterruptedException {
-        crashAndRestart("v2");
-
-        for (int edge = 0; edge < 2; edge++) {
-            PlatformCluster.Stream rest = cluster.stream(edge, "again-" + edge, "stream", BREAK);
-            assertEquals(List.of(), rest.events());
-            assertEquals(503, rest.status());
-        }
-        cluster.announce("e-1", older.address(), 2, "v2");
-        assertEquals(503, cluster.stream(1, "again", "stream", BREAK).status());
-    }
-
-    /** Guards against an edge that connects after the crash and believes the former announcement. */
-    @Test
-    void shouldNotResumeAtARestartedEndpointWhenTheEdgeHasStartedSince() throws InterruptedException {
-        crashAndRestart("v2");
-        cluster.startEdge(2);
-        PlatformCluster.await("the edge serves", () -> cluster.request(2, "ready-2", "x") == 200 ? true : null);
-
-        assertEquals(List.of(), cluster.stream(2, "again", "stream", BREAK).events());
-    }
-
-    /** Guards against an endpoint that restarts unnoticed because no request is running there when it crashes. */
-    @Test
-    void shouldNotResumeAtARestartedEndpointWhenNoRequestWasRunningThere() throws InterruptedException {
-        older.breakAfter(BREAK);
-        assertEquals(List.of("data: v1"), begin(0, "stream").stream().distinct().toList());
-        older.breakAfter(StreamingEndpoint.EVENTS);
-        release();
-        awaitServedBy(older);
-
-        older.crash();
-        Thread.sleep(DOWN_MILLISECONDS);
-        older.restart("v2");
-
-        for (int edge = 0; edge < 2; edge++) {
-            assertEquals(
-                    List.of(),
-                    cluster.stream(edge, "again-" + edge, "stream", BREAK).events());
-        }
-    }
-
-    /** Leaves an idle connection of an edge to an endpoint. */
-    private void awaitServedBy(StreamingEndpoint endpoint) {
-        int before = endpoint.requests();
-        PlatformCluster.await(
-                "a complete answer",
-                () -> cluster.request(0, "idle-" + System.nanoTime(), "x") == 200 && endpoint.requests() > before
-                        ? true
-                        : null);
-    }
-
-    /** Guards against streams that are refused for good because an endpoint restarted once. */
-    @Test
-    void shouldResumeAtARestartedEndpointWhenItAnnouncesTheSameVersion() throws InterruptedException {
-        crashAndRestart("v1");
-        cluster.announce("e-1", older.address(), 2, "v1");
-
-        assertGoesOn();
-    }
-
-    /** Guards against streams that are refused for good because an endpoint refused connections for a moment. */
-    @Test
-    void shouldResumeAtAnEndpointWhenItsHeartbeatsGoOnAfterTheBreak() throws InterruptedException {
-        crashAndRestart("v1");
-
-        int[] sequence = {1};
-        PlatformCluster.await("the stream goes on", () -> {
-            sequence[0]++;
-            cluster.announce("e-1", older.address(), 1, "v1", sequence[0]);
-            Thread.sleep(HEARTBEAT_MILLISECONDS);
-            return cluster.stream(1, "again-" + sequence[0], "stream", BREAK).status() == 200 ? true : null;
-        });
-    }
-
-    /** Guards against a stream that is taken for one of the former version, although the restarted endpoint began it. */
-    @Test
-    void shouldNotResumeAtTheFormerVersionWhenTheStreamBeganAfterTheRestart() throws InterruptedException {
-        crashAndRestart("v2");
-        newer.close();
-        older.breakAfter(BREAK);
-        PlatformCluster.await("a stream begins at the restarted endpoint", () -> {
-            return begin(0, "late").contains("data: v2") ? true : null;
-        });
-        try (StreamingEndpoint former = new StreamingEndpoint("v1")) {
-            cluster.announce("e-2", former.address(), 1, "v1");
-            older.crash();
-
-            for (int round = 0; round < ROUNDS; round++) {
-                List<String> rest =
-                        cluster.stream(1, "again-" + round, "late", BREAK).events();
-                assertFalse(rest.contains("data: v1"), rest::toString);
-            }
-        }
-    }
-
-    private void assertGoesOn() {
-        PlatformCluster.Stream rest = PlatformCluster.await("the stream goes on", () -> {
-            PlatformCluster.Stream tried = cluster.stream(1, "again-" + System.nanoTime(), "stream", BREAK);
-            return tried.status() == 200 ? tried : null;
-        });
-        assertEquals(List.of("data: v1"), rest.events().stream().distinct().toList());
-    }
 }
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/StreamingEndpoint.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/StreamingEndpoint.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicReference;
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -21,51 +20,22 @@
 final class StreamingEndpoint implements AutoCloseable {
     static final int EVENTS = 10;
 
-    /** Time in which an edge passes events on, in milliseconds; a crash discards those that it has not read. */
-    private static final long PASS_MILLISECONDS = 150;
-
+    private final HttpServer server;
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
-    private final AtomicReference<HttpServer> server;
+    private final String softwareVersion;
     private final AtomicInteger requests = new AtomicInteger();
-    private volatile String softwareVersion;
     private volatile int breaksAfter = EVENTS;
-    private volatile boolean crashes;
 
     StreamingEndpoint(String softwareVersion) {
         this.softwareVersion = softwareVersion;
         try {
-            server = new AtomicReference<>(open(0));
+            server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
         }
-    }
-
-    private HttpServer open(int port) throws IOException {
-        HttpServer opened = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 50);
-        opened.setExecutor(threads);
-        opened.createContext("/", this::serve);
-        opened.start();
-        return opened;
-    }
-
-    /** Makes the endpoint close its port and all connections after an event of the next stream. */
-    void crashAfter(int event) {
-        breaksAfter = event;
-        crashes = true;
-    }
-
-    /** Closes the port and all connections. */
-    void crash() {
-        server.get().stop(0);
-    }
-
-    /** Starts the endpoint again at its address after a crash. */
-    void restart(String nextVersion) {
-        int port = server.get().getAddress().getPort();
-        softwareVersion = nextVersion;
-        breaksAfter = EVENTS;
-        crashes = false;
-        server.set(PlatformCluster.await("the port is free", () -> open(port)));
+        server.setExecutor(threads);
+        server.createContext("/", this::serve);
+        server.start();
     }
 
     /** Makes the endpoint close the connection of each stream after an event. */
@@ -74,7 +44,7 @@
     }
 
     String address() {
-        return "127.0.0.1:" + server.get().getAddress().getPort();
+        return "127.0.0.1:" + server.getAddress().getPort();
     }
 
     int requests() {
@@ -95,10 +65,6 @@
             body.write(("id: " + event + "\ndata: " + softwareVersion + "\n\n").getBytes(StandardCharsets.UTF_8));
             body.flush();
             if (event == breaksAfter) {
-                if (crashes) {
-                    awaitPassedOn();
-                    crash();
-                }
                 exchange.close();
                 return;
             }
@@ -106,17 +72,9 @@
         body.close();
     }
 
-    private static void awaitPassedOn() {
-        try {
-            Thread.sleep(PASS_MILLISECONDS);
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     @Override
     public void close() {
-        server.get().stop(0);
+        server.stop(0);
         threads.shutdownNow();
     }
 }
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashMonitor.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/CrashMonitor.java
@@ -14,7 +14,6 @@
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.wire.EndpointAnnouncement;
-import io.rosemarybeam.decision.routing.EndpointDirectory;
 import io.rosemarybeam.platform.EndpointClient;
 import io.rosemarybeam.platform.EndpointClient.Reachability;
 
@@ -23,8 +22,7 @@
  *
  * <p>An endpoint that refuses the next connection has crashed, unless no endpoint of its service can be reached from here. One
  * that accepts it may have been replaced at its address, and one that does not answer may be unreachable, so these are
- * suspected until a store host receives a heartbeat of the endpoint. One that refuses the connection is suspected to restart
- * with other software.
+ * suspected until a store host receives a heartbeat of the endpoint.
  *
  * <p>Invariant: at most one check of an endpoint is in progress; attempts that break meanwhile share its result. Confined to
  * the event loop of the forwarder.
@@ -42,10 +40,8 @@
     private static final int MAXIMUM_ENDPOINTS = 4_096;
 
     private final EndpointClient client;
-    private final EndpointDirectory directory;
     private final ForwardMetrics metrics;
     private final CrashRegistry registry;
-    private final RestartRegistry restarts;
     private final ServiceReach reach;
 
     /** Number of attempts in progress of suspects, by endpoint. */
@@ -58,20 +54,11 @@
 
     private final Map<EndpointId, Long> lastAnswers = new LeastRecentlyUsedMap<>(MAXIMUM_ENDPOINTS);
 
-    CrashMonitor(
-            EndpointClient client,
-            EndpointDirectory directory,
-            ForwardMetrics metrics,
-            CrashRegistry registry,
-            RestartRegistry restarts,
-            ServiceReach reach) {
+    CrashMonitor(EndpointClient client, ForwardMetrics metrics, CrashRegistry registry, ServiceReach reach) {
         this.client = client;
-        this.directory = directory;
         this.metrics = metrics;
         this.registry = registry;
-        this.restarts = restarts;
         this.reach = reach;
-        client.onIdleClosed(this::idleConnectionClosed);
     }
 
     /**
@@ -140,28 +127,7 @@
             sharing.add(attempt);
             return;
         }
-        check(endpoint, new ArrayList<>(List.of(attempt)));
-    }
-
-    /**
-     * Checks an endpoint to which no connection could be opened, or that closed an idle one, unless it is checked already or
-     * suspected to have restarted.
-     */
-    void connectionFailed(EndpointAnnouncement endpoint) {
-        if (!checksByAddress.containsKey(endpoint.address()) && restarts.isConfirmed(endpoint)) {
-            check(endpoint, new ArrayList<>());
-        }
-    }
-
-    /**
-     * Checks a ready endpoint that closed an idle connection; it may have crashed while no request of this host was running
-     * there.
-     */
-    private void idleConnectionClosed(String address) {
-        directory.findReadyAt(address).ifPresent(this::connectionFailed);
-    }
-
-    private void check(EndpointAnnouncement endpoint, List<BrokenAttempt> attempts) {
+        List<BrokenAttempt> attempts = new ArrayList<>(List.of(attempt));
         checksByAddress.put(endpoint.address(), attempts);
         client.check(endpoint.address(), result -> {
             checksByAddress.remove(endpoint.address());
@@ -176,9 +142,6 @@
 
     private void checked(EndpointAnnouncement endpoint, List<BrokenAttempt> attempts, Reachability result) {
         metrics.endpointChecked(result.name().toLowerCase(Locale.ROOT));
-        if (result == Reachability.REFUSED) {
-            restarts.suspect(endpoint, reach.isCutOff(endpoint.service()));
-        }
         for (BrokenAttempt attempt : attempts) {
             boolean isCounted = attempt.isCounted().getAsBoolean();
             if (isCounted && result == Reachability.REFUSED && !reach.isCutOff(endpoint.service())) {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/EndpointCandidates.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/EndpointCandidates.java
@@ -16,8 +16,7 @@
  * The endpoints that may run one request, and the order in which they are preferred.
  *
  * <p>Invariant: an endpoint that has stated that it did not run the request is not used again for it; a resumed stream uses only
- * endpoints of the service and software version that began it, and none that may have restarted since it announced that version.
- * Confined to the event loop of the forwarder.
+ * endpoints of the service and software version that began it. Confined to the event loop of the forwarder.
  */
 final class EndpointCandidates {
     private final Forwarder forwarder;
@@ -59,25 +58,8 @@
         return restriction;
     }
 
-    private boolean matches(StreamOrigin origin, EndpointAnnouncement endpoint) {
-        return origin.softwareVersion().equals(endpoint.softwareVersion())
-                && !origin.softwareVersion().equals(StreamOrigin.UNCONFIRMED_VERSION)
-                && isConfirmed(endpoint);
-    }
-
-    /** Returns whether the endpoint runs the software that it announced; it may have restarted since. */
-    boolean isConfirmed(EndpointAnnouncement endpoint) {
-        return forwarder.streams().restarts().isConfirmed(endpoint);
-    }
-
-    /** A stream that begins at an endpoint of uncertain software cannot be resumed, so others are preferred. */
-    private List<EndpointAnnouncement> withKnownSoftware(List<EndpointAnnouncement> endpoints) {
-        if (!request.isResumableStream()) {
-            return endpoints;
-        }
-        List<EndpointAnnouncement> confirmed =
-                endpoints.stream().filter(this::isConfirmed).toList();
-        return confirmed.isEmpty() ? endpoints : confirmed;
+    private static boolean matches(StreamOrigin origin, EndpointAnnouncement endpoint) {
+        return origin.softwareVersion().equals(endpoint.softwareVersion());
     }
 
     /**
@@ -89,11 +71,11 @@
      */
     List<EndpointAnnouncement> usable(boolean besideAttempt) {
         ServiceName service = restriction.map(StreamOrigin::service).orElse(request.service());
-        List<EndpointAnnouncement> ready = withKnownSoftware(forwarder.directory().ready(service).stream()
+        List<EndpointAnnouncement> ready = forwarder.directory().ready(service).stream()
                 .filter(endpoint -> restriction.isEmpty() || matches(restriction.get(), endpoint))
                 .filter(endpoint -> !unavailable.contains(endpoint.id()))
                 .filter(endpoint -> !besideAttempt || !tried.contains(endpoint.id()))
-                .toList());
+                .toList();
         return ready.stream().noneMatch(this::isLimited) ? ready : withRoom(ready);
     }
 
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -142,7 +142,9 @@
     }
 
     private boolean resumesStream() {
-        return request.isResumableStream() && request.headers().contains(PlatformHeaders.LAST_EVENT_ID);
+        return request.route().kind() == RouteKind.STREAMING
+                && request.route().resumable()
+                && request.headers().contains(PlatformHeaders.LAST_EVENT_ID);
     }
 
     /** Continues the stream at the software version that began it; refuses the request at once if that cannot be done. */
@@ -562,9 +564,6 @@
         private boolean answerStarted;
         private boolean ofSuspect;
 
-        /** Whether the software of the endpoint was certain when the attempt began. */
-        private boolean isConfirmed;
-
         private EndpointAttempt(EndpointAnnouncement endpoint) {
             this.endpoint = endpoint;
         }
@@ -574,7 +573,6 @@
             candidates.recordTried(endpoint.id());
             running.add(this);
             forwarder.loads().recordRequest(endpoint.id());
-            isConfirmed = candidates.isConfirmed(endpoint);
             ofSuspect = isSuspect();
             if (ofSuspect) {
                 forwarder.crashMonitor().suspectStarted(endpoint.id());
@@ -670,11 +668,11 @@
 
         /** Recorded before the caller gets the first event, because it may resume at another host right after it. */
         private void recordOrigin() {
-            if (request.isResumableStream()) {
-                String version = isConfirmed ? endpoint.softwareVersion() : StreamOrigin.UNCONFIRMED_VERSION;
+            if (request.route().kind() == RouteKind.STREAMING && request.route().resumable()) {
                 StreamOrigin origin = candidates
                         .restriction()
-                        .orElseGet(() -> new StreamOrigin(request.id(), endpoint.service(), version));
+                        .orElseGet(
+                                () -> new StreamOrigin(request.id(), endpoint.service(), endpoint.softwareVersion()));
                 forwarder.streams().record(origin, request.deadline());
             }
         }
@@ -795,7 +793,6 @@
             } else if (failure == Failure.NOT_SENT) {
                 markUnavailable();
                 unsent++;
-                forwarder.crashMonitor().connectionFailed(endpoint);
                 forwarder.handOver().reach().verify(request.service());
                 tryNextEndpointAfterVerification();
             } else {
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
@@ -6,7 +6,6 @@
 import io.rosemarybeam.common.id.Fingerprint;
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.decision.routing.Route;
-import io.rosemarybeam.decision.routing.RouteKind;
 import io.rosemarybeam.platform.PlatformHeaders;
 import io.rosemarybeam.platform.SendCondition;
 
@@ -91,11 +90,6 @@
         return Math.max(1, route.maximumAttempts() - used);
     }
 
-    /** Returns whether its answer is a stream that the caller may resume. */
-    boolean isResumableStream() {
-        return route.kind() == RouteKind.STREAMING && route.resumable();
-    }
-
     /** Returns the id of the attempt that brought the first event of the stream to resume; empty if none is named. */
     String resumedRequest() {
         String id = headers.get(PlatformHeaders.RESUMED_REQUEST);
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/Forwarder.java
@@ -65,7 +65,7 @@
         this.loads = loads;
         this.ownDomain = ownDomain;
         this.metrics = metrics;
-        this.crashMonitor = new CrashMonitor(client, directory, metrics, crashes, streams.restarts(), handOver.reach());
+        this.crashMonitor = new CrashMonitor(client, metrics, crashes, handOver.reach());
         this.crashes = crashes;
         this.limits = limits;
         this.leaving = leaving;
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/StreamOrigins.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/StreamOrigins.java
@@ -26,7 +26,6 @@
     private final StreamOriginTable table = new StreamOriginTable();
     private final EndpointDirectory directory;
     private final Remote remote;
-    private final RestartRegistry restarts;
 
     /** The knowledge of other hosts. */
     public interface Remote {
@@ -71,12 +70,10 @@
      *
      * @param directory the known endpoints
      * @param remote the knowledge of other hosts
-     * @param restarts the endpoints that may have restarted
      */
-    public StreamOrigins(EndpointDirectory directory, Remote remote, RestartRegistry restarts) {
+    public StreamOrigins(EndpointDirectory directory, Remote remote) {
         this.directory = directory;
         this.remote = remote;
-        this.restarts = restarts;
     }
 
     /**
@@ -84,12 +81,10 @@
      *
      * @param directory the known endpoints
      * @param knowsAllEndpoints whether the directory has all endpoints
-     * @param restarts the endpoints that may have restarted
      * @return the instance
      */
-    public static StreamOrigins local(
-            EndpointDirectory directory, BooleanSupplier knowsAllEndpoints, RestartRegistry restarts) {
-        Remote none = new Remote() {
+    public static StreamOrigins local(EndpointDirectory directory, BooleanSupplier knowsAllEndpoints) {
+        return new StreamOrigins(directory, new Remote() {
             @Override
             public void publish(StreamOrigin origin) {
                 // No other host may resume the stream.
@@ -109,25 +104,7 @@
             public boolean knowsAllEndpoints() {
                 return knowsAllEndpoints.getAsBoolean();
             }
-        };
-        return new StreamOrigins(directory, none, restarts);
-    }
-
-    /**
-     * Creates an instance like {@link #local(EndpointDirectory, BooleanSupplier, RestartRegistry)} for a process that no other
-     * one learns from.
-     *
-     * @param directory the known endpoints
-     * @param knowsAllEndpoints whether the directory has all endpoints
-     * @return the instance
-     */
-    public static StreamOrigins local(EndpointDirectory directory, BooleanSupplier knowsAllEndpoints) {
-        return local(directory, knowsAllEndpoints, new RestartRegistry(changes -> {}));
-    }
-
-    /** Returns the endpoints that may have restarted, so that their announced software version is not certain. */
-    RestartRegistry restarts() {
-        return restarts;
+        });
     }
 
     /**
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/StreamOriginsTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/StreamOriginsTest.java
@@ -118,8 +118,7 @@
 
         List<Optional<StreamOrigin>> find(long waitUntil) {
             List<Optional<StreamOrigin>> found = new ArrayList<>();
-            new StreamOrigins(directory, this, new RestartRegistry(changes -> {}))
-                    .find("r", List.of(DESK), waitUntil, found::add);
+            new StreamOrigins(directory, this).find("r", List.of(DESK), waitUntil, found::add);
             return found;
         }
 
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -49,7 +49,6 @@
 import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
 import io.rosemarybeam.common.wire.StoreMessage.StoreStatus;
 import io.rosemarybeam.common.wire.StoreMessage.StreamReply;
-import io.rosemarybeam.common.wire.SuspectedRestart;
 import io.rosemarybeam.common.wire.WireConnection;
 import io.rosemarybeam.common.wire.WireSettings;
 import io.rosemarybeam.common.wire.WireTransport;
@@ -83,7 +82,6 @@
 import io.rosemarybeam.forward.HandOver;
 import io.rosemarybeam.forward.LeavingEndpoints;
 import io.rosemarybeam.forward.RateLimits;
-import io.rosemarybeam.forward.RestartRegistry;
 import io.rosemarybeam.forward.StreamOrigins;
 import io.rosemarybeam.platform.ConfigurationFormat;
 import io.rosemarybeam.platform.EndpointClient;
@@ -167,7 +165,6 @@
     private final GenerationFleet fleet = new GenerationFleet(directory, loads, permits::isAvailable, leavingEndpoints);
     private final CrashRegistry crashes;
     private final RateLimits rateLimits;
-    private final RestartRegistry restarts;
     private final Forwarder forwarder;
     private final LogStorage storage;
     private final MemberId self;
@@ -206,7 +203,6 @@
         this.secrets = new Secrets(settings.stores().clusterSecret(), Optional.empty());
         this.crashes = new CrashRegistry(this::sendCrashes);
         this.rateLimits = new RateLimits(this::useRateLimits, permits::acquire);
-        this.restarts = new RestartRegistry(this::sendRestarts);
         this.forwarder = new Forwarder(
                 loop,
                 client,
@@ -217,7 +213,7 @@
                 crashes,
                 rateLimits,
                 leavingEndpoints,
-                StreamOrigins.local(directory, () -> false, restarts),
+                StreamOrigins.local(directory, () -> false),
                 HandOver.none(loop, client, directory));
         this.storage = storage;
         this.self = self;
@@ -490,7 +486,6 @@
         registry.excuseStall(now);
         directory.evictExpired(now);
         crashes.tick();
-        restarts.tick();
         rateLimits.retain(id -> directory.find(id).isPresent());
         links.maintain(members.peers(seeds, now), now);
         StoreStatus status = status(now);
@@ -547,19 +542,6 @@
         links.sendToAll(news);
     }
 
-    /** Sends what this host has observed to all others, unless its own connection may be the cause. */
-    private void sendRestarts(List<SuspectedRestart> changes) {
-        changes.stream().filter(change -> !change.cutOff()).forEach(change -> sendRestart(change, true));
-    }
-
-    private void sendRestart(SuspectedRestart change, boolean toStores) {
-        EndpointNews news = EndpointNews.ofRestarts(List.of(change));
-        Broadcast.send(edges.keySet(), news);
-        if (toStores) {
-            links.sendToAll(news);
-        }
-    }
-
     private void publishLeaving(EndpointAnnouncement announcement) {
         registry.receive(announcement);
     }
@@ -668,13 +650,6 @@
         public void receive(EndpointAnnouncement announcement) {
             registry.receive(announcement);
             crashes.recordHeartbeat(announcement);
-            boolean isNewest = directory
-                    .find(announcement.id())
-                    .filter(announcement::equals)
-                    .isPresent();
-            if (isNewest) {
-                restarts.recordHeartbeat(announcement);
-            }
         }
 
         @Override
@@ -689,7 +664,7 @@
         public void onOpen(WireConnection connection) {
             connection.send(status(Forwarder.now()));
             EndpointNews.batchesOf(directory.all()).forEach(connection::send);
-            connection.send(new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of(), restarts.all()));
+            connection.send(new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of()));
         }
 
         @Override
@@ -698,7 +673,7 @@
                 case LogTraffic traffic -> receiveLogTraffic(traffic);
                 case EdgeStatus edge -> receiveEdgeStatus(connection, edge);
                 case StoreStatus peer -> members.receive(peer, Forwarder.now());
-                case EndpointNews update -> receiveNews(connection, update);
+                case EndpointNews update -> receiveNews(update);
                 case AcquirePermit wanted -> grant(connection, correlation, wanted);
                 case FindStream wanted ->
                     connection.reply(correlation, new StreamReply(streams.find(wanted.request()), isCollecting()));
@@ -727,7 +702,7 @@
             }
         }
 
-        private void receiveNews(WireConnection connection, EndpointNews update) {
+        private void receiveNews(EndpointNews update) {
             update.streams().forEach(origin -> streams.add(origin, Long.MAX_VALUE));
             update.announcements().forEach(registry::merge);
             List<EndpointCrash> changes = crashes.merge(update.crashes());
@@ -738,12 +713,6 @@
             if (!changedLimits.isEmpty()) {
                 useRateLimits(changedLimits);
             }
-            // A suspicion grows older on its way, so store hosts that passed on those of each other could do so without
-            // end.
-            boolean isFromEdge = edges.containsKey(connection);
-            restarts.merge(update.restarts()).stream()
-                    .filter(change -> !change.cutOff())
-                    .forEach(change -> sendRestart(change, isFromEdge));
         }
 
         private void receiveEdgeStatus(WireConnection connection, EdgeStatus edge) {
