Count the orders that are carried out twice after a false promise

The consumer of review/6 sends an order again after a 503, as consumers do after a promise, and the case reports how many orders ran twice.

--- a/review/support-2/src/Promise.java
+++ b/review/support-2/src/Promise.java
@@ -48,27 +48,40 @@
         Thread.sleep(4_000);
         int broken = 0;
         int sent = 0;
+        int twice = 0;
         long end = bed.now() + GREY_MILLISECONDS;
         while (bed.now() < end) {
-            String id = "order-" + sent;
             sent++;
-            Http.Answer answer = Http.call(
-                    bed.frontAddress(0),
-                    "POST",
-                    "/order/x",
-                    Map.of("Host", Bed.HOST, "Rosemarybeam-Request-Id", id, "Rosemarybeam-Deadline-Ms", "3000"),
-                    "pay".getBytes(StandardCharsets.UTF_8),
-                    4_000);
-            boolean promised = Set.of(408, 421, 429, 503).contains(answer.status());
-            bed.log("caller of " + id + " got " + answer + (promised && ran.contains(id) ? ", though it has run" : ""));
-            broken += promised && ran.contains(id) ? 1 : 0;
+            int before = ran.size();
+            if (isRefused(bed, ran, "order-" + sent, sent)) {
+                broken++;
+                // The answer promises that the order has not run, so its consumer sends it again under another id.
+                isRefused(bed, ran, "order-" + sent + "-again", sent);
+                twice += ran.size() - before > 1 ? 1 : 0;
+            }
         }
+        bed.log(twice + " orders were carried out twice");
         if (broken > 0) {
             bed.violation("REFUSED: " + broken + " of " + sent
-                    + " requests that may run once were answered 503 and have run");
+                    + " requests that may run once were answered 503 and have run; " + twice
+                    + " orders were carried out twice");
         }
         for (Replica replica : replicas) {
             replica.close();
         }
     }
+
+    /** Sends an order; returns whether it has run and was answered with a status that promises that it has not. */
+    private static boolean isRefused(Bed bed, Set<String> ran, String id, int order) {
+        Http.Answer answer = Http.call(
+                bed.frontAddress(0),
+                "POST",
+                "/order/x",
+                Map.of("Host", Bed.HOST, "Rosemarybeam-Request-Id", id, "Rosemarybeam-Deadline-Ms", "3000"),
+                ("order " + order).getBytes(StandardCharsets.UTF_8),
+                4_000);
+        boolean isBroken = Set.of(408, 421, 429, 503).contains(answer.status()) && ran.contains(id);
+        bed.log("caller of " + id + " got " + answer + (isBroken ? ", though it has run" : ""));
+        return isBroken;
+    }
 }
