Show the hang of an edge with a planned stop of another one

The consumers with long bodies are spread over two edges, which serve them. When one edge is stopped as planned, the other one takes their requests too, runs out of heap and answers nobody any more; at rest, 9 s after the load, it still answers nothing while its process runs.

--- a/review/support-2/src/Bodies.java
+++ b/review/support-2/src/Bodies.java
@@ -8,14 +8,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Some consumers send requests with long bodies, within MaxBodyBytes of the configuration, while others send short ones to the
- * same edge. When the long ones are over and the edge has had time to recover, short requests must be answered half a second
- * after their route's TimeoutMs at the latest.
+ * Consumers send requests with bodies of 4 MB, within MaxBodyBytes of the configuration, half of them to each of two edges, and
+ * others send short ones to the first edge. The second edge is stopped as planned and started again, up to four times, so that
+ * its consumers use the first one for some seconds each time. The first edge is not disturbed: it must answer short requests half a second after their route's
+ * TimeoutMs at the latest, during the load and when it is over.
  */
 final class Bodies {
     private static final int SHORT_CONSUMERS = 16;
-    private static final int LONG_CONSUMERS = 24;
-    private static final int LONG_BYTES = 10_000_000;
+    private static final int LONG_CONSUMERS = 40;
+    private static final int LONG_BYTES = 4_000_000;
     private static final int SHORT_BYTES = 600;
     private static final long LOAD_MILLISECONDS = 50_000;
 
@@ -25,8 +26,16 @@
     private static final int TIMEOUT_MILLISECONDS = 3_000;
     private static final int ANSWER_MILLISECONDS = TIMEOUT_MILLISECONDS + 500;
     private static final int PROBES = 24;
+
+    /** Planned stops of the second edge, and the time between two of them. */
+    private static final int ROUNDS = 4;
+
+    private static final long PAUSE_MILLISECONDS = 5_000;
     private static final int UNANSWERED = 8;
 
+    /** Time without any answer after which the load ends. */
+    private static final long SILENT_MILLISECONDS = 7_500;
+
     private final Bed bed;
     private final Set<String> ran = ConcurrentHashMap.newKeySet();
     private final AtomicInteger number = new AtomicInteger();
@@ -35,8 +44,12 @@
     private final AtomicInteger endedLong = new AtomicInteger();
     private final AtomicInteger unanswered = new AtomicInteger();
     private final AtomicInteger closed = new AtomicInteger();
+    private final AtomicInteger late = new AtomicInteger();
     private volatile long end;
 
+    /** Whether lookups name edge-1. */
+    private volatile boolean listed = true;
+
     private Bodies(Bed bed) {
         this.bed = bed;
     }
@@ -50,6 +63,7 @@
             bed.startStore(store, true);
         }
         bed.startEdge(0);
+        bed.startEdge(1);
         bed.configure(Texts.configuration(1));
         for (int index = 0; index < 3; index++) {
             Replica replica = new Replica(bed, index, Texts.PLAIN);
@@ -61,16 +75,25 @@
             replica.beatRegularly();
         }
         bed.awaitReady(0);
+        bed.awaitReady(1);
         Thread.sleep(4_000);
         end = bed.now() + LOAD_MILLISECONDS;
         for (int consumer = 0; consumer < SHORT_CONSUMERS; consumer++) {
             Thread.ofVirtual().start(this::sendShort);
         }
-        byte[] body = new byte[bed.trouble ? LONG_BYTES : SHORT_BYTES];
+        byte[] body = new byte[LONG_BYTES];
         List<Http.Connection> uploads = new CopyOnWriteArrayList<>();
         for (int consumer = 0; consumer < LONG_CONSUMERS; consumer++) {
-            Thread.ofPlatform().daemon().start(() -> sendLong(body, uploads));
+            int edge = consumer % 2;
+            Thread.ofPlatform().daemon().start(() -> sendLong(body, uploads, edge));
         }
+        Thread.sleep(8_000);
+        bed.log(answeredLong + " long ones answered, " + endedLong + " ended otherwise, before edge-1 is stopped");
+        if (bed.trouble) {
+            Thread.ofPlatform().daemon().start(this::restartEdge);
+        }
+        int lastAnswered = 0;
+        long lastAnswerAt = bed.now();
         while (bed.now() < end) {
             Thread.sleep(2_500);
             boolean runs = bed.process("edge-0").isAlive();
@@ -79,7 +102,10 @@
                     + " ended otherwise; edge-0 " + (runs ? "runs" : "has ended by itself"));
             if (!runs) {
                 bed.startEdge(0);
-            } else if (unanswered.get() >= UNANSWERED) {
+            } else if (answered.get() > lastAnswered) {
+                lastAnswered = answered.get();
+                lastAnswerAt = bed.now();
+            } else if (unanswered.get() >= UNANSWERED && bed.now() - lastAnswerAt > SILENT_MILLISECONDS) {
                 end = bed.now();
             }
         }
@@ -87,6 +113,10 @@
             upload.close();
         }
         bed.log("no more long requests");
+        if (unanswered.get() >= UNANSWERED && unanswered.get() > late.get()) {
+            bed.violation("CONFIG: during the load " + unanswered + " short requests had no answer half a second after their"
+                    + " route's TimeoutMs, " + late + " were answered in that half second");
+        }
         Thread.sleep(REST_MILLISECONDS);
         probe();
         bed.logLines("edge-0", "OutOfMemoryError").stream()
@@ -97,7 +127,7 @@
     /** Sends short requests on new connections, all at once, to an edge at rest. */
     private void probe() throws InterruptedException {
         AtomicInteger inTime = new AtomicInteger();
-        AtomicInteger late = new AtomicInteger();
+        AtomicInteger delayed = new AtomicInteger();
         AtomicInteger none = new AtomicInteger();
         List<Thread> threads = new ArrayList<>();
         for (int index = 0; index < PROBES; index++) {
@@ -109,17 +139,17 @@
                 long elapsed = bed.now() - sentAt;
                 bed.log("consumer of " + id + " got " + answer + " after " + elapsed + " ms");
                 boolean isAnswered = answer.status() != 0;
-                (!isAnswered ? none : elapsed > TIMEOUT_MILLISECONDS ? late : inTime).incrementAndGet();
+                (!isAnswered ? none : elapsed > TIMEOUT_MILLISECONDS ? delayed : inTime).incrementAndGet();
             }));
         }
         for (Thread thread : threads) {
             thread.join();
         }
         boolean runs = bed.process("edge-0").isAlive();
-        bed.log("at rest: " + inTime + " of " + PROBES + " short requests answered in time, " + late + " late, " + none
+        bed.log("at rest: " + inTime + " of " + PROBES + " short requests answered in time, " + delayed + " late, " + none
                 + " not at all; edge-0 " + (runs ? "runs" : "has ended by itself"));
-        if (none.get() >= UNANSWERED && none.get() > late.get()) {
-            bed.violation("CONFIG: " + none + " requests have no answer half a second after their route's TimeoutMs, "
+        if (none.get() >= UNANSWERED && none.get() > delayed.get()) {
+            bed.violation("CONFIG: at rest " + none + " short requests had no answer half a second after their route's TimeoutMs, "
                     + REST_MILLISECONDS + " ms after the last long request");
         }
     }
@@ -129,6 +159,7 @@
             try (Http.Connection kept = new Http.Connection(bed.frontAddress(0), ANSWER_MILLISECONDS)) {
                 while (bed.now() < end) {
                     String id = "short-" + number.incrementAndGet();
+                    long sentAt = bed.now();
                     Http.Answer answer = kept.call("POST", "/lookup/short", headers(id), new byte[SHORT_BYTES]);
                     if (answer.status() == 0) {
                         boolean isTimeout = answer.failure().contains("timed out");
@@ -142,6 +173,7 @@
                         break;
                     }
                     answered.incrementAndGet();
+                    late.addAndGet(bed.now() - sentAt > TIMEOUT_MILLISECONDS ? 1 : 0);
                     Thread.sleep(20);
                 }
             } catch (IOException failure) {
@@ -152,24 +184,50 @@
         }
     }
 
-    private void sendLong(byte[] body, List<Http.Connection> uploads) {
+    /** Stops an edge as planned and starts it again, a few times; callers are told to use the other one meanwhile. */
+    private void restartEdge() {
+        try {
+            for (int round = 0; round < ROUNDS && bed.now() < end; round++) {
+                bed.terminate("edge-1");
+                listed = false;
+                bed.process("edge-1").waitFor();
+                bed.log("edge-1 has ended");
+                Thread.sleep(500);
+                bed.startEdge(1);
+                bed.awaitReady(1);
+                listed = true;
+                Thread.sleep(PAUSE_MILLISECONDS);
+            }
+        } catch (IOException | InterruptedException failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    /** Sends long requests to one edge, on a kept connection while the edge keeps it. */
+    private void sendLong(byte[] body, List<Http.Connection> uploads, int first) {
+        int edge = first;
         while (bed.now() < end) {
-            try (Http.Connection kept = new Http.Connection(bed.frontAddress(0), ANSWER_MILLISECONDS)) {
+            edge = listed ? edge : 0;
+            try (Http.Connection kept = new Http.Connection(bed.frontAddress(edge), ANSWER_MILLISECONDS)) {
                 uploads.add(kept);
-                while (bed.now() < end) {
+                boolean isKept = true;
+                while (isKept && bed.now() < end) {
                     Http.Answer answer =
                             kept.call("POST", "/lookup/long", headers("long-" + number.incrementAndGet()), body);
-                    if (answer.status() != 200) {
+                    if (answer.status() == 200) {
+                        answeredLong.incrementAndGet();
+                        isKept = !answer.header("Connection").equalsIgnoreCase("close");
+                    } else {
                         endedLong.incrementAndGet();
-                        break;
+                        isKept = false;
+                        edge = 1 - edge;
                     }
-                    answeredLong.incrementAndGet();
                     pause(300);
                 }
             } catch (IOException failure) {
                 endedLong.incrementAndGet();
+                edge = 1 - edge;
             }
-            pause(300);
         }
     }
 
