Reuse a connection of an entry host only after an answer that names its attempt

Attempts have ids of their own and their echo is checked, but an answer without an echo passes the check, and orders have no id: a late copy of an accepted order confirmed the next one, which the endpoint had refused.

Change: the keep-alive strategy of AsyncHttpClient keeps a connection only if the answer echoes the id of the attempt. Orders and answers without an echo end the use of their connection.

EndpointClientTest: both new tests failed before, "expected: <false> but was: <true>". No figure for the cost with services that do not echo was measured. shouldNotReuseIdleConnectionsWhenOneTimedOut echoes the id now, as it would pass without its subject otherwise.

--- a/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
+++ b/rosemarybeam-entry/src/main/java/io/rosemarybeam/entry/EndpointClient.java
@@ -28,8 +28,8 @@
  *
  * <p>Invariant: it never retries a request; only the request core does. When an attempt times out without progress, its
  * connection is closed and the idle connections to the same address are not reused. A request that must not run twice
- * uses a new connection, because the endpoint may close an idle one while the request is being sent. Safe for use by
- * several threads.
+ * uses a new connection, because the endpoint may close an idle one while the request is being sent. A connection is reused
+ * only after an answer that names its attempt. Safe for use by several threads.
  */
 final class EndpointClient implements AutoCloseable {
     private static final Duration NO_TIMEOUT = Duration.ofMillis(-1);
@@ -68,6 +68,7 @@
                 .setReadTimeout(NO_TIMEOUT)
                 .setConnectTimeout(MAXIMUM_CONNECT_TIMEOUT)
                 .setPooledConnectionIdleTimeout(POOL_IDLE_TIMEOUT)
+                .setKeepAliveStrategy(new IdentifiedKeepAlive())
                 .setHttpClientCodecMaxHeaderSize(MAXIMUM_HEADER_BYTES)
                 .setTcpNoDelay(true)
                 .setCookieStore(null)
--- a/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/EndpointClientTest.java
+++ b/rosemarybeam-entry/src/test/java/io/rosemarybeam/entry/EndpointClientTest.java
@@ -1,8 +1,10 @@
 package io.rosemarybeam.entry;
 
 import java.io.IOException;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.buffer.ByteBuf;
@@ -11,17 +13,22 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.rosemarybeam.common.id.AttemptId;
 import io.rosemarybeam.common.id.EndpointId;
+import io.rosemarybeam.common.id.FencingNumber;
 import io.rosemarybeam.common.id.RequestId;
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.decision.request.RequestCommand.StartAttempt;
 import io.rosemarybeam.decision.request.RequestInput.AttemptFailure;
+import io.rosemarybeam.decision.rollout.RolloutCommand.OrderKind;
+import io.rosemarybeam.decision.rollout.RolloutCommand.SendOrder;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /**
  * Guards against requests that are sent after their dispatch deadline, and against idle connections that are reused
@@ -174,6 +181,51 @@
         if ("a2".equals(call.attempt())) {
             Thread.sleep(3_000);
         }
-        call.respond(200, "page");
+        call.respond(200, "page", EndpointHeaders.ATTEMPT_ID, call.attempt());
+    }
+
+    /** A late copy of an answer without the id of its attempt would be taken for the answer to the next request. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void shouldReuseTheConnectionOnlyWhenTheAnswerNamesItsAttempt(boolean isIdentified) throws Exception {
+        String[] echo = isIdentified ? new String[] {EndpointHeaders.ATTEMPT_ID, "a1"} : new String[0];
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint(call -> call.respond(200, "page", echo));
+                EndpointClient client = new EndpointClient(eventLoops, MonotonicClock.system(), recorder)) {
+            start(client, endpoint);
+            assertEquals(Optional.empty(), recorder.end.get(5, TimeUnit.SECONDS));
+            start(client, endpoint);
+            recorder.end.get(5, TimeUnit.SECONDS);
+
+            boolean isReused = endpoint.calls().get(0).connection()
+                    == endpoint.calls().get(1).connection();
+            assertEquals(isIdentified, isReused);
+        }
+    }
+
+    private static SendOrder order(ScriptedEndpoint endpoint, long fencingNumber) {
+        return new SendOrder(
+                fencingNumber,
+                EndpointId.of("e"),
+                endpoint.url(),
+                OrderKind.LOAD_WEIGHTS,
+                "7",
+                FencingNumber.of(fencingNumber),
+                Long.MAX_VALUE);
+    }
+
+    /** A late copy of the answer to an order would confirm the next one, which the endpoint has refused. */
+    @Test
+    void shouldNotTakeACopyForTheAnswerToAnOrderWhenAnEarlierOneWasAccepted() throws Exception {
+        Map<Integer, Integer> callsByConnection = new ConcurrentHashMap<>();
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint(call -> {
+                    boolean isRepeated = callsByConnection.merge(call.connection(), 1, Integer::sum) > 1;
+                    boolean isFirst = call.body().contains("\"fencingNumber\":1");
+                    call.respond(isRepeated || isFirst ? 200 : 409, "");
+                });
+                EndpointClient client = new EndpointClient(eventLoops, MonotonicClock.system(), recorder)) {
+            assertTrue(client.order(order(endpoint, 1)).get(5, TimeUnit.SECONDS));
+
+            assertFalse(client.order(order(endpoint, 2)).get(5, TimeUnit.SECONDS));
+        }
     }
 }
