Read reports of endpoints on connections of their own, and give orders ids

Change: each order has an id, whose echo keeps its connection. Reports share connections with reports only: a late copy of a report is an older report, which the protocol allows, and the number of orders in it protects the next order. Requests and orders never use these connections.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/VersionOrders.java
@@ -76,6 +76,9 @@
     private final Map<EndpointId, Order> orders = new HashMap<>();
     private final StallDetector stalls = new StallDetector(TICK_MILLISECONDS);
 
+    /** Number of orders so far; each has an id of its own, so that a copy of an answer does not confirm another order. */
+    private long orderCount;
+
     /**
      * Creates an instance for the current term.
      *
@@ -262,16 +265,22 @@
         HttpHeaders headers = new DefaultHttpHeaders();
         headers.set(HttpHeaderNames.HOST, order.endpoint.address());
         headers.set(PlatformHeaders.EXPECTED_ENDPOINT, order.load.endpoint().value());
-        if (body.length > 0) {
+        boolean isOrder = body.length > 0;
+        if (isOrder) {
             headers.set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         }
+        EndpointClient.Request request =
+                new EndpointClient.Request(order.endpoint.address(), method, path, headers, body);
         Call call = new Call(order, handler);
         order.call = Optional.of(call);
         order.calledAt = now;
-        call.attempt = client.send(
-                new EndpointClient.Request(order.endpoint.address(), method, path, headers, body),
-                authority.condition(),
-                call);
+        if (isOrder) {
+            orderCount++;
+            headers.set(PlatformHeaders.REQUEST_ID, "load-" + leaderName + "-" + authority.term() + "-" + orderCount);
+            call.attempt = client.send(request, authority.condition(), call);
+        } else {
+            call.attempt = client.read(request, authority.condition(), call);
+        }
     }
 
     /** Handles the complete response to a call. */
