Derive the version of a stream only if no second one served before a restart

Callers saw streams with events of two software versions: after a kill of all processes, streams that v1 had begun went on at v2, whose heartbeat was the first to arrive.

Cause: an edge that finds no origin of a stream takes the only version of the service in its directory of endpoints. A restarted process begins that directory anew, and so do the store hosts, with all of which the edge is in touch. What was heard since a start says nothing of what served before.

STREAM_RESUMED and STREAM_NOT_RESUMED say on which basis the version was found.

Streams of a service with one version still go on after a restart (#shouldResumeAStreamOf- UnknownOriginWhenOneVersionHadServedBeforeARestart).

--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/event/Event.java
@@ -64,6 +64,13 @@
     SNAPSHOT_FAILED(310, Severity.WARNING, "A snapshot failed and is tried again later; the log is unharmed."),
     /** A snapshot of the leader replaced the state of this host. */
     SNAPSHOT_INSTALLED(311, Severity.INFORMATION, "A snapshot of the leader replaced the state of this host."),
+    /** A host read what it had recorded of streams before its start. */
+    STREAM_RECORDS_LOADED(312, Severity.INFORMATION, "A host read what it had recorded of streams before its start."),
+    /** Records of streams could not be written and are written again later. */
+    STREAM_RECORDS_NOT_WRITTEN(
+            313, Severity.WARNING, "Records of streams could not be written and are written again later."),
+    /** A file of records could not be read to its end. */
+    JOURNAL_DAMAGED(314, Severity.WARNING, "A file of records could not be read to its end; what follows is lost."),
     /** An entry lost its configuration lease and takes no new work. */
     LEASE_LAPSED(400, Severity.WARNING, "An entry lost its configuration lease and takes no new work."),
     /** An entry connected to a control host. */
--- a/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
+++ b/rosemarybeam-common/src/main/java/io/rosemarybeam/common/wire/StoreMessage.java
@@ -8,6 +8,7 @@
 import io.rosemarybeam.common.id.EndpointId;
 import io.rosemarybeam.common.id.ItemId;
 import io.rosemarybeam.common.id.ModelName;
+import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.id.SubmissionId;
 import io.rosemarybeam.common.id.WorkspaceName;
 
@@ -203,12 +204,14 @@
      * @param crashes crashes of endpoints, by the requests that they ran; empty if an older sender omits them
      * @param rateLimits rate limits that endpoints name; empty if an older sender omits them
      * @param streams origins of streams that have begun; empty if an older sender omits them
+     * @param versions what the sender knows of the software versions that served lately; unknown if it omits them
      */
     record EndpointNews(
             List<EndpointAnnouncement> announcements,
             List<EndpointCrash> crashes,
             List<EndpointRateLimit> rateLimits,
-            List<StreamOrigin> streams)
+            List<StreamOrigin> streams,
+            VersionHistory versions)
             implements StoreMessage {
         /** Maximum number of announcements in a batch; each has at most 128 KiB, and a frame 8 MiB. */
         private static final int MAXIMUM_ANNOUNCEMENTS = 50;
@@ -222,6 +225,16 @@
             crashes = crashes == null ? List.of() : List.copyOf(crashes);
             rateLimits = rateLimits == null ? List.of() : List.copyOf(rateLimits);
             streams = streams == null ? List.of() : List.copyOf(streams);
+            versions = versions == null ? VersionHistory.UNKNOWN : versions;
+        }
+
+        /** Creates news without software versions. */
+        public EndpointNews(
+                List<EndpointAnnouncement> announcements,
+                List<EndpointCrash> crashes,
+                List<EndpointRateLimit> rateLimits,
+                List<StreamOrigin> streams) {
+            this(announcements, crashes, rateLimits, streams, VersionHistory.UNKNOWN);
         }
 
         public static EndpointNews ofAnnouncements(Collection<EndpointAnnouncement> announcements) {
@@ -414,9 +427,15 @@
     /**
      * Asks any store host what began a stream. Answered with {@link StreamReply}.
      *
-     * @param request id of the caller's attempt that brought the first event
+     * @param request id of the caller's attempt that brought the first event; empty if the caller did not name it
+     * @param services the services of the route; empty if an older sender omits them
      */
-    record FindStream(String request) implements StoreMessage {}
+    record FindStream(String request, List<ServiceName> services) implements StoreMessage {
+        /** Copies the list. */
+        public FindStream {
+            services = services == null ? List.of() : List.copyOf(services);
+        }
+    }
 
     /**
      * Answers {@link FindStream}.
@@ -424,8 +443,16 @@
      * @param origin the origin of the stream; empty if the host does not know it
      * @param collecting whether the host has just started, so that edges may know origins that it has not received yet; false
      *     if an older sender omits it
+     * @param versions the software versions of the route's service that served lately, if it has one service only; empty if the
+     *     host cannot rule out others, or an older sender omits them
      */
-    record StreamReply(Optional<StreamOrigin> origin, boolean collecting) implements StoreMessage {}
+    record StreamReply(Optional<StreamOrigin> origin, boolean collecting, Optional<List<String>> versions)
+            implements StoreMessage {
+        /** Takes omitted versions for unknown ones. */
+        public StreamReply {
+            versions = versions == null ? Optional.empty() : versions.map(List::copyOf);
+        }
+    }
 
     /**
      * Reports requests that have begun to run at endpoints to the leader. Idempotent, because the records are numbered. Sent
--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
@@ -170,10 +170,12 @@
         Optional<StreamOrigin> origin = Optional.of(new StreamOrigin("r", ServiceName.of("desk"), "v1"));
 
         assertEquals(
-                new StreamReply(origin, false),
+                new StreamReply(origin, false, Optional.empty()),
                 MessageCodec.decode(MessageCodec.encode(new EarlierStreamReply(origin)), StreamReply.class));
         assertEquals(
                 new EarlierStreamReply(origin),
-                MessageCodec.decode(MessageCodec.encode(new StreamReply(origin, true)), EarlierStreamReply.class));
+                MessageCodec.decode(
+                        MessageCodec.encode(new StreamReply(origin, true, Optional.of(List.of("v1")))),
+                        EarlierStreamReply.class));
     }
 }
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreSessions.java
@@ -196,10 +196,10 @@
                 .toList();
     }
 
-    /** Returns whether every known host is connected and has sent its status, so that this edge knows all endpoints. */
-    boolean isInTouchWithAll() {
+    /** Returns whether every known host is connected and finds the origins of streams. */
+    boolean canAskAllForStreams() {
         return !sessions.isEmpty()
-                && sessionsWithStatus().size() == requiredAddresses().size();
+                && streamFinders().size() == requiredAddresses().size();
     }
 
     /** Returns the edges that any connected host lists in its status. */
--- a/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreStreams.java
+++ b/rosemarybeam-edge/src/main/java/io/rosemarybeam/edge/StoreStreams.java
@@ -1,8 +1,10 @@
 package io.rosemarybeam.edge;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -10,6 +12,7 @@
 import io.netty.channel.EventLoop;
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
+import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.common.wire.Message;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
 import io.rosemarybeam.common.wire.StoreMessage.FindStream;
@@ -42,45 +45,57 @@
         sessions.broadcast(EndpointNews.ofStream(origin));
     }
 
-    @Override
-    public boolean knowsAllEndpoints() {
-        return sessions.isInTouchWithAll();
-    }
-
     @Override
     public void schedule(Runnable task, long delay) {
         loop.schedule(task, delay, TimeUnit.MILLISECONDS);
     }
 
     @Override
-    public void find(String request, Consumer<SearchResult> onResult) {
+    public void find(String request, List<ServiceName> services, Consumer<SearchResult> onResult) {
         CompletableFuture<SearchResult> result = new CompletableFuture<>();
-        List<CompletableFuture<Boolean>> replies = sessions.streamFinders().stream()
-                .map(store -> ask(store, request, result))
+        List<WireConnection> finders = sessions.streamFinders();
+        boolean asksAll = sessions.canAskAllForStreams();
+        List<CompletableFuture<Optional<StreamReply>>> replies = finders.stream()
+                .map(store -> ask(store, new FindStream(request, services), result))
                 .toList();
         CompletableFuture.allOf(replies.toArray(CompletableFuture[]::new)).whenComplete((ignored, failure) -> {
-            boolean isCertain = replies.stream().anyMatch(CompletableFuture::join);
-            result.complete(new SearchResult(Optional.empty(), isCertain));
+            List<Optional<StreamReply>> all =
+                    replies.stream().map(CompletableFuture::join).toList();
+            boolean isCertain = all.stream().flatMap(Optional::stream).anyMatch(reply -> !reply.collecting());
+            Optional<Set<String>> versions = asksAll ? versions(all) : Optional.empty();
+            result.complete(new SearchResult(Optional.empty(), isCertain, versions));
         });
         result.whenCompleteAsync((found, failure) -> onResult.accept(found), loop);
     }
 
-    /**
-     * Asks one host; the first known origin completes the search, and the others are not waited for. Completes with whether the
-     * host would know an origin that any edge knows.
-     */
-    private static CompletableFuture<Boolean> ask(
-            WireConnection store, String request, CompletableFuture<SearchResult> result) {
-        return store.request(new FindStream(request), REPLY_TIMEOUT).handle((reply, failure) -> {
+    /** Returns the versions that any host has heard of lately, if all of them answered and none can have missed one. */
+    private static Optional<Set<String>> versions(List<Optional<StreamReply>> replies) {
+        Set<String> all = new HashSet<>();
+        for (Optional<StreamReply> reply : replies) {
+            Optional<List<String>> heard = reply.flatMap(StreamReply::versions);
+            if (heard.isEmpty()) {
+                return Optional.empty();
+            }
+            all.addAll(heard.get());
+        }
+        return Optional.of(all);
+    }
+
+    /** Asks one host; the first known origin completes the search, and the others are not waited for. */
+    private static CompletableFuture<Optional<StreamReply>> ask(
+            WireConnection store, FindStream question, CompletableFuture<SearchResult> result) {
+        return store.request(question, REPLY_TIMEOUT).handle((reply, failure) -> {
             if (failure != null) {
-                logFailure(store, request, failure.getMessage());
+                logFailure(store, question.request(), failure.getMessage());
             } else if (reply instanceof StreamReply answer) {
-                answer.origin().ifPresent(origin -> result.complete(new SearchResult(Optional.of(origin), true)));
-                return !answer.collecting();
+                answer.origin()
+                        .ifPresent(origin ->
+                                result.complete(new SearchResult(Optional.of(origin), true, Optional.empty())));
+                return Optional.of(answer);
             } else {
-                logFailure(store, request, "unexpected reply " + describe(reply));
+                logFailure(store, question.request(), "unexpected reply " + describe(reply));
             }
-            return false;
+            return Optional.empty();
         });
     }
 
--- a/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/ResumedStreamTest.java
+++ b/rosemarybeam-edge/src/test/java/io/rosemarybeam/edge/ResumedStreamTest.java
@@ -121,6 +121,41 @@
                 List.of(first.getFirst()), rest.events().stream().distinct().toList());
     }
 
+    /** Restarts all processes; then only the newer endpoint announces itself, because heartbeats of the older one are late. */
+    private void restartAllProcesses() {
+        cluster.stopEdge(0);
+        cluster.stopEdge(1);
+        cluster.stopStore();
+        cluster.startStore();
+        cluster.startEdge(0);
+        cluster.startEdge(1);
+        cluster.announce("e-0", newer.address(), 1, "v2", 2);
+        awaitServed(0);
+        awaitServed(1);
+    }
+
+    /** After a restart of all processes, streams went on at the only version that had announced itself since. */
+    @Test
+    void shouldNotGuessTheVersionOfAnUnknownStreamWhenTwoHadServedBeforeARestart() {
+        release();
+        restartAllProcesses();
+
+        assertEquals(503, cluster.stream(1, "again", "unknown", BREAK).status());
+    }
+
+    /** A service with one version must not lose its streams because its hosts were restarted. */
+    @Test
+    void shouldResumeAStreamOfUnknownOriginWhenOneVersionHadServedBeforeARestart() {
+        cluster.stopEdge(1);
+        cluster.stopStore();
+        cluster.startStore();
+        cluster.startEdge(1);
+        cluster.announce("e-1", older.address(), 1, "v1", 2);
+        awaitServed(1);
+
+        assertEquals(200, cluster.stream(1, "again", "unknown", BREAK).status());
+    }
+
     @Test
     void shouldResumeAStreamOfUnknownOriginWhenItsServiceHasOneVersion() {
         assertEquals(200, cluster.stream(1, "again", "unknown", BREAK).status());
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -153,10 +153,11 @@
     }
 
     /** Continues the stream at the software version that began it; refuses the request at once if that cannot be done. */
-    private void onOriginFound(Optional<StreamOrigin> found) {
+    private void onOriginFound(StreamOrigins.Finding finding) {
         if (finished) {
             return;
         }
+        Optional<StreamOrigin> found = finding.origin();
         boolean mayContinue = found.isPresent()
                 && routeServices().contains(found.get().service())
                 && candidates.canContinue(found.get());
@@ -171,7 +172,9 @@
                 "service",
                 found.map(StreamOrigin::service).orElse(request.service()),
                 "software",
-                found.map(StreamOrigin::softwareVersion).orElse("unknown"));
+                found.map(StreamOrigin::softwareVersion).orElse("unknown"),
+                "basis",
+                finding.basis());
         if (mayContinue) {
             candidates.restrictTo(found.get());
             tryNextEndpoint();
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/StreamOrigins.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/StreamOrigins.java
@@ -1,5 +1,6 @@
 package io.rosemarybeam.forward;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -15,9 +16,10 @@
  * Finds out what began a stream that a caller resumes, here or at another host.
  *
  * <p>Invariant: the origin of a stream that begins here is published at once, so that it survives this process, and again to
- * each host that connects, so that it survives those. An origin that no host knows is derived only if the route has one service
- * with a single software version, as far as a host in touch with all store hosts can tell; otherwise it is unknown. Hosts that
- * have just started are asked again while the caller can wait. Confined to one event loop.
+ * each host that connects, so that it survives those. An origin that no host knows is derived only if the route has one service,
+ * and no second software version of it has served since before the start of this process, as all store hosts state; what this
+ * process has heard since then is no proof. Otherwise the origin is unknown. Hosts that have just started are asked again while
+ * the caller can wait. Confined to one event loop.
  */
 public final class StreamOrigins {
     /** Delay before other hosts are asked again, in milliseconds; a round trip takes about 10. */
@@ -39,10 +41,11 @@
         /**
          * Asks other hosts for an origin.
          *
-         * @param request id of the caller's attempt that brought the first event
+         * @param request id of the caller's attempt that brought the first event; empty if the caller did not name it
+         * @param services the services of the route
          * @param onResult called once, on the event loop
          */
-        void find(String request, Consumer<SearchResult> onResult);
+        void find(String request, List<ServiceName> services, Consumer<SearchResult> onResult);
 
         /**
          * Schedules a task on the event loop.
@@ -51,9 +54,6 @@
          * @param delay delay, in milliseconds
          */
         void schedule(Runnable task, long delay);
-
-        /** Returns whether this host has recent contact with all store hosts, so that it knows all endpoints. */
-        boolean knowsAllEndpoints();
     }
 
     /**
@@ -62,8 +62,27 @@
      * @param origin the origin, or empty if no host that answered knows it
      * @param isCertain whether a host would know it if the stream had begun at any host that is left; false while all hosts that
      *     answered have just started and still collect what the others know
+     * @param versions all software versions of the route's only service that served lately; empty if there may be others
      */
-    public record SearchResult(Optional<StreamOrigin> origin, boolean isCertain) {}
+    public record SearchResult(Optional<StreamOrigin> origin, boolean isCertain, Optional<Set<String>> versions) {}
+
+    /** How the origin of a stream was found. */
+    public enum Basis {
+        /** A host recorded it when the stream began. */
+        RECORDED,
+        /** The service had one software version only. */
+        ONLY_VERSION,
+        /** It is not known. */
+        UNKNOWN
+    }
+
+    /**
+     * The outcome of a search. Immutable.
+     *
+     * @param origin the origin; empty if the stream must not go on
+     * @param basis how it was found
+     */
+    public record Finding(Optional<StreamOrigin> origin, Basis basis) {}
 
     /**
      * Creates an instance without origins.
@@ -91,19 +110,16 @@
             }
 
             @Override
-            public void find(String request, Consumer<SearchResult> onResult) {
-                onResult.accept(new SearchResult(Optional.empty(), true));
+            public void find(String request, List<ServiceName> services, Consumer<SearchResult> onResult) {
+                Optional<Set<String>> versions =
+                        knowsAllEndpoints.getAsBoolean() ? Optional.of(Set.of()) : Optional.empty();
+                onResult.accept(new SearchResult(Optional.empty(), true, versions));
             }
 
             @Override
             public void schedule(Runnable task, long delay) {
                 throw new IllegalStateException("a certain result needs no further search");
             }
-
-            @Override
-            public boolean knowsAllEndpoints() {
-                return knowsAllEndpoints.getAsBoolean();
-            }
         });
     }
 
@@ -133,36 +149,40 @@
      * @param request id of the attempt that brought the first event; empty if the caller did not name it
      * @param services the services of the route
      * @param waitUntil monotonic time until which the caller can wait, in milliseconds
-     * @param onResult called once, possibly before this method returns; empty if the stream must not go on
+     * @param onResult called once, possibly before this method returns
      */
-    void find(String request, List<ServiceName> services, long waitUntil, Consumer<Optional<StreamOrigin>> onResult) {
+    void find(String request, List<ServiceName> services, long waitUntil, Consumer<Finding> onResult) {
         Optional<StreamOrigin> known = table.find(request);
         if (known.isPresent()) {
-            onResult.accept(known);
-        } else if (request.isEmpty()) {
-            onResult.accept(onlyVersion(request, services));
-        } else {
-            remote.find(request, result -> {
-                Optional<StreamOrigin> found = result.origin().or(() -> onlyVersion(request, services));
-                boolean isFinal = found.isPresent() || result.isCertain();
-                if (isFinal || Forwarder.now() + REPEAT_MILLISECONDS > waitUntil) {
-                    onResult.accept(found);
-                } else {
-                    remote.schedule(() -> find(request, services, waitUntil, onResult), REPEAT_MILLISECONDS);
-                }
-            });
+            onResult.accept(new Finding(known, Basis.RECORDED));
+            return;
         }
+        remote.find(request, services, result -> {
+            Finding finding = evaluate(request, services, result);
+            boolean isFinal = finding.origin().isPresent() || result.isCertain();
+            if (isFinal || Forwarder.now() + REPEAT_MILLISECONDS > waitUntil) {
+                onResult.accept(finding);
+            } else {
+                remote.schedule(() -> find(request, services, waitUntil, onResult), REPEAT_MILLISECONDS);
+            }
+        });
     }
 
-    private Optional<StreamOrigin> onlyVersion(String request, List<ServiceName> services) {
-        if (services.size() != 1 || !remote.knowsAllEndpoints()) {
-            return Optional.empty();
+    private Finding evaluate(String request, List<ServiceName> services, SearchResult result) {
+        if (result.origin().isPresent()) {
+            return new Finding(result.origin(), Basis.RECORDED);
         }
-        ServiceName service = services.getFirst();
-        Set<String> versions = directory.softwareVersions(service);
-        return versions.size() == 1
-                ? Optional.of(
-                        new StreamOrigin(request, service, versions.iterator().next()))
-                : Optional.empty();
+        return result.versions()
+                .filter(ignored -> services.size() == 1)
+                .flatMap(versions -> onlyVersion(services.getFirst(), versions))
+                .map(version -> new StreamOrigin(request, services.getFirst(), version))
+                .map(origin -> new Finding(Optional.of(origin), Basis.ONLY_VERSION))
+                .orElse(new Finding(Optional.empty(), Basis.UNKNOWN));
+    }
+
+    private Optional<String> onlyVersion(ServiceName service, Set<String> heardElsewhere) {
+        Set<String> versions = new HashSet<>(heardElsewhere);
+        versions.addAll(directory.softwareVersions(service));
+        return versions.size() == 1 ? Optional.of(versions.iterator().next()) : Optional.empty();
     }
 }
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/StreamOriginsTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/StreamOriginsTest.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import io.rosemarybeam.common.id.EndpointId;
@@ -12,6 +13,9 @@
 import io.rosemarybeam.common.wire.EndpointAnnouncement.State;
 import io.rosemarybeam.common.wire.StreamOrigin;
 import io.rosemarybeam.decision.routing.EndpointDirectory;
+import io.rosemarybeam.forward.StreamOrigins.Basis;
+import io.rosemarybeam.forward.StreamOrigins.Finding;
+import io.rosemarybeam.forward.StreamOrigins.SearchResult;
 import org.junit.jupiter.api.Test;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -43,7 +47,7 @@
 
     private Optional<StreamOrigin> find(String request, ServiceName... services) {
         List<Optional<StreamOrigin>> found = new ArrayList<>();
-        origins.find(request, List.of(services), Forwarder.now(), found::add);
+        origins.find(request, List.of(services), Forwarder.now(), finding -> found.add(finding.origin()));
         return found.getFirst();
     }
 
@@ -118,7 +122,8 @@
 
         List<Optional<StreamOrigin>> find(long waitUntil) {
             List<Optional<StreamOrigin>> found = new ArrayList<>();
-            new StreamOrigins(directory, this).find("r", List.of(DESK), waitUntil, found::add);
+            new StreamOrigins(directory, this)
+                    .find("r", List.of(DESK), waitUntil, finding -> found.add(finding.origin()));
             return found;
         }
 
@@ -128,20 +133,54 @@
         }
 
         @Override
-        public void find(String request, Consumer<StreamOrigins.SearchResult> onResult) {
+        public void find(String request, List<ServiceName> services, Consumer<SearchResult> onResult) {
             searches++;
             boolean isKnown = searches >= knownAtSearch;
-            onResult.accept(new StreamOrigins.SearchResult(isKnown ? origin : Optional.empty(), isKnown));
+            onResult.accept(new SearchResult(isKnown ? origin : Optional.empty(), isKnown, Optional.empty()));
         }
 
         @Override
         public void schedule(Runnable task, long delay) {
             task.run();
         }
+    }
 
-        @Override
-        public boolean knowsAllEndpoints() {
-            return true;
-        }
+    private Finding findWhereOthersHeardOf(Optional<Set<String>> versions, ServiceName... services) {
+        List<Finding> found = new ArrayList<>();
+        new StreamOrigins(directory, new StreamOrigins.Remote() {
+                    @Override
+                    public void publish(StreamOrigin origin) {
+                        throw new IllegalStateException("nothing begins in this test");
+                    }
+
+                    @Override
+                    public void find(String request, List<ServiceName> asked, Consumer<SearchResult> onResult) {
+                        onResult.accept(new SearchResult(Optional.empty(), true, versions));
+                    }
+
+                    @Override
+                    public void schedule(Runnable task, long delay) {
+                        throw new IllegalStateException("the result is certain");
+                    }
+                })
+                .find("r", List.of(services), Forwarder.now(), found::add);
+        return found.getFirst();
+    }
+
+    /** After a restart, the first endpoint to announce itself was taken for the only one that had served. */
+    @Test
+    void shouldDeriveAnOriginOnlyWhenOtherHostsRuleOutASecondVersion() {
+        announce("b", "v2");
+        StreamOrigin derived = new StreamOrigin("r", DESK, "v2");
+
+        assertEquals(new Finding(Optional.empty(), Basis.UNKNOWN), findWhereOthersHeardOf(Optional.empty(), DESK));
+        assertEquals(
+                new Finding(Optional.empty(), Basis.UNKNOWN),
+                findWhereOthersHeardOf(Optional.of(Set.of("v1", "v2")), DESK));
+        assertEquals(
+                new Finding(Optional.empty(), Basis.UNKNOWN), findWhereOthersHeardOf(Optional.of(Set.of("v1")), DESK));
+        assertEquals(
+                new Finding(Optional.of(derived), Basis.ONLY_VERSION),
+                findWhereOthersHeardOf(Optional.of(Set.of("v2")), DESK));
     }
 }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/EndpointRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.function.Consumer;
 
 import io.rosemarybeam.common.event.Event;
 import io.rosemarybeam.common.event.EventLog;
@@ -26,6 +27,7 @@
     private final EndpointDirectory directory;
     private final PeerConnections links;
     private final Collection<WireConnection> edges;
+    private final Consumer<EndpointAnnouncement> onChange;
     private final StallDetector stalls;
 
     /**
@@ -34,16 +36,19 @@
      * @param directory the latest announcement of each endpoint
      * @param links connections to the other store hosts
      * @param edges a view of the open connections of edges
+     * @param onChange is told each change before the edges are
      * @param maintenanceInterval interval between two calls of {@link #excuseStall}, in milliseconds
      */
     EndpointRegistry(
             EndpointDirectory directory,
             PeerConnections links,
             Collection<WireConnection> edges,
+            Consumer<EndpointAnnouncement> onChange,
             long maintenanceInterval) {
         this.directory = directory;
         this.links = links;
         this.edges = edges;
+        this.onChange = onChange;
         this.stalls = new StallDetector(maintenanceInterval);
     }
 
@@ -80,6 +85,7 @@
                 announcement.preemptible(),
                 "leavesIn",
                 announcement.leavesInMilliseconds());
+        onChange.accept(announcement);
         Broadcast.send(edges, EndpointNews.ofAnnouncements(List.of(announcement)));
         return true;
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StoreProcess.java
@@ -48,7 +48,6 @@
 import io.rosemarybeam.common.wire.StoreMessage.PermitReply;
 import io.rosemarybeam.common.wire.StoreMessage.StoreReply;
 import io.rosemarybeam.common.wire.StoreMessage.StoreStatus;
-import io.rosemarybeam.common.wire.StoreMessage.StreamReply;
 import io.rosemarybeam.common.wire.StoreMessage.UsageReceived;
 import io.rosemarybeam.common.wire.StoreMessage.UsageRecords;
 import io.rosemarybeam.common.wire.WireConnection;
@@ -65,6 +64,7 @@
 import io.rosemarybeam.consensus.ReplicatedLog;
 import io.rosemarybeam.consensus.storage.FileSystem;
 import io.rosemarybeam.consensus.storage.LogStorage;
+import io.rosemarybeam.consensus.storage.RecordJournal;
 import io.rosemarybeam.control.LeaderClock;
 import io.rosemarybeam.control.LeaderKeepAlive;
 import io.rosemarybeam.control.LogDriver;
@@ -76,7 +76,6 @@
 import io.rosemarybeam.decision.routing.PermitDecision;
 import io.rosemarybeam.decision.routing.PermitRequest;
 import io.rosemarybeam.decision.routing.RoutingTable;
-import io.rosemarybeam.decision.routing.StreamOriginTable;
 import io.rosemarybeam.forward.CallerServer;
 import io.rosemarybeam.forward.CrashRegistry;
 import io.rosemarybeam.forward.ForwardMetrics;
@@ -142,9 +141,6 @@
      */
     private static final long LAST_ANSWERS_MILLISECONDS = 1_000;
 
-    /** Time after the start in which edges connect and send what they know, in milliseconds; they try three times a second. */
-    private static final long COLLECTION_MILLISECONDS = 2_000;
-
     private static final double MILLISECONDS_PER_SECOND = 1_000;
 
     /** Upper bounds of the buckets, in seconds; items are due 7.5 s after their submission. */
@@ -167,7 +163,7 @@
     private final EndpointDirectory directory = new EndpointDirectory();
     private final EndpointLoads loads = new EndpointLoads();
     private final EndpointClient client = EndpointClient.of(loop);
-    private final StreamOriginTable streams = new StreamOriginTable();
+    private final StreamRecords streams;
     private final PermitGranter permits = new PermitGranter(loop, this::confirmLeadership);
     private final StateBudget budget = StateBudget.ofProcess();
     private final AnswerLimit answerLimit = AnswerLimit.of(OutputBacklog.ofProcess());
@@ -196,7 +192,6 @@
     private LoopMonitor loopMonitor;
     private CallerServer operatorServer;
     private boolean startedEmpty;
-    private long startedAt;
     private boolean failed;
     private volatile boolean stopping;
     private StoreStatus lastStatusToEdges;
@@ -205,6 +200,7 @@
     private StoreProcess(
             StoreSettings settings,
             LogStorage storage,
+            Optional<RecordJournal<StreamFacts>> journal,
             MemberId self,
             DurableState durable,
             Consumer<Throwable> onFailure) {
@@ -229,6 +225,7 @@
         this.storage = storage;
         this.self = self;
         this.startedEmpty = durable.isEmpty();
+        this.streams = StreamRecords.restore(loop, journal, beginsCluster());
         ReplicatedLog log = new ReplicatedLog(options(), self, durable);
         this.driver =
                 new LogDriver(loop, storageExecutor, storage, log, durable.snapshot(), state, new DriverListener());
@@ -245,7 +242,8 @@
                 () -> driver.confirmLeadership(true),
                 members::allCollectUsage,
                 ProviderMetrics.of(metrics));
-        this.registry = new EndpointRegistry(directory, links, edges.keySet(), MAINTENANCE_TICKS * TICK_MILLISECONDS);
+        this.registry = new EndpointRegistry(
+                directory, links, edges.keySet(), streams::heard, MAINTENANCE_TICKS * TICK_MILLISECONDS);
     }
 
     /**
@@ -263,19 +261,25 @@
 
     /** Creates a process with another file system, for tests of storage that fails. */
     static StoreProcess of(StoreSettings settings, FileSystem files, Consumer<Throwable> onFailure) {
+        Optional<RecordJournal<StreamFacts>> journal = StreamRecords.openJournal(settings.dataFolder());
         LogStorage storage = LogStorage.open(files);
         try {
             List<String> seeds = settings.stores().hosts();
             boolean isBootstrapMember = settings.firstStart() && seeds.contains(settings.host());
             long incarnation = isBootstrapMember ? FIRST_INCARNATION : new SecureRandom().nextLong();
             MemberId self = storage.identity(settings.host(), incarnation);
-            return new StoreProcess(settings, storage, self, storage.load(), onFailure);
+            return new StoreProcess(settings, storage, journal, self, storage.load(), onFailure);
         } catch (StorageException failure) {
             closeAfter(failure, storage::close);
+            closeAfter(failure, () -> journal.ifPresent(RecordJournal::close));
             throw failure;
         }
     }
 
+    private boolean beginsCluster() {
+        return startedEmpty && self.incarnation() == FIRST_INCARNATION;
+    }
+
     /** Runs a step of closing something that has failed; its own failure is of no interest beside the first one. */
     private static void closeAfter(Throwable failure, Runnable step) {
         try {
@@ -296,7 +300,6 @@
 
     /** Opens the listeners and starts to take part in the replicated log. */
     public void start() {
-        startedAt = Forwarder.now();
         ProcessFailure.watch(loops, () -> stopping, this::fail);
         StoreReport report = new StoreReport(driver, state, budget, directory, new ReportView());
         report.register(metrics);
@@ -308,7 +311,7 @@
                 LeaderKeepAlive.open(settings.protocolAddress(), secrets.clusterSecret(), loop, driver::leaderIsAlive);
         operatorServer =
                 CallerServer.open(loops, settings.operatorAddress(), CallerLimits::defaults, controlRequests::serve);
-        if (startedEmpty && self.incarnation() == FIRST_INCARNATION) {
+        if (beginsCluster()) {
             bootstrap();
         }
         // A fixed rate would follow a stall with a burst of ticks, in which all other hosts would seem to be silent.
@@ -382,6 +385,7 @@
                 .syncUninterruptibly();
         storageExecutor.shutdown();
         awaitStorage();
+        streams.close();
         storage.close();
         LOG.log(Event.PROCESS_STOPPED, "name", settings.name());
     }
@@ -412,6 +416,7 @@
                 .awaitUninterruptibly(2 * STOP_TIMEOUT_MILLISECONDS);
         storageExecutor.shutdown();
         boolean isReleased = loops.isTerminated() && awaitStorage();
+        closeAfter(unclosed, streams::close);
         closeAfter(unclosed, storage::close);
         if (unclosed.getSuppressed().length > 0) {
             LOG.log(Event.HANDLER_FAILED, unclosed, "name", settings.name());
@@ -504,6 +509,7 @@
         client.tick();
         registry.excuseStall(now);
         directory.evictExpired(now);
+        streams.maintain(directory.all());
         crashes.tick();
         rateLimits.retain(id -> directory.find(id).isPresent());
         links.maintain(members.peers(seeds, now), now);
@@ -699,7 +705,7 @@
         public void onOpen(WireConnection connection) {
             connection.send(status(Forwarder.now()));
             EndpointNews.batchesOf(directory.all()).forEach(connection::send);
-            connection.send(new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of()));
+            connection.send(new EndpointNews(List.of(), crashes.all(), rateLimits.all(), List.of(), streams.history()));
         }
 
         @Override
@@ -710,8 +716,7 @@
                 case StoreStatus peer -> receiveStatus(peer);
                 case EndpointNews update -> receiveNews(update);
                 case AcquirePermit wanted -> grant(connection, correlation, wanted);
-                case FindStream wanted ->
-                    connection.reply(correlation, new StreamReply(streams.find(wanted.request()), isCollecting()));
+                case FindStream wanted -> connection.reply(correlation, streams.reply(wanted));
                 case UsageRecords records -> receiveUsage(connection, correlation, records);
                 case StoreMessage request -> serve(connection, correlation, request);
                 default ->
@@ -724,10 +729,6 @@
             }
         }
 
-        private boolean isCollecting() {
-            return Forwarder.now() - startedAt < COLLECTION_MILLISECONDS;
-        }
-
         private void receiveLogTraffic(LogTraffic traffic) {
             Envelope envelope = LogMessageCodec.decode(traffic.payload());
             try {
@@ -739,7 +740,8 @@
         }
 
         private void receiveNews(EndpointNews update) {
-            update.streams().forEach(origin -> streams.add(origin, Long.MAX_VALUE));
+            streams.begun(update.streams());
+            streams.merge(update.versions());
             update.announcements().forEach(registry::merge);
             List<EndpointCrash> changes = crashes.merge(update.crashes());
             if (!changes.isEmpty()) {
