Keep the origins of streams on the disks of the store hosts

Cause: what began a stream was in the memory of edges and store hosts only, and without it each of two versions can be the wrong one.

While the disk refuses writes, origins wait in memory and are written later.

--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StreamRecords.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StreamRecords.java
@@ -140,7 +140,15 @@
 
     /** Records what began streams. */
     void begun(List<StreamOrigin> begun) {
-        begun.forEach(origin -> origins.add(origin, Long.MAX_VALUE));
+        for (StreamOrigin origin : begun) {
+            boolean isKnown =
+                    origins.find(origin.request()).filter(origin::equals).isPresent();
+            origins.add(origin, Long.MAX_VALUE);
+            if (!isKnown && waiting.size() < MAXIMUM_WAITING) {
+                waiting.add(origin);
+            }
+        }
+        write();
     }
 
     /** Records the software version of an endpoint. */
