Do not pass a refusal of an endpoint on that may have run the request

Cause: ForwardCall passes the last failure of an endpoint on, whatever the status and the kind of the route.

Change: for requests that must not be repeated, 408, 429 and 503 of an endpoint that may have run them become 502, also in answers of other edges.

--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardCall.java
@@ -377,8 +377,9 @@
     }
 
     private void finishWithoutAnswer() {
-        if (lastErrorAnswer.isPresent()) {
-            BufferedAnswer answer = lastErrorAnswer.get();
+        Optional<BufferedAnswer> passedOn = lastErrorAnswer.filter(answer -> !request.isFalseRefusal(answer.status));
+        if (passedOn.isPresent()) {
+            BufferedAnswer answer = passedOn.get();
             sink.reportInternalErrors(internalErrors);
             finish("endpoint answered " + answer.status, answer.status);
             sink.complete(answer.status, answer.headers, answer.body);
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/ForwardRequest.java
@@ -8,6 +8,7 @@
 import io.rosemarybeam.common.id.ServiceName;
 import io.rosemarybeam.decision.routing.Route;
 import io.rosemarybeam.decision.routing.Workspace;
+import io.rosemarybeam.platform.EndpointAnswer;
 import io.rosemarybeam.platform.PlatformHeaders;
 import io.rosemarybeam.platform.SendCondition;
 import io.rosemarybeam.platform.WorkspaceHeaders;
@@ -109,6 +110,17 @@
      */
     public record HandedOn(String sender, int attempts) {}
 
+    /**
+     * Returns whether the status of an endpoint that may have run this request must not reach the caller, who would take it for a
+     * refusal and send the request again.
+     *
+     * @param status the status code of the endpoint
+     * @return true for refusals of requests that must not be repeated
+     */
+    boolean isFalseRefusal(int status) {
+        return !route.isRepeatable() && EndpointAnswer.isRefusal(status);
+    }
+
     /** Returns the priority of the workspace; that of the route if the workspace has none, or there is no workspace. */
     public int priority() {
         return workspace
--- a/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/RequestHandOver.java
+++ b/rosemarybeam-forward/src/main/java/io/rosemarybeam/forward/RequestHandOver.java
@@ -140,6 +140,11 @@
 
     @Override
     public void onAnswer(EndpointAnswer head, byte[] body) {
+        if (request.isFalseRefusal(head.status())) {
+            // A host of an earlier release passes it on.
+            onFailed("an endpoint answered " + head.status());
+            return;
+        }
         listener.onAnswered(head);
         HttpHeaders headers = ForwardedHeaders.copy(head.headers());
         sink.complete(head.status(), headers, body);
--- a/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
+++ b/rosemarybeam-forward/src/test/java/io/rosemarybeam/forward/ForwarderTest.java
@@ -290,6 +290,32 @@
         assertEquals(0, other.requests.size());
     }
 
+    private static String failure(int status) {
+        return "HTTP/1.1 " + status + " Failure\r\nRosemarybeam-Request-Id: r1\r\nRosemarybeam-Server-Stamp: d\r\n"
+                + "Content-Length: 4\r\n\r\nbusy";
+    }
+
+    /** The caller would take the status of an endpoint that has run its request for a refusal, and send the request again. */
+    @ParameterizedTest
+    @ValueSource(ints = {408, 429, 503})
+    void shouldNotRefuseNonIdempotentRequestWhenTheEndpointMayHaveRunIt(int status) throws Exception {
+        endpoint("a", failure(status));
+
+        forward(RouteKind.NON_IDEMPOTENT, 2_000);
+
+        assertEquals("failed 502", outcome());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {400, 404, 500, 504})
+    void shouldPassOnTheStatusOfTheEndpointWhenItPromisesNothing(int status) throws Exception {
+        endpoint("a", failure(status));
+
+        forward(RouteKind.NON_IDEMPOTENT, 2_000);
+
+        assertEquals(status + " busy", outcome());
+    }
+
     @Test
     void shouldSendNonIdempotentRequestElsewhereWhenEndpointDidNotRunIt() throws Exception {
         endpoint("a", FULL);
