--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/RecordJournal.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/RecordJournal.java
@@ -120,7 +120,11 @@
             }
         } catch (IOException | RuntimeException failure) {
             // What follows an incomplete record could not be read.
-            closeCurrent();
+            try {
+                closeCurrent();
+            } catch (IOException unclosed) {
+                failure.addSuppressed(unclosed);
+            }
             throw failure;
         }
     }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StreamRecords.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StreamRecords.java
@@ -233,30 +233,32 @@
             int room = Math.max(0, MAXIMUM_WAITING - waiting.size());
             waiting.addAll(0, written.subList(Math.max(0, written.size() - room), written.size()));
             nextWriteAt = Forwarder.now() + RETRY_MILLISECONDS;
-            LOG.log(Event.STREAM_RECORDS_NOT_WRITTEN, cause, "waiting", waiting.size());
+            logNotWritten(cause);
         });
         write();
     }
 
-    /** Writes what is not on disk and closes the files; to be called once the event loop has ended. */
+    /**
+     * Writes what is not on disk and closes the files; to be called once the event loop has ended. Gives up after
+     * {@value #STOP_TIMEOUT_MILLISECONDS} ms, because a write to a stalled disk may never return.
+     */
     void close() {
+        VersionHistory history = history();
+        if (journal.isPresent() && (!waiting.isEmpty() || !history.equals(stored))) {
+            StreamFacts facts = newFacts(history);
+            writer.execute(() -> append(facts, history).ifPresent(this::logNotWritten));
+        }
         writer.shutdown();
         try {
-            if (!writer.awaitTermination(STOP_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)) {
-                return;
+            if (writer.awaitTermination(STOP_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)) {
+                journal.ifPresent(RecordJournal::close);
             }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
-            return;
         }
-        journal.ifPresent(files -> {
-            VersionHistory history = history();
-            if (!waiting.isEmpty() || !history.equals(stored)) {
-                append(newFacts(history), history)
-                        .ifPresent(
-                                cause -> LOG.log(Event.STREAM_RECORDS_NOT_WRITTEN, cause, "waiting", waiting.size()));
-            }
-            files.close();
-        });
+    }
+
+    private void logNotWritten(Throwable cause) {
+        LOG.log(Event.STREAM_RECORDS_NOT_WRITTEN, cause, "waiting", waiting.size());
     }
 }
--- a/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StreamRecordsTest.java
+++ b/rosemarybeam-store/src/test/java/io/rosemarybeam/store/StreamRecordsTest.java
@@ -2,8 +2,10 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
@@ -26,6 +28,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 /** Guards against streams that cannot go on, or go on at another version, because all store hosts were killed. */
@@ -169,6 +172,32 @@
         assertEquals(Optional.of(ORIGIN), ask(restore(copy, false), "r").origin());
     }
 
+    /** A stop that waits for a stalled disk would last until the process is killed. */
+    @Test
+    void shouldCloseInTimeWhenTheDiskStalls() throws Exception {
+        CountDownLatch isMoving = new CountDownLatch(1);
+        FailingFileSystem files = new FailingFileSystem(FileSystem.of(folder.resolve("streams")));
+        files.refuseWritesWhile(() -> {
+            try {
+                isMoving.await();
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+            }
+            return true;
+        });
+        StreamRecords records =
+                StreamRecords.restore(loop, Optional.of(RecordJournal.open(files, StreamFacts.class)), true);
+        // The write that this schedules is cancelled with the loop, so that the close has to make it.
+        run(() -> {
+            records.begun(List.of(ORIGIN));
+            loops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        });
+        loops.terminationFuture().sync();
+
+        assertTimeoutPreemptively(Duration.ofMillis(TIMEOUT_MILLISECONDS), records::close);
+        isMoving.countDown();
+    }
+
     @Test
     void shouldServeWithoutFilesWhenTheFolderCannotBeUsed() throws Exception {
         Files.writeString(folder.resolve("streams"), "a file in place of the folder");
