--- a/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/RecordJournal.java
+++ b/rosemarybeam-consensus/src/main/java/io/rosemarybeam/consensus/storage/RecordJournal.java
@@ -61,7 +61,13 @@
         return new RecordJournal<>(files, type);
     }
 
-    /** What a journal holds. Immutable, provided that the records are. */
+    /**
+     * What a journal holds. Immutable, provided that the records are.
+     *
+     * @param records the records, the oldest first
+     * @param isWhole whether no record is missing, apart from one whose write was interrupted
+     * @param <T> class of the records
+     */
     public record Content<T extends Record>(List<T> records, boolean isWhole) {}
 
     /**
@@ -88,8 +94,11 @@
 
     private boolean load(String name, List<T> records) {
         try {
+            long number = Long.parseLong(name.substring(PREFIX.length()));
+            // A file that cannot be read counts too, so that its number is not used again.
+            sizes.put(number, 0L);
             byte[] content = files.read(name);
-            sizes.put(Long.parseLong(name.substring(PREFIX.length())), (long) content.length);
+            sizes.put(number, (long) content.length);
             for (byte[] body : RecordFile.decode(name, content, true).bodies()) {
                 records.add(MessageCodec.decode(body, type));
             }
--- a/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StreamRecords.java
+++ b/rosemarybeam-store/src/main/java/io/rosemarybeam/store/StreamRecords.java
@@ -121,7 +121,7 @@
                         .mapToInt(facts -> facts.origins().size())
                         .sum(),
                 "versions",
-                history.versions(),
+                history.versions().size(),
                 "complete",
                 history.isComplete());
         return new StreamRecords(loop, journal, content.records(), history);
