Test that searches for streams can be exchanged with an earlier release

MessageCodecTest#shouldExchangeSearchesForStreamsWithAnEarlierRelease guards against dropped connections in a rolling upgrade. No product code is changed.

--- a/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
+++ b/rosemarybeam-common/src/test/java/io/rosemarybeam/common/wire/MessageCodecTest.java
@@ -21,6 +21,7 @@
 import io.rosemarybeam.common.wire.EntryRequest.EndpointRenewal;
 import io.rosemarybeam.common.wire.EntryRequest.RenewEntryLease;
 import io.rosemarybeam.common.wire.StoreMessage.EndpointNews;
+import io.rosemarybeam.common.wire.StoreMessage.FindStream;
 import io.rosemarybeam.common.wire.StoreMessage.StreamReply;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -178,4 +179,20 @@
                         MessageCodec.encode(new StreamReply(origin, true, Optional.of(List.of("v1")))),
                         EarlierStreamReply.class));
     }
+
+    /** The search of an earlier release, which does not name the services of the route. */
+    private record EarlierFindStream(String request) {}
+
+    /** In a rolling upgrade a host would drop the connection of an edge of the other release, and no stream could be resumed. */
+    @Test
+    void shouldExchangeSearchesForStreamsWithAnEarlierRelease() {
+        FindStream newer = new FindStream("r", List.of(ServiceName.of("desk")));
+
+        assertEquals(newer, MessageCodec.decode(MessageCodec.encode(newer), FindStream.class));
+        assertEquals(
+                new EarlierFindStream("r"), MessageCodec.decode(MessageCodec.encode(newer), EarlierFindStream.class));
+        assertEquals(
+                new FindStream("r", List.of()),
+                MessageCodec.decode(MessageCodec.encode(new EarlierFindStream("r")), FindStream.class));
+    }
 }
