--- a/review/support-3/Lab.java
+++ b/review/support-3/Lab.java
@@ -71,7 +71,7 @@
     }
 
     private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0)) {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
         } catch (IOException failure) {
             throw new IllegalStateException(failure);
