--- a/review/support-3/Lab.java
+++ b/review/support-3/Lab.java
@@ -113,9 +113,14 @@
 
     /** Starts a store process with the settings of the template deploy/store.json, as a small deployment fills it in. */
     void startStore(int index, boolean firstStart) throws IOException {
+        startStore("storage-" + index, index, firstStart);
+    }
+
+    /** Starts a store process under a name at the address with an index. */
+    void startStore(String name, int index, boolean firstStart) throws IOException {
         String settings = """
                 {
-                  "name": "storage-%1$d", "failureDomain": "zone-%1$d", "host": "%2$s",
+                  "name": "%10$s", "failureDomain": "zone-%1$d", "host": "%2$s",
                   "operatorAddress": "%3$s", "adminAddress": "%4$s", "dataFolder": "%5$s",
                   "seeds": %6$s, "storePort": %7$d, "clusterSecret": "rosemarybeam", "firstStart": %8$s,
                   "toleratedLosses": 1, "endpointsCheckFencing": true, "orderLeaseMilliseconds": 3000,
@@ -133,7 +138,8 @@
                         seeds(),
                         storePort,
                         firstStart,
-                        GRACE_SECONDS);
+                        GRACE_SECONDS,
+                        name);
         start("store-" + index, "store", settings);
     }
 
@@ -208,6 +214,14 @@
         process(name).destroyForcibly().waitFor();
     }
 
+    /** Removes the data folder of a store process that has ended. */
+    void removeDisk(int index) throws IOException {
+        note("the disk of store-%d is gone", index);
+        try (var files = Files.walk(folder.resolve("data-" + index))) {
+            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        }
+    }
+
     String log(String name) throws IOException {
         Path file = folder.resolve(name + ".log");
         return Files.exists(file) ? Files.readString(file) : "";
