--- a/review/support-3/Lab.java
+++ b/review/support-3/Lab.java
@@ -20,6 +20,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 
 /**
  * Runs the store and edge programs of the deploy file as processes on loopback addresses, and writes what was seen to a record.
@@ -46,6 +47,7 @@
     private final int directoryPort = freePort();
     private final int peerPort = freePort();
     private final Map<String, Process> processes = new TreeMap<>();
+    private List<Integer> seeds = List.of(1, 2, 3);
 
     Lab() throws IOException {
         folder = Files.createTempDirectory("review-3-");
@@ -107,8 +109,13 @@
         return host + ":" + adminPort;
     }
 
+    /** Sets the store machines that the settings of processes name which are started from now on. */
+    void useSeeds(List<Integer> indexes) {
+        seeds = List.copyOf(indexes);
+    }
+
     private String seeds() {
-        return "[\"" + control(1) + "\", \"" + control(2) + "\", \"" + control(3) + "\"]";
+        return seeds.stream().map(index -> "\"" + control(index) + "\"").collect(Collectors.joining(", ", "[", "]"));
     }
 
     /** Starts a store process with the settings of the template deploy/store.json, as a small deployment fills it in. */
